--- /dev/null
+++ b/core/token_bucket.h
@@ -0,0 +1,48 @@
+/*
+ * calicoscale: token_bucket.h
+ * Token bucket over handed-in time.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef TOKEN_BUCKET_H
+#define TOKEN_BUCKET_H
+
+#include "core/time.h"
+
+namespace calicoscale {
+
+/** Limits a rate and allows a burst. */
+class token_bucket {
+	double _rate = 0.0;
+	double _burst = 0.0;
+	double _tokens = 0.0;
+	instant _updated{};
+
+	void _refill(instant p_now);
+
+public:
+	token_bucket() = default;
+
+	/** @param p_rate tokens a second. @param p_burst most tokens kept; the bucket starts full. */
+	token_bucket(double p_rate, double p_burst, instant p_now);
+
+	/** Changes the rate and burst; tokens above the new burst are lost. */
+	void set_rate(double p_rate, double p_burst, instant p_now);
+
+	/** Takes tokens if that many are there. */
+	bool try_take(double p_tokens, instant p_now);
+
+	/** Gives tokens back, up to the burst. */
+	void give_back(double p_tokens);
+
+	/** Time until that many tokens will be there; the largest duration when the rate is zero. */
+	duration get_wait(double p_tokens, instant p_now);
+
+	double get_rate() const { return _rate; }
+};
+
+} // namespace calicoscale
+
+#endif // TOKEN_BUCKET_H
--- /dev/null
+++ b/core/verdict.h
@@ -0,0 +1,94 @@
+/*
+ * calicoscale: verdict.h
+ * Whether a request may have run, and why it ended as it did.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef VERDICT_H
+#define VERDICT_H
+
+#include <string_view>
+
+namespace calicoscale {
+
+/** Whether work may have run. The order matters: a later one says more may have happened. */
+enum class verdict {
+	NOT_RUN, ///< No stage ran; sending again is safe.
+	MAY_HAVE_RUN, ///< Some stage ran or may have; nobody can tell for sure.
+	COMPLETED, ///< A complete answer that matches its request is at hand.
+};
+
+/** Typed reason that goes with a verdict. */
+enum class reason {
+	NONE,
+	BAD_REQUEST,
+	BAD_DEADLINE,
+	UNAUTHORIZED,
+	NOT_FOUND,
+	TOO_LARGE,
+	KEY_REQUIRED,
+	KEY_MALFORMED,
+	KEY_EXPIRED,
+	KEY_IN_USE,
+	CLAIM_UNAVAILABLE,
+	ISSUER_GONE,
+	CUSTOMER_RATE,
+	CUSTOMER_CONCURRENCY,
+	QUEUE_FULL,
+	DEADLINE_UNREACHABLE,
+	DEADLINE_PASSED,
+	NO_ENDPOINT,
+	CONNECT_FAILED,
+	REFUSED_BUSY,
+	REFUSED_LEAVING,
+	REFUSED_INPUT,
+	CONNECTION_LOST,
+	TIMED_OUT,
+	TRUNCATED,
+	ENDPOINT_ERROR,
+	WRONG_ECHO,
+	CANCELLED,
+	CALLER_GONE,
+	DRAINING,
+	NOT_READY,
+};
+
+/** A verdict with its reason. */
+struct outcome {
+	verdict what = verdict::NOT_RUN;
+	reason why = reason::NONE;
+	bool operator==(const outcome &p_other) const = default;
+};
+
+/** Name of a verdict as callers see it, e.g. "not_run". */
+std::string_view get_name(verdict p_verdict);
+
+/** Name of a reason as callers see it, e.g. "deadline_passed". */
+std::string_view get_name(reason p_reason);
+
+/** Looks a reason up by its name; NONE when no reason has that name. */
+reason find_reason(std::string_view p_name);
+
+/** HTTP status that reports a reason to a caller. */
+int get_http_status(reason p_reason);
+
+/**
+ * Folds the verdicts of all attempts of one request that did not complete:
+ * the request is NOT_RUN only if every attempt at every stage was.
+ */
+class verdict_tally {
+	bool _may_have_run = false;
+
+public:
+	/** Takes one attempt into account. A completed attempt ran, so it counts as having run. */
+	void add(verdict p_attempt);
+
+	/** What may be told of a request that gives up now. */
+	verdict get_verdict() const { return _may_have_run ? verdict::MAY_HAVE_RUN : verdict::NOT_RUN; }
+};
+
+} // namespace calicoscale
+
+#endif // VERDICT_H
--- /dev/null
+++ b/drivers/endpoint_client.cpp
@@ -0,0 +1,292 @@
+/*
+ * calicoscale: endpoint_client.cpp
+ * Attempts at endpoints: engines, pools and plain services.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/endpoint_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace calicoscale {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int STATUS_OK = 200;
+constexpr duration SETTLE_TIMEOUT = std::chrono::seconds(2);
+constexpr duration LOAD_TIMEOUT = std::chrono::seconds(1);
+/** The flow's own timers end an attempt; the connection's limit only backs them up. */
+constexpr duration CONNECTION_SLACK = std::chrono::seconds(2);
+constexpr std::size_t LARGEST_LINE = 1024 * 1024;
+
+attempt_end make_end(verdict p_verdict, reason p_reason) {
+	attempt_end end;
+	end.result = outcome{ p_verdict, p_reason };
+	return end;
+}
+
+/** Judges an attempt that did not bring a 200 answer. */
+attempt_end judge_failure(const http_result &p_result) {
+	switch (p_result.failure) {
+		case http_failure::CONNECT_FAILED:
+			return make_end(verdict::NOT_RUN, reason::CONNECT_FAILED);
+		case http_failure::LOST:
+			return make_end(verdict::MAY_HAVE_RUN, reason::CONNECTION_LOST);
+		case http_failure::TIMED_OUT:
+			return make_end(verdict::MAY_HAVE_RUN, reason::TIMED_OUT);
+		case http_failure::MALFORMED:
+			return make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED);
+		case http_failure::NONE:
+			break;
+	}
+	// Only this header says that the endpoint refused before it ran anything; a status alone does not.
+	const std::string refusal = p_result.find_header("Not-Run");
+	if (refusal == "busy") {
+		return make_end(verdict::NOT_RUN, reason::REFUSED_BUSY);
+	}
+	if (refusal == "leaving") {
+		return make_end(verdict::NOT_RUN, reason::REFUSED_LEAVING);
+	}
+	if (refusal == "input") {
+		return make_end(verdict::NOT_RUN, reason::REFUSED_INPUT);
+	}
+	return make_end(verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR);
+}
+
+json make_body(const attempt_order &p_order) {
+	json body;
+	body["attempt"] = to_string(p_order.id);
+	body["customer"] = p_order.customer;
+	body["pipeline"] = p_order.pipeline;
+	body["stage"] = p_order.stage;
+	body["priority"] = get_name(p_order.priority);
+	body["input"] = json::parse(p_order.input);
+	body["previous"] = p_order.previous.empty() ? json(nullptr) : json::parse(p_order.previous);
+	if (p_order.kind == stage_kind::GENERATE) {
+		body["max_tokens"] = p_order.max_tokens;
+		body["tokens_before"] = p_order.tokens_before;
+		body["cache_scope"] = p_order.customer;
+	}
+	return body;
+}
+
+http_call make_call(const attempt_order &p_order) {
+	http_call call;
+	call.to = p_order.to;
+	call.is_post = true;
+	call.timeout = p_order.remaining + CONNECTION_SLACK;
+	// A kept-alive connection may be closed under a request; for an unrepeatable stage that doubt is not worth the saving.
+	call.fresh_connection = !p_order.repeatable;
+	call.headers = {
+		{ "Content-Type", "application/json" },
+		{ "Attempt", to_string(p_order.id) },
+		{ "Give-Up-Ms", std::to_string(p_order.remaining.count() / 1000) },
+		{ "Give-Up-Unix-Ms", std::to_string(p_order.give_up_wall) },
+	};
+	return call;
+}
+
+double read_units(const json &p_answer) {
+	const auto found = p_answer.find("units");
+	if (found == p_answer.end() || !found->is_number()) {
+		return 0.0;
+	}
+	return found->get<double>();
+}
+
+std::string read_echo(const json &p_answer) {
+	const auto found = p_answer.find("attempt");
+	return found == p_answer.end() || !found->is_string() ? std::string() : found->get<std::string>();
+}
+
+} // namespace
+
+/** Takes the lines of a token stream apart. */
+struct endpoint_client::stream_reader {
+	endpoint_client &owner;
+	std::string echo;
+	attempt_hooks hooks;
+	std::string rest;
+	call_id call = 0;
+	bool ended = false;
+
+	void end(const attempt_end &p_end) {
+		if (ended) {
+			return;
+		}
+		ended = true;
+		hooks.on_end(p_end);
+	}
+
+	/** Ends the attempt because of what the endpoint sent, and closes the connection. */
+	void break_off(const attempt_end &p_end) {
+		if (ended) {
+			return;
+		}
+		owner._client.cancel(call);
+		end(p_end);
+	}
+
+	void take_line(const std::string &p_line) {
+		const json line = json::parse(p_line, nullptr, false);
+		if (!line.is_object()) {
+			break_off(make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED));
+			return;
+		}
+		if (read_echo(line) != echo) {
+			owner._wrong_echoes++;
+			break_off(make_end(verdict::MAY_HAVE_RUN, reason::WRONG_ECHO));
+			return;
+		}
+		try {
+			if (line.value("done", false)) {
+				attempt_end done = make_end(verdict::COMPLETED, reason::NONE);
+				done.cost_known = true;
+				done.units = read_units(line);
+				done.token_count = line.at("count").get<std::uint32_t>();
+				done.digest = line.at("digest").get<std::string>();
+				end(done);
+				return;
+			}
+			const std::uint32_t offset = line.at("offset").get<std::uint32_t>();
+			hooks.on_token(offset, line.at("token").get<std::string>());
+		} catch (const json::exception &) {
+			break_off(make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED));
+		}
+	}
+
+	void take_chunk(std::string_view p_chunk) {
+		rest.append(p_chunk);
+		std::size_t start = 0;
+		while (!ended) {
+			const std::size_t end_of_line = rest.find('\n', start);
+			if (end_of_line == std::string::npos) {
+				break;
+			}
+			take_line(rest.substr(start, end_of_line - start));
+			start = end_of_line + 1;
+		}
+		rest.erase(0, start);
+		if (rest.size() > LARGEST_LINE) {
+			break_off(make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED));
+		}
+	}
+
+	void take_end(const http_result &p_result) {
+		const bool ended_early = p_result.failure == http_failure::NONE && p_result.status == STATUS_OK;
+		end(ended_early ? make_end(verdict::MAY_HAVE_RUN, reason::CONNECTION_LOST) : judge_failure(p_result));
+	}
+};
+
+endpoint_client::endpoint_client(http_client &p_client) :
+		_client(p_client) {
+}
+
+call_id endpoint_client::start(const attempt_order &p_order, attempt_hooks p_hooks) {
+	if (p_order.kind == stage_kind::GENERATE) {
+		return _start_stream(p_order, std::move(p_hooks));
+	}
+	return _start_unary(p_order, std::move(p_hooks));
+}
+
+call_id endpoint_client::_start_stream(const attempt_order &p_order, attempt_hooks p_hooks) {
+	http_call call = make_call(p_order);
+	if (p_order.start == stream_start::RESUME) {
+		call.path = "/v1/resume";
+		const json body{ { "attempt", to_string(p_order.id) }, { "resume", to_string(p_order.resume_of) }, { "customer", p_order.customer }, { "offset", p_order.from_offset } };
+		call.body = body.dump();
+	} else {
+		call.path = "/v1/generate";
+		call.body = make_body(p_order).dump();
+	}
+	auto reader = std::make_shared<stream_reader>(stream_reader{ *this, to_string(p_order.id), std::move(p_hooks), "", 0, false });
+	http_hooks hooks;
+	hooks.on_chunk = [reader](std::string_view p_chunk) { reader->take_chunk(p_chunk); };
+	hooks.on_end = [reader](const http_result &p_result) { reader->take_end(p_result); };
+	reader->call = _client.start(call, std::move(hooks));
+	return reader->call;
+}
+
+call_id endpoint_client::_start_unary(const attempt_order &p_order, attempt_hooks p_hooks) {
+	http_call call = make_call(p_order);
+	call.path = "/v1/run";
+	call.body = make_body(p_order).dump();
+	http_hooks hooks;
+	hooks.on_end = [this, echo = to_string(p_order.id), on_end = std::move(p_hooks.on_end)](const http_result &p_result) {
+		if (p_result.failure != http_failure::NONE || p_result.status != STATUS_OK) {
+			on_end(judge_failure(p_result));
+			return;
+		}
+		const json answer = json::parse(p_result.body, nullptr, false);
+		if (!p_result.has_length || !answer.is_object() || !answer.contains("output")) {
+			on_end(make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED));
+			return;
+		}
+		if (read_echo(answer) != echo) {
+			_wrong_echoes++;
+			on_end(make_end(verdict::MAY_HAVE_RUN, reason::WRONG_ECHO));
+			return;
+		}
+		attempt_end end = make_end(verdict::COMPLETED, reason::NONE);
+		end.output = answer.at("output").dump(-1, ' ', false, json::error_handler_t::replace);
+		end.cost_known = true;
+		end.units = read_units(answer);
+		on_end(end);
+	};
+	return _client.start(call, std::move(hooks));
+}
+
+void endpoint_client::cancel(call_id p_call) {
+	_client.cancel(p_call);
+}
+
+void endpoint_client::settle(const network_address &p_to, const attempt_id &p_id, std::function<void(const settled_cost &)> p_hook) {
+	http_call call;
+	call.to = p_to;
+	call.is_post = true;
+	call.path = "/v1/settle";
+	call.headers = { { "Content-Type", "application/json" } };
+	call.body = json({ { "attempt", to_string(p_id) } }).dump();
+	call.timeout = SETTLE_TIMEOUT;
+	http_hooks hooks;
+	hooks.on_end = [echo = to_string(p_id), hook = std::move(p_hook)](const http_result &p_result) {
+		const json answer = p_result.status == STATUS_OK ? json::parse(p_result.body, nullptr, false) : json();
+		settled_cost cost;
+		cost.known = p_result.failure == http_failure::NONE && answer.is_object() && read_echo(answer) == echo;
+		cost.units = cost.known ? read_units(answer) : 0.0;
+		hook(cost);
+	};
+	_client.start(call, std::move(hooks));
+}
+
+void endpoint_client::fetch_load(const network_address &p_to, std::function<void(const std::optional<load_answer> &)> p_hook) {
+	http_call call;
+	call.to = p_to;
+	call.path = "/v1/load";
+	call.timeout = LOAD_TIMEOUT;
+	http_hooks hooks;
+	hooks.on_end = [hook = std::move(p_hook)](const http_result &p_result) {
+		const json answer = p_result.status == STATUS_OK ? json::parse(p_result.body, nullptr, false) : json();
+		if (p_result.failure != http_failure::NONE || !answer.is_object()) {
+			hook(std::nullopt);
+			return;
+		}
+		try {
+			load_answer load;
+			load.running = answer.at("running").get<double>();
+			load.queued = answer.at("queued").get<double>();
+			load.age = std::chrono::milliseconds(answer.value("age_ms", 0));
+			load.leaving = answer.value("leaving", false);
+			hook(load);
+		} catch (const json::exception &) {
+			hook(std::nullopt);
+		}
+	};
+	_client.start(call, std::move(hooks));
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/drivers/http_client.h
@@ -0,0 +1,108 @@
+/*
+ * calicoscale: http_client.h
+ * HTTP calls by evhttp, with the one fact that matters: whether any byte was handed over.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef HTTP_CLIENT_H
+#define HTTP_CLIENT_H
+
+#include "drivers/event_loop.h"
+#include "servers/routing/endpoint_state.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace calicoscale {
+
+/** One header of a call or an answer. */
+struct http_header {
+	std::string name;
+	std::string value;
+};
+
+/** One call. */
+struct http_call {
+	network_address to;
+	bool is_post = false;
+	std::string path;
+	std::vector<http_header> headers;
+	std::string body;
+	duration timeout = std::chrono::seconds(5); ///< Without any progress on the connection.
+	bool fresh_connection = false; ///< Never reuse a kept-alive connection, which may be closed under the call.
+	std::size_t largest_answer = 8 * 1024 * 1024;
+};
+
+/** How a call failed. */
+enum class http_failure {
+	NONE,
+	CONNECT_FAILED, ///< Not one byte was handed to a connected socket.
+	LOST, ///< Broken off before the answer was complete.
+	TIMED_OUT,
+	MALFORMED,
+};
+
+/** How a call ended. */
+struct http_result {
+	http_failure failure = http_failure::NONE;
+	int status = 0;
+	std::vector<http_header> headers;
+	std::string body;
+	bool has_length = false; ///< The answer told its length or was chunked, so that it is known to be whole.
+
+	/** Value of a header, compared without case; empty when absent. */
+	std::string find_header(std::string_view p_name) const;
+};
+
+/** What a call reports. Either may be empty. */
+struct http_hooks {
+	std::function<void(std::string_view p_chunk)> on_chunk; ///< Parts of a 200 answer's body as they come; the body then stays empty.
+	std::function<void(const http_result &p_result)> on_end; ///< Exactly once, unless cancelled.
+};
+
+/** Identity of a call within its client. */
+using call_id = std::uint64_t;
+
+/** Makes calls and keeps idle connections. A connection carries one call at a time; nothing is pipelined or re-sent. */
+class http_client {
+	class call_state;
+	struct idle_connection;
+
+	event_loop &_loop;
+	std::map<call_id, std::unique_ptr<call_state>> _calls;
+	std::map<std::string, std::vector<idle_connection>> _idle;
+	call_id _next_id = 1;
+	std::uint64_t _bytes_sent = 0;
+	std::uint64_t _bytes_received = 0;
+
+	void _end(call_id p_id, const http_result &p_result, bool p_keep);
+
+public:
+	explicit http_client(event_loop &p_loop);
+	~http_client();
+	http_client(const http_client &) = delete;
+	http_client &operator=(const http_client &) = delete;
+
+	/** Starts a call. */
+	call_id start(const http_call &p_call, http_hooks p_hooks);
+
+	/** Stops a call: its connection is closed and its hooks are not called any more. */
+	void cancel(call_id p_id);
+
+	/** Drops idle connections that were not used lately. */
+	void drop_old_connections();
+
+	std::size_t get_open_count() const { return _calls.size(); }
+	std::uint64_t get_bytes_sent() const { return _bytes_sent; }
+	std::uint64_t get_bytes_received() const { return _bytes_received; }
+};
+
+} // namespace calicoscale
+
+#endif // HTTP_CLIENT_H
--- /dev/null
+++ b/drivers/http_server.h
@@ -0,0 +1,121 @@
+/*
+ * calicoscale: http_server.h
+ * HTTP service by evhttp, hardened against its defaults.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef HTTP_SERVER_H
+#define HTTP_SERVER_H
+
+#include "drivers/event_loop.h"
+#include "drivers/http_client.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+struct evhttp_connection;
+
+namespace calicoscale {
+
+/** One request at a server and the way to answer it. Destroying it unanswered answers 500. */
+class http_exchange {
+	evhttp_request *_request;
+	evhttp_connection *_connection;
+	std::function<void()> _on_gone;
+	bool _gone = false;
+	bool _streaming = false;
+	bool _answered = false;
+
+	static void _on_closed(evhttp_connection *p_connection, void *p_self);
+	void _add_headers(const std::string &p_content_type, const std::vector<http_header> &p_headers);
+	void _forget_connection();
+
+public:
+	explicit http_exchange(evhttp_request *p_request);
+	~http_exchange();
+	http_exchange(const http_exchange &) = delete;
+	http_exchange &operator=(const http_exchange &) = delete;
+
+	bool is_post() const;
+	bool is_get() const;
+
+	/** Path without the query, not decoded. */
+	std::string get_path() const;
+
+	/** Value of a query parameter, decoded; empty when absent. */
+	std::optional<std::string> find_parameter(std::string_view p_name) const;
+
+	/** Value of a header; empty when absent. */
+	std::optional<std::string> find_header(std::string_view p_name) const;
+
+	/** How often a header stands in the request. */
+	std::size_t count_header(std::string_view p_name) const;
+
+	/** Takes the body out. */
+	std::string take_body();
+
+	/** Calls the hook when the caller goes away before the answer is complete. */
+	void set_on_gone(std::function<void()> p_hook) { _on_gone = std::move(p_hook); }
+
+	/** Answers at once. */
+	void reply(int p_status, const std::string &p_content_type, const std::string &p_body, const std::vector<http_header> &p_headers = {});
+
+	/** Begins an answer in parts. */
+	void start_stream(int p_status, const std::string &p_content_type, const std::vector<http_header> &p_headers = {});
+	/** Sends a part. */
+	void send_part(std::string_view p_bytes);
+	/** Ends an answer in parts. */
+	void end_stream();
+	/** Breaks an answer in parts off: the caller sees it truncated, never as complete. */
+	void break_stream();
+
+	bool is_gone() const { return _gone; }
+	bool is_streaming() const { return _streaming; }
+};
+
+/** Limits of a server. */
+struct http_server_limits {
+	std::size_t header_bytes = 16 * 1024;
+	std::size_t body_bytes = 1024 * 1024;
+	int idle_seconds = 60;
+};
+
+/** A listening server. */
+class http_server {
+	struct server_deleter {
+		void operator()(evhttp *p_server) const;
+	};
+
+	std::unique_ptr<evhttp, server_deleter> _server;
+	std::function<void(std::unique_ptr<http_exchange> p_exchange)> _handler;
+	evhttp_bound_socket *_socket = nullptr;
+	network_address _address;
+
+	static void _on_request(evhttp_request *p_request, void *p_self);
+
+public:
+	/**
+	 * Listens at once.
+	 * @throws std::runtime_error when the address cannot be bound.
+	 */
+	http_server(event_loop &p_loop, const network_address &p_address, const http_server_limits &p_limits, std::function<void(std::unique_ptr<http_exchange>)> p_handler);
+
+	/** The address bound; tells the port when 0 was asked for. */
+	const network_address &get_address() const { return _address; }
+
+	/** Stops accepting connections; those that are open go on. */
+	void stop_listening();
+};
+
+} // namespace calicoscale
+
+#endif // HTTP_SERVER_H
--- /dev/null
+++ b/drivers/link_codec.cpp
@@ -0,0 +1,198 @@
+/*
+ * calicoscale: link_codec.cpp
+ * FlatBuffers form of the messages between nodes.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/link_codec.h"
+
+#include "drivers/generated/node_link_generated.h"
+
+namespace calicoscale {
+
+namespace {
+
+using builder = flatbuffers::FlatBufferBuilder;
+using text_offset = flatbuffers::Offset<flatbuffers::String>;
+
+struct encoded_body {
+	wire::message type = wire::message_NONE;
+	flatbuffers::Offset<void> offset;
+};
+
+std::string read(const flatbuffers::String *p_text) {
+	return p_text == nullptr ? std::string() : p_text->str();
+}
+
+flatbuffers::Offset<wire::digest> write_digest(builder &r_builder, const member_digest &p_digest) {
+	std::vector<flatbuffers::Offset<wire::customer_demand>> demands;
+	for (const auto &[customer, rate] : p_digest.demand) {
+		const text_offset name = r_builder.CreateString(customer);
+		demands.push_back(wire::Createcustomer_demand(r_builder, name, rate));
+	}
+	const text_offset vm = r_builder.CreateString(p_digest.vm);
+	const text_offset zone = r_builder.CreateString(p_digest.zone);
+	const text_offset region = r_builder.CreateString(p_digest.region);
+	const text_offset link = r_builder.CreateString(to_string(p_digest.link));
+	const text_offset admin = r_builder.CreateString(to_string(p_digest.admin));
+	const auto demand = r_builder.CreateVector(demands);
+	return wire::Createdigest(r_builder, vm, p_digest.incarnation, p_digest.heartbeat, zone, region, link, admin, p_digest.ready, p_digest.leaving, p_digest.configuration_version, demand);
+}
+
+member_digest read_digest(const wire::digest &p_digest) {
+	member_digest digest;
+	digest.vm = read(p_digest.vm());
+	digest.incarnation = p_digest.incarnation();
+	digest.heartbeat = p_digest.heartbeat();
+	digest.zone = read(p_digest.zone());
+	digest.region = read(p_digest.region());
+	digest.link = parse_network_address(read(p_digest.link()));
+	digest.admin = parse_network_address(read(p_digest.admin()));
+	digest.ready = p_digest.ready();
+	digest.leaving = p_digest.leaving();
+	digest.configuration_version = p_digest.configuration_version();
+	if (p_digest.demands() != nullptr) {
+		for (const wire::customer_demand *demand : *p_digest.demands()) {
+			digest.demand[read(demand->customer())] = demand->rate();
+		}
+	}
+	return digest;
+}
+
+/** Writes each kind of message. */
+struct body_writer {
+	builder &target;
+
+	encoded_body operator()(const hello_message &p_message) const {
+		const text_offset vm = target.CreateString(p_message.vm);
+		const text_offset nonce = target.CreateString(p_message.nonce);
+		return { wire::message_hello, wire::Createhello(target, vm, p_message.incarnation, nonce).Union() };
+	}
+
+	encoded_body operator()(const proof_message &p_message) const {
+		const text_offset code = target.CreateString(p_message.code);
+		return { wire::message_proof, wire::Createproof(target, code).Union() };
+	}
+
+	encoded_body operator()(const heartbeat_message &p_message) const {
+		std::vector<flatbuffers::Offset<wire::digest>> digests;
+		for (const member_digest &digest : p_message.digests) {
+			digests.push_back(write_digest(target, digest));
+		}
+		std::vector<flatbuffers::Offset<wire::leaving_mark>> marks;
+		for (const leaving_mark &mark : p_message.marks) {
+			const text_offset vm = target.CreateString(mark.vm);
+			marks.push_back(wire::Createleaving_mark(target, vm, mark.incarnation));
+		}
+		const auto digest_vector = target.CreateVector(digests);
+		const auto mark_vector = target.CreateVector(marks);
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector).Union() };
+	}
+
+	encoded_body operator()(const ask_configuration_message &p_message) const {
+		return { wire::message_ask_configuration, wire::Createask_configuration(target, p_message.have).Union() };
+	}
+
+	encoded_body operator()(const configuration_snapshot &p_message) const {
+		const text_offset change_id = target.CreateString(p_message.change_id);
+		const text_offset document = target.CreateString(p_message.document);
+		return { wire::message_tell_configuration, wire::Createtell_configuration(target, p_message.version, p_message.position, p_message.certain, change_id, document).Union() };
+	}
+
+	encoded_body operator()(const pass_request_message &p_message) const {
+		const text_offset customer = target.CreateString(p_message.customer);
+		const text_offset pipeline = target.CreateString(p_message.pipeline);
+		const text_offset key = target.CreateString(p_message.key);
+		const text_offset input = target.CreateString(p_message.input);
+		const std::int64_t remaining = p_message.remaining.count() / 1000;
+		return { wire::message_pass_request, wire::Createpass_request(target, p_message.id, customer, pipeline, key, remaining, input).Union() };
+	}
+
+	encoded_body operator()(const pass_answer_message &p_message) const {
+		const text_offset body = target.CreateString(p_message.body);
+		return { wire::message_pass_answer, wire::Createpass_answer(target, p_message.id, p_message.status, body).Union() };
+	}
+};
+
+heartbeat_message read_heartbeat(const wire::heartbeat &p_message) {
+	heartbeat_message message;
+	message.at = hybrid_time{ p_message.wall(), p_message.counter() };
+	if (p_message.digests() != nullptr) {
+		for (const wire::digest *digest : *p_message.digests()) {
+			message.digests.push_back(read_digest(*digest));
+		}
+	}
+	if (p_message.marks() != nullptr) {
+		for (const wire::leaving_mark *mark : *p_message.marks()) {
+			message.marks.push_back(leaving_mark{ read(mark->vm()), mark->incarnation() });
+		}
+	}
+	return message;
+}
+
+configuration_snapshot read_snapshot(const wire::tell_configuration &p_message) {
+	configuration_snapshot snapshot;
+	snapshot.version = p_message.version();
+	snapshot.position = p_message.position();
+	snapshot.certain = p_message.certain();
+	snapshot.change_id = read(p_message.change_id());
+	snapshot.document = read(p_message.document());
+	return snapshot;
+}
+
+pass_request_message read_pass_request(const wire::pass_request &p_message) {
+	pass_request_message message;
+	message.id = p_message.id();
+	message.customer = read(p_message.customer());
+	message.pipeline = read(p_message.pipeline());
+	message.key = read(p_message.key());
+	message.remaining = std::chrono::milliseconds(p_message.remaining_ms());
+	message.input = read(p_message.input());
+	return message;
+}
+
+} // namespace
+
+std::string encode(const link_message &p_message) {
+	builder target;
+	const encoded_body body = std::visit(body_writer{ target }, p_message);
+	target.Finish(wire::Createframe(target, body.type, body.offset));
+	return std::string(reinterpret_cast<const char *>(target.GetBufferPointer()), target.GetSize());
+}
+
+std::optional<link_message> decode_link_message(std::string_view p_bytes) {
+	flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(p_bytes.data()), p_bytes.size());
+	if (!wire::VerifyframeBuffer(verifier)) {
+		return std::nullopt;
+	}
+	const wire::frame *frame = wire::Getframe(p_bytes.data());
+	if (frame->body() == nullptr) {
+		return std::nullopt;
+	}
+	switch (frame->body_type()) {
+		case wire::message_hello: {
+			const wire::hello *hello = frame->body_as_hello();
+			return hello_message{ read(hello->vm()), hello->incarnation(), read(hello->nonce()) };
+		}
+		case wire::message_proof:
+			return proof_message{ read(frame->body_as_proof()->code()) };
+		case wire::message_heartbeat:
+			return read_heartbeat(*frame->body_as_heartbeat());
+		case wire::message_ask_configuration:
+			return ask_configuration_message{ frame->body_as_ask_configuration()->have() };
+		case wire::message_tell_configuration:
+			return read_snapshot(*frame->body_as_tell_configuration());
+		case wire::message_pass_request:
+			return read_pass_request(*frame->body_as_pass_request());
+		case wire::message_pass_answer: {
+			const wire::pass_answer *answer = frame->body_as_pass_answer();
+			return pass_answer_message{ answer->id(), answer->status(), read(answer->body()) };
+		}
+		default:
+			return std::nullopt;
+	}
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/drivers/link_codec.h
@@ -0,0 +1,48 @@
+/*
+ * calicoscale: link_codec.h
+ * FlatBuffers form of the messages between nodes.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef LINK_CODEC_H
+#define LINK_CODEC_H
+
+#include "drivers/node_link.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace calicoscale {
+
+/** First message of both ends. */
+struct hello_message {
+	std::string vm;
+	std::uint64_t incarnation = 0;
+	std::string nonce;
+};
+
+/** Second message of both ends. */
+struct proof_message {
+	std::string code;
+};
+
+/** Asks for the configuration if the receiver has a higher version. */
+struct ask_configuration_message {
+	std::uint64_t have = 0;
+};
+
+using link_message = std::variant<hello_message, proof_message, heartbeat_message, ask_configuration_message, configuration_snapshot, pass_request_message, pass_answer_message>;
+
+/** Writes a message as the bytes of one frame, its length not included. */
+std::string encode(const link_message &p_message);
+
+/** Reads a frame; empty when the buffer does not verify or lacks a field. */
+std::optional<link_message> decode_link_message(std::string_view p_bytes);
+
+} // namespace calicoscale
+
+#endif // LINK_CODEC_H
--- /dev/null
+++ b/drivers/node_link.cpp
@@ -0,0 +1,391 @@
+/*
+ * calicoscale: node_link.cpp
+ * Links between entry nodes: framed TCP that carries FlatBuffers.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/node_link.h"
+
+#include "core/digest.h"
+#include "core/ids.h"
+#include "drivers/link_codec.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/rand.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr std::size_t LENGTH_BYTES = 4;
+constexpr std::size_t LARGEST_FRAME = 2 * 1024 * 1024;
+/** Before a peer has proved itself it gets to send no more than a hello. */
+constexpr std::size_t LARGEST_UNPROVEN_FRAME = 4 * 1024;
+constexpr std::size_t MOST_UNSENT_BYTES = 8 * 1024 * 1024;
+constexpr std::size_t MOST_LINKS = 256;
+constexpr duration FIRST_BACK_OFF = std::chrono::milliseconds(250);
+constexpr duration LONGEST_BACK_OFF = std::chrono::seconds(8);
+constexpr int SILENCE_SECONDS = 10;
+constexpr int NONCE_BYTES = 16;
+
+std::string make_nonce() {
+	std::array<unsigned char, NONCE_BYTES> bytes{};
+	RAND_bytes(bytes.data(), NONCE_BYTES);
+	return sha256_hex(std::string_view(reinterpret_cast<const char *>(bytes.data()), bytes.size()));
+}
+
+sockaddr_in make_socket_address(const network_address &p_address) {
+	sockaddr_in result{};
+	result.sin_family = AF_INET;
+	result.sin_port = htons(p_address.port);
+	inet_pton(AF_INET, p_address.host.c_str(), &result.sin_addr);
+	return result;
+}
+
+} // namespace
+
+/** One TCP connection to a peer. */
+class node_link::link {
+	node_link &_owner;
+	bufferevent *_stream;
+	std::string _expected_vm; ///< Whom we dialled; empty for an accepted link.
+	std::string _dial_key; ///< What we dialled by; empty for an accepted link.
+	std::string _vm; ///< As proved.
+	hello_message _peer;
+	std::string _nonce = make_nonce();
+	bool _has_hello = false;
+	bool _closed = false;
+	bool _proven = false;
+
+	static void _on_readable(bufferevent *, void *p_self) {
+		static_cast<link *>(p_self)->_read();
+	}
+
+	static void _on_event(bufferevent *, short p_what, void *p_self) {
+		link &self = *static_cast<link *>(p_self);
+		if ((p_what & BEV_EVENT_CONNECTED) != 0) {
+			self.begin();
+			return;
+		}
+		self._owner._remove(&self);
+	}
+
+	std::string _make_code(const std::string &p_nonce, const std::string &p_vm, std::uint64_t p_incarnation) const {
+		return hmac_hex(_owner._identity.fleet_key, p_nonce + "\n" + p_vm + "\n" + to_hex(p_incarnation));
+	}
+
+	void _reject() {
+		_owner._rejected_frames++;
+		_owner._remove(this);
+	}
+
+	/** Reads as many whole frames as are there. */
+	void _read() {
+		// The owner may drop this link while a frame is handled; the handle keeps it alive until the end.
+		const std::shared_ptr<link> keep = _owner._hold(this);
+		evbuffer *input = bufferevent_get_input(_stream);
+		while (!_closed && evbuffer_get_length(input) >= LENGTH_BYTES) {
+			std::uint32_t length = 0;
+			evbuffer_copyout(input, &length, LENGTH_BYTES);
+			length = ntohl(length);
+			const std::size_t largest = _proven ? LARGEST_FRAME : LARGEST_UNPROVEN_FRAME;
+			if (length > largest) {
+				_reject();
+				return;
+			}
+			if (evbuffer_get_length(input) < LENGTH_BYTES + length) {
+				return;
+			}
+			evbuffer_drain(input, LENGTH_BYTES);
+			std::string bytes(length, '\0');
+			evbuffer_remove(input, bytes.data(), length);
+			_owner._bytes_received += LENGTH_BYTES + length;
+			const std::optional<link_message> message = decode_link_message(bytes);
+			if (!message) {
+				_reject();
+				return;
+			}
+			_handle(*message);
+		}
+	}
+
+	void _handle(const link_message &p_message) {
+		if (std::holds_alternative<hello_message>(p_message)) {
+			_take_hello(std::get<hello_message>(p_message));
+			return;
+		}
+		if (std::holds_alternative<proof_message>(p_message)) {
+			_take_proof(std::get<proof_message>(p_message));
+			return;
+		}
+		if (!_proven) {
+			_reject();
+			return;
+		}
+		_hand_out(p_message);
+	}
+
+	void _take_hello(const hello_message &p_hello) {
+		const bool is_wrong = _has_hello || p_hello.vm.empty() || p_hello.vm == _owner._identity.vm;
+		const bool is_other = !_expected_vm.empty() && p_hello.vm != _expected_vm;
+		if (is_wrong || is_other || _owner._is_cut_off(p_hello.vm)) {
+			_reject();
+			return;
+		}
+		_has_hello = true;
+		_peer = p_hello;
+		const link_identity &own = _owner._identity;
+		send(proof_message{ _make_code(p_hello.nonce, own.vm, own.incarnation) });
+	}
+
+	void _take_proof(const proof_message &p_proof) {
+		if (!_has_hello || _proven || !equal_in_constant_time(p_proof.code, _make_code(_nonce, _peer.vm, _peer.incarnation))) {
+			_reject();
+			return;
+		}
+		_proven = true;
+		_vm = _peer.vm;
+		_owner._on_proven(this);
+	}
+
+	void _hand_out(const link_message &p_message) {
+		if (const auto *heartbeat = std::get_if<heartbeat_message>(&p_message)) {
+			_owner._heartbeat_received.emit(_vm, *heartbeat);
+		} else if (const auto *ask = std::get_if<ask_configuration_message>(&p_message)) {
+			_owner._configuration_asked.emit(_vm, ask->have);
+		} else if (const auto *told = std::get_if<configuration_snapshot>(&p_message)) {
+			_owner._configuration_told.emit(_vm, *told);
+		} else if (const auto *request = std::get_if<pass_request_message>(&p_message)) {
+			_owner._request_passed.emit(_vm, *request);
+		} else if (const auto *answer = std::get_if<pass_answer_message>(&p_message)) {
+			_owner._answer_passed.emit(_vm, *answer);
+		}
+	}
+
+public:
+	link(node_link &p_owner, bufferevent *p_stream, std::string p_expected_vm, std::string p_dial_key) :
+			_owner(p_owner), _stream(p_stream), _expected_vm(std::move(p_expected_vm)), _dial_key(std::move(p_dial_key)) {
+		bufferevent_setcb(_stream, &link::_on_readable, nullptr, &link::_on_event, this);
+		const timeval silence{ SILENCE_SECONDS, 0 };
+		bufferevent_set_timeouts(_stream, &silence, &silence);
+		bufferevent_setwatermark(_stream, EV_READ, 0, LARGEST_FRAME + LENGTH_BYTES);
+		bufferevent_enable(_stream, EV_READ | EV_WRITE);
+	}
+
+	~link() {
+		bufferevent_free(_stream);
+	}
+
+	link(const link &) = delete;
+	link &operator=(const link &) = delete;
+
+	/** The connection stands: says who we are. */
+	void begin() {
+		const int on = 1;
+		setsockopt(bufferevent_getfd(_stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		send(hello_message{ _owner._identity.vm, _owner._identity.incarnation, _nonce });
+	}
+
+	void send(const link_message &p_message) {
+		const std::string bytes = encode(p_message);
+		if (_closed || evbuffer_get_length(bufferevent_get_output(_stream)) > MOST_UNSENT_BYTES) {
+			// A peer that does not read is not worth the memory; it will ask again.
+			return;
+		}
+		const std::uint32_t length = htonl(static_cast<std::uint32_t>(bytes.size()));
+		bufferevent_write(_stream, &length, LENGTH_BYTES);
+		bufferevent_write(_stream, bytes.data(), bytes.size());
+		_owner._bytes_sent += LENGTH_BYTES + bytes.size();
+	}
+
+	/** Stops all callbacks; the object is freed later. */
+	void close() {
+		_closed = true;
+		bufferevent_disable(_stream, EV_READ | EV_WRITE);
+		bufferevent_setcb(_stream, nullptr, nullptr, nullptr, nullptr);
+	}
+
+	bool is_proven() const { return _proven; }
+	const std::string &get_vm() const { return _vm; }
+	const std::string &get_dial_key() const { return _dial_key; }
+	const std::string &get_any_vm() const { return _vm.empty() ? _expected_vm : _vm; }
+};
+
+node_link::node_link(event_loop &p_loop, const network_address &p_address, link_identity p_identity) :
+		_loop(p_loop), _identity(std::move(p_identity)) {
+	const sockaddr_in address = make_socket_address(p_address);
+	const unsigned int flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
+	_listener = evconnlistener_new_bind(p_loop.get_base(), &node_link::_on_accept, this, flags, -1, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+	if (_listener == nullptr) {
+		throw std::runtime_error("cannot listen at " + to_string(p_address));
+	}
+	sockaddr_in bound{};
+	socklen_t size = sizeof(bound);
+	getsockname(evconnlistener_get_fd(_listener), reinterpret_cast<sockaddr *>(&bound), &size);
+	_address = network_address{ p_address.host, ntohs(bound.sin_port) };
+}
+
+node_link::~node_link() {
+	if (_listener != nullptr) {
+		evconnlistener_free(_listener);
+	}
+}
+
+void node_link::_on_accept(evconnlistener *, int p_socket, sockaddr *, int, void *p_self) {
+	node_link &self = *static_cast<node_link *>(p_self);
+	if (self._links.size() >= MOST_LINKS) {
+		evutil_closesocket(p_socket);
+		return;
+	}
+	bufferevent *stream = bufferevent_socket_new(self._loop.get_base(), p_socket, BEV_OPT_CLOSE_ON_FREE);
+	self._adopt(stream, "", "");
+	self._links.back()->begin();
+}
+
+void node_link::_adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key) {
+	_links.push_back(std::make_shared<link>(*this, p_stream, p_expected_vm, p_dial_key));
+}
+
+std::shared_ptr<node_link::link> node_link::_hold(link *p_link) const {
+	const auto found = std::find_if(_links.begin(), _links.end(), [p_link](const std::shared_ptr<link> &p_entry) { return p_entry.get() == p_link; });
+	return found == _links.end() ? nullptr : *found;
+}
+
+void node_link::dial(const std::string &p_vm, const network_address &p_address) {
+	if (p_vm != _identity.vm && !_is_cut_off(p_vm)) {
+		_dial(p_vm, p_vm, p_address);
+	}
+}
+
+void node_link::dial_unnamed(const network_address &p_address) {
+	_dial("", to_string(p_address), p_address);
+}
+
+void node_link::_dial(const std::string &p_vm, const std::string &p_dial_key, const network_address &p_address) {
+	const bool is_pending = std::any_of(_links.begin(), _links.end(), [&p_dial_key](const std::shared_ptr<link> &p_link) { return p_link->get_dial_key() == p_dial_key; });
+	const instant now = event_loop::now();
+	const auto wait = _dial_after.find(p_dial_key);
+	const bool must_wait = wait != _dial_after.end() && now < wait->second;
+	if (is_pending || must_wait || p_address.port == 0) {
+		return;
+	}
+	duration &back_off = _back_off[p_dial_key];
+	back_off = back_off == duration::zero() ? FIRST_BACK_OFF : std::min(LONGEST_BACK_OFF, back_off * 2);
+	_dial_after[p_dial_key] = now + back_off;
+	const sockaddr_in address = make_socket_address(p_address);
+	bufferevent *stream = bufferevent_socket_new(_loop.get_base(), -1, BEV_OPT_CLOSE_ON_FREE);
+	_adopt(stream, p_vm, p_dial_key);
+	const std::shared_ptr<link> made = _links.back();
+	if (bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+		_remove(made.get());
+	}
+}
+
+void node_link::_remove(link *p_link) {
+	const std::shared_ptr<link> removed = _hold(p_link);
+	if (!removed) {
+		return;
+	}
+	removed->close();
+	std::erase(_links, removed);
+	// Freed from the loop, as this may run inside one of the link's own callbacks.
+	_loop.post([removed] {});
+	const std::string vm = removed->get_vm();
+	if (removed->is_proven() && _find(vm) == nullptr) {
+		_link_down.emit(vm);
+	}
+}
+
+void node_link::_on_proven(link *p_link) {
+	_back_off.erase(p_link->get_dial_key());
+	_dial_after.erase(p_link->get_dial_key());
+	_link_up.emit(p_link->get_vm());
+}
+
+node_link::link *node_link::_find(const std::string &p_vm) const {
+	for (const std::shared_ptr<link> &entry : _links) {
+		if (entry->is_proven() && entry->get_vm() == p_vm) {
+			return entry.get();
+		}
+	}
+	return nullptr;
+}
+
+bool node_link::_is_cut_off(const std::string &p_vm) const {
+	return std::find(_cut_off.begin(), _cut_off.end(), p_vm) != _cut_off.end();
+}
+
+void node_link::set_cut_off(std::vector<std::string> p_vms) {
+	_cut_off = std::move(p_vms);
+	const std::vector<std::shared_ptr<link>> links = _links;
+	for (const std::shared_ptr<link> &entry : links) {
+		if (_is_cut_off(entry->get_any_vm())) {
+			_remove(entry.get());
+		}
+	}
+}
+
+std::vector<std::string> node_link::get_linked() const {
+	std::vector<std::string> vms;
+	for (const std::shared_ptr<link> &entry : _links) {
+		const bool is_new = std::find(vms.begin(), vms.end(), entry->get_vm()) == vms.end();
+		if (entry->is_proven() && is_new) {
+			vms.push_back(entry->get_vm());
+		}
+	}
+	return vms;
+}
+
+bool node_link::is_linked(const std::string &p_vm) const {
+	return _find(p_vm) != nullptr;
+}
+
+void node_link::send(const std::string &p_vm, const heartbeat_message &p_message) {
+	if (link *target = _find(p_vm)) {
+		target->send(p_message);
+	}
+}
+
+void node_link::ask_configuration(const std::string &p_vm, std::uint64_t p_have) {
+	if (link *target = _find(p_vm)) {
+		target->send(ask_configuration_message{ p_have });
+	}
+}
+
+void node_link::send(const std::string &p_vm, const configuration_snapshot &p_message) {
+	if (link *target = _find(p_vm)) {
+		target->send(p_message);
+	}
+}
+
+bool node_link::send(const std::string &p_vm, const pass_request_message &p_message) {
+	link *target = _find(p_vm);
+	if (target == nullptr) {
+		return false;
+	}
+	target->send(p_message);
+	return true;
+}
+
+bool node_link::send(const std::string &p_vm, const pass_answer_message &p_message) {
+	link *target = _find(p_vm);
+	if (target == nullptr) {
+		return false;
+	}
+	target->send(p_message);
+	return true;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/drivers/node_link.h
@@ -0,0 +1,150 @@
+/*
+ * calicoscale: node_link.h
+ * Links between entry nodes: framed TCP that carries FlatBuffers.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef NODE_LINK_H
+#define NODE_LINK_H
+
+#include "core/hybrid_clock.h"
+#include "drivers/event_loop.h"
+#include "servers/configuration/configuration_fold.h"
+#include "servers/membership/member_table.h"
+
+#include <sigc++/sigc++.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+namespace calicoscale {
+
+/** A VM's leaving mark as nodes tell each other. */
+struct leaving_mark {
+	std::string vm;
+	std::uint64_t incarnation = 0;
+};
+
+/** What a node tells its neighbours at each beat. */
+struct heartbeat_message {
+	hybrid_time at;
+	std::vector<member_digest> digests;
+	std::vector<leaving_mark> marks;
+};
+
+/** A submission under a key that the receiver owns. */
+struct pass_request_message {
+	std::uint64_t id = 0;
+	std::string customer;
+	std::string pipeline;
+	std::string key;
+	duration remaining = duration::zero();
+	std::string input;
+};
+
+/** The answer to a submission passed on. */
+struct pass_answer_message {
+	std::uint64_t id = 0;
+	int status = 0;
+	std::string body;
+};
+
+/** Who a link is made as, and the secret of the fleet. */
+struct link_identity {
+	std::string vm;
+	std::uint64_t incarnation = 0;
+	std::string fleet_key; ///< Empty admits every peer.
+};
+
+/**
+ * All links of this node. A frame is a 4-byte big-endian length and a FlatBuffer; each is verified before it is read.
+ * Both ends send hello with a nonce, then prove that they know the fleet key; nothing else is accepted before that.
+ */
+class node_link {
+	class link;
+
+	event_loop &_loop;
+	link_identity _identity;
+	network_address _address;
+	evconnlistener *_listener = nullptr;
+	std::vector<std::shared_ptr<link>> _links;
+	std::map<std::string, instant> _dial_after; ///< By VM, or by address where the VM is not known; back-off.
+	std::map<std::string, duration> _back_off;
+	std::vector<std::string> _cut_off; ///< VMs no link is held with, for failure tests.
+	std::uint64_t _rejected_frames = 0;
+	std::uint64_t _bytes_sent = 0;
+	std::uint64_t _bytes_received = 0;
+
+	sigc::signal<void(const std::string &)> _link_up;
+	sigc::signal<void(const std::string &)> _link_down;
+	sigc::signal<void(const std::string &, const heartbeat_message &)> _heartbeat_received;
+	sigc::signal<void(const std::string &, std::uint64_t)> _configuration_asked;
+	sigc::signal<void(const std::string &, const configuration_snapshot &)> _configuration_told;
+	sigc::signal<void(const std::string &, const pass_request_message &)> _request_passed;
+	sigc::signal<void(const std::string &, const pass_answer_message &)> _answer_passed;
+
+	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
+	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
+	void _dial(const std::string &p_vm, const std::string &p_dial_key, const network_address &p_address);
+	void _remove(link *p_link);
+	std::shared_ptr<link> _hold(link *p_link) const;
+	void _on_proven(link *p_link);
+	link *_find(const std::string &p_vm) const;
+	bool _is_cut_off(const std::string &p_vm) const;
+
+public:
+	/**
+	 * Listens at once.
+	 * @throws std::runtime_error when the address cannot be bound.
+	 */
+	node_link(event_loop &p_loop, const network_address &p_address, link_identity p_identity);
+	~node_link();
+	node_link(const node_link &) = delete;
+	node_link &operator=(const node_link &) = delete;
+
+	/** Makes a link to a node unless there is one or its back-off lasts. */
+	void dial(const std::string &p_vm, const network_address &p_address);
+
+	/** Makes a link to whoever answers at an address. */
+	void dial_unnamed(const network_address &p_address);
+
+	/** VMs with a proven link. */
+	std::vector<std::string> get_linked() const;
+	bool is_linked(const std::string &p_vm) const;
+
+	/** Refuses links with these VMs and closes those there are; empty heals. For failure tests. */
+	void set_cut_off(std::vector<std::string> p_vms);
+
+	void send(const std::string &p_vm, const heartbeat_message &p_message);
+	void ask_configuration(const std::string &p_vm, std::uint64_t p_have);
+	void send(const std::string &p_vm, const configuration_snapshot &p_message);
+	/** Returns whether the message was put on a link. */
+	bool send(const std::string &p_vm, const pass_request_message &p_message);
+	bool send(const std::string &p_vm, const pass_answer_message &p_message);
+
+	sigc::signal<void(const std::string &)> &link_up() { return _link_up; }
+	sigc::signal<void(const std::string &)> &link_down() { return _link_down; }
+	sigc::signal<void(const std::string &, const heartbeat_message &)> &heartbeat_received() { return _heartbeat_received; }
+	sigc::signal<void(const std::string &, std::uint64_t)> &configuration_asked() { return _configuration_asked; }
+	sigc::signal<void(const std::string &, const configuration_snapshot &)> &configuration_told() { return _configuration_told; }
+	sigc::signal<void(const std::string &, const pass_request_message &)> &request_passed() { return _request_passed; }
+	sigc::signal<void(const std::string &, const pass_answer_message &)> &answer_passed() { return _answer_passed; }
+
+	const network_address &get_address() const { return _address; }
+	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
+	std::uint64_t get_bytes_sent() const { return _bytes_sent; }
+	std::uint64_t get_bytes_received() const { return _bytes_received; }
+};
+
+} // namespace calicoscale
+
+#endif // NODE_LINK_H
--- /dev/null
+++ b/main/commands.h
@@ -0,0 +1,42 @@
+/*
+ * calicoscale: commands.h
+ * The commands of the program.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef COMMANDS_H
+#define COMMANDS_H
+
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** Exit codes of all commands, as documented in docs/OPERATING.md. */
+enum class exit_code {
+	SUCCESS = 0,
+	FAILURE = 1, ///< The command ran and its result is bad, e.g. a change was overtaken.
+	USAGE = 2, ///< Wrong arguments, settings or documents; nothing was done.
+	UNREACHABLE = 3, ///< A node did not answer.
+};
+
+/** One command's arguments, its name left out. */
+using arguments = std::vector<std::string>;
+
+exit_code run_serve(const arguments &p_arguments);
+exit_code run_check(const arguments &p_arguments);
+exit_code run_config(const arguments &p_arguments);
+exit_code run_status(const arguments &p_arguments);
+exit_code run_timeline(const arguments &p_arguments);
+exit_code run_costs(const arguments &p_arguments);
+exit_code run_drain(const arguments &p_arguments);
+exit_code run_load(const arguments &p_arguments);
+
+/** Runs the command that the arguments name. */
+exit_code run_program(const arguments &p_arguments);
+
+} // namespace calicoscale
+
+#endif // COMMANDS_H
--- /dev/null
+++ b/main/node.h
@@ -0,0 +1,69 @@
+/*
+ * calicoscale: node.h
+ * One entry node: makes its services and ties them together.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef NODE_H
+#define NODE_H
+
+#include "main/admin_interface.h"
+#include "main/caller_interface.h"
+
+namespace calicoscale {
+
+/** One entry node. */
+class node {
+	enum class drain_phase {
+		NONE,
+		LISTENING, ///< Not ready any more; the balancer has time to notice.
+		FINISHING, ///< The listener is closed; what is in flight goes on.
+		FLUSHING, ///< Nothing is in flight; what is owed to the ledger is written.
+	};
+
+	node_context _context;
+	router _router;
+	customer_limiter _limiter;
+	configuration_service _configuration;
+	admin_interface _admin;
+	fleet_service _fleet;
+	ledger_service _ledger;
+	request_service _requests;
+	once_service _once;
+	request_door _door;
+	resume_service _resumes;
+	caller_interface _callers;
+	timer _tick_timer;
+	drain_phase _phase = drain_phase::NONE;
+	instant _drain_started{};
+	instant _flush_started{};
+	bool _was_ready = false;
+
+	void _on_configuration();
+	void _tick();
+	void _advance_drain();
+	void _enter(drain_phase p_phase, const char *p_name);
+
+public:
+	/**
+	 * Opens all ports at once.
+	 * @throws std::runtime_error when one cannot be bound.
+	 */
+	node(event_loop &p_loop, const node_settings &p_settings);
+
+	/** Begins to work. */
+	void start();
+
+	/** Begins a planned stop; the loop is stopped when it is done. A second call does nothing. */
+	void drain();
+
+	const network_address &get_caller_address() const { return _callers.get_address(); }
+	const network_address &get_admin_address() const { return _admin.get_address(); }
+	const network_address &get_link_address() { return _fleet.get_link().get_address(); }
+};
+
+} // namespace calicoscale
+
+#endif // NODE_H
--- /dev/null
+++ b/main/request_door.h
@@ -0,0 +1,93 @@
+/*
+ * calicoscale: request_door.h
+ * The door every request comes through: checks, limits, keys, then the run.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef REQUEST_DOOR_H
+#define REQUEST_DOOR_H
+
+#include "main/answer_writer.h"
+#include "main/once_service.h"
+#include "main/request_service.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace calicoscale {
+
+/** A request as it came in, from a caller or passed on by a node. */
+struct door_request {
+	std::string customer;
+	std::string pipeline;
+	std::string key; ///< Empty for none.
+	std::string input; ///< JSON text.
+	duration deadline = duration::zero(); ///< Zero takes the pipeline's.
+	bool stream = false;
+	bool passed = false; ///< From another node, which has applied the customer's limits.
+};
+
+/** What the door reports. */
+struct door_hooks {
+	std::function<void(const request_id &p_id)> on_started; ///< The request was given an id and runs.
+	std::function<void(std::uint32_t p_sequence, const std::string &p_token, const resume_point &p_point)> on_token;
+	std::function<void(const request_id &p_id, const finish_request &p_finish)> on_streamed; ///< A stream's end, instead of on_answer once tokens came.
+	std::function<void(const caller_answer &p_answer)> on_answer; ///< The whole answer; the last call.
+};
+
+/** Outcome of a request as later asked for. */
+struct remembered_outcome {
+	std::string customer;
+	outcome result;
+	bool running = false;
+};
+
+/** Decides at the door and keeps outcomes for a while. */
+class request_door {
+	node_context &_context;
+	configuration_service &_configuration;
+	customer_limiter &_limiter;
+	request_service &_requests;
+	once_service &_once;
+	fleet_service &_fleet;
+	std::map<request_id, remembered_outcome> _outcomes;
+	std::deque<request_id> _outcome_order;
+	int _open = 0;
+	bool _accepting = true;
+
+	void _remember(const request_id &p_id, const remembered_outcome &p_outcome);
+	void _refuse(const outcome &p_result, duration p_retry_after, const std::string &p_detail, const door_hooks &p_hooks);
+	bool _pass_limits(const door_request &p_request, const door_hooks &p_hooks);
+	void _submit_keyed(const door_request &p_request, instant p_deadline, const door_hooks &p_hooks);
+	void _on_decision(const door_request &p_request, instant p_deadline, const door_hooks &p_hooks, const keyed_decision &p_decision);
+	void _run(const door_request &p_request, instant p_deadline, const door_hooks &p_hooks);
+	void _answer_keyed(const door_request &p_request, verdict p_verdict, const caller_answer &p_answer);
+	void _on_finish(const door_request &p_request, const door_hooks &p_hooks, bool p_has_tokens, const request_id &p_id, const finish_request &p_finish);
+	void _on_passed(const std::string &p_vm, const pass_request_message &p_message);
+
+public:
+	request_door(node_context &p_context, configuration_service &p_configuration, customer_limiter &p_limiter, request_service &p_requests, once_service &p_once, fleet_service &p_fleet);
+
+	/** Takes a request of an authenticated customer. */
+	void submit(const door_request &p_request, const door_hooks &p_hooks);
+
+	/** Whether the node can run requests now. */
+	bool is_ready() const;
+
+	/** No new requests from now on. */
+	void stop_accepting() { _accepting = false; }
+
+	/** Outcome of a customer's request; nullptr when it is not known here or is another customer's. */
+	const remembered_outcome *find_outcome(const std::string &p_customer, const request_id &p_id) const;
+
+	/** Requests between the door and their answer. */
+	int get_open_count() const { return _open; }
+};
+
+} // namespace calicoscale
+
+#endif // REQUEST_DOOR_H
--- /dev/null
+++ b/misc/scripts/check_layers.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Checks that lower layers know nothing of higher ones and that decisions touch nothing outside.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+status=0
+# forbid FOLDERS PATTERN MESSAGE
+forbid() {
+	local found
+	# shellcheck disable=SC2086
+	if found=$(grep -rnE "$2" $1 --include='*.h' --include='*.cpp'); then
+		echo "$3:"
+		echo "$found"
+		status=1
+	fi
+}
+
+forbid "core" '#include "(servers|drivers|main|tests)/' "core includes a higher layer"
+forbid "servers" '#include "(drivers|main|tests)/' "servers includes a higher layer"
+forbid "drivers" '#include "(main|tests)/' "drivers includes a higher layer"
+forbid "main" '#include "tests/' "main includes tests"
+forbid "core servers" '#include <event2|(steady|system)_clock::now|\bLOG\(|std::random_device|\brand\(' "a decision touches the outside"
+exit "$status"
--- /dev/null
+++ b/servers/limits/pool_gate.cpp
@@ -0,0 +1,115 @@
+/*
+ * calicoscale: pool_gate.cpp
+ * The way into one pool: its concurrency limit, queue and budgets for extra work.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/limits/pool_gate.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr double START_LIMIT = 16.0;
+constexpr double LOWEST_LIMIT = 2.0;
+constexpr double HIGHEST_LIMIT = 2048.0;
+constexpr double MOST_EXTRA_KEPT = 10.0;
+constexpr double RETRY_RESERVE_PER_SECOND = 0.5;
+constexpr double HEDGE_RESERVE_PER_SECOND = 0.05;
+constexpr double DEFAULT_RETRY_SHARE = 0.1;
+constexpr double DEFAULT_HEDGE_SHARE = 0.04;
+constexpr double FADE_STEP = 0.05;
+/** Above this share of refusals the pool is overloaded rather than one endpoint busy. */
+constexpr double OVERLOADED_ABOVE = 0.2;
+
+} // namespace
+
+pool_gate::pool_gate(std::size_t p_queue_capacity) :
+		_limit(START_LIMIT, LOWEST_LIMIT, HIGHEST_LIMIT),
+		_queue(p_queue_capacity),
+		_retries(DEFAULT_RETRY_SHARE, MOST_EXTRA_KEPT, RETRY_RESERVE_PER_SECOND),
+		_hedges(DEFAULT_HEDGE_SHARE, MOST_EXTRA_KEPT, HEDGE_RESERVE_PER_SECOND) {
+}
+
+void pool_gate::set_shares(double p_retry_share, double p_hedge_share) {
+	_retries.set_share(p_retry_share);
+	_hedges.set_share(p_hedge_share);
+}
+
+void pool_gate::_fill(instant p_now, gate_changes &r_changes) {
+	while (_limit.has_room()) {
+		const std::optional<queued_request> next = _queue.pop(p_now, r_changes.expired);
+		if (!next) {
+			return;
+		}
+		_limit.on_started();
+		r_changes.admitted.push_back(next->id);
+	}
+}
+
+void pool_gate::_note_refusal(double p_refused) {
+	_refused_share += (p_refused - _refused_share) * FADE_STEP;
+}
+
+gate_changes pool_gate::enter(const queued_request &p_request, instant p_now) {
+	gate_changes changes;
+	const std::optional<dropped_request> dropped = _queue.push(p_request);
+	if (dropped) {
+		changes.crowded_out.push_back(*dropped);
+	}
+	_fill(p_now, changes);
+	return changes;
+}
+
+gate_changes pool_gate::leave(place_use p_use, duration p_held, double p_relative_latency, instant p_now) {
+	switch (p_use) {
+		case place_use::SUCCEEDED:
+			_limit.on_success(p_relative_latency);
+			_retries.on_success(p_now);
+			_hedges.on_success(p_now);
+			_note_refusal(0.0);
+			break;
+		case place_use::REFUSED:
+			_limit.on_refused(p_now);
+			_note_refusal(1.0);
+			break;
+		case place_use::FAILED:
+			_limit.on_ended();
+			break;
+	}
+	const double held = to_seconds(p_held);
+	_seconds_per_place = _seconds_per_place <= 0.0 ? held : _seconds_per_place + (held - _seconds_per_place) * FADE_STEP;
+	gate_changes changes;
+	_fill(p_now, changes);
+	return changes;
+}
+
+gate_changes pool_gate::expire(instant p_now) {
+	gate_changes changes;
+	changes.expired = _queue.drop_expired(p_now);
+	_fill(p_now, changes);
+	return changes;
+}
+
+bool pool_gate::may_retry(instant p_now) {
+	return _refused_share <= OVERLOADED_ABOVE && _retries.try_spend(p_now);
+}
+
+bool pool_gate::may_hedge(instant p_now) {
+	const bool has_spare = _queue.get_size() == 0 && _refused_share <= OVERLOADED_ABOVE;
+	return has_spare && _hedges.try_spend(p_now);
+}
+
+duration pool_gate::estimate_wait() const {
+	if (_limit.has_room()) {
+		return duration::zero();
+	}
+	const double ahead = static_cast<double>(_queue.get_size() + 1);
+	return from_seconds(ahead * _seconds_per_place / std::max(1.0, _limit.get_limit()));
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/limits/stage_times.cpp
@@ -0,0 +1,59 @@
+/*
+ * calicoscale: stage_times.cpp
+ * Learnt service times of stages, by pool and size class.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/limits/stage_times.h"
+
+#include <cstdlib>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr size_class LARGEST_CLASS = 9;
+constexpr double ENOUGH_SAMPLES = 5.0;
+constexpr std::size_t FIRST_BORDER = 256;
+constexpr std::size_t BORDER_FACTOR = 4;
+/** One token to generate takes about as long as this many bytes to read. */
+constexpr std::size_t BYTES_PER_TOKEN = 16;
+
+} // namespace
+
+size_class get_size_class(std::size_t p_input_bytes, int p_max_tokens) {
+	const std::size_t size = p_input_bytes + static_cast<std::size_t>(p_max_tokens) * BYTES_PER_TOKEN;
+	size_class result = 0;
+	for (std::size_t border = FIRST_BORDER; size > border && result < LARGEST_CLASS; border *= BORDER_FACTOR) {
+		result++;
+	}
+	return result;
+}
+
+void stage_times::add(const std::string &p_pool, timed_part p_part, size_class p_size, duration p_elapsed, instant p_now) {
+	_sketches[key{ p_pool, p_part, p_size }].add(p_elapsed, p_now);
+}
+
+duration stage_times::estimate(const std::string &p_pool, timed_part p_part, size_class p_size, double p_quantile, instant p_now) const {
+	const quantile_sketch *nearest = nullptr;
+	int nearest_distance = LARGEST_CLASS + 1;
+	const auto first = _sketches.lower_bound(key{ p_pool, p_part, 0 });
+	for (auto entry = first; entry != _sketches.end(); ++entry) {
+		if (entry->first.pool != p_pool || entry->first.part != p_part) {
+			break;
+		}
+		const int distance = std::abs(static_cast<int>(entry->first.size) - static_cast<int>(p_size));
+		if (entry->second.get_count(p_now) >= ENOUGH_SAMPLES && distance < nearest_distance) {
+			nearest = &entry->second;
+			nearest_distance = distance;
+		}
+	}
+	if (nearest == nullptr) {
+		return duration::zero();
+	}
+	return nearest->get_quantile(p_quantile).value_or(duration::zero());
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/once/claim_book.cpp
@@ -0,0 +1,256 @@
+/*
+ * calicoscale: claim_book.cpp
+ * Claims of callers' keys on the log: the lowest offset wins.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/once/claim_book.h"
+
+#include "core/digest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t LARGEST_BATCH = 256 * 1024;
+/** Keys may be dated this far ahead, milliseconds; nodes' clocks may differ as much. */
+constexpr unix_milliseconds LARGEST_CLOCK_SKEW = 30'000;
+
+once_answer refuse(reason p_reason, verdict p_verdict = verdict::NOT_RUN) {
+	once_answer answer;
+	answer.step = once_step::REFUSE;
+	answer.refusal = outcome{ p_verdict, p_reason };
+	return answer;
+}
+
+unix_milliseconds to_unix(duration p_value) {
+	return std::chrono::duration_cast<std::chrono::milliseconds>(p_value).count();
+}
+
+} // namespace
+
+claim_book::claim_book(std::string p_vm, std::uint64_t p_incarnation, duration p_key_age, std::size_t p_capacity) :
+		_vm(std::move(p_vm)), _incarnation(p_incarnation), _key_age(p_key_age), _capacity(p_capacity) {
+}
+
+std::string claim_book::_make_place(const std::string &p_customer, const std::string &p_key_hash) {
+	return p_customer + "\n" + p_key_hash;
+}
+
+once_answer claim_book::submit(const std::string &p_customer, const std::string &p_key, unix_milliseconds p_wall, std::uint64_t &r_claim) {
+	const std::optional<claimed_key> parsed = parse_claimed_key(p_key);
+	if (!parsed) {
+		return refuse(reason::KEY_MALFORMED);
+	}
+	const std::string key_hash = sha256_hex(p_key);
+	const std::string place = _make_place(p_customer, key_hash);
+	once_answer answer;
+	const auto known = _known.find(place);
+	if (known != _known.end()) {
+		const known_claim &winner = known->second;
+		const bool is_own = winner.vm == _vm && winner.incarnation == _incarnation;
+		if (!is_own) {
+			answer.step = once_step::PASS_ON;
+			answer.owner_vm = winner.vm;
+			answer.owner_incarnation = winner.incarnation;
+			return answer;
+		}
+		if (winner.done) {
+			answer.step = once_step::REPLAY;
+			answer.kept = winner.outcome;
+			return answer;
+		}
+		const auto own = _own.find(winner.claim);
+		if (own != _own.end() && own->second.now == state::RUNNING) {
+			answer.step = once_step::WAIT;
+			return answer;
+		}
+		// The key is this node's and its claim was given up before it ran, so this submission may run it.
+		_own[winner.claim] = own_claim{ place, claim_entry{ p_customer, key_hash, parsed->made_at, winner.claim }, state::RUNNING, true };
+		r_claim = winner.claim;
+		answer.step = once_step::RUN;
+		return answer;
+	}
+	if (_claiming.contains(place)) {
+		answer.step = once_step::WAIT;
+		return answer;
+	}
+	const unix_milliseconds age = to_unix(_key_age);
+	if (parsed->made_at < p_wall - age) {
+		// Its claim may have been made and be forgotten.
+		return refuse(reason::KEY_EXPIRED, verdict::MAY_HAVE_RUN);
+	}
+	if (parsed->made_at > p_wall + LARGEST_CLOCK_SKEW) {
+		return refuse(reason::KEY_MALFORMED);
+	}
+	// Until the stream was read as far back as this key may have lived, a competitor could be missed.
+	if (!_has_read || parsed->made_at < _complete_from || _known.size() + _own.size() >= _capacity) {
+		return refuse(reason::CLAIM_UNAVAILABLE);
+	}
+	r_claim = _next_claim++;
+	_own[r_claim] = own_claim{ place, claim_entry{ p_customer, key_hash, parsed->made_at, r_claim }, state::CLAIMING, false };
+	_claiming[place] = r_claim;
+	_unsent.push_back(r_claim);
+	answer.step = once_step::CLAIM;
+	return answer;
+}
+
+std::optional<claim_batch> claim_book::take_batch(unix_milliseconds p_wall) {
+	claim_batch batch;
+	batch.vm = _vm;
+	batch.incarnation = _incarnation;
+	batch.written_at = p_wall;
+	for (const std::uint64_t claim : _unsent) {
+		const auto own = _own.find(claim);
+		if (own == _own.end()) {
+			continue;
+		}
+		own->second.sent = true;
+		batch.claims.push_back(own->second.entry);
+	}
+	_unsent.clear();
+	if (batch.claims.empty()) {
+		return std::nullopt;
+	}
+	return batch;
+}
+
+std::vector<settled_claim> claim_book::on_append_ended(const claim_batch &p_batch, append_result p_result) {
+	std::vector<settled_claim> settled;
+	if (p_result != append_result::NOT_DONE) {
+		return settled;
+	}
+	for (const claim_entry &entry : p_batch.claims) {
+		const auto own = _own.find(entry.claim);
+		if (own == _own.end() || own->second.now != state::CLAIMING) {
+			continue;
+		}
+		settled.push_back(settled_claim{ entry.claim, refuse(reason::CLAIM_UNAVAILABLE) });
+		_claiming.erase(own->second.place);
+		_own.erase(own);
+	}
+	return settled;
+}
+
+void claim_book::_take_claim(const claim_batch &p_batch, const claim_entry &p_entry, std::vector<settled_claim> &r_settled) {
+	const std::string place = _make_place(p_entry.customer, p_entry.key_hash);
+	const auto [winner, is_first] = _known.try_emplace(place, known_claim{ p_batch.vm, p_batch.incarnation, p_entry.claim, p_entry.made_at, false, {} });
+	const auto claiming = _claiming.find(place);
+	if (claiming == _claiming.end()) {
+		return;
+	}
+	// A claim of this node waits here: the place now has a winner, so its fate is known.
+	const std::uint64_t claim = claiming->second;
+	const known_claim &known = winner->second;
+	_claiming.erase(claiming);
+	settled_claim result;
+	result.claim = claim;
+	const bool is_own = known.vm == _vm && known.incarnation == _incarnation;
+	if (is_own) {
+		// An earlier claim of this node that was given up may have won; it stands for this one, as it never ran.
+		winner->second.claim = claim;
+		_own[claim].now = state::RUNNING;
+		result.answer.step = once_step::RUN;
+	} else {
+		_own.erase(claim);
+		result.answer.step = once_step::PASS_ON;
+		result.answer.owner_vm = known.vm;
+		result.answer.owner_incarnation = known.incarnation;
+	}
+	r_settled.push_back(result);
+}
+
+std::vector<settled_claim> claim_book::take_read(std::uint64_t p_earliest, const std::vector<std::optional<claim_batch>> &p_batches, std::uint64_t p_next, bool p_at_end, unix_milliseconds p_wall) {
+	std::vector<settled_claim> settled;
+	if (p_earliest > _position) {
+		// Records were lost unread: keys that may have been claimed in them are refused until they are too old.
+		// What was lost is older than the first record left, give or take the clocks.
+		const bool has_first = !p_batches.empty() && p_batches.front().has_value();
+		const unix_milliseconds first_at = has_first ? std::min(p_wall, p_batches.front()->written_at) : p_wall;
+		_complete_from = first_at + LARGEST_CLOCK_SKEW;
+	}
+	for (const std::optional<claim_batch> &batch : p_batches) {
+		if (!batch) {
+			continue;
+		}
+		for (const claim_entry &entry : batch->claims) {
+			_take_claim(*batch, entry, settled);
+		}
+	}
+	_position = std::max(_position, p_next);
+	_has_read = _has_read || p_at_end;
+	return settled;
+}
+
+void claim_book::give_up(std::uint64_t p_claim) {
+	const auto own = _own.find(p_claim);
+	if (own == _own.end()) {
+		return;
+	}
+	_claiming.erase(own->second.place);
+	_own.erase(own);
+}
+
+void claim_book::on_done(std::uint64_t p_claim, bool p_may_have_run, kept_outcome p_outcome) {
+	const auto own = _own.find(p_claim);
+	if (own == _own.end()) {
+		return;
+	}
+	const auto known = _known.find(own->second.place);
+	if (known != _known.end() && p_may_have_run) {
+		known->second.done = true;
+		known->second.outcome = std::move(p_outcome);
+	}
+	_own.erase(own);
+}
+
+void claim_book::expire(unix_milliseconds p_wall) {
+	// Twice the age: a key made in the future by a caller's clock still meets its first claim.
+	const unix_milliseconds oldest = p_wall - 2 * to_unix(_key_age);
+	std::erase_if(_known, [oldest](const auto &p_entry) { return p_entry.second.made_at < oldest; });
+}
+
+std::string encode(const claim_batch &p_batch) {
+	json claims = json::array();
+	for (const claim_entry &entry : p_batch.claims) {
+		claims.push_back({ entry.customer, entry.key_hash, entry.made_at, entry.claim });
+	}
+	return json({ { "vm", p_batch.vm }, { "incarnation", p_batch.incarnation }, { "written_at", p_batch.written_at }, { "claims", claims } }).dump();
+}
+
+std::optional<claim_batch> decode_claim_batch(std::string_view p_bytes) {
+	if (p_bytes.size() > LARGEST_BATCH) {
+		return std::nullopt;
+	}
+	const json record = json::parse(p_bytes, nullptr, false);
+	if (!record.is_object()) {
+		return std::nullopt;
+	}
+	try {
+		claim_batch batch;
+		batch.vm = record.at("vm").get<std::string>();
+		batch.incarnation = record.at("incarnation").get<std::uint64_t>();
+		batch.written_at = record.at("written_at").get<unix_milliseconds>();
+		for (const json &row : record.at("claims")) {
+			claim_entry entry;
+			entry.customer = row.at(0).get<std::string>();
+			entry.key_hash = row.at(1).get<std::string>();
+			entry.made_at = row.at(2).get<unix_milliseconds>();
+			entry.claim = row.at(3).get<std::uint64_t>();
+			batch.claims.push_back(std::move(entry));
+		}
+		return batch;
+	} catch (const json::exception &) {
+		return std::nullopt;
+	}
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/routing/endpoint_group.cpp
@@ -0,0 +1,71 @@
+/*
+ * calicoscale: endpoint_group.cpp
+ * Endpoints of one pool that one selector admits, split by zone, with a ring for affinity.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/routing/endpoint_group.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr int POINTS_PER_ENDPOINT = 16;
+constexpr int LONGEST_WALK = 24;
+
+} // namespace
+
+endpoint_group::endpoint_group(const std::vector<endpoint_state *> &p_members, const std::string &p_zone) {
+	for (endpoint_state *member : p_members) {
+		if (member->listing.zone == p_zone) {
+			_local.push_back(member);
+		} else {
+			_remote.push_back(member);
+		}
+	}
+	_build_ring(_local.empty() ? _remote : _local);
+}
+
+void endpoint_group::_build_ring(const std::vector<endpoint_state *> &p_members) {
+	_ring.reserve(p_members.size() * POINTS_PER_ENDPOINT);
+	for (endpoint_state *member : p_members) {
+		for (int i = 0; i < POINTS_PER_ENDPOINT; i++) {
+			const std::uint64_t position = hash_bytes(member->listing.vm, static_cast<std::uint64_t>(i));
+			_ring.push_back(ring_point{ position, member });
+		}
+	}
+	std::sort(_ring.begin(), _ring.end(), [](const ring_point &p_left, const ring_point &p_right) {
+		return p_left.position < p_right.position;
+	});
+}
+
+endpoint_state *endpoint_group::find_by_affinity(std::uint64_t p_key, const std::function<bool(const endpoint_state &)> &p_accepts) const {
+	if (_ring.empty()) {
+		return nullptr;
+	}
+	const auto first = std::lower_bound(_ring.begin(), _ring.end(), p_key, [](const ring_point &p_point, std::uint64_t p_value) {
+		return p_point.position < p_value;
+	});
+	const std::size_t start = static_cast<std::size_t>(first - _ring.begin());
+	const std::size_t steps = std::min<std::size_t>(_ring.size(), LONGEST_WALK);
+	const endpoint_state *refused = nullptr;
+	for (std::size_t i = 0; i < steps; i++) {
+		endpoint_state *candidate = _ring[(start + i) % _ring.size()].endpoint;
+		if (candidate == refused) {
+			continue;
+		}
+		if (p_accepts(*candidate)) {
+			return candidate;
+		}
+		refused = candidate;
+	}
+	return nullptr;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/routing/router.cpp
@@ -0,0 +1,394 @@
+/*
+ * calicoscale: router.cpp
+ * Endpoint table and the choice of an endpoint for an attempt.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/routing/router.h"
+
+#include "core/enum_names.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr int FAILURES_TO_EJECT = 5;
+constexpr duration EJECTION_BASE = std::chrono::seconds(1);
+constexpr duration EJECTION_LONGEST = std::chrono::seconds(30);
+constexpr double SLOWNESS_RISE = 0.3;
+constexpr double SLOWNESS_FALL = 0.15;
+constexpr double SLOWNESS_HIGHEST = 50.0;
+/** A failure counts as an answer this much slower than usual, so that failing fast attracts no work. */
+constexpr double FAILURE_SLOWNESS = 4.0;
+/** Affinity is kept while the endpoint's predicted finish is at most this much above an idle usual one's. */
+constexpr double AFFINITY_BOUND = 4.0;
+/** Another zone is used when its best finish is this much better than the own zone's. */
+constexpr double LEAVE_ZONE_FACTOR = 1.5;
+constexpr double LEAVE_ZONE_MARGIN = 0.25;
+
+constexpr std::array<enum_name<endpoint_change::kind>, 5> CHANGE_NAMES{ {
+		{ endpoint_change::kind::ADDED, "added" },
+		{ endpoint_change::kind::REMOVED, "removed" },
+		{ endpoint_change::kind::LEAVING, "leaving" },
+		{ endpoint_change::kind::EJECTED, "ejected" },
+		{ endpoint_change::kind::READMITTED, "readmitted" },
+} };
+
+bool is_contained(const std::vector<endpoint_id> &p_ids, endpoint_id p_id) {
+	return std::find(p_ids.begin(), p_ids.end(), p_id) != p_ids.end();
+}
+
+/** Whether a failure says something about the endpoint rather than about the request. */
+bool is_endpoint_fault(const outcome &p_result) {
+	switch (p_result.why) {
+		case reason::CANCELLED:
+		case reason::CALLER_GONE:
+		case reason::REFUSED_INPUT:
+		case reason::DEADLINE_PASSED:
+			return false;
+		default:
+			return p_result.what != verdict::COMPLETED;
+	}
+}
+
+} // namespace
+
+std::string_view get_name(endpoint_change::kind p_kind) {
+	return find_name(CHANGE_NAMES, p_kind);
+}
+
+router::router(std::string p_zone, std::uint64_t p_seed) :
+		_zone(std::move(p_zone)), _random(p_seed) {
+}
+
+void router::_note(endpoint_change::kind p_kind, const endpoint_state &p_endpoint) {
+	_changes.push_back(endpoint_change{ p_kind, p_endpoint.listing.vm, p_endpoint.listing.pool });
+}
+
+std::vector<endpoint_change> router::take_changes() {
+	std::vector<endpoint_change> changes;
+	changes.swap(_changes);
+	return changes;
+}
+
+bool router::_has_left(const std::string &p_vm, std::uint64_t p_incarnation) const {
+	const auto mark = _leaving_marks.find(p_vm);
+	return mark != _leaving_marks.end() && p_incarnation <= mark->second;
+}
+
+bool router::_is_drained(const endpoint_state &p_endpoint) const {
+	return std::any_of(_settings.drains.begin(), _settings.drains.end(), [&p_endpoint](const selector &p_drain) {
+		return p_drain.matches(p_endpoint.listing.labels);
+	});
+}
+
+void router::set_settings(router_settings p_settings) {
+	_settings = std::move(p_settings);
+	for (const auto &[id, endpoint] : _endpoints) {
+		endpoint->drained = _is_drained(*endpoint);
+	}
+	_groups.clear();
+}
+
+void router::_add(const endpoint_listing &p_listing) {
+	std::unique_ptr<endpoint_state> endpoint = std::make_unique<endpoint_state>();
+	endpoint->id = _next_id++;
+	endpoint->listing = p_listing;
+	endpoint->leaving = p_listing.leaving || _has_left(p_listing.vm, p_listing.incarnation);
+	endpoint->drained = _is_drained(*endpoint);
+	_by_vm[p_listing.vm] = endpoint->id;
+	_note(endpoint_change::kind::ADDED, *endpoint);
+	_endpoints.emplace(endpoint->id, std::move(endpoint));
+}
+
+void router::_update(endpoint_state &p_endpoint, const endpoint_listing &p_listing) {
+	p_endpoint.listed = true;
+	p_endpoint.listing.labels = p_listing.labels;
+	p_endpoint.listing.zone = p_listing.zone;
+	p_endpoint.listing.pool = p_listing.pool;
+	p_endpoint.drained = _is_drained(p_endpoint);
+}
+
+void router::set_listings(const std::vector<endpoint_listing> &p_listings) {
+	for (const auto &[id, endpoint] : _endpoints) {
+		endpoint->listed = false;
+	}
+	for (const endpoint_listing &listing : p_listings) {
+		if (listing.leaving) {
+			mark_leaving(listing.vm, listing.incarnation);
+		}
+		const auto known = _by_vm.find(listing.vm);
+		if (known == _by_vm.end()) {
+			_add(listing);
+			continue;
+		}
+		endpoint_state &endpoint = *_endpoints.at(known->second);
+		const bool is_same = endpoint.listing.incarnation == listing.incarnation && endpoint.listing.address == listing.address;
+		if (is_same) {
+			_update(endpoint, listing);
+		} else if (listing.incarnation >= endpoint.listing.incarnation) {
+			_add(listing);
+		}
+	}
+	_forget_idle();
+	_groups.clear();
+}
+
+void router::_forget_idle() {
+	for (auto entry = _endpoints.begin(); entry != _endpoints.end();) {
+		const endpoint_state &endpoint = *entry->second;
+		if (endpoint.listed || endpoint.in_flight > 0) {
+			++entry;
+			continue;
+		}
+		const auto known = _by_vm.find(endpoint.listing.vm);
+		if (known != _by_vm.end() && known->second == endpoint.id) {
+			_by_vm.erase(known);
+		}
+		_note(endpoint_change::kind::REMOVED, endpoint);
+		entry = _endpoints.erase(entry);
+	}
+}
+
+bool router::mark_leaving(const std::string &p_vm, std::uint64_t p_incarnation) {
+	if (_has_left(p_vm, p_incarnation)) {
+		return false;
+	}
+	_leaving_marks[p_vm] = p_incarnation;
+	for (const auto &[id, endpoint] : _endpoints) {
+		if (endpoint->listing.vm == p_vm && endpoint->listing.incarnation <= p_incarnation && !endpoint->leaving) {
+			endpoint->leaving = true;
+			_note(endpoint_change::kind::LEAVING, *endpoint);
+		}
+	}
+	_groups.clear();
+	return true;
+}
+
+void router::take_report(endpoint_id p_endpoint, const endpoint_load &p_report) {
+	const auto found = _endpoints.find(p_endpoint);
+	if (found == _endpoints.end()) {
+		return;
+	}
+	found->second->has_report = true;
+	found->second->report = p_report;
+}
+
+const endpoint_group &router::_get_group(const choice_request &p_request) {
+	const std::string key = p_request.pool + "\n" + p_request.endpoints.to_string();
+	const auto found = _groups.find(key);
+	if (found != _groups.end()) {
+		return found->second;
+	}
+	std::vector<endpoint_state *> members;
+	for (const auto &[id, endpoint] : _endpoints) {
+		const bool is_member = endpoint->listing.pool == p_request.pool && endpoint->is_open();
+		if (is_member && p_request.endpoints.matches(endpoint->listing.labels)) {
+			members.push_back(endpoint.get());
+		}
+	}
+	return _groups.emplace(key, endpoint_group(members, _zone)).first->second;
+}
+
+bool router::_may_try(const endpoint_state &p_endpoint, instant p_now) const {
+	if (!p_endpoint.is_open()) {
+		return false;
+	}
+	if (!p_endpoint.ejected) {
+		return true;
+	}
+	return p_now >= p_endpoint.ejected_until && !p_endpoint.trial_open;
+}
+
+endpoint_state *router::_choose_by_affinity(const endpoint_group &p_group, const choice_request &p_request, instant p_now) {
+	if (p_request.affinity_key == 0) {
+		return nullptr;
+	}
+	return p_group.find_by_affinity(p_request.affinity_key, [this, &p_request, p_now](const endpoint_state &p_endpoint) {
+		const bool is_new = !is_contained(p_request.avoid, p_endpoint.id);
+		return is_new && !p_endpoint.ejected && _may_try(p_endpoint, p_now) && predict_finish(p_endpoint, p_now) <= AFFINITY_BOUND;
+	});
+}
+
+endpoint_state *router::_choose_by_policy(const endpoint_group &p_group, const std::function<bool(const endpoint_state &)> &p_usable, instant p_now) {
+	const policy_hook &hook = get_policy_hook(_settings.policy);
+	const std::uint64_t turn = _turn++;
+	endpoint_state *local = nullptr;
+	if (!p_group.get_local().empty()) {
+		local = hook(policy_input{ p_group.get_local(), p_usable, p_now, _random, turn });
+	}
+	if (p_group.get_remote().empty()) {
+		return local;
+	}
+	endpoint_state *remote = hook(policy_input{ p_group.get_remote(), p_usable, p_now, _random, turn });
+	if (local == nullptr || remote == nullptr) {
+		return local == nullptr ? remote : local;
+	}
+	const double local_finish = predict_finish(*local, p_now);
+	const double remote_finish = predict_finish(*remote, p_now);
+	return local_finish > remote_finish * LEAVE_ZONE_FACTOR + LEAVE_ZONE_MARGIN ? remote : local;
+}
+
+endpoint_state *router::_choose_any(const endpoint_group &p_group, instant p_now) {
+	// Everything looks bad, so this node may be what is wrong: ejection is ignored rather than refusing all work.
+	return _choose_by_policy(
+			p_group, [](const endpoint_state &p_endpoint) { return p_endpoint.is_open(); }, p_now);
+}
+
+std::optional<endpoint_id> router::choose(const choice_request &p_request, instant p_now) {
+	const endpoint_group &group = _get_group(p_request);
+	if (group.is_empty()) {
+		return std::nullopt;
+	}
+	endpoint_state *chosen = _choose_by_affinity(group, p_request, p_now);
+	if (chosen == nullptr) {
+		const std::function<bool(const endpoint_state &)> is_fresh = [this, &p_request, p_now](const endpoint_state &p_endpoint) {
+			return _may_try(p_endpoint, p_now) && !is_contained(p_request.avoid, p_endpoint.id);
+		};
+		chosen = _choose_by_policy(group, is_fresh, p_now);
+	}
+	if (chosen == nullptr) {
+		chosen = _choose_any(group, p_now);
+	}
+	if (chosen == nullptr) {
+		return std::nullopt;
+	}
+	return chosen->id;
+}
+
+void router::on_attempt_started(endpoint_id p_endpoint, instant p_now) {
+	const auto found = _endpoints.find(p_endpoint);
+	if (found == _endpoints.end()) {
+		return;
+	}
+	endpoint_state &endpoint = *found->second;
+	endpoint.in_flight++;
+	if (endpoint.ejected && p_now >= endpoint.ejected_until) {
+		endpoint.trial_open = true;
+	}
+}
+
+void router::on_attempt_ended(endpoint_id p_endpoint, const attempt_observation &p_observation, instant p_now) {
+	const auto found = _endpoints.find(p_endpoint);
+	if (found == _endpoints.end()) {
+		return;
+	}
+	endpoint_state &endpoint = *found->second;
+	endpoint.in_flight--;
+	endpoint.trial_open = false;
+	if (p_observation.result.why == reason::REFUSED_LEAVING) {
+		mark_leaving(endpoint.listing.vm, endpoint.listing.incarnation);
+	} else if (p_observation.result.what == verdict::COMPLETED) {
+		_on_success(endpoint, p_observation, p_now);
+	} else if (p_observation.result.why == reason::CANCELLED) {
+		_on_cancelled(endpoint, p_observation, p_now);
+	} else if (is_endpoint_fault(p_observation.result)) {
+		_on_failure(endpoint, p_observation, p_now);
+	}
+	if (!endpoint.listed && endpoint.in_flight == 0) {
+		_forget_idle();
+		_groups.clear();
+	}
+}
+
+void router::_learn_slowness(endpoint_state &p_endpoint, double p_sample, instant p_now) {
+	const double current = p_endpoint.get_slowness(p_now);
+	const double step = p_sample > current ? SLOWNESS_RISE : SLOWNESS_FALL;
+	const double learnt = current + (p_sample - current) * step;
+	p_endpoint.slowness = std::clamp(learnt, 1.0 / SLOWNESS_HIGHEST, SLOWNESS_HIGHEST);
+	p_endpoint.slowness_at = p_now;
+}
+
+void router::_on_success(endpoint_state &p_endpoint, const attempt_observation &p_observation, instant p_now) {
+	if (p_observation.usual > duration::zero()) {
+		const double sample = static_cast<double>(p_observation.elapsed.count()) / static_cast<double>(p_observation.usual.count());
+		_learn_slowness(p_endpoint, std::min(sample, SLOWNESS_HIGHEST), p_now);
+	}
+	p_endpoint.consecutive_failures = 0;
+	if (p_endpoint.ejected) {
+		p_endpoint.ejected = false;
+		p_endpoint.ejection_count = 0;
+		_note(endpoint_change::kind::READMITTED, p_endpoint);
+	}
+}
+
+void router::_on_cancelled(endpoint_state &p_endpoint, const attempt_observation &p_observation, instant p_now) {
+	// Had it been left to run it would have taken longer still, so the time so far is a lower bound.
+	if (p_observation.usual <= duration::zero() || p_observation.elapsed <= p_observation.usual) {
+		return;
+	}
+	const double sample = static_cast<double>(p_observation.elapsed.count()) / static_cast<double>(p_observation.usual.count());
+	if (sample > p_endpoint.get_slowness(p_now)) {
+		_learn_slowness(p_endpoint, std::min(sample, SLOWNESS_HIGHEST), p_now);
+	}
+}
+
+void router::_on_failure(endpoint_state &p_endpoint, const attempt_observation &p_observation, instant p_now) {
+	_learn_slowness(p_endpoint, std::max(FAILURE_SLOWNESS, p_endpoint.get_slowness(p_now)), p_now);
+	if (p_observation.result.why == reason::REFUSED_BUSY) {
+		// Being busy is no fault; the slowness learnt above steers work away.
+		return;
+	}
+	p_endpoint.consecutive_failures++;
+	if (p_endpoint.ejected) {
+		_eject(p_endpoint, p_now);
+		return;
+	}
+	if (p_endpoint.consecutive_failures >= FAILURES_TO_EJECT && _may_eject(p_endpoint)) {
+		_eject(p_endpoint, p_now);
+		_note(endpoint_change::kind::EJECTED, p_endpoint);
+	}
+}
+
+bool router::_may_eject(const endpoint_state &p_endpoint) const {
+	std::size_t pool_size = 0;
+	std::size_t ejected = 0;
+	for (const auto &[id, endpoint] : _endpoints) {
+		if (endpoint->listing.pool != p_endpoint.listing.pool || !endpoint->is_open()) {
+			continue;
+		}
+		pool_size++;
+		ejected += endpoint->ejected ? 1 : 0;
+	}
+	return static_cast<double>(ejected + 1) <= _settings.max_ejected_share * static_cast<double>(pool_size);
+}
+
+void router::_eject(endpoint_state &p_endpoint, instant p_now) {
+	const double factor = std::exp2(static_cast<double>(std::min(p_endpoint.ejection_count, 10)));
+	const duration back_off = std::min(EJECTION_LONGEST, duration(static_cast<duration::rep>(EJECTION_BASE.count() * factor)));
+	p_endpoint.ejected = true;
+	p_endpoint.ejection_count++;
+	p_endpoint.ejected_until = p_now + back_off;
+}
+
+const endpoint_state *router::find(endpoint_id p_endpoint) const {
+	const auto found = _endpoints.find(p_endpoint);
+	return found == _endpoints.end() ? nullptr : found->second.get();
+}
+
+const endpoint_state *router::find_vm(const std::string &p_vm) const {
+	const auto found = _by_vm.find(p_vm);
+	return found == _by_vm.end() ? nullptr : find(found->second);
+}
+
+std::size_t router::count_open(const std::string &p_pool, const selector &p_endpoints) {
+	choice_request request;
+	request.pool = p_pool;
+	request.endpoints = p_endpoints;
+	const endpoint_group &group = _get_group(request);
+	return group.get_local().size() + group.get_remote().size();
+}
+
+void router::for_each(const std::function<void(const endpoint_state &)> &p_hook) const {
+	for (const auto &[id, endpoint] : _endpoints) {
+		p_hook(*endpoint);
+	}
+}
+
+} // namespace calicoscale
