Close three holes in at-most-once that properties found

Cause: (1) a refused resume counted as not run, so an unrepeatable generation could run again; (2) claims lost unread by truncation let a node's own later claim look first; (3) the time of the first record left was taken as a bound on what was lost, which a delayed append breaks. Change: a stage remembers that some attempt may have run; a gap refuses every open claim and all keys made before it.

--- a/main/once_service.cpp
+++ b/main/once_service.cpp
@@ -124,7 +124,7 @@
 		_append_is_due = true;
 		return;
 	}
-	const std::optional<claim_batch> batch = _claims.take_batch(event_loop::wall());
+	const std::optional<claim_batch> batch = _claims.take_batch();
 	if (!batch) {
 		return;
 	}
--- /dev/null
+++ b/misc/scripts/mutations.sh
@@ -0,0 +1,80 @@
+#!/usr/bin/env bash
+# Breaks one mechanism at a time in a scratch copy and checks that a test notices. Prints a table for docs/FAULTS.md.
+set -euo pipefail
+
+root=$(cd "$(dirname "$0")/../.." && pwd)
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+export RC_PARAMS="seed=20261202 max_success=1000"
+
+git -C "$root" ls-files | (cd "$root" && cpio -pdm --quiet "$scratch/tree")
+cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja >/dev/null
+status=0
+
+echo "| mechanism | how it was broken | test program | noticed by |"
+echo "| --- | --- | --- | --- |"
+
+# mutate MECHANISM WHAT FILE FROM TO TEST
+mutate() {
+	local file=$scratch/tree/$3 noticed
+	cp "$file" "$scratch/original"
+	FROM=$4 TO=$5 perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$file"
+	if cmp -s "$file" "$scratch/original"; then
+		echo "| $1 | NOT APPLIED: $4 | $6 | - |"
+		status=1
+		return
+	fi
+	if ! cmake --build "$scratch/build" --target "$6" >"$scratch/log" 2>&1; then
+		noticed="does not compile"
+		status=1
+	else
+		timeout 120 "$scratch/build/tests/$6" >"$scratch/log" 2>&1 || true
+		noticed=$(sed -n 's/^\[  FAILED  \] \([a-z_]*\.[a-z_]*\).*/\1/p' "$scratch/log" | sort -u | head -n 2 | paste -sd, | sed 's/,/, /')
+		if [ -z "$noticed" ]; then
+			noticed="NOT NOTICED"
+			status=1
+		fi
+	fi
+	echo "| $1 | $2 | $6 | $noticed |"
+	cp "$scratch/original" "$file"
+}
+
+flow=servers/request/request_flow.cpp
+mutate "verdict tally" "an attempt that may have run is not counted" core/verdict.cpp "_may_have_run = true;" "_may_have_run = false;" core_test
+mutate "unrepeatable stages" "they are tried again like others" $flow "!_current().repeatable && _stage_may_have_run" "false && _stage_may_have_run" request_flow_test
+mutate "one result a stage" "an answer is taken though its attempt is not open" $flow "const open_attempt *found = _find_open(p_id);
+	if (found == nullptr)" "open_attempt stray;
+	const open_attempt *found = _find_open(p_id) != nullptr ? _find_open(p_id) : \&stray;
+	if (found == nullptr)" request_flow_test
+mutate "token order" "a gap is passed on" $flow "if (p_offset > _tokens.size())" "if (p_offset > _tokens.size() + 1000)" request_flow_test
+mutate "token order" "a repeated token is passed on" $flow "if (p_offset < _tokens.size())" "if (p_offset + 1000 < _tokens.size())" request_flow_test
+mutate "stream digest" "it is not compared" $flow "p_end.token_count == _tokens.size() && p_end.digest == _digest.to_string()" "true" request_flow_test
+mutate "continuation" "another endpoint starts afresh behind the tokens sent" $flow "attempt.start = _tokens.empty() ? stream_start::FRESH : stream_start::CONTINUE;" "attempt.start = stream_start::FRESH;" request_flow_test
+mutate "deadline before the first byte" "a place given late is used" $flow "_place_given = p_now;
+	if (p_now >= _plan.deadline)" "_place_given = p_now;
+	if (false)" request_flow_test
+mutate "pool places" "a place is not given back on failure" $flow "r_actions.emplace_back(return_place{ _stage, get_place_use(_last_failure)" "if (false) r_actions.emplace_back(return_place{ _stage, get_place_use(_last_failure)" request_flow_test
+mutate "cancellation" "open attempts are left running at the end" $flow "r_actions.emplace_back(cancel_attempt{ attempt.id, attempt.settle_id, use });" "" request_flow_test
+mutate "leaving marks" "a list may bring an endpoint back" servers/routing/router.cpp "endpoint->leaving = p_listing.leaving || _has_left(p_listing.vm, p_listing.incarnation);" "endpoint->leaving = p_listing.leaving;" routing_test
+mutate "ejection cap" "there is none" servers/routing/router.cpp "return static_cast<double>(ejected + 1) <= _settings.max_ejected_share * static_cast<double>(pool_size);" "return pool_size + ejected > 0;" routing_test
+mutate "affinity bound" "load does not matter" servers/routing/router.cpp "predict_finish(p_endpoint, p_now) <= AFFINITY_BOUND" "true" routing_test
+mutate "fair queue" "weights do not matter" servers/limits/fair_queue.cpp "customer.virtual_start += 1.0 / customer.weight;" "customer.virtual_start += 1.0;" limits_test
+mutate "queue bound" "there is none" servers/limits/fair_queue.cpp "if (_places.size() < _capacity)" "if (true)" limits_test
+mutate "retry budget" "it is not spent" servers/limits/share_budget.cpp "_balance -= 1.0;" "" limits_test
+mutate "limit shares" "a cut-off zone's share is lent out" servers/limits/limit_share.cpp "if (!zone.heard || p_rate <= 0.0)" "if (p_rate <= 0.0)" limits_test
+mutate "claims" "the last claim wins" servers/once/claim_book.cpp "const bool is_own = known.vm == _vm && known.incarnation == _incarnation;
+	if (is_own) {" "const bool is_own = true;
+	if (is_own) {" once_test
+mutate "claims" "a lost answer counts as not done, and the claim is made again" servers/once/claim_book.cpp "if (p_result != append_result::NOT_DONE)" "if (p_result == append_result::DONE)" once_test
+mutate "claims" "records lost unread are ignored" servers/once/claim_book.cpp "if (p_earliest > _position) {" "if (false) {" once_test
+mutate "tickets" "used ones are forgotten at once" servers/once/ticket_book.cpp "if (p_wall >= p_ticket.expires_at)" "if (false)" once_test
+mutate "tickets" "the customer is not part of the code" servers/once/ticket_book.cpp "std::string text = p_customer + " "std::string text = std::string() + " once_test
+mutate "configuration fold" "the base is not compared" servers/configuration/configuration_fold.cpp "if (p_change->base != _folded.version)" "if (false)" configuration_test
+mutate "configuration fold" "a truncated log is taken for an empty one" servers/configuration/configuration_fold.cpp "if (!_started && p_earliest == 0 && _position == 0)" "if (!_started)" configuration_test
+mutate "configuration fold" "changes around a checkpoint are forgotten" servers/configuration/configuration_fold.cpp "if (kept.offset >= p_position)" "if (false)" configuration_test
+mutate "configuration fold" "a lower version may be put in force" servers/configuration/configuration_fold.cpp "if (p_state.version <= _in_force.version)" "if (p_state.version == _in_force.version)" configuration_test
+mutate "membership" "an older rumour replaces a newer one" servers/membership/member_table.cpp "if (!is_newer(digest, known.digest))" "if (false)" shared_state_test
+mutate "list guard" "any list is believed" servers/membership/list_guard.cpp "if (is_plausible)" "if (true)" shared_state_test
+mutate "ledger" "an entry read twice counts twice" servers/ledger/ledger_fold.cpp "if (!_is_new(entry->incarnation, entry->sequence))" "if (false)" shared_state_test
+mutate "ledger" "an unconfirmed entry gets a new number" servers/ledger/cost_ledger.cpp "if (p_result == append_result::DONE)" "if (p_result != append_result::DONE \&\& _sending) { _sending->sequence = _next_sequence++; } else if (p_result == append_result::DONE)" shared_state_test
+exit "$status"
--- a/servers/once/claim_book.cpp
+++ b/servers/once/claim_book.cpp
@@ -73,6 +73,10 @@
 			answer.step = once_step::WAIT;
 			return answer;
 		}
+		if (parsed->made_at <= _complete_from) {
+			// An earlier claim of the key may have been lost unread, so being first among those read proves nothing.
+			return refuse(reason::CLAIM_UNAVAILABLE, verdict::MAY_HAVE_RUN);
+		}
 		// The key is this node's and its claim was given up before it ran, so this submission may run it.
 		_own[winner.claim] = own_claim{ place, claim_entry{ p_customer, key_hash, parsed->made_at, winner.claim }, state::RUNNING, true };
 		r_claim = winner.claim;
@@ -92,7 +96,7 @@
 		return refuse(reason::KEY_MALFORMED);
 	}
 	// Until the stream was read as far back as this key may have lived, a competitor could be missed.
-	if (!_has_read || parsed->made_at < _complete_from || _known.size() + _own.size() >= _capacity) {
+	if (!_has_read || parsed->made_at <= _complete_from || _known.size() + _own.size() >= _capacity) {
 		return refuse(reason::CLAIM_UNAVAILABLE);
 	}
 	r_claim = _next_claim++;
@@ -103,11 +107,10 @@
 	return answer;
 }
 
-std::optional<claim_batch> claim_book::take_batch(unix_milliseconds p_wall) {
+std::optional<claim_batch> claim_book::take_batch() {
 	claim_batch batch;
 	batch.vm = _vm;
 	batch.incarnation = _incarnation;
-	batch.written_at = p_wall;
 	for (const std::uint64_t claim : _unsent) {
 		const auto own = _own.find(claim);
 		if (own == _own.end()) {
@@ -168,14 +171,21 @@
 	r_settled.push_back(result);
 }
 
+void claim_book::_refuse_claiming(std::vector<settled_claim> &r_settled) {
+	for (const auto &[place, claim] : _claiming) {
+		r_settled.push_back(settled_claim{ claim, refuse(reason::CLAIM_UNAVAILABLE, verdict::MAY_HAVE_RUN) });
+		_own.erase(claim);
+	}
+	_claiming.clear();
+}
+
 std::vector<settled_claim> claim_book::take_read(std::uint64_t p_earliest, const std::vector<std::optional<claim_batch>> &p_batches, std::uint64_t p_next, bool p_at_end, unix_milliseconds p_wall) {
 	std::vector<settled_claim> settled;
 	if (p_earliest > _position) {
 		// Records were lost unread: keys that may have been claimed in them are refused until they are too old.
-		// What was lost is older than the first record left, give or take the clocks.
-		const bool has_first = !p_batches.empty() && p_batches.front().has_value();
-		const unix_milliseconds first_at = has_first ? std::min(p_wall, p_batches.front()->written_at) : p_wall;
-		_complete_from = first_at + LARGEST_CLOCK_SKEW;
+		// The time of the first record left bounds nothing: a delayed append may be older than what was lost before it.
+		_complete_from = p_wall + LARGEST_CLOCK_SKEW;
+		_refuse_claiming(settled);
 	}
 	for (const std::optional<claim_batch> &batch : p_batches) {
 		if (!batch) {
@@ -223,7 +233,7 @@
 	for (const claim_entry &entry : p_batch.claims) {
 		claims.push_back({ entry.customer, entry.key_hash, entry.made_at, entry.claim });
 	}
-	return json({ { "vm", p_batch.vm }, { "incarnation", p_batch.incarnation }, { "written_at", p_batch.written_at }, { "claims", claims } }).dump();
+	return json({ { "vm", p_batch.vm }, { "incarnation", p_batch.incarnation }, { "claims", claims } }).dump();
 }
 
 std::optional<claim_batch> decode_claim_batch(std::string_view p_bytes) {
@@ -238,7 +248,6 @@
 		claim_batch batch;
 		batch.vm = record.at("vm").get<std::string>();
 		batch.incarnation = record.at("incarnation").get<std::uint64_t>();
-		batch.written_at = record.at("written_at").get<unix_milliseconds>();
 		for (const json &row : record.at("claims")) {
 			claim_entry entry;
 			entry.customer = row.at(0).get<std::string>();
--- a/servers/once/claim_book.h
+++ b/servers/once/claim_book.h
@@ -34,7 +34,6 @@
 struct claim_batch {
 	std::string vm;
 	std::uint64_t incarnation = 0;
-	unix_milliseconds written_at = 0;
 	std::vector<claim_entry> claims;
 };
 
@@ -83,10 +82,11 @@
 	std::map<std::string, known_claim> _known; ///< Winner of each place.
 	std::vector<std::uint64_t> _unsent;
 	std::uint64_t _position = 0;
-	unix_milliseconds _complete_from = 0; ///< All claims written since are known.
+	unix_milliseconds _complete_from = -1; ///< All claims of keys made after this are known.
 	bool _has_read = false;
 
 	static std::string _make_place(const std::string &p_customer, const std::string &p_key_hash);
+	void _refuse_claiming(std::vector<settled_claim> &r_settled);
 	void _take_claim(const claim_batch &p_batch, const claim_entry &p_entry, std::vector<settled_claim> &r_settled);
 
 public:
@@ -100,7 +100,7 @@
 	once_answer submit(const std::string &p_customer, const std::string &p_key, unix_milliseconds p_wall, std::uint64_t &r_claim);
 
 	/** Claims not yet on their way; they now count as sent. */
-	std::optional<claim_batch> take_batch(unix_milliseconds p_wall);
+	std::optional<claim_batch> take_batch();
 
 	/**
 	 * The append of a batch ended. Only NOT_DONE takes claims back, and they are refused; UNKNOWN waits for the read.
--- a/servers/request/request_flow.cpp
+++ b/servers/request/request_flow.cpp
@@ -125,6 +125,7 @@
 	_resume_endpoint = 0;
 	_resume_tried = false;
 	_has_hedged = false;
+	_stage_may_have_run = false;
 	_stage_started = p_now;
 	_estimate = _hooks.estimate(_plan, _stage, p_now);
 	const instant start_by = _plan.deadline - _get_later_need(p_now) - _estimate.usual;
@@ -351,6 +352,7 @@
 
 void request_flow::_fail_attempt(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now, actions &r_actions) {
 	_tally.add(p_end.result.what);
+	_stage_may_have_run = _stage_may_have_run || p_end.result.what != verdict::NOT_RUN;
 	_last_failure = p_end.result;
 	_drop_open(p_attempt.id);
 	const bool is_broken_stream = _is_stream() && p_attempt.streamed && p_end.result.why == reason::CONNECTION_LOST;
@@ -359,7 +361,7 @@
 		_resume_of = p_attempt.settle_id;
 	}
 	const bool others_run = !_open.empty();
-	const bool tries_again = !others_run && _may_try_again(p_end, p_now);
+	const bool tries_again = !others_run && _may_try_again(p_attempt, p_end, p_now);
 	_settle_failed(p_attempt, p_end, others_run || tries_again, r_actions);
 	if (others_run) {
 		_arm_timer(p_now, r_actions);
@@ -386,13 +388,15 @@
 	}
 }
 
-bool request_flow::_may_try_again(const attempt_end &p_end, instant p_now) {
-	if (p_end.result.why == reason::REFUSED_INPUT || _attempts >= MOST_ATTEMPTS) {
+bool request_flow::_may_try_again(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now) {
+	// An endpoint that refuses to resume has lost the stream; that says nothing against the input.
+	const bool is_input_bad = p_end.result.why == reason::REFUSED_INPUT && p_attempt.start != stream_start::RESUME;
+	if (is_input_bad || _attempts >= MOST_ATTEMPTS) {
 		return false;
 	}
 	const bool resumes = _resume_endpoint != 0 && !_resume_tried;
 	// Resuming reads the rest of one execution, so it is open to an unrepeatable stage as well.
-	if (!_current().repeatable && p_end.result.what != verdict::NOT_RUN && !resumes) {
+	if (!_current().repeatable && _stage_may_have_run && !resumes) {
 		return false;
 	}
 	if (p_now + _get_later_need(p_now) >= _plan.deadline) {
--- a/servers/request/request_flow.h
+++ b/servers/request/request_flow.h
@@ -108,6 +108,7 @@
 	bool _resume_tried = false;
 	bool _has_hedged = false;
 	bool _holds_place = false;
+	bool _stage_may_have_run = false;
 	instant _stage_started{};
 	instant _place_given{};
 	instant _retry_at{};
@@ -131,7 +132,7 @@
 	void _cancel_others(const attempt_id &p_winner, actions &r_actions);
 	void _fail_attempt(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now, actions &r_actions);
 	void _settle_failed(const open_attempt &p_attempt, const attempt_end &p_end, bool p_goes_on, actions &r_actions) const;
-	bool _may_try_again(const attempt_end &p_end, instant p_now);
+	bool _may_try_again(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now);
 	void _plan_retry(const attempt_end &p_end, instant p_now, actions &r_actions);
 	void _complete_stage(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now, actions &r_actions);
 	bool _is_stream_whole(const attempt_end &p_end) const;
--- a/tests/servers/once_test.cpp
+++ b/tests/servers/once_test.cpp
@@ -42,6 +42,7 @@
 	std::uint64_t _lives = 0;
 
 	void _restart(node &r_node) {
+		RC_LOG() << r_node.vm << " restarts at " << _wall - START << "\n";
 		r_node.vm = "vm" + std::to_string(_lives % 3);
 		r_node.book = std::make_unique<claim_book>(r_node.vm, ++_lives, KEY_AGE, 1000);
 		r_node.waiting.clear();
@@ -49,12 +50,14 @@
 	}
 
 	void _run(node &r_node, std::uint64_t p_claim, const std::string &p_key) {
+		RC_LOG() << r_node.vm << " runs " << p_key << " as claim " << p_claim << " at " << _wall - START << "\n";
 		_runs[p_key]++;
 		RC_ASSERT(_runs[p_key] == 1);
 		r_node.running[p_claim] = p_key;
 	}
 
 	void _submit(node &r_node) {
+		RC_LOG() << r_node.vm << " submits\n";
 		const std::string key = std::to_string(START + static_cast<unix_milliseconds>(_choices.pick(3)) * 60'000) + "-k" + std::to_string(_choices.pick(3));
 		std::uint64_t claim = 0;
 		const once_answer answer = r_node.book->submit("customer", key, _wall, claim);
@@ -80,7 +83,8 @@
 	}
 
 	void _append(node &r_node) {
-		const std::optional<claim_batch> batch = r_node.book->take_batch(_wall);
+		RC_LOG() << r_node.vm << " appends\n";
+		const std::optional<claim_batch> batch = r_node.book->take_batch();
 		if (!batch) {
 			return;
 		}
@@ -103,6 +107,7 @@
 	}
 
 	void _read(node &r_node) {
+		RC_LOG() << r_node.vm << " reads from " << r_node.book->get_position() << ", earliest " << _earliest << " of " << _records.size() << "\n";
 		const std::uint64_t from = std::max(r_node.book->get_position(), _earliest);
 		std::vector<std::optional<claim_batch>> batches;
 		std::uint64_t next = from;
@@ -116,6 +121,7 @@
 	void _end(node &r_node) {
 		if (!r_node.running.empty()) {
 			const std::uint64_t claim = r_node.running.begin()->first;
+			RC_LOG() << r_node.vm << " ends claim " << claim << "\n";
 			r_node.running.erase(claim);
 			r_node.book->on_done(claim, true, kept_outcome{ 200, "done" });
 		}
@@ -124,6 +130,7 @@
 	void _give_up(node &r_node) {
 		if (!r_node.waiting.empty()) {
 			const std::uint64_t claim = r_node.waiting.begin()->first;
+			RC_LOG() << r_node.vm << " gives up claim " << claim << "\n";
 			r_node.waiting.erase(claim);
 			r_node.book->give_up(claim);
 		}
@@ -270,8 +277,8 @@
 	std::uint64_t right_claim = 0;
 	EXPECT_EQ(books.left.submit("c", KEY, START, left_claim).step, once_step::CLAIM);
 	EXPECT_EQ(books.right.submit("c", KEY, START, right_claim).step, once_step::CLAIM);
-	const claim_batch right_batch = *books.right.take_batch(START);
-	const claim_batch left_batch = *books.left.take_batch(START);
+	const claim_batch right_batch = *books.right.take_batch();
+	const claim_batch left_batch = *books.left.take_batch();
 	const std::vector<std::optional<claim_batch>> log{ right_batch, left_batch };
 	const std::vector<settled_claim> left = books.left.take_read(0, log, 2, true, START);
 	const std::vector<settled_claim> right = books.right.take_read(0, log, 2, true, START);
@@ -286,7 +293,7 @@
 	book_pair books;
 	std::uint64_t claim = 0;
 	books.left.submit("a", KEY, START, claim);
-	const std::vector<std::optional<claim_batch>> log{ books.left.take_batch(START) };
+	const std::vector<std::optional<claim_batch>> log{ books.left.take_batch() };
 	books.right.take_read(0, log, 1, true, START);
 	EXPECT_EQ(books.right.submit("b", KEY, START, claim).step, once_step::CLAIM);
 }
@@ -295,7 +302,7 @@
 	book_pair books;
 	std::uint64_t claim = 0;
 	books.left.submit("c", KEY, START, claim);
-	const claim_batch batch = *books.left.take_batch(START);
+	const claim_batch batch = *books.left.take_batch();
 	EXPECT_TRUE(books.left.on_append_ended(batch, append_result::UNKNOWN).empty());
 	EXPECT_TRUE(books.left.is_waiting());
 	const std::vector<settled_claim> settled = books.left.take_read(0, { batch }, 1, true, START);
@@ -309,7 +316,7 @@
 	EXPECT_EQ(book.submit("c", KEY, START, claim).refusal, (outcome{ verdict::NOT_RUN, reason::CLAIM_UNAVAILABLE }));
 	book.take_read(0, {}, 0, true, START);
 	EXPECT_EQ(book.submit("c", KEY, START, claim).step, once_step::CLAIM);
-	const std::vector<settled_claim> settled = book.on_append_ended(*book.take_batch(START), append_result::NOT_DONE);
+	const std::vector<settled_claim> settled = book.on_append_ended(*book.take_batch(), append_result::NOT_DONE);
 	ASSERT_EQ(settled.size(), 1U);
 	EXPECT_EQ(settled[0].answer.refusal, (outcome{ verdict::NOT_RUN, reason::CLAIM_UNAVAILABLE }));
 }
@@ -335,8 +342,20 @@
 	book_pair books;
 	std::uint64_t claim = 0;
 	books.left.submit("c", KEY, START, claim);
-	const std::optional<claim_batch> batch = books.left.take_batch(START);
+	const std::optional<claim_batch> batch = books.left.take_batch();
 	EXPECT_EQ(books.left.take_read(0, { std::nullopt, batch }, 2, true, START).size(), 1U);
 }
 
+TEST(claim_book, records_lost_unread_settle_no_claim) {
+	book_pair books;
+	std::uint64_t claim = 0;
+	books.left.submit("c", KEY, START, claim);
+	const claim_batch batch = *books.left.take_batch();
+	// Another node's claim stood at offset 0 and is forgotten; this one's own is the first that is left.
+	const std::vector<settled_claim> settled = books.left.take_read(1, { batch }, 2, true, START);
+	ASSERT_EQ(settled.size(), 1U);
+	EXPECT_EQ(settled[0].answer.refusal, (outcome{ verdict::MAY_HAVE_RUN, reason::CLAIM_UNAVAILABLE }));
+	EXPECT_EQ(books.left.submit("c", KEY, START, claim).step, once_step::REFUSE);
+}
+
 } // namespace calicoscale
--- a/tests/servers/request_flow_test.cpp
+++ b/tests/servers/request_flow_test.cpp
@@ -144,6 +144,11 @@
 			default:
 				break;
 		}
+		if (p_action.start == stream_start::RESUME && _choices.one_in(2)) {
+			// The endpoint has lost the stream.
+			_end_later(p_action.id, verdict::NOT_RUN, reason::REFUSED_INPUT);
+			return;
+		}
 		if (is_stream) {
 			_run_stream(p_action, chosen);
 		} else {
@@ -471,4 +476,20 @@
 	EXPECT_LT(first->give_up_at, instant(std::chrono::milliseconds(700)));
 }
 
+TEST(request_flow, refused_resume_is_no_licence_to_run_an_unrepeatable_stage_again) {
+	request_plan plan = make_plan({ false, true, true });
+	plan.stages[0].kind = stage_kind::GENERATE;
+	request_flow flow(plan, make_plain_hooks());
+	flow.start(instant{});
+	const attempt_id first = find_action<start_attempt>(flow.on_place_given(instant{}))->id;
+	flow.on_token(first, 0, "token", instant{});
+	const std::vector<request_action> resumed = flow.on_attempt_ended(first, make_end(verdict::MAY_HAVE_RUN, reason::CONNECTION_LOST), instant{});
+	ASSERT_NE(find_action<start_attempt>(resumed), nullptr);
+	EXPECT_EQ(find_action<start_attempt>(resumed)->start, stream_start::RESUME);
+	const attempt_id second = find_action<start_attempt>(resumed)->id;
+	const std::vector<request_action> end = flow.on_attempt_ended(second, make_end(verdict::NOT_RUN, reason::REFUSED_INPUT), instant{});
+	EXPECT_EQ(find_action<start_attempt>(end), nullptr);
+	EXPECT_EQ(find_action<finish_request>(end)->result.what, verdict::MAY_HAVE_RUN);
+}
+
 } // namespace calicoscale
