Keep floods, failing replicas and busy pools from costing answers

Cause: the door judged a small customer's wait by the whole queue; a replica that failed every other call was neither ejected nor slow; a busy refusal ended requests whose earlier stages had run; the round robin baseline was not one, as its turn was shared by all pools and zones came first. Change: waits count only what fair queueing puts ahead; a faded share of errors weighs in the predicted finish; a request refused as busy goes back to the queue; baselines know no zones and take turns by group; an unchanged list of VMs no longer rebuilds the rings.

--- a/main/request_service.cpp
+++ b/main/request_service.cpp
@@ -108,7 +108,7 @@
 			return door_answer{ false, reason::NO_ENDPOINT, std::chrono::seconds(1) };
 		}
 		need += _times.estimate(plan.pool, timed_part::WHOLE, get_size_class(p_plan, stage), quantile, now);
-		wait += _get_gate(plan.pool).estimate_wait();
+		wait += _get_gate(plan.pool).estimate_wait(p_plan.customer, p_plan.weight);
 	}
 	if (now + need + wait > p_plan.deadline) {
 		return door_answer{ false, reason::DEADLINE_UNREACHABLE, std::max<duration>(wait, std::chrono::milliseconds(100)) };
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -44,7 +44,7 @@
 mutate "unrepeatable stages" "they are tried again like others" $flow "!_current().repeatable && _stage_may_have_run" "false && _stage_may_have_run" request_flow_test
 mutate "one result a stage" "an answer is taken though its attempt is not open" $flow "const open_attempt *found = _find_open(p_id);
 	if (found == nullptr)" "open_attempt stray;
-	const open_attempt *found = _find_open(p_id) != nullptr ? _find_open(p_id) : \&stray;
+	const open_attempt *found = _find_open(p_id) != nullptr ? _find_open(p_id) : &stray;
 	if (found == nullptr)" request_flow_test
 mutate "token order" "a gap is passed on" $flow "if (p_offset > _tokens.size())" "if (p_offset > _tokens.size() + 1000)" request_flow_test
 mutate "token order" "a repeated token is passed on" $flow "if (p_offset < _tokens.size())" "if (p_offset + 1000 < _tokens.size())" request_flow_test
@@ -76,5 +76,5 @@
 mutate "membership" "an older rumour replaces a newer one" servers/membership/member_table.cpp "if (!is_newer(digest, known.digest))" "if (false)" shared_state_test
 mutate "list guard" "any list is believed" servers/membership/list_guard.cpp "if (is_plausible)" "if (true)" shared_state_test
 mutate "ledger" "an entry read twice counts twice" servers/ledger/ledger_fold.cpp "if (!_is_new(entry->incarnation, entry->sequence))" "if (false)" shared_state_test
-mutate "ledger" "an unconfirmed entry gets a new number" servers/ledger/cost_ledger.cpp "if (p_result == append_result::DONE)" "if (p_result != append_result::DONE \&\& _sending) { _sending->sequence = _next_sequence++; } else if (p_result == append_result::DONE)" shared_state_test
+mutate "ledger" "an unconfirmed entry gets a new number" servers/ledger/cost_ledger.cpp "if (p_result == append_result::DONE)" "if (p_result != append_result::DONE && _sending) { _sending->sequence = _next_sequence++; } else if (p_result == append_result::DONE)" shared_state_test
 exit "$status"
--- a/servers/limits/fair_queue.cpp
+++ b/servers/limits/fair_queue.cpp
@@ -91,6 +91,25 @@
 	return dropped_request{ evicted->id, evicted->customer };
 }
 
+double fair_queue::count_ahead(const std::string &p_customer, double p_weight) const {
+	std::map<std::string, std::pair<std::size_t, double>> waiting;
+	for (const class_line &line : _classes) {
+		for (const auto &[name, customer] : line.customers) {
+			waiting[name].first += customer.waiting.size();
+			waiting[name].second = customer.weight;
+		}
+	}
+	const auto own = waiting.find(p_customer);
+	const double turns = static_cast<double>(own == waiting.end() ? 1 : own->second.first + 1) / p_weight;
+	double ahead = 0.0;
+	for (const auto &[name, line] : waiting) {
+		if (name != p_customer) {
+			ahead += std::min(static_cast<double>(line.first), turns * line.second);
+		}
+	}
+	return ahead + turns * p_weight;
+}
+
 fair_queue::class_line *fair_queue::_pick_class() {
 	class_line *best = nullptr;
 	for (class_line &line : _classes) {
--- a/servers/limits/fair_queue.h
+++ b/servers/limits/fair_queue.h
@@ -93,6 +93,12 @@
 	/** Takes a request out, e.g. as its caller has gone. Returns whether it was there. */
 	bool remove(const request_id &p_id);
 
+	/**
+	 * How many places will be given before a newcomer of a customer gets its own, by the customers' weights: a flood of
+	 * one customer is not in the way of another.
+	 */
+	double count_ahead(const std::string &p_customer, double p_weight) const;
+
 	std::size_t get_size() const { return _places.size(); }
 };
 
--- a/servers/limits/pool_gate.cpp
+++ b/servers/limits/pool_gate.cpp
@@ -104,11 +104,11 @@
 	return has_spare && _hedges.try_spend(p_now);
 }
 
-duration pool_gate::estimate_wait() const {
+duration pool_gate::estimate_wait(const std::string &p_customer, double p_weight) const {
 	if (_limit.has_room()) {
 		return duration::zero();
 	}
-	const double ahead = static_cast<double>(_queue.get_size() + 1);
+	const double ahead = _queue.count_ahead(p_customer, p_weight);
 	return from_seconds(ahead * _seconds_per_place / std::max(1.0, _limit.get_limit()));
 }
 
--- a/servers/limits/pool_gate.h
+++ b/servers/limits/pool_gate.h
@@ -72,8 +72,8 @@
 	/** An attempt beyond the first ended in a refusal; counts against retries. */
 	void on_attempt_refused() { _note_refusal(1.0); }
 
-	/** Time a newcomer would likely wait. */
-	duration estimate_wait() const;
+	/** Time a newcomer of a customer would likely wait. */
+	duration estimate_wait(const std::string &p_customer, double p_weight) const;
 
 	std::size_t get_waiting() const { return _queue.get_size(); }
 	int get_in_flight() const { return _limit.get_in_flight(); }
--- a/servers/request/request_flow.cpp
+++ b/servers/request/request_flow.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::uint32_t MOST_ATTEMPTS = 4;
+/** How often a request goes back to the queue of a pool that was busy. */
+constexpr std::uint32_t MOST_REQUEUES = 6;
 constexpr duration BACK_OFF_BASE = std::chrono::milliseconds(5);
 constexpr duration BACK_OFF_LONGEST = std::chrono::milliseconds(200);
 /** An attempt may take this multiple of the 95th percentile before another replica is tried. */
@@ -116,7 +118,6 @@
 }
 
 void request_flow::_begin_stage(instant p_now, actions &r_actions) {
-	_phase = phase::WAITING;
 	_attempts = 0;
 	_retries = 0;
 	_tried.clear();
@@ -126,8 +127,16 @@
 	_resume_tried = false;
 	_has_hedged = false;
 	_stage_may_have_run = false;
+	_asks_again = false;
+	_requeues = 0;
+	_attempts_of_refused = 0;
 	_stage_started = p_now;
 	_estimate = _hooks.estimate(_plan, _stage, p_now);
+	_ask_place(p_now, r_actions);
+}
+
+void request_flow::_ask_place(instant p_now, actions &r_actions) {
+	_phase = phase::WAITING;
 	const instant start_by = _plan.deadline - _get_later_need(p_now) - _estimate.usual;
 	r_actions.emplace_back(ask_place{ _stage, std::max(start_by, p_now) });
 	r_actions.emplace_back(wake_at{ _plan.deadline });
@@ -362,11 +371,14 @@
 	}
 	const bool others_run = !_open.empty();
 	const bool tries_again = !others_run && _may_try_again(p_attempt, p_end, p_now);
-	_settle_failed(p_attempt, p_end, others_run || tries_again, r_actions);
+	const bool queues_again = !others_run && !tries_again && _may_queue_again(p_end, p_now);
+	_settle_failed(p_attempt, p_end, others_run || tries_again || queues_again, r_actions);
 	if (others_run) {
 		_arm_timer(p_now, r_actions);
 	} else if (tries_again) {
 		_plan_retry(p_end, p_now, r_actions);
+	} else if (queues_again) {
+		_queue_again(p_now, r_actions);
 	} else {
 		_give_up(p_end.result.why, p_now, r_actions);
 	}
@@ -391,7 +403,7 @@
 bool request_flow::_may_try_again(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now) {
 	// An endpoint that refuses to resume has lost the stream; that says nothing against the input.
 	const bool is_input_bad = p_end.result.why == reason::REFUSED_INPUT && p_attempt.start != stream_start::RESUME;
-	if (is_input_bad || _attempts >= MOST_ATTEMPTS) {
+	if (is_input_bad || _attempts - _attempts_of_refused >= MOST_ATTEMPTS) {
 		return false;
 	}
 	const bool resumes = _resume_endpoint != 0 && !_resume_tried;
@@ -406,6 +418,26 @@
 	return is_free || _hooks.may_retry(_current().pool, p_now);
 }
 
+bool request_flow::_may_queue_again(const attempt_end &p_end, instant p_now) {
+	// A busy endpoint ran nothing, and the refusal has narrowed the gate: waiting for a place again adds no work.
+	const bool still_fits = p_now + _estimate.usual + _get_later_need(p_now) < _plan.deadline;
+	const bool may_run = _current().repeatable || !_stage_may_have_run;
+	return p_end.result.why == reason::REFUSED_BUSY && may_run && _requeues < MOST_REQUEUES && still_fits;
+}
+
+void request_flow::_queue_again(instant p_now, actions &r_actions) {
+	_requeues++;
+	_attempts_of_refused = _attempts;
+	_tried.clear();
+	_holds_place = false;
+	r_actions.emplace_back(return_place{ _stage, place_use::REFUSED, p_now - _place_given, 1.0 });
+	_asks_again = true;
+	_phase = phase::BACKING_OFF;
+	const double factor = std::exp2(static_cast<double>(std::min<std::uint32_t>(_requeues, 4))) * (0.5 + _hooks.draw());
+	_retry_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(BACK_OFF_BASE.count()) * factor));
+	_arm_timer(p_now, r_actions);
+}
+
 void request_flow::_plan_retry(const attempt_end &p_end, instant p_now, actions &r_actions) {
 	_retries++;
 	const bool at_once = p_end.result.what == verdict::NOT_RUN && p_end.result.why != reason::REFUSED_BUSY;
@@ -434,7 +466,10 @@
 		return result;
 	}
 	if (_phase == phase::BACKING_OFF) {
-		if (p_now >= _retry_at) {
+		if (p_now >= _retry_at && _asks_again) {
+			_asks_again = false;
+			_ask_place(p_now, result);
+		} else if (p_now >= _retry_at) {
 			_launch(p_now, false, result);
 		} else {
 			_arm_timer(p_now, result);
--- a/servers/request/request_flow.h
+++ b/servers/request/request_flow.h
@@ -109,6 +109,9 @@
 	bool _has_hedged = false;
 	bool _holds_place = false;
 	bool _stage_may_have_run = false;
+	bool _asks_again = false; ///< Backing off without a place; asks for one when the wait is over.
+	std::uint32_t _requeues = 0;
+	std::uint32_t _attempts_of_refused = 0; ///< Attempts before the last return to the queue; they ran nothing or were counted.
 	instant _stage_started{};
 	instant _place_given{};
 	instant _retry_at{};
@@ -125,6 +128,7 @@
 	instant _get_stall_end(const open_attempt &p_attempt) const;
 	open_attempt *_find_open(const attempt_id &p_id);
 	void _begin_stage(instant p_now, actions &r_actions);
+	void _ask_place(instant p_now, actions &r_actions);
 	void _launch(instant p_now, bool p_is_hedge, actions &r_actions);
 	std::optional<endpoint_id> _choose(instant p_now) const;
 	void _arm_timer(instant p_now, actions &r_actions) const;
@@ -134,6 +138,8 @@
 	void _settle_failed(const open_attempt &p_attempt, const attempt_end &p_end, bool p_goes_on, actions &r_actions) const;
 	bool _may_try_again(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now);
 	void _plan_retry(const attempt_end &p_end, instant p_now, actions &r_actions);
+	bool _may_queue_again(const attempt_end &p_end, instant p_now);
+	void _queue_again(instant p_now, actions &r_actions);
 	void _complete_stage(const open_attempt &p_attempt, const attempt_end &p_end, instant p_now, actions &r_actions);
 	bool _is_stream_whole(const attempt_end &p_end) const;
 	void _finish(const outcome &p_result, instant p_now, actions &r_actions);
--- a/servers/routing/endpoint_group.cpp
+++ b/servers/routing/endpoint_group.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-endpoint_group::endpoint_group(const std::vector<endpoint_state *> &p_members, const std::string &p_zone) {
+endpoint_group::endpoint_group(const std::vector<endpoint_state *> &p_members, const std::string &p_zone) :
+		_all(p_members) {
 	for (endpoint_state *member : p_members) {
 		if (member->listing.zone == p_zone) {
 			_local.push_back(member);
--- a/servers/routing/endpoint_group.h
+++ b/servers/routing/endpoint_group.h
@@ -24,8 +24,10 @@
 		endpoint_state *endpoint;
 	};
 
+	std::vector<endpoint_state *> _all;
 	std::vector<endpoint_state *> _local;
 	std::vector<endpoint_state *> _remote;
+	std::uint64_t _turn = 0;
 	std::vector<ring_point> _ring; ///< Over the own zone's endpoints, or all when it has none.
 
 	void _build_ring(const std::vector<endpoint_state *> &p_members);
@@ -36,9 +38,13 @@
 	/** @param p_members open endpoints. @param p_zone the node's own zone. */
 	endpoint_group(const std::vector<endpoint_state *> &p_members, const std::string &p_zone);
 
+	const std::vector<endpoint_state *> &get_all() const { return _all; }
 	const std::vector<endpoint_state *> &get_local() const { return _local; }
 	const std::vector<endpoint_state *> &get_remote() const { return _remote; }
-	bool is_empty() const { return _local.empty() && _remote.empty(); }
+	/** Counts choices, for policies that take turns. */
+	std::uint64_t take_turn() { return _turn++; }
+
+	bool is_empty() const { return _all.empty(); }
 
 	/**
 	 * First endpoint clockwise from the key that is accepted; nullptr when the first few were not.
--- a/servers/routing/endpoint_state.cpp
+++ b/servers/routing/endpoint_state.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr double SLOWNESS_HALF_LIFE_SECONDS = 4.0;
+constexpr double ERROR_HALF_LIFE_SECONDS = 15.0;
 constexpr double REPORT_FADE_SECONDS = 2.0;
 
 } // namespace
@@ -48,6 +49,13 @@
 	return 1.0 + (slowness - 1.0) * fade;
 }
 
+double endpoint_state::get_error_share(instant p_now) const {
+	if (p_now <= errors_at) {
+		return error_share;
+	}
+	return error_share * std::exp2(-to_seconds(p_now - errors_at) / ERROR_HALF_LIFE_SECONDS);
+}
+
 double endpoint_state::get_load(instant p_now) const {
 	const double own = static_cast<double>(in_flight);
 	if (!has_report) {
--- a/servers/routing/endpoint_state.h
+++ b/servers/routing/endpoint_state.h
@@ -41,6 +41,7 @@
 	network_address address;
 	label_set labels;
 	bool leaving = false;
+	bool operator==(const endpoint_listing &p_other) const = default;
 };
 
 /** Load as an endpoint reports it. */
@@ -60,6 +61,8 @@
 	int in_flight = 0; ///< Attempts of this node.
 	double slowness = 1.0; ///< Service time over what is usual in the pool for the size; 1 is usual.
 	instant slowness_at{};
+	double error_share = 0.0; ///< Faded share of attempts that failed.
+	instant errors_at{};
 	int consecutive_failures = 0;
 	int ejection_count = 0; ///< In a row; sets the back-off.
 	instant ejected_until{};
@@ -74,6 +77,9 @@
 	/** Slowness after its memory has faded towards usual. */
 	double get_slowness(instant p_now) const;
 
+	/** Share of attempts that failed, faded with time. */
+	double get_error_share(instant p_now) const;
+
 	/** Own attempts and, faded by the age of the report, those of other nodes. */
 	double get_load(instant p_now) const;
 };
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -24,6 +24,7 @@
 constexpr double SLOWNESS_RISE = 0.3;
 constexpr double SLOWNESS_FALL = 0.15;
 constexpr double SLOWNESS_HIGHEST = 50.0;
+constexpr double ERROR_STEP = 0.2;
 /** A failure counts as an answer this much slower than usual, so that failing fast attracts no work. */
 constexpr double FAILURE_SLOWNESS = 4.0;
 /** Affinity is kept while the endpoint's predicted finish is at most this much above an idle usual one's. */
@@ -116,6 +117,10 @@
 }
 
 void router::set_listings(const std::vector<endpoint_listing> &p_listings) {
+	if (p_listings == _last_listings) {
+		return;
+	}
+	_last_listings = p_listings;
 	for (const auto &[id, endpoint] : _endpoints) {
 		endpoint->listed = false;
 	}
@@ -180,7 +185,7 @@
 	found->second->report = p_report;
 }
 
-const endpoint_group &router::_get_group(const choice_request &p_request) {
+endpoint_group &router::_get_group(const choice_request &p_request) {
 	const std::string key = p_request.pool + "\n" + p_request.endpoints.to_string();
 	const auto found = _groups.find(key);
 	if (found != _groups.end()) {
@@ -216,17 +221,20 @@
 	});
 }
 
-endpoint_state *router::_choose_by_policy(const endpoint_group &p_group, const std::function<bool(const endpoint_state &)> &p_usable, instant p_now) {
+endpoint_state *router::_choose_by_policy(endpoint_group &r_group, const std::function<bool(const endpoint_state &)> &p_usable, instant p_now) {
 	const policy_hook &hook = get_policy_hook(_settings.policy);
-	const std::uint64_t turn = _turn++;
+	const std::uint64_t turn = r_group.take_turn();
+	if (!is_zone_aware(_settings.policy)) {
+		return r_group.is_empty() ? nullptr : hook(policy_input{ r_group.get_all(), p_usable, p_now, _random, turn });
+	}
 	endpoint_state *local = nullptr;
-	if (!p_group.get_local().empty()) {
-		local = hook(policy_input{ p_group.get_local(), p_usable, p_now, _random, turn });
+	if (!r_group.get_local().empty()) {
+		local = hook(policy_input{ r_group.get_local(), p_usable, p_now, _random, turn });
 	}
-	if (p_group.get_remote().empty()) {
+	if (r_group.get_remote().empty()) {
 		return local;
 	}
-	endpoint_state *remote = hook(policy_input{ p_group.get_remote(), p_usable, p_now, _random, turn });
+	endpoint_state *remote = hook(policy_input{ r_group.get_remote(), p_usable, p_now, _random, turn });
 	if (local == nullptr || remote == nullptr) {
 		return local == nullptr ? remote : local;
 	}
@@ -235,14 +243,14 @@
 	return local_finish > remote_finish * LEAVE_ZONE_FACTOR + LEAVE_ZONE_MARGIN ? remote : local;
 }
 
-endpoint_state *router::_choose_any(const endpoint_group &p_group, instant p_now) {
+endpoint_state *router::_choose_any(endpoint_group &r_group, instant p_now) {
 	// Everything looks bad, so this node may be what is wrong: ejection is ignored rather than refusing all work.
 	return _choose_by_policy(
-			p_group, [](const endpoint_state &p_endpoint) { return p_endpoint.is_open(); }, p_now);
+			r_group, [](const endpoint_state &p_endpoint) { return p_endpoint.is_open(); }, p_now);
 }
 
 std::optional<endpoint_id> router::choose(const choice_request &p_request, instant p_now) {
-	const endpoint_group &group = _get_group(p_request);
+	endpoint_group &group = _get_group(p_request);
 	if (group.is_empty()) {
 		return std::nullopt;
 	}
@@ -305,11 +313,18 @@
 	p_endpoint.slowness_at = p_now;
 }
 
+void router::_learn_errors(endpoint_state &p_endpoint, double p_sample, instant p_now) {
+	const double current = p_endpoint.get_error_share(p_now);
+	p_endpoint.error_share = current + (p_sample - current) * ERROR_STEP;
+	p_endpoint.errors_at = p_now;
+}
+
 void router::_on_success(endpoint_state &p_endpoint, const attempt_observation &p_observation, instant p_now) {
 	if (p_observation.usual > duration::zero()) {
 		const double sample = static_cast<double>(p_observation.elapsed.count()) / static_cast<double>(p_observation.usual.count());
 		_learn_slowness(p_endpoint, std::min(sample, SLOWNESS_HIGHEST), p_now);
 	}
+	_learn_errors(p_endpoint, 0.0, p_now);
 	p_endpoint.consecutive_failures = 0;
 	if (p_endpoint.ejected) {
 		p_endpoint.ejected = false;
@@ -335,6 +350,7 @@
 		// Being busy is no fault; the slowness learnt above steers work away.
 		return;
 	}
+	_learn_errors(p_endpoint, 1.0, p_now);
 	p_endpoint.consecutive_failures++;
 	if (p_endpoint.ejected) {
 		_eject(p_endpoint, p_now);
@@ -382,7 +398,7 @@
 	request.pool = p_pool;
 	request.endpoints = p_endpoints;
 	const endpoint_group &group = _get_group(request);
-	return group.get_local().size() + group.get_remote().size();
+	return group.get_all().size();
 }
 
 void router::for_each(const std::function<void(const endpoint_state &)> &p_hook) const {
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -75,7 +75,7 @@
 	std::map<std::string, std::uint64_t> _leaving_marks; ///< Highest leaving incarnation of each VM.
 	std::unordered_map<std::string, endpoint_group> _groups;
 	endpoint_id _next_id = 1;
-	std::uint64_t _turn = 0;
+	std::vector<endpoint_listing> _last_listings;
 	std::vector<endpoint_change> _changes;
 
 	void _note(endpoint_change::kind p_kind, const endpoint_state &p_endpoint);
@@ -84,12 +84,13 @@
 	void _update(endpoint_state &p_endpoint, const endpoint_listing &p_listing);
 	void _forget_idle();
 	bool _is_drained(const endpoint_state &p_endpoint) const;
-	const endpoint_group &_get_group(const choice_request &p_request);
+	endpoint_group &_get_group(const choice_request &p_request);
 	bool _may_try(const endpoint_state &p_endpoint, instant p_now) const;
 	endpoint_state *_choose_by_affinity(const endpoint_group &p_group, const choice_request &p_request, instant p_now);
-	endpoint_state *_choose_by_policy(const endpoint_group &p_group, const std::function<bool(const endpoint_state &)> &p_usable, instant p_now);
-	endpoint_state *_choose_any(const endpoint_group &p_group, instant p_now);
+	endpoint_state *_choose_by_policy(endpoint_group &r_group, const std::function<bool(const endpoint_state &)> &p_usable, instant p_now);
+	endpoint_state *_choose_any(endpoint_group &r_group, instant p_now);
 	void _learn_slowness(endpoint_state &p_endpoint, double p_sample, instant p_now);
+	void _learn_errors(endpoint_state &p_endpoint, double p_sample, instant p_now);
 	void _on_success(endpoint_state &p_endpoint, const attempt_observation &p_observation, instant p_now);
 	void _on_cancelled(endpoint_state &p_endpoint, const attempt_observation &p_observation, instant p_now);
 	void _on_failure(endpoint_state &p_endpoint, const attempt_observation &p_observation, instant p_now);
--- a/servers/routing/routing_policy.cpp
+++ b/servers/routing/routing_policy.cpp
@@ -18,6 +18,8 @@
 
 /** Draws before a policy that draws at random falls back to looking at every candidate. */
 constexpr int MOST_DRAWS = 6;
+/** A share of one of failures counts as if finishing took this much longer: a failure costs a retry, or the request. */
+constexpr double ERROR_PRICE = 20.0;
 
 constexpr std::array<enum_name<routing_policy>, 4> POLICY_NAMES{ {
 		{ routing_policy::PREDICTED_FINISH, "predicted_finish" },
@@ -125,8 +127,13 @@
 	return get_policy_rows().front().hook;
 }
 
+bool is_zone_aware(routing_policy p_policy) {
+	return p_policy == routing_policy::PREDICTED_FINISH;
+}
+
 double predict_finish(const endpoint_state &p_endpoint, instant p_now) {
-	return p_endpoint.get_slowness(p_now) * (1.0 + p_endpoint.get_load(p_now));
+	const double errors = 1.0 + ERROR_PRICE * p_endpoint.get_error_share(p_now);
+	return p_endpoint.get_slowness(p_now) * (1.0 + p_endpoint.get_load(p_now)) * errors;
 }
 
 } // namespace calicoscale
--- a/servers/routing/routing_policy.h
+++ b/servers/routing/routing_policy.h
@@ -46,6 +46,8 @@
 std::optional<routing_policy> find_routing_policy(std::string_view p_name);
 /** All names, for messages. */
 std::string list_routing_policies();
+/** Whether a policy prefers the own zone; the baselines know no zones. */
+bool is_zone_aware(routing_policy p_policy);
 /** The hook that carries a policy out. */
 const policy_hook &get_policy_hook(routing_policy p_policy);
 
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -107,6 +107,16 @@
 	EXPECT_EQ(queue.push(make_queued(12, "flood"))->id.sequence, 12U);
 }
 
+TEST(fair_queue, flood_is_not_ahead_of_a_small_customer) {
+	fair_queue queue(1000);
+	for (std::uint64_t number = 1; number <= 500; number++) {
+		queue.push(make_queued(number, "flood"));
+	}
+	EXPECT_NEAR(queue.count_ahead("small", 1.0), 2.0, 0.01);
+	EXPECT_NEAR(queue.count_ahead("flood", 1.0), 501.0, 0.01);
+	EXPECT_NEAR(queue.count_ahead("small", 2.0), 1.5, 0.01);
+}
+
 TEST(fair_queue, higher_class_is_served_more_but_starves_none) {
 	fair_queue queue(1000);
 	std::uint64_t number = 1;
--- a/tests/servers/request_flow_test.cpp
+++ b/tests/servers/request_flow_test.cpp
@@ -492,4 +492,23 @@
 	EXPECT_EQ(find_action<finish_request>(end)->result.what, verdict::MAY_HAVE_RUN);
 }
 
+TEST(request_flow, stream_whose_count_or_digest_is_wrong_is_no_answer) {
+	for (const bool wrong_digest : { true, false }) {
+		request_plan plan = make_plan({ false, true, true });
+		plan.stages[0].kind = stage_kind::GENERATE;
+		request_flow flow(plan, make_plain_hooks());
+		flow.start(instant{});
+		const attempt_id first = find_action<start_attempt>(flow.on_place_given(instant{}))->id;
+		flow.on_token(first, 0, "token", instant{});
+		attempt_end end = make_end(verdict::COMPLETED, reason::NONE);
+		stream_digest digest;
+		digest.add(wrong_digest ? "another" : "token");
+		end.digest = digest.to_string();
+		end.token_count = wrong_digest ? 1 : 2;
+		const std::vector<request_action> actions = flow.on_attempt_ended(first, end, instant{});
+		ASSERT_NE(find_action<finish_request>(actions), nullptr);
+		EXPECT_EQ(find_action<finish_request>(actions)->result, (outcome{ verdict::MAY_HAVE_RUN, reason::TRUNCATED }));
+	}
+}
+
 } // namespace calicoscale
--- a/tests/servers/routing_test.cpp
+++ b/tests/servers/routing_test.cpp
@@ -239,6 +239,20 @@
 	EXPECT_LT(counts["vm0"], 60);
 }
 
+TEST(router, endpoint_that_fails_now_and_then_is_left_at_once) {
+	router table("z1", 1);
+	table.set_listings(make_pool(3, { "z1", "z2", "z3" }));
+	// Half its attempts succeed, so it is never ejected; still the own zone's only endpoint is left for the others.
+	int first = 0;
+	for (int i = 0; i < 200; i++) {
+		const endpoint_id id = *table.choose(make_request(), at(i * 10));
+		const bool fails = id == 1 && first++ % 2 == 1;
+		run_attempt(table, id, fails ? make_failure(reason::ENDPOINT_ERROR) : make_success(10, 10), at(i * 10));
+	}
+	EXPECT_LT(first, 10);
+	EXPECT_FALSE(table.find(1)->ejected);
+}
+
 TEST(router, pool_that_never_reports_is_steered_by_own_attempts) {
 	router table("z1", 1);
 	table.set_listings(make_pool(2));
