--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -54,6 +54,9 @@
 	if (refusal == "input") {
 		return make_end(verdict::NOT_RUN, reason::REFUSED_INPUT);
 	}
+	if (refusal == "late") {
+		return make_end(verdict::NOT_RUN, reason::DEADLINE_PASSED);
+	}
 	return make_end(verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR);
 }
 
--- /dev/null
+++ b/tests/drivers/link_test.cpp
@@ -0,0 +1,148 @@
+/*
+ * calicoscale: link_test.cpp
+ * Links between nodes: proof, garbage, sizes, and the codec.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/link_codec.h"
+#include "tests/main/raw_connection.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <arpa/inet.h>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr duration LONGEST_WAIT = std::chrono::seconds(20);
+
+void run_until(event_loop &r_loop, const std::function<bool()> &p_condition) {
+	const instant give_up = event_loop::now() + LONGEST_WAIT;
+	while (!p_condition()) {
+		ASSERT_LT(event_loop::now(), give_up);
+		timer stop(r_loop, [&r_loop] { r_loop.stop(); });
+		stop.set(std::chrono::milliseconds(1));
+		r_loop.run();
+	}
+}
+
+network_address any_address() {
+	return network_address{ "127.0.0.1", 0 };
+}
+
+std::string frame(std::string_view p_bytes) {
+	const std::uint32_t length = htonl(static_cast<std::uint32_t>(p_bytes.size()));
+	return std::string(reinterpret_cast<const char *>(&length), 4) + std::string(p_bytes);
+}
+
+heartbeat_message make_heartbeat() {
+	heartbeat_message message;
+	message.at = hybrid_time{ 12345, 6 };
+	member_digest digest;
+	digest.vm = "vm";
+	digest.incarnation = 7;
+	digest.heartbeat = 8;
+	digest.zone = "z";
+	digest.link = network_address{ "127.0.0.1", 9 };
+	digest.demand["c"] = 1.5;
+	message.digests.push_back(digest);
+	message.marks.push_back(leaving_mark{ "gone", 3 });
+	return message;
+}
+
+} // namespace
+
+TEST(link_codec, every_message_comes_back) {
+	const std::optional<link_message> heartbeat = decode_link_message(encode(link_message(make_heartbeat())));
+	ASSERT_TRUE(heartbeat.has_value());
+	const heartbeat_message &read = std::get<heartbeat_message>(*heartbeat);
+	EXPECT_EQ(read.at, (hybrid_time{ 12345, 6 }));
+	EXPECT_EQ(read.digests.at(0).vm, "vm");
+	EXPECT_EQ(read.digests.at(0).demand.at("c"), 1.5);
+	EXPECT_EQ(read.marks.at(0).incarnation, 3U);
+	configuration_snapshot snapshot{ 4, 9, true, "change", "{}" };
+	const configuration_snapshot told = std::get<configuration_snapshot>(*decode_link_message(encode(link_message(snapshot))));
+	EXPECT_EQ(told.version, 4U);
+	EXPECT_TRUE(told.certain);
+	pass_request_message request{ 1, "c", "p", "k", std::chrono::milliseconds(250), "{}" };
+	EXPECT_EQ(std::get<pass_request_message>(*decode_link_message(encode(link_message(request)))).remaining, std::chrono::milliseconds(250));
+}
+
+RC_GTEST_PROP(link_codec_properties, any_bytes_are_read_or_refused_but_never_crash, (const std::vector<std::uint8_t> &p_bytes)) {
+	const std::string bytes(p_bytes.begin(), p_bytes.end());
+	decode_link_message(bytes);
+	std::string damaged = encode(link_message(make_heartbeat()));
+	for (std::size_t i = 0; i < p_bytes.size(); i++) {
+		damaged[(i * 37 + p_bytes[i]) % damaged.size()] = static_cast<char>(p_bytes[i]);
+	}
+	decode_link_message(damaged);
+	decode_link_message(damaged.substr(0, damaged.size() / 2));
+}
+
+TEST(node_link, nodes_with_one_fleet_key_link_and_talk) {
+	event_loop loop;
+	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
+	node_link right(loop, any_address(), link_identity{ "right", 2, "key" });
+	int heartbeats = 0;
+	right.heartbeat_received().connect([&heartbeats](const std::string &p_vm, const heartbeat_message &) { heartbeats += p_vm == "left" ? 1 : 0; });
+	left.dial("right", right.get_address());
+	run_until(loop, [&left, &right] { return left.is_linked("right") && right.is_linked("left"); });
+	left.send("right", make_heartbeat());
+	run_until(loop, [&heartbeats] { return heartbeats == 1; });
+}
+
+TEST(node_link, another_fleet_key_or_another_vm_is_refused) {
+	event_loop loop;
+	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
+	node_link stranger(loop, any_address(), link_identity{ "right", 2, "other key" });
+	left.dial("right", stranger.get_address());
+	run_until(loop, [&left, &stranger] { return left.get_rejected_frames() + stranger.get_rejected_frames() > 0; });
+	EXPECT_FALSE(left.is_linked("right"));
+	node_link other_name(loop, any_address(), link_identity{ "middle", 3, "key" });
+	left.dial("wanted", other_name.get_address());
+	const std::uint64_t before = left.get_rejected_frames();
+	run_until(loop, [&left, before] { return left.get_rejected_frames() > before; });
+	EXPECT_TRUE(left.get_linked().empty());
+}
+
+TEST(node_link, garbage_oversized_and_unproven_frames_close_the_link) {
+	event_loop loop;
+	node_link link(loop, any_address(), link_identity{ "left", 1, "key" });
+	const std::vector<std::string> attacks{
+		frame("garbage that is no FlatBuffer"),
+		std::string("\xff\xff\xff\xff", 4),
+		frame(std::string(100'000, 'x')),
+		frame(encode(link_message(make_heartbeat()))),
+		frame(encode(link_message(proof_message{ "guess" }))),
+		frame(encode(link_message(hello_message{ "left", 1, "own name" }))),
+	};
+	for (const std::string &attack : attacks) {
+		raw_connection raw(link.get_address());
+		raw.send_bytes(attack);
+		run_until(loop, [&raw] { raw.poll(); return raw.is_closed(); });
+	}
+	EXPECT_EQ(link.get_rejected_frames(), attacks.size());
+}
+
+TEST(node_link, cut_links_close_and_heal) {
+	event_loop loop;
+	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
+	node_link right(loop, any_address(), link_identity{ "right", 2, "key" });
+	left.dial("right", right.get_address());
+	run_until(loop, [&left] { return left.is_linked("right"); });
+	left.set_cut_off({ "right" });
+	run_until(loop, [&left, &right] { return left.get_linked().empty() && right.get_linked().empty(); });
+	right.dial("left", left.get_address());
+	run_until(loop, [&left] { return left.get_rejected_frames() > 0; });
+	left.set_cut_off({});
+	run_until(loop, [&left, &right] {
+		right.dial("left", left.get_address());
+		return left.is_linked("right");
+	});
+}
+
+} // namespace calicoscale
