Bring a node's control bytes down: short digests, fewer neighbours, paced lists

A test kept a pointer into a temporary, which the sanitizer noticed. Change: customers as 4-byte codes, six digests to three neighbours each second, the list fetched as often as 6 KB/s allow, twelve load reports a second.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -27,17 +27,17 @@
 }
 
 flatbuffers::Offset<wire::digest> write_digest(builder &r_builder, const member_digest &p_digest) {
-	std::vector<flatbuffers::Offset<wire::customer_demand>> demands;
+	std::vector<wire::customer_demand> demands;
+	demands.reserve(p_digest.demand.size());
 	for (const auto &[customer, rate] : p_digest.demand) {
-		const text_offset name = r_builder.CreateString(customer);
-		demands.push_back(wire::Createcustomer_demand(r_builder, name, rate));
+		demands.emplace_back(customer, static_cast<float>(rate));
 	}
 	const text_offset vm = r_builder.CreateString(p_digest.vm);
 	const text_offset zone = r_builder.CreateString(p_digest.zone);
 	const text_offset region = r_builder.CreateString(p_digest.region);
 	const text_offset link = r_builder.CreateString(to_string(p_digest.link));
 	const text_offset admin = r_builder.CreateString(to_string(p_digest.admin));
-	const auto demand = r_builder.CreateVector(demands);
+	const auto demand = r_builder.CreateVectorOfStructs(demands);
 	return wire::Createdigest(r_builder, vm, p_digest.incarnation, p_digest.heartbeat, zone, region, link, admin, p_digest.ready, p_digest.leaving, p_digest.configuration_version, demand);
 }
 
@@ -55,7 +55,7 @@
 	digest.configuration_version = p_digest.configuration_version();
 	if (p_digest.demands() != nullptr) {
 		for (const wire::customer_demand *demand : *p_digest.demands()) {
-			digest.demand[read(demand->customer())] = demand->rate();
+			digest.demand[demand->code()] = static_cast<double>(demand->rate());
 		}
 	}
 	return digest;
--- a/drivers/vm_list.cpp
+++ b/drivers/vm_list.cpp
@@ -55,6 +55,7 @@
 	const json answer = json::parse(p_result.body, nullptr, false);
 	try {
 		vm_listing listing;
+		listing.bytes = p_result.body.size();
 		for (const json &vm : answer.at("vms")) {
 			const std::string role = vm.at("role").get<std::string>();
 			if (role == "endpoint") {
--- a/drivers/vm_list.h
+++ b/drivers/vm_list.h
@@ -22,6 +22,7 @@
 struct vm_listing {
 	std::vector<endpoint_listing> endpoints;
 	std::vector<entry_listing> entries;
+	std::size_t bytes = 0; ///< Size of the answer.
 };
 
 /** Client of the list service, whose interface docs/PLATFORM.md gives. */
--- a/main/fleet_service.cpp
+++ b/main/fleet_service.cpp
@@ -18,10 +18,13 @@
 
 namespace {
 
-constexpr duration BEAT = std::chrono::milliseconds(500);
-constexpr duration LIST_INTERVAL = std::chrono::seconds(1);
+constexpr duration BEAT = std::chrono::seconds(1);
+/** The list is fetched each second while it is short; a long one is spread, as any node's leaving marks reach all. */
+constexpr duration SHORTEST_LIST_INTERVAL = std::chrono::seconds(1);
+constexpr duration LONGEST_LIST_INTERVAL = std::chrono::seconds(60);
+constexpr double LIST_BYTES_PER_SECOND = 6.0 * 1024.0;
 constexpr duration LOAD_INTERVAL = std::chrono::milliseconds(250);
-constexpr std::size_t LOADS_PER_INTERVAL = 5;
+constexpr std::size_t LOADS_PER_INTERVAL = 3;
 constexpr std::size_t MARKS_PER_BEAT = 8;
 constexpr duration ASK_AGAIN_AFTER = std::chrono::seconds(1);
 
@@ -68,9 +71,7 @@
 	_dial_neighbours();
 	_send_heartbeats();
 	_configuration.set_fleet_size(_members.get_members().size() + 1);
-	if (_beats % 2 == 0) {
-		_share_limits();
-	}
+	_share_limits();
 	_beat_timer.set(BEAT);
 }
 
@@ -174,7 +175,8 @@
 }
 
 void fleet_service::_on_list_answer(const std::optional<vm_listing> &p_listing) {
-	_list_timer.set(LIST_INTERVAL);
+	const duration by_size = from_seconds(p_listing ? static_cast<double>(p_listing->bytes) / LIST_BYTES_PER_SECOND : 0.0);
+	_list_timer.set(std::clamp<duration>(by_size, SHORTEST_LIST_INTERVAL, LONGEST_LIST_INTERVAL));
 	if (!p_listing) {
 		_context.metrics.count("vm_list_failed");
 		return;
@@ -234,9 +236,9 @@
 	const std::uint64_t version = _configuration.get_fold().get_version();
 	const bool all = version != _shared_version;
 	_shared_version = version;
-	const std::map<std::string, double, std::less<>> demand = _limiter.get_demand(now);
+	const customer_demands demand = _limiter.get_demand(now);
 	for (const customer_settings &customer : current->customers) {
-		const bool is_quiet = !demand.contains(customer.name);
+		const bool is_quiet = !demand.contains(get_customer_code(customer.name));
 		// A quiet customer's part is refreshed now and then; its first request finds a recent one.
 		if (is_quiet && !all && _beats % 10 != 0) {
 			continue;
--- a/servers/limits/customer_limiter.cpp
+++ b/servers/limits/customer_limiter.cpp
@@ -81,12 +81,12 @@
 	}
 }
 
-std::map<std::string, double, std::less<>> customer_limiter::get_demand(instant p_now) const {
-	std::map<std::string, double, std::less<>> demand;
+customer_demands customer_limiter::get_demand(instant p_now) const {
+	customer_demands demand;
 	for (const auto &[name, state] : _customers) {
 		const double faded = fade_demand(state.demand, state.demand_at, p_now);
 		if (faded >= SMALLEST_DEMAND) {
-			demand.emplace(name, faded);
+			demand.emplace(get_customer_code(name), faded);
 		}
 	}
 	return demand;
--- a/servers/limits/customer_limiter.h
+++ b/servers/limits/customer_limiter.h
@@ -56,7 +56,7 @@
 	void on_ended(const std::string &p_customer);
 
 	/** Requests a second each customer asked for lately, admitted or not. */
-	std::map<std::string, double, std::less<>> get_demand(instant p_now) const;
+	customer_demands get_demand(instant p_now) const;
 
 	/** Requests running for a customer. */
 	int get_running(const std::string &p_customer) const;
--- a/servers/limits/limit_share.cpp
+++ b/servers/limits/limit_share.cpp
@@ -25,7 +25,7 @@
 /** A lending zone always keeps this part of its guaranteed share. */
 constexpr double LENDER_FLOOR = 0.25;
 
-double get_demand(const share_member &p_member, const std::string &p_customer) {
+double get_demand(const share_member &p_member, customer_code p_customer) {
 	const auto found = p_member.demand.find(p_customer);
 	return found == p_member.demand.end() ? 0.0 : found->second;
 }
@@ -37,7 +37,7 @@
 	double part = 0.0;
 };
 
-std::vector<zone_state> gather_zones(const std::vector<share_member> &p_members, const std::vector<std::string> &p_zones, const std::string &p_customer) {
+std::vector<zone_state> gather_zones(const std::vector<share_member> &p_members, const std::vector<std::string> &p_zones, customer_code p_customer) {
 	std::map<std::string, zone_state> zones;
 	for (const std::string &zone : p_zones) {
 		zones[zone].zone = zone;
@@ -120,8 +120,13 @@
 
 } // namespace
 
+customer_code get_customer_code(std::string_view p_customer) {
+	return static_cast<customer_code>(hash_bytes(p_customer));
+}
+
 limit_part compute_limit_part(const std::string &p_self, const std::vector<share_member> &p_members, const std::vector<std::string> &p_zones, const std::string &p_customer, double p_rate, int p_concurrency) {
-	std::vector<zone_state> zones = gather_zones(p_members, p_zones, p_customer);
+	const customer_code code = get_customer_code(p_customer);
+	std::vector<zone_state> zones = gather_zones(p_members, p_zones, code);
 	if (zones.empty()) {
 		return {};
 	}
@@ -141,7 +146,7 @@
 		if (member.zone != self->zone) {
 			continue;
 		}
-		parts[member.vm] = base + (member.grant_valid ? get_demand(member, p_customer) : 0.0);
+		parts[member.vm] = base + (member.grant_valid ? get_demand(member, code) : 0.0);
 		total += parts[member.vm];
 	}
 	for (auto &[vm, part] : parts) {
--- a/servers/limits/limit_share.h
+++ b/servers/limits/limit_share.h
@@ -14,16 +14,24 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace calicoscale {
 
+/** Short hash of a customer's name, as heartbeats carry it. Two customers that share one only share their demand. */
+using customer_code = std::uint32_t;
+customer_code get_customer_code(std::string_view p_customer);
+
+/** Requests a second asked for, by customer. */
+using customer_demands = std::map<customer_code, double>;
+
 /** What one node knows of another for sharing limits. */
 struct share_member {
 	std::string vm;
 	std::string zone;
 	bool grant_valid = false; ///< Heard of lately enough that its demand counts.
-	std::map<std::string, double, std::less<>> demand; ///< Requests a second asked for, by customer.
+	customer_demands demand;
 };
 
 /** A node's part of one customer's limit. */
--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -18,10 +18,10 @@
 
 namespace {
 
-constexpr std::size_t RING_NEIGHBOURS = 3;
-constexpr std::size_t DIGESTS_PER_HEARTBEAT = 12;
+constexpr std::size_t RING_NEIGHBOURS = 2;
+constexpr std::size_t DIGESTS_PER_HEARTBEAT = 6;
 constexpr std::size_t MOST_DEMANDS = 8;
-constexpr duration SUSPECT_AFTER_BASE = std::chrono::milliseconds(2500);
+constexpr duration SUSPECT_AFTER_BASE = std::chrono::milliseconds(4000);
 /** A rotation over this many members takes one heartbeat, so silence is judged by the number of rotations. */
 constexpr duration SUSPECT_AFTER_PER_MEMBER = std::chrono::milliseconds(60);
 constexpr int GONE_AFTER_FACTOR = 6;
@@ -52,7 +52,7 @@
 		_self(std::move(p_self)) {
 }
 
-void member_table::update_self(bool p_ready, bool p_leaving, std::uint64_t p_configuration_version, std::map<std::string, double, std::less<>> p_demand) {
+void member_table::update_self(bool p_ready, bool p_leaving, std::uint64_t p_configuration_version, customer_demands p_demand) {
 	_self.ready = p_ready;
 	_self.leaving = _self.leaving || p_leaving;
 	_self.configuration_version = p_configuration_version;
--- a/servers/membership/member_table.h
+++ b/servers/membership/member_table.h
@@ -44,7 +44,7 @@
 	bool ready = false;
 	bool leaving = false;
 	std::uint64_t configuration_version = 0;
-	std::map<std::string, double, std::less<>> demand; ///< Largest demands by customer, requests a second.
+	customer_demands demand; ///< The largest ones.
 };
 
 /** An entry node on the platform's list. */
@@ -88,7 +88,7 @@
 	explicit member_table(member_digest p_self);
 
 	/** Changes what this node says of itself. */
-	void update_self(bool p_ready, bool p_leaving, std::uint64_t p_configuration_version, std::map<std::string, double, std::less<>> p_demand);
+	void update_self(bool p_ready, bool p_leaving, std::uint64_t p_configuration_version, customer_demands p_demand);
 
 	/** Raises the own heartbeat and returns the digests to send: the own first, then a bounded rotation of others. */
 	std::vector<member_digest> make_heartbeat();
--- a/tests/benchmarks/decision_benchmark.cpp
+++ b/tests/benchmarks/decision_benchmark.cpp
@@ -58,7 +58,7 @@
 	digest.link = network_address{ "10.11.12.13", 7002 };
 	digest.admin = network_address{ "10.11.12.13", 7001 };
 	for (int i = 0; i < 8; i++) {
-		digest.demand["customer-" + std::to_string(i)] = 1.5;
+		digest.demand[get_customer_code("customer-" + std::to_string(i))] = 1.5;
 	}
 	return digest;
 }
@@ -207,7 +207,7 @@
 		zones.push_back("zone-" + std::to_string(i));
 	}
 	for (std::int64_t i = 0; i < r_state.range(0); i++) {
-		members.push_back(share_member{ "vm" + std::to_string(i), zones[static_cast<std::size_t>(i) % 28], true, { { "c", 1.0 } } });
+		members.push_back(share_member{ "vm" + std::to_string(i), zones[static_cast<std::size_t>(i) % 28], true, { { get_customer_code("c"), 1.0 } } });
 	}
 	for (auto _ : r_state) {
 		benchmark::DoNotOptimize(compute_limit_part("vm0", members, zones, "c", 100.0, 200));
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -30,7 +30,7 @@
 }
 
 share_member make_member(const std::string &p_vm, const std::string &p_zone, double p_demand, bool p_valid = true) {
-	return share_member{ p_vm, p_zone, p_valid, { { "c", p_demand } } };
+	return share_member{ p_vm, p_zone, p_valid, { { get_customer_code("c"), p_demand } } };
 }
 
 } // namespace
@@ -308,7 +308,7 @@
 	EXPECT_EQ(limiter.ask("c", at(400)).why, reason::CUSTOMER_CONCURRENCY);
 	limiter.on_ended("c");
 	EXPECT_TRUE(limiter.ask("c", at(600)).admitted);
-	EXPECT_GT(limiter.get_demand(at(600)).at("c"), 1.0);
+	EXPECT_GT(limiter.get_demand(at(600)).at(get_customer_code("c")), 1.0);
 	EXPECT_TRUE(limiter.get_demand(at(60'000)).empty());
 }
 
--- a/tests/servers/request_flow_test.cpp
+++ b/tests/servers/request_flow_test.cpp
@@ -471,7 +471,8 @@
 TEST(request_flow, hanging_attempt_leaves_time_for_another) {
 	request_flow flow(make_plan({ true, true, true }), make_plain_hooks());
 	flow.start(instant{});
-	const start_attempt *first = find_action<start_attempt>(flow.on_place_given(instant{}));
+	const std::vector<request_action> actions = flow.on_place_given(instant{});
+	const start_attempt *first = find_action<start_attempt>(actions);
 	ASSERT_NE(first, nullptr);
 	EXPECT_LT(first->give_up_at, instant(std::chrono::milliseconds(700)));
 }
--- a/tests/servers/shared_state_test.cpp
+++ b/tests/servers/shared_state_test.cpp
@@ -111,8 +111,8 @@
 			digests.push_back(make_digest("vm" + std::to_string(i), 1, 1, "z" + std::to_string(i % 3)));
 		}
 		table.take_digests(digests, at(0));
-		EXPECT_LE(table.choose_neighbours().size(), 4U);
-		EXPECT_LE(table.make_heartbeat().size(), 13U);
+		EXPECT_LE(table.choose_neighbours().size(), 3U);
+		EXPECT_LE(table.make_heartbeat().size(), 7U);
 	}
 }
 
@@ -124,7 +124,7 @@
 	}
 	table.take_digests(digests, at(0));
 	std::set<std::string> sent;
-	for (int beat = 0; beat < 5; beat++) {
+	for (int beat = 0; beat < 9; beat++) {
 		for (const member_digest &digest : table.make_heartbeat()) {
 			sent.insert(digest.vm);
 		}
@@ -135,7 +135,7 @@
 TEST(member_table, expired_grants_count_for_nothing_but_keep_their_place) {
 	member_table table(make_digest("self"));
 	member_digest other = make_digest("other", 1, 1, "z2");
-	other.demand["c"] = 50.0;
+	other.demand[get_customer_code("c")] = 50.0;
 	table.take_digests({ other }, at(0));
 	EXPECT_TRUE(table.get_share_members(at(0)).at(1).grant_valid);
 	table.tick(at(0) + table.get_suspect_after());
