--- a/misc/scripts/capacity.sh
+++ b/misc/scripts/capacity.sh
@@ -47,6 +47,37 @@
 		"| \($n) | \(mid(.cpu) | r2) (\(top(.cpu) | r2)) | \(mid(.mb) | r2) (\(top(.mb) | r2)) | \(mid(.link) | r2) (\(top(.link) | r2)) | \(mid(.client) | r2) (\(top(.client) | r2)) |"' "$out/before" "$out/after"
 ); }
 
+# requests RATE: one node under load; CPU of the node for each request and token, its own control cost taken off.
+requests() { (
+	# shellcheck source=misc/scripts/fleet.sh
+	. "$root/misc/scripts/fleet.sh"
+	trap stop_all EXIT
+	start_standins "$root/misc/deployments/aspen-hearth/standins.json"
+	start_node entry-0 sk-a
+	register_nodes
+	"$cli" config publish "$root/misc/deployments/aspen-hearth/configuration.json" --node "${node_admin[entry-0]}" --base 0 >/dev/null
+	wait_ready entry-0
+	sleep 2
+	local before middle after
+	before=$(sample entry-0)
+	sleep 5
+	middle=$(sample entry-0)
+	"$cli" load --targets "$(all_callers)" --mix "$root/misc/mixes/aspen-summaries.json" --rate "$1" --seconds 10 --quiet --format json >"$out/load.json"
+	after=$(sample entry-0)
+	jq -r --argjson b "$before" --argjson m "$middle" --argjson a "$after" --argjson rate "$1" '
+		(($m[0] - $b[0]) / 5) as $idle | (($a[0] - $m[0]) - $idle * (.latency_ms.p99 / 1000 + 10)) as $cpu
+		| (.token_gap_ms.count + .first_token_ms.count) as $tokens
+		| "| \($rate) | \(.requests) | \($tokens) | \($cpu * 100 | round / 100) | \($cpu / .requests * 1000 * 100 | round / 100) | \($cpu / $tokens * 1000000 * 10 | round / 10) | \($a[1] / 1024 | round) | \(.attainment) |"' "$out/load.json"
+); }
+
+{
+	echo "| requests/s offered | requests | tokens streamed | CPU s | CPU ms a request, its tokens included | CPU µs a token, its request included | memory, MB | attainment |"
+	echo "| --- | --- | --- | --- | --- | --- | --- | --- |"
+	for rate in 10 20 40 80; do
+		requests "$rate"
+	done
+} >"$out/requests.md"
+
 {
 	echo "| nodes | CPU, % of a core | memory, MB | links, KB/s | platform and load reports, KB/s |"
 	echo "| --- | --- | --- | --- | --- |"
@@ -62,7 +93,7 @@
 } >"$out/decisions.md"
 
 page=$root/docs/CAPACITY.md
-for part in decisions fleet; do
+for part in decisions requests fleet; do
 	{
 		sed "/<!-- $part begins -->/q" "$page"
 		cat "$out/$part.md"
@@ -70,4 +101,4 @@
 	} >"$out/page"
 	cp "$out/page" "$page"
 done
-cat "$out/decisions.md" "$out/fleet.md"
+cat "$out/decisions.md" "$out/requests.md" "$out/fleet.md"
