Retry more where there is room, leave slow endpoints' caches, pace ledger appends

Cause: in a brown-out without overload the small retry budget left 274 of 628 requests failed where plain retries left 63; affinity held requests at a slow endpoint up to four times the usual time; 410 nodes would append 205 ledger entries a second; a wait for a change did not wait for nodes just started.

--- a/main/config_command.cpp
+++ b/main/config_command.cpp
@@ -24,6 +24,7 @@
 using json = nlohmann::json;
 
 constexpr std::chrono::milliseconds STATUS_INTERVAL(100);
+constexpr duration PATIENCE_WITH_SUSPECTS = std::chrono::seconds(5);
 
 std::string escape(const std::string &p_text) {
 	constexpr std::string_view DIGITS = "0123456789ABCDEF";
@@ -45,6 +46,7 @@
 struct nodes_behind {
 	std::vector<std::string> reachable;
 	std::vector<std::string> unreachable;
+	bool has_suspects = false; ///< Some unreachable ones may only be slow to be heard of.
 };
 
 nodes_behind find_behind(const json &p_status, std::uint64_t p_version) {
@@ -59,6 +61,7 @@
 		const std::string vm = member.at("vm").get<std::string>();
 		const std::string state = member.at("state").get<std::string>();
 		const bool is_reachable = state == "alive" || state == "leaving";
+		behind.has_suspects = behind.has_suspects || state == "suspect";
 		(is_reachable ? behind.reachable : behind.unreachable).push_back(vm + " (" + state + ")");
 	}
 	return behind;
@@ -66,11 +69,13 @@
 
 exit_code wait_everywhere(command_client &r_client, const options::variables_map &p_values, std::uint64_t p_version) {
 	const instant give_up = event_loop::now() + from_seconds(p_values["timeout"].as<double>());
+	const instant suspects_until = std::min(give_up, event_loop::now() + PATIENCE_WITH_SUSPECTS);
 	nodes_behind behind;
 	do {
 		const http_result status = r_client.call(get_node(p_values), false, "/admin/status");
 		behind = find_behind(json::parse(status.body), p_version);
-		if (behind.reachable.empty()) {
+		const bool waits_for_suspects = behind.has_suspects && event_loop::now() < suspects_until;
+		if (behind.reachable.empty() && !waits_for_suspects) {
 			break;
 		}
 		std::this_thread::sleep_for(STATUS_INTERVAL);
--- a/main/ledger_service.cpp
+++ b/main/ledger_service.cpp
@@ -8,11 +8,15 @@
 
 #include "main/ledger_service.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
 
-constexpr duration FLUSH_INTERVAL = std::chrono::seconds(2);
+constexpr duration SHORTEST_FLUSH_INTERVAL = std::chrono::seconds(2);
+/** Ledger appends of the whole fleet; the log takes several hundred of all kinds. */
+constexpr double FLEET_APPENDS_PER_SECOND = 50.0;
 constexpr duration APPEND_TIMEOUT = std::chrono::seconds(3);
 constexpr std::size_t RECORDS_PER_READ = 500;
 
@@ -22,11 +26,16 @@
 		_context(p_context),
 		_ledger(p_context.settings.vm, p_context.incarnation),
 		_flush_timer(p_context.loop, [this] { _flush(); }) {
-	_flush_timer.set(FLUSH_INTERVAL);
+	_flush_timer.set(SHORTEST_FLUSH_INTERVAL);
+}
+
+duration ledger_service::_get_interval() const {
+	const duration shared = from_seconds(static_cast<double>(_fleet_size) / FLEET_APPENDS_PER_SECOND);
+	return std::max<duration>(SHORTEST_FLUSH_INTERVAL, shared);
 }
 
 void ledger_service::_flush() {
-	_flush_timer.set(FLUSH_INTERVAL);
+	_flush_timer.set(_get_interval());
 	if (_is_appending || _platform_cut) {
 		return;
 	}
--- a/main/ledger_service.h
+++ b/main/ledger_service.h
@@ -25,8 +25,10 @@
 	std::uint64_t _lost_records = 0; ///< Entries the log forgot before they were summed here.
 	bool _is_appending = false;
 	bool _platform_cut = false;
+	std::size_t _fleet_size = 1;
 	timer _flush_timer;
 
+	duration _get_interval() const;
 	void _flush();
 	void _read_on(std::function<void(bool)> p_hook);
 
@@ -36,6 +38,9 @@
 	/** Books one cost. */
 	void book(const cost_key &p_key, const cost_sum &p_sum) { _ledger.book(p_key, p_sum); }
 
+	/** Tells how many nodes share the log's rate of appends. */
+	void set_fleet_size(std::size_t p_size) { _fleet_size = p_size; }
+
 	/** Flushes now, as before a planned stop. */
 	void flush_now() { _flush(); }
 
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -67,6 +67,7 @@
 		_fleet.set_ready(is_ready);
 	}
 	_context.client.drop_old_connections();
+	_ledger.set_fleet_size(_fleet.get_members().get_members().size() + 1);
 	if (_phase != drain_phase::NONE) {
 		_advance_drain();
 	}
--- a/main/once_service.cpp
+++ b/main/once_service.cpp
@@ -187,26 +187,24 @@
 	}
 }
 
-void once_service::_submit_attached_again(const std::string &p_place) {
+std::vector<once_service::attached_submission> once_service::_take_attached(const std::string &p_place) {
 	const auto attached = _attached.find(p_place);
 	if (attached == _attached.end()) {
-		return;
+		return {};
 	}
-	const std::vector<attached_submission> entries = std::move(attached->second);
+	std::vector<attached_submission> entries = std::move(attached->second);
 	_attached.erase(attached);
-	for (const attached_submission &entry : entries) {
+	return entries;
+}
+
+void once_service::_submit_attached_again(const std::string &p_place) {
+	for (const attached_submission &entry : _take_attached(p_place)) {
 		submit(entry.submission, entry.hook);
 	}
 }
 
 void once_service::_release_attached(const std::string &p_place, const keyed_decision &p_decision) {
-	const auto attached = _attached.find(p_place);
-	if (attached == _attached.end()) {
-		return;
-	}
-	const std::vector<attached_submission> entries = std::move(attached->second);
-	_attached.erase(attached);
-	for (const attached_submission &entry : entries) {
+	for (const attached_submission &entry : _take_attached(p_place)) {
 		entry.hook(p_decision);
 	}
 }
--- a/main/once_service.h
+++ b/main/once_service.h
@@ -90,6 +90,7 @@
 	void _on_link_down(const std::string &p_vm);
 	void _on_answer(const pass_answer_message &p_answer);
 	void _end_passed(std::uint64_t p_id, const keyed_decision &p_decision);
+	std::vector<attached_submission> _take_attached(const std::string &p_place);
 	void _release_attached(const std::string &p_place, const keyed_decision &p_decision);
 	void _submit_attached_again(const std::string &p_place);
 	void _give_up_claims(instant p_now);
--- a/main/request_service.cpp
+++ b/main/request_service.cpp
@@ -63,7 +63,9 @@
 		return;
 	}
 	for (auto &[pool, gate] : _gates) {
-		gate.set_shares(current->policy.retry_share, current->policy.hedge_share * current->policy.attainment_weight);
+		const double weight = current->policy.attainment_weight;
+		const double spare_share = current->policy.retry_share > 0.0 ? weight : 0.0;
+		gate.set_shares(current->policy.retry_share, spare_share, current->policy.hedge_share * weight);
 	}
 }
 
--- a/misc/scripts/fleet.sh
+++ b/misc/scripts/fleet.sh
@@ -3,7 +3,7 @@
 
 work=$(mktemp -d)
 pids=()
-declare -A node_pid node_callers node_admin node_link node_zone node_args
+declare -gA node_pid node_callers node_admin node_link node_zone node_args
 fleet_key=fleet-key-for-loopback-only
 log_retention=86400
 
--- a/servers/limits/pool_gate.cpp
+++ b/servers/limits/pool_gate.cpp
@@ -21,6 +21,7 @@
 constexpr double RETRY_RESERVE_PER_SECOND = 0.5;
 constexpr double HEDGE_RESERVE_PER_SECOND = 0.05;
 constexpr double DEFAULT_RETRY_SHARE = 0.1;
+constexpr double DEFAULT_SPARE_RETRY_SHARE = 0.7;
 constexpr double DEFAULT_HEDGE_SHARE = 0.04;
 constexpr double FADE_STEP = 0.05;
 /** Above this share of refusals the pool is overloaded rather than one endpoint busy. */
@@ -32,11 +33,13 @@
 		_limit(START_LIMIT, LOWEST_LIMIT, HIGHEST_LIMIT),
 		_queue(p_queue_capacity),
 		_retries(DEFAULT_RETRY_SHARE, MOST_EXTRA_KEPT, RETRY_RESERVE_PER_SECOND),
+		_spare_retries(DEFAULT_SPARE_RETRY_SHARE, MOST_EXTRA_KEPT, 0.0),
 		_hedges(DEFAULT_HEDGE_SHARE, MOST_EXTRA_KEPT, HEDGE_RESERVE_PER_SECOND) {
 }
 
-void pool_gate::set_shares(double p_retry_share, double p_hedge_share) {
+void pool_gate::set_shares(double p_retry_share, double p_spare_retry_share, double p_hedge_share) {
 	_retries.set_share(p_retry_share);
+	_spare_retries.set_share(p_spare_retry_share);
 	_hedges.set_share(p_hedge_share);
 }
 
@@ -70,6 +73,7 @@
 		case place_use::SUCCEEDED:
 			_limit.on_success(p_relative_latency);
 			_retries.on_success(p_now);
+			_spare_retries.on_success(p_now);
 			_hedges.on_success(p_now);
 			_note_refusal(0.0);
 			break;
@@ -95,8 +99,16 @@
 	return changes;
 }
 
+bool pool_gate::_has_spare_room() const {
+	return _queue.get_size() == 0 && static_cast<double>(_limit.get_in_flight()) * 2.0 <= _limit.get_limit();
+}
+
 bool pool_gate::may_retry(instant p_now) {
-	return _refused_share <= OVERLOADED_ABOVE && _retries.try_spend(p_now);
+	if (_refused_share > OVERLOADED_ABOVE) {
+		return false;
+	}
+	// With room to spare a retry takes nothing from others; without it only the small budget stands.
+	return _retries.try_spend(p_now) || (_has_spare_room() && _spare_retries.try_spend(p_now));
 }
 
 bool pool_gate::may_hedge(instant p_now) {
--- a/servers/limits/pool_gate.h
+++ b/servers/limits/pool_gate.h
@@ -34,19 +34,21 @@
 	concurrency_limit _limit;
 	fair_queue _queue;
 	share_budget _retries;
+	share_budget _spare_retries; ///< Further retries while the pool has room to spare.
 	share_budget _hedges;
 	double _refused_share = 0.0; ///< Faded share of attempts that were refused.
 	double _seconds_per_place = 0.0; ///< Faded time a place is held.
 
 	void _fill(instant p_now, gate_changes &r_changes);
+	bool _has_spare_room() const;
 	void _note_refusal(double p_refused);
 
 public:
 	/** @param p_queue_capacity most requests that wait here. */
 	explicit pool_gate(std::size_t p_queue_capacity);
 
-	/** Changes the shares of extra work. */
-	void set_shares(double p_retry_share, double p_hedge_share);
+	/** Changes the shares of extra work: retries at any time, further ones while there is room to spare, and hedges. */
+	void set_shares(double p_retry_share, double p_spare_retry_share, double p_hedge_share);
 
 	/** A request asks for a place. */
 	gate_changes enter(const queued_request &p_request, instant p_now);
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -29,6 +29,8 @@
 constexpr double FAILURE_SLOWNESS = 4.0;
 /** Affinity is kept while the endpoint's predicted finish is at most this much above an idle usual one's. */
 constexpr double AFFINITY_BOUND = 4.0;
+/** An endpoint that is itself slow saves less by its cache than it costs. */
+constexpr double AFFINITY_SLOWNESS = 1.8;
 /** Another zone is used when its best finish is this much better than the own zone's. */
 constexpr double LEAVE_ZONE_FACTOR = 1.5;
 constexpr double LEAVE_ZONE_MARGIN = 0.25;
@@ -216,8 +218,8 @@
 		return nullptr;
 	}
 	return p_group.find_by_affinity(p_request.affinity_key, [this, &p_request, p_now](const endpoint_state &p_endpoint) {
-		const bool is_new = !is_contained(p_request.avoid, p_endpoint.id);
-		return is_new && !p_endpoint.ejected && _may_try(p_endpoint, p_now) && predict_finish(p_endpoint, p_now) <= AFFINITY_BOUND;
+		const bool is_usable = !p_endpoint.ejected && _may_try(p_endpoint, p_now) && !is_contained(p_request.avoid, p_endpoint.id);
+		return is_usable && p_endpoint.get_slowness(p_now) <= AFFINITY_SLOWNESS && predict_finish(p_endpoint, p_now) <= AFFINITY_BOUND;
 	});
 }
 
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -214,6 +214,25 @@
 	EXPECT_LE(granted, 3);
 }
 
+TEST(pool_gate, further_retries_need_room_to_spare) {
+	pool_gate gate(100);
+	gate.set_shares(0.0, 1.0, 0.0);
+	const auto succeed = [&gate](std::uint64_t p_number) {
+		gate.enter(make_queued(p_number, "a"), at(0));
+		gate.leave(place_use::SUCCEEDED, std::chrono::milliseconds(1), 1.0, at(0));
+	};
+	for (std::uint64_t number = 1; number <= 5; number++) {
+		succeed(number);
+	}
+	EXPECT_TRUE(gate.may_retry(at(0))) << "the small budget starts with one";
+	EXPECT_TRUE(gate.may_retry(at(0)));
+	EXPECT_TRUE(gate.may_retry(at(0)));
+	for (std::uint64_t number = 100; number < 150; number++) {
+		gate.enter(make_queued(number, "a"), at(0));
+	}
+	EXPECT_FALSE(gate.may_retry(at(0)));
+}
+
 TEST(concurrency_limit, latency_shrinks_it_and_calm_grows_it) {
 	concurrency_limit limit(16.0, 2.0, 1000.0);
 	for (int i = 0; i < 200; i++) {
--- a/tests/servers/routing_test.cpp
+++ b/tests/servers/routing_test.cpp
@@ -319,6 +319,19 @@
 	EXPECT_NE(choose_vm(table, request, at(0)), home);
 }
 
+TEST(router, affinity_does_not_hold_to_a_slow_endpoint) {
+	router table("z1", 1);
+	table.set_listings(make_pool(10));
+	choice_request request = make_request();
+	request.affinity_key = hash_bytes("customer and prefix");
+	const endpoint_id home = *table.choose(request, at(0));
+	for (int i = 0; i < 5; i++) {
+		run_attempt(table, home, make_success(40, 10), at(0));
+	}
+	EXPECT_NE(*table.choose(request, at(0)), home);
+	EXPECT_EQ(*table.choose(request, at(60'000)), home) << "it is tried again once the memory has faded";
+}
+
 TEST(router, affinity_moves_few_keys_when_an_endpoint_leaves) {
 	router table("z1", 1);
 	table.set_listings(make_pool(10));
