--- a/main/caller_interface.h
+++ b/main/caller_interface.h
@@ -49,7 +49,10 @@
 
 	const network_address &get_address() const { return _server.get_address(); }
 
-	/** Stops accepting connections; answers from now on close theirs. */
+	/** Answers from now on close their connections, so that callers come back through the balancer. */
+	void announce_close() { _closing = true; }
+
+	/** Stops accepting connections. */
 	void close();
 };
 
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -86,6 +86,7 @@
 	}
 	_drain_started = event_loop::now();
 	_enter(drain_phase::LISTENING, "listening");
+	_callers.announce_close();
 	_fleet.announce_leaving();
 }
 
--- a/tests/main/fault_matrix_test.cpp
+++ b/tests/main/fault_matrix_test.cpp
@@ -411,6 +411,9 @@
 	}
 	run_until([&answers] { return !answers[0]->tokens.empty(); }, "a first token");
 	_nodes[0]->drain();
+	const test_answer late = ask(test_request{});
+	EXPECT_EQ(late.get_verdict(), "completed") << "the listener stays open for a while";
+	EXPECT_EQ(late.result.find_header("Connection"), "close");
 	run_until([&answers] { return std::all_of(answers.begin(), answers.end(), [](const std::shared_ptr<test_answer> &p_answer) { return p_answer->ended; }); }, "all answers");
 	for (const std::shared_ptr<test_answer> &answer : answers) {
 		EXPECT_EQ(answer->get_verdict(), "completed") << answer->body.dump();
--- a/tests/main/node_fixture.cpp
+++ b/tests/main/node_fixture.cpp
@@ -62,7 +62,7 @@
 	settings.platform.log = _platform->get_log().get_address();
 	settings.platform.vm_list = _platform->get_list_address();
 	settings.random_seed = 1 + _nodes.size();
-	settings.drain.listen = std::chrono::milliseconds(50);
+	settings.drain.listen = std::chrono::seconds(5);
 	settings.allow_fault_injection = true;
 	_node_loops.push_back(std::make_unique<event_loop>());
 	_paused.push_back(false);
