--- /dev/null
+++ b/drivers/endpoint_channels.cpp
@@ -0,0 +1,378 @@
+/*
+ * calicoscale: endpoint_channels.cpp
+ * Kept connections to endpoints, one request at a time on each.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/endpoint_channels.h"
+
+#include "core/enum_names.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr std::size_t MOST_HEADER_BYTES = 64 * 1024;
+/** Unacknowledged bytes older than this mean that the endpoint or the path is gone; some retransmissions fit in. */
+constexpr unsigned int USER_TIMEOUT_MS = 2000;
+constexpr int KEEPALIVE_IDLE_S = 1;
+constexpr int KEEPALIVE_INTERVAL_S = 1;
+constexpr int KEEPALIVE_PROBES = 2;
+constexpr duration SWEEP_INTERVAL = std::chrono::seconds(1);
+/** Kept connections are closed at this age, or at part of the time that the endpoint names. */
+constexpr duration LONGEST_KEPT = std::chrono::seconds(4);
+constexpr double KEEP_ALIVE_PART = 0.6;
+constexpr std::size_t READ_HIGH_WATERMARK = 1024 * 1024;
+
+constexpr std::array<enum_name<channel_end>, 4> END_NAMES{ {
+		{ channel_end::COMPLETE, "complete" },
+		{ channel_end::CONNECT_FAILED, "connect_failed" },
+		{ channel_end::BROKEN, "broken" },
+		{ channel_end::MALFORMED, "malformed" },
+} };
+
+void set_option(int p_socket, int p_level, int p_name, int p_value) {
+	setsockopt(p_socket, p_level, p_name, &p_value, sizeof(p_value));
+}
+
+int open_socket() {
+	const int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (handle < 0) {
+		return handle;
+	}
+	set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(USER_TIMEOUT_MS));
+	set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+	set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+	return handle;
+}
+
+timeval to_timeval(duration p_time) {
+	return timeval{ static_cast<time_t>(p_time.count() / 1'000'000), static_cast<suseconds_t>(p_time.count() % 1'000'000) };
+}
+
+/** How long the endpoint keeps an idle connection, by its Keep-Alive header. */
+duration read_keep_alive(const http_head &p_head) {
+	const std::string *value = p_head.find("Keep-Alive");
+	if (value == nullptr) {
+		return LONGEST_KEPT;
+	}
+	const std::size_t place = value->find("timeout=");
+	if (place == std::string::npos) {
+		return LONGEST_KEPT;
+	}
+	const double seconds = std::strtod(value->c_str() + place + 8, nullptr);
+	return std::min(LONGEST_KEPT, from_seconds(seconds * KEEP_ALIVE_PART));
+}
+
+} // namespace
+
+std::string_view get_name(channel_end p_end) {
+	return find_name(END_NAMES, p_end);
+}
+
+/** One connection. */
+class endpoint_channels::channel {
+	friend class endpoint_channels;
+
+	endpoint_channels &_owner;
+	bufferevent *_stream = nullptr;
+	http_reader _reader;
+	exchange_id _id = 0; ///< 0 while idle.
+	channel_request _request;
+	channel_hooks _hooks;
+	std::string _endpoint;
+	bool _connected = false;
+	bool _skipping = false;
+	bool _ended = false;
+	duration _kept_for = LONGEST_KEPT;
+	instant _idle_since{};
+
+	static void _on_readable(bufferevent *, void *p_self) {
+		static_cast<channel *>(p_self)->_read();
+	}
+
+	static void _on_event(bufferevent *, short p_what, void *p_self) {
+		channel &self = *static_cast<channel *>(p_self);
+		if ((p_what & BEV_EVENT_CONNECTED) != 0) {
+			self._connected = true;
+			bufferevent_set_timeouts(self._stream, nullptr, nullptr);
+			return;
+		}
+		if (self._id == 0) {
+			self._owner._on_idle_event(&self);
+			return;
+		}
+		if (!self._connected) {
+			self._owner._finish(self, channel_end::CONNECT_FAILED, false);
+			return;
+		}
+		self._on_closed((p_what & BEV_EVENT_EOF) != 0);
+	}
+
+	/** Only an orderly close can complete an answer without a length. */
+	void _on_closed(bool p_orderly) {
+		_read();
+		if (_ended) {
+			return;
+		}
+		if (p_orderly && !_skipping) {
+			_reader.finish_at_close();
+		}
+		const bool is_whole = _reader.get_state() == http_reader::state::COMPLETE && !_skipping;
+		_owner._finish(*this, is_whole ? channel_end::COMPLETE : channel_end::BROKEN, false);
+	}
+
+	bool _is_interim() const { return _reader.get_head().status / 100 == 1; }
+
+	void _on_head(const http_head &p_head) {
+		if (_is_interim()) {
+			return;
+		}
+		const std::string *echo = _request.echo_header.empty() ? nullptr : p_head.find(_request.echo_header);
+		_skipping = echo != nullptr && *echo != _request.echo_value;
+		if (_skipping) {
+			_owner._skipped_answers++;
+			return;
+		}
+		if (_hooks.on_head) {
+			_hooks.on_head(p_head);
+		}
+	}
+
+	void _on_body(std::string_view p_bytes) {
+		if (!_skipping && !_ended && _hooks.on_body) {
+			_hooks.on_body(p_bytes);
+		}
+	}
+
+	void _read() {
+		if (_id == 0) {
+			_owner._on_idle_event(this);
+			return;
+		}
+		evbuffer *input = bufferevent_get_input(_stream);
+		while (!_ended && evbuffer_get_length(input) > 0) {
+			const std::size_t size = evbuffer_get_contiguous_space(input);
+			const char *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+			const std::size_t taken = _reader.feed(std::string_view(bytes, size));
+			if (_ended) {
+				return;
+			}
+			evbuffer_drain(input, taken);
+			if (_reader.get_state() == http_reader::state::COMPLETE) {
+				_on_complete();
+			} else if (_reader.get_state() != http_reader::state::READING) {
+				_owner._finish(*this, channel_end::MALFORMED, false);
+			}
+		}
+	}
+
+	void _on_complete() {
+		if (_is_interim() || _skipping) {
+			_skipping = false;
+			_reader.reset();
+			return;
+		}
+		const bool has_surplus = evbuffer_get_length(bufferevent_get_input(_stream)) > 0;
+		const bool is_request_out = evbuffer_get_length(bufferevent_get_output(_stream)) == 0;
+		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length && !has_surplus && is_request_out;
+		_kept_for = read_keep_alive(_reader.get_head());
+		_owner._finish(*this, channel_end::COMPLETE, keep);
+	}
+
+public:
+	explicit channel(endpoint_channels &p_owner) :
+			_owner(p_owner), _reader(http_reader::kind::ANSWER, http_reader::hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); } }, MOST_HEADER_BYTES) {}
+
+	~channel() {
+		if (_stream != nullptr) {
+			bufferevent_free(_stream);
+		}
+	}
+
+	channel(const channel &) = delete;
+	channel &operator=(const channel &) = delete;
+
+	/** Begins to connect; false when not even that is possible. */
+	bool open(const network_address &p_to, duration p_timeout) {
+		const int handle = open_socket();
+		if (handle < 0) {
+			return false;
+		}
+		_stream = bufferevent_socket_new(_owner._loop.get_base(), handle, BEV_OPT_CLOSE_ON_FREE);
+		bufferevent_setcb(_stream, &channel::_on_readable, nullptr, &channel::_on_event, this);
+		bufferevent_setwatermark(_stream, EV_READ, 0, READ_HIGH_WATERMARK);
+		const timeval timeout = to_timeval(p_timeout);
+		bufferevent_set_timeouts(_stream, nullptr, &timeout);
+		bufferevent_enable(_stream, EV_READ | EV_WRITE);
+		sockaddr_in address{};
+		address.sin_family = AF_INET;
+		address.sin_port = htons(p_to.port);
+		inet_pton(AF_INET, p_to.host.c_str(), &address.sin_addr);
+		return bufferevent_socket_connect(_stream, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+	}
+
+	void begin(exchange_id p_id, channel_request p_request, channel_hooks p_hooks) {
+		_id = p_id;
+		_request = std::move(p_request);
+		_hooks = std::move(p_hooks);
+		_endpoint = _request.endpoint;
+		_skipping = false;
+		_ended = false;
+		_reader.reset();
+		_reader.set_without_body(_request.is_head);
+		bufferevent_write(_stream, _request.bytes.data(), _request.bytes.size());
+		_request.bytes.clear();
+	}
+
+	void silence() {
+		_ended = true;
+		if (_stream != nullptr) {
+			bufferevent_setcb(_stream, nullptr, nullptr, nullptr, nullptr);
+			bufferevent_disable(_stream, EV_READ | EV_WRITE);
+		}
+	}
+};
+
+endpoint_channels::endpoint_channels(event_loop &p_loop) :
+		_loop(p_loop), _sweep_timer(p_loop, [this] { _sweep(); }) {
+	_sweep_timer.set(SWEEP_INTERVAL);
+}
+
+endpoint_channels::~endpoint_channels() = default;
+
+void endpoint_channels::_free(std::unique_ptr<channel> p_channel) {
+	p_channel->silence();
+	// Freed from the loop, as this may run inside one of the channel's own callbacks.
+	std::shared_ptr<channel> removed = std::move(p_channel);
+	_loop.post([removed] {});
+}
+
+exchange_id endpoint_channels::start(channel_request p_request, channel_hooks p_hooks) {
+	const exchange_id id = _next_id++;
+	const instant now = event_loop::now();
+	std::unique_ptr<channel> used;
+	const auto kept = _idle.find(p_request.endpoint);
+	if (kept != _idle.end()) {
+		std::vector<std::unique_ptr<channel>> &stack = kept->second;
+		if (!stack.empty() && now - stack.back()->_idle_since <= std::min(p_request.longest_idle, stack.back()->_kept_for)) {
+			used = std::move(stack.back());
+			stack.pop_back();
+		}
+	}
+	if (!used) {
+		used = std::make_unique<channel>(*this);
+		_opened++;
+		if (!used->open(p_request.to, p_request.connect_timeout)) {
+			const std::function<void(channel_end)> hook = std::move(p_hooks.on_end);
+			_free(std::move(used));
+			_loop.post([hook] { hook(channel_end::CONNECT_FAILED); });
+			return id;
+		}
+	}
+	used->begin(id, std::move(p_request), std::move(p_hooks));
+	_busy.emplace(id, std::move(used));
+	return id;
+}
+
+void endpoint_channels::_finish(channel &p_channel, channel_end p_end, bool p_keep) {
+	const auto found = _busy.find(p_channel._id);
+	if (found == _busy.end()) {
+		return;
+	}
+	std::unique_ptr<channel> owned = std::move(found->second);
+	_busy.erase(found);
+	owned->_ended = true;
+	owned->_id = 0;
+	const std::function<void(channel_end)> hook = std::move(owned->_hooks.on_end);
+	owned->_hooks = channel_hooks();
+	if (p_keep) {
+		owned->_idle_since = event_loop::now();
+		_idle[owned->_endpoint].push_back(std::move(owned));
+	} else {
+		_free(std::move(owned));
+	}
+	hook(p_end);
+}
+
+void endpoint_channels::cancel(exchange_id p_id) {
+	const auto found = _busy.find(p_id);
+	if (found == _busy.end()) {
+		return;
+	}
+	std::unique_ptr<channel> owned = std::move(found->second);
+	_busy.erase(found);
+	_free(std::move(owned));
+}
+
+void endpoint_channels::set_reading(exchange_id p_id, bool p_reading) {
+	const auto found = _busy.find(p_id);
+	if (found == _busy.end()) {
+		return;
+	}
+	if (p_reading) {
+		bufferevent_enable(found->second->_stream, EV_READ);
+	} else {
+		bufferevent_disable(found->second->_stream, EV_READ);
+	}
+}
+
+void endpoint_channels::_on_idle_event(channel *p_channel) {
+	const auto kept = _idle.find(p_channel->_endpoint);
+	if (kept == _idle.end()) {
+		return;
+	}
+	std::vector<std::unique_ptr<channel>> &stack = kept->second;
+	const auto found = std::find_if(stack.begin(), stack.end(), [p_channel](const std::unique_ptr<channel> &p_entry) { return p_entry.get() == p_channel; });
+	if (found == stack.end()) {
+		return;
+	}
+	std::unique_ptr<channel> owned = std::move(*found);
+	stack.erase(found);
+	_free(std::move(owned));
+}
+
+void endpoint_channels::drop_idle(const std::string &p_endpoint) {
+	const auto kept = _idle.find(p_endpoint);
+	if (kept == _idle.end()) {
+		return;
+	}
+	for (std::unique_ptr<channel> &entry : kept->second) {
+		_free(std::move(entry));
+	}
+	_idle.erase(kept);
+}
+
+void endpoint_channels::_sweep() {
+	const instant now = event_loop::now();
+	for (auto &[endpoint, stack] : _idle) {
+		for (std::unique_ptr<channel> &entry : stack) {
+			if (now - entry->_idle_since > entry->_kept_for) {
+				_free(std::move(entry));
+			}
+		}
+		std::erase(stack, nullptr);
+	}
+	std::erase_if(_idle, [](const auto &p_entry) { return p_entry.second.empty(); });
+	_sweep_timer.set(SWEEP_INTERVAL);
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/drivers/endpoint_channels.h
@@ -0,0 +1,104 @@
+/*
+ * calicoscale: endpoint_channels.h
+ * Kept connections to endpoints, one request at a time on each.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ENDPOINT_CHANNELS_H
+#define ENDPOINT_CHANNELS_H
+
+#include "drivers/event_loop.h"
+#include "drivers/http_reader.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct bufferevent;
+
+namespace calicoscale {
+
+/** How an exchange with an endpoint ended. */
+enum class channel_end {
+	COMPLETE, ///< The whole answer came.
+	CONNECT_FAILED, ///< Not one byte was sent.
+	BROKEN, ///< The connection ended first; the request may have run.
+	MALFORMED, ///< What came is no answer to this request; it may have run.
+};
+
+/** Name of an end, e.g. "connect_failed". */
+std::string_view get_name(channel_end p_end);
+
+/** One request to an endpoint. */
+struct channel_request {
+	std::string endpoint; ///< Connections are kept by this name, as an address may pass to another endpoint.
+	network_address to;
+	std::string bytes; ///< The whole request.
+	std::string echo_header; ///< Header by which the answer names its request; empty when answers do not.
+	std::string echo_value;
+	bool is_head = false; ///< The answer has no body.
+	duration connect_timeout = std::chrono::milliseconds(600); ///< Several round trips within a region, less than what is worth waiting.
+	duration longest_idle = std::chrono::seconds(2); ///< Older kept connections are not used, as the endpoint may close them meanwhile.
+};
+
+/** What an exchange reports. on_end comes exactly once unless it is cancelled. */
+struct channel_hooks {
+	std::function<void(const http_head &)> on_head;
+	std::function<void(std::string_view)> on_body;
+	std::function<void(channel_end)> on_end;
+};
+
+/** Names an exchange. */
+using exchange_id = std::uint64_t;
+
+/**
+ * Sends requests and reads answers. An answer that echoes another request is a late one of an earlier exchange and is
+ * skipped. A connection with surplus bytes, an answer that came before the request was out, or a failure is not kept.
+ */
+class endpoint_channels {
+	class channel;
+
+	event_loop &_loop;
+	std::map<exchange_id, std::unique_ptr<channel>> _busy;
+	std::map<std::string, std::vector<std::unique_ptr<channel>>> _idle;
+	timer _sweep_timer;
+	exchange_id _next_id = 1;
+	std::uint64_t _opened = 0;
+	std::uint64_t _skipped_answers = 0;
+
+	void _free(std::unique_ptr<channel> p_channel);
+	void _on_idle_event(channel *p_channel);
+	void _finish(channel &p_channel, channel_end p_end, bool p_keep);
+	void _sweep();
+
+public:
+	explicit endpoint_channels(event_loop &p_loop);
+	~endpoint_channels();
+	endpoint_channels(const endpoint_channels &) = delete;
+	endpoint_channels &operator=(const endpoint_channels &) = delete;
+
+	/** Starts an exchange. Its hooks are called from the loop, never before this returns. */
+	exchange_id start(channel_request p_request, channel_hooks p_hooks);
+
+	/** Ends an exchange by closing its connection; its hooks are not called any more. */
+	void cancel(exchange_id p_id);
+
+	/** Stops reading an answer for a while, or goes on. */
+	void set_reading(exchange_id p_id, bool p_reading);
+
+	/** Closes what is kept to an endpoint that is gone. */
+	void drop_idle(const std::string &p_endpoint);
+
+	std::uint64_t get_opened() const { return _opened; }
+	std::uint64_t get_skipped_answers() const { return _skipped_answers; }
+	std::size_t get_busy_count() const { return _busy.size(); }
+};
+
+} // namespace calicoscale
+
+#endif // ENDPOINT_CHANNELS_H
--- /dev/null
+++ b/drivers/event_log.cpp
@@ -0,0 +1,95 @@
+/*
+ * calicoscale: event_log.cpp
+ * Structured lines on standard output, bounded and never blocking.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr duration FLUSH_INTERVAL = std::chrono::milliseconds(200);
+constexpr std::size_t MOST_BUFFERED_BYTES = 256 * 1024;
+/** Lines a second about requests; a node of the size seen serves some tens of requests a second. */
+constexpr double REQUEST_LINES_PER_SECOND = 300.0;
+constexpr double REQUEST_LINES_BURST = 600.0;
+
+} // namespace
+
+log_line::log_line(std::string_view p_event) :
+		_text("event=") {
+	_text += p_event;
+}
+
+log_line &log_line::add(std::string_view p_key, std::string_view p_value) {
+	_text += ' ';
+	_text += p_key;
+	_text += '=';
+	for (const char letter : p_value) {
+		// A value from outside must not start a line or a pair of its own.
+		_text += letter <= ' ' || letter == '=' || letter == 127 ? '_' : letter;
+	}
+	return *this;
+}
+
+log_line &log_line::add(std::string_view p_key, long long p_value) {
+	return add(p_key, std::string_view(std::to_string(p_value)));
+}
+
+event_log::event_log(event_loop &p_loop) :
+		_request_lines(REQUEST_LINES_PER_SECOND, REQUEST_LINES_BURST, event_loop::now()), _flush_timer(p_loop, [this] { _flush(); }) {
+	const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+	if (flags >= 0) {
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	}
+}
+
+event_log::~event_log() {
+	_flush();
+}
+
+void event_log::_add(const std::string &p_text) {
+	if (_buffer.size() + p_text.size() > MOST_BUFFERED_BYTES) {
+		_dropped++;
+		return;
+	}
+	if (_buffer.empty()) {
+		_flush_timer.set(FLUSH_INTERVAL);
+	}
+	_buffer += "ms=" + std::to_string(event_loop::now().time_since_epoch().count() / 1000) + " " + p_text + "\n";
+}
+
+void event_log::write_request(const log_line &p_line) {
+	if (!_request_lines.try_take(1.0, event_loop::now())) {
+		_dropped++;
+		return;
+	}
+	_add(p_line.get_text());
+}
+
+void event_log::write(const log_line &p_line) {
+	_add(p_line.get_text());
+}
+
+void event_log::_flush() {
+	if (_dropped > _dropped_told) {
+		_buffer += "event=log_lines_dropped count=" + std::to_string(_dropped - _dropped_told) + "\n";
+		_dropped_told = _dropped;
+	}
+	const ssize_t written = ::write(STDOUT_FILENO, _buffer.data(), _buffer.size());
+	if (written > 0) {
+		_buffer.erase(0, static_cast<std::size_t>(written));
+	}
+	if (!_buffer.empty()) {
+		_flush_timer.set(FLUSH_INTERVAL);
+	}
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/drivers/event_log.h
@@ -0,0 +1,63 @@
+/*
+ * calicoscale: event_log.h
+ * Structured lines on standard output, bounded and never blocking.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef EVENT_LOG_H
+#define EVENT_LOG_H
+
+#include "core/token_bucket.h"
+#include "drivers/event_loop.h"
+
+#include <string>
+#include <string_view>
+
+namespace calicoscale {
+
+/** One line under construction: key=value pairs. */
+class log_line {
+	std::string _text;
+
+public:
+	explicit log_line(std::string_view p_event);
+	log_line &add(std::string_view p_key, std::string_view p_value);
+	log_line &add(std::string_view p_key, const char *p_value) { return add(p_key, std::string_view(p_value)); }
+	log_line &add(std::string_view p_key, long long p_value);
+	/** Adds a time in whole milliseconds. */
+	log_line &add(std::string_view p_key, duration p_value) { return add(p_key, static_cast<long long>(p_value.count() / 1000)); }
+	const std::string &get_text() const { return _text; }
+};
+
+/**
+ * Writes lines in batches. Lines about requests are limited in rate, and all lines are dropped, and counted, while
+ * nobody reads them: writing a log must never hold a request up.
+ */
+class event_log {
+	std::string _buffer;
+	token_bucket _request_lines;
+	timer _flush_timer;
+	std::uint64_t _dropped = 0;
+	std::uint64_t _dropped_told = 0;
+
+	void _add(const std::string &p_text);
+	void _flush();
+
+public:
+	explicit event_log(event_loop &p_loop);
+	~event_log();
+
+	/** A line about a request; dropped above the rate. */
+	void write_request(const log_line &p_line);
+
+	/** A line about the process or what it believes. */
+	void write(const log_line &p_line);
+
+	std::uint64_t get_dropped() const { return _dropped; }
+};
+
+} // namespace calicoscale
+
+#endif // EVENT_LOG_H
--- /dev/null
+++ b/drivers/http_reader.cpp
@@ -0,0 +1,207 @@
+/*
+ * calicoscale: http_reader.cpp
+ * Reads HTTP/1.1 messages one at a time and strictly, by http_parser.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/http_reader.h"
+
+#include <http_parser.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <climits>
+
+namespace calicoscale {
+
+bool is_same_header(std::string_view p_left, std::string_view p_right) {
+	return p_left.size() == p_right.size() && strncasecmp(p_left.data(), p_right.data(), p_left.size()) == 0;
+}
+
+const std::string *http_head::find(std::string_view p_name) const {
+	for (const http_header &header : headers) {
+		if (is_same_header(header.name, p_name)) {
+			return &header.value;
+		}
+	}
+	return nullptr;
+}
+
+std::size_t http_head::count(std::string_view p_name) const {
+	return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [p_name](const http_header &p_header) {
+		return is_same_header(p_header.name, p_name);
+	}));
+}
+
+/** What http_parser calls; a result other than 0 stops it with an error. */
+struct http_reader_callbacks {
+	static int on_begin(http_parser *p_parser) {
+		http_reader::_self(p_parser)._has_begun = true;
+		return 0;
+	}
+
+	static int on_url(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
+		http_reader &self = http_reader::_self(p_parser);
+		self._head.target.append(p_bytes, p_size);
+		return self._count(p_size) ? 0 : 1;
+	}
+
+	static int on_field(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
+		http_reader &self = http_reader::_self(p_parser);
+		if (self._in_value) {
+			self._finish_header();
+		}
+		self._field.append(p_bytes, p_size);
+		return self._count(p_size) ? 0 : 1;
+	}
+
+	static int on_value(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
+		http_reader &self = http_reader::_self(p_parser);
+		self._in_value = true;
+		self._value.append(p_bytes, p_size);
+		return self._count(p_size) ? 0 : 1;
+	}
+
+	static int on_headers_complete(http_parser *p_parser) {
+		return http_reader::_self(p_parser)._on_headers_complete();
+	}
+
+	static int on_body(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
+		http_reader::_self(p_parser)._hooks.on_body(std::string_view(p_bytes, p_size));
+		return 0;
+	}
+
+	static int on_complete(http_parser *p_parser) {
+		http_reader::_self(p_parser)._state = http_reader::state::COMPLETE;
+		http_parser_pause(p_parser, 1);
+		return 0;
+	}
+};
+
+namespace {
+
+/** Bytes counted for each header beyond its name and value: separator and line end. */
+constexpr std::size_t BYTES_PER_HEADER = 4;
+
+const http_parser_settings &get_parser_settings() {
+	static const http_parser_settings settings = [] {
+		http_parser_settings made;
+		http_parser_settings_init(&made);
+		made.on_message_begin = &http_reader_callbacks::on_begin;
+		made.on_url = &http_reader_callbacks::on_url;
+		made.on_header_field = &http_reader_callbacks::on_field;
+		made.on_header_value = &http_reader_callbacks::on_value;
+		made.on_headers_complete = &http_reader_callbacks::on_headers_complete;
+		made.on_body = &http_reader_callbacks::on_body;
+		made.on_message_complete = &http_reader_callbacks::on_complete;
+		return made;
+	}();
+	return settings;
+}
+
+/** Whether an answer's end is known without the connection's end. */
+bool is_end_told(const http_parser &p_parser) {
+	const bool has_no_body = p_parser.status_code / 100 == 1 || p_parser.status_code == 204 || p_parser.status_code == 304;
+	return has_no_body || (p_parser.flags & F_CHUNKED) != 0 || p_parser.content_length != ULLONG_MAX;
+}
+
+} // namespace
+
+void http_reader::parser_deleter::operator()(http_parser *p_parser) const {
+	delete p_parser;
+}
+
+http_reader::http_reader(kind p_kind, hooks p_hooks, std::size_t p_most_header_bytes) :
+		_kind(p_kind), _hooks(std::move(p_hooks)), _parser(new http_parser), _most_header_bytes(p_most_header_bytes) {
+	reset();
+}
+
+http_reader::~http_reader() = default;
+
+http_reader &http_reader::_self(http_parser *p_parser) {
+	return *static_cast<http_reader *>(p_parser->data);
+}
+
+void http_reader::reset() {
+	http_parser_init(_parser.get(), _kind == kind::REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+	_parser->data = this;
+	_state = state::READING;
+	_head = http_head();
+	_field.clear();
+	_value.clear();
+	_in_value = false;
+	_has_begun = false;
+	_has_head = false;
+	_header_bytes = 0;
+}
+
+bool http_reader::_count(std::size_t p_bytes) {
+	_header_bytes += p_bytes;
+	if (_header_bytes > _most_header_bytes) {
+		_state = state::HEADERS_TOO_LARGE;
+		return false;
+	}
+	return true;
+}
+
+void http_reader::_finish_header() {
+	_head.headers.push_back(http_header{ std::move(_field), std::move(_value) });
+	_field.clear();
+	_value.clear();
+	_in_value = false;
+	_header_bytes += BYTES_PER_HEADER;
+}
+
+bool http_reader::_is_framing_sound() const {
+	// Anything two readers could frame differently is refused: that is how one request gets smuggled inside another.
+	const std::size_t encodings = _head.count("Transfer-Encoding");
+	if (encodings > 1 || _head.count("Content-Length") > 1 || _head.count("Host") > 1) {
+		return false;
+	}
+	const std::string *encoding = _head.find("Transfer-Encoding");
+	return encoding == nullptr || is_same_header(*encoding, "chunked");
+}
+
+int http_reader::_on_headers_complete() {
+	if (_in_value || !_field.empty()) {
+		_finish_header();
+	}
+	if (_kind == kind::REQUEST) {
+		_head.method = http_method_str(static_cast<http_method>(_parser->method));
+	}
+	_head.status = static_cast<int>(_parser->status_code);
+	_head.minor_version = _parser->http_minor;
+	_head.keep_alive = http_should_keep_alive(_parser.get()) != 0;
+	_head.has_length = _kind == kind::REQUEST || _without_body || is_end_told(*_parser);
+	if (_parser->http_major != 1 || !_is_framing_sound() || (_kind == kind::REQUEST && _parser->upgrade != 0)) {
+		return -1;
+	}
+	_has_head = true;
+	_hooks.on_head(_head);
+	return _without_body ? 1 : 0;
+}
+
+std::size_t http_reader::feed(std::string_view p_bytes) {
+	if (_state != state::READING || p_bytes.empty()) {
+		return 0;
+	}
+	const std::size_t taken = http_parser_execute(_parser.get(), &get_parser_settings(), p_bytes.data(), p_bytes.size());
+	const http_errno error = HTTP_PARSER_ERRNO(_parser.get());
+	if (error == HPE_HEADER_OVERFLOW) {
+		_state = state::HEADERS_TOO_LARGE;
+	} else if (_state == state::READING && error != HPE_OK) {
+		_state = state::MALFORMED;
+	}
+	return taken;
+}
+
+void http_reader::finish_at_close() {
+	if (_state != state::READING || !_has_head || _head.has_length) {
+		return;
+	}
+	http_parser_execute(_parser.get(), &get_parser_settings(), nullptr, 0);
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/drivers/http_reader.h
@@ -0,0 +1,120 @@
+/*
+ * calicoscale: http_reader.h
+ * Reads HTTP/1.1 messages one at a time and strictly, by http_parser.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef HTTP_READER_H
+#define HTTP_READER_H
+
+#include "drivers/http_client.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct http_parser;
+
+namespace calicoscale {
+
+/** Start line and headers of a message, headers in the order they came. */
+struct http_head {
+	std::string method; ///< Of a request.
+	std::string target; ///< Of a request, as it came.
+	int status = 0; ///< Of an answer.
+	int minor_version = 1;
+	std::vector<http_header> headers;
+	bool keep_alive = false;
+	bool has_length = false; ///< Its body's end is told by a length or by chunks, not by the close.
+
+	/** First value of a header, compared without case; nullptr when absent. */
+	const std::string *find(std::string_view p_name) const;
+	std::size_t count(std::string_view p_name) const;
+};
+
+/** Whether two header names are the same. */
+bool is_same_header(std::string_view p_left, std::string_view p_right);
+
+/**
+ * Reads one message at a time. evhttp is not used here: it hides raw targets and surplus bytes, drops the connection on
+ * answers that come early, and takes a body cut off by a reset for a whole one.
+ */
+class http_reader {
+public:
+	enum class kind {
+		REQUEST,
+		ANSWER,
+	};
+
+	enum class state {
+		READING,
+		COMPLETE, ///< A whole message was read; reset() makes it read the next.
+		MALFORMED,
+		HEADERS_TOO_LARGE,
+	};
+
+	struct hooks {
+		std::function<void(const http_head &)> on_head;
+		std::function<void(std::string_view)> on_body;
+	};
+
+private:
+	struct parser_deleter {
+		void operator()(http_parser *p_parser) const;
+	};
+
+	kind _kind;
+	hooks _hooks;
+	std::unique_ptr<http_parser, parser_deleter> _parser;
+	state _state = state::READING;
+	http_head _head;
+	std::string _field;
+	std::string _value;
+	bool _in_value = false;
+	bool _has_begun = false;
+	bool _has_head = false;
+	bool _without_body = false;
+	std::size_t _header_bytes = 0;
+	std::size_t _most_header_bytes;
+
+	static http_reader &_self(http_parser *p_parser);
+	void _finish_header();
+	bool _count(std::size_t p_bytes);
+	int _on_headers_complete();
+	bool _is_framing_sound() const;
+
+	friend struct http_reader_callbacks;
+
+public:
+	http_reader(kind p_kind, hooks p_hooks, std::size_t p_most_header_bytes);
+	~http_reader();
+	http_reader(const http_reader &) = delete;
+	http_reader &operator=(const http_reader &) = delete;
+
+	/** Reads bytes and returns how many were taken; stops behind a whole message. */
+	std::size_t feed(std::string_view p_bytes);
+
+	/** The peer closed its end: completes a body that ends so. */
+	void finish_at_close();
+
+	/** Begins a new message. */
+	void reset();
+
+	/** The answer to a HEAD has no body whatever its headers say. */
+	void set_without_body(bool p_without) { _without_body = p_without; }
+
+	void set_most_header_bytes(std::size_t p_bytes) { _most_header_bytes = p_bytes; }
+
+	state get_state() const { return _state; }
+	const http_head &get_head() const { return _head; }
+	bool has_begun() const { return _has_begun; }
+	bool has_head() const { return _has_head; }
+};
+
+} // namespace calicoscale
+
+#endif // HTTP_READER_H
--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -114,6 +114,33 @@
 		const text_offset body = target.CreateString(p_message.body);
 		return { wire::message_pass_answer, wire::Createpass_answer(target, p_message.id, p_message.status, body).Union() };
 	}
+
+	encoded_body operator()(const hand_work_message &p_message) const {
+		const text_offset pool = target.CreateString(p_message.pool);
+		const text_offset attempt = target.CreateString(p_message.attempt);
+		const text_offset key = target.CreateString(p_message.caller_key);
+		const auto inputs = target.CreateVectorOfStrings(p_message.inputs);
+		const text_offset zone = target.CreateString(p_message.zone);
+		const std::int64_t give_up = p_message.give_up_in.count() / 1000;
+		const std::int64_t objective = p_message.objective_in.count() / 1000;
+		return { wire::message_hand_work, wire::Createhand_work(target, p_message.id, pool, attempt, p_message.stage, p_message.pieces, key, inputs, give_up, objective, p_message.priority, zone, p_message.result_bytes).Union() };
+	}
+
+	encoded_body operator()(const work_ended_message &p_message) const {
+		const auto handles = target.CreateVectorOfStrings(p_message.handles);
+		return { wire::message_work_ended, wire::Creatework_ended(target, p_message.id, p_message.end, handles).Union() };
+	}
+
+	encoded_body operator()(const cancel_work_message &p_message) const {
+		const text_offset pool = target.CreateString(p_message.pool);
+		return { wire::message_cancel_work, wire::Createcancel_work(target, p_message.id, pool).Union() };
+	}
+
+	encoded_body operator()(const release_results_message &p_message) const {
+		const text_offset pool = target.CreateString(p_message.pool);
+		const auto handles = target.CreateVectorOfStrings(p_message.handles);
+		return { wire::message_release_results, wire::Createrelease_results(target, pool, handles).Union() };
+	}
 };
 
 heartbeat_message read_heartbeat(const wire::heartbeat &p_message) {
@@ -153,6 +180,35 @@
 	return message;
 }
 
+std::vector<std::string> read_texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *p_texts) {
+	std::vector<std::string> texts;
+	if (p_texts == nullptr) {
+		return texts;
+	}
+	texts.reserve(p_texts->size());
+	for (const flatbuffers::String *text : *p_texts) {
+		texts.push_back(read(text));
+	}
+	return texts;
+}
+
+hand_work_message read_hand_work(const wire::hand_work &p_message) {
+	hand_work_message message;
+	message.id = p_message.id();
+	message.pool = read(p_message.pool());
+	message.attempt = read(p_message.attempt());
+	message.stage = p_message.stage();
+	message.pieces = p_message.pieces();
+	message.caller_key = read(p_message.caller_key());
+	message.inputs = read_texts(p_message.inputs());
+	message.give_up_in = std::chrono::milliseconds(p_message.give_up_ms());
+	message.objective_in = std::chrono::milliseconds(p_message.objective_ms());
+	message.priority = p_message.priority();
+	message.zone = read(p_message.zone());
+	message.result_bytes = p_message.result_bytes();
+	return message;
+}
+
 } // namespace
 
 std::string encode(const link_message &p_message) {
@@ -190,6 +246,20 @@
 			const wire::pass_answer *answer = frame->body_as_pass_answer();
 			return pass_answer_message{ answer->id(), answer->status(), read(answer->body()) };
 		}
+		case wire::message_hand_work:
+			return read_hand_work(*frame->body_as_hand_work());
+		case wire::message_work_ended: {
+			const wire::work_ended *ended = frame->body_as_work_ended();
+			return work_ended_message{ ended->id(), ended->end(), read_texts(ended->handles()) };
+		}
+		case wire::message_cancel_work: {
+			const wire::cancel_work *cancelled = frame->body_as_cancel_work();
+			return cancel_work_message{ cancelled->id(), read(cancelled->pool()) };
+		}
+		case wire::message_release_results: {
+			const wire::release_results *released = frame->body_as_release_results();
+			return release_results_message{ read(released->pool()), read_texts(released->handles()) };
+		}
 		default:
 			return std::nullopt;
 	}
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -171,6 +171,14 @@
 			_owner._request_passed.emit(_vm, *request);
 		} else if (const auto *answer = std::get_if<pass_answer_message>(&p_message)) {
 			_owner._answer_passed.emit(_vm, *answer);
+		} else if (const auto *work = std::get_if<hand_work_message>(&p_message)) {
+			_owner._work_handed.emit(_vm, *work);
+		} else if (const auto *ended = std::get_if<work_ended_message>(&p_message)) {
+			_owner._work_ended.emit(_vm, *ended);
+		} else if (const auto *cancelled = std::get_if<cancel_work_message>(&p_message)) {
+			_owner._work_cancelled.emit(_vm, *cancelled);
+		} else if (const auto *released = std::get_if<release_results_message>(&p_message)) {
+			_owner._results_released.emit(_vm, *released);
 		}
 	}
 
@@ -370,22 +378,46 @@
 	}
 }
 
-bool node_link::send(const std::string &p_vm, const pass_request_message &p_message) {
+bool node_link::_send_if_linked(const std::string &p_vm, const std::function<void(link &)> &p_send) {
 	link *target = _find(p_vm);
 	if (target == nullptr) {
 		return false;
 	}
-	target->send(p_message);
+	p_send(*target);
 	return true;
 }
 
+bool node_link::send(const std::string &p_vm, const pass_request_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
 bool node_link::send(const std::string &p_vm, const pass_answer_message &p_message) {
-	link *target = _find(p_vm);
-	if (target == nullptr) {
-		return false;
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
+bool node_link::send(const std::string &p_vm, const hand_work_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
+bool node_link::send(const std::string &p_vm, const work_ended_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
+bool node_link::send(const std::string &p_vm, const cancel_work_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
+bool node_link::send(const std::string &p_vm, const release_results_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
+void node_link::drop(const std::string &p_vm) {
+	const std::vector<std::shared_ptr<link>> links = _links;
+	for (const std::shared_ptr<link> &entry : links) {
+		if (entry->is_proven() && entry->get_vm() == p_vm) {
+			_remove(entry.get());
+		}
 	}
-	target->send(p_message);
-	return true;
 }
 
 } // namespace calicoscale
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -16,6 +16,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -58,6 +59,41 @@
 	std::string body;
 };
 
+/** Work for a stage pool that the receiver dispatches. Times are what is left when it is sent. */
+struct hand_work_message {
+	std::uint64_t id = 0; ///< The sender's.
+	std::string pool;
+	std::string attempt;
+	std::uint32_t stage = 0;
+	std::uint32_t pieces = 0;
+	std::string caller_key;
+	std::vector<std::string> inputs;
+	duration give_up_in = duration::zero();
+	duration objective_in = duration::zero();
+	int priority = 0;
+	std::string zone;
+	std::uint64_t result_bytes = 0;
+};
+
+/** Work handed over ended. */
+struct work_ended_message {
+	std::uint64_t id = 0; ///< As the owner of the work gave it.
+	std::uint8_t end = 0; ///< A work_end.
+	std::vector<std::string> handles;
+};
+
+/** Nobody waits for work handed over any more. */
+struct cancel_work_message {
+	std::uint64_t id = 0;
+	std::string pool;
+};
+
+/** Results that nothing needs any more. */
+struct release_results_message {
+	std::string pool;
+	std::vector<std::string> handles;
+};
+
 /** Who a link is made as, and the secret of the fleet. */
 struct link_identity {
 	std::string vm;
@@ -92,12 +128,18 @@
 	sigc::signal<void(const std::string &, const pass_request_message &)> _request_passed;
 	sigc::signal<void(const std::string &, const pass_answer_message &)> _answer_passed;
 
+	sigc::signal<void(const std::string &, const hand_work_message &)> _work_handed;
+	sigc::signal<void(const std::string &, const work_ended_message &)> _work_ended;
+	sigc::signal<void(const std::string &, const cancel_work_message &)> _work_cancelled;
+	sigc::signal<void(const std::string &, const release_results_message &)> _results_released;
+
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
 	void _dial(const std::string &p_vm, const std::string &p_dial_key, const network_address &p_address);
 	void _remove(link *p_link);
 	std::shared_ptr<link> _hold(link *p_link) const;
 	void _on_proven(link *p_link);
+	bool _send_if_linked(const std::string &p_vm, const std::function<void(link &)> &p_send);
 	link *_find(const std::string &p_vm) const;
 	bool _is_cut_off(const std::string &p_vm) const;
 
@@ -131,6 +173,14 @@
 	bool send(const std::string &p_vm, const pass_request_message &p_message);
 	bool send(const std::string &p_vm, const pass_answer_message &p_message);
 
+	bool send(const std::string &p_vm, const hand_work_message &p_message);
+	bool send(const std::string &p_vm, const work_ended_message &p_message);
+	bool send(const std::string &p_vm, const cancel_work_message &p_message);
+	bool send(const std::string &p_vm, const release_results_message &p_message);
+
+	/** Closes the links of a VM that has fallen silent; they are dialled anew. */
+	void drop(const std::string &p_vm);
+
 	sigc::signal<void(const std::string &)> &link_up() { return _link_up; }
 	sigc::signal<void(const std::string &)> &link_down() { return _link_down; }
 	sigc::signal<void(const std::string &, const heartbeat_message &)> &heartbeat_received() { return _heartbeat_received; }
@@ -139,6 +189,11 @@
 	sigc::signal<void(const std::string &, const pass_request_message &)> &request_passed() { return _request_passed; }
 	sigc::signal<void(const std::string &, const pass_answer_message &)> &answer_passed() { return _answer_passed; }
 
+	sigc::signal<void(const std::string &, const hand_work_message &)> &work_handed() { return _work_handed; }
+	sigc::signal<void(const std::string &, const work_ended_message &)> &work_ended() { return _work_ended; }
+	sigc::signal<void(const std::string &, const cancel_work_message &)> &work_cancelled() { return _work_cancelled; }
+	sigc::signal<void(const std::string &, const release_results_message &)> &results_released() { return _results_released; }
+
 	const network_address &get_address() const { return _address; }
 	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
 	std::uint64_t get_bytes_sent() const { return _bytes_sent; }
--- a/main/commands.h
+++ b/main/commands.h
@@ -26,6 +26,7 @@
 using arguments = std::vector<std::string>;
 
 exit_code run_serve(const arguments &p_arguments);
+exit_code run_gateway(const arguments &p_arguments);
 exit_code run_check(const arguments &p_arguments);
 exit_code run_config(const arguments &p_arguments);
 exit_code run_status(const arguments &p_arguments);
--- /dev/null
+++ b/main/configuration_follower.h
@@ -0,0 +1,58 @@
+/*
+ * calicoscale: configuration_follower.h
+ * Keeps the newest configuration, from the store or from peers.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef CONFIGURATION_FOLLOWER_H
+#define CONFIGURATION_FOLLOWER_H
+
+#include "main/gateway_context.h"
+#include "servers/gateway/gateway_configuration.h"
+
+#include <sigc++/sigc++.h>
+
+#include <memory>
+#include <string>
+
+namespace calicoscale {
+
+/** Follows the configuration's topic by waiting reads. Only a higher version replaces the one in force. */
+class configuration_follower {
+	gateway_context &_context;
+	std::shared_ptr<const gateway_configuration> _current;
+	std::string _document; ///< Text of the version in force, for peers.
+	std::uint64_t _offset = 0;
+	bool _is_reachable = true;
+	timer _retry_timer;
+	sigc::signal<void()> _changed;
+
+	void _read_all();
+	void _follow();
+	void _on_answer(const store_answer &p_answer);
+	void _take_records(const store_answer &p_answer);
+	void _set_reachable(bool p_reachable);
+
+public:
+	explicit configuration_follower(gateway_context &p_context);
+
+	/** Begins to read. */
+	void start() { _read_all(); }
+
+	/** Puts a document in force if its version is higher. @param p_source who told it, for the log. */
+	void offer(const std::string &p_document, std::string_view p_source);
+
+	/** The version in force; null before the first is known. */
+	const std::shared_ptr<const gateway_configuration> &get_current() const { return _current; }
+	const std::string &get_document() const { return _document; }
+	std::uint64_t get_version() const { return _current ? _current->version : 0; }
+
+	/** Emitted when a new version is in force. */
+	sigc::signal<void()> &changed() { return _changed; }
+};
+
+} // namespace calicoscale
+
+#endif // CONFIGURATION_FOLLOWER_H
--- /dev/null
+++ b/main/endpoint_follower.cpp
@@ -0,0 +1,110 @@
+/*
+ * calicoscale: endpoint_follower.cpp
+ * Keeps the list of endpoints, from the store.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/endpoint_follower.h"
+
+#include "platform/configuration_codec.h"
+
+namespace calicoscale {
+
+namespace {
+
+/** Endpoints get no new work within two seconds of saying that they leave; a read takes part of that. */
+constexpr duration READ_INTERVAL = std::chrono::milliseconds(900);
+constexpr duration RETRY_INTERVAL = std::chrono::milliseconds(300);
+
+} // namespace
+
+endpoint_follower::endpoint_follower(gateway_context &p_context) :
+		_context(p_context), _read_timer(p_context.loop, [this] { _read(); }) {
+}
+
+void endpoint_follower::_set_reachable(bool p_reachable) {
+	if (p_reachable != _is_reachable) {
+		_is_reachable = p_reachable;
+		_context.log.write(log_line(p_reachable ? "dependency_regained" : "dependency_lost").add("dependency", "store_endpoints").add("endpoints", static_cast<long long>(_directory.get_size())));
+	}
+}
+
+void endpoint_follower::_read() {
+	const std::string topic(get_endpoint_topic());
+	if (_offset == 0) {
+		_context.store.read_newest(topic, [this](const store_answer &p_answer) { _on_answer(p_answer, true); });
+		return;
+	}
+	_context.store.follow(topic, _offset, duration::zero(), [this](const store_answer &p_answer) { _on_answer(p_answer, false); });
+}
+
+void endpoint_follower::_on_answer(const store_answer &p_answer, bool p_is_whole) {
+	const instant now = event_loop::now();
+	_set_reachable(p_answer.status != store_status::UNAVAILABLE);
+	if (p_answer.status == store_status::UNAVAILABLE) {
+		_directory.tick(now);
+		_publish();
+		_read_timer.set(RETRY_INTERVAL);
+		return;
+	}
+	if (p_answer.status == store_status::HISTORY_GONE) {
+		_context.log.write(log_line("history_gone").add("topic", get_endpoint_topic()).add("offset", static_cast<long long>(_offset)));
+		_offset = 0;
+		_read();
+		return;
+	}
+	_directory.on_read(now);
+	_offset = p_answer.next_offset;
+	if (p_is_whole) {
+		_take_whole(p_answer);
+	} else {
+		_take_records(p_answer);
+	}
+	_directory.tick(now);
+	_publish();
+	_read_timer.set(READ_INTERVAL);
+}
+
+void endpoint_follower::_take_records(const store_answer &p_answer) {
+	for (const store_record &record : p_answer.records) {
+		if (!record.value) {
+			_directory.drop(record.key, event_loop::now());
+			continue;
+		}
+		const std::optional<endpoint_listing> listing = parse_endpoint_entry(record.key, *record.value);
+		if (listing) {
+			_directory.put(*listing);
+		} else {
+			_context.metrics.count("endpoint_entry_rejected");
+			_context.log.write(log_line("endpoint_entry_rejected").add("endpoint", record.key));
+		}
+	}
+}
+
+void endpoint_follower::_take_whole(const store_answer &p_answer) {
+	std::vector<endpoint_listing> listings;
+	for (const store_record &record : p_answer.records) {
+		const std::optional<endpoint_listing> listing = record.value ? parse_endpoint_entry(record.key, *record.value) : std::nullopt;
+		if (listing) {
+			listings.push_back(*listing);
+		}
+	}
+	_directory.replace(listings, event_loop::now());
+}
+
+void endpoint_follower::mark_leaving(const std::string &p_name) {
+	if (_directory.mark_leaving(p_name)) {
+		_context.log.write(log_line("endpoint_leaving").add("endpoint", p_name).add("source", "peer"));
+		_publish();
+	}
+}
+
+void endpoint_follower::_publish() {
+	if (_directory.take_changed()) {
+		_changed.emit();
+	}
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/endpoint_follower.h
@@ -0,0 +1,53 @@
+/*
+ * calicoscale: endpoint_follower.h
+ * Keeps the list of endpoints, from the store.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ENDPOINT_FOLLOWER_H
+#define ENDPOINT_FOLLOWER_H
+
+#include "main/gateway_context.h"
+#include "servers/gateway/endpoint_directory.h"
+
+#include <sigc++/sigc++.h>
+
+namespace calicoscale {
+
+/** Reads the endpoints' topic about once a second and folds it. */
+class endpoint_follower {
+	gateway_context &_context;
+	endpoint_directory _directory;
+	std::uint64_t _offset = 0;
+	bool _is_reachable = true;
+	timer _read_timer;
+	sigc::signal<void()> _changed;
+
+	void _read();
+	void _on_answer(const store_answer &p_answer, bool p_is_whole);
+	void _take_records(const store_answer &p_answer);
+	void _take_whole(const store_answer &p_answer);
+	void _set_reachable(bool p_reachable);
+	void _publish();
+
+public:
+	explicit endpoint_follower(gateway_context &p_context);
+
+	/** Begins to read. */
+	void start() { _read(); }
+
+	/** A peer or an answer told that an endpoint leaves. */
+	void mark_leaving(const std::string &p_name);
+
+	endpoint_directory &get_directory() { return _directory; }
+	bool is_loaded() const { return _directory.is_loaded(); }
+
+	/** Emitted when the list of endpoints is another one. */
+	sigc::signal<void()> &changed() { return _changed; }
+};
+
+} // namespace calicoscale
+
+#endif // ENDPOINT_FOLLOWER_H
--- /dev/null
+++ b/main/gateway.cpp
@@ -0,0 +1,223 @@
+/*
+ * calicoscale: gateway.cpp
+ * One entry node on a platform with a keyed store: makes its services and ties them together.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway.h"
+
+namespace calicoscale {
+
+namespace {
+
+constexpr duration TICK = std::chrono::milliseconds(100);
+/** The balancer asks once a second and needs two misses. */
+constexpr duration STOP_LISTEN = std::chrono::milliseconds(2600);
+/** Part of the grace kept for ending in good order. */
+constexpr duration STOP_MARGIN = std::chrono::milliseconds(300);
+constexpr int OK_STATUS = 200;
+constexpr int BAD_REQUEST = 400;
+constexpr int UNAUTHORIZED = 401;
+constexpr int NOT_FOUND = 404;
+constexpr int UNAVAILABLE = 503;
+constexpr duration RETRY_AFTER = std::chrono::milliseconds(500);
+/** An engine works on many requests at once, so that affinity is kept while it has up to about this many of ours. */
+constexpr double ENGINE_AFFINITY_BOUND = 24.0;
+
+caller_server_limits get_limits(const gateway_limits &p_limits) {
+	return caller_server_limits{ p_limits.header_bytes, p_limits.body_bytes, p_limits.header_timeout, p_limits.idle_timeout };
+}
+
+std::string_view get_path(const http_head &p_head) {
+	const std::string_view target(p_head.target);
+	return target.substr(0, target.find_first_of("?#"));
+}
+
+} // namespace
+
+gateway::gateway(event_loop &p_loop, const gateway_settings &p_settings) :
+		_context(p_loop, p_settings),
+		_configuration(_context),
+		_endpoints(_context),
+		_fleet(_context, _configuration, _endpoints),
+		_dispatcher(_context, _configuration, _fleet),
+		_services(p_settings.zone, _context.random.get_bits()),
+		_engines("", _context.random.get_bits()),
+		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times },
+		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
+		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
+		_tick_timer(p_loop, [this] { _tick(); }) {
+	if (p_settings.metrics_address) {
+		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
+	}
+	_configuration.changed().connect([this] { _on_configuration(); });
+	_endpoints.changed().connect([this] { _on_endpoints(); });
+	router_settings engine_settings;
+	engine_settings.affinity_bound = ENGINE_AFFINITY_BOUND;
+	engine_settings.connect_failures_to_eject = 1;
+	_engines.set_settings(engine_settings);
+	router_settings service_settings;
+	service_settings.connect_failures_to_eject = 1;
+	_services.set_settings(service_settings);
+}
+
+void gateway::start() {
+	_context.log.write(log_line("started").add("vm", _context.settings.vm).add("zone", _context.settings.zone).add("callers", to_string(_callers.get_address())).add("link", to_string(get_link_address())).add("incarnation", static_cast<long long>(_context.incarnation)));
+	_configuration.start();
+	_endpoints.start();
+	_fleet.start();
+	_dispatcher.start();
+	_tick_timer.set(TICK);
+}
+
+bool gateway::_is_ready() const {
+	return _phase == stop_phase::NONE && _configuration.get_current() != nullptr && _endpoints.is_loaded();
+}
+
+void gateway::_on_configuration() {
+	_callers.set_limits(get_limits(_configuration.get_current()->limits));
+	_on_endpoints();
+}
+
+void gateway::_on_endpoints() {
+	const std::vector<endpoint_listing> listings = _endpoints.get_directory().get_listings();
+	const std::shared_ptr<const gateway_configuration> &configuration = _configuration.get_current();
+	if (!configuration) {
+		return;
+	}
+	std::vector<endpoint_listing> engines;
+	std::vector<endpoint_listing> others;
+	for (const endpoint_listing &listing : listings) {
+		const gateway_service *service = configuration->find_service(listing.pool);
+		const bool is_engine = service != nullptr && service->is_engine;
+		(is_engine ? engines : others).push_back(listing);
+	}
+	_engines.set_listings(engines);
+	_services.set_listings(others);
+	_dispatcher.set_endpoints(listings);
+	for (router *choices : { &_engines, &_services }) {
+		for (const endpoint_change &change : choices->take_changes()) {
+			_context.log.write(log_line("endpoint_changed").add("endpoint", change.vm).add("service", change.pool).add("change", get_name(change.what)));
+		}
+	}
+}
+
+void gateway::_refuse(caller_exchange &p_exchange, int p_status, reason p_reason) {
+	std::vector<http_header> headers;
+	if (p_status == UNAVAILABLE) {
+		headers.push_back(make_retry_after(RETRY_AFTER));
+	}
+	_context.metrics.on_request("", outcome{ verdict::NOT_RUN, p_reason }, event_loop::now() - p_exchange.received_at);
+	_context.log.write_request(log_line("request_refused").add("request", read_caller_request(p_exchange.head).attempt).add("reason", get_name(p_reason)).add("status", static_cast<long long>(p_status)).add("version", static_cast<long long>(_configuration.get_version())));
+	p_exchange.reply(p_status, headers, "");
+}
+
+void gateway::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
+	admitted_request request;
+	request.exchange = p_exchange;
+	request.configuration = _configuration.get_current();
+	if (!request.configuration) {
+		_refuse(*p_exchange, UNAVAILABLE, reason::NOT_READY);
+		return;
+	}
+	const std::string *host = p_exchange->head.find("Host");
+	request.route = request.configuration->find_route(host == nullptr ? "" : *host, get_path(p_exchange->head));
+	if (request.route == nullptr) {
+		_refuse(*p_exchange, NOT_FOUND, reason::NOT_FOUND);
+		return;
+	}
+	request.facts = read_caller_request(p_exchange->head);
+	if (request.facts.attempt.empty()) {
+		_refuse(*p_exchange, BAD_REQUEST, reason::BAD_REQUEST);
+		return;
+	}
+	if (request.facts.key) {
+		request.customer = request.configuration->find_customer(*request.facts.key);
+	}
+	if (request.customer == nullptr && request.configuration->has_customers() && !request.route->is_public) {
+		_refuse(*p_exchange, UNAUTHORIZED, reason::UNAUTHORIZED);
+		return;
+	}
+	request.service = choose_service(*request.route, _context.random.get_unit());
+	_run(std::move(request));
+}
+
+void gateway::_run(admitted_request p_request) {
+	const std::uint64_t id = _next_request++;
+	std::unique_ptr<gateway_request> made = std::make_unique<gateway_request>(_shared, std::move(p_request), [this, id] {
+		const auto found = _requests.find(id);
+		if (found == _requests.end()) {
+			return;
+		}
+		// Freed from the loop, as this runs inside the request.
+		std::shared_ptr<gateway_request> ended = std::move(found->second);
+		_requests.erase(found);
+		_context.loop.post([ended] {});
+	});
+	gateway_request &request = *made;
+	_requests.emplace(id, std::move(made));
+	request.start();
+}
+
+void gateway::_on_readiness(caller_exchange &p_exchange) {
+	p_exchange.reply(_is_ready() ? OK_STATUS : UNAVAILABLE, {}, "");
+}
+
+void gateway::_on_metrics(caller_exchange &p_exchange) {
+	_context.metrics.set_gauge("open_requests", static_cast<double>(_requests.size()));
+	_context.metrics.set_gauge("caller_connections", static_cast<double>(_callers.get_connection_count()));
+	_context.metrics.set_gauge("rejected_requests", static_cast<double>(_callers.get_rejected()));
+	_context.metrics.set_gauge("opened_channels", static_cast<double>(_context.channels.get_opened()));
+	_context.metrics.set_gauge("skipped_answers", static_cast<double>(_context.channels.get_skipped_answers()));
+	_context.metrics.set_gauge("store_calls", static_cast<double>(_context.store.get_call_count()));
+	_context.metrics.set_gauge("live_nodes", static_cast<double>(_fleet.get_live_count()));
+	_context.metrics.set_gauge("dropped_log_lines", static_cast<double>(_context.log.get_dropped()));
+	p_exchange.reply(OK_STATUS, { http_header{ "Content-Type", "text/plain; version=0.0.4" } }, _context.metrics.write());
+}
+
+void gateway::_tick() {
+	const bool is_ready = _is_ready();
+	if (is_ready != _was_ready) {
+		_was_ready = is_ready;
+		_context.log.write(log_line("readiness").add("ready", is_ready ? "yes" : "no").add("version", static_cast<long long>(_configuration.get_version())).add("endpoints", static_cast<long long>(_endpoints.get_directory().get_size())));
+		_fleet.set_ready(is_ready);
+	}
+	if (_phase != stop_phase::NONE) {
+		_advance_stop();
+	}
+	_tick_timer.set(TICK);
+}
+
+void gateway::stop() {
+	if (_phase != stop_phase::NONE) {
+		return;
+	}
+	_phase = stop_phase::LISTENING;
+	_stop_started = event_loop::now();
+	_callers.announce_close();
+	_fleet.announce_leaving();
+	_context.log.write(log_line("stopping").add("phase", "listening").add("open", static_cast<long long>(_requests.size())));
+}
+
+void gateway::_advance_stop() {
+	const duration since = event_loop::now() - _stop_started;
+	if (_phase == stop_phase::LISTENING && since >= STOP_LISTEN) {
+		_phase = stop_phase::FINISHING;
+		_callers.stop_listening();
+		_context.log.write(log_line("stopping").add("phase", "finishing").add("open", static_cast<long long>(_requests.size())).add("handed_work", static_cast<long long>(_dispatcher.get_accepted_count())));
+	}
+	const bool is_idle = _requests.empty() && _callers.get_open_requests() == 0 && _dispatcher.get_accepted_count() == 0 && _callers.get_connection_count() == 0;
+	const bool is_over = since >= _context.settings.stop_grace - STOP_MARGIN;
+	if (_phase == stop_phase::FINISHING && (is_idle || is_over)) {
+		_context.log.write(log_line("stopped").add("cut_off", static_cast<long long>(_requests.size())));
+		_context.loop.stop();
+	}
+}
+
+void gateway::note_reload(const std::string &p_outcome) {
+	_context.log.write(log_line("settings_reloaded").add("outcome", p_outcome));
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/gateway.h
@@ -0,0 +1,81 @@
+/*
+ * calicoscale: gateway.h
+ * One entry node on a platform with a keyed store: makes its services and ties them together.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef GATEWAY_H
+#define GATEWAY_H
+
+#include "main/gateway_request.h"
+
+#include <map>
+#include <memory>
+
+namespace calicoscale {
+
+/** One gateway node. */
+class gateway {
+	enum class stop_phase {
+		NONE,
+		LISTENING, ///< Not ready any more; the balancer has time to notice.
+		FINISHING, ///< Accepts no connections; what is in flight goes on.
+	};
+
+	gateway_context _context;
+	configuration_follower _configuration;
+	endpoint_follower _endpoints;
+	gateway_fleet _fleet;
+	stage_dispatcher _dispatcher;
+	router _services;
+	router _engines;
+	std::map<std::string, retry_window> _repeats;
+	std::map<std::string, duration> _usual_times;
+	request_services _shared;
+	std::map<std::uint64_t, std::unique_ptr<gateway_request>> _requests;
+	std::uint64_t _next_request = 1;
+	caller_server _callers;
+	caller_server _readiness;
+	std::unique_ptr<caller_server> _metrics_server;
+	timer _tick_timer;
+	stop_phase _phase = stop_phase::NONE;
+	instant _stop_started{};
+	bool _was_ready = false;
+
+	bool _is_ready() const;
+	void _on_configuration();
+	void _on_endpoints();
+	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
+	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
+	void _run(admitted_request p_request);
+	void _on_readiness(caller_exchange &p_exchange);
+	void _on_metrics(caller_exchange &p_exchange);
+	void _tick();
+	void _advance_stop();
+
+public:
+	/**
+	 * Opens all ports at once.
+	 * @throws std::runtime_error when one cannot be bound.
+	 */
+	gateway(event_loop &p_loop, const gateway_settings &p_settings);
+
+	/** Begins to work. */
+	void start();
+
+	/** Begins a planned stop; the loop is stopped when it is done. A second call does nothing. */
+	void stop();
+
+	/** Tells what a reading of the settings file brought. */
+	void note_reload(const std::string &p_outcome);
+
+	const network_address &get_caller_address() const { return _callers.get_address(); }
+	const network_address &get_readiness_address() const { return _readiness.get_address(); }
+	const network_address &get_link_address() { return _fleet.get_link().get_address(); }
+};
+
+} // namespace calicoscale
+
+#endif // GATEWAY_H
--- /dev/null
+++ b/main/gateway_context.cpp
@@ -0,0 +1,25 @@
+/*
+ * calicoscale: gateway_context.cpp
+ * What the services of one gateway share.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway_context.h"
+
+#include "core/digest.h"
+
+namespace calicoscale {
+
+gateway_context::gateway_context(event_loop &p_loop, gateway_settings p_settings) :
+		loop(p_loop),
+		settings(std::move(p_settings)),
+		incarnation(static_cast<std::uint64_t>(event_loop::wall())),
+		random(hash_bytes(settings.vm, incarnation)),
+		channels(p_loop),
+		log(p_loop),
+		store(p_loop, channels, settings.store_address) {
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/gateway_fleet.cpp
@@ -0,0 +1,199 @@
+/*
+ * calicoscale: gateway_fleet.cpp
+ * This gateway among the others: links, heartbeats, configuration and leaving endpoints.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway_fleet.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr duration BEAT_INTERVAL = std::chrono::milliseconds(200);
+/** Three beats missed and some delay: work handed to such a node is handed to another one. */
+constexpr duration SILENCE = std::chrono::milliseconds(750);
+/** A silent link is closed after this, so that a new one is tried. */
+constexpr duration DEAD_LINK = std::chrono::milliseconds(2500);
+constexpr duration NAMES_INTERVAL = std::chrono::seconds(2);
+constexpr duration NAME_RETRY = std::chrono::seconds(3);
+constexpr duration MARK_TIME = std::chrono::seconds(5);
+constexpr duration ASK_INTERVAL = std::chrono::milliseconds(300);
+constexpr std::size_t MOST_MARKS = 256;
+
+} // namespace
+
+gateway_fleet::gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints) :
+		_context(p_context),
+		_configuration(p_configuration),
+		_endpoints(p_endpoints),
+		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key }),
+		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {} }),
+		_beat_timer(p_context.loop, [this] { _beat(); }) {
+	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
+	_link.configuration_asked().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_asked(p_vm, p_have); });
+	_link.configuration_told().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
+	_configuration.changed().connect([this] { _send_heartbeats(); });
+}
+
+void gateway_fleet::start() {
+	_beat();
+}
+
+bool gateway_fleet::_is_heard(const std::string &p_vm, instant p_now) const {
+	const auto heard = _heard_at.find(p_vm);
+	return heard != _heard_at.end() && p_now - heard->second < SILENCE && _link.is_linked(p_vm);
+}
+
+std::vector<std::string> gateway_fleet::get_live_nodes() const {
+	const instant now = event_loop::now();
+	std::vector<std::string> nodes;
+	if (!_leaving) {
+		nodes.push_back(get_vm());
+	}
+	for (const auto &[vm, entry] : _members.get_members()) {
+		if (!entry.digest.leaving && _is_heard(vm, now)) {
+			nodes.push_back(vm);
+		}
+	}
+	if (nodes.empty()) {
+		nodes.push_back(get_vm());
+	}
+	std::sort(nodes.begin(), nodes.end());
+	return nodes;
+}
+
+void gateway_fleet::_beat() {
+	const instant now = event_loop::now();
+	_members.tick(now);
+	_dial();
+	_use_store();
+	_collect_marks();
+	_send_heartbeats();
+	_note_changes();
+	_beat_timer.set(BEAT_INTERVAL);
+}
+
+void gateway_fleet::_dial() {
+	const std::vector<std::string> linked = _link.get_linked();
+	if (linked.empty()) {
+		for (const network_address &peer : _context.settings.peers) {
+			if (!(peer == _link.get_address())) {
+				_link.dial_unnamed(peer);
+			}
+		}
+	}
+	for (const auto &[vm, entry] : _members.get_members()) {
+		if (entry.state == member_state::GONE || entry.digest.link.port == 0) {
+			continue;
+		}
+		// The lower name dials, so that two nodes keep one link; the other dials too where that does not come about.
+		const bool is_first = get_vm() < vm || entry.state != member_state::ALIVE;
+		if (is_first && !_link.is_linked(vm)) {
+			_link.dial(vm, entry.digest.link);
+		}
+	}
+}
+
+void gateway_fleet::_use_store() {
+	const instant now = event_loop::now();
+	if (!_named_in_store && now - _named_at > NAME_RETRY) {
+		_named_at = now;
+		const std::string value = to_string(_link.get_address()) + " " + _context.settings.zone;
+		_context.store.put(std::string(get_node_topic()), get_vm(), value, [this](bool p_written) { _named_in_store = _named_in_store || p_written; });
+	}
+	// Seeds may all be stale, and a zone that was cut off may know nobody: then the names in the store help.
+	if (_link.get_linked().empty() && now - _read_names_at > NAMES_INTERVAL) {
+		_read_names_at = now;
+		_context.store.read_newest(std::string(get_node_topic()), [this](const store_answer &p_answer) {
+			for (const store_record &record : p_answer.records) {
+				const network_address address = record.value ? parse_network_address(record.value->substr(0, record.value->find(' '))) : network_address();
+				if (record.key != get_vm() && address.port != 0) {
+					_link.dial(record.key, address);
+				}
+			}
+		});
+	}
+}
+
+void gateway_fleet::_collect_marks() {
+	const instant now = event_loop::now();
+	for (const std::string &endpoint : _endpoints.get_directory().take_news()) {
+		_marks.push_back(recent_mark{ endpoint, now + MARK_TIME });
+	}
+	while (!_marks.empty() && (_marks.front().told_until < now || _marks.size() > MOST_MARKS)) {
+		_marks.pop_front();
+	}
+}
+
+void gateway_fleet::_send_heartbeats() {
+	_members.update_self(_ready, _leaving, _configuration.get_version(), {});
+	heartbeat_message message;
+	message.digests = _members.make_heartbeat();
+	for (const recent_mark &mark : _marks) {
+		message.marks.push_back(leaving_mark{ mark.endpoint, 0 });
+	}
+	for (const std::string &vm : _link.get_linked()) {
+		_link.send(vm, message);
+	}
+}
+
+void gateway_fleet::_note_changes() {
+	const instant now = event_loop::now();
+	for (const auto &[vm, entry] : _members.get_members()) {
+		const bool is_live = !entry.digest.leaving && _is_heard(vm, now);
+		bool &was_live = _was_live[vm];
+		if (is_live == was_live) {
+			continue;
+		}
+		was_live = is_live;
+		_context.log.write(log_line(is_live ? "peer_live" : "peer_lost").add("vm", vm).add("leaving", entry.digest.leaving ? "yes" : "no"));
+		if (!is_live) {
+			_peer_lost.emit(vm);
+		}
+	}
+	for (const auto &[vm, heard] : _heard_at) {
+		if (now - heard > DEAD_LINK && _link.is_linked(vm)) {
+			_link.drop(vm);
+		}
+	}
+	_members.take_changes();
+}
+
+void gateway_fleet::_on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message) {
+	const instant now = event_loop::now();
+	_heard_at[p_vm] = now;
+	_members.take_digests(p_message.digests, now);
+	for (const leaving_mark &mark : p_message.marks) {
+		_endpoints.mark_leaving(mark.vm);
+	}
+	const member *peer = _members.find(p_vm);
+	if (peer == nullptr || peer->digest.configuration_version <= _configuration.get_version()) {
+		return;
+	}
+	instant &asked = _asked_at[peer->digest.configuration_version];
+	if (asked == instant{} || now - asked > ASK_INTERVAL) {
+		asked = now;
+		_link.ask_configuration(p_vm, _configuration.get_version());
+	}
+	while (_asked_at.size() > 4) {
+		_asked_at.erase(_asked_at.begin());
+	}
+}
+
+void gateway_fleet::_on_configuration_asked(const std::string &p_vm, std::uint64_t p_have) {
+	if (_configuration.get_version() > p_have) {
+		_link.send(p_vm, configuration_snapshot{ _configuration.get_version(), 0, true, "", _configuration.get_document() });
+	}
+}
+
+void gateway_fleet::announce_leaving() {
+	_leaving = true;
+	_send_heartbeats();
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/gateway_fleet.h
@@ -0,0 +1,84 @@
+/*
+ * calicoscale: gateway_fleet.h
+ * This gateway among the others: links, heartbeats, configuration and leaving endpoints.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef GATEWAY_FLEET_H
+#define GATEWAY_FLEET_H
+
+#include "drivers/node_link.h"
+#include "main/configuration_follower.h"
+#include "main/endpoint_follower.h"
+#include "servers/membership/member_table.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** Keeps a link to every other node and knows which of them answered just now. */
+class gateway_fleet {
+	struct recent_mark {
+		std::string endpoint;
+		instant told_until{};
+	};
+
+	gateway_context &_context;
+	configuration_follower &_configuration;
+	endpoint_follower &_endpoints;
+	node_link _link;
+	member_table _members;
+	std::map<std::string, instant> _heard_at;
+	std::map<std::string, bool> _was_live;
+	std::deque<recent_mark> _marks;
+	timer _beat_timer;
+	bool _ready = false;
+	bool _leaving = false;
+	bool _named_in_store = false;
+	instant _read_names_at{};
+	instant _named_at{};
+	std::map<std::uint64_t, instant> _asked_at;
+	sigc::signal<void(const std::string &)> _peer_lost;
+
+	void _beat();
+	void _send_heartbeats();
+	void _dial();
+	void _use_store();
+	void _note_changes();
+	void _collect_marks();
+	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
+	void _on_configuration_asked(const std::string &p_vm, std::uint64_t p_have);
+	bool _is_heard(const std::string &p_vm, instant p_now) const;
+
+public:
+	gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints);
+
+	/** Begins to beat. */
+	void start();
+
+	/** Whether this node takes requests; told to peers. */
+	void set_ready(bool p_ready) { _ready = p_ready; }
+
+	/** This node stops; peers hand it nothing from now on. */
+	void announce_leaving();
+
+	/** Nodes that answered just now and do not stop, this one included, sorted by name. */
+	std::vector<std::string> get_live_nodes() const;
+
+	std::size_t get_live_count() const { return get_live_nodes().size(); }
+
+	node_link &get_link() { return _link; }
+	const std::string &get_vm() const { return _context.settings.vm; }
+
+	/** Emitted when a node that was live is not any more. */
+	sigc::signal<void(const std::string &)> &peer_lost() { return _peer_lost; }
+};
+
+} // namespace calicoscale
+
+#endif // GATEWAY_FLEET_H
--- /dev/null
+++ b/main/gateway_request.cpp
@@ -0,0 +1,467 @@
+/*
+ * calicoscale: gateway_request.cpp
+ * One caller's request on its way through stages to an endpoint and back.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway_request.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr int BAD_GATEWAY = 502;
+constexpr int UNAVAILABLE = 503;
+constexpr int TIMED_OUT = 504;
+/** Sends of one request that did not run; more would only find the same trouble. */
+constexpr int MOST_SENDS = 4;
+constexpr int MOST_RESTARTS = 2;
+constexpr int MOST_RESUMES = 3;
+constexpr duration RETRY_PAUSE = std::chrono::milliseconds(40);
+/** Time left below which a send cannot succeed any more. */
+constexpr duration LEAST_REMAINING = std::chrono::milliseconds(20);
+constexpr duration SHORT_RETRY_AFTER = std::chrono::milliseconds(300);
+constexpr std::size_t LARGEST_ANSWER = 32 * 1024 * 1024;
+/** Requests that may not run twice use kept connections this fresh only, as a close may cross them. */
+constexpr duration FRESH_IDLE = std::chrono::milliseconds(700);
+constexpr duration USUAL_IDLE = std::chrono::milliseconds(2000);
+constexpr double USUAL_TIME_STEP = 0.05;
+
+bool is_success(int p_status) {
+	return p_status >= 200 && p_status < 300;
+}
+
+duration find_remaining(const admitted_request &p_request) {
+	return p_request.facts.remaining.value_or(p_request.route->timeout);
+}
+
+} // namespace
+
+gateway_request::gateway_request(request_services &p_services, admitted_request p_request, std::function<void()> p_on_end) :
+		_services(p_services),
+		_request(std::move(p_request)),
+		_on_end(std::move(p_on_end)),
+		_started(_request.exchange->received_at),
+		_deadline(_started + find_remaining(_request)),
+		_give_up_at(std::min(_deadline, _started + _request.route->timeout)),
+		_stages(_request.route->stages, _request.facts.stage_pieces),
+		_give_up_timer(p_services.context.loop, [this] { _on_give_up(); }),
+		_retry_timer(p_services.context.loop, [this] { _send(); }) {
+}
+
+gateway_request::~gateway_request() {
+	if (_exchange != 0) {
+		_services.context.channels.cancel(_exchange);
+	}
+	_cancel_works();
+	_request.exchange->set_on_gone(nullptr);
+}
+
+void gateway_request::start() {
+	_request.exchange->set_on_gone([this] { _on_caller_gone(); });
+	_give_up_timer.set_at(_give_up_at);
+	_services.repeats[_request.service].on_request(_services.context.settings.retries, _started);
+	if (_stages.is_complete()) {
+		_send();
+		return;
+	}
+	_advance_stages();
+}
+
+bool gateway_request::_is_engine() const {
+	const gateway_service *service = _request.configuration->find_service(_request.service);
+	return service != nullptr && service->is_engine;
+}
+
+router &gateway_request::_get_router() const {
+	return _is_engine() ? _services.engines : _services.services;
+}
+
+bool gateway_request::_may_repeat_run() const {
+	const gateway_route &route = *_request.route;
+	const bool is_safe = route.repeats == repeat_rule::REPEATABLE || (route.repeats == repeat_rule::STREAM && route.is_resumable);
+	return is_safe && _runs < route.most_endpoints;
+}
+
+bool gateway_request::_try_repeat_budget() {
+	return _services.repeats[_request.service].try_repeat(_services.context.settings.retries, _services.fleet.get_live_count(), event_loop::now());
+}
+
+std::uint64_t gateway_request::_get_affinity_key() const {
+	const std::vector<prompt_part> &prompt = _request.facts.prompt;
+	if (!_request.route->has_affinity || prompt.empty()) {
+		return 0;
+	}
+	// The last part is this request's own; what is before it is worth finding again.
+	const std::size_t shared = std::max<std::size_t>(1, prompt.size() - 1);
+	std::string chain;
+	for (std::size_t i = 0; i < shared; i++) {
+		chain += prompt[i].id + "/";
+	}
+	return std::max<std::uint64_t>(1, hash_bytes(chain));
+}
+
+void gateway_request::_advance_stages() {
+	const instant now = event_loop::now();
+	std::string zone;
+	const std::optional<endpoint_id> engine = _get_router().choose(choice_request{ _request.service, {}, _get_affinity_key(), {} }, now);
+	if (engine) {
+		zone = _get_router().find(*engine)->listing.zone;
+	}
+	for (const std::size_t stage : _stages.take_ready()) {
+		const stage_spec &spec = _stages.get_spec(stage);
+		stage_work work;
+		work.attempt = _request.facts.attempt;
+		work.stage = stage;
+		work.pieces = _stages.get_pieces(stage);
+		work.caller_key = _request.facts.stage_key;
+		work.inputs = _stages.get_inputs(stage);
+		work.give_up_at = _give_up_at;
+		work.objective_at = _started + _request.route->objective;
+		work.priority = _request.customer != nullptr && _request.customer->priority ? *_request.customer->priority : _request.route->priority;
+		constexpr std::size_t LARGE_RESULT = 500'000;
+		work.zone = spec.result_bytes >= LARGE_RESULT ? zone : "";
+		work.result_bytes = spec.result_bytes;
+		const std::shared_ptr<std::uint64_t> id = std::make_shared<std::uint64_t>(0);
+		*id = _services.dispatcher.submit(spec.pool, std::move(work), [this, id, stage](const work_result &p_result) { _on_work_ended(*id, stage, p_result); });
+		_works[*id] = stage;
+	}
+}
+
+void gateway_request::_on_work_ended(std::uint64_t p_id, std::size_t p_stage, const work_result &p_result) {
+	_works.erase(p_id);
+	if (p_result.end == work_end::DONE) {
+		_stages.set_done(p_stage, p_result.handles);
+		_release_spent();
+		if (_stages.is_complete()) {
+			_send();
+		} else {
+			_advance_stages();
+		}
+		return;
+	}
+	_services.context.log.write_request(log_line("stage_failed").add("request", _request.facts.attempt).add("pool", _stages.get_spec(p_stage).pool).add("end", get_name(p_result.end)));
+	_tally.add(verdict::MAY_HAVE_RUN);
+	if (p_result.end == work_end::INPUT_GONE && _restarts < MOST_RESTARTS) {
+		_remake_results();
+		return;
+	}
+	_fail(p_result.end == work_end::LATE ? reason::DEADLINE_PASSED : reason::ENDPOINT_ERROR);
+}
+
+void gateway_request::_cancel_works() {
+	for (const auto &[id, stage] : _works) {
+		_services.dispatcher.cancel(id);
+	}
+	_works.clear();
+}
+
+void gateway_request::_remake_results() {
+	_restarts++;
+	_cancel_works();
+	_release_all();
+	_stages.restart();
+	_stages_released = false;
+	_advance_stages();
+}
+
+void gateway_request::_release_spent() {
+	for (std::size_t i = 0; i < _request.route->stages.size(); i++) {
+		const std::vector<std::string> handles = _stages.take_spent(i);
+		_services.dispatcher.release(_stages.get_spec(i).pool, handles);
+	}
+}
+
+void gateway_request::_release_all() {
+	for (std::size_t i = 0; i < _request.route->stages.size(); i++) {
+		const std::vector<std::string> handles = _stages.take_all(i);
+		_services.dispatcher.release(_stages.get_spec(i).pool, handles);
+	}
+}
+
+void gateway_request::_send() {
+	const instant now = event_loop::now();
+	if (_give_up_at - now < LEAST_REMAINING) {
+		_on_give_up();
+		return;
+	}
+	router &choices = _get_router();
+	const std::optional<endpoint_id> chosen = choices.choose(choice_request{ _request.service, {}, _get_affinity_key(), _avoid }, now);
+	if (!chosen) {
+		_refuse(reason::NO_ENDPOINT, SHORT_RETRY_AFTER);
+		return;
+	}
+	const endpoint_state &endpoint = *choices.find(*chosen);
+	_endpoint = *chosen;
+	_endpoint_name = endpoint.listing.vm;
+	_sends++;
+	_sent_at = now;
+	endpoint_send send;
+	send.endpoint = endpoint.listing.vm;
+	send.remaining = _give_up_at - now;
+	send.customer = _request.customer == nullptr ? "" : _request.customer->name;
+	if (_is_engine()) {
+		send.priority = _request.customer != nullptr && _request.customer->priority ? *_request.customer->priority : _request.route->priority;
+	}
+	send.inputs = _stages.get_final_results();
+	send.last_event_id = _events.get_last_id();
+	channel_request request;
+	request.endpoint = endpoint.listing.vm;
+	request.to = endpoint.listing.address;
+	request.bytes = write_endpoint_request(_request.exchange->head, _request.exchange->body, send);
+	request.echo_header = std::string(get_echo_header());
+	request.echo_value = _request.facts.attempt;
+	request.is_head = _request.exchange->head.method == "HEAD";
+	request.longest_idle = _request.route->repeats == repeat_rule::REPEATABLE ? USUAL_IDLE : FRESH_IDLE;
+	_answer_head = http_head();
+	_answer = endpoint_answer();
+	_answer_body.clear();
+	choices.on_attempt_started(_endpoint, now);
+	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_name).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("version", static_cast<long long>(_request.configuration->version)));
+	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
+}
+
+void gateway_request::_on_head(const http_head &p_head) {
+	_answer_head = p_head;
+	_answer = read_endpoint_answer(p_head);
+}
+
+void gateway_request::_on_body(std::string_view p_bytes) {
+	const bool is_stream = _request.route->repeats == repeat_rule::STREAM && is_success(_answer_head.status) && _answer.has_seal;
+	if (!is_stream) {
+		if (_answer_body.size() + p_bytes.size() <= LARGEST_ANSWER) {
+			_answer_body.append(p_bytes);
+		}
+		return;
+	}
+	const std::string events = _events.take(p_bytes);
+	if (events.empty()) {
+		return;
+	}
+	if (!_answer_started) {
+		_answer_started = true;
+		_request.exchange->start(_answer_head.status, get_passed_headers(_answer_head));
+	}
+	if (!_stages_released) {
+		_stages_released = true;
+		_release_all();
+	}
+	_request.exchange->send(events);
+}
+
+void gateway_request::_observe(const outcome &p_result) {
+	const instant now = event_loop::now();
+	attempt_observation observation;
+	observation.result = p_result;
+	observation.elapsed = now - _sent_at;
+	if (!_is_engine()) {
+		duration &usual = _services.usual_times[_request.service];
+		observation.usual = usual;
+		if (p_result.what == verdict::COMPLETED) {
+			usual = usual == duration::zero() ? observation.elapsed : usual + duration(static_cast<duration::rep>(static_cast<double>((observation.elapsed - usual).count()) * USUAL_TIME_STEP));
+		}
+	}
+	_get_router().on_attempt_ended(_endpoint, observation, now);
+	_services.context.metrics.on_attempt(_request.service, p_result);
+	if (p_result.what != verdict::COMPLETED) {
+		_services.context.log.write_request(log_line("attempt_failed").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("reason", get_name(p_result.why)).add("verdict", get_name(p_result.what)).add("status", static_cast<long long>(_answer_head.status)).add("ms", observation.elapsed));
+	}
+}
+
+void gateway_request::_on_end_of_answer(channel_end p_end) {
+	_exchange = 0;
+	if (p_end == channel_end::CONNECT_FAILED) {
+		_observe(outcome{ verdict::NOT_RUN, reason::CONNECT_FAILED });
+		_on_not_run();
+		return;
+	}
+	const bool is_stream = _request.route->repeats == repeat_rule::STREAM && is_success(_answer_head.status);
+	if (is_stream) {
+		_on_stream_end(p_end);
+		return;
+	}
+	if (p_end != channel_end::COMPLETE) {
+		_on_failure(p_end == channel_end::MALFORMED ? reason::TRUNCATED : reason::CONNECTION_LOST);
+		return;
+	}
+	_on_whole_answer();
+}
+
+void gateway_request::_on_stream_end(channel_end p_end) {
+	if (p_end == channel_end::COMPLETE && _answer.has_seal) {
+		_observe(outcome{ verdict::COMPLETED, reason::NONE });
+		if (!_answer_started) {
+			_request.exchange->start(_answer_head.status, get_passed_headers(_answer_head));
+		}
+		_request.exchange->send(_events.take_rest());
+		_request.exchange->end();
+		_finish(outcome{ verdict::COMPLETED, reason::NONE }, _answer_head.status);
+		return;
+	}
+	if (!_answer_started && _events.get_last_id().empty()) {
+		_events = event_splitter();
+		_on_failure(p_end == channel_end::COMPLETE ? reason::TRUNCATED : reason::CONNECTION_LOST);
+		return;
+	}
+	_observe(outcome{ verdict::MAY_HAVE_RUN, reason::CONNECTION_LOST });
+	_runs++;
+	_tally.add(verdict::MAY_HAVE_RUN);
+	if (_resume()) {
+		return;
+	}
+	_request.exchange->abort();
+	_finish(outcome{ verdict::MAY_HAVE_RUN, reason::CONNECTION_LOST }, 0);
+}
+
+bool gateway_request::_resume() {
+	const bool can_go_on = _request.route->is_resumable && !_events.get_last_id().empty() && _resumes < MOST_RESUMES;
+	if (!can_go_on || _runs >= std::max(_request.route->most_endpoints, 1) || !_try_repeat_budget()) {
+		return false;
+	}
+	_resumes++;
+	_events.drop_partial();
+	_services.context.log.write_request(log_line("resume").add("request", _request.facts.attempt).add("from", _endpoint_name).add("event", _events.get_last_id()));
+	if (_stages.is_empty()) {
+		_send();
+		return true;
+	}
+	// The results were released when the stream began, so they are made again.
+	_remake_results();
+	return true;
+}
+
+void gateway_request::_on_whole_answer() {
+	if (_answer.is_other_endpoint) {
+		_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_LEAVING });
+		_on_not_run();
+		return;
+	}
+	if (_answer.did_not_run) {
+		constexpr int INPUT_GONE_STATUS = 409;
+		if (_answer_head.status == INPUT_GONE_STATUS && !_stages.is_empty() && _restarts < MOST_RESTARTS) {
+			_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_INPUT });
+			_remake_results();
+			return;
+		}
+		_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_BUSY });
+		_on_not_run();
+		return;
+	}
+	if (is_success(_answer_head.status)) {
+		if (!_answer.has_seal) {
+			_on_failure(reason::WRONG_ECHO);
+			return;
+		}
+		_observe(outcome{ verdict::COMPLETED, reason::NONE });
+		_pass_answer();
+		return;
+	}
+	_observe(outcome{ verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR });
+	_runs++;
+	_tally.add(verdict::MAY_HAVE_RUN);
+	constexpr int FIRST_SERVER_ERROR = 500;
+	if (_answer_head.status >= FIRST_SERVER_ERROR && _may_repeat_run() && _try_repeat_budget()) {
+		_avoid.push_back(_endpoint);
+		_send();
+		return;
+	}
+	_pass_answer();
+}
+
+void gateway_request::_pass_answer() {
+	_request.exchange->reply(_answer_head.status, get_passed_headers(_answer_head), _answer_body);
+	_finish(outcome{ is_success(_answer_head.status) ? verdict::COMPLETED : verdict::MAY_HAVE_RUN, is_success(_answer_head.status) ? reason::NONE : reason::ENDPOINT_ERROR }, _answer_head.status);
+}
+
+void gateway_request::_on_not_run() {
+	const bool was_connected = _answer_head.status != 0;
+	_avoid.push_back(_endpoint);
+	const bool has_time = _give_up_at - event_loop::now() > LEAST_REMAINING + RETRY_PAUSE;
+	// A send that reached an endpoint counts against the budget even when it was rejected there.
+	if (!has_time || _sends >= MOST_SENDS || (was_connected && !_try_repeat_budget())) {
+		_refuse(was_connected ? reason::REFUSED_BUSY : reason::CONNECT_FAILED, SHORT_RETRY_AFTER);
+		return;
+	}
+	_retry_timer.set(was_connected ? RETRY_PAUSE : duration::zero());
+}
+
+void gateway_request::_on_failure(reason p_reason) {
+	_observe(outcome{ verdict::MAY_HAVE_RUN, p_reason });
+	_runs++;
+	_tally.add(verdict::MAY_HAVE_RUN);
+	const bool has_time = _give_up_at - event_loop::now() > LEAST_REMAINING;
+	if (has_time && !_answer_started && _may_repeat_run() && _try_repeat_budget()) {
+		_send();
+		return;
+	}
+	_fail(p_reason);
+}
+
+void gateway_request::_refuse(reason p_reason, duration p_retry_after) {
+	if (_tally.get_verdict() != verdict::NOT_RUN || _answer_started) {
+		_fail(p_reason);
+		return;
+	}
+	_request.exchange->reply(UNAVAILABLE, { make_retry_after(p_retry_after) }, "");
+	_finish(outcome{ verdict::NOT_RUN, p_reason }, UNAVAILABLE);
+}
+
+void gateway_request::_fail(reason p_reason) {
+	if (_answer_started) {
+		_request.exchange->abort();
+		_finish(outcome{ verdict::MAY_HAVE_RUN, p_reason }, 0);
+		return;
+	}
+	const bool is_late = p_reason == reason::DEADLINE_PASSED || p_reason == reason::TIMED_OUT;
+	const int status = is_late ? TIMED_OUT : BAD_GATEWAY;
+	_request.exchange->reply(status, {}, "");
+	_finish(outcome{ verdict::MAY_HAVE_RUN, p_reason }, status);
+}
+
+void gateway_request::_on_give_up() {
+	if (_ended) {
+		return;
+	}
+	if (_exchange != 0) {
+		_services.context.channels.cancel(_exchange);
+		_exchange = 0;
+		_tally.add(verdict::MAY_HAVE_RUN);
+		_observe(outcome{ verdict::MAY_HAVE_RUN, reason::TIMED_OUT });
+	}
+	if (!_works.empty() || !_stages.is_empty()) {
+		_tally.add(verdict::MAY_HAVE_RUN);
+	}
+	_refuse(reason::DEADLINE_PASSED, SHORT_RETRY_AFTER);
+}
+
+void gateway_request::_on_caller_gone() {
+	if (_exchange != 0) {
+		_services.context.channels.cancel(_exchange);
+		_exchange = 0;
+		_observe(outcome{ verdict::MAY_HAVE_RUN, reason::CALLER_GONE });
+	}
+	_finish(outcome{ verdict::MAY_HAVE_RUN, reason::CALLER_GONE }, 0);
+}
+
+void gateway_request::_finish(const outcome &p_result, int p_status) {
+	if (_ended) {
+		return;
+	}
+	_ended = true;
+	_give_up_timer.cancel();
+	_retry_timer.cancel();
+	_cancel_works();
+	_release_all();
+	const duration elapsed = event_loop::now() - _started;
+	_services.context.metrics.on_request(_request.route->name, p_result, elapsed);
+	_services.context.log.write_request(log_line("request_finished").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("verdict", get_name(p_result.what)).add("reason", get_name(p_result.why)).add("status", static_cast<long long>(p_status)).add("sends", static_cast<long long>(_sends)).add("ms", elapsed));
+	_on_end();
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/gateway_request.h
@@ -0,0 +1,125 @@
+/*
+ * calicoscale: gateway_request.h
+ * One caller's request on its way through stages to an endpoint and back.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef GATEWAY_REQUEST_H
+#define GATEWAY_REQUEST_H
+
+#include "core/verdict.h"
+#include "drivers/caller_server.h"
+#include "main/gateway_fleet.h"
+#include "main/stage_dispatcher.h"
+#include "platform/request_codec.h"
+#include "servers/gateway/event_splitter.h"
+#include "servers/gateway/retry_window.h"
+#include "servers/gateway/stage_graph.h"
+#include "servers/routing/router.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** What requests share. */
+struct request_services {
+	gateway_context &context;
+	gateway_fleet &fleet;
+	endpoint_follower &endpoints;
+	stage_dispatcher &dispatcher;
+	router &services; ///< Endpoints of plain services, own zone first.
+	router &engines; ///< Engines of all zones, by shared parts of prompts.
+	std::map<std::string, retry_window> &repeats; ///< By service.
+	std::map<std::string, duration> &usual_times; ///< Of answers, by service.
+};
+
+/** A request that was admitted: its route and customer are known. */
+struct admitted_request {
+	std::shared_ptr<caller_exchange> exchange;
+	std::shared_ptr<const gateway_configuration> configuration;
+	const gateway_route *route = nullptr;
+	const gateway_customer *customer = nullptr; ///< nullptr for public routes.
+	std::string service;
+	caller_request facts;
+};
+
+/**
+ * Carries one request: its stages, its sends to endpoints, the answer. It ends by its hook exactly once; destroying it
+ * cancels everything it started.
+ */
+class gateway_request {
+	request_services &_services;
+	admitted_request _request;
+	std::function<void()> _on_end;
+	instant _started;
+	instant _deadline; ///< The caller's.
+	instant _give_up_at; ///< The caller's deadline or the route's time-out.
+	stage_graph _stages;
+	std::map<std::uint64_t, std::size_t> _works; ///< Stage of each piece of work asked for.
+	timer _give_up_timer;
+	timer _retry_timer;
+	exchange_id _exchange = 0;
+	endpoint_id _endpoint = 0; ///< Of the newest send.
+	std::string _endpoint_name;
+	instant _sent_at{};
+	std::vector<endpoint_id> _avoid;
+	verdict_tally _tally;
+	int _sends = 0;
+	int _runs = 0; ///< Sends that may have run.
+	int _restarts = 0;
+	int _resumes = 0;
+	http_head _answer_head;
+	endpoint_answer _answer;
+	std::string _answer_body;
+	event_splitter _events;
+	bool _answer_started = false; ///< Its head went to the caller.
+	bool _stages_released = false;
+	bool _ended = false;
+
+	bool _is_engine() const;
+	router &_get_router() const;
+	bool _may_repeat_run() const;
+	bool _try_repeat_budget();
+	std::uint64_t _get_affinity_key() const;
+	void _advance_stages();
+	void _on_work_ended(std::uint64_t p_id, std::size_t p_stage, const work_result &p_result);
+	void _cancel_works();
+	void _remake_results();
+	void _release_spent();
+	void _release_all();
+	void _send();
+	void _on_head(const http_head &p_head);
+	void _on_body(std::string_view p_bytes);
+	void _on_end_of_answer(channel_end p_end);
+	void _on_stream_end(channel_end p_end);
+	void _on_whole_answer();
+	void _on_not_run();
+	void _on_failure(reason p_reason);
+	void _observe(const outcome &p_result);
+	bool _resume();
+	void _pass_answer();
+	void _refuse(reason p_reason, duration p_retry_after);
+	void _fail(reason p_reason);
+	void _on_give_up();
+	void _on_caller_gone();
+	void _finish(const outcome &p_result, int p_status);
+
+public:
+	gateway_request(request_services &p_services, admitted_request p_request, std::function<void()> p_on_end);
+	~gateway_request();
+	gateway_request(const gateway_request &) = delete;
+	gateway_request &operator=(const gateway_request &) = delete;
+
+	/** Begins the work. */
+	void start();
+};
+
+} // namespace calicoscale
+
+#endif // GATEWAY_REQUEST_H
--- /dev/null
+++ b/main/gateway_settings.cpp
@@ -0,0 +1,61 @@
+/*
+ * calicoscale: gateway_settings.cpp
+ * Settings of a gateway, read from a checked JSON document.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway_settings.h"
+
+#include "servers/configuration/document_schema.h"
+
+#include <nlohmann/json.hpp>
+
+namespace calicoscale {
+
+namespace {
+
+using json = nlohmann::json;
+
+network_address read_address(const json &p_document, const char *p_name, std::vector<document_problem> &r_problems) {
+	const std::string text = p_document.at(p_name).get<std::string>();
+	const network_address address = parse_network_address(text);
+	if (address.port == 0 && !text.ends_with(":0")) {
+		r_problems.push_back(document_problem{ std::string("/") + p_name, "\"" + text + "\"", "an IPv4 address and a port" });
+	}
+	return address;
+}
+
+} // namespace
+
+gateway_settings parse_gateway_settings(std::string_view p_text) {
+	const json document = parse_checked(schema_name::GATEWAY_SETTINGS, p_text);
+	std::vector<document_problem> problems;
+	gateway_settings settings;
+	settings.vm = document.at("vm").get<std::string>();
+	settings.zone = document.at("zone").get<std::string>();
+	settings.region = document.value("region", "");
+	settings.caller_address = read_address(document, "caller_address", problems);
+	settings.readiness_address = read_address(document, "readiness_address", problems);
+	settings.link_address = read_address(document, "link_address", problems);
+	settings.store_address = read_address(document, "store_address", problems);
+	if (document.contains("metrics_address")) {
+		settings.metrics_address = read_address(document, "metrics_address", problems);
+	}
+	for (const json &peer : document.value("peers", json::array())) {
+		settings.peers.push_back(parse_network_address(peer.get<std::string>()));
+	}
+	settings.fleet_key = document.value("fleet_key", "");
+	const json retries = document.value("retries", json::object());
+	settings.retries.ratio = retries.value("ratio", settings.retries.ratio);
+	settings.retries.slack = retries.value("slack", settings.retries.slack);
+	settings.retries.window = from_seconds(retries.value("window_seconds", to_seconds(settings.retries.window)));
+	settings.stop_grace = from_seconds(document.value("stop_grace_seconds", to_seconds(settings.stop_grace)));
+	if (!problems.empty()) {
+		throw document_error(std::move(problems));
+	}
+	return settings;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/gateway_settings.h
@@ -0,0 +1,47 @@
+/*
+ * calicoscale: gateway_settings.h
+ * Settings of a gateway, read from a checked JSON document.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef GATEWAY_SETTINGS_H
+#define GATEWAY_SETTINGS_H
+
+#include "core/document_problem.h"
+#include "servers/gateway/retry_window.h"
+#include "servers/routing/endpoint_state.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace calicoscale {
+
+/** Settings of one gateway node. */
+struct gateway_settings {
+	std::string vm;
+	std::string zone;
+	std::string region;
+	network_address caller_address;
+	network_address readiness_address;
+	network_address link_address;
+	std::optional<network_address> metrics_address;
+	network_address store_address;
+	std::vector<network_address> peers; ///< Links to try before members are known; any may be stale.
+	std::string fleet_key; ///< Shared by the nodes; empty admits every peer.
+	retry_bounds retries;
+	duration stop_grace = std::chrono::seconds(8); ///< From the stop signal until the process is killed.
+};
+
+/**
+ * Parses and checks settings.
+ * @throws document_error with every mistake found.
+ */
+gateway_settings parse_gateway_settings(std::string_view p_text);
+
+} // namespace calicoscale
+
+#endif // GATEWAY_SETTINGS_H
--- a/main/program.cpp
+++ b/main/program.cpp
@@ -25,9 +25,10 @@
 	std::function<exit_code(const arguments &)> run;
 };
 
-const std::array<command_row, 8> &get_commands() {
-	static const std::array<command_row, 8> commands{ {
+const std::array<command_row, 9> &get_commands() {
+	static const std::array<command_row, 9> commands{ {
 			{ "serve", "--settings FILE            run an entry node", run_serve },
+			{ "gateway", "--settings FILE            run an entry node on a platform with a keyed store", run_gateway },
 			{ "check", "FILE                       check settings or a configuration", run_check },
 			{ "config", "publish FILE|show|history  the configuration", run_config },
 			{ "status", "                           nodes, pools and versions in force", run_status },
--- /dev/null
+++ b/main/stage_dispatcher.cpp
@@ -0,0 +1,403 @@
+/*
+ * calicoscale: stage_dispatcher.cpp
+ * Hands stage work to the node that dispatches its pool, and dispatches the pools that are this node's.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/stage_dispatcher.h"
+
+#include "core/digest.h"
+#include "platform/request_codec.h"
+#include "platform/stage_codec.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr duration TICK = std::chrono::milliseconds(30);
+/** A longer gap between ticks means that this process stood still; by then others do what was handed to it. */
+constexpr duration PAUSE = std::chrono::milliseconds(600);
+constexpr int OK_STATUS = 200;
+constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
+
+call_end get_call_end(channel_end p_end, int p_status, bool p_did_not_run) {
+	if (p_end == channel_end::CONNECT_FAILED) {
+		return call_end::UNREACHABLE;
+	}
+	if (p_end != channel_end::COMPLETE) {
+		return call_end::BROKEN;
+	}
+	if (p_did_not_run) {
+		return call_end::REFUSED;
+	}
+	return p_status == OK_STATUS ? call_end::ANSWERED : call_end::BROKEN;
+}
+
+} // namespace
+
+stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet) :
+		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _tick_timer(p_context.loop, [this] { _tick(); }) {
+	node_link &link = _fleet.get_link();
+	link.work_handed().connect([this](const std::string &p_vm, const hand_work_message &p_message) { _on_work_handed(p_vm, p_message); });
+	link.work_ended().connect([this](const std::string &p_vm, const work_ended_message &p_message) {
+		const auto found = _own.find(p_message.id);
+		if (found != _own.end() && found->second.node == p_vm) {
+			_end_own(p_message.id, work_result{ p_message.id, static_cast<work_end>(p_message.end), p_message.handles });
+		}
+	});
+	link.work_cancelled().connect([this](const std::string &p_vm, const cancel_work_message &p_message) {
+		const auto found = _pools.find(p_message.pool);
+		if (found != _pools.end()) {
+			_cancel_accepted(found->second, p_vm, p_message.id);
+		}
+	});
+	link.results_released().connect([this](const std::string &, const release_results_message &p_message) {
+		_release(_pools[p_message.pool], p_message.handles);
+	});
+	_fleet.peer_lost().connect([this](const std::string &p_vm) { _on_peer_lost(p_vm); });
+}
+
+void stage_dispatcher::start() {
+	_ticked_at = event_loop::now();
+	_tick_timer.set(TICK);
+}
+
+void stage_dispatcher::set_endpoints(const std::vector<endpoint_listing> &p_listings) {
+	const std::shared_ptr<const gateway_configuration> &configuration = _configuration.get_current();
+	if (!configuration) {
+		return;
+	}
+	std::map<std::string, std::vector<endpoint_listing>> by_pool;
+	for (const endpoint_listing &listing : p_listings) {
+		if (!listing.leaving) {
+			by_pool[listing.pool].push_back(listing);
+		}
+	}
+	for (const auto &[name, service] : configuration->services) {
+		if (service.stage_pool) {
+			stage_pool &pool = _pools[name].pool;
+			pool.set_spec(*service.stage_pool);
+			pool.set_replicas(by_pool[name]);
+		}
+	}
+	_pump_soon();
+}
+
+std::string stage_dispatcher::_choose_node(const std::string &p_pool, const std::string &p_except) const {
+	std::string best = _fleet.get_vm();
+	std::uint64_t best_score = 0;
+	for (const std::string &vm : _fleet.get_live_nodes()) {
+		const std::uint64_t score = hash_bytes(p_pool + "/" + vm);
+		if (vm != p_except && score > best_score) {
+			best = vm;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+std::uint64_t stage_dispatcher::submit(const std::string &p_pool, stage_work p_work, end_hook p_hook) {
+	const std::uint64_t id = _next_own++;
+	_own.emplace(id, own_work{ p_pool, std::move(p_work), "", std::move(p_hook) });
+	_assign(id, "");
+	return id;
+}
+
+void stage_dispatcher::_assign(std::uint64_t p_id, const std::string &p_except) {
+	own_work &own = _own.at(p_id);
+	own.node = _choose_node(own.pool, p_except);
+	if (own.node != _fleet.get_vm()) {
+		const instant now = event_loop::now();
+		hand_work_message message;
+		message.id = p_id;
+		message.pool = own.pool;
+		message.attempt = own.work.attempt;
+		message.stage = static_cast<std::uint32_t>(own.work.stage);
+		message.pieces = static_cast<std::uint32_t>(own.work.pieces);
+		message.caller_key = own.work.caller_key;
+		message.inputs = own.work.inputs;
+		message.give_up_in = own.work.give_up_at - now;
+		message.objective_in = own.work.objective_at - now;
+		message.priority = own.work.priority;
+		message.zone = own.work.zone;
+		message.result_bytes = own.work.result_bytes;
+		if (_fleet.get_link().send(own.node, message)) {
+			return;
+		}
+		own.node = _fleet.get_vm();
+	}
+	_accept(own.pool, "", p_id, own.work);
+}
+
+void stage_dispatcher::_accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work) {
+	pool_entry &entry = _pools[p_pool];
+	const instant now = event_loop::now();
+	const work_id id = _next_accepted++;
+	entry.accepted[id] = accepted_work{ p_node, p_id };
+	entry.by_owner[{ p_node, p_id }] = id;
+	entry.repeats.on_request(_context.settings.retries, now);
+	entry.pool.add(id, std::move(p_work), now);
+	_pump_soon();
+}
+
+void stage_dispatcher::_on_work_handed(const std::string &p_vm, const hand_work_message &p_message) {
+	constexpr std::uint32_t MOST_PIECES = 4096;
+	if (p_message.pieces == 0 || p_message.pieces > MOST_PIECES) {
+		_context.metrics.count("work_rejected");
+		_context.log.write(log_line("work_rejected").add("node", p_vm).add("pieces", static_cast<long long>(p_message.pieces)));
+		return;
+	}
+	const instant now = event_loop::now();
+	stage_work work;
+	work.attempt = p_message.attempt;
+	work.stage = p_message.stage;
+	work.pieces = p_message.pieces;
+	work.caller_key = p_message.caller_key;
+	work.inputs = p_message.inputs;
+	work.give_up_at = now + p_message.give_up_in;
+	work.objective_at = now + p_message.objective_in;
+	work.priority = p_message.priority;
+	work.zone = p_message.zone;
+	work.result_bytes = static_cast<std::size_t>(p_message.result_bytes);
+	_accept(p_message.pool, p_vm, p_message.id, std::move(work));
+}
+
+void stage_dispatcher::_cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id) {
+	const auto found = p_entry.by_owner.find({ p_node, p_id });
+	if (found == p_entry.by_owner.end()) {
+		return;
+	}
+	p_entry.pool.cancel(found->second);
+	p_entry.accepted.erase(found->second);
+	p_entry.by_owner.erase(found);
+}
+
+void stage_dispatcher::cancel(std::uint64_t p_id) {
+	const auto found = _own.find(p_id);
+	if (found == _own.end()) {
+		return;
+	}
+	const own_work own = std::move(found->second);
+	_own.erase(found);
+	if (own.node == _fleet.get_vm()) {
+		_cancel_accepted(_pools[own.pool], "", p_id);
+	} else {
+		_fleet.get_link().send(own.node, cancel_work_message{ p_id, own.pool });
+	}
+}
+
+void stage_dispatcher::_end_own(std::uint64_t p_id, const work_result &p_result) {
+	const auto found = _own.find(p_id);
+	if (found == _own.end()) {
+		return;
+	}
+	const own_work own = std::move(found->second);
+	_own.erase(found);
+	own.hook(p_result);
+}
+
+void stage_dispatcher::_on_peer_lost(const std::string &p_vm) {
+	std::vector<std::uint64_t> moved;
+	for (const auto &[id, own] : _own) {
+		if (own.node == p_vm) {
+			moved.push_back(id);
+		}
+	}
+	for (const std::uint64_t id : moved) {
+		_assign(id, p_vm);
+	}
+	for (auto &[name, entry] : _pools) {
+		std::vector<std::uint64_t> orphans;
+		for (const auto &[owner, id] : entry.by_owner) {
+			if (owner.first == p_vm) {
+				orphans.push_back(owner.second);
+			}
+		}
+		for (const std::uint64_t id : orphans) {
+			_cancel_accepted(entry, p_vm, id);
+		}
+	}
+	if (!moved.empty()) {
+		_context.log.write(log_line("work_moved").add("from", p_vm).add("count", static_cast<long long>(moved.size())));
+	}
+}
+
+void stage_dispatcher::_pump_soon() {
+	if (_pump_posted) {
+		return;
+	}
+	_pump_posted = true;
+	_context.loop.post([this] {
+		_pump_posted = false;
+		_pump();
+	});
+}
+
+void stage_dispatcher::_pump() {
+	for (auto &[name, entry] : _pools) {
+		_pump_pool(name, entry);
+	}
+}
+
+void stage_dispatcher::_pump_pool(const std::string &p_name, pool_entry &p_entry) {
+	const instant now = event_loop::now();
+	for (std::optional<stage_call> call = p_entry.pool.next_call(now); call; call = p_entry.pool.next_call(now)) {
+		_send_call(p_name, p_entry, *call);
+	}
+	_report_ended(p_entry);
+	_release(p_entry, p_entry.pool.take_unwanted());
+}
+
+void stage_dispatcher::_send_call(const std::string &p_name, pool_entry &p_entry, const stage_call &p_call) {
+	const instant now = event_loop::now();
+	std::vector<stage_call_item> items;
+	items.reserve(p_call.items.size());
+	for (const stage_item &item : p_call.items) {
+		const stage_work *work = p_entry.pool.find_work(item.work);
+		items.push_back(stage_call_item{ work, item.piece, work->give_up_at - now });
+	}
+	channel_request request;
+	request.endpoint = p_call.replica;
+	request.to = p_call.to;
+	request.bytes = write_stage_call(p_call.replica, p_call.to, items);
+	request.longest_idle = REPLICA_IDLE;
+	struct answer_state {
+		int status = 0;
+		bool did_not_run = false;
+		std::string body;
+	};
+	const std::shared_ptr<answer_state> answer = std::make_shared<answer_state>();
+	channel_hooks hooks;
+	hooks.on_head = [answer](const http_head &p_head) {
+		answer->status = p_head.status;
+		answer->did_not_run = read_endpoint_answer(p_head).did_not_run;
+	};
+	hooks.on_body = [answer](std::string_view p_bytes) { answer->body.append(p_bytes); };
+	hooks.on_end = [this, p_name, p_call, answer](channel_end p_end) {
+		_on_call_ended(p_name, p_call, p_end, answer->status, answer->did_not_run, answer->body);
+	};
+	_context.metrics.count("stage_calls");
+	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
+	_context.log.write_request(log_line("stage_call").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("pieces", static_cast<long long>(p_call.items.size())).add("first", items.front().work->attempt).add("waiting", static_cast<long long>(p_entry.pool.get_waiting_pieces())));
+	_context.channels.start(std::move(request), std::move(hooks));
+}
+
+void stage_dispatcher::_on_call_ended(const std::string &p_name, const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body) {
+	pool_entry &entry = _pools[p_name];
+	const call_end end = get_call_end(p_end, p_status, p_did_not_run);
+	std::vector<item_result> results;
+	if (end == call_end::ANSWERED) {
+		results = read_stage_answer(p_body, p_call.items.size());
+	}
+	if (end != call_end::ANSWERED || results.empty()) {
+		_context.metrics.count("stage_calls_failed");
+		_context.log.write_request(log_line("stage_call_failed").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("end", get_name(p_end)).add("status", static_cast<long long>(p_status)));
+	}
+	entry.pool.on_call_ended(p_call.id, end, results, event_loop::now());
+	_pump_pool(p_name, entry);
+}
+
+void stage_dispatcher::_report_ended(pool_entry &p_entry) {
+	for (const work_result &result : p_entry.pool.take_ended()) {
+		const auto found = p_entry.accepted.find(result.id);
+		if (found == p_entry.accepted.end()) {
+			_release(p_entry, result.handles);
+			continue;
+		}
+		const accepted_work accepted = found->second;
+		p_entry.accepted.erase(found);
+		p_entry.by_owner.erase({ accepted.node, accepted.id });
+		if (accepted.node.empty()) {
+			_end_own(accepted.id, work_result{ accepted.id, result.end, result.handles });
+		} else {
+			_fleet.get_link().send(accepted.node, work_ended_message{ accepted.id, static_cast<std::uint8_t>(result.end), result.handles });
+		}
+	}
+}
+
+void stage_dispatcher::release(const std::string &p_pool, const std::vector<std::string> &p_handles) {
+	if (p_handles.empty()) {
+		return;
+	}
+	const std::string node = _choose_node(p_pool, "");
+	if (node != _fleet.get_vm() && _fleet.get_link().send(node, release_results_message{ p_pool, p_handles })) {
+		return;
+	}
+	_release(_pools[p_pool], p_handles);
+}
+
+void stage_dispatcher::_release(pool_entry &p_entry, const std::vector<std::string> &p_handles) {
+	if (p_handles.empty()) {
+		return;
+	}
+	p_entry.pool.on_released(p_handles);
+	for (const std::string &handle : p_handles) {
+		p_entry.to_release[to_string(get_maker(handle))].push_back(handle);
+	}
+}
+
+void stage_dispatcher::_send_releases(pool_entry &p_entry) {
+	for (const auto &[maker, handles] : p_entry.to_release) {
+		channel_request request;
+		request.endpoint = "release/" + maker;
+		request.to = parse_network_address(maker);
+		request.bytes = write_release(request.to, handles);
+		request.longest_idle = REPLICA_IDLE;
+		channel_hooks hooks;
+		hooks.on_end = [this, maker](channel_end p_end) {
+			if (p_end != channel_end::COMPLETE) {
+				// The results expire by themselves; until then their room is taken.
+				_context.metrics.count("releases_failed");
+				_context.log.write_request(log_line("release_failed").add("maker", maker).add("end", get_name(p_end)));
+			}
+		};
+		_context.channels.start(std::move(request), std::move(hooks));
+	}
+	p_entry.to_release.clear();
+}
+
+void stage_dispatcher::_forget_after_pause() {
+	for (auto &[name, entry] : _pools) {
+		std::vector<std::pair<std::string, std::uint64_t>> handed;
+		for (const auto &[owner, id] : entry.by_owner) {
+			if (!owner.first.empty()) {
+				handed.push_back(owner);
+			}
+		}
+		for (const auto &[node, id] : handed) {
+			_cancel_accepted(entry, node, id);
+		}
+		if (!handed.empty()) {
+			_context.log.write(log_line("work_forgotten_after_pause").add("pool", name).add("count", static_cast<long long>(handed.size())));
+		}
+	}
+}
+
+void stage_dispatcher::_tick() {
+	const instant now = event_loop::now();
+	if (now - _ticked_at > PAUSE) {
+		_forget_after_pause();
+	}
+	_ticked_at = now;
+	const std::size_t nodes = 1;
+	for (auto &[name, entry] : _pools) {
+		entry.pool.tick([this, &entry, now, nodes] { return entry.repeats.try_repeat(_context.settings.retries, nodes, now); }, now);
+		_pump_pool(name, entry);
+		_send_releases(entry);
+	}
+	_tick_timer.set(TICK);
+}
+
+std::size_t stage_dispatcher::get_accepted_count() const {
+	std::size_t count = 0;
+	for (const auto &[name, entry] : _pools) {
+		count += entry.accepted.size();
+	}
+	return count;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/stage_dispatcher.h
@@ -0,0 +1,106 @@
+/*
+ * calicoscale: stage_dispatcher.h
+ * Hands stage work to the node that dispatches its pool, and dispatches the pools that are this node's.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef STAGE_DISPATCHER_H
+#define STAGE_DISPATCHER_H
+
+#include "main/gateway_fleet.h"
+#include "servers/gateway/stage_pool.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace calicoscale {
+
+/**
+ * One live node dispatches each pool, chosen by hashing names, so that pieces of all nodes share calls. Nothing is
+ * agreed on: while views differ two nodes may dispatch the same pool, which costs some fill and breaks nothing. Work
+ * handed to a node that falls silent is handed to another; pieces may be made again.
+ */
+class stage_dispatcher {
+	using end_hook = std::function<void(const work_result &)>;
+
+	/** Work of a request of this node. */
+	struct own_work {
+		std::string pool;
+		stage_work work;
+		std::string node; ///< Who dispatches it.
+		end_hook hook;
+	};
+
+	/** Work in a pool of this node. */
+	struct accepted_work {
+		std::string node; ///< Whose it is; empty for this node's own.
+		std::uint64_t id = 0; ///< As its owner gave it.
+	};
+
+	struct pool_entry {
+		stage_pool pool;
+		retry_window repeats;
+		std::unordered_map<work_id, accepted_work> accepted;
+		std::map<std::pair<std::string, std::uint64_t>, work_id> by_owner;
+		std::map<std::string, std::vector<std::string>> to_release; ///< By the address of their maker.
+	};
+
+	gateway_context &_context;
+	configuration_follower &_configuration;
+	gateway_fleet &_fleet;
+	std::map<std::uint64_t, own_work> _own;
+	std::map<std::string, pool_entry> _pools;
+	std::uint64_t _next_own = 1;
+	work_id _next_accepted = 1;
+	timer _tick_timer;
+	instant _ticked_at{};
+	bool _pump_posted = false;
+
+	std::string _choose_node(const std::string &p_pool, const std::string &p_except) const;
+	void _assign(std::uint64_t p_id, const std::string &p_except);
+	void _accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work);
+	void _cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id);
+	void _end_own(std::uint64_t p_id, const work_result &p_result);
+	void _pump_soon();
+	void _pump();
+	void _pump_pool(const std::string &p_name, pool_entry &p_entry);
+	void _send_call(const std::string &p_name, pool_entry &p_entry, const stage_call &p_call);
+	void _on_call_ended(const std::string &p_name, const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body);
+	void _report_ended(pool_entry &p_entry);
+	void _release(pool_entry &p_entry, const std::vector<std::string> &p_handles);
+	void _send_releases(pool_entry &p_entry);
+	void _tick();
+	void _forget_after_pause();
+	void _on_peer_lost(const std::string &p_vm);
+	void _on_work_handed(const std::string &p_vm, const hand_work_message &p_message);
+
+public:
+	stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet);
+
+	void start();
+
+	/** Takes the endpoints of all pools. */
+	void set_endpoints(const std::vector<endpoint_listing> &p_listings);
+
+	/** Asks for the pieces of a stage. The hook is called once unless the work is cancelled. */
+	std::uint64_t submit(const std::string &p_pool, stage_work p_work, end_hook p_hook);
+
+	/** Nobody waits for the work any more. */
+	void cancel(std::uint64_t p_id);
+
+	/** Tells the makers that these results are needed no more. */
+	void release(const std::string &p_pool, const std::vector<std::string> &p_handles);
+
+	/** This node stops: its pools pass to others as their work ends. */
+	std::size_t get_accepted_count() const;
+};
+
+} // namespace calicoscale
+
+#endif // STAGE_DISPATCHER_H
--- a/misc/scripts/install.sh
+++ b/misc/scripts/install.sh
@@ -4,7 +4,7 @@
 
 packages=(
 	g++ cmake ninja-build pkg-config clang-format clang-tidy ccache curl jq cpio
-	libsigc++-3.0-dev libevent-dev libflatbuffers-dev flatbuffers-compiler
+	libsigc++-3.0-dev libevent-dev libhttp-parser-dev libflatbuffers-dev flatbuffers-compiler
 	prometheus-cpp-dev libboost-program-options-dev libgoogle-glog-dev
 	librapidcheck-dev libgtest-dev libbenchmark-dev nlohmann-json3-dev libvalijson-dev libxxhash-dev libssl-dev
 )
--- a/servers/configuration/document_schema.cpp
+++ b/servers/configuration/document_schema.cpp
@@ -68,6 +68,8 @@
 			return SETTINGS_SCHEMA;
 		case schema_name::MIX:
 			return MIX_SCHEMA;
+		case schema_name::GATEWAY_SETTINGS:
+			return GATEWAY_SETTINGS_SCHEMA;
 	}
 	return "{}";
 }
--- a/servers/configuration/document_schema.h
+++ b/servers/configuration/document_schema.h
@@ -24,6 +24,7 @@
 	CONFIGURATION,
 	SETTINGS,
 	MIX,
+	GATEWAY_SETTINGS,
 };
 
 /** Text of a shipped schema. */
--- a/servers/configuration/embedded_schemas.h
+++ b/servers/configuration/embedded_schemas.h
@@ -16,6 +16,7 @@
 extern const std::string_view CONFIGURATION_SCHEMA;
 extern const std::string_view SETTINGS_SCHEMA;
 extern const std::string_view MIX_SCHEMA;
+extern const std::string_view GATEWAY_SETTINGS_SCHEMA;
 
 } // namespace calicoscale
 
--- /dev/null
+++ b/servers/gateway/endpoint_directory.cpp
@@ -0,0 +1,122 @@
+/*
+ * calicoscale: endpoint_directory.cpp
+ * Endpoints as they keep themselves in a keyed log, folded by name.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/endpoint_directory.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+/** The log is read about once a second; no answer for so long means that it was away. */
+constexpr duration OUTAGE = std::chrono::milliseconds(2600);
+/** Endpoints that live and reach the log are back in it within two seconds of its return. */
+constexpr duration RETURN_TIME = std::chrono::milliseconds(2000);
+
+} // namespace
+
+bool endpoint_directory::_is_after_outage(instant p_now) const {
+	return _returned_at != instant{} && p_now - _returned_at < RETURN_TIME;
+}
+
+void endpoint_directory::on_read(instant p_now) {
+	if (_read_at != instant{} && p_now - _read_at > OUTAGE) {
+		_returned_at = p_now;
+	}
+	_read_at = p_now;
+	_loaded = true;
+}
+
+void endpoint_directory::put(const endpoint_listing &p_listing) {
+	if (p_listing.leaving && _left.insert(p_listing.vm).second) {
+		_news.push_back(p_listing.vm);
+	}
+	known_endpoint entry{ p_listing, std::nullopt };
+	entry.listing.leaving = _left.contains(p_listing.vm);
+	const auto found = _endpoints.find(p_listing.vm);
+	if (found != _endpoints.end() && found->second.listing == entry.listing && !found->second.dropped_at) {
+		return;
+	}
+	_endpoints[p_listing.vm] = std::move(entry);
+	_changed = true;
+}
+
+void endpoint_directory::drop(const std::string &p_name, instant p_now) {
+	const auto found = _endpoints.find(p_name);
+	if (found == _endpoints.end()) {
+		return;
+	}
+	if (_is_after_outage(p_now) && !found->second.listing.leaving) {
+		found->second.dropped_at = found->second.dropped_at.value_or(p_now);
+		return;
+	}
+	_endpoints.erase(found);
+	_changed = true;
+}
+
+void endpoint_directory::replace(const std::vector<endpoint_listing> &p_listings, instant p_now) {
+	std::set<std::string> names;
+	for (const endpoint_listing &listing : p_listings) {
+		names.insert(listing.vm);
+		put(listing);
+	}
+	std::vector<std::string> missing;
+	for (const auto &[name, entry] : _endpoints) {
+		if (!names.contains(name)) {
+			missing.push_back(name);
+		}
+	}
+	for (const std::string &name : missing) {
+		drop(name, p_now);
+	}
+}
+
+bool endpoint_directory::mark_leaving(const std::string &p_name) {
+	if (!_left.insert(p_name).second) {
+		return false;
+	}
+	_news.push_back(p_name);
+	const auto found = _endpoints.find(p_name);
+	if (found != _endpoints.end()) {
+		found->second.listing.leaving = true;
+		_changed = true;
+	}
+	return true;
+}
+
+void endpoint_directory::tick(instant p_now) {
+	const std::size_t before = _endpoints.size();
+	std::erase_if(_endpoints, [this, p_now](const auto &p_entry) {
+		return p_entry.second.dropped_at && p_now - _returned_at >= RETURN_TIME;
+	});
+	_changed = _changed || _endpoints.size() != before;
+}
+
+std::vector<endpoint_listing> endpoint_directory::get_listings() const {
+	std::vector<endpoint_listing> listings;
+	listings.reserve(_endpoints.size());
+	for (const auto &[name, entry] : _endpoints) {
+		listings.push_back(entry.listing);
+	}
+	return listings;
+}
+
+bool endpoint_directory::take_changed() {
+	const bool changed = _changed;
+	_changed = false;
+	return changed;
+}
+
+std::vector<std::string> endpoint_directory::take_news() {
+	std::vector<std::string> news;
+	news.swap(_news);
+	return news;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/gateway/endpoint_directory.h
@@ -0,0 +1,78 @@
+/*
+ * calicoscale: endpoint_directory.h
+ * Endpoints as they keep themselves in a keyed log, folded by name.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ENDPOINT_DIRECTORY_H
+#define ENDPOINT_DIRECTORY_H
+
+#include "core/time.h"
+#include "servers/routing/endpoint_state.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/**
+ * Folds entries into the list of endpoints. An endpoint that said it leaves never comes back under its name. Entries
+ * that went while the log was away may have lapsed only because nobody could renew them: these endpoints stay in use
+ * until a short time after the log's return.
+ */
+class endpoint_directory {
+	struct known_endpoint {
+		endpoint_listing listing;
+		std::optional<instant> dropped_at; ///< Went with an outage of the log; kept for a while.
+	};
+
+	std::map<std::string, known_endpoint> _endpoints;
+	std::set<std::string> _left; ///< Names that said they leave.
+	std::vector<std::string> _news; ///< Names that were found to leave since the last call.
+	instant _read_at{};
+	instant _returned_at{}; ///< End of the last outage seen.
+	bool _loaded = false;
+	bool _changed = false;
+
+	bool _is_after_outage(instant p_now) const;
+
+public:
+	/** The log answered. Call it before the records of that answer are taken in. */
+	void on_read(instant p_now);
+
+	/** An endpoint's entry was written. */
+	void put(const endpoint_listing &p_listing);
+
+	/** An endpoint's entry went. */
+	void drop(const std::string &p_name, instant p_now);
+
+	/** Takes a whole reading of all entries. */
+	void replace(const std::vector<endpoint_listing> &p_listings, instant p_now);
+
+	/** A peer knows that an endpoint leaves. Returns whether that was news. */
+	bool mark_leaving(const std::string &p_name);
+
+	/** Lets time pass. */
+	void tick(instant p_now);
+
+	/** All endpoints, those that leave included. */
+	std::vector<endpoint_listing> get_listings() const;
+
+	/** Whether get_listings() would tell something new since the last call. */
+	bool take_changed();
+
+	/** Endpoints found to leave since the last call, to tell peers. */
+	std::vector<std::string> take_news();
+
+	bool is_loaded() const { return _loaded; }
+	std::size_t get_size() const { return _endpoints.size(); }
+};
+
+} // namespace calicoscale
+
+#endif // ENDPOINT_DIRECTORY_H
--- /dev/null
+++ b/servers/gateway/retry_window.cpp
@@ -0,0 +1,58 @@
+/*
+ * calicoscale: retry_window.cpp
+ * Bounds the repeats of all nodes at one service by a sliding window.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/retry_window.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+/** Part of the bounds that is used; the rest covers restarts and views that differ. */
+constexpr double USED_PART = 0.6;
+constexpr long BUCKETS_PER_WINDOW = 10;
+
+long get_index(const retry_bounds &p_bounds, instant p_now) {
+	return static_cast<long>(p_now.time_since_epoch() / (p_bounds.window / BUCKETS_PER_WINDOW));
+}
+
+} // namespace
+
+retry_window::bucket &retry_window::_get_bucket(const retry_bounds &p_bounds, instant p_now) {
+	const long index = get_index(p_bounds, p_now);
+	bucket &current = _buckets[static_cast<std::size_t>(index) % BUCKETS];
+	if (current.index != index) {
+		current = bucket{ index, 0.0, 0.0 };
+	}
+	return current;
+}
+
+void retry_window::on_request(const retry_bounds &p_bounds, instant p_now) {
+	_get_bucket(p_bounds, p_now).requests += 1.0;
+}
+
+bool retry_window::try_repeat(const retry_bounds &p_bounds, std::size_t p_nodes, instant p_now) {
+	const long oldest = get_index(p_bounds, p_now) - BUCKETS_PER_WINDOW;
+	double requests = 0.0;
+	double repeats = 0.0;
+	for (const bucket &entry : _buckets) {
+		if (entry.index >= oldest) {
+			requests += entry.requests;
+			repeats += entry.repeats;
+		}
+	}
+	const double nodes = static_cast<double>(std::max<std::size_t>(1, p_nodes));
+	if (repeats + 1.0 > USED_PART * (p_bounds.ratio * requests + p_bounds.slack / nodes)) {
+		return false;
+	}
+	_get_bucket(p_bounds, p_now).repeats += 1.0;
+	return true;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/gateway/stage_pool.cpp
@@ -0,0 +1,404 @@
+/*
+ * calicoscale: stage_pool.cpp
+ * Shares the calls of one stage pool among the requests of all nodes.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/stage_pool.h"
+
+#include "core/enum_names.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace calicoscale {
+
+namespace {
+
+/** What one rank of priority is worth in time left; about one call of the pools seen. */
+constexpr duration PRIORITY_STEP = std::chrono::milliseconds(250);
+/** Work that cannot be in time goes behind all that can, whatever its priority. */
+constexpr duration LATE_PENALTY = std::chrono::seconds(30);
+/** Delay worth taking to make a large result in the zone where it is used. */
+constexpr duration ZONE_PENALTY = std::chrono::milliseconds(120);
+/** A call is made anew when it takes this many times what it should, and the margin. */
+constexpr double OVERRUN_FACTOR = 2.0;
+constexpr duration OVERRUN_MARGIN = std::chrono::milliseconds(150);
+constexpr int MOST_TRIES = 3;
+constexpr duration FULL_BLOCK = std::chrono::milliseconds(60);
+constexpr duration ROOM_BLOCK = std::chrono::milliseconds(150);
+constexpr duration FIRST_FAILURE_BLOCK = std::chrono::milliseconds(300);
+constexpr int MOST_BLOCK_DOUBLINGS = 4;
+constexpr double SLOWNESS_STEP = 0.4;
+constexpr double SLOWNESS_HIGHEST = 20.0;
+/** Part of a replica's room that this dispatcher fills; the rest covers others and late releases. */
+constexpr double ROOM_PART = 0.9;
+
+constexpr std::array<enum_name<work_end>, 4> END_NAMES{ {
+		{ work_end::DONE, "done" },
+		{ work_end::INPUT_GONE, "input_gone" },
+		{ work_end::LATE, "late" },
+		{ work_end::FAILED, "failed" },
+} };
+
+} // namespace
+
+std::string_view get_name(work_end p_end) {
+	return find_name(END_NAMES, p_end);
+}
+
+void stage_pool::set_replicas(const std::vector<endpoint_listing> &p_replicas) {
+	for (auto &[id, replica] : _replicas) {
+		replica.listed = false;
+	}
+	for (const endpoint_listing &listing : p_replicas) {
+		replica_state &replica = _replicas[listing.vm];
+		replica.listing = listing;
+		replica.listed = true;
+	}
+	std::erase_if(_replicas, [](const auto &p_entry) { return !p_entry.second.listed && p_entry.second.calls == 0; });
+}
+
+void stage_pool::add(work_id p_id, stage_work p_work, instant p_now) {
+	queued_work entry;
+	entry.states.assign(p_work.pieces, piece_state::WAITING);
+	entry.tries.assign(p_work.pieces, 0);
+	entry.handles.resize(p_work.pieces);
+	entry.waiting = p_work.pieces;
+	entry.missing = p_work.pieces;
+	entry.queued_at = p_now;
+	entry.work = std::move(p_work);
+	_waiting_pieces += entry.waiting;
+	_works.emplace(p_id, std::move(entry));
+}
+
+void stage_pool::cancel(work_id p_id) {
+	const auto found = _works.find(p_id);
+	if (found == _works.end()) {
+		return;
+	}
+	for (const std::string &handle : found->second.handles) {
+		if (!handle.empty()) {
+			_unwanted.insert(handle);
+		}
+	}
+	_waiting_pieces -= found->second.waiting;
+	_works.erase(found);
+}
+
+void stage_pool::_end(work_id p_id, work_end p_end) {
+	queued_work &entry = _works.at(p_id);
+	work_result result{ p_id, p_end, {} };
+	if (p_end == work_end::DONE) {
+		result.handles = std::move(entry.handles);
+		entry.handles.clear();
+	}
+	_ended.push_back(std::move(result));
+	cancel(p_id);
+}
+
+duration stage_pool::_get_expected(std::size_t p_items) const {
+	return _spec.call_time + _spec.piece_time * static_cast<duration::rep>(p_items);
+}
+
+duration stage_pool::_get_urgency(const queued_work &p_work, instant p_now) const {
+	const duration left = p_work.work.objective_at - p_now;
+	const bool is_late = left < _get_expected(p_work.missing);
+	return left + PRIORITY_STEP * p_work.work.priority + (is_late ? LATE_PENALTY : duration::zero());
+}
+
+std::vector<work_id> stage_pool::_order_works(const std::string &p_zone, instant p_now) const {
+	std::vector<std::pair<duration, work_id>> order;
+	for (const auto &[id, entry] : _works) {
+		if (entry.waiting == 0) {
+			continue;
+		}
+		const bool is_elsewhere = !p_zone.empty() && !entry.work.zone.empty() && entry.work.zone != p_zone;
+		order.emplace_back(_get_urgency(entry, p_now) + (is_elsewhere ? ZONE_PENALTY : duration::zero()), id);
+	}
+	std::sort(order.begin(), order.end());
+	std::vector<work_id> ids;
+	ids.reserve(order.size());
+	for (const auto &[urgency, id] : order) {
+		ids.push_back(id);
+	}
+	return ids;
+}
+
+bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes) const {
+	return _spec.room_bytes <= 0.0 || p_replica.room_used + p_bytes <= _spec.room_bytes * ROOM_PART;
+}
+
+stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, instant p_now) {
+	replica_state *best = nullptr;
+	duration best_finish = duration::max();
+	const double bytes = static_cast<double>(p_work.work.result_bytes);
+	for (auto &[id, replica] : _replicas) {
+		if (!replica.listed || p_now < replica.blocked_until || !_has_room(replica, bytes)) {
+			continue;
+		}
+		const bool is_free = replica.calls < _spec.slots;
+		const duration wait = is_free ? duration::zero() : std::max(duration::zero(), replica.free_at - p_now);
+		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * replica.slowness));
+		const bool is_elsewhere = !p_work.work.zone.empty() && p_work.work.zone != replica.listing.zone;
+		const duration finish = wait + own + (is_elsewhere ? ZONE_PENALTY : duration::zero()) + (is_free ? duration::zero() : FULL_BLOCK);
+		if (best == nullptr || finish < best_finish) {
+			best = &replica;
+			best_finish = finish;
+		}
+	}
+	// A replica that is busy now may still be the best one; then waiting for it beats using a slow one.
+	return best != nullptr && best->calls < _spec.slots ? best : nullptr;
+}
+
+void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, instant p_now) {
+	double bytes = 0.0;
+	for (const work_id id : _order_works(p_replica.listing.zone, p_now)) {
+		queued_work &entry = _works.at(id);
+		for (std::size_t piece = 0; piece < entry.states.size(); piece++) {
+			if (r_call.items.size() >= _spec.batch) {
+				return;
+			}
+			if (entry.states[piece] != piece_state::WAITING) {
+				continue;
+			}
+			if (!_has_room(p_replica, bytes + static_cast<double>(entry.work.result_bytes))) {
+				break;
+			}
+			bytes += static_cast<double>(entry.work.result_bytes);
+			entry.states[piece] = piece_state::RUNNING;
+			entry.waiting--;
+			_waiting_pieces--;
+			r_call.items.push_back(stage_item{ id, piece });
+		}
+	}
+}
+
+std::optional<stage_call> stage_pool::next_call(instant p_now) {
+	if (_waiting_pieces == 0) {
+		return std::nullopt;
+	}
+	const duration expected = _get_expected(std::min(_waiting_pieces, _spec.batch));
+	for (const work_id id : _order_works("", p_now)) {
+		replica_state *replica = _choose_replica(_works.at(id), expected, p_now);
+		if (replica == nullptr) {
+			continue;
+		}
+		stage_call call;
+		call.id = _next_call++;
+		call.replica = replica->listing.vm;
+		call.to = replica->listing.address;
+		_fill(call, *replica, p_now);
+		if (call.items.empty()) {
+			return std::nullopt;
+		}
+		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false };
+		replica->calls++;
+		replica->free_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(running.expected.count()) * replica->slowness));
+		_calls.emplace(call.id, std::move(running));
+		return call;
+	}
+	return std::nullopt;
+}
+
+void stage_pool::_put_back(const stage_item &p_item, bool p_counts) {
+	const auto found = _works.find(p_item.work);
+	if (found == _works.end() || found->second.states[p_item.piece] != piece_state::RUNNING) {
+		return;
+	}
+	queued_work &entry = found->second;
+	entry.tries[p_item.piece] += p_counts ? 1 : 0;
+	if (entry.tries[p_item.piece] >= MOST_TRIES) {
+		_end(p_item.work, work_end::FAILED);
+		return;
+	}
+	entry.states[p_item.piece] = piece_state::WAITING;
+	entry.waiting++;
+	_waiting_pieces++;
+}
+
+void stage_pool::_block(replica_state &p_replica, duration p_time, instant p_now) {
+	p_replica.blocked_until = std::max(p_replica.blocked_until, p_now + p_time);
+}
+
+void stage_pool::_learn_time(replica_state &p_replica, const running_call &p_call, instant p_now) {
+	const double expected = static_cast<double>(p_call.expected.count());
+	if (expected <= 0.0) {
+		return;
+	}
+	const double sample = std::clamp(static_cast<double>((p_now - p_call.started_at).count()) / expected, 0.3, SLOWNESS_HIGHEST);
+	p_replica.slowness += (sample - p_replica.slowness) * SLOWNESS_STEP;
+}
+
+void stage_pool::_take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now) {
+	const auto found = _works.find(p_item.work);
+	if (p_result.end == item_end::DONE) {
+		const double bytes = found == _works.end() ? 0.0 : static_cast<double>(found->second.work.result_bytes);
+		if (p_replica != nullptr) {
+			_results[p_result.handle] = kept_result{ p_replica->listing.vm, bytes, p_now + _spec.result_ttl };
+			p_replica->room_used += bytes;
+		}
+		if (found == _works.end() || found->second.states[p_item.piece] == piece_state::DONE) {
+			_unwanted.insert(p_result.handle);
+			return;
+		}
+		queued_work &entry = found->second;
+		if (entry.states[p_item.piece] == piece_state::WAITING) {
+			entry.waiting--;
+			_waiting_pieces--;
+		}
+		entry.states[p_item.piece] = piece_state::DONE;
+		entry.handles[p_item.piece] = p_result.handle;
+		entry.missing--;
+		if (entry.missing == 0) {
+			_end(p_item.work, work_end::DONE);
+		}
+		return;
+	}
+	if (found == _works.end() || found->second.states[p_item.piece] != piece_state::RUNNING) {
+		return;
+	}
+	switch (p_result.end) {
+		case item_end::LATE:
+			_end(p_item.work, work_end::LATE);
+			return;
+		case item_end::INPUT_GONE:
+			_end(p_item.work, work_end::INPUT_GONE);
+			return;
+		case item_end::NO_ROOM:
+			if (p_replica != nullptr) {
+				_block(*p_replica, ROOM_BLOCK, p_now);
+			}
+			_put_back(p_item, false);
+			return;
+		default:
+			_put_back(p_item, true);
+	}
+}
+
+void stage_pool::on_call_ended(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_items, instant p_now) {
+	const auto found = _calls.find(p_call);
+	if (found == _calls.end()) {
+		return;
+	}
+	const running_call call = std::move(found->second);
+	_calls.erase(found);
+	const auto place = _replicas.find(call.replica);
+	replica_state *replica = place == _replicas.end() ? nullptr : &place->second;
+	if (replica != nullptr) {
+		replica->calls--;
+		replica->free_at = p_now;
+	}
+	const bool is_answered = p_end == call_end::ANSWERED && p_items.size() == call.items.size();
+	if (replica != nullptr && is_answered) {
+		replica->failures = 0;
+		_learn_time(*replica, call, p_now);
+	} else if (replica != nullptr && p_end == call_end::REFUSED) {
+		_block(*replica, FULL_BLOCK, p_now);
+	} else if (replica != nullptr) {
+		const int doublings = std::min(replica->failures, MOST_BLOCK_DOUBLINGS);
+		replica->failures++;
+		_block(*replica, FIRST_FAILURE_BLOCK * (1 << doublings), p_now);
+	}
+	for (std::size_t i = 0; i < call.items.size(); i++) {
+		if (is_answered) {
+			_take_item(call.items[i], p_items[i], replica, p_now);
+		} else {
+			_put_back(call.items[i], p_end == call_end::ANSWERED || p_end == call_end::BROKEN);
+		}
+	}
+	std::erase_if(_replicas, [](const auto &p_entry) { return !p_entry.second.listed && p_entry.second.calls == 0; });
+}
+
+void stage_pool::on_released(const std::vector<std::string> &p_handles) {
+	for (const std::string &handle : p_handles) {
+		const auto found = _results.find(handle);
+		if (found == _results.end()) {
+			continue;
+		}
+		const auto replica = _replicas.find(found->second.replica);
+		if (replica != _replicas.end()) {
+			replica->second.room_used = std::max(0.0, replica->second.room_used - found->second.bytes);
+		}
+		_results.erase(found);
+	}
+}
+
+void stage_pool::tick(const std::function<bool()> &p_may_repeat, instant p_now) {
+	std::vector<work_id> late;
+	for (const auto &[id, entry] : _works) {
+		if (p_now >= entry.work.give_up_at) {
+			late.push_back(id);
+		}
+	}
+	for (const work_id id : late) {
+		_end(id, work_end::LATE);
+	}
+	for (auto &[id, call] : _calls) {
+		const duration allowed = duration(static_cast<duration::rep>(static_cast<double>(call.expected.count()) * OVERRUN_FACTOR)) + OVERRUN_MARGIN;
+		if (call.repeated || p_now - call.started_at < allowed) {
+			continue;
+		}
+		call.repeated = true;
+		const auto replica = _replicas.find(call.replica);
+		if (replica != _replicas.end()) {
+			replica->second.slowness = std::max(replica->second.slowness, OVERRUN_FACTOR + 1.0);
+			replica->second.free_at = p_now + call.expected;
+		}
+		if (!p_may_repeat()) {
+			continue;
+		}
+		for (const stage_item &item : call.items) {
+			_put_back(item, true);
+		}
+	}
+	std::vector<std::string> expired;
+	for (const auto &[handle, result] : _results) {
+		if (p_now >= result.expires_at) {
+			expired.push_back(handle);
+		}
+	}
+	on_released(expired);
+}
+
+std::vector<work_result> stage_pool::take_ended() {
+	std::vector<work_result> ended;
+	ended.swap(_ended);
+	return ended;
+}
+
+std::vector<std::string> stage_pool::take_unwanted() {
+	std::vector<std::string> handles(_unwanted.begin(), _unwanted.end());
+	_unwanted.clear();
+	return handles;
+}
+
+const stage_work *stage_pool::find_work(work_id p_id) const {
+	const auto found = _works.find(p_id);
+	return found == _works.end() ? nullptr : &found->second.work;
+}
+
+duration stage_pool::predict_time(std::size_t p_pieces, instant p_now) const {
+	std::size_t usable = 0;
+	duration first_free = duration::max();
+	for (const auto &[id, replica] : _replicas) {
+		if (!replica.listed || p_now < replica.blocked_until) {
+			continue;
+		}
+		usable++;
+		const bool is_free = replica.calls < _spec.slots;
+		first_free = std::min(first_free, is_free ? duration::zero() : std::max(duration::zero(), replica.free_at - p_now));
+	}
+	if (usable == 0) {
+		return duration::max();
+	}
+	const std::size_t calls_ahead = _waiting_pieces / std::max<std::size_t>(1, _spec.batch);
+	const duration full = _get_expected(_spec.batch);
+	const duration queue = full * static_cast<duration::rep>(calls_ahead) / static_cast<duration::rep>(usable);
+	return first_free + queue + _get_expected(std::min(p_pieces, _spec.batch));
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/gateway/stage_pool.h
@@ -0,0 +1,211 @@
+/*
+ * calicoscale: stage_pool.h
+ * Shares the calls of one stage pool among the requests of all nodes.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef STAGE_POOL_H
+#define STAGE_POOL_H
+
+#include "servers/gateway/gateway_configuration.h"
+#include "servers/routing/endpoint_state.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** Names a piece of work inside one dispatcher. */
+using work_id = std::uint64_t;
+
+/** One stage of one request: some pieces that need the same inputs. */
+struct stage_work {
+	std::string attempt; ///< The caller's id of the request.
+	std::size_t stage = 0;
+	std::size_t pieces = 0;
+	std::string caller_key; ///< What the caller gave for stages without inputs.
+	std::vector<std::string> inputs;
+	instant give_up_at{}; ///< Nobody waits any longer.
+	instant objective_at{}; ///< Time by which the request's answer should begin.
+	int priority = 0; ///< 0 is the most urgent.
+	std::string zone; ///< Where the results will be used; empty when it does not matter.
+	std::size_t result_bytes = 0;
+};
+
+/** One piece in a call. */
+struct stage_item {
+	work_id work = 0;
+	std::size_t piece = 0;
+};
+
+/** A call to send. */
+struct stage_call {
+	std::uint64_t id = 0;
+	std::string replica;
+	network_address to;
+	std::vector<stage_item> items;
+};
+
+/** How one piece of an answered call ended. */
+enum class item_end {
+	DONE,
+	LATE,
+	INPUT_GONE,
+	NO_ROOM,
+	FAILED,
+};
+
+/** One piece of an answer. */
+struct item_result {
+	item_end end = item_end::FAILED;
+	std::string handle; ///< Of the result, when done.
+};
+
+/** How a call ended. */
+enum class call_end {
+	ANSWERED,
+	REFUSED, ///< The replica says that nothing ran.
+	UNREACHABLE, ///< Nothing was sent.
+	BROKEN, ///< Whether anything ran is not known.
+};
+
+/** How the work of one stage ended. */
+enum class work_end {
+	DONE,
+	INPUT_GONE, ///< A result it needs is lost.
+	LATE, ///< Nobody waits any more.
+	FAILED,
+};
+
+/** Name of an end, e.g. "input_gone". */
+std::string_view get_name(work_end p_end);
+
+/** Work that ended. */
+struct work_result {
+	work_id id = 0;
+	work_end end = work_end::FAILED;
+	std::vector<std::string> handles; ///< One for each piece, when done.
+};
+
+/**
+ * Queue of one stage pool and the standing of its replicas. A call goes out the moment a replica is free, so that work
+ * that waits fills the next call. Orders by time left until the objective, corrected by priority; work that cannot be in
+ * time any more goes behind all that can. Told the time with each call.
+ */
+class stage_pool {
+	enum class piece_state {
+		WAITING,
+		RUNNING,
+		DONE,
+	};
+
+	struct queued_work {
+		stage_work work;
+		std::vector<piece_state> states;
+		std::vector<int> tries;
+		std::vector<std::string> handles;
+		std::size_t waiting = 0;
+		std::size_t missing = 0;
+		instant queued_at{};
+	};
+
+	struct running_call {
+		std::string replica;
+		std::vector<stage_item> items;
+		instant started_at{};
+		duration expected = duration::zero();
+		bool repeated = false;
+	};
+
+	struct replica_state {
+		endpoint_listing listing;
+		bool listed = true;
+		int calls = 0;
+		instant free_at{}; ///< When the call at work is expected to end.
+		instant blocked_until{};
+		int failures = 0;
+		double slowness = 1.0;
+		double room_used = 0.0;
+	};
+
+	struct kept_result {
+		std::string replica;
+		double bytes = 0.0;
+		instant expires_at{};
+	};
+
+	stage_pool_spec _spec;
+	std::map<std::string, replica_state> _replicas;
+	std::map<work_id, queued_work> _works;
+	std::map<std::uint64_t, running_call> _calls;
+	std::map<std::string, kept_result> _results;
+	std::vector<work_result> _ended;
+	std::set<std::string> _unwanted; ///< Results nobody waits for.
+	std::uint64_t _next_call = 1;
+	std::size_t _waiting_pieces = 0;
+
+	duration _get_urgency(const queued_work &p_work, instant p_now) const;
+	std::vector<work_id> _order_works(const std::string &p_zone, instant p_now) const;
+	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, instant p_now);
+	duration _get_expected(std::size_t p_items) const;
+	bool _has_room(const replica_state &p_replica, double p_bytes) const;
+	void _fill(stage_call &r_call, replica_state &p_replica, instant p_now);
+	void _end(work_id p_id, work_end p_end);
+	void _put_back(const stage_item &p_item, bool p_counts);
+	void _take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now);
+	void _block(replica_state &p_replica, duration p_time, instant p_now);
+	void _learn_time(replica_state &p_replica, const running_call &p_call, instant p_now);
+
+public:
+	/** Takes the pool's properties. */
+	void set_spec(const stage_pool_spec &p_spec) { _spec = p_spec; }
+
+	/** Takes the pool's replicas that may get work; others get none from now on. */
+	void set_replicas(const std::vector<endpoint_listing> &p_replicas);
+
+	/** Queues work under an id that the caller made. */
+	void add(work_id p_id, stage_work p_work, instant p_now);
+
+	/** Nobody waits for the work any more. */
+	void cancel(work_id p_id);
+
+	/** Next call to send now, if any. */
+	std::optional<stage_call> next_call(instant p_now);
+
+	/** A call ended. @param p_items one for each piece when it was answered. */
+	void on_call_ended(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_items, instant p_now);
+
+	/** Results were released, or their makers told to. */
+	void on_released(const std::vector<std::string> &p_handles);
+
+	/**
+	 * Lets time pass: ends work that is late and makes pieces anew whose call is far over its time.
+	 * @param p_may_repeat takes the right to repeat a call.
+	 */
+	void tick(const std::function<bool()> &p_may_repeat, instant p_now);
+
+	/** Hands out work that ended since the last call. */
+	std::vector<work_result> take_ended();
+
+	/** Hands out results that nobody waits for, to be released. */
+	std::vector<std::string> take_unwanted();
+
+	/** Time until work added now is likely to be done. */
+	duration predict_time(std::size_t p_pieces, instant p_now) const;
+
+	const stage_work *find_work(work_id p_id) const;
+	std::size_t get_waiting_pieces() const { return _waiting_pieces; }
+	std::size_t get_running_calls() const { return _calls.size(); }
+	std::size_t get_work_count() const { return _works.size(); }
+};
+
+} // namespace calicoscale
+
+#endif // STAGE_POOL_H
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -27,8 +27,6 @@
 constexpr double ERROR_STEP = 0.2;
 /** A failure counts as an answer this much slower than usual, so that failing fast attracts no work. */
 constexpr double FAILURE_SLOWNESS = 4.0;
-/** Affinity is kept while the endpoint's predicted finish is at most this much above an idle usual one's. */
-constexpr double AFFINITY_BOUND = 4.0;
 /** An endpoint that is itself slow saves less by its cache than it costs. */
 constexpr double AFFINITY_SLOWNESS = 1.8;
 /** Another zone is used when its best finish is this much better than the own zone's. */
@@ -219,7 +217,7 @@
 	}
 	return p_group.find_by_affinity(p_request.affinity_key, [this, &p_request, p_now](const endpoint_state &p_endpoint) {
 		const bool is_usable = !p_endpoint.ejected && _may_try(p_endpoint, p_now) && !is_contained(p_request.avoid, p_endpoint.id);
-		return is_usable && p_endpoint.get_slowness(p_now) <= AFFINITY_SLOWNESS && predict_finish(p_endpoint, p_now) <= AFFINITY_BOUND;
+		return is_usable && p_endpoint.get_slowness(p_now) <= AFFINITY_SLOWNESS && predict_finish(p_endpoint, p_now) <= _settings.affinity_bound;
 	});
 }
 
@@ -358,7 +356,9 @@
 		_eject(p_endpoint, p_now);
 		return;
 	}
-	if (p_endpoint.consecutive_failures >= FAILURES_TO_EJECT && _may_eject(p_endpoint)) {
+	const bool is_unreachable = p_observation.result.why == reason::CONNECT_FAILED;
+	const int allowed = is_unreachable ? _settings.connect_failures_to_eject : FAILURES_TO_EJECT;
+	if (p_endpoint.consecutive_failures >= allowed && _may_eject(p_endpoint)) {
 		_eject(p_endpoint, p_now);
 		_note(endpoint_change::kind::EJECTED, p_endpoint);
 	}
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -42,6 +42,10 @@
 struct router_settings {
 	routing_policy policy = routing_policy::PREDICTED_FINISH;
 	double max_ejected_share = 0.5;
+	/** Affinity is kept while the endpoint's predicted finish is at most this much above an idle usual one's. */
+	double affinity_bound = 4.0;
+	/** Connections that fail in a row until an endpoint is ejected; 1 where connecting has a short time-out. */
+	int connect_failures_to_eject = 5;
 	std::vector<selector> drains;
 };
 
