Admit requests by the work all nodes have committed to each stage pool

Change: each node tells its admitted work by pool and priority in its heartbeats, dispatchers their capacity; a request that would be late is refused at once with a time to come back. A rank of priority counts 600 ms in a queue.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -88,7 +88,19 @@
 		}
 		const auto digest_vector = target.CreateVector(digests);
 		const auto mark_vector = target.CreateVector(marks);
-		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector).Union() };
+		std::vector<flatbuffers::Offset<wire::pool_commitment>> commitments;
+		for (const pool_commitment &entry : p_message.commitments) {
+			const text_offset pool = target.CreateString(entry.pool);
+			commitments.push_back(wire::Createpool_commitment(target, pool, entry.priority, static_cast<std::uint64_t>(entry.work.count())));
+		}
+		std::vector<flatbuffers::Offset<wire::pool_capacity>> capacities;
+		for (const pool_capacity &entry : p_message.capacities) {
+			const text_offset pool = target.CreateString(entry.pool);
+			capacities.push_back(wire::Createpool_capacity(target, pool, static_cast<float>(entry.replicas)));
+		}
+		const auto commitment_vector = target.CreateVector(commitments);
+		const auto capacity_vector = target.CreateVector(capacities);
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector).Union() };
 	}
 
 	encoded_body operator()(const ask_configuration_message &p_message) const {
@@ -156,6 +168,16 @@
 			message.marks.push_back(leaving_mark{ read(mark->vm()), mark->incarnation() });
 		}
 	}
+	if (p_message.commitments() != nullptr) {
+		for (const wire::pool_commitment *entry : *p_message.commitments()) {
+			message.commitments.push_back(pool_commitment{ read(entry->pool()), entry->priority(), duration(static_cast<duration::rep>(entry->work_us())) });
+		}
+	}
+	if (p_message.capacities() != nullptr) {
+		for (const wire::pool_capacity *entry : *p_message.capacities()) {
+			message.capacities.push_back(pool_capacity{ read(entry->pool()), static_cast<double>(entry->replicas()) });
+		}
+	}
 	return message;
 }
 
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -12,6 +12,7 @@
 #include "core/hybrid_clock.h"
 #include "drivers/event_loop.h"
 #include "servers/configuration/configuration_fold.h"
+#include "servers/gateway/commitment_table.h"
 #include "servers/membership/member_table.h"
 
 #include <sigc++/sigc++.h>
@@ -40,6 +41,8 @@
 	hybrid_time at;
 	std::vector<member_digest> digests;
 	std::vector<leaving_mark> marks;
+	std::vector<pool_commitment> commitments; ///< Stage work this node has admitted and not finished.
+	std::vector<pool_capacity> capacities; ///< Of the pools this node dispatches.
 };
 
 /** A submission under a key that the receiver owns. */
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -22,6 +22,13 @@
 constexpr int UNAUTHORIZED = 401;
 constexpr int NOT_FOUND = 404;
 constexpr int UNAVAILABLE = 503;
+/** Assumed from a send to an engine's first event until some were seen. */
+constexpr duration FIRST_EVENT_TIME = std::chrono::milliseconds(150);
+/** Part of the objective within which a request must be predicted to be through its stages to be admitted. */
+constexpr double ADMITTED_PART = 1.0;
+constexpr duration SHORTEST_RETRY_AFTER = std::chrono::milliseconds(150);
+/** Spread of the times to come back, so that those refused together do not return together. */
+constexpr double RETRY_SPREAD = 0.5;
 constexpr duration RETRY_AFTER = std::chrono::milliseconds(500);
 /** An engine works on many requests at once, so that affinity is kept while it has up to about this many of ours. */
 constexpr double ENGINE_AFFINITY_BOUND = 24.0;
@@ -41,11 +48,11 @@
 		_context(p_loop, p_settings),
 		_configuration(_context),
 		_endpoints(_context),
-		_fleet(_context, _configuration, _endpoints),
-		_dispatcher(_context, _configuration, _fleet),
+		_fleet(_context, _configuration, _endpoints, _commitments),
+		_dispatcher(_context, _configuration, _fleet, _commitments),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
-		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times },
+		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _first_event_times },
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
 		_tick_timer(p_loop, [this] { _tick(); }) {
@@ -141,7 +148,31 @@
 		return;
 	}
 	request.service = choose_service(*request.route, _context.random.get_unit());
-	_run(std::move(request));
+	if (!_refuse_if_late(request)) {
+		_run(std::move(request));
+	}
+}
+
+bool gateway::_refuse_if_late(const admitted_request &p_request) {
+	const gateway_route &route = *p_request.route;
+	if (route.stages.empty()) {
+		return false;
+	}
+	const duration stages = _commitments.predict_stages(*p_request.configuration, route, p_request.facts.stage_pieces, get_priority(p_request));
+	const auto known = _first_event_times.find(route.name);
+	const duration predicted = stages + (known == _first_event_times.end() ? FIRST_EVENT_TIME : known->second);
+	const duration allowed = duration(static_cast<duration::rep>(static_cast<double>(route.objective.count()) * ADMITTED_PART));
+	if (stages == duration::zero() || predicted <= allowed) {
+		return false;
+	}
+	const duration remaining = p_request.facts.remaining.value_or(route.timeout);
+	const duration wait = duration(static_cast<duration::rep>(static_cast<double>((predicted - allowed).count()) * (1.0 + _context.random.get_unit() * RETRY_SPREAD)));
+	const duration retry_after = std::clamp<duration>(wait, SHORTEST_RETRY_AFTER, std::max<duration>(SHORTEST_RETRY_AFTER, remaining / 3));
+	const outcome result{ verdict::NOT_RUN, reason::DEADLINE_UNREACHABLE };
+	_context.metrics.on_request(route.name, result, event_loop::now() - p_request.exchange->received_at);
+	_context.log.write_request(log_line("request_refused").add("request", p_request.facts.attempt).add("route", route.name).add("reason", get_name(result.why)).add("predicted_ms", predicted).add("allowed_ms", allowed).add("retry_after_ms", retry_after));
+	p_request.exchange->reply(UNAVAILABLE, { make_retry_after(retry_after) }, "");
+	return true;
 }
 
 void gateway::_run(admitted_request p_request) {
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -27,12 +27,14 @@
 	gateway_context _context;
 	configuration_follower _configuration;
 	endpoint_follower _endpoints;
+	commitment_table _commitments;
 	gateway_fleet _fleet;
 	stage_dispatcher _dispatcher;
 	router _services;
 	router _engines;
 	std::map<std::string, retry_window> _repeats;
 	std::map<std::string, duration> _usual_times;
+	std::map<std::string, duration> _first_event_times;
 	request_services _shared;
 	std::map<std::uint64_t, std::unique_ptr<gateway_request>> _requests;
 	std::uint64_t _next_request = 1;
@@ -49,6 +51,7 @@
 	void _on_endpoints();
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
+	bool _refuse_if_late(const admitted_request &p_request);
 	void _run(admitted_request p_request);
 	void _on_readiness(caller_exchange &p_exchange);
 	void _on_metrics(caller_exchange &p_exchange);
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -27,10 +27,11 @@
 
 } // namespace
 
-gateway_fleet::gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints) :
+gateway_fleet::gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, commitment_table &p_commitments) :
 		_context(p_context),
 		_configuration(p_configuration),
 		_endpoints(p_endpoints),
+		_commitments(p_commitments),
 		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key }),
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {} }),
 		_beat_timer(p_context.loop, [this] { _beat(); }) {
@@ -137,6 +138,10 @@
 	for (const recent_mark &mark : _marks) {
 		message.marks.push_back(leaving_mark{ mark.endpoint, 0 });
 	}
+	message.commitments = _commitments.get_own();
+	if (_get_capacities) {
+		message.capacities = _get_capacities();
+	}
 	for (const std::string &vm : _link.get_linked()) {
 		_link.send(vm, message);
 	}
@@ -153,6 +158,7 @@
 		was_live = is_live;
 		_context.log.write(log_line(is_live ? "peer_live" : "peer_lost").add("vm", vm).add("leaving", entry.digest.leaving ? "yes" : "no"));
 		if (!is_live) {
+			_commitments.forget_peer(vm);
 			_peer_lost.emit(vm);
 		}
 	}
@@ -171,6 +177,10 @@
 	for (const leaving_mark &mark : p_message.marks) {
 		_endpoints.mark_leaving(mark.vm);
 	}
+	_commitments.take_peer(p_vm, p_message.commitments);
+	for (const pool_capacity &entry : p_message.capacities) {
+		_commitments.set_capacity(entry.pool, entry.replicas);
+	}
 	const member *peer = _members.find(p_vm);
 	if (peer == nullptr || peer->digest.configuration_version <= _configuration.get_version()) {
 		return;
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -31,6 +31,7 @@
 	gateway_context &_context;
 	configuration_follower &_configuration;
 	endpoint_follower &_endpoints;
+	commitment_table &_commitments;
 	node_link _link;
 	member_table _members;
 	std::map<std::string, instant> _heard_at;
@@ -43,6 +44,7 @@
 	instant _read_names_at{};
 	instant _named_at{};
 	std::map<std::uint64_t, instant> _asked_at;
+	std::function<std::vector<pool_capacity>()> _get_capacities;
 	sigc::signal<void(const std::string &)> _peer_lost;
 
 	void _beat();
@@ -56,11 +58,14 @@
 	bool _is_heard(const std::string &p_vm, instant p_now) const;
 
 public:
-	gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints);
+	gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, commitment_table &p_commitments);
 
 	/** Begins to beat. */
 	void start();
 
+	/** Sets what tells the capacities of the pools this node dispatches. */
+	void set_capacity_source(std::function<std::vector<pool_capacity>()> p_hook) { _get_capacities = std::move(p_hook); }
+
 	/** Whether this node takes requests; told to peers. */
 	void set_ready(bool p_ready) { _ready = p_ready; }
 
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -9,6 +9,7 @@
 #include "main/gateway_request.h"
 
 #include "core/digest.h"
+#include "platform/stage_codec.h"
 
 #include <algorithm>
 
@@ -31,6 +32,8 @@
 /** Requests that may not run twice use kept connections this fresh only, as a close may cross them. */
 constexpr duration FRESH_IDLE = std::chrono::milliseconds(700);
 constexpr duration USUAL_IDLE = std::chrono::milliseconds(2000);
+/** Transfers from this size on are worth some delay to keep them within a zone. */
+constexpr std::size_t LARGE_TRANSFER = 200'000;
 constexpr double USUAL_TIME_STEP = 0.05;
 
 bool is_success(int p_status) {
@@ -71,9 +74,38 @@
 		_send();
 		return;
 	}
+	_commit();
 	_advance_stages();
 }
 
+int get_priority(const admitted_request &p_request) {
+	const bool has_own = p_request.customer != nullptr && p_request.customer->priority;
+	return has_own ? *p_request.customer->priority : p_request.route->priority;
+}
+
+int gateway_request::_get_priority() const {
+	return get_priority(_request);
+}
+
+void gateway_request::_commit() {
+	_committed.assign(_request.route->stages.size(), duration::zero());
+	for (std::size_t i = 0; i < _committed.size(); i++) {
+		const std::string &pool = _stages.get_spec(i).pool;
+		const gateway_service *service = _request.configuration->find_service(pool);
+		if (service != nullptr && service->stage_pool) {
+			_committed[i] = commitment_table::get_cost(*service->stage_pool, _stages.get_pieces(i));
+			_services.commitments.add(pool, _get_priority(), _committed[i]);
+		}
+	}
+}
+
+void gateway_request::_uncommit(std::size_t p_stage) {
+	if (p_stage < _committed.size() && _committed[p_stage] > duration::zero()) {
+		_services.commitments.remove(_stages.get_spec(p_stage).pool, _get_priority(), _committed[p_stage]);
+		_committed[p_stage] = duration::zero();
+	}
+}
+
 bool gateway_request::_is_engine() const {
 	const gateway_service *service = _request.configuration->find_service(_request.service);
 	return service != nullptr && service->is_engine;
@@ -107,13 +139,33 @@
 	return std::max<std::uint64_t>(1, hash_bytes(chain));
 }
 
-void gateway_request::_advance_stages() {
-	const instant now = event_loop::now();
-	std::string zone;
-	const std::optional<endpoint_id> engine = _get_router().choose(choice_request{ _request.service, {}, _get_affinity_key(), {} }, now);
-	if (engine) {
-		zone = _get_router().find(*engine)->listing.zone;
+std::string gateway_request::_choose_zone(std::size_t p_stage) const {
+	const stage_spec &spec = _stages.get_spec(p_stage);
+	std::size_t input_bytes = 0;
+	for (const std::size_t input : spec.inputs) {
+		input_bytes += _stages.get_spec(input).result_bytes * _stages.get_pieces(input);
+	}
+	const std::size_t result_bytes = spec.result_bytes * _stages.get_pieces(p_stage);
+	if (std::max(input_bytes, result_bytes) < LARGE_TRANSFER) {
+		return "";
+	}
+	if (input_bytes >= result_bytes) {
+		return _find_makers_zone(_stages.get_inputs(p_stage));
+	}
+	const std::optional<endpoint_id> engine = _get_router().choose(choice_request{ _request.service, {}, _get_affinity_key(), {} }, event_loop::now());
+	return engine ? _get_router().find(*engine)->listing.zone : "";
+}
+
+std::string gateway_request::_find_makers_zone(const std::vector<std::string> &p_handles) const {
+	std::map<std::string, std::size_t> counts;
+	for (const std::string &handle : p_handles) {
+		counts[_services.endpoints.get_directory().find_zone(get_maker(handle))]++;
 	}
+	const auto most = std::max_element(counts.begin(), counts.end(), [](const auto &p_left, const auto &p_right) { return p_left.second < p_right.second; });
+	return most == counts.end() ? "" : most->first;
+}
+
+void gateway_request::_advance_stages() {
 	for (const std::size_t stage : _stages.take_ready()) {
 		const stage_spec &spec = _stages.get_spec(stage);
 		stage_work work;
@@ -124,9 +176,8 @@
 		work.inputs = _stages.get_inputs(stage);
 		work.give_up_at = _give_up_at;
 		work.objective_at = _started + _request.route->objective;
-		work.priority = _request.customer != nullptr && _request.customer->priority ? *_request.customer->priority : _request.route->priority;
-		constexpr std::size_t LARGE_RESULT = 500'000;
-		work.zone = spec.result_bytes >= LARGE_RESULT ? zone : "";
+		work.priority = _get_priority();
+		work.zone = _choose_zone(stage);
 		work.result_bytes = spec.result_bytes;
 		const std::shared_ptr<std::uint64_t> id = std::make_shared<std::uint64_t>(0);
 		*id = _services.dispatcher.submit(spec.pool, std::move(work), [this, id, stage](const work_result &p_result) { _on_work_ended(*id, stage, p_result); });
@@ -138,6 +189,7 @@
 	_works.erase(p_id);
 	if (p_result.end == work_end::DONE) {
 		_stages.set_done(p_stage, p_result.handles);
+		_uncommit(p_stage);
 		_release_spent();
 		if (_stages.is_complete()) {
 			_send();
@@ -207,7 +259,7 @@
 	send.remaining = _give_up_at - now;
 	send.customer = _request.customer == nullptr ? "" : _request.customer->name;
 	if (_is_engine()) {
-		send.priority = _request.customer != nullptr && _request.customer->priority ? *_request.customer->priority : _request.route->priority;
+		send.priority = _get_priority();
 	}
 	send.inputs = _stages.get_final_results();
 	send.last_event_id = _events.get_last_id();
@@ -246,6 +298,7 @@
 	}
 	if (!_answer_started) {
 		_answer_started = true;
+		_learn_first_event();
 		_request.exchange->start(_answer_head.status, get_passed_headers(_answer_head));
 	}
 	if (!_stages_released) {
@@ -255,6 +308,12 @@
 	_request.exchange->send(events);
 }
 
+void gateway_request::_learn_first_event() {
+	duration &usual = _services.first_event_times[_request.route->name];
+	const duration elapsed = event_loop::now() - _sent_at;
+	usual = usual == duration::zero() ? elapsed : usual + duration(static_cast<duration::rep>(static_cast<double>((elapsed - usual).count()) * USUAL_TIME_STEP));
+}
+
 void gateway_request::_observe(const outcome &p_result) {
 	const instant now = event_loop::now();
 	attempt_observation observation;
@@ -457,6 +516,9 @@
 	_give_up_timer.cancel();
 	_retry_timer.cancel();
 	_cancel_works();
+	for (std::size_t i = 0; i < _committed.size(); i++) {
+		_uncommit(i);
+	}
 	_release_all();
 	const duration elapsed = event_loop::now() - _started;
 	_services.context.metrics.on_request(_request.route->name, p_result, elapsed);
--- a/main/gateway_request.h
+++ b/main/gateway_request.h
@@ -37,6 +37,8 @@
 	router &engines; ///< Engines of all zones, by shared parts of prompts.
 	std::map<std::string, retry_window> &repeats; ///< By service.
 	std::map<std::string, duration> &usual_times; ///< Of answers, by service.
+	commitment_table &commitments;
+	std::map<std::string, duration> &first_event_times; ///< From the send to the first event, by route.
 };
 
 /** A request that was admitted: its route and customer are known. */
@@ -49,6 +51,9 @@
 	caller_request facts;
 };
 
+/** Priority of a request: its customer's, or else its route's. */
+int get_priority(const admitted_request &p_request);
+
 /**
  * Carries one request: its stages, its sends to endpoints, the answer. It ends by its hook exactly once; destroying it
  * cancels everything it started.
@@ -61,6 +66,7 @@
 	instant _deadline; ///< The caller's.
 	instant _give_up_at; ///< The caller's deadline or the route's time-out.
 	stage_graph _stages;
+	std::vector<duration> _committed; ///< Work counted in the commitments, by stage.
 	std::map<std::uint64_t, std::size_t> _works; ///< Stage of each piece of work asked for.
 	timer _give_up_timer;
 	timer _retry_timer;
@@ -82,11 +88,16 @@
 	bool _stages_released = false;
 	bool _ended = false;
 
+	int _get_priority() const;
+	void _commit();
+	void _uncommit(std::size_t p_stage);
 	bool _is_engine() const;
 	router &_get_router() const;
 	bool _may_repeat_run() const;
 	bool _try_repeat_budget();
 	std::uint64_t _get_affinity_key() const;
+	std::string _choose_zone(std::size_t p_stage) const;
+	std::string _find_makers_zone(const std::vector<std::string> &p_handles) const;
 	void _advance_stages();
 	void _on_work_ended(std::uint64_t p_id, std::size_t p_stage, const work_result &p_result);
 	void _cancel_works();
@@ -101,6 +112,7 @@
 	void _on_whole_answer();
 	void _on_not_run();
 	void _on_failure(reason p_reason);
+	void _learn_first_event();
 	void _observe(const outcome &p_result);
 	bool _resume();
 	void _pass_answer();
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -39,8 +39,9 @@
 
 } // namespace
 
-stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet) :
-		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _tick_timer(p_context.loop, [this] { _tick(); }) {
+stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments) :
+		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _commitments(p_commitments), _tick_timer(p_context.loop, [this] { _tick(); }) {
+	_fleet.set_capacity_source([this] { return _get_capacities(); });
 	node_link &link = _fleet.get_link();
 	link.work_handed().connect([this](const std::string &p_vm, const hand_work_message &p_message) { _on_work_handed(p_vm, p_message); });
 	link.work_ended().connect([this](const std::string &p_vm, const work_ended_message &p_message) {
@@ -377,6 +378,19 @@
 	}
 }
 
+std::vector<pool_capacity> stage_dispatcher::_get_capacities() {
+	std::vector<pool_capacity> capacities;
+	for (const auto &[name, entry] : _pools) {
+		if (_choose_node(name, "") != _fleet.get_vm()) {
+			continue;
+		}
+		const double replicas = entry.pool.get_capacity(event_loop::now());
+		_commitments.set_capacity(name, replicas);
+		capacities.push_back(pool_capacity{ name, replicas });
+	}
+	return capacities;
+}
+
 void stage_dispatcher::_tick() {
 	const instant now = event_loop::now();
 	if (now - _ticked_at > PAUSE) {
--- a/main/stage_dispatcher.h
+++ b/main/stage_dispatcher.h
@@ -54,6 +54,7 @@
 	gateway_context &_context;
 	configuration_follower &_configuration;
 	gateway_fleet &_fleet;
+	commitment_table &_commitments;
 	std::map<std::uint64_t, own_work> _own;
 	std::map<std::string, pool_entry> _pools;
 	std::uint64_t _next_own = 1;
@@ -76,12 +77,13 @@
 	void _release(pool_entry &p_entry, const std::vector<std::string> &p_handles);
 	void _send_releases(pool_entry &p_entry);
 	void _tick();
+	std::vector<pool_capacity> _get_capacities();
 	void _forget_after_pause();
 	void _on_peer_lost(const std::string &p_vm);
 	void _on_work_handed(const std::string &p_vm, const hand_work_message &p_message);
 
 public:
-	stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet);
+	stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments);
 
 	void start();
 
--- a/misc/scripts/check_layers.sh
+++ b/misc/scripts/check_layers.sh
@@ -15,9 +15,11 @@
 	fi
 }
 
-forbid "core" '#include "(servers|drivers|main|tests)/' "core includes a higher layer"
-forbid "servers" '#include "(drivers|main|tests)/' "servers includes a higher layer"
-forbid "drivers" '#include "(main|tests)/' "drivers includes a higher layer"
+forbid "core" '#include "(servers|drivers|platform|main|tests)/' "core includes a higher layer"
+forbid "servers" '#include "(drivers|platform|main|tests)/' "servers includes a higher layer"
+forbid "drivers" '#include "(platform|main|tests)/' "drivers includes a higher layer"
+forbid "platform" '#include "(main|tests)/' "platform includes a higher layer"
+forbid "core servers drivers main" 'since_rev|X-Replica|X-Attempt-Id|route_kind|slo_ms|itl_target|stage-run|stage-free|log-newest|log-read|log-append|X-Segment|X-Token-Usage|X-Prefix-Hash|kv_capacity|X-Not-Executed|X-Expect' "a name of the platform outside platform/"
 forbid "main" '#include "tests/' "main includes tests"
 forbid "core servers" '#include <event2|(steady|system)_clock::now|\bLOG\(|std::random_device|\brand\(' "a decision touches the outside"
 exit "$status"
--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -11,7 +11,7 @@
 misc/scripts/install.sh
 
 echo "== format"
-mapfile -t sources < <(git ls-files 'core/*.h' 'core/*.cpp' 'servers/*.h' 'servers/*.cpp' 'drivers/*.h' 'drivers/*.cpp' 'main/*.h' 'main/*.cpp' 'tests/*.h' 'tests/*.cpp' | grep -v '/generated/')
+mapfile -t sources < <(git ls-files 'core/*.h' 'core/*.cpp' 'servers/*.h' 'servers/*.cpp' 'drivers/*.h' 'drivers/*.cpp' 'main/*.h' 'main/*.cpp' 'platform/*.h' 'platform/*.cpp' 'tests/*.h' 'tests/*.cpp' | grep -v '/generated/')
 clang-format --dry-run --Werror "${sources[@]}"
 
 echo "== layers"
--- /dev/null
+++ b/servers/gateway/commitment_table.cpp
@@ -0,0 +1,110 @@
+/*
+ * calicoscale: commitment_table.cpp
+ * Stage work that all nodes have admitted and not finished, and when a new request would be through.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/commitment_table.h"
+
+#include <algorithm>
+#include <climits>
+
+namespace calicoscale {
+
+namespace {
+
+/** Fill of a call that a request is likely to share; under load calls are fuller than one request makes them. */
+constexpr double USUAL_FILL = 0.5;
+
+std::size_t get_pieces_of(const std::vector<std::size_t> &p_pieces, std::size_t p_stage) {
+	return p_stage < p_pieces.size() ? p_pieces[p_stage] : 0;
+}
+
+} // namespace
+
+duration commitment_table::get_cost(const stage_pool_spec &p_spec, std::size_t p_pieces) {
+	const duration::rep pieces = static_cast<duration::rep>(p_pieces);
+	return p_spec.piece_time * pieces + p_spec.call_time * pieces / static_cast<duration::rep>(p_spec.batch);
+}
+
+void commitment_table::add(const std::string &p_pool, int p_priority, duration p_work) {
+	_own[{ p_pool, p_priority }] += p_work;
+}
+
+void commitment_table::remove(const std::string &p_pool, int p_priority, duration p_work) {
+	duration &work = _own[{ p_pool, p_priority }];
+	work = std::max(duration::zero(), work - p_work);
+}
+
+void commitment_table::take_peer(const std::string &p_node, const std::vector<pool_commitment> &p_commitments) {
+	work_map &known = _peers[p_node];
+	known.clear();
+	for (const pool_commitment &entry : p_commitments) {
+		known[{ entry.pool, entry.priority }] = entry.work;
+	}
+}
+
+void commitment_table::forget_peer(const std::string &p_node) {
+	_peers.erase(p_node);
+}
+
+std::vector<pool_commitment> commitment_table::get_own() const {
+	std::vector<pool_commitment> commitments;
+	for (const auto &[key, work] : _own) {
+		if (work > duration::zero()) {
+			commitments.push_back(pool_commitment{ key.first, key.second, work });
+		}
+	}
+	return commitments;
+}
+
+duration commitment_table::_get_ahead(const std::string &p_pool, int p_priority) const {
+	duration ahead = duration::zero();
+	const auto add_up = [&p_pool, p_priority, &ahead](const work_map &p_works) {
+		for (auto entry = p_works.lower_bound({ p_pool, INT_MIN }); entry != p_works.end() && entry->first.first == p_pool; ++entry) {
+			if (entry->first.second <= p_priority) {
+				ahead += entry->second;
+			}
+		}
+	};
+	add_up(_own);
+	for (const auto &[node, works] : _peers) {
+		add_up(works);
+	}
+	return ahead;
+}
+
+duration commitment_table::get_drain_time(const std::string &p_pool, int p_priority) const {
+	const auto capacity = _capacities.find(p_pool);
+	if (capacity == _capacities.end() || capacity->second <= 0.0) {
+		return duration::zero();
+	}
+	return duration(static_cast<duration::rep>(static_cast<double>(_get_ahead(p_pool, p_priority).count()) / capacity->second));
+}
+
+duration commitment_table::predict_stages(const gateway_configuration &p_configuration, const gateway_route &p_route, const std::vector<std::size_t> &p_pieces, int p_priority) const {
+	std::vector<duration> done(p_route.stages.size(), duration::zero());
+	duration last = duration::zero();
+	for (std::size_t i = 0; i < p_route.stages.size(); i++) {
+		const stage_spec &stage = p_route.stages[i];
+		const gateway_service *service = p_configuration.find_service(stage.pool);
+		const std::size_t pieces = get_pieces_of(p_pieces, i);
+		for (const std::size_t input : stage.inputs) {
+			done[i] = std::max(done[i], done[input]);
+		}
+		if (pieces == 0 || service == nullptr || !service->stage_pool) {
+			continue;
+		}
+		const stage_pool_spec &spec = *service->stage_pool;
+		const std::size_t usual = static_cast<std::size_t>(static_cast<double>(spec.batch) * USUAL_FILL);
+		const std::size_t shared = std::clamp(pieces, usual, spec.batch);
+		const duration call = spec.call_time + spec.piece_time * static_cast<duration::rep>(shared);
+		done[i] = std::max(done[i], get_drain_time(stage.pool, p_priority)) + call;
+		last = std::max(last, done[i]);
+	}
+	return last;
+}
+
+} // namespace calicoscale
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -107,6 +107,15 @@
 	return listings;
 }
 
+std::string endpoint_directory::find_zone(const network_address &p_address) const {
+	for (const auto &[name, entry] : _endpoints) {
+		if (entry.listing.address == p_address) {
+			return entry.listing.zone;
+		}
+	}
+	return "";
+}
+
 bool endpoint_directory::take_changed() {
 	const bool changed = _changed;
 	_changed = false;
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -63,6 +63,9 @@
 	/** All endpoints, those that leave included. */
 	std::vector<endpoint_listing> get_listings() const;
 
+	/** Zone of the endpoint at an address; empty when there is none. */
+	std::string find_zone(const network_address &p_address) const;
+
 	/** Whether get_listings() would tell something new since the last call. */
 	bool take_changed();
 
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /** What one rank of priority is worth in time left; about one call of the pools seen. */
-constexpr duration PRIORITY_STEP = std::chrono::milliseconds(250);
+constexpr duration PRIORITY_STEP = std::chrono::milliseconds(600);
 /** Work that cannot be in time goes behind all that can, whatever its priority. */
 constexpr duration LATE_PENALTY = std::chrono::seconds(30);
 /** Delay worth taking to make a large result in the zone where it is used. */
@@ -381,24 +381,15 @@
 	return found == _works.end() ? nullptr : &found->second.work;
 }
 
-duration stage_pool::predict_time(std::size_t p_pieces, instant p_now) const {
-	std::size_t usable = 0;
-	duration first_free = duration::max();
+double stage_pool::get_capacity(instant p_now) const {
+	double capacity = 0.0;
 	for (const auto &[id, replica] : _replicas) {
-		if (!replica.listed || p_now < replica.blocked_until) {
-			continue;
+		const bool is_failing = replica.failures > 0 && p_now < replica.blocked_until;
+		if (replica.listed && !is_failing) {
+			capacity += static_cast<double>(_spec.slots) / std::max(1.0, replica.slowness);
 		}
-		usable++;
-		const bool is_free = replica.calls < _spec.slots;
-		first_free = std::min(first_free, is_free ? duration::zero() : std::max(duration::zero(), replica.free_at - p_now));
-	}
-	if (usable == 0) {
-		return duration::max();
 	}
-	const std::size_t calls_ahead = _waiting_pieces / std::max<std::size_t>(1, _spec.batch);
-	const duration full = _get_expected(_spec.batch);
-	const duration queue = full * static_cast<duration::rep>(calls_ahead) / static_cast<duration::rep>(usable);
-	return first_free + queue + _get_expected(std::min(p_pieces, _spec.batch));
+	return capacity;
 }
 
 } // namespace calicoscale
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -197,8 +197,8 @@
 	/** Hands out results that nobody waits for, to be released. */
 	std::vector<std::string> take_unwanted();
 
-	/** Time until work added now is likely to be done. */
-	duration predict_time(std::size_t p_pieces, instant p_now) const;
+	/** What the replicas that may get work are worth, in usual ones. */
+	double get_capacity(instant p_now) const;
 
 	const stage_work *find_work(work_id p_id) const;
 	std::size_t get_waiting_pieces() const { return _waiting_pieces; }
