Choose engines by the predicted time to the first event, told by all nodes

Cause: first-letter was late in bursts though its stages were done in 250 ms: hashing by shared part alone put long prompts behind each other (busiest engine 1.63 times the mean), and a node saw a ninth of what engines were sent. Change: nodes tell each other which prompt they send where; an engine is chosen by what it still has to read, the price of reading shared parts again, and the zone of large inputs.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -153,6 +153,17 @@
 		const auto handles = target.CreateVectorOfStrings(p_message.handles);
 		return { wire::message_release_results, wire::Createrelease_results(target, pool, handles).Union() };
 	}
+
+	encoded_body operator()(const prompt_sent_message &p_message) const {
+		std::vector<wire::prompt_link> links;
+		links.reserve(p_message.prompt.size());
+		for (const prompt_link &link : p_message.prompt) {
+			links.emplace_back(link.chain, link.tokens);
+		}
+		const text_offset engine = target.CreateString(p_message.engine);
+		const auto prompt = target.CreateVectorOfStructs(links);
+		return { wire::message_prompt_sent, wire::Createprompt_sent(target, engine, prompt).Union() };
+	}
 };
 
 heartbeat_message read_heartbeat(const wire::heartbeat &p_message) {
@@ -214,6 +225,17 @@
 	return texts;
 }
 
+prompt_sent_message read_prompt_sent(const wire::prompt_sent &p_message) {
+	prompt_sent_message message;
+	message.engine = read(p_message.engine());
+	if (p_message.prompt() != nullptr) {
+		for (const wire::prompt_link *link : *p_message.prompt()) {
+			message.prompt.push_back(prompt_link{ link->chain(), link->tokens() });
+		}
+	}
+	return message;
+}
+
 hand_work_message read_hand_work(const wire::hand_work &p_message) {
 	hand_work_message message;
 	message.id = p_message.id();
@@ -278,6 +300,8 @@
 			const wire::cancel_work *cancelled = frame->body_as_cancel_work();
 			return cancel_work_message{ cancelled->id(), read(cancelled->pool()) };
 		}
+		case wire::message_prompt_sent:
+			return read_prompt_sent(*frame->body_as_prompt_sent());
 		case wire::message_release_results: {
 			const wire::release_results *released = frame->body_as_release_results();
 			return release_results_message{ read(released->pool()), read_texts(released->handles()) };
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -179,6 +179,8 @@
 			_owner._work_cancelled.emit(_vm, *cancelled);
 		} else if (const auto *released = std::get_if<release_results_message>(&p_message)) {
 			_owner._results_released.emit(_vm, *released);
+		} else if (const auto *prompt = std::get_if<prompt_sent_message>(&p_message)) {
+			_owner._prompt_sent.emit(_vm, *prompt);
 		}
 	}
 
@@ -411,6 +413,10 @@
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
 }
 
+bool node_link::send(const std::string &p_vm, const prompt_sent_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
 void node_link::drop(const std::string &p_vm) {
 	const std::vector<std::shared_ptr<link>> links = _links;
 	for (const std::shared_ptr<link> &entry : links) {
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -13,6 +13,7 @@
 #include "drivers/event_loop.h"
 #include "servers/configuration/configuration_fold.h"
 #include "servers/gateway/commitment_table.h"
+#include "servers/gateway/engine_view.h"
 #include "servers/membership/member_table.h"
 
 #include <sigc++/sigc++.h>
@@ -97,6 +98,12 @@
 	std::vector<std::string> handles;
 };
 
+/** A node sent a prompt to an engine. */
+struct prompt_sent_message {
+	std::string engine;
+	std::vector<prompt_link> prompt;
+};
+
 /** Who a link is made as, and the secret of the fleet. */
 struct link_identity {
 	std::string vm;
@@ -135,6 +142,7 @@
 	sigc::signal<void(const std::string &, const work_ended_message &)> _work_ended;
 	sigc::signal<void(const std::string &, const cancel_work_message &)> _work_cancelled;
 	sigc::signal<void(const std::string &, const release_results_message &)> _results_released;
+	sigc::signal<void(const std::string &, const prompt_sent_message &)> _prompt_sent;
 
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
@@ -180,6 +188,7 @@
 	bool send(const std::string &p_vm, const work_ended_message &p_message);
 	bool send(const std::string &p_vm, const cancel_work_message &p_message);
 	bool send(const std::string &p_vm, const release_results_message &p_message);
+	bool send(const std::string &p_vm, const prompt_sent_message &p_message);
 
 	/** Closes the links of a VM that has fallen silent; they are dialled anew. */
 	void drop(const std::string &p_vm);
@@ -196,6 +205,7 @@
 	sigc::signal<void(const std::string &, const work_ended_message &)> &work_ended() { return _work_ended; }
 	sigc::signal<void(const std::string &, const cancel_work_message &)> &work_cancelled() { return _work_cancelled; }
 	sigc::signal<void(const std::string &, const release_results_message &)> &results_released() { return _results_released; }
+	sigc::signal<void(const std::string &, const prompt_sent_message &)> &prompt_sent() { return _prompt_sent; }
 
 	const network_address &get_address() const { return _address; }
 	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -30,8 +30,6 @@
 /** Spread of the times to come back, so that those refused together do not return together. */
 constexpr double RETRY_SPREAD = 0.5;
 constexpr duration RETRY_AFTER = std::chrono::milliseconds(500);
-/** An engine works on many requests at once, so that affinity is kept while it has up to about this many of ours. */
-constexpr double ENGINE_AFFINITY_BOUND = 24.0;
 
 caller_server_limits get_limits(const gateway_limits &p_limits) {
 	return caller_server_limits{ p_limits.header_bytes, p_limits.body_bytes, p_limits.header_timeout, p_limits.idle_timeout };
@@ -52,17 +50,17 @@
 		_dispatcher(_context, _configuration, _fleet, _commitments),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
-		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _first_event_times },
+		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _engine_caches, _first_event_times },
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
 		_tick_timer(p_loop, [this] { _tick(); }) {
 	if (p_settings.metrics_address) {
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
+	_fleet.get_link().prompt_sent().connect([this](const std::string &, const prompt_sent_message &p_message) { _engine_caches.on_sent(p_message.engine, p_message.prompt, event_loop::now()); });
 	_configuration.changed().connect([this] { _on_configuration(); });
 	_endpoints.changed().connect([this] { _on_endpoints(); });
 	router_settings engine_settings;
-	engine_settings.affinity_bound = ENGINE_AFFINITY_BOUND;
 	engine_settings.connect_failures_to_eject = 1;
 	_engines.set_settings(engine_settings);
 	router_settings service_settings;
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -32,6 +32,7 @@
 	stage_dispatcher _dispatcher;
 	router _services;
 	router _engines;
+	engine_view _engine_caches;
 	std::map<std::string, retry_window> _repeats;
 	std::map<std::string, duration> _usual_times;
 	std::map<std::string, duration> _first_event_times;
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -55,7 +55,8 @@
 		_give_up_at(std::min(_deadline, _started + _request.route->timeout)),
 		_stages(_request.route->stages, _request.facts.stage_pieces),
 		_give_up_timer(p_services.context.loop, [this] { _on_give_up(); }),
-		_retry_timer(p_services.context.loop, [this] { _send(); }) {
+		_retry_timer(p_services.context.loop, [this] { _send(); }),
+		_prompt(_make_prompt_links()) {
 }
 
 gateway_request::~gateway_request() {
@@ -125,21 +126,41 @@
 	return _services.repeats[_request.service].try_repeat(_services.context.settings.retries, _services.fleet.get_live_count(), event_loop::now());
 }
 
-std::uint64_t gateway_request::_get_affinity_key() const {
-	const std::vector<prompt_part> &prompt = _request.facts.prompt;
-	if (!_request.route->has_affinity || prompt.empty()) {
-		return 0;
+std::vector<prompt_link> gateway_request::_make_prompt_links() const {
+	std::vector<prompt_link> links;
+	std::uint64_t chain = 0;
+	for (const prompt_part &part : _request.facts.prompt) {
+		chain = hash_bytes(part.id, chain + 1);
+		links.push_back(prompt_link{ chain, part.tokens });
 	}
-	// The last part is this request's own; what is before it is worth finding again.
-	const std::size_t shared = std::max<std::size_t>(1, prompt.size() - 1);
-	std::string chain;
-	for (std::size_t i = 0; i < shared; i++) {
-		chain += prompt[i].id + "/";
+	return links;
+}
+
+std::optional<endpoint_id> gateway_request::_choose_endpoint(const std::string &p_zone) {
+	const instant now = event_loop::now();
+	if (!_is_engine()) {
+		return _services.services.choose(choice_request{ _request.service, {}, 0, _avoid }, now);
 	}
-	return std::max<std::uint64_t>(1, hash_bytes(chain));
+	std::vector<engine_candidate> candidates;
+	for (const endpoint_state *endpoint : _services.engines.get_usable(_request.service, _avoid, now)) {
+		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.vm, endpoint->listing.zone, endpoint->in_flight });
+	}
+	if (candidates.empty()) {
+		return std::nullopt;
+	}
+	return candidates[_services.engine_caches.choose(candidates, _prompt, p_zone, now)].id;
 }
 
-std::string gateway_request::_choose_zone(std::size_t p_stage) const {
+void gateway_request::_tell_prompt_sent() {
+	const instant now = event_loop::now();
+	_predicted = _services.engine_caches.predict(_endpoint_name, _prompt, now);
+	_services.engine_caches.on_sent(_endpoint_name, _prompt, now);
+	for (const std::string &vm : _services.fleet.get_live_nodes()) {
+		_services.fleet.get_link().send(vm, prompt_sent_message{ _endpoint_name, _prompt });
+	}
+}
+
+std::string gateway_request::_choose_zone(std::size_t p_stage) {
 	const stage_spec &spec = _stages.get_spec(p_stage);
 	std::size_t input_bytes = 0;
 	for (const std::size_t input : spec.inputs) {
@@ -152,8 +173,9 @@
 	if (input_bytes >= result_bytes) {
 		return _find_makers_zone(_stages.get_inputs(p_stage));
 	}
-	const std::optional<endpoint_id> engine = _get_router().choose(choice_request{ _request.service, {}, _get_affinity_key(), {} }, event_loop::now());
-	return engine ? _get_router().find(*engine)->listing.zone : "";
+	const std::optional<endpoint_id> engine = _choose_endpoint("");
+	_results_zone = engine ? _get_router().find(*engine)->listing.zone : "";
+	return _results_zone;
 }
 
 std::string gateway_request::_find_makers_zone(const std::vector<std::string> &p_handles) const {
@@ -244,7 +266,7 @@
 		return;
 	}
 	router &choices = _get_router();
-	const std::optional<endpoint_id> chosen = choices.choose(choice_request{ _request.service, {}, _get_affinity_key(), _avoid }, now);
+	const std::optional<endpoint_id> chosen = _choose_endpoint(_results_zone);
 	if (!chosen) {
 		_refuse(reason::NO_ENDPOINT, SHORT_RETRY_AFTER);
 		return;
@@ -275,6 +297,9 @@
 	_answer = endpoint_answer();
 	_answer_body.clear();
 	choices.on_attempt_started(_endpoint, now);
+	if (_is_engine()) {
+		_tell_prompt_sent();
+	}
 	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_name).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("version", static_cast<long long>(_request.configuration->version)));
 	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
 }
@@ -310,7 +335,10 @@
 
 void gateway_request::_learn_first_event() {
 	duration &usual = _services.first_event_times[_request.route->name];
-	const duration elapsed = event_loop::now() - _sent_at;
+	const instant now = event_loop::now();
+	const duration elapsed = now - _sent_at;
+	_services.engine_caches.on_first_event(_endpoint_name, _predicted, elapsed, now);
+	_services.context.log.write_request(log_line("first_event").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("ms", elapsed).add("wait_ms", _predicted.wait).add("reading_ms", _predicted.reading).add("unread_tokens", static_cast<long long>(_predicted.unread)));
 	usual = usual == duration::zero() ? elapsed : usual + duration(static_cast<duration::rep>(static_cast<double>((elapsed - usual).count()) * USUAL_TIME_STEP));
 }
 
--- a/main/gateway_request.h
+++ b/main/gateway_request.h
@@ -14,6 +14,7 @@
 #include "main/gateway_fleet.h"
 #include "main/stage_dispatcher.h"
 #include "platform/request_codec.h"
+#include "servers/gateway/engine_view.h"
 #include "servers/gateway/event_splitter.h"
 #include "servers/gateway/retry_window.h"
 #include "servers/gateway/stage_graph.h"
@@ -38,6 +39,7 @@
 	std::map<std::string, retry_window> &repeats; ///< By service.
 	std::map<std::string, duration> &usual_times; ///< Of answers, by service.
 	commitment_table &commitments;
+	engine_view &engine_caches;
 	std::map<std::string, duration> &first_event_times; ///< From the send to the first event, by route.
 };
 
@@ -73,6 +75,9 @@
 	exchange_id _exchange = 0;
 	endpoint_id _endpoint = 0; ///< Of the newest send.
 	std::string _endpoint_name;
+	std::vector<prompt_link> _prompt;
+	engine_prediction _predicted;
+	std::string _results_zone; ///< Where large results for the engine are made.
 	instant _sent_at{};
 	std::vector<endpoint_id> _avoid;
 	verdict_tally _tally;
@@ -95,8 +100,10 @@
 	router &_get_router() const;
 	bool _may_repeat_run() const;
 	bool _try_repeat_budget();
-	std::uint64_t _get_affinity_key() const;
-	std::string _choose_zone(std::size_t p_stage) const;
+	std::optional<endpoint_id> _choose_endpoint(const std::string &p_zone);
+	std::vector<prompt_link> _make_prompt_links() const;
+	void _tell_prompt_sent();
+	std::string _choose_zone(std::size_t p_stage);
 	std::string _find_makers_zone(const std::vector<std::string> &p_handles) const;
 	void _advance_stages();
 	void _on_work_ended(std::uint64_t p_id, std::size_t p_stage, const work_result &p_result);
--- /dev/null
+++ b/servers/gateway/engine_view.cpp
@@ -0,0 +1,165 @@
+/*
+ * calicoscale: engine_view.cpp
+ * What is known of each engine's prompt cache and of the prompts it still has to read.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/engine_view.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace calicoscale {
+
+namespace {
+
+/** Prompt tokens an engine reads in a millisecond, until some were seen; of the order of large models on current accelerators. */
+constexpr double FIRST_TOKENS_PER_MS = 50.0;
+constexpr double LEAST_TOKENS_PER_MS = 1.0;
+constexpr double MOST_TOKENS_PER_MS = 10000.0;
+/** From sending to the first event when there is nothing to read. */
+constexpr duration BASE_TIME = std::chrono::milliseconds(20);
+/** Prompts shorter than this say little about speed. */
+constexpr std::uint64_t LEAST_TOKENS_TO_LEARN = 2000;
+constexpr double SPEED_STEP = 0.1;
+constexpr double SLOWNESS_STEP = 0.3;
+constexpr double SLOWNESS_HIGHEST = 30.0;
+constexpr duration SLOWNESS_MEMORY = std::chrono::seconds(6);
+/** An engine keeps parts by use; this many seconds is well within the memory of engines of the size seen. */
+constexpr duration PART_MEMORY = std::chrono::seconds(120);
+constexpr std::size_t MOST_USES = 50000;
+/** Reading shared tokens again costs their time and a price; a millisecond stands for about this many of them. */
+constexpr double SHARED_TOKENS_PER_MS = 33.0;
+/** What a large transfer between zones is worth in time. */
+constexpr duration ZONE_PENALTY = std::chrono::milliseconds(60);
+/** Engines that a new prompt is drawn to, so that nodes that meet it at the same time agree. */
+constexpr std::size_t HASHED_CHOICES = 4;
+constexpr duration UNHASHED_PENALTY = std::chrono::milliseconds(40);
+/** Each request that runs beside takes a little of every step. */
+constexpr duration IN_FLIGHT_PENALTY = std::chrono::milliseconds(4);
+
+} // namespace
+
+engine_view::engine_view() :
+		_tokens_per_ms(FIRST_TOKENS_PER_MS) {
+}
+
+bool engine_view::_has_read(const std::string &p_engine, std::uint64_t p_chain) const {
+	const auto part = _parts.find(p_chain);
+	return part != _parts.end() && part->second.read_by.contains(p_engine);
+}
+
+double engine_view::_get_slowness(const std::string &p_engine, instant p_now) const {
+	const auto found = _engines.find(p_engine);
+	if (found == _engines.end()) {
+		return 1.0;
+	}
+	const double age = to_seconds(p_now - found->second.learnt_at) / to_seconds(SLOWNESS_MEMORY);
+	return 1.0 + (found->second.slowness - 1.0) * std::exp(-std::max(0.0, age));
+}
+
+duration engine_view::_get_reading_time(std::uint64_t p_tokens) const {
+	return from_seconds(static_cast<double>(p_tokens) / _tokens_per_ms / 1e3);
+}
+
+engine_prediction engine_view::predict(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) const {
+	engine_prediction prediction;
+	bool is_kept = true;
+	for (std::size_t i = 0; i < p_prompt.size(); i++) {
+		// A part is found again only if all parts before it are.
+		is_kept = is_kept && _has_read(p_engine, p_prompt[i].chain);
+		if (is_kept) {
+			continue;
+		}
+		prediction.unread += p_prompt[i].tokens;
+		prediction.unread_shared += i + 1 < p_prompt.size() ? p_prompt[i].tokens : 0;
+	}
+	const auto found = _engines.find(p_engine);
+	if (found != _engines.end()) {
+		prediction.wait = std::max(duration::zero(), found->second.busy_until - p_now);
+	}
+	const double slowness = _get_slowness(p_engine, p_now);
+	const duration reading = _get_reading_time(prediction.unread) + BASE_TIME;
+	prediction.reading = duration(static_cast<duration::rep>(static_cast<double>(reading.count()) * slowness));
+	return prediction;
+}
+
+void engine_view::on_sent(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) {
+	const engine_prediction prediction = predict(p_engine, p_prompt, p_now);
+	engine_state &engine = _engines[p_engine];
+	engine.busy_until = std::max(engine.busy_until, p_now) + _get_reading_time(prediction.unread);
+	for (const prompt_link &link : p_prompt) {
+		_parts[link.chain].read_by[p_engine] = p_now;
+		_uses.emplace_back(p_now, link.chain);
+	}
+	_forget(p_now);
+}
+
+void engine_view::_forget(instant p_now) {
+	while (!_uses.empty() && (_uses.size() > MOST_USES || p_now - _uses.front().first > PART_MEMORY)) {
+		const auto [used_at, chain] = _uses.front();
+		_uses.pop_front();
+		const auto part = _parts.find(chain);
+		if (part == _parts.end()) {
+			continue;
+		}
+		std::erase_if(part->second.read_by, [used_at = used_at](const auto &p_entry) { return p_entry.second <= used_at; });
+		if (part->second.read_by.empty()) {
+			_parts.erase(part);
+		}
+	}
+}
+
+void engine_view::on_first_event(const std::string &p_engine, const engine_prediction &p_predicted, duration p_elapsed, instant p_now) {
+	const duration expected = p_predicted.wait + p_predicted.reading;
+	if (expected <= duration::zero()) {
+		return;
+	}
+	engine_state &engine = _engines[p_engine];
+	const double current = _get_slowness(p_engine, p_now);
+	const double sample = static_cast<double>(p_elapsed.count()) / static_cast<double>(expected.count());
+	engine.slowness = std::clamp(current * (1.0 + (sample - 1.0) * SLOWNESS_STEP), 0.7, SLOWNESS_HIGHEST);
+	engine.learnt_at = p_now;
+	if (p_predicted.wait == duration::zero() && p_predicted.unread >= LEAST_TOKENS_TO_LEARN && p_elapsed > BASE_TIME) {
+		const double speed = static_cast<double>(p_predicted.unread) / to_milliseconds(p_elapsed - BASE_TIME);
+		_tokens_per_ms = std::clamp(_tokens_per_ms + (speed - _tokens_per_ms) * SPEED_STEP, LEAST_TOKENS_PER_MS, MOST_TOKENS_PER_MS);
+	}
+}
+
+void engine_view::forget_engine(const std::string &p_engine) {
+	_engines.erase(p_engine);
+	for (auto &[chain, part] : _parts) {
+		part.read_by.erase(p_engine);
+	}
+}
+
+std::size_t engine_view::choose(const std::vector<engine_candidate> &p_candidates, const std::vector<prompt_link> &p_prompt, const std::string &p_zone, instant p_now) const {
+	const std::uint64_t key = p_prompt.empty() ? 0 : p_prompt[p_prompt.size() > 1 ? p_prompt.size() - 2 : 0].chain;
+	std::vector<std::pair<std::uint64_t, std::size_t>> order;
+	order.reserve(p_candidates.size());
+	for (std::size_t i = 0; i < p_candidates.size(); i++) {
+		order.emplace_back(hash_bytes(p_candidates[i].name, key), i);
+	}
+	std::sort(order.rbegin(), order.rend());
+	std::size_t best = 0;
+	double best_score = 0.0;
+	for (std::size_t rank = 0; rank < order.size(); rank++) {
+		const engine_candidate &candidate = p_candidates[order[rank].second];
+		const engine_prediction prediction = predict(candidate.name, p_prompt, p_now);
+		double score = to_milliseconds(prediction.wait + prediction.reading + IN_FLIGHT_PENALTY * candidate.in_flight);
+		score += static_cast<double>(prediction.unread_shared) / SHARED_TOKENS_PER_MS;
+		score += rank < HASHED_CHOICES ? 0.0 : to_milliseconds(UNHASHED_PENALTY);
+		score += p_zone.empty() || p_zone == candidate.zone ? 0.0 : to_milliseconds(ZONE_PENALTY);
+		if (rank == 0 || score < best_score) {
+			best = order[rank].second;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/gateway/engine_view.h
@@ -0,0 +1,94 @@
+/*
+ * calicoscale: engine_view.h
+ * What is known of each engine's prompt cache and of the prompts it still has to read.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ENGINE_VIEW_H
+#define ENGINE_VIEW_H
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace calicoscale {
+
+/** One part of a prompt, named by the hash of all parts up to it. */
+struct prompt_link {
+	std::uint64_t chain = 0;
+	std::uint64_t tokens = 0;
+};
+
+/** An engine that may be chosen. */
+struct engine_candidate {
+	std::uint64_t id = 0;
+	std::string name;
+	std::string zone;
+	int in_flight = 0; ///< Requests of this node.
+};
+
+/** What a prompt would meet at an engine. */
+struct engine_prediction {
+	duration wait = duration::zero(); ///< Until the engine has read what it was sent before.
+	duration reading = duration::zero();
+	std::uint64_t unread_shared = 0; ///< Tokens that other requests may share and that the engine has not read.
+	std::uint64_t unread = 0;
+};
+
+/**
+ * Follows what all nodes send to engines: which prompt parts each engine has read, and until when it is busy reading.
+ * Engines' own reports are older than the work they would tell of. Speeds are learnt from the times to the first event.
+ */
+class engine_view {
+	struct engine_state {
+		instant busy_until{};
+		double slowness = 1.0;
+		instant learnt_at{};
+	};
+
+	struct cached_part {
+		std::unordered_map<std::string, instant> read_by; ///< Engines, with the last use.
+	};
+
+	std::unordered_map<std::string, engine_state> _engines;
+	std::unordered_map<std::uint64_t, cached_part> _parts;
+	std::deque<std::pair<instant, std::uint64_t>> _uses; ///< For forgetting parts in order of use.
+	double _tokens_per_ms;
+
+	bool _has_read(const std::string &p_engine, std::uint64_t p_chain) const;
+	double _get_slowness(const std::string &p_engine, instant p_now) const;
+	duration _get_reading_time(std::uint64_t p_tokens) const;
+	void _forget(instant p_now);
+
+public:
+	engine_view();
+
+	/** What the prompt would meet at the engine. */
+	engine_prediction predict(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) const;
+
+	/** A node sent the prompt to the engine. */
+	void on_sent(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now);
+
+	/** An engine's first event came. @param p_predicted as it was when the prompt was sent. */
+	void on_first_event(const std::string &p_engine, const engine_prediction &p_predicted, duration p_elapsed, instant p_now);
+
+	/** An engine was lost; what it had read is gone. */
+	void forget_engine(const std::string &p_engine);
+
+	/**
+	 * Chooses an engine by the predicted time to the first event, the price of reading shared parts again, and the zone.
+	 * @param p_zone zone where large inputs lie; empty when it does not matter.
+	 * @return index of the candidate; candidates must not be empty.
+	 */
+	std::size_t choose(const std::vector<engine_candidate> &p_candidates, const std::vector<prompt_link> &p_prompt, const std::string &p_zone, instant p_now) const;
+};
+
+} // namespace calicoscale
+
+#endif // ENGINE_VIEW_H
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -27,6 +27,8 @@
 constexpr double ERROR_STEP = 0.2;
 /** A failure counts as an answer this much slower than usual, so that failing fast attracts no work. */
 constexpr double FAILURE_SLOWNESS = 4.0;
+/** Affinity is kept while the endpoint's predicted finish is at most this much above an idle usual one's. */
+constexpr double AFFINITY_BOUND = 4.0;
 /** An endpoint that is itself slow saves less by its cache than it costs. */
 constexpr double AFFINITY_SLOWNESS = 1.8;
 /** Another zone is used when its best finish is this much better than the own zone's. */
@@ -217,7 +219,7 @@
 	}
 	return p_group.find_by_affinity(p_request.affinity_key, [this, &p_request, p_now](const endpoint_state &p_endpoint) {
 		const bool is_usable = !p_endpoint.ejected && _may_try(p_endpoint, p_now) && !is_contained(p_request.avoid, p_endpoint.id);
-		return is_usable && p_endpoint.get_slowness(p_now) <= AFFINITY_SLOWNESS && predict_finish(p_endpoint, p_now) <= _settings.affinity_bound;
+		return is_usable && p_endpoint.get_slowness(p_now) <= AFFINITY_SLOWNESS && predict_finish(p_endpoint, p_now) <= AFFINITY_BOUND;
 	});
 }
 
@@ -270,6 +272,23 @@
 	return chosen->id;
 }
 
+std::vector<const endpoint_state *> router::get_usable(const std::string &p_pool, const std::vector<endpoint_id> &p_avoid, instant p_now) {
+	choice_request request;
+	request.pool = p_pool;
+	std::vector<const endpoint_state *> usable;
+	std::vector<const endpoint_state *> open;
+	for (const endpoint_state *endpoint : _get_group(request).get_all()) {
+		if (!endpoint->is_open()) {
+			continue;
+		}
+		open.push_back(endpoint);
+		if (_may_try(*endpoint, p_now) && !is_contained(p_avoid, endpoint->id)) {
+			usable.push_back(endpoint);
+		}
+	}
+	return usable.empty() ? open : usable;
+}
+
 void router::on_attempt_started(endpoint_id p_endpoint, instant p_now) {
 	const auto found = _endpoints.find(p_endpoint);
 	if (found == _endpoints.end()) {
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -42,8 +42,6 @@
 struct router_settings {
 	routing_policy policy = routing_policy::PREDICTED_FINISH;
 	double max_ejected_share = 0.5;
-	/** Affinity is kept while the endpoint's predicted finish is at most this much above an idle usual one's. */
-	double affinity_bound = 4.0;
 	/** Connections that fail in a row until an endpoint is ejected; 1 where connecting has a short time-out. */
 	int connect_failures_to_eject = 5;
 	std::vector<selector> drains;
@@ -123,6 +121,9 @@
 	/** Chooses an endpoint; empty when the pool has no open one. Counts nothing: see on_attempt_started. */
 	std::optional<endpoint_id> choose(const choice_request &p_request, instant p_now);
 
+	/** Endpoints of a pool that may be tried now, without those to avoid; all open ones when none is left. */
+	std::vector<const endpoint_state *> get_usable(const std::string &p_pool, const std::vector<endpoint_id> &p_avoid, instant p_now);
+
 	/** An attempt was started. */
 	void on_attempt_started(endpoint_id p_endpoint, instant p_now);
 
