Wait for a replica in the zone of what a stage reads, in proportion to the bytes

Change: the wait is 40 ms a megabyte within the time left; calls take pieces of another zone only when no replica of their zone is nearer. Links are made at once after a start; new engines are met in hash order.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -135,7 +135,7 @@
 		const text_offset zone = target.CreateString(p_message.zone);
 		const std::int64_t give_up = p_message.give_up_in.count() / 1000;
 		const std::int64_t objective = p_message.objective_in.count() / 1000;
-		return { wire::message_hand_work, wire::Createhand_work(target, p_message.id, pool, attempt, p_message.stage, p_message.pieces, key, inputs, give_up, objective, p_message.priority, zone, p_message.result_bytes).Union() };
+		return { wire::message_hand_work, wire::Createhand_work(target, p_message.id, pool, attempt, p_message.stage, p_message.pieces, key, inputs, give_up, objective, p_message.priority, zone, p_message.result_bytes, p_message.transfer_bytes).Union() };
 	}
 
 	encoded_body operator()(const work_ended_message &p_message) const {
@@ -250,6 +250,7 @@
 	message.priority = p_message.priority();
 	message.zone = read(p_message.zone());
 	message.result_bytes = p_message.result_bytes();
+	message.transfer_bytes = p_message.transfer_bytes();
 	return message;
 }
 
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -36,7 +36,6 @@
 constexpr std::size_t MOST_UNSENT_BYTES = 8 * 1024 * 1024;
 constexpr std::size_t MOST_LINKS = 256;
 constexpr duration FIRST_BACK_OFF = std::chrono::milliseconds(250);
-constexpr duration LONGEST_BACK_OFF = std::chrono::seconds(8);
 constexpr int SILENCE_SECONDS = 10;
 constexpr int NONCE_BYTES = 16;
 
@@ -292,7 +291,7 @@
 		return;
 	}
 	duration &back_off = _back_off[p_dial_key];
-	back_off = back_off == duration::zero() ? FIRST_BACK_OFF : std::min(LONGEST_BACK_OFF, back_off * 2);
+	back_off = back_off == duration::zero() ? FIRST_BACK_OFF : std::min(_identity.longest_back_off, back_off * 2);
 	_dial_after[p_dial_key] = now + back_off;
 	const sockaddr_in address = make_socket_address(p_address);
 	bufferevent *stream = bufferevent_socket_new(_loop.get_base(), -1, BEV_OPT_CLOSE_ON_FREE);
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -77,6 +77,7 @@
 	int priority = 0;
 	std::string zone;
 	std::uint64_t result_bytes = 0;
+	std::uint64_t transfer_bytes = 0;
 };
 
 /** Work handed over ended. */
@@ -109,6 +110,7 @@
 	std::string vm;
 	std::uint64_t incarnation = 0;
 	std::string fleet_key; ///< Empty admits every peer.
+	duration longest_back_off = std::chrono::seconds(8); ///< Between attempts to make a link; they begin at a quarter of a second.
 };
 
 /**
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -19,6 +19,8 @@
 constexpr duration SILENCE = std::chrono::milliseconds(750);
 /** A silent link is closed after this, so that a new one is tried. */
 constexpr duration DEAD_LINK = std::chrono::milliseconds(2500);
+/** A node that restarts is back in about a second; others should not wait much longer to reach it. */
+constexpr duration LONGEST_BACK_OFF = std::chrono::milliseconds(1000);
 constexpr duration NAMES_INTERVAL = std::chrono::seconds(2);
 constexpr duration NAME_RETRY = std::chrono::seconds(3);
 constexpr duration MARK_TIME = std::chrono::seconds(5);
@@ -32,12 +34,13 @@
 		_configuration(p_configuration),
 		_endpoints(p_endpoints),
 		_commitments(p_commitments),
-		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key }),
+		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, LONGEST_BACK_OFF }),
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {} }),
 		_beat_timer(p_context.loop, [this] { _beat(); }) {
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
 	_link.configuration_asked().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_asked(p_vm, p_have); });
 	_link.configuration_told().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
+	_link.link_up().connect([this](const std::string &p_vm) { _link.send(p_vm, _make_heartbeat()); });
 	_configuration.changed().connect([this] { _send_heartbeats(); });
 }
 
@@ -92,9 +95,7 @@
 		if (entry.state == member_state::GONE || entry.digest.link.port == 0) {
 			continue;
 		}
-		// The lower name dials, so that two nodes keep one link; the other dials too where that does not come about.
-		const bool is_first = get_vm() < vm || entry.state != member_state::ALIVE;
-		if (is_first && !_link.is_linked(vm)) {
+		if (!_link.is_linked(vm)) {
 			_link.dial(vm, entry.digest.link);
 		}
 	}
@@ -131,7 +132,7 @@
 	}
 }
 
-void gateway_fleet::_send_heartbeats() {
+heartbeat_message gateway_fleet::_make_heartbeat() {
 	_members.update_self(_ready, _leaving, _configuration.get_version(), {});
 	heartbeat_message message;
 	message.digests = _members.make_heartbeat();
@@ -142,6 +143,11 @@
 	if (_get_capacities) {
 		message.capacities = _get_capacities();
 	}
+	return message;
+}
+
+void gateway_fleet::_send_heartbeats() {
+	const heartbeat_message message = _make_heartbeat();
 	for (const std::string &vm : _link.get_linked()) {
 		_link.send(vm, message);
 	}
@@ -173,7 +179,11 @@
 void gateway_fleet::_on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message) {
 	const instant now = event_loop::now();
 	_heard_at[p_vm] = now;
+	const std::size_t known = _members.get_members().size();
 	_members.take_digests(p_message.digests, now);
+	if (_members.get_members().size() > known) {
+		_dial();
+	}
 	for (const leaving_mark &mark : p_message.marks) {
 		_endpoints.mark_leaving(mark.vm);
 	}
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -48,6 +48,7 @@
 	sigc::signal<void(const std::string &)> _peer_lost;
 
 	void _beat();
+	heartbeat_message _make_heartbeat();
 	void _send_heartbeats();
 	void _dial();
 	void _use_store();
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -160,22 +160,26 @@
 	}
 }
 
-std::string gateway_request::_choose_zone(std::size_t p_stage) {
+void gateway_request::_set_zone(std::size_t p_stage, stage_work &r_work) {
 	const stage_spec &spec = _stages.get_spec(p_stage);
 	std::size_t input_bytes = 0;
 	for (const std::size_t input : spec.inputs) {
 		input_bytes += _stages.get_spec(input).result_bytes * _stages.get_pieces(input);
 	}
-	const std::size_t result_bytes = spec.result_bytes * _stages.get_pieces(p_stage);
-	if (std::max(input_bytes, result_bytes) < LARGE_TRANSFER) {
-		return "";
+	// Each piece reads all inputs.
+	const std::size_t read_bytes = input_bytes * _stages.get_pieces(p_stage);
+	const std::size_t made_bytes = _stages.is_final(p_stage) ? spec.result_bytes * _stages.get_pieces(p_stage) : 0;
+	r_work.transfer_bytes = std::max(read_bytes, made_bytes);
+	if (r_work.transfer_bytes < LARGE_TRANSFER) {
+		return;
 	}
-	if (input_bytes >= result_bytes) {
-		return _find_makers_zone(_stages.get_inputs(p_stage));
+	if (read_bytes >= made_bytes) {
+		r_work.zone = _find_makers_zone(_stages.get_inputs(p_stage));
+		return;
 	}
 	const std::optional<endpoint_id> engine = _choose_endpoint("");
 	_results_zone = engine ? _get_router().find(*engine)->listing.zone : "";
-	return _results_zone;
+	r_work.zone = _results_zone;
 }
 
 std::string gateway_request::_find_makers_zone(const std::vector<std::string> &p_handles) const {
@@ -199,7 +203,7 @@
 		work.give_up_at = _give_up_at;
 		work.objective_at = _started + _request.route->objective;
 		work.priority = _get_priority();
-		work.zone = _choose_zone(stage);
+		_set_zone(stage, work);
 		work.result_bytes = spec.result_bytes;
 		const std::shared_ptr<std::uint64_t> id = std::make_shared<std::uint64_t>(0);
 		*id = _services.dispatcher.submit(spec.pool, std::move(work), [this, id, stage](const work_result &p_result) { _on_work_ended(*id, stage, p_result); });
--- a/main/gateway_request.h
+++ b/main/gateway_request.h
@@ -103,7 +103,7 @@
 	std::optional<endpoint_id> _choose_endpoint(const std::string &p_zone);
 	std::vector<prompt_link> _make_prompt_links() const;
 	void _tell_prompt_sent();
-	std::string _choose_zone(std::size_t p_stage);
+	void _set_zone(std::size_t p_stage, stage_work &r_work);
 	std::string _find_makers_zone(const std::vector<std::string> &p_handles) const;
 	void _advance_stages();
 	void _on_work_ended(std::uint64_t p_id, std::size_t p_stage, const work_result &p_result);
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -126,6 +126,7 @@
 		message.priority = own.work.priority;
 		message.zone = own.work.zone;
 		message.result_bytes = own.work.result_bytes;
+		message.transfer_bytes = own.work.transfer_bytes;
 		if (_fleet.get_link().send(own.node, message)) {
 			return;
 		}
@@ -164,6 +165,7 @@
 	work.priority = p_message.priority;
 	work.zone = p_message.zone;
 	work.result_bytes = static_cast<std::size_t>(p_message.result_bytes);
+	work.transfer_bytes = static_cast<std::size_t>(p_message.transfer_bytes);
 	_accept(p_message.pool, p_vm, p_message.id, std::move(work));
 }
 
--- a/servers/gateway/engine_view.cpp
+++ b/servers/gateway/engine_view.cpp
@@ -36,9 +36,12 @@
 constexpr double SHARED_TOKENS_PER_MS = 33.0;
 /** What a large transfer between zones is worth in time. */
 constexpr duration ZONE_PENALTY = std::chrono::milliseconds(60);
-/** Engines that a new prompt is drawn to, so that nodes that meet it at the same time agree. */
-constexpr std::size_t HASHED_CHOICES = 4;
-constexpr duration UNHASHED_PENALTY = std::chrono::milliseconds(40);
+/**
+ * A prompt is drawn to engines in the order of a hash, so that nodes that meet it at the same time, or that have just
+ * started and know nothing of what was read where, agree: each rank down costs this, to a bound.
+ */
+constexpr duration RANK_PENALTY = std::chrono::milliseconds(30);
+constexpr std::size_t MOST_PENALIZED_RANKS = 3;
 /** Each request that runs beside takes a little of every step. */
 constexpr duration IN_FLIGHT_PENALTY = std::chrono::milliseconds(4);
 
@@ -152,7 +155,7 @@
 		const engine_prediction prediction = predict(candidate.name, p_prompt, p_now);
 		double score = to_milliseconds(prediction.wait + prediction.reading + IN_FLIGHT_PENALTY * candidate.in_flight);
 		score += static_cast<double>(prediction.unread_shared) / SHARED_TOKENS_PER_MS;
-		score += rank < HASHED_CHOICES ? 0.0 : to_milliseconds(UNHASHED_PENALTY);
+		score += to_milliseconds(RANK_PENALTY) * static_cast<double>(std::min(rank, MOST_PENALIZED_RANKS));
 		score += p_zone.empty() || p_zone == candidate.zone ? 0.0 : to_milliseconds(ZONE_PENALTY);
 		if (rank == 0 || score < best_score) {
 			best = order[rank].second;
--- a/servers/gateway/stage_graph.cpp
+++ b/servers/gateway/stage_graph.cpp
@@ -27,7 +27,7 @@
 	return std::all_of(inputs.begin(), inputs.end(), [this](std::size_t p_input) { return _stages[p_input].done; });
 }
 
-bool stage_graph::_is_final(std::size_t p_stage) const {
+bool stage_graph::is_final(std::size_t p_stage) const {
 	return std::none_of(_specs.begin(), _specs.end(), [p_stage](const stage_spec &p_spec) {
 		return std::find(p_spec.inputs.begin(), p_spec.inputs.end(), p_stage) != p_spec.inputs.end();
 	});
@@ -41,7 +41,7 @@
 			return false;
 		}
 	}
-	return !_is_final(p_stage);
+	return !is_final(p_stage);
 }
 
 std::vector<std::size_t> stage_graph::take_ready() {
@@ -72,7 +72,7 @@
 std::vector<std::string> stage_graph::get_final_results() const {
 	std::vector<std::string> handles;
 	for (std::size_t i = 0; i < _stages.size(); i++) {
-		if (_is_final(i)) {
+		if (is_final(i)) {
 			handles.insert(handles.end(), _stages[i].results.begin(), _stages[i].results.end());
 		}
 	}
--- a/servers/gateway/stage_graph.h
+++ b/servers/gateway/stage_graph.h
@@ -33,7 +33,6 @@
 	std::vector<stage_state> _stages;
 
 	bool _is_ready(std::size_t p_stage) const;
-	bool _is_final(std::size_t p_stage) const;
 	bool _is_consumed(std::size_t p_stage) const;
 
 public:
@@ -63,6 +62,9 @@
 	/** Forgets all results, so that everything is made again. */
 	void restart();
 
+	/** Whether no other stage needs its results, so that they are the service's. */
+	bool is_final(std::size_t p_stage) const;
+
 	std::size_t get_pieces(std::size_t p_stage) const { return _stages[p_stage].pieces; }
 	const stage_spec &get_spec(std::size_t p_stage) const { return _specs[p_stage]; }
 	bool is_complete() const;
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -22,8 +22,12 @@
 constexpr duration PRIORITY_STEP = std::chrono::milliseconds(600);
 /** Work that cannot be in time goes behind all that can, whatever its priority. */
 constexpr duration LATE_PENALTY = std::chrono::seconds(30);
-/** Delay worth taking to make a large result in the zone where it is used. */
-constexpr duration ZONE_PENALTY = std::chrono::milliseconds(120);
+/** Delay worth taking for each byte that does not cross zones: 40 ms a megabyte, to a bound and part of the time left. */
+constexpr double ZONE_MICROSECONDS_PER_BYTE = 0.04;
+constexpr duration ZONE_PENALTY_MOST = std::chrono::milliseconds(350);
+constexpr double ZONE_PART_OF_SLACK = 0.4;
+/** A replica that is busy may be free a little later than expected. */
+constexpr duration BUSY_MARGIN = std::chrono::milliseconds(10);
 /** A call is made anew when it takes this many times what it should, and the margin. */
 constexpr double OVERRUN_FACTOR = 2.0;
 constexpr duration OVERRUN_MARGIN = std::chrono::milliseconds(150);
@@ -110,14 +114,12 @@
 	return left + PRIORITY_STEP * p_work.work.priority + (is_late ? LATE_PENALTY : duration::zero());
 }
 
-std::vector<work_id> stage_pool::_order_works(const std::string &p_zone, instant p_now) const {
+std::vector<work_id> stage_pool::_order_works(instant p_now) const {
 	std::vector<std::pair<duration, work_id>> order;
 	for (const auto &[id, entry] : _works) {
-		if (entry.waiting == 0) {
-			continue;
+		if (entry.waiting > 0) {
+			order.emplace_back(_get_urgency(entry, p_now), id);
 		}
-		const bool is_elsewhere = !p_zone.empty() && !entry.work.zone.empty() && entry.work.zone != p_zone;
-		order.emplace_back(_get_urgency(entry, p_now) + (is_elsewhere ? ZONE_PENALTY : duration::zero()), id);
 	}
 	std::sort(order.begin(), order.end());
 	std::vector<work_id> ids;
@@ -128,11 +130,40 @@
 	return ids;
 }
 
+std::map<std::string, duration> stage_pool::_get_zone_backlogs() const {
+	std::map<std::string, std::size_t> pieces;
+	std::map<std::string, std::size_t> replicas;
+	for (const auto &[id, entry] : _works) {
+		if (!entry.work.zone.empty()) {
+			pieces[entry.work.zone] += entry.waiting;
+		}
+	}
+	for (const auto &[id, replica] : _replicas) {
+		replicas[replica.listing.zone] += replica.listed ? 1 : 0;
+	}
+	std::map<std::string, duration> backlogs;
+	for (const auto &[zone, count] : pieces) {
+		const std::size_t calls = count / (_spec.batch * std::max<std::size_t>(1, replicas[zone]));
+		backlogs[zone] = _get_expected(_spec.batch) * static_cast<duration::rep>(calls);
+	}
+	return backlogs;
+}
+
+duration stage_pool::_get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const {
+	if (p_work.work.zone.empty() || p_work.work.zone == p_replica.listing.zone) {
+		return duration::zero();
+	}
+	const duration wanted = duration(static_cast<duration::rep>(static_cast<double>(p_work.work.transfer_bytes) * ZONE_MICROSECONDS_PER_BYTE));
+	const duration slack = std::max(duration::zero(), p_work.work.objective_at - p_now - _get_expected(p_work.missing));
+	const duration affordable = duration(static_cast<duration::rep>(static_cast<double>(slack.count()) * ZONE_PART_OF_SLACK));
+	return std::min({ wanted, ZONE_PENALTY_MOST, affordable });
+}
+
 bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes) const {
 	return _spec.room_bytes <= 0.0 || p_replica.room_used + p_bytes <= _spec.room_bytes * ROOM_PART;
 }
 
-stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, instant p_now) {
+stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, const std::map<std::string, duration> &p_backlogs, instant p_now) {
 	replica_state *best = nullptr;
 	duration best_finish = duration::max();
 	const double bytes = static_cast<double>(p_work.work.result_bytes);
@@ -140,24 +171,30 @@
 		if (!replica.listed || p_now < replica.blocked_until || !_has_room(replica, bytes)) {
 			continue;
 		}
-		const bool is_free = replica.calls < _spec.slots;
-		const duration wait = is_free ? duration::zero() : std::max(duration::zero(), replica.free_at - p_now);
-		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * replica.slowness));
-		const bool is_elsewhere = !p_work.work.zone.empty() && p_work.work.zone != replica.listing.zone;
-		const duration finish = wait + own + (is_elsewhere ? ZONE_PENALTY : duration::zero()) + (is_free ? duration::zero() : FULL_BLOCK);
-		if (best == nullptr || finish < best_finish) {
+		duration finish = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * replica.slowness));
+		finish += _get_zone_penalty(p_work, replica, p_now);
+		if (replica.calls >= _spec.slots) {
+			const auto backlog = p_backlogs.find(replica.listing.zone);
+			finish += std::max(duration::zero(), replica.free_at - p_now) + BUSY_MARGIN + (backlog == p_backlogs.end() ? duration::zero() : backlog->second);
+		}
+		if (finish < best_finish) {
 			best = &replica;
 			best_finish = finish;
 		}
 	}
-	// A replica that is busy now may still be the best one; then waiting for it beats using a slow one.
-	return best != nullptr && best->calls < _spec.slots ? best : nullptr;
+	// A replica that is busy now may still be the best one; then waiting for it beats a slow one or one far away.
+	return best;
 }
 
-void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, instant p_now) {
+void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, const std::map<std::string, duration> &p_backlogs, instant p_now) {
 	double bytes = 0.0;
-	for (const work_id id : _order_works(p_replica.listing.zone, p_now)) {
+	const duration expected = _get_expected(_spec.batch);
+	for (const work_id id : _order_works(p_now)) {
 		queued_work &entry = _works.at(id);
+		const bool is_elsewhere = !entry.work.zone.empty() && entry.work.zone != p_replica.listing.zone;
+		if (is_elsewhere && _choose_replica(entry, expected, p_backlogs, p_now) != &p_replica) {
+			continue;
+		}
 		for (std::size_t piece = 0; piece < entry.states.size(); piece++) {
 			if (r_call.items.size() >= _spec.batch) {
 				return;
@@ -182,18 +219,19 @@
 		return std::nullopt;
 	}
 	const duration expected = _get_expected(std::min(_waiting_pieces, _spec.batch));
-	for (const work_id id : _order_works("", p_now)) {
-		replica_state *replica = _choose_replica(_works.at(id), expected, p_now);
-		if (replica == nullptr) {
+	const std::map<std::string, duration> backlogs = _get_zone_backlogs();
+	for (const work_id id : _order_works(p_now)) {
+		replica_state *replica = _choose_replica(_works.at(id), expected, backlogs, p_now);
+		if (replica == nullptr || replica->calls >= _spec.slots) {
 			continue;
 		}
 		stage_call call;
 		call.id = _next_call++;
 		call.replica = replica->listing.vm;
 		call.to = replica->listing.address;
-		_fill(call, *replica, p_now);
+		_fill(call, *replica, backlogs, p_now);
 		if (call.items.empty()) {
-			return std::nullopt;
+			continue;
 		}
 		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false };
 		replica->calls++;
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -35,7 +35,8 @@
 	instant give_up_at{}; ///< Nobody waits any longer.
 	instant objective_at{}; ///< Time by which the request's answer should begin.
 	int priority = 0; ///< 0 is the most urgent.
-	std::string zone; ///< Where the results will be used; empty when it does not matter.
+	std::string zone; ///< Where the inputs lie or the results will be used; empty when it does not matter.
+	std::size_t transfer_bytes = 0; ///< What would cross zones elsewhere.
 	std::size_t result_bytes = 0;
 };
 
@@ -152,11 +153,13 @@
 	std::size_t _waiting_pieces = 0;
 
 	duration _get_urgency(const queued_work &p_work, instant p_now) const;
-	std::vector<work_id> _order_works(const std::string &p_zone, instant p_now) const;
-	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, instant p_now);
+	std::vector<work_id> _order_works(instant p_now) const;
+	std::map<std::string, duration> _get_zone_backlogs() const;
+	duration _get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const;
+	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const std::map<std::string, duration> &p_backlogs, instant p_now);
 	duration _get_expected(std::size_t p_items) const;
 	bool _has_room(const replica_state &p_replica, double p_bytes) const;
-	void _fill(stage_call &r_call, replica_state &p_replica, instant p_now);
+	void _fill(stage_call &r_call, replica_state &p_replica, const std::map<std::string, duration> &p_backlogs, instant p_now);
 	void _end(work_id p_id, work_end p_end);
 	void _put_back(const stage_item &p_item, bool p_counts);
 	void _take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now);
