--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -20,7 +20,12 @@
 
 /** What one rank of priority is worth in time left; about one call of the pools seen. */
 constexpr duration PRIORITY_STEP = std::chrono::milliseconds(600);
-/** Work that cannot be in time goes behind all that can, whatever its priority. */
+/** Work of which some pieces are made holds room until the rest is; it goes before other work by this. */
+constexpr duration SPLIT_BONUS = std::chrono::milliseconds(1000);
+/**
+ * Work that nothing was spent on yet and that cannot be in time goes behind all that can, whatever its priority. Work
+ * with inputs does not: they would hold room and expire.
+ */
 constexpr duration LATE_PENALTY = std::chrono::seconds(30);
 /** Delay worth taking for each byte that does not cross zones: 40 ms a megabyte, to a bound and part of the time left. */
 constexpr double ZONE_MICROSECONDS_PER_BYTE = 0.04;
@@ -110,8 +115,10 @@
 
 duration stage_pool::_get_urgency(const queued_work &p_work, instant p_now) const {
 	const duration left = p_work.work.objective_at - p_now;
-	const bool is_late = left < _get_expected(p_work.missing);
-	return left + PRIORITY_STEP * p_work.work.priority + (is_late ? LATE_PENALTY : duration::zero());
+	const bool is_split = p_work.missing < p_work.states.size();
+	const bool has_cost = is_split || !p_work.work.inputs.empty();
+	const bool is_late = !has_cost && left < _get_expected(p_work.missing);
+	return left + PRIORITY_STEP * p_work.work.priority + (is_late ? LATE_PENALTY : duration::zero()) - (is_split ? SPLIT_BONUS : duration::zero());
 }
 
 std::vector<work_id> stage_pool::_order_works(instant p_now) const {
