--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -36,6 +36,11 @@
 /** A call is made anew when it takes this many times what it should, and the margin. */
 constexpr double OVERRUN_FACTOR = 2.0;
 constexpr duration OVERRUN_MARGIN = std::chrono::milliseconds(150);
+/** Long enough for each replica to end a few calls. */
+constexpr duration MEASURE_WINDOW = std::chrono::milliseconds(800);
+constexpr double BACKLOGGED_PART = 0.8;
+/** A pool that made nothing in a window is still not without any capacity. */
+constexpr double LEAST_CAPACITY = 0.2;
 constexpr int MOST_TRIES = 3;
 constexpr duration FULL_BLOCK = std::chrono::milliseconds(60);
 constexpr duration ROOM_BLOCK = std::chrono::milliseconds(150);
@@ -281,6 +286,7 @@
 void stage_pool::_take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now) {
 	const auto found = _works.find(p_item.work);
 	if (p_result.end == item_end::DONE) {
+		_window_made++;
 		const double bytes = found == _works.end() ? 0.0 : static_cast<double>(found->second.work.result_bytes);
 		if (p_replica != nullptr) {
 			_results[p_result.handle] = kept_result{ p_replica->listing.vm, bytes, p_now + _spec.result_ttl };
@@ -373,6 +379,7 @@
 }
 
 void stage_pool::tick(const std::function<bool()> &p_may_repeat, instant p_now) {
+	_measure(p_now);
 	std::vector<work_id> late;
 	for (const auto &[id, entry] : _works) {
 		if (p_now >= entry.work.give_up_at) {
@@ -427,6 +434,33 @@
 }
 
 double stage_pool::get_capacity(instant p_now) const {
+	const double nominal = _get_nominal_capacity(p_now);
+	return _measured_capacity ? std::min(nominal, *_measured_capacity) : nominal;
+}
+
+void stage_pool::_measure(instant p_now) {
+	if (_ticked_at != instant{} && _waiting_pieces > 0) {
+		_window_backlogged += p_now - _ticked_at;
+	}
+	_ticked_at = p_now;
+	const duration window = p_now - _window_started;
+	if (window < MEASURE_WINDOW) {
+		return;
+	}
+	const bool was_backlogged = to_seconds(_window_backlogged) >= BACKLOGGED_PART * to_seconds(window);
+	if (was_backlogged && window < MEASURE_WINDOW * 2) {
+		const duration cost = _spec.piece_time * static_cast<duration::rep>(_window_made) + _spec.call_time * static_cast<duration::rep>(_window_made) / static_cast<duration::rep>(_spec.batch);
+		const double measured = std::max(LEAST_CAPACITY, to_seconds(cost) / to_seconds(window));
+		_measured_capacity = _measured_capacity ? (*_measured_capacity + measured) / 2.0 : measured;
+	} else {
+		_measured_capacity.reset();
+	}
+	_window_started = p_now;
+	_window_backlogged = duration::zero();
+	_window_made = 0;
+}
+
+double stage_pool::_get_nominal_capacity(instant p_now) const {
 	double capacity = 0.0;
 	for (const auto &[id, replica] : _replicas) {
 		const bool is_failing = replica.failures > 0 && p_now < replica.blocked_until;
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -151,6 +151,11 @@
 	std::set<std::string> _unwanted; ///< Results nobody waits for.
 	std::uint64_t _next_call = 1;
 	std::size_t _waiting_pieces = 0;
+	instant _window_started{};
+	instant _ticked_at{};
+	duration _window_backlogged = duration::zero(); ///< Part of the window in which pieces waited.
+	std::size_t _window_made = 0; ///< Pieces made in the window.
+	std::optional<double> _measured_capacity; ///< Of the last window in which pieces waited nearly all the time.
 
 	duration _get_urgency(const queued_work &p_work, instant p_now) const;
 	std::vector<work_id> _order_works(instant p_now) const;
@@ -164,6 +169,8 @@
 	void _put_back(const stage_item &p_item, bool p_counts);
 	void _take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now);
 	void _block(replica_state &p_replica, duration p_time, instant p_now);
+	void _measure(instant p_now);
+	double _get_nominal_capacity(instant p_now) const;
 	void _learn_time(replica_state &p_replica, const running_call &p_call, instant p_now);
 
 public:
@@ -200,7 +207,10 @@
 	/** Hands out results that nobody waits for, to be released. */
 	std::vector<std::string> take_unwanted();
 
-	/** What the replicas that may get work are worth, in usual ones. */
+	/**
+	 * What the replicas that may get work are worth, in usual ones whose calls are full. While work waits it is what
+	 * they were seen to do: calls that are not full, lack of room and slow replicas all show there.
+	 */
 	double get_capacity(instant p_now) const;
 
 	const stage_work *find_work(work_id p_id) const;
