Give up stage calls whose answer is lost; forget slowness with time

Two of five replicas of a pool got no call from second 3 to 33: their answers had been lost without a sign and the dispatcher counted them as taken for good. Replicas once slow were never tried again either. Change: a call six times over its time is closed and its pieces made again; slowness fades in 3 s; waits count the pieces ahead in the queue.

--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -286,11 +286,22 @@
 	_context.metrics.count("stage_calls");
 	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
 	_context.log.write_request(log_line("stage_call").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("pieces", static_cast<long long>(p_call.items.size())).add("first", items.front().work->attempt).add("waiting", static_cast<long long>(p_entry.pool.get_waiting_pieces())));
-	_context.channels.start(std::move(request), std::move(hooks));
+	p_entry.exchanges[p_call.id] = _context.channels.start(std::move(request), std::move(hooks));
+}
+
+void stage_dispatcher::_give_up_overdue(const std::string &p_name, pool_entry &p_entry) {
+	for (const std::uint64_t call : p_entry.pool.get_overdue(event_loop::now())) {
+		_context.channels.cancel(p_entry.exchanges[call]);
+		p_entry.exchanges.erase(call);
+		_context.metrics.count("stage_calls_overdue");
+		_context.log.write_request(log_line("stage_call_overdue").add("pool", p_name).add("call", static_cast<long long>(call)));
+		p_entry.pool.on_call_ended(call, call_end::BROKEN, {}, event_loop::now());
+	}
 }
 
 void stage_dispatcher::_on_call_ended(const std::string &p_name, const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body) {
 	pool_entry &entry = _pools[p_name];
+	entry.exchanges.erase(p_call.id);
 	const call_end end = get_call_end(p_end, p_status, p_did_not_run);
 	std::vector<item_result> results;
 	if (end == call_end::ANSWERED) {
@@ -402,6 +413,7 @@
 	const std::size_t nodes = 1;
 	for (auto &[name, entry] : _pools) {
 		entry.pool.tick([this, &entry, now, nodes] { return entry.repeats.try_repeat(_context.settings.retries, nodes, now); }, now);
+		_give_up_overdue(name, entry);
 		_pump_pool(name, entry);
 		_send_releases(entry);
 	}
--- a/main/stage_dispatcher.h
+++ b/main/stage_dispatcher.h
@@ -45,6 +45,7 @@
 
 	struct pool_entry {
 		stage_pool pool;
+		std::map<std::uint64_t, exchange_id> exchanges; ///< By call.
 		retry_window repeats;
 		std::unordered_map<work_id, accepted_work> accepted;
 		std::map<std::pair<std::string, std::uint64_t>, work_id> by_owner;
@@ -77,6 +78,7 @@
 	void _release(pool_entry &p_entry, const std::vector<std::string> &p_handles);
 	void _send_releases(pool_entry &p_entry);
 	void _tick();
+	void _give_up_overdue(const std::string &p_name, pool_entry &p_entry);
 	std::vector<pool_capacity> _get_capacities();
 	void _forget_after_pause();
 	void _on_peer_lost(const std::string &p_vm);
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -41,6 +41,9 @@
 constexpr double BACKLOGGED_PART = 0.8;
 /** A pool that made nothing in a window is still not without any capacity. */
 constexpr double LEAST_CAPACITY = 0.2;
+/** Answers get lost without a sign. A call this far over its time is given up, or its replica would stay taken for good. */
+constexpr int OVERDUE_FACTOR = 6;
+constexpr duration OVERDUE_MARGIN = std::chrono::milliseconds(500);
 constexpr int MOST_TRIES = 3;
 constexpr duration FULL_BLOCK = std::chrono::milliseconds(60);
 constexpr duration ROOM_BLOCK = std::chrono::milliseconds(150);
@@ -48,6 +51,8 @@
 constexpr int MOST_BLOCK_DOUBLINGS = 4;
 constexpr double SLOWNESS_STEP = 0.4;
 constexpr double SLOWNESS_HIGHEST = 20.0;
+/** A replica that was slow is tried again as this passes; slow ones get no calls that would tell. */
+constexpr duration SLOWNESS_MEMORY = std::chrono::seconds(3);
 /** Part of a replica's room that this dispatcher fills; the rest covers others and late releases. */
 constexpr double ROOM_PART = 0.9;
 
@@ -142,23 +147,23 @@
 	return ids;
 }
 
-std::map<std::string, duration> stage_pool::_get_zone_backlogs() const {
-	std::map<std::string, std::size_t> pieces;
-	std::map<std::string, std::size_t> replicas;
-	for (const auto &[id, entry] : _works) {
-		if (!entry.work.zone.empty()) {
-			pieces[entry.work.zone] += entry.waiting;
-		}
-	}
-	for (const auto &[id, replica] : _replicas) {
-		replicas[replica.listing.zone] += replica.listed ? 1 : 0;
-	}
-	std::map<std::string, duration> backlogs;
-	for (const auto &[zone, count] : pieces) {
-		const std::size_t calls = count / (_spec.batch * std::max<std::size_t>(1, replicas[zone]));
-		backlogs[zone] = _get_expected(_spec.batch) * static_cast<duration::rep>(calls);
+duration stage_pool::_get_wait(const queued_work &p_work, const replica_state &p_replica, const pieces_ahead &p_ahead, instant p_now) const {
+	if (p_replica.calls < _spec.slots) {
+		return duration::zero();
 	}
-	return backlogs;
+	const std::string zone = p_work.work.zone.empty() ? "" : p_replica.listing.zone;
+	const std::size_t replicas = static_cast<std::size_t>(std::count_if(_replicas.begin(), _replicas.end(), [&zone](const auto &p_entry) {
+		return p_entry.second.listed && (zone.empty() || p_entry.second.listing.zone == zone);
+	}));
+	const auto ahead = p_ahead.find(zone);
+	const std::size_t pieces = ahead == p_ahead.end() ? 0 : ahead->second;
+	const std::size_t calls = pieces / (_spec.batch * std::max<std::size_t>(1, replicas));
+	return std::max(duration::zero(), p_replica.free_at - p_now) + BUSY_MARGIN + _get_expected(_spec.batch) * static_cast<duration::rep>(calls);
+}
+
+double stage_pool::_get_slowness(const replica_state &p_replica, instant p_now) const {
+	const double age = to_seconds(p_now - p_replica.slowness_at) / to_seconds(SLOWNESS_MEMORY);
+	return 1.0 + (p_replica.slowness - 1.0) * std::exp(-std::max(0.0, age));
 }
 
 duration stage_pool::_get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const {
@@ -175,7 +180,7 @@
 	return _spec.room_bytes <= 0.0 || p_replica.room_used + p_bytes <= _spec.room_bytes * ROOM_PART;
 }
 
-stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, const std::map<std::string, duration> &p_backlogs, instant p_now) {
+stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now) {
 	replica_state *best = nullptr;
 	duration best_finish = duration::max();
 	const double bytes = static_cast<double>(p_work.work.result_bytes);
@@ -183,12 +188,8 @@
 		if (!replica.listed || p_now < replica.blocked_until || !_has_room(replica, bytes)) {
 			continue;
 		}
-		duration finish = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * replica.slowness));
-		finish += _get_zone_penalty(p_work, replica, p_now);
-		if (replica.calls >= _spec.slots) {
-			const auto backlog = p_backlogs.find(replica.listing.zone);
-			finish += std::max(duration::zero(), replica.free_at - p_now) + BUSY_MARGIN + (backlog == p_backlogs.end() ? duration::zero() : backlog->second);
-		}
+		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * _get_slowness(replica, p_now)));
+		const duration finish = own + _get_zone_penalty(p_work, replica, p_now) + _get_wait(p_work, replica, p_ahead, p_now);
 		if (finish < best_finish) {
 			best = &replica;
 			best_finish = finish;
@@ -198,13 +199,16 @@
 	return best;
 }
 
-void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, const std::map<std::string, duration> &p_backlogs, instant p_now) {
+void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, instant p_now) {
 	double bytes = 0.0;
 	const duration expected = _get_expected(_spec.batch);
+	pieces_ahead ahead;
 	for (const work_id id : _order_works(p_now)) {
 		queued_work &entry = _works.at(id);
 		const bool is_elsewhere = !entry.work.zone.empty() && entry.work.zone != p_replica.listing.zone;
-		if (is_elsewhere && _choose_replica(entry, expected, p_backlogs, p_now) != &p_replica) {
+		const bool is_nearer = is_elsewhere && _choose_replica(entry, expected, ahead, p_now) != &p_replica;
+		ahead[entry.work.zone] += entry.waiting;
+		if (is_nearer) {
 			continue;
 		}
 		for (std::size_t piece = 0; piece < entry.states.size(); piece++) {
@@ -231,9 +235,14 @@
 		return std::nullopt;
 	}
 	const duration expected = _get_expected(std::min(_waiting_pieces, _spec.batch));
-	const std::map<std::string, duration> backlogs = _get_zone_backlogs();
+	pieces_ahead ahead;
 	for (const work_id id : _order_works(p_now)) {
-		replica_state *replica = _choose_replica(_works.at(id), expected, backlogs, p_now);
+		const queued_work &entry = _works.at(id);
+		replica_state *replica = _choose_replica(entry, expected, ahead, p_now);
+		ahead[""] += entry.waiting;
+		if (!entry.work.zone.empty()) {
+			ahead[entry.work.zone] += entry.waiting;
+		}
 		if (replica == nullptr || replica->calls >= _spec.slots) {
 			continue;
 		}
@@ -241,13 +250,13 @@
 		call.id = _next_call++;
 		call.replica = replica->listing.vm;
 		call.to = replica->listing.address;
-		_fill(call, *replica, backlogs, p_now);
+		_fill(call, *replica, p_now);
 		if (call.items.empty()) {
 			continue;
 		}
 		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false };
 		replica->calls++;
-		replica->free_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(running.expected.count()) * replica->slowness));
+		replica->free_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(running.expected.count()) * _get_slowness(*replica, p_now)));
 		_calls.emplace(call.id, std::move(running));
 		return call;
 	}
@@ -280,7 +289,9 @@
 		return;
 	}
 	const double sample = std::clamp(static_cast<double>((p_now - p_call.started_at).count()) / expected, 0.3, SLOWNESS_HIGHEST);
-	p_replica.slowness += (sample - p_replica.slowness) * SLOWNESS_STEP;
+	const double current = _get_slowness(p_replica, p_now);
+	p_replica.slowness = current + (sample - current) * SLOWNESS_STEP;
+	p_replica.slowness_at = p_now;
 }
 
 void stage_pool::_take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now) {
@@ -288,12 +299,15 @@
 	if (p_result.end == item_end::DONE) {
 		_window_made++;
 		const double bytes = found == _works.end() ? 0.0 : static_cast<double>(found->second.work.result_bytes);
-		if (p_replica != nullptr) {
-			_results[p_result.handle] = kept_result{ p_replica->listing.vm, bytes, p_now + _spec.result_ttl };
+		const bool is_new = _results.emplace(p_result.handle, kept_result{ p_replica == nullptr ? "" : p_replica->listing.vm, bytes, p_now + _spec.result_ttl }).second;
+		if (p_replica != nullptr && is_new) {
 			p_replica->room_used += bytes;
 		}
-		if (found == _works.end() || found->second.states[p_item.piece] == piece_state::DONE) {
+		const bool is_made = found != _works.end() && found->second.states[p_item.piece] == piece_state::DONE;
+		if (found == _works.end() || (is_made && found->second.handles[p_item.piece] != p_result.handle)) {
 			_unwanted.insert(p_result.handle);
+		}
+		if (found == _works.end() || is_made) {
 			return;
 		}
 		queued_work &entry = found->second;
@@ -397,7 +411,8 @@
 		call.repeated = true;
 		const auto replica = _replicas.find(call.replica);
 		if (replica != _replicas.end()) {
-			replica->second.slowness = std::max(replica->second.slowness, OVERRUN_FACTOR + 1.0);
+			replica->second.slowness = std::max(_get_slowness(replica->second, p_now), OVERRUN_FACTOR + 1.0);
+			replica->second.slowness_at = p_now;
 			replica->second.free_at = p_now + call.expected;
 		}
 		if (!p_may_repeat()) {
@@ -416,6 +431,16 @@
 	on_released(expired);
 }
 
+std::vector<std::uint64_t> stage_pool::get_overdue(instant p_now) const {
+	std::vector<std::uint64_t> overdue;
+	for (const auto &[id, call] : _calls) {
+		if (p_now - call.started_at > call.expected * OVERDUE_FACTOR + OVERDUE_MARGIN) {
+			overdue.push_back(id);
+		}
+	}
+	return overdue;
+}
+
 std::vector<work_result> stage_pool::take_ended() {
 	std::vector<work_result> ended;
 	ended.swap(_ended);
@@ -465,7 +490,7 @@
 	for (const auto &[id, replica] : _replicas) {
 		const bool is_failing = replica.failures > 0 && p_now < replica.blocked_until;
 		if (replica.listed && !is_failing) {
-			capacity += static_cast<double>(_spec.slots) / std::max(1.0, replica.slowness);
+			capacity += static_cast<double>(_spec.slots) / std::max(1.0, _get_slowness(replica, p_now));
 		}
 	}
 	return capacity;
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -133,9 +133,12 @@
 		instant blocked_until{};
 		int failures = 0;
 		double slowness = 1.0;
+		instant slowness_at{};
 		double room_used = 0.0;
 	};
 
+	using pieces_ahead = std::map<std::string, std::size_t>; ///< Pieces before a work in the queue, by zone; all under "".
+
 	struct kept_result {
 		std::string replica;
 		double bytes = 0.0;
@@ -159,12 +162,13 @@
 
 	duration _get_urgency(const queued_work &p_work, instant p_now) const;
 	std::vector<work_id> _order_works(instant p_now) const;
-	std::map<std::string, duration> _get_zone_backlogs() const;
+	duration _get_wait(const queued_work &p_work, const replica_state &p_replica, const pieces_ahead &p_ahead, instant p_now) const;
+	double _get_slowness(const replica_state &p_replica, instant p_now) const;
 	duration _get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const;
-	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const std::map<std::string, duration> &p_backlogs, instant p_now);
+	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now);
 	duration _get_expected(std::size_t p_items) const;
 	bool _has_room(const replica_state &p_replica, double p_bytes) const;
-	void _fill(stage_call &r_call, replica_state &p_replica, const std::map<std::string, duration> &p_backlogs, instant p_now);
+	void _fill(stage_call &r_call, replica_state &p_replica, instant p_now);
 	void _end(work_id p_id, work_end p_end);
 	void _put_back(const stage_item &p_item, bool p_counts);
 	void _take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now);
@@ -201,6 +205,9 @@
 	 */
 	void tick(const std::function<bool()> &p_may_repeat, instant p_now);
 
+	/** Calls whose answer is not to be expected any more; the caller closes their connections and ends them. */
+	std::vector<std::uint64_t> get_overdue(instant p_now) const;
+
 	/** Hands out work that ended since the last call. */
 	std::vector<work_result> take_ended();
 
--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr std::size_t RING_NEIGHBOURS = 2;
-constexpr std::size_t DIGESTS_PER_HEARTBEAT = 8;
+constexpr std::size_t DIGESTS_PER_HEARTBEAT = 6;
 constexpr std::size_t MOST_DEMANDS = 8;
 constexpr duration SUSPECT_AFTER_BASE = std::chrono::milliseconds(4000);
 /** A rotation over this many members takes one heartbeat, so silence is judged by the number of rotations. */
