--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -464,7 +464,7 @@
 }
 
 void stage_pool::_measure(instant p_now) {
-	if (_ticked_at != instant{} && _waiting_pieces > 0) {
+	if (_ticked_at != instant{} && _waiting_pieces >= _spec.batch) {
 		_window_backlogged += p_now - _ticked_at;
 	}
 	_ticked_at = p_now;
