Only nodes that know the endpoints dispatch; peers tell them to a node that starts

Change: readiness in heartbeats decides who may dispatch; a node that is not ready is told the endpoints by peers, as it was the configuration before.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -143,6 +143,19 @@
 		return { wire::message_work_ended, wire::Creatework_ended(target, p_message.id, p_message.end, handles).Union() };
 	}
 
+	encoded_body operator()(const tell_endpoints_message &p_message) const {
+		std::vector<flatbuffers::Offset<wire::endpoint_entry>> entries;
+		for (const endpoint_listing &listing : p_message.endpoints) {
+			const text_offset name = target.CreateString(listing.vm);
+			const text_offset pool = target.CreateString(listing.pool);
+			const text_offset zone = target.CreateString(listing.zone);
+			const text_offset address = target.CreateString(to_string(listing.address));
+			entries.push_back(wire::Createendpoint_entry(target, name, pool, zone, address, listing.leaving));
+		}
+		const auto endpoints = target.CreateVector(entries);
+		return { wire::message_tell_endpoints, wire::Createtell_endpoints(target, endpoints).Union() };
+	}
+
 	encoded_body operator()(const cancel_work_message &p_message) const {
 		const text_offset pool = target.CreateString(p_message.pool);
 		return { wire::message_cancel_work, wire::Createcancel_work(target, p_message.id, pool).Union() };
@@ -225,6 +238,23 @@
 	return texts;
 }
 
+tell_endpoints_message read_tell_endpoints(const wire::tell_endpoints &p_message) {
+	tell_endpoints_message message;
+	if (p_message.endpoints() == nullptr) {
+		return message;
+	}
+	for (const wire::endpoint_entry *entry : *p_message.endpoints()) {
+		endpoint_listing listing;
+		listing.vm = read(entry->name());
+		listing.pool = read(entry->pool());
+		listing.zone = read(entry->zone());
+		listing.address = parse_network_address(read(entry->address()));
+		listing.leaving = entry->leaving();
+		message.endpoints.push_back(std::move(listing));
+	}
+	return message;
+}
+
 prompt_sent_message read_prompt_sent(const wire::prompt_sent &p_message) {
 	prompt_sent_message message;
 	message.engine = read(p_message.engine());
@@ -301,6 +331,8 @@
 			const wire::cancel_work *cancelled = frame->body_as_cancel_work();
 			return cancel_work_message{ cancelled->id(), read(cancelled->pool()) };
 		}
+		case wire::message_tell_endpoints:
+			return read_tell_endpoints(*frame->body_as_tell_endpoints());
 		case wire::message_prompt_sent:
 			return read_prompt_sent(*frame->body_as_prompt_sent());
 		case wire::message_release_results: {
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -105,6 +105,11 @@
 	std::vector<prompt_link> prompt;
 };
 
+/** All endpoints the sender knows, for a node that cannot read them. */
+struct tell_endpoints_message {
+	std::vector<endpoint_listing> endpoints;
+};
+
 /** Who a link is made as, and the secret of the fleet. */
 struct link_identity {
 	std::string vm;
@@ -145,6 +150,7 @@
 	sigc::signal<void(const std::string &, const cancel_work_message &)> _work_cancelled;
 	sigc::signal<void(const std::string &, const release_results_message &)> _results_released;
 	sigc::signal<void(const std::string &, const prompt_sent_message &)> _prompt_sent;
+	sigc::signal<void(const std::string &, const tell_endpoints_message &)> _endpoints_told;
 
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
@@ -191,6 +197,7 @@
 	bool send(const std::string &p_vm, const cancel_work_message &p_message);
 	bool send(const std::string &p_vm, const release_results_message &p_message);
 	bool send(const std::string &p_vm, const prompt_sent_message &p_message);
+	bool send(const std::string &p_vm, const tell_endpoints_message &p_message);
 
 	/** Closes the links of a VM that has fallen silent; they are dialled anew. */
 	void drop(const std::string &p_vm);
@@ -208,6 +215,7 @@
 	sigc::signal<void(const std::string &, const cancel_work_message &)> &work_cancelled() { return _work_cancelled; }
 	sigc::signal<void(const std::string &, const release_results_message &)> &results_released() { return _results_released; }
 	sigc::signal<void(const std::string &, const prompt_sent_message &)> &prompt_sent() { return _prompt_sent; }
+	sigc::signal<void(const std::string &, const tell_endpoints_message &)> &endpoints_told() { return _endpoints_told; }
 
 	const network_address &get_address() const { return _address; }
 	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
--- a/main/endpoint_follower.cpp
+++ b/main/endpoint_follower.cpp
@@ -101,6 +101,17 @@
 	}
 }
 
+void endpoint_follower::offer(const std::vector<endpoint_listing> &p_listings, const std::string &p_peer) {
+	const bool was_loaded = _directory.is_loaded();
+	if (!_directory.adopt(p_listings)) {
+		return;
+	}
+	if (!was_loaded) {
+		_context.log.write(log_line("endpoints_adopted").add("peer", p_peer).add("endpoints", static_cast<long long>(_directory.get_size())));
+	}
+	_publish();
+}
+
 void endpoint_follower::_publish() {
 	if (_directory.take_changed()) {
 		_changed.emit();
--- a/main/endpoint_follower.h
+++ b/main/endpoint_follower.h
@@ -41,6 +41,9 @@
 	/** A peer or an answer told that an endpoint leaves. */
 	void mark_leaving(const std::string &p_name);
 
+	/** A peer told its list. */
+	void offer(const std::vector<endpoint_listing> &p_listings, const std::string &p_peer);
+
 	endpoint_directory &get_directory() { return _directory; }
 	bool is_loaded() const { return _directory.is_loaded(); }
 
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -25,6 +25,8 @@
 constexpr duration NAME_RETRY = std::chrono::seconds(3);
 constexpr duration MARK_TIME = std::chrono::seconds(5);
 constexpr duration ASK_INTERVAL = std::chrono::milliseconds(300);
+/** A node that starts asks nothing; it is told what it may lack until it is ready. */
+constexpr duration TELL_INTERVAL = std::chrono::milliseconds(1000);
 constexpr std::size_t MOST_MARKS = 256;
 
 } // namespace
@@ -41,6 +43,7 @@
 	_link.configuration_asked().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_asked(p_vm, p_have); });
 	_link.configuration_told().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
 	_link.link_up().connect([this](const std::string &p_vm) { _link.send(p_vm, _make_heartbeat()); });
+	_link.endpoints_told().connect([this](const std::string &p_vm, const tell_endpoints_message &p_message) { _endpoints.offer(p_message.endpoints, p_vm); });
 	_configuration.changed().connect([this] { _send_heartbeats(); });
 }
 
@@ -71,6 +74,29 @@
 	return nodes;
 }
 
+std::vector<std::string> gateway_fleet::get_ready_nodes() const {
+	std::vector<std::string> nodes;
+	for (const std::string &vm : get_live_nodes()) {
+		const member *peer = _members.find(vm);
+		const bool is_ready = peer == nullptr ? _ready : peer->digest.ready;
+		if (is_ready) {
+			nodes.push_back(vm);
+		}
+	}
+	return nodes;
+}
+
+void gateway_fleet::_help_unready(const member_digest &p_peer, instant p_now) {
+	if (p_peer.ready || p_peer.leaving || !_endpoints.is_loaded()) {
+		return;
+	}
+	instant &told = _told_endpoints_at[p_peer.vm];
+	if (told == instant{} || p_now - told > TELL_INTERVAL) {
+		told = p_now;
+		_link.send(p_peer.vm, tell_endpoints_message{ _endpoints.get_directory().get_listings() });
+	}
+}
+
 void gateway_fleet::_beat() {
 	const instant now = event_loop::now();
 	_members.tick(now);
@@ -192,6 +218,9 @@
 		_commitments.set_capacity(entry.pool, entry.replicas);
 	}
 	const member *peer = _members.find(p_vm);
+	if (peer != nullptr) {
+		_help_unready(peer->digest, now);
+	}
 	if (peer == nullptr || peer->digest.configuration_version <= _configuration.get_version()) {
 		return;
 	}
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -44,6 +44,7 @@
 	instant _read_names_at{};
 	instant _named_at{};
 	std::map<std::uint64_t, instant> _asked_at;
+	std::map<std::string, instant> _told_endpoints_at; ///< By node.
 	std::function<std::vector<pool_capacity>()> _get_capacities;
 	sigc::signal<void(const std::string &)> _peer_lost;
 
@@ -56,6 +57,7 @@
 	void _collect_marks();
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
 	void _on_configuration_asked(const std::string &p_vm, std::uint64_t p_have);
+	void _help_unready(const member_digest &p_peer, instant p_now);
 	bool _is_heard(const std::string &p_vm, instant p_now) const;
 
 public:
@@ -76,6 +78,9 @@
 	/** Nodes that answered just now and do not stop, this one included, sorted by name. */
 	std::vector<std::string> get_live_nodes() const;
 
+	/** Live nodes that know the configuration and the endpoints, so that they can dispatch. */
+	std::vector<std::string> get_ready_nodes() const;
+
 	std::size_t get_live_count() const { return get_live_nodes().size(); }
 
 	node_link &get_link() { return _link; }
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -77,6 +77,17 @@
 	}
 }
 
+bool endpoint_directory::adopt(const std::vector<endpoint_listing> &p_listings) {
+	if (_read_at != instant{} || p_listings.empty()) {
+		return false;
+	}
+	for (const endpoint_listing &listing : p_listings) {
+		put(listing);
+	}
+	_loaded = true;
+	return true;
+}
+
 bool endpoint_directory::mark_leaving(const std::string &p_name) {
 	if (!_left.insert(p_name).second) {
 		return false;
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -54,6 +54,9 @@
 	/** Takes a whole reading of all entries. */
 	void replace(const std::vector<endpoint_listing> &p_listings, instant p_now);
 
+	/** Takes a peer's list while nothing was read from the log yet; ignored afterwards. Returns whether it was taken. */
+	bool adopt(const std::vector<endpoint_listing> &p_listings);
+
 	/** A peer knows that an endpoint leaves. Returns whether that was news. */
 	bool mark_leaving(const std::string &p_name);
 
