Test whole gateways against stand-ins of the store and the replicas

Found and mended by these tests: http_parser lets "Host : h" and control characters in values pass (header names must be tokens now); a node whose list of endpoints was still empty called itself ready.

--- a/drivers/http_reader.cpp
+++ b/drivers/http_reader.cpp
@@ -101,6 +101,17 @@
 	return settings;
 }
 
+bool is_token_letter(char p_letter) {
+	static constexpr std::string_view OTHERS = "!#$%&'*+-.^_`|~";
+	const bool is_letter = (p_letter >= 'a' && p_letter <= 'z') || (p_letter >= 'A' && p_letter <= 'Z');
+	return is_letter || (p_letter >= '0' && p_letter <= '9') || OTHERS.find(p_letter) != std::string_view::npos;
+}
+
+bool is_control(char p_letter) {
+	const unsigned char code = static_cast<unsigned char>(p_letter);
+	return (code < 0x20 && code != '\t') || code == 0x7f;
+}
+
 /** Whether an answer's end is known without the connection's end. */
 bool is_end_told(const http_parser &p_parser) {
 	const bool has_no_body = p_parser.status_code / 100 == 1 || p_parser.status_code == 204 || p_parser.status_code == 304;
@@ -154,6 +165,14 @@
 	_header_bytes += BYTES_PER_HEADER;
 }
 
+bool http_reader::_are_headers_sound() const {
+	// The parser lets blanks and control characters pass where other readers stop or go on differently.
+	return std::all_of(_head.headers.begin(), _head.headers.end(), [](const http_header &p_header) {
+		const bool is_token = !p_header.name.empty() && std::all_of(p_header.name.begin(), p_header.name.end(), is_token_letter);
+		return is_token && std::none_of(p_header.value.begin(), p_header.value.end(), is_control);
+	});
+}
+
 bool http_reader::_is_framing_sound() const {
 	// Anything two readers could frame differently is refused: that is how one request gets smuggled inside another.
 	const std::size_t encodings = _head.count("Transfer-Encoding");
@@ -175,7 +194,7 @@
 	_head.minor_version = _parser->http_minor;
 	_head.keep_alive = http_should_keep_alive(_parser.get()) != 0;
 	_head.has_length = _kind == kind::REQUEST || _without_body || is_end_told(*_parser);
-	if (_parser->http_major != 1 || !_is_framing_sound() || (_kind == kind::REQUEST && _parser->upgrade != 0)) {
+	if (_parser->http_major != 1 || !_are_headers_sound() || !_is_framing_sound() || (_kind == kind::REQUEST && _parser->upgrade != 0)) {
 		return -1;
 	}
 	_has_head = true;
--- a/drivers/http_reader.h
+++ b/drivers/http_reader.h
@@ -85,6 +85,7 @@
 	void _finish_header();
 	bool _count(std::size_t p_bytes);
 	int _on_headers_complete();
+	bool _are_headers_sound() const;
 	bool _is_framing_sound() const;
 
 	friend struct http_reader_callbacks;
--- a/main/endpoint_follower.cpp
+++ b/main/endpoint_follower.cpp
@@ -64,7 +64,7 @@
 	}
 	_directory.tick(now);
 	_publish();
-	_read_timer.set(READ_INTERVAL);
+	_read_timer.set(_directory.get_size() == 0 ? RETRY_INTERVAL : READ_INTERVAL);
 }
 
 void endpoint_follower::_take_records(const store_answer &p_answer) {
--- a/main/endpoint_follower.h
+++ b/main/endpoint_follower.h
@@ -45,7 +45,8 @@
 	void offer(const std::vector<endpoint_listing> &p_listings, const std::string &p_peer);
 
 	endpoint_directory &get_directory() { return _directory; }
-	bool is_loaded() const { return _directory.is_loaded(); }
+	/** Whether endpoints are known; an empty list means that none has said so yet. */
+	bool is_loaded() const { return _directory.is_loaded() && _directory.get_size() > 0; }
 
 	/** Emitted when the list of endpoints is another one. */
 	sigc::signal<void()> &changed() { return _changed; }
--- /dev/null
+++ b/tests/drivers/http_exchange_test.cpp
@@ -0,0 +1,291 @@
+/*
+ * calicoscale: http_exchange_test.cpp
+ * The HTTP reader, the server for callers and the channels to endpoints, on real sockets and against bad peers.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/caller_server.h"
+#include "drivers/endpoint_channels.h"
+#include "tests/main/raw_connection.h"
+#include "tests/main/raw_server.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr std::size_t MOST_HEADER_BYTES = 4096;
+
+struct read_message {
+	http_head head;
+	std::string body;
+	http_reader::state state = http_reader::state::READING;
+	std::size_t taken = 0;
+};
+
+read_message read(http_reader::kind p_kind, std::string_view p_bytes, bool p_close = false) {
+	read_message message;
+	http_reader reader(p_kind, http_reader::hooks{ [&message](const http_head &p_head) { message.head = p_head; }, [&message](std::string_view p_part) { message.body.append(p_part); } }, MOST_HEADER_BYTES);
+	message.taken = reader.feed(p_bytes);
+	if (p_close) {
+		reader.finish_at_close();
+	}
+	message.state = reader.get_state();
+	return message;
+}
+
+} // namespace
+
+TEST(http_reader, keeps_target_and_header_order_and_stops_behind_the_message) {
+	const std::string first = "POST /a%2Fb//c?x=1;y HTTP/1.1\r\nHost: h\r\nB: 2\r\na: 1\r\nContent-Length: 3\r\n\r\nabc";
+	const read_message message = read(http_reader::kind::REQUEST, first + "GET / HTTP/1.1\r\n\r\n");
+	EXPECT_EQ(message.state, http_reader::state::COMPLETE);
+	EXPECT_EQ(message.taken, first.size());
+	EXPECT_EQ(message.head.target, "/a%2Fb//c?x=1;y");
+	ASSERT_EQ(message.head.headers.size(), 4U);
+	EXPECT_EQ(message.head.headers[2].name, "a");
+	EXPECT_EQ(message.body, "abc");
+}
+
+TEST(http_reader, refuses_what_could_be_framed_in_two_ways) {
+	for (const char *hostile : {
+				 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+				 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+				 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+				 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+				 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+				 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+				 "POST / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+				 "POST / HTTP/1.1\r\nHost : h\r\n\r\n",
+				 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+				 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+				 "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",
+				 "GET / HTTP/2.0\r\nHost: h\r\n\r\n",
+				 "\x16\x03\x01\x02",
+		 }) {
+		EXPECT_EQ(read(http_reader::kind::REQUEST, hostile).state, http_reader::state::MALFORMED) << hostile;
+	}
+	const std::string large = "GET / HTTP/1.1\r\nX: " + std::string(MOST_HEADER_BYTES, 'x') + "\r\n\r\n";
+	EXPECT_EQ(read(http_reader::kind::REQUEST, large).state, http_reader::state::HEADERS_TOO_LARGE);
+}
+
+TEST(http_reader, an_answer_without_a_length_is_whole_at_an_orderly_close_only) {
+	const std::string text = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nsome bytes";
+	EXPECT_EQ(read(http_reader::kind::ANSWER, text).state, http_reader::state::READING);
+	EXPECT_EQ(read(http_reader::kind::ANSWER, text, true).state, http_reader::state::COMPLETE);
+	EXPECT_FALSE(read(http_reader::kind::ANSWER, text).head.has_length);
+	const std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nsome bytes";
+	EXPECT_EQ(read(http_reader::kind::ANSWER, cut, true).state, http_reader::state::READING);
+}
+
+RC_GTEST_PROP(http_reader, reads_the_same_whatever_the_cuts, ()) {
+	const std::string text = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n";
+	std::string body;
+	http_reader reader(http_reader::kind::REQUEST, http_reader::hooks{ [](const http_head &) {}, [&body](std::string_view p_part) { body.append(p_part); } }, MOST_HEADER_BYTES);
+	std::size_t place = 0;
+	while (place < text.size()) {
+		const std::size_t step = std::min<std::size_t>(text.size() - place, *rc::gen::inRange<std::size_t>(1, 20));
+		RC_ASSERT(reader.feed(std::string_view(text).substr(place, step)) == step);
+		place += step;
+	}
+	RC_ASSERT(reader.get_state() == http_reader::state::COMPLETE);
+	RC_ASSERT(body == "abc0123456789abcdef");
+}
+
+namespace {
+
+/** A server for callers whose handler is the test's. */
+class caller_server_test : public ::testing::Test {
+protected:
+	event_loop _loop;
+	std::vector<std::shared_ptr<caller_exchange>> _exchanges;
+	std::unique_ptr<caller_server> _server;
+
+	void SetUp() override {
+		caller_server_limits limits;
+		limits.body_bytes = 1000;
+		limits.header_bytes = 2000;
+		limits.header_timeout = std::chrono::milliseconds(300);
+		limits.idle_timeout = std::chrono::milliseconds(1200);
+		_server = std::make_unique<caller_server>(_loop, network_address{ "127.0.0.1", 0 }, limits, [this](const std::shared_ptr<caller_exchange> &p_exchange) { _exchanges.push_back(p_exchange); });
+	}
+
+	/** Runs the loop until the condition holds; fails after a long time. */
+	void run_until(raw_connection &r_connection, const std::function<bool()> &p_condition) {
+		const instant give_up = event_loop::now() + std::chrono::seconds(20);
+		while (!p_condition()) {
+			ASSERT_LT(event_loop::now(), give_up);
+			timer stop(_loop, [this] { _loop.stop(); });
+			stop.set(std::chrono::milliseconds(1));
+			_loop.run();
+			r_connection.poll();
+		}
+	}
+
+	std::string exchange_bytes(std::string_view p_request) {
+		raw_connection connection(_server->get_address());
+		connection.send_bytes(p_request);
+		run_until(connection, [&connection] { return connection.is_closed(); });
+		return connection.get_received();
+	}
+};
+
+} // namespace
+
+TEST_F(caller_server_test, answers_one_request_after_the_other) {
+	raw_connection connection(_server->get_address());
+	connection.send_bytes("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_until(connection, [this] { return _exchanges.size() == 1; });
+	EXPECT_EQ(_server->get_open_requests(), 1U);
+	_exchanges[0]->reply(200, { { "A", "b" } }, "one");
+	run_until(connection, [this] { return _exchanges.size() == 2; });
+	EXPECT_EQ(_exchanges[1]->head.target, "/2");
+	_exchanges[1]->start(200, {});
+	_exchanges[1]->send("two");
+	_exchanges[1]->end();
+	run_until(connection, [&connection] { return connection.get_received().ends_with("0\r\n\r\n"); });
+	EXPECT_NE(connection.get_received().find("A: b\r\nContent-Length: 3\r\n\r\none"), std::string::npos);
+	EXPECT_NE(connection.get_received().find("Transfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(caller_server_test, an_answer_broken_off_does_not_look_whole) {
+	raw_connection connection(_server->get_address());
+	connection.send_bytes("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_until(connection, [this] { return _exchanges.size() == 1; });
+	_exchanges[0]->start(200, {});
+	_exchanges[0]->send("part");
+	_exchanges[0]->abort();
+	run_until(connection, [&connection] { return connection.is_closed(); });
+	EXPECT_TRUE(connection.get_received().ends_with("4\r\npart\r\n"));
+}
+
+TEST_F(caller_server_test, tells_when_the_caller_goes) {
+	bool gone = false;
+	std::unique_ptr<raw_connection> connection = std::make_unique<raw_connection>(_server->get_address());
+	connection->send_bytes("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_until(*connection, [this] { return _exchanges.size() == 1; });
+	_exchanges[0]->set_on_gone([&gone] { gone = true; });
+	connection->close_sending();
+	run_until(*connection, [&gone] { return gone; });
+	_exchanges[0]->reply(200, {}, "goes nowhere");
+	EXPECT_TRUE(_exchanges[0]->is_gone());
+	EXPECT_EQ(_server->get_open_requests(), 0U);
+}
+
+TEST_F(caller_server_test, refuses_what_is_malformed_or_too_large) {
+	EXPECT_TRUE(exchange_bytes("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n").starts_with("HTTP/1.1 400 "));
+	EXPECT_TRUE(exchange_bytes("GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n").starts_with("HTTP/1.1 400 "));
+	EXPECT_TRUE(exchange_bytes("GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 400 "));
+	EXPECT_TRUE(exchange_bytes("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n").starts_with("HTTP/1.1 413 "));
+	EXPECT_TRUE(exchange_bytes("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431 "));
+	EXPECT_TRUE(exchange_bytes("GET / HTTP/1.1\r\nHost:").starts_with("HTTP/1.1 408 "));
+	EXPECT_TRUE(_exchanges.empty());
+	EXPECT_EQ(_server->get_rejected(), 6U);
+}
+
+TEST_F(caller_server_test, a_stop_ends_idle_connections_and_none_that_carries_a_request) {
+	raw_connection idle(_server->get_address());
+	raw_connection busy(_server->get_address());
+	busy.send_bytes("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_until(busy, [this] { return _exchanges.size() == 1 && _server->get_connection_count() == 2; });
+	_server->stop_listening();
+	run_until(idle, [&idle] { return idle.is_closed(); });
+	busy.poll();
+	EXPECT_FALSE(busy.is_closed());
+	_exchanges[0]->reply(200, {}, "whole");
+	run_until(busy, [&busy] { return busy.is_closed(); });
+	EXPECT_TRUE(busy.get_received().ends_with("Connection: close\r\n\r\nwhole"));
+}
+
+namespace {
+
+/** Channels to an endpoint that answers with bytes the test chooses. */
+class endpoint_channels_test : public ::testing::Test {
+protected:
+	event_loop _loop;
+	raw_server _endpoint{ _loop };
+	endpoint_channels _channels{ _loop };
+
+	struct outcome_of_exchange {
+		int status = 0;
+		std::string body;
+		std::optional<channel_end> end;
+	};
+
+	std::shared_ptr<outcome_of_exchange> start(const std::string &p_echo = "r1") {
+		const std::shared_ptr<outcome_of_exchange> result = std::make_shared<outcome_of_exchange>();
+		channel_request request;
+		request.endpoint = "e1";
+		request.to = _endpoint.get_address();
+		request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+		request.echo_header = "Echo";
+		request.echo_value = p_echo;
+		_channels.start(std::move(request), channel_hooks{ [result](const http_head &p_head) { result->status = p_head.status; }, [result](std::string_view p_bytes) { result->body.append(p_bytes); }, [result](channel_end p_end) { result->end = p_end; } });
+		return result;
+	}
+
+	void run_until(const std::function<bool()> &p_condition) {
+		const instant give_up = event_loop::now() + std::chrono::seconds(20);
+		while (!p_condition()) {
+			ASSERT_LT(event_loop::now(), give_up);
+			timer stop(_loop, [this] { _loop.stop(); });
+			stop.set(std::chrono::milliseconds(1));
+			_loop.run();
+		}
+	}
+
+	std::shared_ptr<outcome_of_exchange> run(const std::string &p_answer, raw_server::after p_after) {
+		_endpoint.set_answer(p_answer, p_after);
+		const std::shared_ptr<outcome_of_exchange> result = start();
+		run_until([&result] { return result->end.has_value(); });
+		return result;
+	}
+};
+
+const std::string WHOLE = "HTTP/1.1 200 OK\r\nEcho: r1\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_F(endpoint_channels_test, keeps_a_connection_for_the_next_request) {
+	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->end, channel_end::COMPLETE);
+	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->body, "ok");
+	EXPECT_EQ(_channels.get_opened(), 1U);
+}
+
+TEST_F(endpoint_channels_test, surplus_bytes_end_the_connection) {
+	EXPECT_EQ(run(WHOLE + WHOLE, raw_server::after::KEEP)->body, "ok");
+	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->end, channel_end::COMPLETE);
+	EXPECT_EQ(_channels.get_opened(), 2U);
+}
+
+TEST_F(endpoint_channels_test, a_late_answer_to_another_request_is_skipped) {
+	const std::shared_ptr<outcome_of_exchange> result = run("HTTP/1.1 200 OK\r\nEcho: other\r\nContent-Length: 5\r\n\r\nwrong" + WHOLE, raw_server::after::KEEP);
+	EXPECT_EQ(result->body, "ok");
+	EXPECT_EQ(_channels.get_skipped_answers(), 1U);
+}
+
+TEST_F(endpoint_channels_test, interim_answers_are_not_the_answer) {
+	EXPECT_EQ(run("HTTP/1.1 100 Continue\r\n\r\n" + WHOLE, raw_server::after::KEEP)->status, 200);
+}
+
+TEST_F(endpoint_channels_test, what_is_cut_or_reset_is_broken_and_what_is_no_answer_malformed) {
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\nContent-Length: 9\r\n\r\nok", raw_server::after::CLOSE)->end, channel_end::BROKEN);
+	EXPECT_EQ(run("", raw_server::after::CLOSE)->end, channel_end::BROKEN);
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\n\r\nunframed", raw_server::after::CLOSE)->end, channel_end::COMPLETE);
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\n\r\nunframed", raw_server::after::RESET)->end, channel_end::BROKEN);
+	EXPECT_EQ(run("no answer at all\r\n\r\n", raw_server::after::KEEP)->end, channel_end::MALFORMED);
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", raw_server::after::KEEP)->end, channel_end::MALFORMED);
+}
+
+TEST_F(endpoint_channels_test, a_dead_port_fails_before_anything_is_sent) {
+	_endpoint.close();
+	const std::shared_ptr<outcome_of_exchange> result = start();
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->end, channel_end::CONNECT_FAILED);
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/platform/platform_codec_test.cpp
@@ -0,0 +1,223 @@
+/*
+ * calicoscale: platform_codec_test.cpp
+ * What is read from and written to the platform, malformed and hostile input included.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "core/document_problem.h"
+#include "platform/configuration_codec.h"
+#include "platform/request_codec.h"
+#include "platform/stage_codec.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+http_head make_request() {
+	http_head head;
+	head.method = "POST";
+	head.target = "/letters/2f?a=b%20c";
+	head.headers = {
+		{ "Host", "one.example" },
+		{ "X-Attempt-Id", "9c41d07be2a35f68" },
+		{ "X-Deadline-Ms", "8000" },
+		{ "Authorization", "Bearer secret-key" },
+		{ "X-Tenant", "somebody-else" },
+		{ "X-Expect-Replica", "forged" },
+		{ "X-Inputs", "10.0.0.1:1/forged" },
+		{ "Kv-From", "10.0.0.1:1/forged" },
+		{ "X-Model", "m" },
+		{ "X-Custom", "kept" },
+		{ "X-Hop", "dropped" },
+		{ "Connection", "keep-alive, X-Hop, X-Attempt-Id" },
+		{ "Transfer-Encoding", "chunked" },
+		{ "X-Segments", "2, 0,16" },
+		{ "X-Segment-Key", "k1" },
+		{ "X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410" },
+		{ "X-Token-Usage", "1460,80" },
+	};
+	return head;
+}
+
+const char *const CONFIGURATION = R"({"version":7,"routes":[
+	{"name":"r1","host":"one.example","path_prefix":"/letters/","route_kind":"streaming","timeout_ms":8000,"slo_ms":1000,"priority":1,
+	 "split":[{"service":"llm","weight":90},{"service":"llm2","weight":10}],"max_attempts":1,
+	 "stages":[{"service":"enc","since_rev":[],"size_bytes":3000000},{"service":"enc","since_rev":[0],"size_bytes":8000}],"public":false,"sticky":true,"resumable":true,"itl_target_ms":200},
+	{"name":"r2","host":"two.example","path_prefix":"/","route_kind":"idempotent","timeout_ms":1500,"slo_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true}],
+	"services":[{"name":"llm","health_path":"/healthz","max_conns":370,"engine":{"slots":64}},
+	 {"name":"enc","max_conns":10,"segments":{"slots":1,"queue":2,"batch":8,"call_ms":150.0,"item_ms":16.0,"headroom_mb":39.0,"handle_ttl_s":4.0}}],
+	"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+	"tenants":[{"name":"hearth","api_keys":["k1","k2"],"priority":1},{"name":"yards","api_keys":[]}]})";
+
+} // namespace
+
+TEST(request_codec, passes_on_what_came_and_sets_what_is_its_own) {
+	endpoint_send send;
+	send.endpoint = "i-7f3a";
+	send.remaining = milliseconds(7400);
+	send.customer = "hearth";
+	send.priority = 1;
+	send.inputs = { "10.0.0.2:80/a", "10.0.0.3:80/b" };
+	const std::string text = write_endpoint_request(make_request(), "body bytes", send);
+	EXPECT_TRUE(text.starts_with("POST /letters/2f?a=b%20c HTTP/1.1\r\nHost: one.example\r\nX-Attempt-Id: 9c41d07be2a35f68\r\n"));
+	EXPECT_TRUE(text.ends_with("\r\nContent-Length: 10\r\n\r\nbody bytes"));
+	for (const char *kept : { "X-Custom: kept\r\n", "X-Model: m\r\n", "X-Segments: 2, 0,16\r\n", "X-Deadline-Ms: 7400\r\n", "X-Tenant: hearth\r\n", "X-Expect-Replica: i-7f3a\r\n", "X-Inputs: 10.0.0.2:80/a,10.0.0.3:80/b\r\n", "X-Request-Priority: 1\r\n" }) {
+		EXPECT_NE(text.find(kept), std::string::npos) << kept;
+	}
+	for (const char *dropped : { "secret-key", "somebody-else", "forged", "X-Hop", "chunked", "8000", "Connection" }) {
+		EXPECT_EQ(text.find(dropped), std::string::npos) << dropped;
+	}
+}
+
+TEST(request_codec, reads_what_a_request_says_of_itself) {
+	const caller_request facts = read_caller_request(make_request());
+	EXPECT_EQ(facts.attempt, "9c41d07be2a35f68");
+	EXPECT_EQ(facts.remaining, duration(milliseconds(8000)));
+	EXPECT_EQ(facts.key, "secret-key");
+	EXPECT_EQ(facts.stage_pieces, (std::vector<std::size_t>{ 2, 0, 16 }));
+	EXPECT_EQ(facts.stage_key, "k1");
+	ASSERT_EQ(facts.prompt.size(), 2U);
+	EXPECT_EQ(facts.prompt[1].tokens, 410U);
+	EXPECT_EQ(facts.prompt_tokens, 1460U);
+}
+
+TEST(request_codec, malformed_headers_are_left_empty) {
+	http_head head;
+	head.headers = { { "X-Segments", "1,x" }, { "X-Prefix-Hash", "nocolon" }, { "X-Deadline-Ms", "-5" }, { "Authorization", "Basic abc" }, { "X-Token-Usage", "," } };
+	const caller_request facts = read_caller_request(head);
+	EXPECT_TRUE(facts.stage_pieces.empty());
+	EXPECT_TRUE(facts.prompt.empty());
+	EXPECT_FALSE(facts.remaining);
+	EXPECT_FALSE(facts.key);
+	EXPECT_EQ(facts.prompt_tokens, 0U);
+	head.headers = { { "X-Segments", "999999999" }, { "X-Deadline-Ms", "99999999999999" } };
+	EXPECT_TRUE(read_caller_request(head).stage_pieces.empty());
+	EXPECT_EQ(read_caller_request(head).remaining, duration(std::chrono::hours(24)));
+}
+
+TEST(request_codec, a_resumed_stream_names_its_event_once) {
+	http_head head = make_request();
+	head.headers.push_back({ "Last-Event-Id", "3" });
+	endpoint_send send;
+	send.endpoint = "i";
+	EXPECT_NE(write_endpoint_request(head, "", send).find("Last-Event-Id: 3\r\n"), std::string::npos);
+	send.last_event_id = "9";
+	const std::string text = write_endpoint_request(head, "", send);
+	EXPECT_NE(text.find("Last-Event-Id: 9\r\n"), std::string::npos);
+	EXPECT_EQ(text.find("Last-Event-Id: 3"), std::string::npos);
+}
+
+TEST(request_codec, reads_what_an_answer_promises) {
+	http_head head;
+	head.status = 503;
+	head.headers = { { "X-Not-Executed", "1" }, { "Keep-Alive", "timeout=3" }, { "X-Replica-Load", "1,0,6" }, { "Content-Length", "0" } };
+	EXPECT_TRUE(read_endpoint_answer(head).did_not_run);
+	EXPECT_FALSE(read_endpoint_answer(head).has_seal);
+	const std::vector<http_header> passed = get_passed_headers(head);
+	ASSERT_EQ(passed.size(), 2U);
+	head.status = 421;
+	head.headers.clear();
+	EXPECT_TRUE(read_endpoint_answer(head).did_not_run);
+	EXPECT_TRUE(read_endpoint_answer(head).is_other_endpoint);
+	head.status = 500;
+	EXPECT_FALSE(read_endpoint_answer(head).did_not_run);
+	EXPECT_EQ(make_retry_after(milliseconds(1250)).value, "1.250");
+}
+
+TEST(configuration_codec, reads_a_whole_configuration) {
+	const std::shared_ptr<const gateway_configuration> configuration = parse_gateway_configuration(CONFIGURATION);
+	EXPECT_EQ(configuration->version, 7U);
+	const gateway_route *route = configuration->find_route("one.example", "/letters/2f");
+	ASSERT_NE(route, nullptr);
+	EXPECT_EQ(route->repeats, repeat_rule::STREAM);
+	EXPECT_EQ(route->objective, duration(milliseconds(1000)));
+	EXPECT_EQ(route->services.size(), 2U);
+	EXPECT_EQ(route->stages[1].inputs, std::vector<std::size_t>{ 0 });
+	EXPECT_TRUE(route->is_resumable);
+	EXPECT_TRUE(configuration->find_service("llm")->is_engine);
+	ASSERT_TRUE(configuration->find_service("enc")->stage_pool);
+	EXPECT_EQ(configuration->find_service("enc")->stage_pool->batch, 8U);
+	EXPECT_EQ(configuration->limits.body_bytes, 4096U);
+	EXPECT_EQ(configuration->find_customer("k2")->name, "hearth");
+	EXPECT_EQ(configuration->find_customer("k2")->priority, 1);
+	EXPECT_TRUE(configuration->find_route("two.example", "/x")->is_public);
+}
+
+TEST(configuration_codec, refuses_what_is_no_configuration) {
+	nlohmann::json document = nlohmann::json::parse(CONFIGURATION);
+	const std::vector<std::string> broken{ "", "{", "[]", "null", "{}", R"({"version":"x","routes":[],"services":[]})", R"({"version":1,"routes":[{}],"services":[]})" };
+	for (const std::string &text : broken) {
+		EXPECT_THROW(parse_gateway_configuration(text), document_error) << text;
+	}
+	document["routes"][0]["stages"][0]["since_rev"] = { 1 };
+	EXPECT_THROW(parse_gateway_configuration(document.dump()), document_error) << "a stage may only need stages before it";
+	document = nlohmann::json::parse(CONFIGURATION);
+	document["routes"][1]["route_kind"] = "unheard_of";
+	EXPECT_EQ(parse_gateway_configuration(document.dump())->routes[1].repeats, repeat_rule::ONCE) << "nothing is repeated that might not be";
+}
+
+RC_GTEST_PROP(configuration_codec, survives_any_damage, ()) {
+	std::string text = CONFIGURATION;
+	const int damages = *rc::gen::inRange(1, 6);
+	for (int i = 0; i < damages; i++) {
+		text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+	}
+	try {
+		parse_gateway_configuration(text);
+	} catch (const document_error &) {
+		RC_SUCCEED("refused");
+	}
+}
+
+TEST(configuration_codec, reads_endpoint_entries) {
+	const std::optional<endpoint_listing> entry = parse_endpoint_entry("i-1", R"({"service":"llm","address":"10.128.0.9:8080","zone":"sk-a","version":"v1","slots":64,"state":"draining","seq_no":4})");
+	ASSERT_TRUE(entry);
+	EXPECT_EQ(entry->vm, "i-1");
+	EXPECT_EQ(entry->address.port, 8080);
+	EXPECT_TRUE(entry->leaving);
+	for (const char *broken : { "", "[]", "{}", R"({"service":"a","address":"nowhere"})", R"({"service":5,"address":"1.2.3.4:5"})", R"({"service":"a","address":"1.2.3.4:5","state":7})" }) {
+		EXPECT_FALSE(parse_endpoint_entry("i-1", broken)) << broken;
+	}
+}
+
+TEST(stage_codec, writes_calls_and_reads_their_answers) {
+	stage_work first;
+	first.attempt = "r1";
+	first.stage = 0;
+	first.caller_key = "k1";
+	stage_work second;
+	second.attempt = "r2";
+	second.stage = 2;
+	second.inputs = { "10.1.64.9:8080/5c" };
+	const std::string text = write_stage_call("i-1", network_address{ "10.0.0.1", 80 }, { { &first, 2, milliseconds(900) }, { &second, 0, milliseconds(50) } });
+	const nlohmann::json body = nlohmann::json::parse(text.substr(text.find("\r\n\r\n") + 4));
+	EXPECT_EQ(body["items"][0], nlohmann::json::parse(R"({"id":"r1","stage":0,"segment":2,"remaining_ms":900,"private_key":"k1"})"));
+	EXPECT_EQ(body["items"][1], nlohmann::json::parse(R"({"id":"r2","stage":2,"segment":0,"remaining_ms":50,"inputs":["10.1.64.9:8080/5c"]})"));
+	EXPECT_NE(text.find("X-Expect-Replica: i-1\r\n"), std::string::npos);
+	const std::vector<item_result> results = read_stage_answer(R"({"items":[{"handle":"10.1.64.7:8080/91"},{"reason":"gone"},{"reason":"room"},{"reason":"late"},{"reason":"new"}]})", 5);
+	ASSERT_EQ(results.size(), 5U);
+	EXPECT_EQ(results[0].handle, "10.1.64.7:8080/91");
+	EXPECT_EQ(results[1].end, item_end::INPUT_GONE);
+	EXPECT_EQ(results[2].end, item_end::NO_ROOM);
+	EXPECT_EQ(results[3].end, item_end::LATE);
+	EXPECT_EQ(results[4].end, item_end::FAILED);
+	EXPECT_EQ(get_maker("10.1.64.7:8080/91"), (network_address{ "10.1.64.7", 8080 }));
+}
+
+TEST(stage_codec, an_answer_that_does_not_fit_its_call_gives_nothing) {
+	for (const char *broken : { "", "{}", "[]", R"({"items":3})", R"({"items":[]})", R"({"items":[{"handle":"10.0.0.1:1/a"},{"handle":"10.0.0.1:1/b"}]})", R"({"items":[5]})" }) {
+		EXPECT_TRUE(read_stage_answer(broken, 1).empty()) << broken;
+	}
+	EXPECT_EQ(read_stage_answer(R"({"items":[{"handle":"nowhere"}]})", 1).front().end, item_end::FAILED);
+	EXPECT_EQ(read_stage_answer(R"({"items":[{"handle":7}]})", 1).front().end, item_end::FAILED);
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/standins/standin_replica.cpp
@@ -0,0 +1,131 @@
+/*
+ * calicoscale: standin_replica.cpp
+ * Stand-in for a replica of the platform: plain services, streams and stages.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/standins/standin_replica.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int EVENTS_IN_STREAM = 4;
+
+} // namespace
+
+standin_replica::standin_replica(event_loop &p_loop, std::string p_name) :
+		_loop(p_loop),
+		_name(std::move(p_name)),
+		_server(std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); })) {
+}
+
+std::string standin_replica::get_entry(const std::string &p_service, bool p_leaving) const {
+	return json{ { "service", p_service }, { "address", to_string(get_address()) }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", p_leaving ? "draining" : "ready" }, { "seq_no", 1 } }.dump();
+}
+
+bool standin_replica::is_held_gone() const {
+	return !_held.empty() && std::all_of(_held.begin(), _held.end(), [](const std::shared_ptr<caller_exchange> &p_entry) { return p_entry->is_gone(); });
+}
+
+std::vector<http_header> standin_replica::_make_headers(const caller_exchange &p_exchange) const {
+	const std::string *attempt = p_exchange.head.find("X-Attempt-Id");
+	std::vector<http_header> headers{ { "X-Replica-Seal", _name } };
+	if (attempt != nullptr) {
+		headers.push_back({ "X-Attempt-Id", *attempt });
+	}
+	return headers;
+}
+
+void standin_replica::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
+	const std::string *expected = p_exchange->head.find("X-Expect-Replica");
+	if (expected != nullptr && *expected != _name) {
+		p_exchange->reply(421, { { "X-Replica-Id", _name } }, "");
+		return;
+	}
+	if (p_exchange->head.target == "/stage-run") {
+		_run_stage(*p_exchange);
+		return;
+	}
+	if (p_exchange->head.target == "/stage-free") {
+		const json document = json::parse(p_exchange->body);
+		for (const json &handle : document.at("handles")) {
+			results.erase(handle.get<std::string>());
+		}
+		p_exchange->reply(200, {}, "");
+		return;
+	}
+	if (mode == replica_mode::SHED) {
+		p_exchange->reply(503, { { "X-Not-Executed", "1" } }, "");
+		return;
+	}
+	runs.push_back(seen_request{ p_exchange->head, p_exchange->body });
+	switch (mode) {
+		case replica_mode::FAIL:
+			p_exchange->reply(500, _make_headers(*p_exchange), "failed");
+			return;
+		case replica_mode::RESET_AFTER_RUN:
+			p_exchange->abort();
+			return;
+		case replica_mode::WITHOUT_SEAL:
+			p_exchange->reply(200, { { "X-Attempt-Id", runs.back().get("X-Attempt-Id") } }, "forged");
+			return;
+		case replica_mode::HOLD:
+			_held.push_back(p_exchange);
+			return;
+		default:
+			break;
+	}
+	if (p_exchange->head.target.starts_with("/stream/")) {
+		_stream(*p_exchange);
+		return;
+	}
+	p_exchange->reply(200, _make_headers(*p_exchange), "made by " + _name);
+}
+
+void standin_replica::_stream(caller_exchange &p_exchange) {
+	const std::string last = runs.back().get("Last-Event-Id");
+	const int first = last.empty() ? 1 : std::stoi(last) + 1;
+	std::vector<http_header> headers = _make_headers(p_exchange);
+	headers.push_back({ "Content-Type", "text/event-stream" });
+	p_exchange.start(200, headers);
+	for (int id = first; id <= EVENTS_IN_STREAM; id++) {
+		const std::string event = "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
+		if (mode == replica_mode::BREAK_STREAM && first == 1 && id == 2) {
+			p_exchange.send(event.substr(0, event.size() / 2));
+			p_exchange.abort();
+			return;
+		}
+		p_exchange.send(event);
+	}
+	p_exchange.end();
+}
+
+void standin_replica::_run_stage(caller_exchange &p_exchange) {
+	stage_calls++;
+	json items = json::array();
+	const json document = json::parse(p_exchange.body);
+	for (const json &item : document.at("items")) {
+		const std::vector<std::string> inputs = item.value("inputs", std::vector<std::string>());
+		if (!missing_input.empty() && std::find(inputs.begin(), inputs.end(), missing_input) != inputs.end()) {
+			missing_input.clear();
+			items.push_back({ { "reason", "gone" } });
+			continue;
+		}
+		stage_items.push_back(item.at("id").get<std::string>() + "." + std::to_string(item.at("stage").get<int>()) + "." + std::to_string(item.at("segment").get<int>()));
+		const std::string handle = to_string(get_address()) + "/" + std::to_string(_next_handle++);
+		results.insert(handle);
+		items.push_back({ { "handle", handle } });
+	}
+	p_exchange.reply(200, { { "Content-Type", "application/json" } }, json{ { "items", items } }.dump());
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/standins/standin_replica.h
@@ -0,0 +1,78 @@
+/*
+ * calicoscale: standin_replica.h
+ * Stand-in for a replica of the platform: plain services, streams and stages.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef STANDIN_REPLICA_H
+#define STANDIN_REPLICA_H
+
+#include "drivers/caller_server.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** What a replica does with the requests it gets. */
+enum class replica_mode {
+	ANSWER,
+	FAIL, ///< Runs and answers 500.
+	SHED, ///< Refuses, and says so.
+	RESET_AFTER_RUN, ///< Runs and closes without an answer.
+	WITHOUT_SEAL, ///< Answers bytes that are not its own.
+	BREAK_STREAM, ///< Breaks a stream that begins at its start off in the middle of its second event.
+	HOLD, ///< Runs and does not answer.
+};
+
+/** One request as the replica got it. */
+struct seen_request {
+	http_head head;
+	std::string body;
+
+	std::string get(std::string_view p_name) const {
+		const std::string *value = head.find(p_name);
+		return value == nullptr ? std::string() : *value;
+	}
+};
+
+/** Answers as the platform's pages say; its seal is its name. */
+class standin_replica {
+	event_loop &_loop;
+	std::string _name;
+	std::unique_ptr<caller_server> _server;
+	std::vector<std::shared_ptr<caller_exchange>> _held;
+	std::size_t _next_handle = 1;
+
+	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
+	void _run_stage(caller_exchange &p_exchange);
+	void _stream(caller_exchange &p_exchange);
+	std::vector<http_header> _make_headers(const caller_exchange &p_exchange) const;
+
+public:
+	replica_mode mode = replica_mode::ANSWER;
+	std::vector<seen_request> runs; ///< Requests it began to work on.
+	std::size_t stage_calls = 0;
+	std::vector<std::string> stage_items; ///< "attempt.stage.piece" of each piece made.
+	std::set<std::string> results; ///< Handles not released yet.
+	std::string missing_input; ///< This handle is reported as gone, once.
+
+	standin_replica(event_loop &p_loop, std::string p_name);
+
+	/** Its entry in the store. */
+	std::string get_entry(const std::string &p_service, bool p_leaving = false) const;
+	const std::string &get_name() const { return _name; }
+	const network_address &get_address() const { return _server->get_address(); }
+
+	/** Whether the caller of a held request has gone. */
+	bool is_held_gone() const;
+};
+
+} // namespace calicoscale
+
+#endif // STANDIN_REPLICA_H
--- /dev/null
+++ b/tests/standins/standin_store.cpp
@@ -0,0 +1,173 @@
+/*
+ * calicoscale: standin_store.cpp
+ * Stand-in for the platform's store: keyed topics over HTTP.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/standins/standin_store.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace calicoscale {
+
+namespace {
+
+using json = nlohmann::json;
+
+std::map<std::string, std::string> parse_query(const std::string &p_target) {
+	std::map<std::string, std::string> query;
+	std::size_t start = p_target.find('?');
+	while (start != std::string::npos) {
+		const std::size_t equals = p_target.find('=', start + 1);
+		const std::size_t end = p_target.find('&', start + 1);
+		query[p_target.substr(start + 1, equals - start - 1)] = p_target.substr(equals + 1, end == std::string::npos ? end : end - equals - 1);
+		start = end;
+	}
+	return query;
+}
+
+std::string big_endian(std::uint64_t p_number, std::size_t p_bytes) {
+	std::string bytes(p_bytes, '\0');
+	for (std::size_t i = 0; i < p_bytes; i++) {
+		bytes[p_bytes - 1 - i] = static_cast<char>((p_number >> (8U * i)) & 0xFFU);
+	}
+	return bytes;
+}
+
+std::string encode_base64(const std::string &p_bytes) {
+	std::string text(4 * ((p_bytes.size() + 2) / 3) + 1, '\0');
+	const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(p_bytes.data()), static_cast<int>(p_bytes.size()));
+	text.resize(static_cast<std::size_t>(length));
+	return text;
+}
+
+} // namespace
+
+standin_store::standin_store(event_loop &p_loop) :
+		_server(std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); })) {
+}
+
+void standin_store::put(const std::string &p_topic, const std::string &p_key, const std::string &p_value) {
+	_topics[p_topic].records.push_back(record{ p_key, p_value });
+	_wake();
+}
+
+void standin_store::set_away(bool p_away) {
+	_away = p_away;
+	if (_away) {
+		for (const waiting_read &entry : _waiting) {
+			entry.exchange->reply(503, {}, "");
+		}
+		_waiting.clear();
+	}
+}
+
+void standin_store::forget_history() {
+	for (auto &[name, entry] : _topics) {
+		entry.first_kept = entry.records.size();
+	}
+}
+
+std::optional<std::string> standin_store::find(const std::string &p_topic, const std::string &p_key) const {
+	const auto found = _topics.find(p_topic);
+	if (found == _topics.end()) {
+		return std::nullopt;
+	}
+	std::optional<std::string> value;
+	for (const record &entry : found->second.records) {
+		if (entry.key == p_key) {
+			value = entry.value.empty() ? std::nullopt : std::optional<std::string>(entry.value);
+		}
+	}
+	return value;
+}
+
+void standin_store::_wake() {
+	for (auto entry = _waiting.begin(); entry != _waiting.end();) {
+		if (entry->exchange->is_gone() || _answer_read(*entry->exchange, entry->topic_name, entry->offset)) {
+			entry = _waiting.erase(entry);
+		} else {
+			++entry;
+		}
+	}
+}
+
+void standin_store::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
+	_calls++;
+	if (_away) {
+		p_exchange->reply(503, {}, "");
+		return;
+	}
+	const std::string &target = p_exchange->head.target;
+	const std::map<std::string, std::string> query = parse_query(target);
+	const std::string path = target.substr(0, target.find('?'));
+	if (path == "/log-newest") {
+		_answer_newest(*p_exchange, query);
+	} else if (path == "/log-read") {
+		const std::size_t offset = std::stoul(query.at("source"));
+		if (!_answer_read(*p_exchange, query.at("topic"), offset)) {
+			if (query.contains("wait_ms")) {
+				_waiting.push_back(waiting_read{ query.at("topic"), offset, p_exchange });
+			} else {
+				p_exchange->reply(200, {}, big_endian(offset, 8) + big_endian(0, 8));
+			}
+		}
+	} else if (path == "/log-append") {
+		_append(*p_exchange, query.at("topic"));
+	} else {
+		p_exchange->reply(404, {}, "");
+	}
+}
+
+void standin_store::_answer_newest(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query) {
+	const topic &entry = _topics[p_query.at("topic")];
+	std::map<std::string, std::string> newest;
+	for (const record &kept : entry.records) {
+		if (kept.value.empty()) {
+			newest.erase(kept.key);
+		} else {
+			newest[kept.key] = kept.value;
+		}
+	}
+	json items = json::array();
+	bool has_more = false;
+	const auto first = p_query.contains("since_rev") ? newest.upper_bound(p_query.at("since_rev")) : newest.begin();
+	for (auto kept = first; kept != newest.end(); ++kept) {
+		if (items.size() == _page_size) {
+			has_more = true;
+			break;
+		}
+		items.push_back({ { "private_key", kept->first }, { "value", encode_base64(kept->second) }, { "offset", 0 } });
+	}
+	p_exchange.reply(200, { { "Content-Type", "application/json" } }, json{ { "items", items }, { "has_more", has_more }, { "end_offset", entry.records.size() } }.dump());
+}
+
+bool standin_store::_answer_read(caller_exchange &p_exchange, const std::string &p_topic, std::size_t p_offset) {
+	const topic &entry = _topics[p_topic];
+	if (p_offset < entry.first_kept) {
+		p_exchange.reply(410, {}, json{ { "first_offset", entry.first_kept } }.dump());
+		return true;
+	}
+	if (p_offset >= entry.records.size()) {
+		return false;
+	}
+	std::string body = big_endian(entry.records.size(), 8) + big_endian(entry.first_kept, 8);
+	for (std::size_t i = p_offset; i < entry.records.size(); i++) {
+		const std::string bytes = std::string(1, static_cast<char>(entry.records[i].key.size())) + entry.records[i].key + entry.records[i].value;
+		body += big_endian(bytes.size(), 4) + bytes;
+	}
+	p_exchange.reply(200, {}, body);
+	return true;
+}
+
+void standin_store::_append(caller_exchange &p_exchange, const std::string &p_topic) {
+	const std::string &body = p_exchange.body;
+	const std::size_t key_length = static_cast<unsigned char>(body.at(4));
+	put(p_topic, body.substr(5, key_length), body.substr(5 + key_length));
+	p_exchange.reply(200, {}, json{ { "offset", 0 }, { "end_offset", _topics[p_topic].records.size() } }.dump());
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/standins/standin_store.h
@@ -0,0 +1,74 @@
+/*
+ * calicoscale: standin_store.h
+ * Stand-in for the platform's store: keyed topics over HTTP.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef STANDIN_STORE_H
+#define STANDIN_STORE_H
+
+#include "drivers/caller_server.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** Keeps keyed topics of one partition. It can be away, and it can have forgotten its history. */
+class standin_store {
+	struct record {
+		std::string key;
+		std::string value; ///< Empty drops the key.
+	};
+
+	struct topic {
+		std::vector<record> records;
+		std::size_t first_kept = 0;
+	};
+
+	struct waiting_read {
+		std::string topic_name;
+		std::size_t offset = 0;
+		std::shared_ptr<caller_exchange> exchange;
+	};
+
+	std::map<std::string, topic> _topics;
+	std::list<waiting_read> _waiting;
+	bool _away = false;
+	std::size_t _calls = 0;
+	std::size_t _page_size = 3;
+	std::unique_ptr<caller_server> _server;
+
+	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
+	void _answer_newest(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query);
+	bool _answer_read(caller_exchange &p_exchange, const std::string &p_topic, std::size_t p_offset);
+	void _append(caller_exchange &p_exchange, const std::string &p_topic);
+	void _wake();
+
+public:
+	explicit standin_store(event_loop &p_loop);
+
+	void put(const std::string &p_topic, const std::string &p_key, const std::string &p_value);
+	void drop(const std::string &p_topic, const std::string &p_key) { put(p_topic, p_key, ""); }
+
+	/** While away every call gets 503; waiting reads end so too. */
+	void set_away(bool p_away);
+
+	/** Drops the records before the newest; reads from there on get 410. */
+	void forget_history();
+
+	std::optional<std::string> find(const std::string &p_topic, const std::string &p_key) const;
+	std::size_t get_calls() const { return _calls; }
+	const network_address &get_address() const { return _server->get_address(); }
+};
+
+} // namespace calicoscale
+
+#endif // STANDIN_STORE_H
