--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -22,6 +22,8 @@
 /** A longer gap between ticks means that this process stood still; by then others do what was handed to it. */
 constexpr duration PAUSE = std::chrono::milliseconds(600);
 constexpr int OK_STATUS = 200;
+/** Pieces wait for it, so that a replica behind a cut must not hold them for long. */
+constexpr duration CONNECT_TIMEOUT = std::chrono::milliseconds(120);
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
 
 call_end get_call_end(channel_end p_end, int p_status, bool p_did_not_run) {
@@ -268,6 +270,7 @@
 	request.to = p_call.to;
 	request.bytes = write_stage_call(p_call.replica, p_call.to, items);
 	request.longest_idle = REPLICA_IDLE;
+	request.connect_timeout = CONNECT_TIMEOUT;
 	struct answer_state {
 		int status = 0;
 		bool did_not_run = false;
