Hold stage work of a node that starts until it knows its peers, 0.7 s at most

Cause: after all nodes are killed each believed itself alone and admitted for the whole fleet; six to nine nodes dispatched one pool for a moment.

--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -22,6 +22,9 @@
 constexpr int UNAUTHORIZED = 401;
 constexpr int NOT_FOUND = 404;
 constexpr int UNAVAILABLE = 503;
+constexpr duration SETTLE_INTERVAL = std::chrono::milliseconds(20);
+/** All nodes may start within a third of a second of each other, and a link that failed is tried again after a quarter. */
+constexpr duration SETTLE_TIME = std::chrono::milliseconds(700);
 /** Assumed from a send to an engine's first event until some were seen. */
 constexpr duration FIRST_EVENT_TIME = std::chrono::milliseconds(150);
 /** Part of the objective within which a request must be predicted to be through its stages to be admitted. */
@@ -53,7 +56,8 @@
 		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _engine_caches, _first_event_times },
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
-		_tick_timer(p_loop, [this] { _tick(); }) {
+		_tick_timer(p_loop, [this] { _tick(); }),
+		_settle_timer(p_loop, [this] { _settle(); }) {
 	if (p_settings.metrics_address) {
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
@@ -75,6 +79,25 @@
 	_fleet.start();
 	_dispatcher.start();
 	_tick_timer.set(TICK);
+	_started_at = event_loop::now();
+	_settle_timer.set(SETTLE_INTERVAL);
+}
+
+void gateway::_settle() {
+	// A node that begins alone would take the pools for its own and admit as much as all nodes together may.
+	_settled = _fleet.get_live_count() > 1 || event_loop::now() - _started_at > SETTLE_TIME;
+	if (!_settled) {
+		_settle_timer.set(SETTLE_INTERVAL);
+		return;
+	}
+	std::vector<std::shared_ptr<caller_exchange>> waiting;
+	waiting.swap(_waiting_for_peers);
+	_context.log.write(log_line("settled").add("live_nodes", static_cast<long long>(_fleet.get_live_count())).add("waiting", static_cast<long long>(waiting.size())));
+	for (const std::shared_ptr<caller_exchange> &exchange : waiting) {
+		if (!exchange->is_gone()) {
+			_on_exchange(exchange);
+		}
+	}
 }
 
 bool gateway::_is_ready() const {
@@ -145,6 +168,10 @@
 		_refuse(*p_exchange, UNAUTHORIZED, reason::UNAUTHORIZED);
 		return;
 	}
+	if (!_settled && !request.route->stages.empty()) {
+		_waiting_for_peers.push_back(p_exchange);
+		return;
+	}
 	request.service = choose_service(*request.route, _context.random.get_unit());
 	if (!_refuse_if_late(request)) {
 		_run(std::move(request));
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -43,6 +43,10 @@
 	caller_server _readiness;
 	std::unique_ptr<caller_server> _metrics_server;
 	timer _tick_timer;
+	std::vector<std::shared_ptr<caller_exchange>> _waiting_for_peers; ///< Came before this node knew what others do.
+	timer _settle_timer;
+	instant _started_at{};
+	bool _settled = false;
 	stop_phase _phase = stop_phase::NONE;
 	instant _stop_started{};
 	bool _was_ready = false;
@@ -52,6 +56,7 @@
 	void _on_endpoints();
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
+	void _settle();
 	bool _refuse_if_late(const admitted_request &p_request);
 	void _run(admitted_request p_request);
 	void _on_readiness(caller_exchange &p_exchange);
