--- a/drivers/caller_server.cpp
+++ b/drivers/caller_server.cpp
@@ -198,6 +198,12 @@
 		_owner._handler(exchange);
 	}
 
+	/** A head has its own limit; a body may take as long as a connection may rest besides. */
+	duration _get_reading_limit() const {
+		const caller_server_limits &limits = _owner._limits;
+		return _reader.has_head() ? limits.header_timeout + limits.idle_timeout : limits.header_timeout;
+	}
+
 	void _forget_request() {
 		if (_is_open_request) {
 			_is_open_request = false;
@@ -275,9 +281,7 @@
 			close();
 		} else if (is_idle() && p_now - _idle_since > _owner._limits.idle_timeout) {
 			linger();
-		} else if (_phase == phase::READING && _reader.has_begun() && !_reader.has_head() && p_now - _request_since > _owner._limits.header_timeout) {
-			_reject(REQUEST_TIMEOUT);
-		} else if (_phase == phase::READING && _reader.has_head() && p_now - _request_since > _owner._limits.header_timeout + _owner._limits.idle_timeout) {
+		} else if (_phase == phase::READING && _reader.has_begun() && p_now - _request_since > _get_reading_limit()) {
 			_reject(REQUEST_TIMEOUT);
 		}
 	}
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -365,7 +365,7 @@
 		request.bytes = write_release(request.to, handles);
 		request.longest_idle = REPLICA_IDLE;
 		channel_hooks hooks;
-		hooks.on_end = [this, maker](channel_end p_end) {
+		hooks.on_end = [this, maker = maker](channel_end p_end) {
 			if (p_end != channel_end::COMPLETE) {
 				// The results expire by themselves; until then their room is taken.
 				_context.metrics.count("releases_failed");
@@ -413,9 +413,10 @@
 		_forget_after_pause();
 	}
 	_ticked_at = now;
-	const std::size_t nodes = 1;
 	for (auto &[name, entry] : _pools) {
-		entry.pool.tick([this, &entry, now, nodes] { return entry.repeats.try_repeat(_context.settings.retries, nodes, now); }, now);
+		retry_window &repeats = entry.repeats;
+		// This node alone dispatches the pool, so the whole bounds are its own.
+		entry.pool.tick([this, &repeats, now] { return repeats.try_repeat(_context.settings.retries, 1, now); }, now);
 		_give_up_overdue(name, entry);
 		_pump_pool(name, entry);
 		_send_releases(entry);
