--- a/main/commands.h
+++ b/main/commands.h
@@ -14,7 +14,7 @@
 
 namespace calicoscale {
 
-/** Exit codes of all commands, as documented in docs/OPERATING.md. */
+/** Exit codes of all commands, as documented in docs/OPERATIONS.md. */
 enum class exit_code {
 	SUCCESS = 0,
 	FAILURE = 1, ///< The command ran and its result is bad, e.g. a change was overtaken.
