--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -53,8 +53,6 @@
 constexpr double SLOWNESS_HIGHEST = 20.0;
 /** A replica that was slow is tried again as this passes; slow ones get no calls that would tell. */
 constexpr duration SLOWNESS_MEMORY = std::chrono::seconds(3);
-/** Part of a replica's room that this dispatcher fills; the rest covers others and late releases. */
-constexpr double ROOM_PART = 0.9;
 
 constexpr std::array<enum_name<work_end>, 4> END_NAMES{ {
 		{ work_end::DONE, "done" },
@@ -177,7 +175,7 @@
 }
 
 bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes) const {
-	return _spec.room_bytes <= 0.0 || p_replica.room_used + p_bytes <= _spec.room_bytes * ROOM_PART;
+	return _spec.room_bytes <= 0.0 || p_replica.room_used + p_bytes <= _spec.room_bytes;
 }
 
 stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now) {
