--- a/drivers/caller_server.cpp
+++ b/drivers/caller_server.cpp
@@ -275,6 +275,9 @@
 	std::size_t get_unsent() const { return evbuffer_get_length(bufferevent_get_output(_stream)); }
 	bool is_idle() const { return _phase == phase::READING && !_reader.has_begun() && evbuffer_get_length(bufferevent_get_input(_stream)) == 0; }
 
+	/** How long the connection has been without a request. */
+	duration get_rest(instant p_now) const { return p_now - _idle_since; }
+
 	/** Ends what takes too long. */
 	void sweep(instant p_now) {
 		if (_phase == phase::LINGERING && p_now - _idle_since > LINGER) {
@@ -437,8 +440,13 @@
 		evconnlistener_free(_listener);
 		_listener = nullptr;
 	}
+	close_idle(duration::zero());
+}
+
+void caller_server::close_idle(duration p_rest) {
+	const instant now = event_loop::now();
 	for (const std::unique_ptr<connection> &entry : _connections) {
-		if (entry->is_idle()) {
+		if (entry->is_idle() && entry->get_rest(now) >= p_rest) {
 			entry->linger();
 		}
 	}
--- a/drivers/caller_server.h
+++ b/drivers/caller_server.h
@@ -111,7 +111,10 @@
 	/** Answers from now on tell the caller that the connection ends with them. */
 	void announce_close() { _closing = true; }
 
-	/** Stops accepting connections and closes those that carry no request. */
+	/** Closes connections that have rested for so long without a request. */
+	void close_idle(duration p_rest);
+
+	/** Stops accepting connections; those that carry no request are closed. */
 	void stop_listening();
 
 	const network_address &get_address() const { return _address; }
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -15,6 +15,10 @@
 constexpr duration TICK = std::chrono::milliseconds(100);
 /** The balancer asks once a second and needs two misses. */
 constexpr duration STOP_LISTEN = std::chrono::milliseconds(2600);
+/** A connection that the balancer sent just now is given this long for its request. */
+constexpr duration FIRST_REQUEST_TIME = std::chrono::milliseconds(300);
+/** Part of the grace kept for requests taken last; most take less. */
+constexpr duration FINISH_TIME = std::chrono::milliseconds(3500);
 /** Part of the grace kept for ending in good order. */
 constexpr duration STOP_MARGIN = std::chrono::milliseconds(300);
 constexpr int OK_STATUS = 200;
@@ -257,23 +261,33 @@
 	if (_phase != stop_phase::NONE) {
 		return;
 	}
-	_phase = stop_phase::LISTENING;
 	_stop_started = event_loop::now();
 	_callers.announce_close();
 	_fleet.announce_leaving();
-	_context.log.write(log_line("stopping").add("phase", "listening").add("open", static_cast<long long>(_requests.size())));
+	_enter(stop_phase::LISTENING, "listening");
+}
+
+void gateway::_enter(stop_phase p_phase, const char *p_name) {
+	_phase = p_phase;
+	_context.log.write(log_line("stopping").add("phase", p_name).add("open", static_cast<long long>(_requests.size())).add("handed_work", static_cast<long long>(_dispatcher.get_accepted_count())));
 }
 
 void gateway::_advance_stop() {
 	const duration since = event_loop::now() - _stop_started;
+	const duration grace = _context.settings.stop_grace;
 	if (_phase == stop_phase::LISTENING && since >= STOP_LISTEN) {
-		_phase = stop_phase::FINISHING;
-		_callers.stop_listening();
-		_context.log.write(log_line("stopping").add("phase", "finishing").add("open", static_cast<long long>(_requests.size())).add("handed_work", static_cast<long long>(_dispatcher.get_accepted_count())));
+		_enter(stop_phase::ENDING, "ending");
+	}
+	const bool is_idle = _requests.empty() && _callers.get_open_requests() == 0 && _dispatcher.get_accepted_count() == 0;
+	if (_phase == stop_phase::ENDING) {
+		_callers.close_idle(FIRST_REQUEST_TIME);
+		if (is_idle || since >= grace - FINISH_TIME) {
+			_callers.stop_listening();
+			_enter(stop_phase::FINISHING, "finishing");
+		}
 	}
-	const bool is_idle = _requests.empty() && _callers.get_open_requests() == 0 && _dispatcher.get_accepted_count() == 0 && _callers.get_connection_count() == 0;
-	const bool is_over = since >= _context.settings.stop_grace - STOP_MARGIN;
-	if (_phase == stop_phase::FINISHING && (is_idle || is_over)) {
+	const bool is_over = since >= grace - STOP_MARGIN;
+	if (_phase == stop_phase::FINISHING && ((is_idle && _callers.get_connection_count() == 0) || is_over)) {
 		_context.log.write(log_line("stopped").add("cut_off", static_cast<long long>(_requests.size())));
 		_context.loop.stop();
 	}
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -21,6 +21,7 @@
 	enum class stop_phase {
 		NONE,
 		LISTENING, ///< Not ready any more; the balancer has time to notice.
+		ENDING, ///< Idle connections are closed; new ones are still served, as a zone with few nodes left gets them.
 		FINISHING, ///< Accepts no connections; what is in flight goes on.
 	};
 
@@ -63,6 +64,7 @@
 	void _on_readiness(caller_exchange &p_exchange);
 	void _on_metrics(caller_exchange &p_exchange);
 	void _tick();
+	void _enter(stop_phase p_phase, const char *p_name);
 	void _advance_stop();
 
 public:
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -428,4 +428,21 @@
 	EXPECT_EQ(running->head.status, 504) << "its own deadline ended it, not the stop";
 }
 
+TEST_F(gateway_test, a_stopping_node_serves_what_still_comes_while_something_runs) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	entry.stop();
+	const instant past_listening = event_loop::now() + milliseconds(2000);
+	run_until([past_listening] { return event_loop::now() > past_listening; });
+	replica.mode = replica_mode::HOLD;
+	const std::shared_ptr<caller_result> running = send(entry, "/once/");
+	run_until([&replica] { return replica.runs.size() == 1; });
+	replica.mode = replica_mode::ANSWER;
+	const instant past_ending = event_loop::now() + milliseconds(1200);
+	run_until([past_ending] { return event_loop::now() > past_ending; });
+	EXPECT_EQ(ask(entry, "/once/")->head.status, 200);
+	run_until([&running] { return running->end.has_value(); });
+}
+
 } // namespace calicoscale
