Share socket addresses and status codes; take out what nothing used

Three copies of the socket address, four of the status codes. Fields and functions without a user went (and the assertions on one such field); kept connections and what is known of an engine are dropped when it is gone, which two unused functions were meant for.

--- a/drivers/caller_server.cpp
+++ b/drivers/caller_server.cpp
@@ -8,7 +8,9 @@
 
 #include "drivers/caller_server.h"
 
-#include <arpa/inet.h>
+#include "drivers/http_status.h"
+#include "drivers/socket_address.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -35,11 +37,6 @@
 constexpr unsigned int USER_TIMEOUT_MS = 5000;
 constexpr int BACKLOG = 1024;
 
-constexpr int BAD_REQUEST = 400;
-constexpr int REQUEST_TIMEOUT = 408;
-constexpr int BODY_TOO_LARGE = 413;
-constexpr int HEADERS_TOO_LARGE = 431;
-
 struct status_phrase {
 	int status;
 	std::string_view phrase;
@@ -160,17 +157,17 @@
 
 	void _check_reader() {
 		if (_too_large) {
-			_reject(BODY_TOO_LARGE);
+			_reject(http_status::BODY_TOO_LARGE);
 			return;
 		}
 		switch (_reader.get_state()) {
 			case http_reader::state::READING:
 				return;
 			case http_reader::state::MALFORMED:
-				_reject(BAD_REQUEST);
+				_reject(http_status::BAD_REQUEST);
 				return;
 			case http_reader::state::HEADERS_TOO_LARGE:
-				_reject(HEADERS_TOO_LARGE);
+				_reject(http_status::HEADERS_TOO_LARGE);
 				return;
 			case http_reader::state::COMPLETE:
 				_hand_over();
@@ -180,7 +177,7 @@
 	void _hand_over() {
 		const http_head &head = _reader.get_head();
 		if (head.target.empty() || head.target.front() != '/' || (head.find("Host") == nullptr && head.minor_version > 0)) {
-			_reject(BAD_REQUEST);
+			_reject(http_status::BAD_REQUEST);
 			return;
 		}
 		_phase = phase::ANSWERING;
@@ -272,7 +269,6 @@
 	}
 
 	void write(std::string_view p_bytes) { bufferevent_write(_stream, p_bytes.data(), p_bytes.size()); }
-	std::size_t get_unsent() const { return evbuffer_get_length(bufferevent_get_output(_stream)); }
 	bool is_idle() const { return _phase == phase::READING && !_reader.has_begun() && evbuffer_get_length(bufferevent_get_input(_stream)) == 0; }
 
 	/** How long the connection has been without a request. */
@@ -285,7 +281,7 @@
 		} else if (is_idle() && p_now - _idle_since > _owner._limits.idle_timeout) {
 			linger();
 		} else if (_phase == phase::READING && _reader.has_begun() && p_now - _request_since > _get_reading_limit()) {
-			_reject(REQUEST_TIMEOUT);
+			_reject(http_status::REQUEST_TIMEOUT);
 		}
 	}
 };
@@ -379,25 +375,15 @@
 	connection.finish(false);
 }
 
-std::size_t caller_exchange::get_unsent() const {
-	return is_gone() ? 0 : static_cast<caller_server::connection *>(_connection)->get_unsent();
-}
-
 caller_server::caller_server(event_loop &p_loop, const network_address &p_address, const caller_server_limits &p_limits, std::function<void(std::shared_ptr<caller_exchange>)> p_handler) :
 		_loop(p_loop), _limits(p_limits), _handler(std::move(p_handler)), _sweep_timer(p_loop, [this] { _sweep(); }) {
-	sockaddr_in address{};
-	address.sin_family = AF_INET;
-	address.sin_port = htons(p_address.port);
-	inet_pton(AF_INET, p_address.host.c_str(), &address.sin_addr);
+	const sockaddr_in address = make_socket_address(p_address);
 	const unsigned int flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
 	_listener = evconnlistener_new_bind(p_loop.get_base(), &caller_server::_on_accept, this, flags, BACKLOG, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
 	if (_listener == nullptr) {
 		throw std::runtime_error("cannot listen at " + to_string(p_address));
 	}
-	sockaddr_in bound{};
-	socklen_t size = sizeof(bound);
-	getsockname(evconnlistener_get_fd(_listener), reinterpret_cast<sockaddr *>(&bound), &size);
-	_address = network_address{ p_address.host, ntohs(bound.sin_port) };
+	_address = get_bound_address(evconnlistener_get_fd(_listener), p_address.host);
 	_sweep_timer.set(SWEEP_INTERVAL);
 }
 
--- a/drivers/caller_server.h
+++ b/drivers/caller_server.h
@@ -37,7 +37,6 @@
 /** One request and the way to answer it. It outlives its connection: what is sent then goes nowhere. */
 class caller_exchange {
 	friend class caller_server;
-	class connection_port;
 
 	caller_server *_server = nullptr;
 	void *_connection = nullptr; ///< Set while the connection stands.
@@ -71,8 +70,6 @@
 	bool is_gone() const { return _connection == nullptr; }
 	bool has_started() const { return _started; }
 	bool has_ended() const { return _ended; }
-	/** Bytes written and not yet taken by the caller. */
-	std::size_t get_unsent() const;
 };
 
 /** A listening server. One request at a time on a connection; the next is read when its answer is out. */
--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -9,8 +9,8 @@
 #include "drivers/endpoint_channels.h"
 
 #include "core/enum_names.h"
+#include "drivers/socket_address.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -223,10 +223,7 @@
 		const timeval timeout = to_timeval(p_timeout);
 		bufferevent_set_timeouts(_stream, nullptr, &timeout);
 		bufferevent_enable(_stream, EV_READ | EV_WRITE);
-		sockaddr_in address{};
-		address.sin_family = AF_INET;
-		address.sin_port = htons(p_to.port);
-		inet_pton(AF_INET, p_to.host.c_str(), &address.sin_addr);
+		const sockaddr_in address = make_socket_address(p_to);
 		return bufferevent_socket_connect(_stream, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
 	}
 
@@ -323,18 +320,6 @@
 	_free(std::move(owned));
 }
 
-void endpoint_channels::set_reading(exchange_id p_id, bool p_reading) {
-	const auto found = _busy.find(p_id);
-	if (found == _busy.end()) {
-		return;
-	}
-	if (p_reading) {
-		bufferevent_enable(found->second->_stream, EV_READ);
-	} else {
-		bufferevent_disable(found->second->_stream, EV_READ);
-	}
-}
-
 void endpoint_channels::_on_idle_event(channel *p_channel) {
 	const auto kept = _idle.find(p_channel->_endpoint);
 	if (kept == _idle.end()) {
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -88,15 +88,11 @@
 	/** Ends an exchange by closing its connection; its hooks are not called any more. */
 	void cancel(exchange_id p_id);
 
-	/** Stops reading an answer for a while, or goes on. */
-	void set_reading(exchange_id p_id, bool p_reading);
-
 	/** Closes what is kept to an endpoint that is gone. */
 	void drop_idle(const std::string &p_endpoint);
 
 	std::uint64_t get_opened() const { return _opened; }
 	std::uint64_t get_skipped_answers() const { return _skipped_answers; }
-	std::size_t get_busy_count() const { return _busy.size(); }
 };
 
 } // namespace calicoscale
--- /dev/null
+++ b/drivers/http_status.h
@@ -0,0 +1,30 @@
+/*
+ * calicoscale: http_status.h
+ * HTTP status codes that the gateway gives or heeds.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef HTTP_STATUS_H
+#define HTTP_STATUS_H
+
+namespace calicoscale::http_status {
+
+constexpr int OK = 200;
+constexpr int BAD_REQUEST = 400;
+constexpr int UNAUTHORIZED = 401;
+constexpr int NOT_FOUND = 404;
+constexpr int REQUEST_TIMEOUT = 408;
+constexpr int CONFLICT = 409;
+constexpr int GONE = 410;
+constexpr int BODY_TOO_LARGE = 413;
+constexpr int HEADERS_TOO_LARGE = 431;
+constexpr int FIRST_SERVER_ERROR = 500;
+constexpr int BAD_GATEWAY = 502;
+constexpr int UNAVAILABLE = 503;
+constexpr int GATEWAY_TIMEOUT = 504;
+
+} // namespace calicoscale::http_status
+
+#endif // HTTP_STATUS_H
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -11,6 +11,7 @@
 #include "core/digest.h"
 #include "core/ids.h"
 #include "drivers/link_codec.h"
+#include "drivers/socket_address.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -45,14 +46,6 @@
 	return sha256_hex(std::string_view(reinterpret_cast<const char *>(bytes.data()), bytes.size()));
 }
 
-sockaddr_in make_socket_address(const network_address &p_address) {
-	sockaddr_in result{};
-	result.sin_family = AF_INET;
-	result.sin_port = htons(p_address.port);
-	inet_pton(AF_INET, p_address.host.c_str(), &result.sin_addr);
-	return result;
-}
-
 } // namespace
 
 /** One TCP connection to a peer. */
@@ -242,10 +235,7 @@
 	if (_listener == nullptr) {
 		throw std::runtime_error("cannot listen at " + to_string(p_address));
 	}
-	sockaddr_in bound{};
-	socklen_t size = sizeof(bound);
-	getsockname(evconnlistener_get_fd(_listener), reinterpret_cast<sockaddr *>(&bound), &size);
-	_address = network_address{ p_address.host, ntohs(bound.sin_port) };
+	_address = get_bound_address(evconnlistener_get_fd(_listener), p_address.host);
 }
 
 node_link::~node_link() {
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -8,6 +8,8 @@
 
 #include "main/gateway.h"
 
+#include "drivers/http_status.h"
+
 namespace calicoscale {
 
 namespace {
@@ -21,11 +23,6 @@
 constexpr duration FINISH_TIME = std::chrono::milliseconds(3500);
 /** Part of the grace kept for ending in good order. */
 constexpr duration STOP_MARGIN = std::chrono::milliseconds(300);
-constexpr int OK_STATUS = 200;
-constexpr int BAD_REQUEST = 400;
-constexpr int UNAUTHORIZED = 401;
-constexpr int NOT_FOUND = 404;
-constexpr int UNAVAILABLE = 503;
 constexpr duration SETTLE_INTERVAL = std::chrono::milliseconds(20);
 /** All nodes may start within a third of a second of each other, and a link that failed is tried again after a quarter. */
 constexpr duration SETTLE_TIME = std::chrono::milliseconds(700);
@@ -134,6 +131,10 @@
 	_dispatcher.set_endpoints(listings);
 	for (router *choices : { &_engines, &_services }) {
 		for (const endpoint_change &change : choices->take_changes()) {
+			if (change.what == endpoint_change::kind::REMOVED) {
+				_context.channels.drop_idle(change.vm);
+				_engine_caches.forget_engine(change.vm);
+			}
 			_context.log.write(log_line("endpoint_changed").add("endpoint", change.vm).add("service", change.pool).add("change", get_name(change.what)));
 		}
 	}
@@ -141,7 +142,7 @@
 
 void gateway::_refuse(caller_exchange &p_exchange, int p_status, reason p_reason) {
 	std::vector<http_header> headers;
-	if (p_status == UNAVAILABLE) {
+	if (p_status == http_status::UNAVAILABLE) {
 		headers.push_back(make_retry_after(RETRY_AFTER));
 	}
 	_context.metrics.on_request("", outcome{ verdict::NOT_RUN, p_reason }, event_loop::now() - p_exchange.received_at);
@@ -154,25 +155,25 @@
 	request.exchange = p_exchange;
 	request.configuration = _configuration.get_current();
 	if (!request.configuration) {
-		_refuse(*p_exchange, UNAVAILABLE, reason::NOT_READY);
+		_refuse(*p_exchange, http_status::UNAVAILABLE, reason::NOT_READY);
 		return;
 	}
 	const std::string *host = p_exchange->head.find("Host");
 	request.route = request.configuration->find_route(host == nullptr ? "" : *host, get_path(p_exchange->head));
 	if (request.route == nullptr) {
-		_refuse(*p_exchange, NOT_FOUND, reason::NOT_FOUND);
+		_refuse(*p_exchange, http_status::NOT_FOUND, reason::NOT_FOUND);
 		return;
 	}
 	request.facts = read_caller_request(p_exchange->head);
 	if (request.facts.attempt.empty()) {
-		_refuse(*p_exchange, BAD_REQUEST, reason::BAD_REQUEST);
+		_refuse(*p_exchange, http_status::BAD_REQUEST, reason::BAD_REQUEST);
 		return;
 	}
 	if (request.facts.key) {
 		request.customer = request.configuration->find_customer(*request.facts.key);
 	}
 	if (request.customer == nullptr && request.configuration->has_customers() && !request.route->is_public) {
-		_refuse(*p_exchange, UNAUTHORIZED, reason::UNAUTHORIZED);
+		_refuse(*p_exchange, http_status::UNAUTHORIZED, reason::UNAUTHORIZED);
 		return;
 	}
 	if (!_settled && !request.route->stages.empty()) {
@@ -203,7 +204,7 @@
 	const outcome result{ verdict::NOT_RUN, reason::DEADLINE_UNREACHABLE };
 	_context.metrics.on_request(route.name, result, event_loop::now() - p_request.exchange->received_at);
 	_context.log.write_request(log_line("request_refused").add("request", p_request.facts.attempt).add("route", route.name).add("reason", get_name(result.why)).add("predicted_ms", predicted).add("allowed_ms", allowed).add("retry_after_ms", retry_after));
-	p_request.exchange->reply(UNAVAILABLE, { make_retry_after(retry_after) }, "");
+	p_request.exchange->reply(http_status::UNAVAILABLE, { make_retry_after(retry_after) }, "");
 	return true;
 }
 
@@ -225,7 +226,7 @@
 }
 
 void gateway::_on_readiness(caller_exchange &p_exchange) {
-	p_exchange.reply(_is_ready() ? OK_STATUS : UNAVAILABLE, {}, "");
+	p_exchange.reply(_is_ready() ? http_status::OK : http_status::UNAVAILABLE, {}, "");
 }
 
 void gateway::_on_metrics(caller_exchange &p_exchange) {
@@ -237,7 +238,7 @@
 	_context.metrics.set_gauge("store_calls", static_cast<double>(_context.store.get_call_count()));
 	_context.metrics.set_gauge("live_nodes", static_cast<double>(_fleet.get_live_count()));
 	_context.metrics.set_gauge("dropped_log_lines", static_cast<double>(_context.log.get_dropped()));
-	p_exchange.reply(OK_STATUS, { http_header{ "Content-Type", "text/plain; version=0.0.4" } }, _context.metrics.write());
+	p_exchange.reply(http_status::OK, { http_header{ "Content-Type", "text/plain; version=0.0.4" } }, _context.metrics.write());
 }
 
 void gateway::_update_readiness() {
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -9,6 +9,7 @@
 #include "main/gateway_request.h"
 
 #include "core/digest.h"
+#include "drivers/http_status.h"
 #include "platform/stage_codec.h"
 
 #include <algorithm>
@@ -17,9 +18,6 @@
 
 namespace {
 
-constexpr int BAD_GATEWAY = 502;
-constexpr int UNAVAILABLE = 503;
-constexpr int TIMED_OUT = 504;
 /** Sends of one request that did not run; more would only find the same trouble. */
 constexpr int MOST_SENDS = 4;
 constexpr int MOST_RESTARTS = 2;
@@ -434,8 +432,7 @@
 		return;
 	}
 	if (_answer.did_not_run) {
-		constexpr int INPUT_GONE_STATUS = 409;
-		if (_answer_head.status == INPUT_GONE_STATUS && !_stages.is_empty() && _restarts < MOST_RESTARTS) {
+		if (_answer_head.status == http_status::CONFLICT && !_stages.is_empty() && _restarts < MOST_RESTARTS) {
 			_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_INPUT });
 			_remake_results();
 			return;
@@ -456,8 +453,7 @@
 	_observe(outcome{ verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR });
 	_runs++;
 	_tally.add(verdict::MAY_HAVE_RUN);
-	constexpr int FIRST_SERVER_ERROR = 500;
-	if (_answer_head.status >= FIRST_SERVER_ERROR && _may_repeat_run() && _try_repeat_budget()) {
+	if (_answer_head.status >= http_status::FIRST_SERVER_ERROR && _may_repeat_run() && _try_repeat_budget()) {
 		_avoid.push_back(_endpoint);
 		_send();
 		return;
@@ -499,8 +495,8 @@
 		_fail(p_reason);
 		return;
 	}
-	_request.exchange->reply(UNAVAILABLE, { make_retry_after(p_retry_after) }, "");
-	_finish(outcome{ verdict::NOT_RUN, p_reason }, UNAVAILABLE);
+	_request.exchange->reply(http_status::UNAVAILABLE, { make_retry_after(p_retry_after) }, "");
+	_finish(outcome{ verdict::NOT_RUN, p_reason }, http_status::UNAVAILABLE);
 }
 
 void gateway_request::_fail(reason p_reason) {
@@ -510,7 +506,7 @@
 		return;
 	}
 	const bool is_late = p_reason == reason::DEADLINE_PASSED || p_reason == reason::TIMED_OUT;
-	const int status = is_late ? TIMED_OUT : BAD_GATEWAY;
+	const int status = is_late ? http_status::GATEWAY_TIMEOUT : http_status::BAD_GATEWAY;
 	_request.exchange->reply(status, {}, "");
 	_finish(outcome{ verdict::MAY_HAVE_RUN, p_reason }, status);
 }
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -9,6 +9,7 @@
 #include "main/stage_dispatcher.h"
 
 #include "core/digest.h"
+#include "drivers/http_status.h"
 #include "platform/request_codec.h"
 #include "platform/stage_codec.h"
 
@@ -21,7 +22,6 @@
 constexpr duration TICK = std::chrono::milliseconds(30);
 /** A longer gap between ticks means that this process stood still; by then others do what was handed to it. */
 constexpr duration PAUSE = std::chrono::milliseconds(600);
-constexpr int OK_STATUS = 200;
 /** Pieces wait for it, so that a replica behind a cut must not hold them for long. */
 constexpr duration CONNECT_TIMEOUT = std::chrono::milliseconds(120);
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
@@ -36,7 +36,7 @@
 	if (p_did_not_run) {
 		return call_end::REFUSED;
 	}
-	return p_status == OK_STATUS ? call_end::ANSWERED : call_end::BROKEN;
+	return p_status == http_status::OK ? call_end::ANSWERED : call_end::BROKEN;
 }
 
 } // namespace
--- a/servers/gateway/gateway_configuration.h
+++ b/servers/gateway/gateway_configuration.h
@@ -61,7 +61,6 @@
 /** What is known of the replicas of a stage pool. */
 struct stage_pool_spec {
 	int slots = 1; ///< Calls at work at once in one replica.
-	int queue = 0; ///< Calls that may wait at one replica.
 	std::size_t batch = 1; ///< Pieces one call may carry.
 	duration call_time = duration::zero();
 	duration piece_time = duration::zero();
@@ -73,9 +72,7 @@
 /** A service with its replicas' properties. */
 struct gateway_service {
 	std::string name;
-	int most_connections = 0; ///< One replica's, from all callers together.
 	bool is_engine = false;
-	int slots = 0; ///< Requests one engine runs at once; 0 where it is no engine.
 	std::optional<stage_pool_spec> stage_pool;
 };
 
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -222,7 +222,6 @@
 
 	const stage_work *find_work(work_id p_id) const;
 	std::size_t get_waiting_pieces() const { return _waiting_pieces; }
-	std::size_t get_running_calls() const { return _calls.size(); }
 	std::size_t get_work_count() const { return _works.size(); }
 };
 
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -86,7 +86,6 @@
 	EXPECT_EQ(facts.stage_key, "k1");
 	ASSERT_EQ(facts.prompt.size(), 2U);
 	EXPECT_EQ(facts.prompt[1].tokens, 410U);
-	EXPECT_EQ(facts.prompt_tokens, 1460U);
 }
 
 TEST(request_codec, malformed_headers_are_left_empty) {
@@ -97,7 +96,6 @@
 	EXPECT_TRUE(facts.prompt.empty());
 	EXPECT_FALSE(facts.remaining);
 	EXPECT_FALSE(facts.key);
-	EXPECT_EQ(facts.prompt_tokens, 0U);
 	head.headers = { { "X-Segments", "999999999" }, { "X-Deadline-Ms", "99999999999999" } };
 	EXPECT_TRUE(read_caller_request(head).stage_pieces.empty());
 	EXPECT_EQ(read_caller_request(head).remaining, duration(std::chrono::hours(24)));
