Let the stand-ins own the timers of delayed answers

Cause: the second run of the test command on the final code failed in fault_matrix_claim.runs_at_most_once/slow: a delayed answer was held by a timer that held itself, so a test that ended before the delay leaked it.

--- a/tests/standins/standin_endpoint.cpp
+++ b/tests/standins/standin_endpoint.cpp
@@ -246,12 +246,8 @@
 	} else if (fault == endpoint_fault::TRUNCATE) {
 		reader->start_stream(200, "application/json");
 		reader->send_part(text.substr(0, text.size() / 2));
-		const auto half_sent = std::make_shared<std::unique_ptr<timer>>();
-		*half_sent = std::make_unique<timer>(_loop, [this, reader, half_sent] {
-			reader->break_stream();
-			_loop.post([half_sent] { half_sent->reset(); });
-		});
-		(*half_sent)->set(std::chrono::milliseconds(2));
+		_half_sent.push_back(std::make_unique<timer>(_loop, [reader] { reader->break_stream(); }));
+		_half_sent.back()->set(std::chrono::milliseconds(2));
 	} else if (fault == endpoint_fault::SECOND_ANSWER) {
 		reader->reply(200, "application/json", text + text);
 	} else {
--- a/tests/standins/standin_endpoint.h
+++ b/tests/standins/standin_endpoint.h
@@ -93,6 +93,7 @@
 	std::map<std::string, bool> _stopped; ///< Attempts settled before they came.
 	std::deque<load_sample> _loads;
 	std::vector<std::shared_ptr<http_exchange>> _hanging;
+	std::vector<std::unique_ptr<timer>> _half_sent; ///< Until the rest of a truncated answer is given up.
 	int _running = 0;
 	timer _sweep_timer;
 
--- a/tests/standins/standin_log.cpp
+++ b/tests/standins/standin_log.cpp
@@ -49,12 +49,13 @@
 }
 
 void standin_log::_delayed(std::function<void()> p_hook) {
-	const auto waiting = std::make_shared<std::unique_ptr<timer>>();
-	*waiting = std::make_unique<timer>(_loop, [this, waiting, hook = std::move(p_hook)] {
+	std::erase_if(_delays, [](const delayed_answer &p_delay) { return p_delay.is_over; });
+	delayed_answer &delay = _delays.emplace_back();
+	delay.wait = std::make_unique<timer>(_loop, [&delay, hook = std::move(p_hook)] {
 		hook();
-		_loop.post([waiting] { waiting->reset(); });
+		delay.is_over = true;
 	});
-	(*waiting)->set(duration(static_cast<duration::rep>(_fault.amount * 1000.0)));
+	delay.wait->set(duration(static_cast<duration::rep>(_fault.amount * 1000.0)));
 }
 
 void standin_log::_on_exchange(std::unique_ptr<http_exchange> p_exchange) {
--- a/tests/standins/standin_log.h
+++ b/tests/standins/standin_log.h
@@ -13,6 +13,7 @@
 #include "tests/standins/standin_server.h"
 
 #include <deque>
+#include <list>
 #include <map>
 #include <string>
 
@@ -30,6 +31,11 @@
 		std::uint64_t next = 0;
 	};
 
+	struct delayed_answer {
+		std::unique_ptr<timer> wait;
+		bool is_over = false;
+	};
+
 	event_loop &_loop;
 	std::map<std::string, stream> _streams;
 	standin_server _server;
@@ -37,6 +43,7 @@
 	std::uint64_t _appends = 0;
 	std::uint64_t _reads = 0;
 	std::vector<std::shared_ptr<http_exchange>> _hanging;
+	std::list<delayed_answer> _delays;
 	std::uint64_t _turn = 0;
 
 	void _on_exchange(std::unique_ptr<http_exchange> p_exchange);
