Learn from peers which endpoints went while a node was cut off

Cause: a node that comes back to the store keeps the entries that are missing then for two seconds, as the store itself may have been away. When only the node was cut off, an endpoint that had gone meanwhile got work up to 3.1 s after its entry went (bound 2 s). Change: heartbeats name the endpoints whose entry their sender saw go; a node whose own reading stopped, or has begun again, drops them at once. The hold ends by a timer. A read that is not answered within 0.4 s gets another one beside it. Ruled out: leaving marks lost (the endpoints never said that they leave); load of the machine (3 of 4 replays with logs show the same three nodes, those of the cut).

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -100,7 +100,8 @@
 		}
 		const auto commitment_vector = target.CreateVector(commitments);
 		const auto capacity_vector = target.CreateVector(capacities);
-		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector).Union() };
+		const auto gone = target.CreateVectorOfStrings(p_message.gone);
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone).Union() };
 	}
 
 	encoded_body operator()(const ask_configuration_message &p_message) const {
@@ -179,6 +180,18 @@
 	}
 };
 
+std::vector<std::string> read_texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *p_texts) {
+	std::vector<std::string> texts;
+	if (p_texts == nullptr) {
+		return texts;
+	}
+	texts.reserve(p_texts->size());
+	for (const flatbuffers::String *text : *p_texts) {
+		texts.push_back(read(text));
+	}
+	return texts;
+}
+
 heartbeat_message read_heartbeat(const wire::heartbeat &p_message) {
 	heartbeat_message message;
 	message.at = hybrid_time{ p_message.wall(), p_message.counter() };
@@ -202,6 +215,7 @@
 			message.capacities.push_back(pool_capacity{ read(entry->pool()), static_cast<double>(entry->replicas()) });
 		}
 	}
+	message.gone = read_texts(p_message.gone());
 	return message;
 }
 
@@ -226,18 +240,6 @@
 	return message;
 }
 
-std::vector<std::string> read_texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *p_texts) {
-	std::vector<std::string> texts;
-	if (p_texts == nullptr) {
-		return texts;
-	}
-	texts.reserve(p_texts->size());
-	for (const flatbuffers::String *text : *p_texts) {
-		texts.push_back(read(text));
-	}
-	return texts;
-}
-
 tell_endpoints_message read_tell_endpoints(const wire::tell_endpoints &p_message) {
 	tell_endpoints_message message;
 	if (p_message.endpoints() == nullptr) {
--- a/main/endpoint_follower.cpp
+++ b/main/endpoint_follower.cpp
@@ -17,11 +17,21 @@
 /** Endpoints get no new work within two seconds of saying that they leave; a read takes part of that. */
 constexpr duration READ_INTERVAL = std::chrono::milliseconds(900);
 constexpr duration RETRY_INTERVAL = std::chrono::milliseconds(300);
+/**
+ * A read without an answer is not given up yet, as the store may be slow, but another one is sent beside it: an answer must
+ * come within half a second of the store's return, as entries that are missing then are kept for two more.
+ */
+constexpr duration NEXT_READ = std::chrono::milliseconds(400);
+constexpr int MOST_OPEN_READS = 4;
+/** While entries that went with an outage are waited for. */
+constexpr duration RETURN_INTERVAL = std::chrono::milliseconds(400);
 
 } // namespace
 
 endpoint_follower::endpoint_follower(gateway_context &p_context) :
-		_context(p_context), _read_timer(p_context.loop, [this] { _read(); }) {
+		_context(p_context),
+		_read_timer(p_context.loop, [this] { _open_reads == 0 ? _begin_reading() : _read(); }),
+		_drop_timer(p_context.loop, [this] { _set_timers(); }) {
 }
 
 void endpoint_follower::_set_reachable(bool p_reachable) {
@@ -31,40 +41,79 @@
 	}
 }
 
+void endpoint_follower::_begin_reading() {
+	_reading++;
+	_open_reads = 0;
+	_read();
+}
+
 void endpoint_follower::_read() {
-	const std::string topic(get_endpoint_topic());
-	if (_offset == 0) {
-		_context.store.read_newest(topic, [this](const store_answer &p_answer) { _on_answer(p_answer, true); });
+	if (_open_reads >= MOST_OPEN_READS) {
 		return;
 	}
-	_context.store.follow(topic, _offset, duration::zero(), [this](const store_answer &p_answer) { _on_answer(p_answer, false); });
+	_open_reads++;
+	_read_timer.set(NEXT_READ);
+	const bool is_whole = _offset == 0;
+	const auto take = [this, is_whole, reading = _reading](const store_answer &p_answer) {
+		if (reading == _reading) {
+			_open_reads--;
+			_on_answer(p_answer, is_whole);
+		}
+	};
+	const std::string topic(get_endpoint_topic());
+	if (is_whole) {
+		_context.store.read_newest(topic, take);
+	} else {
+		_context.store.follow(topic, _offset, duration::zero(), take);
+	}
+}
+
+void endpoint_follower::_on_failed_read() {
+	_set_reachable(false);
+	_directory.tick(event_loop::now());
+	_publish();
+	if (_open_reads == 0) {
+		_read_timer.set(RETRY_INTERVAL);
+	}
 }
 
 void endpoint_follower::_on_answer(const store_answer &p_answer, bool p_is_whole) {
-	const instant now = event_loop::now();
-	_set_reachable(p_answer.status != store_status::UNAVAILABLE);
 	if (p_answer.status == store_status::UNAVAILABLE) {
-		_directory.tick(now);
-		_publish();
-		_read_timer.set(RETRY_INTERVAL);
+		_on_failed_read();
 		return;
 	}
+	_set_reachable(true);
 	if (p_answer.status == store_status::HISTORY_GONE) {
 		_context.log.write(log_line("history_gone").add("topic", get_endpoint_topic()).add("offset", static_cast<long long>(_offset)));
 		_offset = 0;
-		_read();
+		_begin_reading();
 		return;
 	}
-	_directory.on_read(now);
+	_reading++;
+	_open_reads = 0;
+	_directory.on_read(event_loop::now());
 	_offset = p_answer.next_offset;
 	if (p_is_whole) {
 		_take_whole(p_answer);
 	} else {
 		_take_records(p_answer);
 	}
+	_set_timers();
+}
+
+void endpoint_follower::_set_timers() {
+	const instant now = event_loop::now();
 	_directory.tick(now);
 	_publish();
-	_read_timer.set(_directory.get_size() == 0 ? RETRY_INTERVAL : READ_INTERVAL);
+	const std::optional<instant> drop_at = _directory.get_drop_time();
+	if (drop_at) {
+		_drop_timer.set_at(*drop_at);
+	}
+	if (_open_reads > 0) {
+		return;
+	}
+	const duration usual = drop_at ? RETURN_INTERVAL : READ_INTERVAL;
+	_read_timer.set(_directory.get_size() == 0 ? RETRY_INTERVAL : usual);
 }
 
 void endpoint_follower::_take_records(const store_answer &p_answer) {
@@ -101,6 +150,13 @@
 	}
 }
 
+void endpoint_follower::mark_gone(const std::string &p_name, const std::string &p_peer) {
+	if (_directory.mark_gone(p_name, event_loop::now())) {
+		_context.log.write(log_line("endpoint_gone").add("endpoint", p_name).add("source", "peer/" + p_peer));
+		_publish();
+	}
+}
+
 void endpoint_follower::offer(const std::vector<endpoint_listing> &p_listings, const std::string &p_peer) {
 	const bool was_loaded = _directory.is_loaded();
 	if (!_directory.adopt(p_listings)) {
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -24,6 +24,8 @@
 constexpr duration NAMES_INTERVAL = std::chrono::seconds(2);
 constexpr duration NAME_RETRY = std::chrono::seconds(3);
 constexpr duration MARK_TIME = std::chrono::seconds(5);
+/** For peers that were cut off meanwhile; the longest cuts seen take twelve seconds. */
+constexpr duration GONE_TIME = std::chrono::seconds(20);
 constexpr duration ASK_INTERVAL = std::chrono::milliseconds(300);
 /** A node that starts asks nothing; it is told what it may lack until it is ready. */
 constexpr duration TELL_INTERVAL = std::chrono::milliseconds(1000);
@@ -160,8 +162,14 @@
 	for (const std::string &endpoint : _endpoints.get_directory().take_news()) {
 		_marks.push_back(recent_mark{ endpoint, now + MARK_TIME });
 	}
-	while (!_marks.empty() && (_marks.front().told_until < now || _marks.size() > MOST_MARKS)) {
-		_marks.pop_front();
+	for (const std::string &endpoint : _endpoints.get_directory().take_gone()) {
+		_gone.push_back(recent_mark{ endpoint, now + GONE_TIME });
+	}
+	std::erase_if(_gone, [this](const recent_mark &p_mark) { return _endpoints.get_directory().contains(p_mark.endpoint); });
+	for (std::deque<recent_mark> *marks : { &_marks, &_gone }) {
+		while (!marks->empty() && (marks->front().told_until < now || marks->size() > MOST_MARKS)) {
+			marks->pop_front();
+		}
 	}
 }
 
@@ -172,6 +180,9 @@
 	for (const recent_mark &mark : _marks) {
 		message.marks.push_back(leaving_mark{ mark.endpoint, 0 });
 	}
+	for (const recent_mark &mark : _gone) {
+		message.gone.push_back(mark.endpoint);
+	}
 	message.commitments = _commitments.get_own();
 	if (_get_capacities) {
 		message.capacities = _get_capacities();
@@ -220,6 +231,9 @@
 	for (const leaving_mark &mark : p_message.marks) {
 		_endpoints.mark_leaving(mark.vm);
 	}
+	for (const std::string &endpoint : p_message.gone) {
+		_endpoints.mark_gone(endpoint, p_vm);
+	}
 	_commitments.take_peer(p_vm, p_message.commitments);
 	for (const pool_capacity &entry : p_message.capacities) {
 		_commitments.set_capacity(entry.pool, entry.replicas);
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -36,7 +36,8 @@
 	member_table _members;
 	std::map<std::string, instant> _heard_at;
 	std::map<std::string, bool> _was_live;
-	std::deque<recent_mark> _marks;
+	std::deque<recent_mark> _marks; ///< Endpoints that leave.
+	std::deque<recent_mark> _gone; ///< Endpoints whose entry went.
 	timer _beat_timer;
 	bool _ready = false;
 	bool _leaving = false;
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -18,6 +18,8 @@
 constexpr duration OUTAGE = std::chrono::milliseconds(2600);
 /** Endpoints that live and reach the log are back in it within two seconds of its return. */
 constexpr duration RETURN_TIME = std::chrono::milliseconds(2000);
+/** A reading older than this, a read that failed after the usual interval, is one that peers may know better. */
+constexpr duration FRESH_READING = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -25,6 +27,17 @@
 	return _returned_at != instant{} && p_now - _returned_at < RETURN_TIME;
 }
 
+bool endpoint_directory::_is_reading(instant p_now) const {
+	return _read_at != instant{} && p_now - _read_at <= FRESH_READING;
+}
+
+void endpoint_directory::_erase(const std::string &p_name) {
+	if (_endpoints.erase(p_name) > 0) {
+		_gone.push_back(p_name);
+		_changed = true;
+	}
+}
+
 void endpoint_directory::on_read(instant p_now) {
 	if (_read_at != instant{} && p_now - _read_at > OUTAGE) {
 		_returned_at = p_now;
@@ -56,8 +69,16 @@
 		found->second.dropped_at = found->second.dropped_at.value_or(p_now);
 		return;
 	}
-	_endpoints.erase(found);
-	_changed = true;
+	_erase(p_name);
+}
+
+bool endpoint_directory::mark_gone(const std::string &p_name, instant p_now) {
+	const auto found = _endpoints.find(p_name);
+	if (found == _endpoints.end() || (_is_reading(p_now) && !found->second.dropped_at)) {
+		return false;
+	}
+	_erase(p_name);
+	return true;
 }
 
 void endpoint_directory::replace(const std::vector<endpoint_listing> &p_listings, instant p_now) {
@@ -102,11 +123,23 @@
 }
 
 void endpoint_directory::tick(instant p_now) {
-	const std::size_t before = _endpoints.size();
-	std::erase_if(_endpoints, [this, p_now](const auto &p_entry) {
-		return p_entry.second.dropped_at && p_now - _returned_at >= RETURN_TIME;
-	});
-	_changed = _changed || _endpoints.size() != before;
+	if (p_now - _returned_at < RETURN_TIME) {
+		return;
+	}
+	std::vector<std::string> missing;
+	for (const auto &[name, entry] : _endpoints) {
+		if (entry.dropped_at) {
+			missing.push_back(name);
+		}
+	}
+	for (const std::string &name : missing) {
+		_erase(name);
+	}
+}
+
+std::optional<instant> endpoint_directory::get_drop_time() const {
+	const bool is_waiting = std::any_of(_endpoints.begin(), _endpoints.end(), [](const auto &p_entry) { return p_entry.second.dropped_at.has_value(); });
+	return is_waiting ? std::optional<instant>(_returned_at + RETURN_TIME) : std::nullopt;
 }
 
 std::vector<endpoint_listing> endpoint_directory::get_listings() const {
@@ -133,6 +166,12 @@
 	return changed;
 }
 
+std::vector<std::string> endpoint_directory::take_gone() {
+	std::vector<std::string> gone;
+	gone.swap(_gone);
+	return gone;
+}
+
 std::vector<std::string> endpoint_directory::take_news() {
 	std::vector<std::string> news;
 	news.swap(_news);
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -34,12 +34,15 @@
 	std::map<std::string, known_endpoint> _endpoints;
 	std::set<std::string> _left; ///< Names that said they leave.
 	std::vector<std::string> _news; ///< Names that were found to leave since the last call.
+	std::vector<std::string> _gone; ///< Names whose entry went for good since the last call.
 	instant _read_at{};
 	instant _returned_at{}; ///< End of the last outage seen.
 	bool _loaded = false;
 	bool _changed = false;
 
 	bool _is_after_outage(instant p_now) const;
+	bool _is_reading(instant p_now) const;
+	void _erase(const std::string &p_name);
 
 public:
 	/** The log answered. Call it before the records of that answer are taken in. */
@@ -60,9 +63,19 @@
 	/** A peer knows that an endpoint leaves. Returns whether that was news. */
 	bool mark_leaving(const std::string &p_name);
 
+	/**
+	 * A peer that reads the log without a break saw an entry go. Counts while this node's own reading has stopped, or has
+	 * begun again and cannot tell what went because the log was away from what went while only this node was cut off.
+	 * Returns whether the entry was dropped.
+	 */
+	bool mark_gone(const std::string &p_name, instant p_now);
+
 	/** Lets time pass. */
 	void tick(instant p_now);
 
+	/** When entries that went with an outage are dropped; empty when none waits for that. */
+	std::optional<instant> get_drop_time() const;
+
 	/** All endpoints, those that leave included. */
 	std::vector<endpoint_listing> get_listings() const;
 
@@ -75,6 +88,12 @@
 	/** Endpoints found to leave since the last call, to tell peers. */
 	std::vector<std::string> take_news();
 
+	/** Endpoints whose entry went for good since the last call, to tell peers. */
+	std::vector<std::string> take_gone();
+
+	/** Whether an endpoint's entry is there. */
+	bool contains(const std::string &p_name) const { return _endpoints.contains(p_name); }
+
 	bool is_loaded() const { return _loaded; }
 	std::size_t get_size() const { return _endpoints.size(); }
 };
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -51,6 +51,7 @@
 	digest.demand[get_customer_code("c")] = 1.5;
 	message.digests.push_back(digest);
 	message.marks.push_back(leaving_mark{ "gone", 3 });
+	message.gone = { "lapsed", "stopped" };
 	return message;
 }
 
@@ -64,6 +65,7 @@
 	EXPECT_EQ(read.digests.at(0).vm, "vm");
 	EXPECT_EQ(read.digests.at(0).demand.at(get_customer_code("c")), 1.5);
 	EXPECT_EQ(read.marks.at(0).incarnation, 3U);
+	EXPECT_EQ(read.gone, (std::vector<std::string>{ "lapsed", "stopped" }));
 	configuration_snapshot snapshot{ 4, 9, true, "change", "{}" };
 	const configuration_snapshot told = std::get<configuration_snapshot>(*decode_link_message(encode(link_message(snapshot))));
 	EXPECT_EQ(told.version, 4U);
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -91,14 +91,16 @@
 
 	void configure(int p_version) { _store.put(CONFIGURATION_TOPIC, "config", make_configuration(p_version).dump()); }
 
-	gateway &start_gateway() {
+	gateway &start_gateway() { return start_gateway(_store); }
+
+	gateway &start_gateway(const standin_store &p_store) {
 		gateway_settings settings;
 		settings.vm = "n" + std::to_string(_gateways.size());
 		settings.zone = "a";
 		for (network_address *address : { &settings.caller_address, &settings.readiness_address, &settings.link_address }) {
 			*address = network_address{ "127.0.0.1", 0 };
 		}
-		settings.store_address = _store.get_address();
+		settings.store_address = p_store.get_address();
 		for (const std::unique_ptr<gateway> &other : _gateways) {
 			settings.peers.push_back(other->get_link_address());
 		}
@@ -108,8 +110,10 @@
 	}
 
 	/** A gateway that has read configuration and endpoints. */
-	gateway &start_ready() {
-		gateway &made = start_gateway();
+	gateway &start_ready() { return start_ready(_store); }
+
+	gateway &start_ready(const standin_store &p_store) {
+		gateway &made = start_gateway(p_store);
 		run_until([this, &made] { return ask_ready(made) == 200; });
 		return made;
 	}
@@ -401,6 +405,36 @@
 	run_until([this, &entry] { return ask(entry, "/once/")->head.status == 503; });
 }
 
+TEST_F(gateway_test, a_node_that_the_store_turns_away_learns_from_its_peers_what_went) {
+	standin_store turning_away(_loop);
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	turning_away.put(CONFIGURATION_TOPIC, "config", make_configuration(1).dump());
+	turning_away.put(ENDPOINT_TOPIC, replica.get_name(), replica.get_entry("llm"));
+	start_ready();
+	gateway &apart = start_ready(turning_away);
+	turning_away.set_away(true);
+	EXPECT_EQ(ask(apart, "/once/")->head.status, 200);
+	_store.drop(ENDPOINT_TOPIC, replica.get_name());
+	run_until([this, &apart] { return ask(apart, "/once/")->head.status == 503; });
+}
+
+TEST_F(gateway_test, a_store_that_did_not_answer_is_read_again_beside_the_read_that_waits) {
+	configure(1);
+	add_replica("llm");
+	gateway &entry = start_ready();
+	const std::size_t calls = _store.get_calls();
+	_store.set_mute(true);
+	run_until([this, calls] { return _store.get_calls() > calls; });
+	_store.set_mute(false);
+	standin_replica &late = add_replica("llm");
+	run_until([this, &entry, &late] {
+		ask(entry, "/once/");
+		return !late.runs.empty();
+	});
+	EXPECT_GT(_store.count_unanswered(), 0U) << "the store may still answer the first read, so it is not given up yet";
+}
+
 TEST_F(gateway_test, history_that_is_gone_is_read_anew) {
 	configure(1);
 	standin_replica &old = add_replica("llm");
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -235,6 +235,27 @@
 	EXPECT_EQ(directory.get_listings().front().vm, "back");
 }
 
+TEST(endpoint_directory, a_peer_that_read_on_tells_what_went_while_this_node_was_cut_off) {
+	endpoint_directory directory;
+	directory.on_read(at(milliseconds(0)));
+	for (const char *name : { "back", "lost", "told_before" }) {
+		directory.put(make_endpoint(name));
+	}
+	EXPECT_TRUE(directory.mark_gone("told_before", at(milliseconds(5900)))) << "this node's own reading is old";
+	directory.on_read(at(milliseconds(6000)));
+	directory.drop("back", at(milliseconds(6000)));
+	directory.drop("lost", at(milliseconds(6000)));
+	EXPECT_EQ(directory.get_drop_time(), at(milliseconds(8000)));
+	EXPECT_TRUE(directory.mark_gone("lost", at(milliseconds(6200))));
+	EXPECT_FALSE(directory.mark_gone("unknown", at(milliseconds(6200))));
+	directory.put(make_endpoint("back"));
+	EXPECT_EQ(directory.get_drop_time(), std::nullopt);
+	EXPECT_FALSE(directory.mark_gone("back", at(milliseconds(6300)))) << "its entry was read just now";
+	ASSERT_EQ(directory.get_size(), 1U);
+	EXPECT_EQ(directory.get_listings().front().vm, "back");
+	EXPECT_EQ(directory.take_gone(), (std::vector<std::string>{ "told_before", "lost" }));
+}
+
 TEST(endpoint_directory, without_an_outage_an_entry_that_goes_is_gone) {
 	endpoint_directory directory;
 	for (int i = 0; i < 10; i++) {
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -8,6 +8,8 @@
 
 #include "tests/standins/standin_store.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -95,8 +97,16 @@
 	}
 }
 
+std::size_t standin_store::count_unanswered() const {
+	return static_cast<std::size_t>(std::count_if(_unanswered.begin(), _unanswered.end(), [](const std::shared_ptr<caller_exchange> &p_exchange) { return !p_exchange->is_gone(); }));
+}
+
 void standin_store::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
 	_calls++;
+	if (_mute) {
+		_unanswered.push_back(p_exchange);
+		return;
+	}
 	if (_away) {
 		p_exchange->reply(503, {}, "");
 		return;
--- a/tests/standins/standin_store.h
+++ b/tests/standins/standin_store.h
@@ -42,6 +42,8 @@
 	std::map<std::string, topic> _topics;
 	std::list<waiting_read> _waiting;
 	bool _away = false;
+	bool _mute = false;
+	std::vector<std::shared_ptr<caller_exchange>> _unanswered; ///< Came while it was mute.
 	std::size_t _calls = 0;
 	std::size_t _page_size = 3;
 	std::unique_ptr<caller_server> _server;
@@ -61,6 +63,12 @@
 	/** While away every call gets 503; waiting reads end so too. */
 	void set_away(bool p_away);
 
+	/** While mute, calls are taken and never answered, also afterwards. */
+	void set_mute(bool p_mute) { _mute = p_mute; }
+
+	/** Calls that were never answered and whose callers still wait. */
+	std::size_t count_unanswered() const;
+
 	/** Drops the records before the newest; reads from there on get 410. */
 	void forget_history();
 
