Tell the story of a request from the logs of all nodes: calicoscale explain

Cause: from an id one had to grep several logs whose clocks have nothing in common, and stage calls were found by the first of the requests that share them only. Change: `calicoscale explain ID FILE...` reads logs of any number of nodes twice, line by line, and prints the request's lines and what happened meanwhile to the endpoints, calls and nodes it met, in the order of time, and one sentence on the cause. Lines added: request_admitted, stage_asked, stage_done; stage_call names all its requests; started and a clock line each 30 s tell the time of day for putting logs side by side. The line's own time and a field were both called ms; the field is took_ms now. log_lines_dropped had no time. Ruled out: one time line over the links, which a killed node takes with it. Tests: request_story_test, five cases on made-up logs of two nodes with unlike clocks.

--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -20,6 +20,8 @@
 /** Lines a second about requests; a node of the size seen serves some tens of requests a second. */
 constexpr double REQUEST_LINES_PER_SECOND = 300.0;
 constexpr double REQUEST_LINES_BURST = 600.0;
+/** Lines carry the steady clock only; this often one tells the time of day beside it, for reading logs of many nodes together. */
+constexpr duration CLOCK_INTERVAL = std::chrono::seconds(30);
 
 } // namespace
 
@@ -55,15 +57,24 @@
 	_flush();
 }
 
-void event_log::_add(const std::string &p_text) {
-	if (_buffer.size() + p_text.size() > MOST_BUFFERED_BYTES) {
+void event_log::_append(const log_line &p_line) {
+	_buffer += "ms=" + std::to_string(event_loop::now().time_since_epoch().count() / 1000) + " " + p_line.get_text() + "\n";
+}
+
+void event_log::_add(const log_line &p_line) {
+	if (_buffer.size() + p_line.get_text().size() > MOST_BUFFERED_BYTES) {
 		_dropped++;
 		return;
 	}
 	if (_buffer.empty()) {
 		_flush_timer.set(FLUSH_INTERVAL);
 	}
-	_buffer += "ms=" + std::to_string(event_loop::now().time_since_epoch().count() / 1000) + " " + p_text + "\n";
+	const instant now = event_loop::now();
+	if (now - _clock_told_at > CLOCK_INTERVAL) {
+		_clock_told_at = now;
+		_append(log_line("clock").add("wall_ms", static_cast<long long>(event_loop::wall())));
+	}
+	_append(p_line);
 }
 
 void event_log::write_request(const log_line &p_line) {
@@ -71,16 +82,16 @@
 		_dropped++;
 		return;
 	}
-	_add(p_line.get_text());
+	_add(p_line);
 }
 
 void event_log::write(const log_line &p_line) {
-	_add(p_line.get_text());
+	_add(p_line);
 }
 
 void event_log::_flush() {
 	if (_dropped > _dropped_told) {
-		_buffer += "event=log_lines_dropped count=" + std::to_string(_dropped - _dropped_told) + "\n";
+		_append(log_line("log_lines_dropped").add("count", static_cast<long long>(_dropped - _dropped_told)));
 		_dropped_told = _dropped;
 	}
 	const ssize_t written = ::write(STDOUT_FILENO, _buffer.data(), _buffer.size());
--- a/drivers/event_log.h
+++ b/drivers/event_log.h
@@ -39,10 +39,12 @@
 	std::string _buffer;
 	token_bucket _request_lines;
 	timer _flush_timer;
+	instant _clock_told_at{};
 	std::uint64_t _dropped = 0;
 	std::uint64_t _dropped_told = 0;
 
-	void _add(const std::string &p_text);
+	void _append(const log_line &p_line);
+	void _add(const log_line &p_line);
 	void _flush();
 
 public:
--- a/main/commands.h
+++ b/main/commands.h
@@ -33,6 +33,7 @@
 exit_code run_timeline(const arguments &p_arguments);
 exit_code run_costs(const arguments &p_arguments);
 exit_code run_drain(const arguments &p_arguments);
+exit_code run_explain(const arguments &p_arguments);
 exit_code run_load(const arguments &p_arguments);
 
 /** Runs the command that the arguments name. */
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -74,7 +74,7 @@
 }
 
 void gateway::start() {
-	_context.log.write(log_line("started").add("vm", _context.settings.vm).add("zone", _context.settings.zone).add("callers", to_string(_callers.get_address())).add("link", to_string(get_link_address())).add("incarnation", static_cast<long long>(_context.incarnation)));
+	_context.log.write(log_line("started").add("vm", _context.settings.vm).add("zone", _context.settings.zone).add("callers", to_string(_callers.get_address())).add("link", to_string(get_link_address())).add("incarnation", static_cast<long long>(_context.incarnation)).add("wall_ms", static_cast<long long>(event_loop::wall())));
 	_configuration.start();
 	_endpoints.start();
 	_fleet.start();
@@ -186,25 +186,26 @@
 	}
 }
 
-bool gateway::_refuse_if_late(const admitted_request &p_request) {
-	const gateway_route &route = *p_request.route;
+bool gateway::_refuse_if_late(admitted_request &r_request) {
+	const gateway_route &route = *r_request.route;
 	if (route.stages.empty()) {
 		return false;
 	}
-	const duration stages = _commitments.predict_stages(*p_request.configuration, route, p_request.facts.stage_pieces, get_priority(p_request));
+	const duration stages = _commitments.predict_stages(*r_request.configuration, route, r_request.facts.stage_pieces, get_priority(r_request));
 	const auto known = _first_event_times.find(route.name);
 	const duration predicted = stages + (known == _first_event_times.end() ? FIRST_EVENT_TIME : known->second);
+	r_request.predicted = predicted;
 	const duration allowed = duration(static_cast<duration::rep>(static_cast<double>(route.objective.count()) * ADMITTED_PART));
 	if (stages == duration::zero() || predicted <= allowed) {
 		return false;
 	}
-	const duration remaining = p_request.facts.remaining.value_or(route.timeout);
+	const duration remaining = r_request.facts.remaining.value_or(route.timeout);
 	const duration wait = duration(static_cast<duration::rep>(static_cast<double>((predicted - allowed).count()) * (1.0 + _context.random.get_unit() * RETRY_SPREAD)));
 	const duration retry_after = std::clamp<duration>(wait, SHORTEST_RETRY_AFTER, std::max<duration>(SHORTEST_RETRY_AFTER, remaining / 3));
 	const outcome result{ verdict::NOT_RUN, reason::DEADLINE_UNREACHABLE };
-	_context.metrics.on_request(route.name, result, event_loop::now() - p_request.exchange->received_at);
-	_context.log.write_request(log_line("request_refused").add("request", p_request.facts.attempt).add("route", route.name).add("reason", get_name(result.why)).add("predicted_ms", predicted).add("allowed_ms", allowed).add("retry_after_ms", retry_after));
-	p_request.exchange->reply(http_status::UNAVAILABLE, { make_retry_after(retry_after) }, "");
+	_context.metrics.on_request(route.name, result, event_loop::now() - r_request.exchange->received_at);
+	_context.log.write_request(log_line("request_refused").add("request", r_request.facts.attempt).add("route", route.name).add("reason", get_name(result.why)).add("predicted_ms", predicted).add("allowed_ms", allowed).add("retry_after_ms", retry_after));
+	r_request.exchange->reply(http_status::UNAVAILABLE, { make_retry_after(retry_after) }, "");
 	return true;
 }
 
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -59,7 +59,7 @@
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
 	void _settle();
 	void _update_readiness();
-	bool _refuse_if_late(const admitted_request &p_request);
+	bool _refuse_if_late(admitted_request &r_request);
 	void _run(admitted_request p_request);
 	void _on_readiness(caller_exchange &p_exchange);
 	void _on_metrics(caller_exchange &p_exchange);
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -69,6 +69,7 @@
 	_request.exchange->set_on_gone([this] { _on_caller_gone(); });
 	_give_up_timer.set_at(_give_up_at);
 	_services.repeats[_request.service].on_request(_services.context.settings.retries, _started);
+	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(_get_priority())).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("version", static_cast<long long>(_request.configuration->version)));
 	if (_stages.is_complete()) {
 		_send();
 		return;
@@ -204,16 +205,19 @@
 		_set_zone(stage, work);
 		work.result_bytes = spec.result_bytes;
 		const std::shared_ptr<std::uint64_t> id = std::make_shared<std::uint64_t>(0);
-		*id = _services.dispatcher.submit(spec.pool, std::move(work), [this, id, stage](const work_result &p_result) { _on_work_ended(*id, stage, p_result); });
-		_works[*id] = stage;
+		*id = _services.dispatcher.submit(spec.pool, std::move(work), [this, id](const work_result &p_result) { _on_work_ended(*id, p_result); });
+		_works[*id] = asked_stage{ stage, event_loop::now() };
 	}
 }
 
-void gateway_request::_on_work_ended(std::uint64_t p_id, std::size_t p_stage, const work_result &p_result) {
+void gateway_request::_on_work_ended(std::uint64_t p_id, const work_result &p_result) {
+	const asked_stage asked = _works.at(p_id);
 	_works.erase(p_id);
-	if (p_result.end == work_end::DONE) {
-		_stages.set_done(p_stage, p_result.handles);
-		_uncommit(p_stage);
+	const bool is_done = p_result.end == work_end::DONE;
+	_services.context.log.write_request(log_line(is_done ? "stage_done" : "stage_failed").add("request", _request.facts.attempt).add("stage", static_cast<long long>(asked.stage)).add("pool", _stages.get_spec(asked.stage).pool).add("end", get_name(p_result.end)).add("took_ms", event_loop::now() - asked.asked_at));
+	if (is_done) {
+		_stages.set_done(asked.stage, p_result.handles);
+		_uncommit(asked.stage);
 		_release_spent();
 		if (_stages.is_complete()) {
 			_send();
@@ -222,7 +226,6 @@
 		}
 		return;
 	}
-	_services.context.log.write_request(log_line("stage_failed").add("request", _request.facts.attempt).add("pool", _stages.get_spec(p_stage).pool).add("end", get_name(p_result.end)));
 	_tally.add(verdict::MAY_HAVE_RUN);
 	if (p_result.end == work_end::INPUT_GONE && _restarts < MOST_RESTARTS) {
 		_remake_results();
@@ -232,7 +235,7 @@
 }
 
 void gateway_request::_cancel_works() {
-	for (const auto &[id, stage] : _works) {
+	for (const auto &[id, asked] : _works) {
 		_services.dispatcher.cancel(id);
 	}
 	_works.clear();
@@ -340,7 +343,7 @@
 	const instant now = event_loop::now();
 	const duration elapsed = now - _sent_at;
 	_services.engine_caches.on_first_event(_endpoint_name, _predicted, elapsed, now);
-	_services.context.log.write_request(log_line("first_event").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("ms", elapsed).add("wait_ms", _predicted.wait).add("reading_ms", _predicted.reading).add("unread_tokens", static_cast<long long>(_predicted.unread)));
+	_services.context.log.write_request(log_line("first_event").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("took_ms", elapsed).add("wait_ms", _predicted.wait).add("reading_ms", _predicted.reading).add("unread_tokens", static_cast<long long>(_predicted.unread)));
 	usual = usual == duration::zero() ? elapsed : usual + duration(static_cast<duration::rep>(static_cast<double>((elapsed - usual).count()) * USUAL_TIME_STEP));
 }
 
@@ -359,7 +362,7 @@
 	_get_router().on_attempt_ended(_endpoint, observation, now);
 	_services.context.metrics.on_attempt(_request.service, p_result);
 	if (p_result.what != verdict::COMPLETED) {
-		_services.context.log.write_request(log_line("attempt_failed").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("reason", get_name(p_result.why)).add("verdict", get_name(p_result.what)).add("status", static_cast<long long>(_answer_head.status)).add("ms", observation.elapsed));
+		_services.context.log.write_request(log_line("attempt_failed").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("reason", get_name(p_result.why)).add("verdict", get_name(p_result.what)).add("status", static_cast<long long>(_answer_head.status)).add("took_ms", observation.elapsed));
 	}
 }
 
@@ -550,7 +553,7 @@
 	_release_all();
 	const duration elapsed = event_loop::now() - _started;
 	_services.context.metrics.on_request(_request.route->name, p_result, elapsed);
-	_services.context.log.write_request(log_line("request_finished").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("verdict", get_name(p_result.what)).add("reason", get_name(p_result.why)).add("status", static_cast<long long>(p_status)).add("sends", static_cast<long long>(_sends)).add("ms", elapsed));
+	_services.context.log.write_request(log_line("request_finished").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("verdict", get_name(p_result.what)).add("reason", get_name(p_result.why)).add("status", static_cast<long long>(p_status)).add("sends", static_cast<long long>(_sends)).add("took_ms", elapsed));
 	_on_end();
 }
 
--- a/main/gateway_request.h
+++ b/main/gateway_request.h
@@ -51,6 +51,7 @@
 	const gateway_customer *customer = nullptr; ///< nullptr for public routes.
 	std::string service;
 	caller_request facts;
+	duration predicted = duration::zero(); ///< Until the answer begins, as it was when the request was admitted; zero without stages.
 };
 
 /** Priority of a request: its customer's, or else its route's. */
@@ -61,6 +62,11 @@
  * cancels everything it started.
  */
 class gateway_request {
+	struct asked_stage {
+		std::size_t stage = 0;
+		instant asked_at{};
+	};
+
 	request_services &_services;
 	admitted_request _request;
 	std::function<void()> _on_end;
@@ -69,7 +75,7 @@
 	instant _give_up_at; ///< The caller's deadline or the route's time-out.
 	stage_graph _stages;
 	std::vector<duration> _committed; ///< Work counted in the commitments, by stage.
-	std::map<std::uint64_t, std::size_t> _works; ///< Stage of each piece of work asked for.
+	std::map<std::uint64_t, asked_stage> _works; ///< Work asked for.
 	timer _give_up_timer;
 	timer _retry_timer;
 	exchange_id _exchange = 0;
@@ -106,7 +112,7 @@
 	void _set_zone(std::size_t p_stage, stage_work &r_work);
 	std::string _find_makers_zone(const std::vector<std::string> &p_handles) const;
 	void _advance_stages();
-	void _on_work_ended(std::uint64_t p_id, std::size_t p_stage, const work_result &p_result);
+	void _on_work_ended(std::uint64_t p_id, const work_result &p_result);
 	void _cancel_works();
 	void _remake_results();
 	void _release_spent();
--- a/main/program.cpp
+++ b/main/program.cpp
@@ -25,14 +25,15 @@
 	std::function<exit_code(const arguments &)> run;
 };
 
-const std::array<command_row, 9> &get_commands() {
-	static const std::array<command_row, 9> commands{ {
+const std::array<command_row, 10> &get_commands() {
+	static const std::array<command_row, 10> commands{ {
 			{ "serve", "--settings FILE            run an entry node", run_serve },
 			{ "gateway", "--settings FILE            run an entry node on a platform with a keyed store", run_gateway },
 			{ "check", "FILE                       check settings or a configuration", run_check },
 			{ "config", "publish FILE|show|history  the configuration", run_config },
 			{ "status", "                           nodes, pools and versions in force", run_status },
 			{ "timeline", "[--request ID]           events over all nodes", run_timeline },
+			{ "explain", "ID FILE...                why a request ended as it did, from the logs of gateways", run_explain },
 			{ "costs", "[--by stage,customer]       cost by stage and customer", run_costs },
 			{ "drain", "                            planned stop of a node", run_drain },
 			{ "load", "--mix FILE                   send load and check every answer", run_load },
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -24,6 +24,8 @@
 constexpr duration PAUSE = std::chrono::milliseconds(600);
 /** Pieces wait for it, so that a replica behind a cut must not hold them for long. */
 constexpr duration CONNECT_TIMEOUT = std::chrono::milliseconds(120);
+/** Requests that a call's line names; calls of the pools seen are shared by fewer. */
+constexpr std::size_t MOST_LOGGED_REQUESTS = 32;
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
 
 call_end get_call_end(channel_end p_end, int p_status, bool p_did_not_run) {
@@ -39,6 +41,24 @@
 	return p_status == http_status::OK ? call_end::ANSWERED : call_end::BROKEN;
 }
 
+/** Ids of the requests that share a call, so that each can be found by its own. */
+std::string list_attempts(const std::vector<stage_call_item> &p_items) {
+	std::string list;
+	std::size_t count = 0;
+	const std::string *last = nullptr;
+	for (const stage_call_item &item : p_items) {
+		// Pieces of one request stand side by side.
+		if (last != nullptr && *last == item.work->attempt) {
+			continue;
+		}
+		last = &item.work->attempt;
+		if (count++ < MOST_LOGGED_REQUESTS) {
+			list += (list.empty() ? "" : ",") + item.work->attempt;
+		}
+	}
+	return list;
+}
+
 } // namespace
 
 stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments) :
@@ -130,13 +150,19 @@
 		message.result_bytes = own.work.result_bytes;
 		message.transfer_bytes = own.work.transfer_bytes;
 		if (_fleet.get_link().send(own.node, message)) {
+			_log_asked(own);
 			return;
 		}
 		own.node = _fleet.get_vm();
 	}
+	_log_asked(own);
 	_accept(own.pool, "", p_id, own.work);
 }
 
+void stage_dispatcher::_log_asked(const own_work &p_own) {
+	_context.log.write_request(log_line("stage_asked").add("request", p_own.work.attempt).add("stage", static_cast<long long>(p_own.work.stage)).add("pool", p_own.pool).add("pieces", static_cast<long long>(p_own.work.pieces)).add("node", p_own.node).add("left_ms", p_own.work.give_up_at - event_loop::now()));
+}
+
 void stage_dispatcher::_accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work) {
 	pool_entry &entry = _pools[p_pool];
 	const instant now = event_loop::now();
@@ -288,7 +314,7 @@
 	};
 	_context.metrics.count("stage_calls");
 	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
-	_context.log.write_request(log_line("stage_call").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("pieces", static_cast<long long>(p_call.items.size())).add("first", items.front().work->attempt).add("waiting", static_cast<long long>(p_entry.pool.get_waiting_pieces())));
+	_context.log.write_request(log_line("stage_call").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("pieces", static_cast<long long>(p_call.items.size())).add("requests", list_attempts(items)).add("waiting", static_cast<long long>(p_entry.pool.get_waiting_pieces())));
 	p_entry.exchanges[p_call.id] = _context.channels.start(std::move(request), std::move(hooks));
 }
 
--- a/main/stage_dispatcher.h
+++ b/main/stage_dispatcher.h
@@ -66,6 +66,7 @@
 
 	std::string _choose_node(const std::string &p_pool, const std::string &p_except) const;
 	void _assign(std::uint64_t p_id, const std::string &p_except);
+	void _log_asked(const own_work &p_own);
 	void _accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work);
 	void _cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id);
 	void _end_own(std::uint64_t p_id, const work_result &p_result);
--- /dev/null
+++ b/servers/timeline/log_entry.cpp
@@ -0,0 +1,70 @@
+/*
+ * calicoscale: log_entry.cpp
+ * One line of a gateway's log, read back.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/timeline/log_entry.h"
+
+#include <charconv>
+
+namespace calicoscale {
+
+namespace {
+
+std::optional<std::int64_t> parse_number(std::string_view p_text) {
+	std::int64_t number = 0;
+	const std::from_chars_result end = std::from_chars(p_text.data(), p_text.data() + p_text.size(), number);
+	if (end.ec != std::errc() || end.ptr != p_text.data() + p_text.size()) {
+		return std::nullopt;
+	}
+	return number;
+}
+
+} // namespace
+
+std::string_view log_entry::find(std::string_view p_key) const {
+	for (const auto &[key, value] : fields) {
+		if (key == p_key) {
+			return value;
+		}
+	}
+	return "";
+}
+
+std::optional<std::int64_t> log_entry::find_number(std::string_view p_key) const {
+	return parse_number(find(p_key));
+}
+
+std::optional<log_entry> parse_log_entry(std::string_view p_line) {
+	log_entry entry;
+	bool has_time = false;
+	while (!p_line.empty()) {
+		const std::size_t blank = p_line.find_first_of(" \r\n");
+		const std::string_view pair = p_line.substr(0, blank);
+		p_line.remove_prefix(blank == std::string_view::npos ? p_line.size() : blank + 1);
+		const std::size_t sign = pair.find('=');
+		if (sign == std::string_view::npos) {
+			continue;
+		}
+		const std::string_view key = pair.substr(0, sign);
+		const std::string_view value = pair.substr(sign + 1);
+		if (key == "ms") {
+			const std::optional<std::int64_t> time = parse_number(value);
+			has_time = time.has_value();
+			entry.steady_ms = time.value_or(0);
+		} else if (key == "event") {
+			entry.event = value;
+		} else {
+			entry.fields.emplace_back(key, value);
+		}
+	}
+	if (!has_time || entry.event.empty()) {
+		return std::nullopt;
+	}
+	return entry;
+}
+
+} // namespace calicoscale
