Take nothing that might outlast a stop; answer what a stop cannot finish

Cause: a stopping node serves what still comes until 4.5 s after SIGTERM, whatever it may take; a staged stream with 10 s of deadline took 4.4 s. Requests whose answer had not begun when the grace was over were cut without an answer as well. Change: once the balancer has noticed, a request whose deadline or time-out lies behind the end is refused as not run, with a time to come back; 0.55 s before the grace ends every request whose answer has not begun gets its final answer. Ruled out: the node ending early (it used its grace); refusing everything after the balancer noticed (a zone with few nodes left still gets callers, and short requests are safe). Both tests failed before (200 and 504 in place of 503 and 502).

--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -23,6 +23,8 @@
 constexpr duration FINISH_TIME = std::chrono::milliseconds(3500);
 /** Part of the grace kept for ending in good order. */
 constexpr duration STOP_MARGIN = std::chrono::milliseconds(300);
+/** Before that, for final answers to reach their callers. */
+constexpr duration ANSWER_TIME = std::chrono::milliseconds(250);
 constexpr duration SETTLE_INTERVAL = std::chrono::milliseconds(20);
 /** All nodes may start within a third of a second of each other, and a link that failed is tried again after a quarter. */
 constexpr duration SETTLE_TIME = std::chrono::milliseconds(700);
@@ -34,6 +36,8 @@
 /** Spread of the times to come back, so that those refused together do not return together. */
 constexpr double RETRY_SPREAD = 0.5;
 constexpr duration RETRY_AFTER = std::chrono::milliseconds(500);
+/** The balancer knows by then that this node stops, so a caller that returns meets another one. */
+constexpr duration STOP_RETRY_AFTER = std::chrono::milliseconds(100);
 
 caller_server_limits get_limits(const gateway_limits &p_limits) {
 	return caller_server_limits{ p_limits.header_bytes, p_limits.body_bytes, p_limits.header_timeout, p_limits.idle_timeout };
@@ -143,7 +147,7 @@
 void gateway::_refuse(caller_exchange &p_exchange, int p_status, reason p_reason) {
 	std::vector<http_header> headers;
 	if (p_status == http_status::UNAVAILABLE) {
-		headers.push_back(make_retry_after(RETRY_AFTER));
+		headers.push_back(make_retry_after(p_reason == reason::DRAINING ? STOP_RETRY_AFTER : RETRY_AFTER));
 	}
 	_context.metrics.on_request("", outcome{ verdict::NOT_RUN, p_reason }, event_loop::now() - p_exchange.received_at);
 	_context.log.write_request(log_line("request_refused").add("request", read_caller_request(p_exchange.head).attempt).add("reason", get_name(p_reason)).add("status", static_cast<long long>(p_status)).add("version", static_cast<long long>(_configuration.get_version())));
@@ -181,11 +185,24 @@
 		return;
 	}
 	request.service = choose_service(*request.route, _context.random.get_unit());
-	if (!_refuse_if_late(request)) {
+	if (!_refuse_if_stopping(request) && !_refuse_if_late(request)) {
 		_run(std::move(request));
 	}
 }
 
+bool gateway::_refuse_if_stopping(const admitted_request &p_request) {
+	if (_phase == stop_phase::NONE || _phase == stop_phase::LISTENING) {
+		return false;
+	}
+	const duration timeout = p_request.route->timeout;
+	const instant last_end = event_loop::now() + std::min(timeout, p_request.facts.remaining.value_or(timeout));
+	if (last_end <= _stop_started + _context.settings.stop_grace - STOP_MARGIN - ANSWER_TIME) {
+		return false;
+	}
+	_refuse(*p_request.exchange, http_status::UNAVAILABLE, reason::DRAINING);
+	return true;
+}
+
 bool gateway::_refuse_if_late(admitted_request &r_request) {
 	const gateway_route &route = *r_request.route;
 	if (route.stages.empty()) {
@@ -288,13 +305,31 @@
 			_enter(stop_phase::FINISHING, "finishing");
 		}
 	}
+	if (_phase == stop_phase::FINISHING && since >= grace - STOP_MARGIN - ANSWER_TIME) {
+		_enter(stop_phase::ANSWERING, "answering");
+		_answer_all();
+	}
 	const bool is_over = since >= grace - STOP_MARGIN;
-	if (_phase == stop_phase::FINISHING && ((is_idle && _callers.get_connection_count() == 0) || is_over)) {
+	const bool may_end = _phase == stop_phase::FINISHING || _phase == stop_phase::ANSWERING;
+	if (may_end && ((is_idle && _callers.get_connection_count() == 0) || is_over)) {
 		_context.log.write(log_line("stopped").add("cut_off", static_cast<long long>(_requests.size())));
 		_context.loop.stop();
 	}
 }
 
+void gateway::_answer_all() {
+	std::vector<std::uint64_t> ids;
+	for (const auto &[id, request] : _requests) {
+		ids.push_back(id);
+	}
+	for (const std::uint64_t id : ids) {
+		const auto found = _requests.find(id);
+		if (found != _requests.end()) {
+			found->second->end_for_stop();
+		}
+	}
+}
+
 void gateway::note_reload(const std::string &p_outcome) {
 	_context.log.write(log_line("settings_reloaded").add("outcome", p_outcome));
 }
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -21,8 +21,9 @@
 	enum class stop_phase {
 		NONE,
 		LISTENING, ///< Not ready any more; the balancer has time to notice.
-		ENDING, ///< Idle connections are closed; new ones are still served, as a zone with few nodes left gets them.
+		ENDING, ///< Idle connections are closed; what surely ends in time is still served, as a zone with few nodes left gets it.
 		FINISHING, ///< Accepts no connections; what is in flight goes on.
+		ANSWERING, ///< The grace is nearly over: what has no answer yet gets its final one.
 	};
 
 	gateway_context _context;
@@ -59,6 +60,8 @@
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
 	void _settle();
 	void _update_readiness();
+	/** Once the balancer has noticed the stop: whether the request might outlast it. */
+	bool _refuse_if_stopping(const admitted_request &p_request);
 	bool _refuse_if_late(admitted_request &r_request);
 	void _run(admitted_request p_request);
 	void _on_readiness(caller_exchange &p_exchange);
@@ -66,6 +69,7 @@
 	void _tick();
 	void _enter(stop_phase p_phase, const char *p_name);
 	void _advance_stop();
+	void _answer_all();
 
 public:
 	/**
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -52,7 +52,7 @@
 		_deadline(_started + find_remaining(_request)),
 		_give_up_at(std::min(_deadline, _started + _request.route->timeout)),
 		_stages(_request.route->stages, _request.facts.stage_pieces),
-		_give_up_timer(p_services.context.loop, [this] { _on_give_up(); }),
+		_give_up_timer(p_services.context.loop, [this] { _give_up(reason::DEADLINE_PASSED); }),
 		_retry_timer(p_services.context.loop, [this] { _send(); }),
 		_prompt(_make_prompt_links()) {
 }
@@ -267,7 +267,7 @@
 void gateway_request::_send() {
 	const instant now = event_loop::now();
 	if (_give_up_at - now < LEAST_REMAINING) {
-		_on_give_up();
+		_give_up(reason::DEADLINE_PASSED);
 		return;
 	}
 	router &choices = _get_router();
@@ -514,7 +514,7 @@
 	_finish(outcome{ verdict::MAY_HAVE_RUN, p_reason }, status);
 }
 
-void gateway_request::_on_give_up() {
+void gateway_request::_give_up(reason p_reason) {
 	if (_ended) {
 		return;
 	}
@@ -527,7 +527,13 @@
 	if (!_works.empty() || !_stages.is_empty()) {
 		_tally.add(verdict::MAY_HAVE_RUN);
 	}
-	_refuse(reason::DEADLINE_PASSED, SHORT_RETRY_AFTER);
+	_refuse(p_reason, SHORT_RETRY_AFTER);
+}
+
+void gateway_request::end_for_stop() {
+	if (!_answer_started) {
+		_give_up(reason::DRAINING);
+	}
 }
 
 void gateway_request::_on_caller_gone() {
--- a/main/gateway_request.h
+++ b/main/gateway_request.h
@@ -131,7 +131,7 @@
 	void _pass_answer();
 	void _refuse(reason p_reason, duration p_retry_after);
 	void _fail(reason p_reason);
-	void _on_give_up();
+	void _give_up(reason p_reason);
 	void _on_caller_gone();
 	void _finish(const outcome &p_result, int p_status);
 
@@ -143,6 +143,9 @@
 
 	/** Begins the work. */
 	void start();
+
+	/** The node ends in a moment: a request whose answer has not begun gets its final one now. */
+	void end_for_stop();
 };
 
 } // namespace calicoscale
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -51,6 +51,8 @@
 	open["public"] = true;
 	json hasty = route("/hasty/", "non_idempotent", 1);
 	hasty["timeout_ms"] = 300;
+	json lengthy = route("/lengthy/", "non_idempotent", 1);
+	lengthy["timeout_ms"] = 9000;
 	json stream = route("/stream/", "streaming", 1);
 	json resumable = route("/stream/again/", "streaming", 2);
 	resumable["resumable"] = true;
@@ -59,7 +61,7 @@
 	const json pool{ { "slots", 1 }, { "queue", 2 }, { "batch", 8 }, { "call_ms", 20.0 }, { "item_ms", 1.0 }, { "headroom_mb", 1.0 }, { "handle_ttl_s", 4.0 } };
 	const json services = json::array({ { { "name", "llm" }, { "max_conns", 50 } }, { { "name", "encode" }, { "segments", pool } }, { { "name", "search" }, { "segments", pool } } });
 	const json customers = json::array({ { { "name", "hearth" }, { "api_keys", { "key-1", "key-2" } } } });
-	return json{ { "version", p_version }, { "routes", { once, safe, open, hasty, stream, resumable, staged } }, { "services", services }, { "limits", limits }, { "tenants", customers } };
+	return json{ { "version", p_version }, { "routes", { once, safe, open, hasty, lengthy, stream, resumable, staged } }, { "services", services }, { "limits", limits }, { "tenants", customers } };
 }
 
 class gateway_test : public ::testing::Test {
@@ -479,4 +481,38 @@
 	run_until([&running] { return running->end.has_value(); });
 }
 
+TEST_F(gateway_test, a_stopping_node_refuses_what_might_outlast_it) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	replica.mode = replica_mode::HOLD;
+	entry.stop();
+	const instant past_listening = event_loop::now() + milliseconds(2000);
+	run_until([past_listening] { return event_loop::now() > past_listening; });
+	const std::shared_ptr<caller_result> running = send(entry, "/once/");
+	const instant past_ending = event_loop::now() + milliseconds(1200);
+	run_until([past_ending] { return event_loop::now() > past_ending; });
+	replica.mode = replica_mode::ANSWER;
+	const std::string text = "POST /lengthy/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: long\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
+	const std::shared_ptr<caller_result> late = send_bytes(entry.get_caller_address(), text);
+	run_until([&late] { return late->end.has_value(); });
+	EXPECT_EQ(late->head.status, 503);
+	EXPECT_NE(late->get("Retry-After"), "");
+	EXPECT_EQ(replica.runs.size(), 1U) << "the refused request ran";
+	run_until([&running] { return running->end.has_value(); });
+}
+
+TEST_F(gateway_test, a_node_that_ends_answers_what_it_could_not_finish) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	replica.mode = replica_mode::HOLD;
+	entry.stop();
+	const std::string text = "POST /lengthy/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: long\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
+	const std::shared_ptr<caller_result> running = send_bytes(entry.get_caller_address(), text);
+	run_until([&running] { return running->end.has_value(); });
+	EXPECT_EQ(running->end, channel_end::COMPLETE);
+	EXPECT_EQ(running->head.status, 502) << "it may have run";
+}
+
 } // namespace calicoscale
