Let a stopping node keep the work it handed over, and end what was handed to it

Cause: a node that announced its stop was treated as lost: dispatchers dropped the stage work it waits for, so its requests hung until their callers left (4 times the objective), and work it was already doing was handed to others and made twice. Change: a node is lost when it falls silent; one that stops only gets no new work. Ruled out: the stop itself cutting them (cut_off=0 at all nine stops); replicas (their calls ended in time). Test: what_a_stopping_node_handed_over_comes_back_to_it, which failed before for the node that is not the dispatcher.

--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -200,7 +200,8 @@
 void gateway_fleet::_note_changes() {
 	const instant now = event_loop::now();
 	for (const auto &[vm, entry] : _members.get_members()) {
-		const bool is_live = !entry.digest.leaving && _is_heard(vm, now);
+		// A node that stops still ends what was handed to it, and waits for what it handed over: it is lost when it is silent.
+		const bool is_live = _is_heard(vm, now);
 		bool &was_live = _was_live[vm];
 		if (is_live == was_live) {
 			continue;
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -87,7 +87,7 @@
 	node_link &get_link() { return _link; }
 	const std::string &get_vm() const { return _context.settings.vm; }
 
-	/** Emitted when a node that was live is not any more. */
+	/** Emitted when a node fell silent; one that stops is not lost before. */
 	sigc::signal<void(const std::string &)> &peer_lost() { return _peer_lost; }
 };
 
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -381,6 +381,41 @@
 	}
 }
 
+TEST_F(gateway_test, what_a_stopping_node_handed_over_comes_back_to_it) {
+	// One of the two dispatches the pool, so that each is once the one that stops and has handed work to the other.
+	for (const std::size_t stopping : { 0U, 1U }) {
+		_gateways.clear();
+		configure(1 + static_cast<int>(stopping));
+		add_replica("llm");
+		standin_replica &encode = add_replica("encode");
+		standin_replica &search = add_replica("search");
+		encode.hold_stages = true;
+		start_ready();
+		start_ready();
+		const instant live_to_each_other = event_loop::now() + milliseconds(600);
+		run_until([live_to_each_other] { return event_loop::now() > live_to_each_other; });
+		std::vector<std::shared_ptr<caller_result>> results;
+		for (int i = 0; i < 4; i++) {
+			results.push_back(send(*_gateways[stopping], "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n"));
+		}
+		run_until([&encode] { return encode.get_held_stages() > 0; });
+		_gateways[stopping]->stop();
+		EXPECT_EQ(ask_ready(*_gateways[stopping]), 503);
+		const instant told_to_peers = event_loop::now() + milliseconds(600);
+		run_until([told_to_peers] { return event_loop::now() > told_to_peers; });
+		encode.run_held_stages();
+		run_until([&results] { return std::all_of(results.begin(), results.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
+		for (const std::shared_ptr<caller_result> &result : results) {
+			EXPECT_EQ(result->body, WHOLE_STREAM) << "node " << stopping << " stopped";
+		}
+		EXPECT_EQ(encode.stage_items.size(), 4U) << "nothing was made twice";
+		EXPECT_EQ(search.stage_items.size(), 4U);
+		for (standin_replica &replica : _replicas) {
+			_store.drop(ENDPOINT_TOPIC, replica.get_name());
+		}
+	}
+}
+
 TEST_F(gateway_test, a_node_that_starts_while_the_store_is_away_learns_from_its_peers) {
 	configure(3);
 	standin_replica &replica = add_replica("llm");
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -52,7 +52,11 @@
 		return;
 	}
 	if (p_exchange->head.target == "/stage-run") {
-		_run_stage(*p_exchange);
+		if (hold_stages) {
+			_held_stages.push_back(p_exchange);
+		} else {
+			_run_stage(*p_exchange);
+		}
 		return;
 	}
 	if (p_exchange->head.target == "/stage-free") {
@@ -109,6 +113,16 @@
 	p_exchange.end();
 }
 
+void standin_replica::run_held_stages() {
+	hold_stages = false;
+	for (const std::shared_ptr<caller_exchange> &exchange : _held_stages) {
+		if (!exchange->is_gone()) {
+			_run_stage(*exchange);
+		}
+	}
+	_held_stages.clear();
+}
+
 void standin_replica::_run_stage(caller_exchange &p_exchange) {
 	stage_calls++;
 	json items = json::array();
@@ -121,6 +135,11 @@
 			continue;
 		}
 		stage_items.push_back(item.at("id").get<std::string>() + "." + std::to_string(item.at("stage").get<int>()) + "." + std::to_string(item.at("segment").get<int>()));
+		if (results.size() >= most_results) {
+			pieces_without_room++;
+			items.push_back({ { "reason", "room" } });
+			continue;
+		}
 		const std::string handle = to_string(get_address()) + "/" + std::to_string(_next_handle++);
 		results.insert(handle);
 		items.push_back({ { "handle", handle } });
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -47,6 +47,7 @@
 	std::string _name;
 	std::unique_ptr<caller_server> _server;
 	std::vector<std::shared_ptr<caller_exchange>> _held;
+	std::vector<std::shared_ptr<caller_exchange>> _held_stages;
 	std::size_t _next_handle = 1;
 
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
@@ -60,6 +61,9 @@
 	std::size_t stage_calls = 0;
 	std::vector<std::string> stage_items; ///< "attempt.stage.piece" of each piece made.
 	std::set<std::string> results; ///< Handles not released yet.
+	bool hold_stages = false; ///< Calls wait until run_held_stages().
+	std::size_t most_results = 1000; ///< Pieces that would be more find no room.
+	std::size_t pieces_without_room = 0;
 	std::string missing_input; ///< This handle is reported as gone, once.
 
 	standin_replica(event_loop &p_loop, std::string p_name);
@@ -69,6 +73,11 @@
 	const std::string &get_name() const { return _name; }
 	const network_address &get_address() const { return _server->get_address(); }
 
+	/** Runs the stage calls that wait and holds no more. */
+	void run_held_stages();
+
+	std::size_t get_held_stages() const { return _held_stages.size(); }
+
 	/** Whether the caller of a held request has gone. */
 	bool is_held_gone() const;
 };
