Tell a pool's new dispatcher what room is taken, and release the results of lost nodes

Cause: a dispatcher knows only the results it ordered itself. Change: nodes tell the dispatcher they see now which results they hold; results handed to a node are released 0.6 s after it was lost; from pieces that found no room a dispatcher works out what unknown results hold, and lets that go with their time to live. A line and a counter tell calls that found no room. Mutations showed three tests of the gateway to be blind (at most once behind a limit of one endpoint, the end of a planned stop, the lost dispatcher); they see it now.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -168,6 +168,13 @@
 		return { wire::message_release_results, wire::Createrelease_results(target, pool, handles).Union() };
 	}
 
+	encoded_body operator()(const tell_results_message &p_message) const {
+		const text_offset pool = target.CreateString(p_message.pool);
+		const auto handles = target.CreateVectorOfStrings(p_message.handles);
+		const auto sizes = target.CreateVector(p_message.result_bytes);
+		return { wire::message_tell_results, wire::Createtell_results(target, pool, handles, sizes).Union() };
+	}
+
 	encoded_body operator()(const prompt_sent_message &p_message) const {
 		std::vector<wire::prompt_link> links;
 		links.reserve(p_message.prompt.size());
@@ -337,6 +344,18 @@
 			return read_tell_endpoints(*frame->body_as_tell_endpoints());
 		case wire::message_prompt_sent:
 			return read_prompt_sent(*frame->body_as_prompt_sent());
+		case wire::message_tell_results: {
+			const wire::tell_results *told = frame->body_as_tell_results();
+			tell_results_message message{ read(told->pool()), read_texts(told->handles()), {} };
+			if (told->result_bytes() != nullptr) {
+				message.result_bytes.assign(told->result_bytes()->begin(), told->result_bytes()->end());
+			}
+			// A handle without its size, or the reverse, is no message of ours.
+			if (message.handles.size() != message.result_bytes.size()) {
+				return std::nullopt;
+			}
+			return message;
+		}
 		case wire::message_release_results: {
 			const wire::release_results *released = frame->body_as_release_results();
 			return release_results_message{ read(released->pool()), read_texts(released->handles()) };
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -169,6 +169,8 @@
 			_owner._work_ended.emit(_vm, *ended);
 		} else if (const auto *cancelled = std::get_if<cancel_work_message>(&p_message)) {
 			_owner._work_cancelled.emit(_vm, *cancelled);
+		} else if (const auto *results = std::get_if<tell_results_message>(&p_message)) {
+			_owner._results_told.emit(_vm, *results);
 		} else if (const auto *released = std::get_if<release_results_message>(&p_message)) {
 			_owner._results_released.emit(_vm, *released);
 		} else if (const auto *prompt = std::get_if<prompt_sent_message>(&p_message)) {
@@ -404,6 +406,10 @@
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
 }
 
+bool node_link::send(const std::string &p_vm, const tell_results_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
 bool node_link::send(const std::string &p_vm, const prompt_sent_message &p_message) {
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
 }
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -100,6 +100,13 @@
 	std::vector<std::string> handles;
 };
 
+/** Results a node holds, for the node that dispatches their pool now. */
+struct tell_results_message {
+	std::string pool;
+	std::vector<std::string> handles;
+	std::vector<std::uint64_t> result_bytes; ///< Of each handle.
+};
+
 /** A node sent a prompt to an engine. */
 struct prompt_sent_message {
 	std::string engine;
@@ -150,6 +157,7 @@
 	sigc::signal<void(const std::string &, const work_ended_message &)> _work_ended;
 	sigc::signal<void(const std::string &, const cancel_work_message &)> _work_cancelled;
 	sigc::signal<void(const std::string &, const release_results_message &)> _results_released;
+	sigc::signal<void(const std::string &, const tell_results_message &)> _results_told;
 	sigc::signal<void(const std::string &, const prompt_sent_message &)> _prompt_sent;
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> _endpoints_told;
 
@@ -197,6 +205,7 @@
 	bool send(const std::string &p_vm, const work_ended_message &p_message);
 	bool send(const std::string &p_vm, const cancel_work_message &p_message);
 	bool send(const std::string &p_vm, const release_results_message &p_message);
+	bool send(const std::string &p_vm, const tell_results_message &p_message);
 	bool send(const std::string &p_vm, const prompt_sent_message &p_message);
 	bool send(const std::string &p_vm, const tell_endpoints_message &p_message);
 
@@ -215,6 +224,7 @@
 	sigc::signal<void(const std::string &, const work_ended_message &)> &work_ended() { return _work_ended; }
 	sigc::signal<void(const std::string &, const cancel_work_message &)> &work_cancelled() { return _work_cancelled; }
 	sigc::signal<void(const std::string &, const release_results_message &)> &results_released() { return _results_released; }
+	sigc::signal<void(const std::string &, const tell_results_message &)> &results_told() { return _results_told; }
 	sigc::signal<void(const std::string &, const prompt_sent_message &)> &prompt_sent() { return _prompt_sent; }
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> &endpoints_told() { return _endpoints_told; }
 
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -313,6 +313,7 @@
 	const bool may_end = _phase == stop_phase::FINISHING || _phase == stop_phase::ANSWERING;
 	if (may_end && ((is_idle && _callers.get_connection_count() == 0) || is_over)) {
 		_context.log.write(log_line("stopped").add("cut_off", static_cast<long long>(_requests.size())));
+		_has_stopped = true;
 		_context.loop.stop();
 	}
 }
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -52,6 +52,7 @@
 	stop_phase _phase = stop_phase::NONE;
 	instant _stop_started{};
 	bool _was_ready = false;
+	bool _has_stopped = false;
 
 	bool _is_ready() const;
 	void _on_configuration();
@@ -84,6 +85,9 @@
 	/** Begins a planned stop; the loop is stopped when it is done. A second call does nothing. */
 	void stop();
 
+	/** Whether a planned stop is over and the loop was stopped for it. */
+	bool has_stopped() const { return _has_stopped; }
+
 	/** Tells what a reading of the settings file brought. */
 	void note_reload(const std::string &p_outcome);
 
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -84,6 +84,9 @@
 
 	std::size_t get_live_count() const { return get_live_nodes().size(); }
 
+	/** Whether a node answered just now, also one that stops. */
+	bool is_heard(const std::string &p_vm) const { return _is_heard(p_vm, event_loop::now()); }
+
 	node_link &get_link() { return _link; }
 	const std::string &get_vm() const { return _context.settings.vm; }
 
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -24,6 +24,8 @@
 constexpr duration PAUSE = std::chrono::milliseconds(600);
 /** Pieces wait for it, so that a replica behind a cut must not hold them for long. */
 constexpr duration CONNECT_TIMEOUT = std::chrono::milliseconds(120);
+/** A node that fell silent may still come back with its requests; after this its results go, before they expire by themselves. */
+constexpr duration LOST_RESULTS_KEPT = std::chrono::milliseconds(600);
 /** Requests that a call's line names; calls of the pools seen are shared by fewer. */
 constexpr std::size_t MOST_LOGGED_REQUESTS = 32;
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
@@ -81,6 +83,7 @@
 	link.results_released().connect([this](const std::string &, const release_results_message &p_message) {
 		_release(_pools[p_message.pool], p_message.handles);
 	});
+	link.results_told().connect([this](const std::string &p_vm, const tell_results_message &p_message) { _on_results_told(p_vm, p_message); });
 	_fleet.peer_lost().connect([this](const std::string &p_vm) { _on_peer_lost(p_vm); });
 }
 
@@ -228,10 +231,69 @@
 	}
 	const own_work own = std::move(found->second);
 	_own.erase(found);
+	for (const std::string &handle : p_result.handles) {
+		_held[own.pool][handle] = own_result{ own.work.result_bytes, own.node };
+	}
 	own.hook(p_result);
 }
 
+void stage_dispatcher::_tell_held(const std::string &p_pool, std::map<std::string, own_result> &r_held) {
+	if (r_held.empty()) {
+		return;
+	}
+	const std::string node = _choose_node(p_pool, "");
+	tell_results_message message;
+	message.pool = p_pool;
+	for (const auto &[handle, result] : r_held) {
+		if (result.told_to != node) {
+			message.handles.push_back(handle);
+			message.result_bytes.push_back(result.bytes);
+		}
+	}
+	if (message.handles.empty()) {
+		return;
+	}
+	if (node == _fleet.get_vm()) {
+		_on_results_told("", message);
+	} else if (!_fleet.get_link().send(node, message)) {
+		return;
+	}
+	for (auto &[handle, result] : r_held) {
+		result.told_to = node;
+	}
+	_context.log.write(log_line("results_told").add("pool", p_pool).add("node", node).add("count", static_cast<long long>(message.handles.size())));
+}
+
+void stage_dispatcher::_on_results_told(const std::string &p_owner, const tell_results_message &p_message) {
+	std::vector<held_result> results;
+	for (std::size_t i = 0; i < p_message.handles.size(); i++) {
+		results.push_back(held_result{ p_message.handles[i], get_maker(p_message.handles[i]), static_cast<double>(p_message.result_bytes[i]) });
+	}
+	_pools[p_message.pool].pool.on_results_told(p_owner, results, event_loop::now());
+}
+
+void stage_dispatcher::_release_of_lost() {
+	const instant now = event_loop::now();
+	for (auto lost = _lost_at.begin(); lost != _lost_at.end();) {
+		if (!_fleet.is_heard(lost->first) && now - lost->second < LOST_RESULTS_KEPT) {
+			++lost;
+			continue;
+		}
+		if (!_fleet.is_heard(lost->first)) {
+			for (auto &[name, entry] : _pools) {
+				const std::vector<std::string> handles = entry.pool.get_results_of(lost->first);
+				_release(entry, handles);
+				if (!handles.empty()) {
+					_context.log.write(log_line("results_of_lost_released").add("pool", name).add("vm", lost->first).add("count", static_cast<long long>(handles.size())));
+				}
+			}
+		}
+		lost = _lost_at.erase(lost);
+	}
+}
+
 void stage_dispatcher::_on_peer_lost(const std::string &p_vm) {
+	_lost_at[p_vm] = event_loop::now();
 	std::vector<std::uint64_t> moved;
 	for (const auto &[id, own] : _own) {
 		if (own.node == p_vm) {
@@ -340,6 +402,11 @@
 		_context.metrics.count("stage_calls_failed");
 		_context.log.write_request(log_line("stage_call_failed").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("end", get_name(p_end)).add("status", static_cast<long long>(p_status)));
 	}
+	const std::ptrdiff_t without_room = std::count_if(results.begin(), results.end(), [](const item_result &p_result) { return p_result.end == item_end::NO_ROOM; });
+	if (without_room > 0) {
+		_context.metrics.count("stage_pieces_without_room", static_cast<double>(without_room));
+		_context.log.write_request(log_line("stage_call_without_room").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("pieces", static_cast<long long>(results.size())).add("without_room", static_cast<long long>(without_room)));
+	}
 	entry.pool.on_call_ended(p_call.id, end, results, event_loop::now());
 	_pump_pool(p_name, entry);
 }
@@ -357,6 +424,7 @@
 		if (accepted.node.empty()) {
 			_end_own(accepted.id, work_result{ accepted.id, result.end, result.handles });
 		} else {
+			p_entry.pool.set_owner(result.handles, accepted.node);
 			_fleet.get_link().send(accepted.node, work_ended_message{ accepted.id, static_cast<std::uint8_t>(result.end), result.handles });
 		}
 	}
@@ -366,6 +434,9 @@
 	if (p_handles.empty()) {
 		return;
 	}
+	for (const std::string &handle : p_handles) {
+		_held[p_pool].erase(handle);
+	}
 	const std::string node = _choose_node(p_pool, "");
 	if (node != _fleet.get_vm() && _fleet.get_link().send(node, release_results_message{ p_pool, p_handles })) {
 		return;
@@ -439,6 +510,10 @@
 		_forget_after_pause();
 	}
 	_ticked_at = now;
+	for (auto &[name, held] : _held) {
+		_tell_held(name, held);
+	}
+	_release_of_lost();
 	for (auto &[name, entry] : _pools) {
 		retry_window &repeats = entry.repeats;
 		// This node alone dispatches the pool, so the whole bounds are its own.
--- a/main/stage_dispatcher.h
+++ b/main/stage_dispatcher.h
@@ -52,12 +52,20 @@
 		std::map<std::string, std::vector<std::string>> to_release; ///< By the address of their maker.
 	};
 
+	/** A result that a request of this node uses. */
+	struct own_result {
+		std::size_t bytes = 0;
+		std::string told_to; ///< The node that knows of it.
+	};
+
 	gateway_context &_context;
 	configuration_follower &_configuration;
 	gateway_fleet &_fleet;
 	commitment_table &_commitments;
 	std::map<std::uint64_t, own_work> _own;
 	std::map<std::string, pool_entry> _pools;
+	std::map<std::string, std::map<std::string, own_result>> _held; ///< By pool and handle.
+	std::map<std::string, instant> _lost_at; ///< Nodes lost, whose results are not released yet.
 	std::uint64_t _next_own = 1;
 	work_id _next_accepted = 1;
 	timer _tick_timer;
@@ -82,6 +90,9 @@
 	void _give_up_overdue(const std::string &p_name, pool_entry &p_entry);
 	std::vector<pool_capacity> _get_capacities();
 	void _forget_after_pause();
+	void _tell_held(const std::string &p_pool, std::map<std::string, own_result> &r_held);
+	void _on_results_told(const std::string &p_owner, const tell_results_message &p_message);
+	void _release_of_lost();
 	void _on_peer_lost(const std::string &p_vm);
 	void _on_work_handed(const std::string &p_vm, const hand_work_message &p_message);
 
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -174,8 +174,69 @@
 	return std::min({ wanted, ZONE_PENALTY_MOST, affordable });
 }
 
-bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes) const {
-	return _spec.room_bytes <= 0.0 || p_replica.room_used + p_bytes <= _spec.room_bytes;
+bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes, instant p_now) const {
+	if (_spec.room_bytes <= 0.0) {
+		return true;
+	}
+	// What is not known goes by its time to live, or earlier when somebody releases it.
+	const double age = _spec.result_ttl > duration::zero() ? to_seconds(p_now - p_replica.room_lost_at) / to_seconds(_spec.result_ttl) : 1.0;
+	const double lost = p_replica.room_lost * std::max(0.0, 1.0 - age);
+	return p_replica.room_used + lost + p_bytes <= _spec.room_bytes;
+}
+
+void stage_pool::_learn_room(replica_state &p_replica, const running_call &p_call, const std::vector<item_result> &p_items, instant p_now) {
+	double made = 0.0;
+	bool was_full = false;
+	for (std::size_t i = 0; i < p_items.size(); i++) {
+		const auto work = _works.find(p_call.items[i].work);
+		const bool is_made = p_items[i].end == item_end::DONE && work != _works.end();
+		made += is_made ? static_cast<double>(work->second.work.result_bytes) : 0.0;
+		was_full = was_full || p_items[i].end == item_end::NO_ROOM;
+	}
+	if (!was_full) {
+		return;
+	}
+	// A piece found no room beside what was known, so the rest is held by results of a dispatcher before this one.
+	p_replica.room_lost = std::max(0.0, _spec.room_bytes - p_call.room_used - made);
+	p_replica.room_lost_at = p_now;
+}
+
+void stage_pool::_keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now) {
+	if (!_results.emplace(p_handle, kept_result{ p_replica, p_bytes, p_now + _spec.result_ttl, p_owner }).second) {
+		return;
+	}
+	const auto replica = _replicas.find(p_replica);
+	if (replica != _replicas.end()) {
+		replica->second.room_used += p_bytes;
+	}
+}
+
+void stage_pool::set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner) {
+	for (const std::string &handle : p_handles) {
+		const auto found = _results.find(handle);
+		if (found != _results.end()) {
+			found->second.owner = p_owner;
+		}
+	}
+}
+
+void stage_pool::on_results_told(const std::string &p_owner, const std::vector<held_result> &p_results, instant p_now) {
+	for (const held_result &result : p_results) {
+		const auto maker = std::find_if(_replicas.begin(), _replicas.end(), [&result](const auto &p_entry) { return p_entry.second.listing.address == result.maker; });
+		if (maker != _replicas.end()) {
+			_keep(result.handle, maker->first, result.bytes, p_owner, p_now);
+		}
+	}
+}
+
+std::vector<std::string> stage_pool::get_results_of(const std::string &p_owner) const {
+	std::vector<std::string> handles;
+	for (const auto &[handle, result] : _results) {
+		if (result.owner == p_owner) {
+			handles.push_back(handle);
+		}
+	}
+	return handles;
 }
 
 stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now) {
@@ -183,7 +244,7 @@
 	duration best_finish = duration::max();
 	const double bytes = static_cast<double>(p_work.work.result_bytes);
 	for (auto &[id, replica] : _replicas) {
-		if (!replica.listed || p_now < replica.blocked_until || !_has_room(replica, bytes)) {
+		if (!replica.listed || p_now < replica.blocked_until || !_has_room(replica, bytes, p_now)) {
 			continue;
 		}
 		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * _get_slowness(replica, p_now)));
@@ -216,7 +277,7 @@
 			if (entry.states[piece] != piece_state::WAITING) {
 				continue;
 			}
-			if (!_has_room(p_replica, bytes + static_cast<double>(entry.work.result_bytes))) {
+			if (!_has_room(p_replica, bytes + static_cast<double>(entry.work.result_bytes), p_now)) {
 				break;
 			}
 			bytes += static_cast<double>(entry.work.result_bytes);
@@ -252,7 +313,7 @@
 		if (call.items.empty()) {
 			continue;
 		}
-		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false };
+		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false, replica->room_used };
 		replica->calls++;
 		replica->free_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(running.expected.count()) * _get_slowness(*replica, p_now)));
 		_calls.emplace(call.id, std::move(running));
@@ -297,10 +358,7 @@
 	if (p_result.end == item_end::DONE) {
 		_window_made++;
 		const double bytes = found == _works.end() ? 0.0 : static_cast<double>(found->second.work.result_bytes);
-		const bool is_new = _results.emplace(p_result.handle, kept_result{ p_replica == nullptr ? "" : p_replica->listing.vm, bytes, p_now + _spec.result_ttl }).second;
-		if (p_replica != nullptr && is_new) {
-			p_replica->room_used += bytes;
-		}
+		_keep(p_result.handle, p_replica == nullptr ? "" : p_replica->listing.vm, bytes, "", p_now);
 		const bool is_made = found != _works.end() && found->second.states[p_item.piece] == piece_state::DONE;
 		if (found == _works.end() || (is_made && found->second.handles[p_item.piece] != p_result.handle)) {
 			_unwanted.insert(p_result.handle);
@@ -366,6 +424,9 @@
 		replica->failures++;
 		_block(*replica, FIRST_FAILURE_BLOCK * (1 << doublings), p_now);
 	}
+	if (replica != nullptr && is_answered) {
+		_learn_room(*replica, call, p_items, p_now);
+	}
 	for (std::size_t i = 0; i < call.items.size(); i++) {
 		if (is_answered) {
 			_take_item(call.items[i], p_items[i], replica, p_now);
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -100,6 +100,13 @@
  * that waits fills the next call. Orders by time left until the objective, corrected by priority; work that cannot be in
  * time any more goes behind all that can. Told the time with each call.
  */
+/** A result that somebody holds, as told to the pool. */
+struct held_result {
+	std::string handle;
+	network_address maker; ///< The replica that made it.
+	double bytes = 0.0;
+};
+
 class stage_pool {
 	enum class piece_state {
 		WAITING,
@@ -123,6 +130,7 @@
 		instant started_at{};
 		duration expected = duration::zero();
 		bool repeated = false;
+		double room_used = 0.0; ///< At its replica, when it was sent.
 	};
 
 	struct replica_state {
@@ -134,7 +142,9 @@
 		int failures = 0;
 		double slowness = 1.0;
 		instant slowness_at{};
-		double room_used = 0.0;
+		double room_used = 0.0; ///< By results this pool knows.
+		double room_lost = 0.0; ///< By results it does not know, as far as refused pieces told.
+		instant room_lost_at{};
 	};
 
 	using pieces_ahead = std::map<std::string, std::size_t>; ///< Pieces before a work in the queue, by zone; all under "".
@@ -143,6 +153,7 @@
 		std::string replica;
 		double bytes = 0.0;
 		instant expires_at{};
+		std::string owner; ///< Who it was handed to; empty for this node itself.
 	};
 
 	stage_pool_spec _spec;
@@ -167,7 +178,9 @@
 	duration _get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const;
 	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now);
 	duration _get_expected(std::size_t p_items) const;
-	bool _has_room(const replica_state &p_replica, double p_bytes) const;
+	bool _has_room(const replica_state &p_replica, double p_bytes, instant p_now) const;
+	void _learn_room(replica_state &p_replica, const running_call &p_call, const std::vector<item_result> &p_items, instant p_now);
+	void _keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now);
 	void _fill(stage_call &r_call, replica_state &p_replica, instant p_now);
 	void _end(work_id p_id, work_end p_end);
 	void _put_back(const stage_item &p_item, bool p_counts);
@@ -196,6 +209,15 @@
 	/** A call ended. @param p_items one for each piece when it was answered. */
 	void on_call_ended(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_items, instant p_now);
 
+	/** Results were handed to a node, which releases them or is lost with them. */
+	void set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner);
+
+	/** A node tells what it holds of results that were made before this pool was dispatched here. */
+	void on_results_told(const std::string &p_owner, const std::vector<held_result> &p_results, instant p_now);
+
+	/** Handles of the results that a node holds, which was lost; they are still to be released. */
+	std::vector<std::string> get_results_of(const std::string &p_owner) const;
+
 	/** Results were released, or their makers told to. */
 	void on_released(const std::vector<std::string> &p_handles);
 
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -42,10 +42,11 @@
 json make_configuration(int p_version) {
 	const json limits{ { "max_header_bytes", 16384 }, { "max_body_bytes", 4096 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
 	const json stages = json::array({ { { "service", "encode" }, { "since_rev", json::array() }, { "size_bytes", 1000 } }, { { "service", "search" }, { "since_rev", { 0 } }, { "size_bytes", 1000 } } });
+	// The route that may run once names two endpoints, so that only its kind keeps it from running twice.
 	const auto route = [](const char *p_path, const char *p_kind, int p_attempts) {
 		return json{ { "name", p_path }, { "host", "h.example" }, { "path_prefix", p_path }, { "route_kind", p_kind }, { "timeout_ms", 3000 }, { "slo_ms", 2000 }, { "priority", 1 }, { "service", "llm" }, { "max_attempts", p_attempts }, { "public", false } };
 	};
-	json once = route("/once/", "non_idempotent", 1);
+	json once = route("/once/", "non_idempotent", 2);
 	json safe = route("/safe/", "idempotent", 2);
 	json open = route("/open/", "idempotent", 1);
 	open["public"] = true;
@@ -363,18 +364,25 @@
 TEST_F(gateway_test, work_handed_to_a_node_that_dies_is_done_all_the_same) {
 	configure(1);
 	add_replica("llm");
-	add_replica("encode");
+	standin_replica &encode = add_replica("encode");
 	add_replica("search");
 	gateway &one = start_ready();
 	start_ready();
 	start_ready();
 	ask(one, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	const instant live_to_each_other = event_loop::now() + milliseconds(600);
+	run_until([live_to_each_other] { return event_loop::now() > live_to_each_other; });
+	encode.hold_stages = true;
 	std::vector<std::shared_ptr<caller_result>> results;
 	for (int i = 0; i < 6; i++) {
 		results.push_back(send(one, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n"));
 	}
+	run_until([&encode] { return encode.get_held_stages() > 0; });
 	_gateways.pop_back();
 	_gateways.pop_back();
+	const instant closed = event_loop::now() + milliseconds(100);
+	run_until([closed] { return event_loop::now() > closed; });
+	encode.run_held_stages();
 	run_until([&results] { return std::all_of(results.begin(), results.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
 	for (const std::shared_ptr<caller_result> &result : results) {
 		EXPECT_EQ(result->body, WHOLE_STREAM);
@@ -416,6 +424,27 @@
 	}
 }
 
+TEST_F(gateway_test, results_of_a_node_that_dies_are_released_before_their_time_to_live) {
+	configure(1);
+	standin_replica &engine = add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	standin_replica &search = add_replica("search");
+	engine.mode = replica_mode::HOLD;
+	for (int i = 0; i < 3; i++) {
+		start_ready();
+	}
+	const instant live_to_each_other = event_loop::now() + milliseconds(600);
+	run_until([live_to_each_other] { return event_loop::now() > live_to_each_other; });
+	for (const std::unique_ptr<gateway> &entry : _gateways) {
+		send(*entry, "/stream/staged/x", "key-1", "X-Segments: 2,2\r\nX-Segment-Key: k\r\n");
+	}
+	run_until([&engine] { return engine.runs.size() == 3; });
+	// Each request holds the results of its last stage.
+	run_until([&encode, &search] { return encode.results.size() + search.results.size() == 6U; });
+	_gateways.pop_back();
+	run_until([&encode, &search] { return encode.results.size() + search.results.size() == 4U; });
+}
+
 TEST_F(gateway_test, a_node_that_starts_while_the_store_is_away_learns_from_its_peers) {
 	configure(3);
 	standin_replica &replica = add_replica("llm");
@@ -548,6 +577,8 @@
 	run_until([&running] { return running->end.has_value(); });
 	EXPECT_EQ(running->end, channel_end::COMPLETE);
 	EXPECT_EQ(running->head.status, 502) << "it may have run";
+	EXPECT_FALSE(entry.has_stopped()) << "it had all its grace";
+	run_until([&entry] { return entry.has_stopped(); });
 }
 
 } // namespace calicoscale
--- a/tests/servers/gateway/stage_pool_test.cpp
+++ b/tests/servers/gateway/stage_pool_test.cpp
@@ -223,6 +223,46 @@
 	EXPECT_TRUE(_pool.next_call(at(milliseconds(4300))));
 }
 
+TEST_F(stage_pool_test, room_that_unknown_results_hold_is_learnt_from_refused_pieces) {
+	stage_pool_spec spec = make_spec();
+	spec.room_bytes = 8.0;
+	_pool.set_spec(spec);
+	stage_work work = make_work(8, at(seconds(20)));
+	work.result_bytes = 1;
+	_pool.add(1, work, at(milliseconds(0)));
+	const stage_call first = take_call(milliseconds(0));
+	ASSERT_EQ(first.items.size(), 8U);
+	std::vector<item_result> results = make_results(first, "e1:1");
+	for (std::size_t i = 2; i < results.size(); i++) {
+		results[i] = item_result{ item_end::NO_ROOM, "" };
+	}
+	_pool.on_call_ended(first.id, call_end::ANSWERED, results, at(milliseconds(200)));
+	EXPECT_FALSE(_pool.next_call(at(milliseconds(400)))) << "six results of somebody else fill the rest";
+	const stage_call second = take_call(milliseconds(2300));
+	EXPECT_EQ(second.items.size(), 3U) << "half of their time to live is over";
+}
+
+TEST_F(stage_pool_test, results_that_others_hold_take_room_until_they_are_released_or_their_holder_is_lost) {
+	stage_pool_spec spec = make_spec();
+	spec.room_bytes = 8.0;
+	_pool.set_spec(spec);
+	const network_address maker{ "10.0.0.1", 80 };
+	_pool.on_results_told("n1", { held_result{ "e1:1/a", maker, 3.0 }, held_result{ "e1:1/b", maker, 3.0 }, held_result{ "elsewhere", network_address{ "10.9.9.9", 1 }, 100.0 } }, at(milliseconds(0)));
+	_pool.on_results_told("n1", { held_result{ "e1:1/a", maker, 3.0 } }, at(milliseconds(1)));
+	stage_work work = make_work(8, at(seconds(20)));
+	work.result_bytes = 1;
+	_pool.add(1, work, at(milliseconds(10)));
+	const stage_call first = take_call(milliseconds(10));
+	EXPECT_EQ(first.items.size(), 2U) << "told twice counts once";
+	_pool.on_call_ended(first.id, call_end::ANSWERED, make_results(first, "e1:1"), at(milliseconds(200)));
+	EXPECT_FALSE(_pool.next_call(at(milliseconds(210))));
+	EXPECT_EQ(_pool.get_results_of("n1"), (std::vector<std::string>{ "e1:1/a", "e1:1/b" }));
+	_pool.on_released(_pool.get_results_of("n1"));
+	EXPECT_EQ(take_call(milliseconds(220)).items.size(), 6U);
+	_pool.set_owner({ "e1:1/1.0" }, "n2");
+	EXPECT_EQ(_pool.get_results_of("n2"), (std::vector<std::string>{ "e1:1/1.0" }));
+}
+
 TEST_F(stage_pool_test, large_reads_wait_for_their_zone_within_the_time_left) {
 	_pool.set_replicas({ make_replica("far", "b"), make_replica("near", "a") });
 	stage_work large = make_work(1, at(milliseconds(3000)));
