Dispatch pools on the larger nodes, and tell of others each fifth heartbeat only

Cause: on the grown site (86 nodes, most of 0.12 cores and 10 Mbit/s) a hash chose any node to dispatch a pool for all. Each heartbeat, five a second to each of 85 peers, carried digests of six others that are all linked to each other anyway. Change: nodes tell their share of the processor (setting `cores`); those with 0.6 of the largest one's or more dispatch, the others when none of them is ready. Digests of others go out each fifth beat and when a link comes up. Tests: the_larger_nodes_dispatch_and_the_others_when_none_is_left; the digest's field in link_test.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -38,7 +38,7 @@
 	const text_offset link = r_builder.CreateString(to_string(p_digest.link));
 	const text_offset admin = r_builder.CreateString(to_string(p_digest.admin));
 	const auto demand = r_builder.CreateVectorOfStructs(demands);
-	return wire::Createdigest(r_builder, vm, p_digest.incarnation, p_digest.heartbeat, zone, region, link, admin, p_digest.ready, p_digest.leaving, p_digest.configuration_version, demand);
+	return wire::Createdigest(r_builder, vm, p_digest.incarnation, p_digest.heartbeat, zone, region, link, admin, p_digest.ready, p_digest.leaving, p_digest.configuration_version, demand, static_cast<float>(p_digest.cores));
 }
 
 member_digest read_digest(const wire::digest &p_digest) {
@@ -53,6 +53,7 @@
 	digest.ready = p_digest.ready();
 	digest.leaving = p_digest.leaving();
 	digest.configuration_version = p_digest.configuration_version();
+	digest.cores = static_cast<double>(p_digest.cores());
 	if (p_digest.demands() != nullptr) {
 		for (const wire::customer_demand *demand : *p_digest.demands()) {
 			digest.demand[demand->code()] = static_cast<double>(demand->rate());
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -91,6 +91,9 @@
 	/** Tells what a reading of the settings file brought. */
 	void note_reload(const std::string &p_outcome);
 
+	/** Stage work of other nodes, and of this one, that this node dispatches now. */
+	std::size_t get_handed_work() const { return _dispatcher.get_accepted_count(); }
+
 	const network_address &get_caller_address() const { return _callers.get_address(); }
 	const network_address &get_readiness_address() const { return _readiness.get_address(); }
 	const network_address &get_link_address() { return _fleet.get_link().get_address(); }
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -30,6 +30,10 @@
 /** A node that starts asks nothing; it is told what it may lack until it is ready. */
 constexpr duration TELL_INTERVAL = std::chrono::milliseconds(1000);
 constexpr std::size_t MOST_MARKS = 256;
+/** Each node is linked to every other, so what one knows of others is told each so many beats only, for those that start. */
+constexpr int BEATS_PER_RUMOUR = 5;
+/** A pool's dispatcher handles the work of all nodes; nodes with less than this part of the largest one's processor do not. */
+constexpr double LEAST_PART_TO_DISPATCH = 0.6;
 
 } // namespace
 
@@ -39,12 +43,12 @@
 		_endpoints(p_endpoints),
 		_commitments(p_commitments),
 		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, LONGEST_BACK_OFF }),
-		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {} }),
+		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {}, p_context.settings.cores }),
 		_beat_timer(p_context.loop, [this] { _beat(); }) {
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
 	_link.configuration_asked().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_asked(p_vm, p_have); });
 	_link.configuration_told().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
-	_link.link_up().connect([this](const std::string &p_vm) { _link.send(p_vm, _make_heartbeat()); });
+	_link.link_up().connect([this](const std::string &p_vm) { _link.send(p_vm, _make_heartbeat(true)); });
 	_link.endpoints_told().connect([this](const std::string &p_vm, const tell_endpoints_message &p_message) { _endpoints.offer(p_message.endpoints, p_vm); });
 	_configuration.changed().connect([this] { _send_heartbeats(); });
 }
@@ -95,6 +99,20 @@
 	return nodes;
 }
 
+std::vector<std::string> gateway_fleet::get_dispatch_nodes() const {
+	const auto get_cores = [this](const std::string &p_vm) {
+		const member *peer = _members.find(p_vm);
+		return peer == nullptr ? _context.settings.cores : peer->digest.cores;
+	};
+	std::vector<std::string> nodes = get_ready_nodes();
+	double most = 0.0;
+	for (const std::string &vm : nodes) {
+		most = std::max(most, get_cores(vm));
+	}
+	std::erase_if(nodes, [&get_cores, most](const std::string &p_vm) { return get_cores(p_vm) < most * LEAST_PART_TO_DISPATCH; });
+	return nodes;
+}
+
 void gateway_fleet::_help_unready(const member_digest &p_peer, instant p_now) {
 	if (p_peer.ready || p_peer.leaving || !_endpoints.is_loaded()) {
 		return;
@@ -173,10 +191,10 @@
 	}
 }
 
-heartbeat_message gateway_fleet::_make_heartbeat() {
+heartbeat_message gateway_fleet::_make_heartbeat(bool p_with_rumours) {
 	_members.update_self(_ready, _leaving, _configuration.get_version(), {});
 	heartbeat_message message;
-	message.digests = _members.make_heartbeat();
+	message.digests = p_with_rumours ? _members.make_heartbeat() : _members.make_own_heartbeat();
 	for (const recent_mark &mark : _marks) {
 		message.marks.push_back(leaving_mark{ mark.endpoint, 0 });
 	}
@@ -191,7 +209,7 @@
 }
 
 void gateway_fleet::_send_heartbeats() {
-	const heartbeat_message message = _make_heartbeat();
+	const heartbeat_message message = _make_heartbeat(_beats++ % BEATS_PER_RUMOUR == 0);
 	for (const std::string &vm : _link.get_linked()) {
 		_link.send(vm, message);
 	}
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -39,6 +39,7 @@
 	std::deque<recent_mark> _marks; ///< Endpoints that leave.
 	std::deque<recent_mark> _gone; ///< Endpoints whose entry went.
 	timer _beat_timer;
+	int _beats = 0;
 	bool _ready = false;
 	bool _leaving = false;
 	bool _named_in_store = false;
@@ -50,7 +51,7 @@
 	sigc::signal<void(const std::string &)> _peer_lost;
 
 	void _beat();
-	heartbeat_message _make_heartbeat();
+	heartbeat_message _make_heartbeat(bool p_with_rumours);
 	void _send_heartbeats();
 	void _dial();
 	void _use_store();
@@ -82,6 +83,9 @@
 	/** Live nodes that know the configuration and the endpoints, so that they can dispatch. */
 	std::vector<std::string> get_ready_nodes() const;
 
+	/** Ready nodes that are large enough to dispatch a pool for all nodes; never empty while a node is ready. */
+	std::vector<std::string> get_dispatch_nodes() const;
+
 	std::size_t get_live_count() const { return get_live_nodes().size(); }
 
 	/** Whether a node answered just now, also one that stops. */
--- a/main/gateway_settings.cpp
+++ b/main/gateway_settings.cpp
@@ -51,6 +51,7 @@
 	settings.retries.ratio = retries.value("ratio", settings.retries.ratio);
 	settings.retries.slack = retries.value("slack", settings.retries.slack);
 	settings.retries.window = from_seconds(retries.value("window_seconds", to_seconds(settings.retries.window)));
+	settings.cores = document.value("cores", settings.cores);
 	settings.stop_grace = from_seconds(document.value("stop_grace_seconds", to_seconds(settings.stop_grace)));
 	if (!problems.empty()) {
 		throw document_error(std::move(problems));
--- a/main/gateway_settings.h
+++ b/main/gateway_settings.h
@@ -33,6 +33,7 @@
 	std::vector<network_address> peers; ///< Links to try before members are known; any may be stale.
 	std::string fleet_key; ///< Shared by the nodes; empty admits every peer.
 	retry_bounds retries;
+	double cores = 1.0; ///< Share of a core, or cores, this process may use; the larger nodes dispatch stage pools.
 	duration stop_grace = std::chrono::seconds(8); ///< From the stop signal until the process is killed.
 };
 
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -116,7 +116,7 @@
 std::string stage_dispatcher::_choose_node(const std::string &p_pool, const std::string &p_except) const {
 	std::string best = _fleet.get_vm();
 	std::uint64_t best_score = 0;
-	for (const std::string &vm : _fleet.get_ready_nodes()) {
+	for (const std::string &vm : _fleet.get_dispatch_nodes()) {
 		const std::uint64_t score = hash_bytes(p_pool + "/" + vm);
 		if (vm != p_except && score > best_score) {
 			best = vm;
--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -73,9 +73,13 @@
 	_changes.push_back(member_change{ p_member.digest.vm, p_state });
 }
 
-std::vector<member_digest> member_table::make_heartbeat() {
+std::vector<member_digest> member_table::make_own_heartbeat() {
 	_self.heartbeat++;
-	std::vector<member_digest> digests{ _self };
+	return { _self };
+}
+
+std::vector<member_digest> member_table::make_heartbeat() {
+	std::vector<member_digest> digests = make_own_heartbeat();
 	std::vector<const member *> known;
 	for (const auto &[vm, entry] : _members) {
 		if (entry.digest.heartbeat > 0 && entry.state != member_state::GONE) {
--- a/servers/membership/member_table.h
+++ b/servers/membership/member_table.h
@@ -45,6 +45,7 @@
 	bool leaving = false;
 	std::uint64_t configuration_version = 0;
 	customer_demands demand; ///< The largest ones.
+	double cores = 1.0; ///< Share of a processor core, or cores, that the node may use.
 };
 
 /** An entry node on the platform's list. */
@@ -93,6 +94,9 @@
 	/** Raises the own heartbeat and returns the digests to send: the own first, then a bounded rotation of others. */
 	std::vector<member_digest> make_heartbeat();
 
+	/** Raises the own heartbeat and returns the own digest alone, for receivers that hear of others otherwise. */
+	std::vector<member_digest> make_own_heartbeat();
+
 	/** Takes in digests from a peer. */
 	void take_digests(const std::vector<member_digest> &p_digests, instant p_now);
 
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -48,6 +48,7 @@
 	digest.heartbeat = 8;
 	digest.zone = "z";
 	digest.link = network_address{ "127.0.0.1", 9 };
+	digest.cores = 0.5;
 	digest.demand[get_customer_code("c")] = 1.5;
 	message.digests.push_back(digest);
 	message.marks.push_back(leaving_mark{ "gone", 3 });
@@ -63,6 +64,7 @@
 	const heartbeat_message &read = std::get<heartbeat_message>(*heartbeat);
 	EXPECT_EQ(read.at, (hybrid_time{ 12345, 6 }));
 	EXPECT_EQ(read.digests.at(0).vm, "vm");
+	EXPECT_EQ(read.digests.at(0).cores, 0.5);
 	EXPECT_EQ(read.digests.at(0).demand.at(get_customer_code("c")), 1.5);
 	EXPECT_EQ(read.marks.at(0).incarnation, 3U);
 	EXPECT_EQ(read.gone, (std::vector<std::string>{ "lapsed", "stopped" }));
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -73,6 +73,7 @@
 	std::vector<std::unique_ptr<gateway>> _gateways;
 	std::unique_ptr<endpoint_channels> _callers;
 	int _next_attempt = 1;
+	double _cores = 1.0; ///< Of the gateways started from now on.
 
 	void SetUp() override { _callers = std::make_unique<endpoint_channels>(_loop); }
 
@@ -104,6 +105,7 @@
 			*address = network_address{ "127.0.0.1", 0 };
 		}
 		settings.store_address = p_store.get_address();
+		settings.cores = _cores;
 		for (const std::unique_ptr<gateway> &other : _gateways) {
 			settings.peers.push_back(other->get_link_address());
 		}
@@ -424,6 +426,31 @@
 	}
 }
 
+TEST_F(gateway_test, the_larger_nodes_dispatch_and_the_others_when_none_is_left) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	add_replica("search");
+	_cores = 0.12;
+	gateway &small = start_ready();
+	start_ready();
+	start_ready();
+	_cores = 0.5;
+	gateway &large = start_ready();
+	const instant live_to_each_other = event_loop::now() + milliseconds(600);
+	run_until([live_to_each_other] { return event_loop::now() > live_to_each_other; });
+	encode.hold_stages = true;
+	const std::shared_ptr<caller_result> first = send(small, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	run_until([&encode] { return encode.get_held_stages() > 0; });
+	EXPECT_EQ(large.get_handed_work(), 1U) << "whatever the hash of the names says";
+	_gateways.pop_back();
+	const instant closed = event_loop::now() + milliseconds(100);
+	run_until([closed] { return event_loop::now() > closed; });
+	encode.run_held_stages();
+	run_until([&first] { return first->end.has_value(); });
+	EXPECT_EQ(first->body, WHOLE_STREAM);
+}
+
 TEST_F(gateway_test, results_of_a_node_that_dies_are_released_before_their_time_to_live) {
 	configure(1);
 	standin_replica &engine = add_replica("llm");
