Keep both links of a pair alive, and take a link that breaks for a lost node at once

Cause: two nodes that dial each other at once have two links. Each sends on the first that was proved, not always the same one, so each link carries data one way only and is closed when nothing was read for ten seconds. A link that broke and came back between two beats, on the other hand, lost the work on its way without anybody noticing until its deadline. Change: heartbeats go over every link of a pair; a pair's last link that goes down counts as the loss of the node. Ruled out: cuts and freezes (the times are multiples of ten seconds since the start, whatever happens); closing the second link, which may lose what is on its way. Test: a_pair_that_dialled_each_other_at_once_keeps_both_links_alive, which got one heartbeat of two before.

--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -356,8 +356,12 @@
 }
 
 void node_link::send(const std::string &p_vm, const heartbeat_message &p_message) {
-	if (link *target = _find(p_vm)) {
-		target->send(p_message);
+	// Two nodes that dial each other at once have two links, and each end may use another one for what it sends. Heartbeats
+	// go over both, as a link on which nothing comes in is closed.
+	for (const std::shared_ptr<link> &entry : std::vector<std::shared_ptr<link>>(_links)) {
+		if (entry->is_proven() && entry->get_vm() == p_vm) {
+			entry->send(p_message);
+		}
 	}
 }
 
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -49,6 +49,7 @@
 	_link.configuration_asked().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_asked(p_vm, p_have); });
 	_link.configuration_told().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
 	_link.link_up().connect([this](const std::string &p_vm) { _link.send(p_vm, _make_heartbeat(true)); });
+	_link.link_down().connect([this](const std::string &p_vm) { _set_live(p_vm, false); });
 	_link.endpoints_told().connect([this](const std::string &p_vm, const tell_endpoints_message &p_message) { _endpoints.offer(p_message.endpoints, p_vm); });
 	_configuration.changed().connect([this] { _send_heartbeats(); });
 }
@@ -215,21 +216,26 @@
 	}
 }
 
+void gateway_fleet::_set_live(const std::string &p_vm, bool p_live) {
+	bool &was_live = _was_live[p_vm];
+	if (p_live == was_live) {
+		return;
+	}
+	was_live = p_live;
+	const member *peer = _members.find(p_vm);
+	const bool is_leaving = peer != nullptr && peer->digest.leaving;
+	_context.log.write(log_line(p_live ? "peer_live" : "peer_lost").add("vm", p_vm).add("leaving", is_leaving ? "yes" : "no"));
+	if (!p_live) {
+		_commitments.forget_peer(p_vm);
+		_peer_lost.emit(p_vm);
+	}
+}
+
 void gateway_fleet::_note_changes() {
 	const instant now = event_loop::now();
 	for (const auto &[vm, entry] : _members.get_members()) {
 		// A node that stops still ends what was handed to it, and waits for what it handed over: it is lost when it is silent.
-		const bool is_live = _is_heard(vm, now);
-		bool &was_live = _was_live[vm];
-		if (is_live == was_live) {
-			continue;
-		}
-		was_live = is_live;
-		_context.log.write(log_line(is_live ? "peer_live" : "peer_lost").add("vm", vm).add("leaving", entry.digest.leaving ? "yes" : "no"));
-		if (!is_live) {
-			_commitments.forget_peer(vm);
-			_peer_lost.emit(vm);
-		}
+		_set_live(vm, _is_heard(vm, now));
 	}
 	for (const auto &[vm, heard] : _heard_at) {
 		if (now - heard > DEAD_LINK && _link.is_linked(vm)) {
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -56,6 +56,7 @@
 	void _dial();
 	void _use_store();
 	void _note_changes();
+	void _set_live(const std::string &p_vm, bool p_live);
 	void _collect_marks();
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
 	void _on_configuration_asked(const std::string &p_vm, std::uint64_t p_have);
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -99,6 +99,25 @@
 	run_until(loop, [&heartbeats] { return heartbeats == 1; });
 }
 
+TEST(node_link, a_pair_that_dialled_each_other_at_once_keeps_both_links_alive) {
+	event_loop loop;
+	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
+	node_link right(loop, any_address(), link_identity{ "right", 2, "key" });
+	int at_left = 0;
+	int at_right = 0;
+	left.heartbeat_received().connect([&at_left](const std::string &, const heartbeat_message &) { at_left++; });
+	right.heartbeat_received().connect([&at_right](const std::string &, const heartbeat_message &) { at_right++; });
+	int links_up = 0;
+	left.link_up().connect([&links_up](const std::string &) { links_up++; });
+	right.link_up().connect([&links_up](const std::string &) { links_up++; });
+	left.dial("right", right.get_address());
+	right.dial("left", left.get_address());
+	run_until(loop, [&links_up] { return links_up == 4; });
+	left.send("right", make_heartbeat());
+	right.send("left", make_heartbeat());
+	run_until(loop, [&at_left, &at_right] { return at_left == 2 && at_right == 2; });
+}
+
 TEST(node_link, another_fleet_key_or_another_vm_is_refused) {
 	event_loop loop;
 	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
