--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -221,7 +221,7 @@
 	const duration retry_after = std::clamp<duration>(wait, SHORTEST_RETRY_AFTER, std::max<duration>(SHORTEST_RETRY_AFTER, remaining / 3));
 	const outcome result{ verdict::NOT_RUN, reason::DEADLINE_UNREACHABLE };
 	_context.metrics.on_request(route.name, result, event_loop::now() - r_request.exchange->received_at);
-	_context.log.write_request(log_line("request_refused").add("request", r_request.facts.attempt).add("route", route.name).add("reason", get_name(result.why)).add("predicted_ms", predicted).add("allowed_ms", allowed).add("retry_after_ms", retry_after));
+	_context.log.write_request(log_line("request_refused").add("request", r_request.facts.attempt).add("route", route.name).add("reason", get_name(result.why)).add("status", static_cast<long long>(http_status::UNAVAILABLE)).add("predicted_ms", predicted).add("allowed_ms", allowed).add("retry_after_ms", retry_after));
 	r_request.exchange->reply(http_status::UNAVAILABLE, { make_retry_after(retry_after) }, "");
 	return true;
 }
