--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -87,7 +87,7 @@
 			_on_failure" "if (false) {
 			_on_failure" gateway_test
 mutate "gateway: at most once" "every request may be repeated" $request "const bool is_safe = route.repeats" "const bool is_safe = true || route.repeats" gateway_test
-mutate "gateway: not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _answer_started)" "if (_answer_started)" gateway_test
+mutate "gateway: not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _answer_started)" "if (_answer_started)" gateway_fleet_test
 mutate "gateway: deadline" "an endpoint gets the route's time-out in place of what is left" $request "send.remaining = _give_up_at - now;" "send.remaining = _request.route->timeout;" gateway_test
 mutate "gateway: cancellation" "a caller that goes leaves its request running" $request "if (_exchange != 0) {
 		_services.context.channels.cancel(_exchange);
@@ -96,15 +96,15 @@
 		_exchange = 0;
 		_observe(outcome{ verdict::MAY_HAVE_RUN, reason::CALLER_GONE });" gateway_test
 mutate "gateway: leaving marks" "an older entry brings an endpoint back" servers/gateway/endpoint_directory.cpp "entry.listing.leaving = _left.contains(p_listing.vm);" "" gateway_state_test
-mutate "gateway: entries that went" "peers' words are not heard" main/gateway_fleet.cpp "_endpoints.mark_gone(endpoint, p_vm);" "" gateway_test
+mutate "gateway: entries that went" "peers' words are not heard" main/gateway_fleet.cpp "_endpoints.mark_gone(endpoint, p_vm);" "" gateway_fleet_test
 mutate "gateway: outage of the store" "missing entries are dropped at once" servers/gateway/endpoint_directory.cpp "if (_is_after_outage(p_now) && !found->second.listing.leaving)" "if (false)" gateway_state_test
 mutate "gateway: versions" "an older configuration replaces a newer one" main/configuration_follower.cpp "if (offered->version <= get_version())" "if (false)" gateway_test
 mutate "gateway: retry budget" "it is not spent" servers/gateway/retry_window.cpp "_get_bucket(p_bounds, p_now).repeats += 1.0;" "" gateway_state_test
 mutate "gateway: named endpoint" "a send does not say whom it is for" platform/request_codec.cpp "add_header(text, ENDPOINT, p_send.endpoint);" "" gateway_test
-mutate "gateway: planned stop" "the loop ends while requests run" main/gateway.cpp "const bool is_over = since >= grace - STOP_MARGIN;" "const bool is_over = true;" gateway_test
+mutate "gateway: planned stop" "the loop ends while requests run" main/gateway.cpp "const bool is_over = since >= grace - STOP_MARGIN;" "const bool is_over = true;" gateway_fleet_test
 mutate "gateway: pause" "a node that stood still goes on with what was handed to it" main/stage_dispatcher.cpp "_forget_after_pause();
 	}
 	_ticked_at" "}
-	_ticked_at" gateway_test
-mutate "gateway: lost dispatcher" "its work is not handed to another" main/stage_dispatcher.cpp "_assign(id, p_vm);" "" gateway_test
+	_ticked_at" gateway_fleet_test
+mutate "gateway: lost dispatcher" "its work is not handed to another" main/stage_dispatcher.cpp "_assign(id, p_vm);" "" gateway_fleet_test
 exit "$status"
--- /dev/null
+++ b/tests/main/gateway_fleet_test.cpp
@@ -0,0 +1,270 @@
+/*
+ * calicoscale: gateway_fleet_test.cpp
+ * Gateways among each other, with the store away, and at their planned stop.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/main/gateway_fixture.h"
+
+namespace calicoscale {
+
+namespace {
+
+class gateway_fleet_test : public gateway_fixture {};
+
+} // namespace
+
+TEST_F(gateway_fleet_test, pieces_of_two_nodes_meet_in_one_dispatcher) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	standin_replica &search = add_replica("search");
+	gateway &one = start_ready();
+	gateway &two = start_ready();
+	std::vector<std::shared_ptr<caller_result>> results;
+	for (int i = 0; i < 12; i++) {
+		results.push_back(send(i % 2 == 0 ? one : two, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n"));
+	}
+	run_until([&results] { return std::all_of(results.begin(), results.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
+	for (const std::shared_ptr<caller_result> &result : results) {
+		EXPECT_EQ(result->body, WHOLE_STREAM);
+	}
+	EXPECT_EQ(encode.stage_items.size(), 12U);
+	EXPECT_EQ(search.stage_items.size(), 12U);
+	EXPECT_LT(encode.stage_calls, 12U);
+}
+
+TEST_F(gateway_fleet_test, work_handed_to_a_node_that_dies_is_done_all_the_same) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	add_replica("search");
+	gateway &one = start_ready();
+	start_ready();
+	start_ready();
+	ask(one, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	wait(milliseconds(600));
+	encode.hold_stages = true;
+	std::vector<std::shared_ptr<caller_result>> results;
+	for (int i = 0; i < 6; i++) {
+		results.push_back(send(one, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n"));
+	}
+	run_until([&encode] { return encode.get_held_stages() > 0; });
+	_gateways.pop_back();
+	_gateways.pop_back();
+	wait(milliseconds(100));
+	encode.run_held_stages();
+	run_until([&results] { return std::all_of(results.begin(), results.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
+	for (const std::shared_ptr<caller_result> &result : results) {
+		EXPECT_EQ(result->body, WHOLE_STREAM);
+	}
+}
+
+TEST_F(gateway_fleet_test, what_a_stopping_node_handed_over_comes_back_to_it) {
+	// One of the two dispatches the pool, so that each is once the one that stops and has handed work to the other.
+	for (const std::size_t stopping : { 0U, 1U }) {
+		_gateways.clear();
+		configure(1 + static_cast<int>(stopping));
+		add_replica("llm");
+		standin_replica &encode = add_replica("encode");
+		standin_replica &search = add_replica("search");
+		encode.hold_stages = true;
+		start_ready();
+		start_ready();
+		wait(milliseconds(600));
+		std::vector<std::shared_ptr<caller_result>> results;
+		for (int i = 0; i < 4; i++) {
+			results.push_back(send(*_gateways[stopping], "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n"));
+		}
+		run_until([&encode] { return encode.get_held_stages() > 0; });
+		_gateways[stopping]->stop();
+		EXPECT_EQ(ask_ready(*_gateways[stopping]), 503);
+		wait(milliseconds(600));
+		encode.run_held_stages();
+		run_until([&results] { return std::all_of(results.begin(), results.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
+		for (const std::shared_ptr<caller_result> &result : results) {
+			EXPECT_EQ(result->body, WHOLE_STREAM) << "node " << stopping << " stopped";
+		}
+		EXPECT_EQ(encode.stage_items.size(), 4U) << "nothing was made twice";
+		EXPECT_EQ(search.stage_items.size(), 4U);
+		for (standin_replica &replica : _replicas) {
+			_store.drop(ENDPOINT_TOPIC, replica.get_name());
+		}
+	}
+}
+
+TEST_F(gateway_fleet_test, the_larger_nodes_dispatch_and_the_others_when_none_is_left) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	add_replica("search");
+	_cores = 0.12;
+	gateway &small = start_ready();
+	start_ready();
+	start_ready();
+	_cores = 0.5;
+	gateway &large = start_ready();
+	wait(milliseconds(600));
+	encode.hold_stages = true;
+	const std::shared_ptr<caller_result> first = send(small, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	run_until([&encode] { return encode.get_held_stages() > 0; });
+	EXPECT_EQ(large.get_handed_work(), 1U) << "whatever the hash of the names says";
+	_gateways.pop_back();
+	wait(milliseconds(100));
+	encode.run_held_stages();
+	run_until([&first] { return first->end.has_value(); });
+	EXPECT_EQ(first->body, WHOLE_STREAM);
+}
+
+TEST_F(gateway_fleet_test, results_of_a_node_that_dies_are_released_before_their_time_to_live) {
+	configure(1);
+	standin_replica &engine = add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	standin_replica &search = add_replica("search");
+	engine.mode = replica_mode::HOLD;
+	for (int i = 0; i < 3; i++) {
+		start_ready();
+	}
+	wait(milliseconds(600));
+	for (const std::unique_ptr<gateway> &entry : _gateways) {
+		send(*entry, "/stream/staged/x", "key-1", "X-Segments: 2,2\r\nX-Segment-Key: k\r\n");
+	}
+	run_until([&engine] { return engine.runs.size() == 3; });
+	// Each request holds the results of its last stage.
+	run_until([&encode, &search] { return encode.results.size() + search.results.size() == 6U; });
+	_gateways.pop_back();
+	run_until([&encode, &search] { return encode.results.size() + search.results.size() == 4U; });
+}
+
+TEST_F(gateway_fleet_test, a_node_that_starts_while_the_store_is_away_learns_from_its_peers) {
+	configure(3);
+	standin_replica &replica = add_replica("llm");
+	start_ready();
+	_store.set_away(true);
+	gateway &late = start_ready();
+	EXPECT_EQ(ask(late, "/once/")->head.status, 200);
+	EXPECT_EQ(replica.runs.size(), 1U);
+}
+
+TEST_F(gateway_fleet_test, endpoints_that_lapsed_while_the_store_was_away_stay_in_use) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	_store.set_away(true);
+	wait(milliseconds(3200));
+	EXPECT_EQ(ask(entry, "/once/")->head.status, 200);
+	_store.drop(ENDPOINT_TOPIC, replica.get_name());
+	_store.set_away(false);
+	const std::size_t calls = _store.get_calls();
+	run_until([this, calls] { return _store.get_calls() >= calls + 4; });
+	EXPECT_EQ(ask(entry, "/once/")->head.status, 200);
+	run_until([this, &entry] { return ask(entry, "/once/")->head.status == 503; });
+}
+
+TEST_F(gateway_fleet_test, a_node_that_the_store_turns_away_learns_from_its_peers_what_went) {
+	standin_store turning_away(_loop);
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	turning_away.put(CONFIGURATION_TOPIC, "config", make_configuration(1).dump());
+	turning_away.put(ENDPOINT_TOPIC, replica.get_name(), replica.get_entry("llm"));
+	start_ready();
+	gateway &apart = start_ready(turning_away);
+	turning_away.set_away(true);
+	EXPECT_EQ(ask(apart, "/once/")->head.status, 200);
+	_store.drop(ENDPOINT_TOPIC, replica.get_name());
+	run_until([this, &apart] { return ask(apart, "/once/")->head.status == 503; });
+}
+
+TEST_F(gateway_fleet_test, a_store_that_did_not_answer_is_read_again_beside_the_read_that_waits) {
+	configure(1);
+	add_replica("llm");
+	gateway &entry = start_ready();
+	const std::size_t calls = _store.get_calls();
+	_store.set_mute(true);
+	run_until([this, calls] { return _store.get_calls() > calls; });
+	_store.set_mute(false);
+	standin_replica &late = add_replica("llm");
+	run_until([this, &entry, &late] {
+		ask(entry, "/once/");
+		return !late.runs.empty();
+	});
+	EXPECT_GT(_store.count_unanswered(), 0U) << "the store may still answer the first read, so it is not given up yet";
+}
+
+TEST_F(gateway_fleet_test, history_that_is_gone_is_read_anew) {
+	configure(1);
+	standin_replica &old = add_replica("llm");
+	gateway &entry = start_ready();
+	_store.drop(ENDPOINT_TOPIC, old.get_name());
+	standin_replica &fresh = add_replica("llm");
+	_store.forget_history();
+	run_until([this, &entry, &fresh] { ask(entry, "/once/"); return !fresh.runs.empty(); });
+}
+
+TEST_F(gateway_fleet_test, a_planned_stop_cuts_nothing) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	replica.mode = replica_mode::HOLD;
+	const std::shared_ptr<caller_result> running = send(entry, "/once/");
+	run_until([&replica] { return replica.runs.size() == 1; });
+	entry.stop();
+	EXPECT_EQ(ask_ready(entry), 503);
+	replica.mode = replica_mode::ANSWER;
+	const std::shared_ptr<caller_result> late = ask(entry, "/once/");
+	EXPECT_EQ(late->head.status, 200) << "connections that the balancer still sends are served";
+	EXPECT_EQ(late->get("Connection"), "close");
+	run_until([&running] { return running->end.has_value(); });
+	EXPECT_EQ(running->head.status, 504) << "its own deadline ended it, not the stop";
+}
+
+TEST_F(gateway_fleet_test, a_stopping_node_serves_what_still_comes_while_something_runs) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	entry.stop();
+	wait(milliseconds(2000));
+	replica.mode = replica_mode::HOLD;
+	const std::shared_ptr<caller_result> running = send(entry, "/once/");
+	run_until([&replica] { return replica.runs.size() == 1; });
+	replica.mode = replica_mode::ANSWER;
+	wait(milliseconds(1200));
+	EXPECT_EQ(ask(entry, "/once/")->head.status, 200);
+	run_until([&running] { return running->end.has_value(); });
+}
+
+TEST_F(gateway_fleet_test, a_stopping_node_refuses_what_might_outlast_it) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	replica.mode = replica_mode::HOLD;
+	entry.stop();
+	wait(milliseconds(2000));
+	const std::shared_ptr<caller_result> running = send(entry, "/once/");
+	wait(milliseconds(1200));
+	replica.mode = replica_mode::ANSWER;
+	const std::shared_ptr<caller_result> late = send_lengthy(entry);
+	run_until([&late] { return late->end.has_value(); });
+	EXPECT_EQ(late->head.status, 503);
+	EXPECT_NE(late->get("Retry-After"), "");
+	EXPECT_EQ(replica.runs.size(), 1U) << "the refused request ran";
+	run_until([&running] { return running->end.has_value(); });
+}
+
+TEST_F(gateway_fleet_test, a_node_that_ends_answers_what_it_could_not_finish) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	replica.mode = replica_mode::HOLD;
+	entry.stop();
+	const std::shared_ptr<caller_result> running = send_lengthy(entry);
+	run_until([&running] { return running->end.has_value(); });
+	EXPECT_EQ(running->end, channel_end::COMPLETE);
+	EXPECT_EQ(running->head.status, 502) << "it may have run";
+	EXPECT_FALSE(entry.has_stopped()) << "it had all its grace";
+	run_until([&entry] { return entry.has_stopped(); });
+}
+
+} // namespace calicoscale
