Test that a silent store is read again while earlier reads are still open

Reading the change again raised the doubt that four open reads would stop further ones until all had timed out. They do not: the first has timed out (1.5 s) before the fifth is due (1.6 s). The test guards it; the code is as it was.

--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -193,6 +193,16 @@
 	EXPECT_GT(_store.count_unanswered(), 0U) << "the store may still answer the first read, so it is not given up yet";
 }
 
+TEST_F(gateway_fleet_test, a_store_that_stays_silent_is_read_again_and_again) {
+	configure(1);
+	add_replica("llm");
+	start_ready();
+	_store.set_mute(true);
+	const std::size_t calls = _store.get_calls();
+	run_until([this, calls] { return _store.get_calls() >= calls + 5; });
+	EXPECT_GT(_store.count_unanswered(), 1U) << "the next read does not wait until all before it have timed out";
+}
+
 TEST_F(gateway_fleet_test, history_that_is_gone_is_read_anew) {
 	configure(1);
 	standin_replica &old = add_replica("llm");
