--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -95,11 +95,6 @@
 	std::vector<std::string> handles; ///< One for each piece, when done.
 };
 
-/**
- * Queue of one stage pool and the standing of its replicas. A call goes out the moment a replica is free, so that work
- * that waits fills the next call. Orders by time left until the objective, corrected by priority; work that cannot be in
- * time any more goes behind all that can. Told the time with each call.
- */
 /** A result that somebody holds, as told to the pool. */
 struct held_result {
 	std::string handle;
@@ -107,6 +102,11 @@
 	double bytes = 0.0;
 };
 
+/**
+ * Queue of one stage pool and the standing of its replicas. A call goes out the moment a replica is free, so that work
+ * that waits fills the next call. Orders by time left until the objective, corrected by priority; work that cannot be in
+ * time any more goes behind all that can. Told the time with each call.
+ */
 class stage_pool {
 	enum class piece_state {
 		WAITING,
