Take a zone for cut off as soon as all its nodes and endpoints are silent

Cause: in the first seconds of a zone cut a third of the sends and calls went to endpoints behind it.

Change: zone_reach believes a zone cut off after 450 ms without a heartbeat of any of its nodes and without a byte of any of its endpoints; any byte ends the belief. Its endpoints are chosen only when no other is left, its replicas do not count as capacity, what they were asked for is made elsewhere at once, requests that may be repeated or resumed go on elsewhere, its nodes are lost. Nodes' silence is looked at each 50 ms. A process that stood still listens anew.

Ruled out: silence of nodes alone (killed nodes leave sound endpoints behind); a shorter silence for single nodes (slow ones).

With a silence of 450 s in place of 450 ms the new tests of zones fail.

--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -113,6 +113,7 @@
 		channel &self = *static_cast<channel *>(p_self);
 		if ((p_what & BEV_EVENT_CONNECTED) != 0) {
 			self._connected = true;
+			self._tell_heard();
 			bufferevent_set_timeouts(self._stream, nullptr, nullptr);
 			return;
 		}
@@ -140,6 +141,12 @@
 		_owner._finish(*this, is_whole ? channel_end::COMPLETE : channel_end::BROKEN, false);
 	}
 
+	void _tell_heard() {
+		if (_owner._on_heard && !_request.zone.empty()) {
+			_owner._on_heard(_request.zone);
+		}
+	}
+
 	bool _is_interim() const { return _reader.get_head().status / 100 == 1; }
 
 	void _on_head(const http_head &p_head) {
@@ -169,6 +176,9 @@
 			return;
 		}
 		evbuffer *input = bufferevent_get_input(_stream);
+		if (evbuffer_get_length(input) > 0) {
+			_tell_heard();
+		}
 		while (!_ended && evbuffer_get_length(input) > 0) {
 			const std::size_t size = evbuffer_get_contiguous_space(input);
 			const char *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -38,6 +38,7 @@
 struct channel_request {
 	std::string endpoint; ///< Connections are kept by this name, as an address may pass to another endpoint.
 	network_address to;
+	std::string zone; ///< Of the endpoint; empty when it is not known.
 	std::string bytes; ///< The whole request.
 	std::string echo_header; ///< Header by which the answer names its request; empty when answers do not.
 	std::string echo_value;
@@ -68,6 +69,7 @@
 	std::map<std::string, std::vector<std::unique_ptr<channel>>> _idle;
 	timer _sweep_timer;
 	exchange_id _next_id = 1;
+	std::function<void(const std::string &)> _on_heard;
 	std::uint64_t _opened = 0;
 	std::uint64_t _skipped_answers = 0;
 
@@ -88,6 +90,9 @@
 	/** Ends an exchange by closing its connection; its hooks are not called any more. */
 	void cancel(exchange_id p_id);
 
+	/** Sets what is told the zone of an endpoint of which bytes or a new connection came. */
+	void set_on_heard(std::function<void(const std::string &)> p_hook) { _on_heard = std::move(p_hook); }
+
 	/** Closes what is kept to an endpoint that is gone. */
 	void drop_idle(const std::string &p_endpoint);
 
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -65,6 +65,7 @@
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
 	_fleet.get_link().prompt_sent().connect([this](const std::string &, const prompt_sent_message &p_message) { _engine_caches.on_sent(p_message.engine, p_message.prompt, event_loop::now()); });
+	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_configuration.changed().connect([this] { _on_configuration(); });
 	_endpoints.changed().connect([this] { _on_endpoints(); });
 	router_settings engine_settings;
@@ -142,6 +143,12 @@
 	}
 }
 
+void gateway::_on_reach_changed(const std::set<std::string> &p_zones) {
+	_engines.set_unreached_zones(p_zones);
+	_services.set_unreached_zones(p_zones);
+	_for_each_request([&p_zones](gateway_request &p_request) { p_request.on_reach_changed(p_zones); });
+}
+
 void gateway::_refuse(caller_exchange &p_exchange, int p_status, reason p_reason) {
 	std::vector<http_header> headers;
 	if (p_status == http_status::UNAVAILABLE) {
@@ -315,19 +322,25 @@
 	}
 }
 
-void gateway::_answer_all() {
+void gateway::_for_each_request(const std::function<void(gateway_request &)> &p_hook) {
+	// A request may end in the hook, and is not in the map then.
 	std::vector<std::uint64_t> ids;
+	ids.reserve(_requests.size());
 	for (const auto &[id, request] : _requests) {
 		ids.push_back(id);
 	}
 	for (const std::uint64_t id : ids) {
 		const auto found = _requests.find(id);
 		if (found != _requests.end()) {
-			found->second->end_for_stop();
+			p_hook(*found->second);
 		}
 	}
 }
 
+void gateway::_answer_all() {
+	_for_each_request([](gateway_request &p_request) { p_request.end_for_stop(); });
+}
+
 void gateway::note_reload(const std::string &p_outcome) {
 	_context.log.write(log_line("settings_reloaded").add("outcome", p_outcome));
 }
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -11,6 +11,7 @@
 
 #include "main/gateway_request.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -57,6 +58,7 @@
 	bool _is_ready() const;
 	void _on_configuration();
 	void _on_endpoints();
+	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
 	void _settle();
@@ -70,6 +72,7 @@
 	void _tick();
 	void _enter(stop_phase p_phase, const char *p_name);
 	void _advance_stop();
+	void _for_each_request(const std::function<void(gateway_request &)> &p_hook);
 	void _answer_all();
 
 public:
--- a/main/gateway_context.cpp
+++ b/main/gateway_context.cpp
@@ -18,8 +18,10 @@
 		incarnation(static_cast<std::uint64_t>(event_loop::wall())),
 		random(hash_bytes(settings.vm, incarnation)),
 		channels(p_loop),
+		zones(settings.zone),
 		log(p_loop),
 		store(p_loop, channels, settings.store_address) {
+	channels.set_on_heard([this](const std::string &p_zone) { zones.on_endpoint_heard(p_zone, event_loop::now()); });
 }
 
 } // namespace calicoscale
--- a/main/gateway_context.h
+++ b/main/gateway_context.h
@@ -16,6 +16,7 @@
 #include "main/gateway_settings.h"
 #include "main/node_metrics.h"
 #include "platform/store_client.h"
+#include "servers/gateway/zone_reach.h"
 
 namespace calicoscale {
 
@@ -26,6 +27,7 @@
 	std::uint64_t incarnation;
 	random_source random;
 	endpoint_channels channels;
+	zone_reach zones;
 	event_log log;
 	store_client store;
 	node_metrics metrics;
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -17,6 +17,8 @@
 constexpr duration BEAT_INTERVAL = std::chrono::milliseconds(200);
 /** Three beats missed and some delay: work handed to such a node is handed to another one. */
 constexpr duration SILENCE = std::chrono::milliseconds(750);
+/** A cut-off zone is noticed within this after its silence is long enough. */
+constexpr duration WATCH_INTERVAL = std::chrono::milliseconds(50);
 /** A silent link is closed after this, so that a new one is tried. */
 constexpr duration DEAD_LINK = std::chrono::milliseconds(2500);
 /** A node that restarts is back in about a second; others should not wait much longer to reach it. */
@@ -44,7 +46,8 @@
 		_commitments(p_commitments),
 		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, LONGEST_BACK_OFF }),
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {}, p_context.settings.cores }),
-		_beat_timer(p_context.loop, [this] { _beat(); }) {
+		_beat_timer(p_context.loop, [this] { _beat(); }),
+		_watch_timer(p_context.loop, [this] { _watch(); }) {
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
 	_link.configuration_asked().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_asked(p_vm, p_have); });
 	_link.configuration_told().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
@@ -56,11 +59,33 @@
 
 void gateway_fleet::start() {
 	_beat();
+	_watch();
+}
+
+void gateway_fleet::_watch() {
+	const std::vector<zone_reach::change> changes = _context.zones.check(event_loop::now());
+	for (const zone_reach::change &change : changes) {
+		_context.log.write(log_line(change.is_reached ? "zone_reached" : "zone_cut_off").add("zone", change.zone));
+		if (change.is_reached) {
+			_unreached_zones.erase(change.zone);
+		} else {
+			_unreached_zones.insert(change.zone);
+		}
+	}
+	if (!changes.empty()) {
+		_note_changes();
+		_reach_changed.emit(_unreached_zones);
+	}
+	_watch_timer.set(WATCH_INTERVAL);
 }
 
 bool gateway_fleet::_is_heard(const std::string &p_vm, instant p_now) const {
 	const auto heard = _heard_at.find(p_vm);
-	return heard != _heard_at.end() && p_now - heard->second < SILENCE && _link.is_linked(p_vm);
+	if (heard == _heard_at.end() || p_now - heard->second >= SILENCE || !_link.is_linked(p_vm)) {
+		return false;
+	}
+	const member *peer = _members.find(p_vm);
+	return peer == nullptr || _context.zones.is_reached(peer->digest.zone, p_now);
 }
 
 std::vector<std::string> gateway_fleet::get_live_nodes() const {
@@ -265,6 +290,7 @@
 	}
 	const member *peer = _members.find(p_vm);
 	if (peer != nullptr) {
+		_context.zones.on_node_heard(peer->digest.zone, now);
 		_help_unready(peer->digest, now);
 	}
 	if (peer == nullptr || peer->digest.configuration_version <= _configuration.get_version()) {
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,7 @@
 	std::deque<recent_mark> _marks; ///< Endpoints that leave.
 	std::deque<recent_mark> _gone; ///< Endpoints whose entry went.
 	timer _beat_timer;
+	timer _watch_timer;
 	int _beats = 0;
 	bool _ready = false;
 	bool _leaving = false;
@@ -49,8 +51,11 @@
 	std::map<std::string, instant> _told_endpoints_at; ///< By node.
 	std::function<std::vector<pool_capacity>()> _get_capacities;
 	sigc::signal<void(const std::string &)> _peer_lost;
+	sigc::signal<void(const std::set<std::string> &)> _reach_changed;
+	std::set<std::string> _unreached_zones;
 
 	void _beat();
+	void _watch();
 	heartbeat_message _make_heartbeat(bool p_with_rumours);
 	void _send_heartbeats();
 	void _dial();
@@ -95,6 +100,12 @@
 	node_link &get_link() { return _link; }
 	const std::string &get_vm() const { return _context.settings.vm; }
 
+	/** Zones that are cut off from this node. */
+	const std::set<std::string> &get_unreached_zones() const { return _unreached_zones; }
+
+	/** Emitted with the zones that are cut off from this node, when they change. */
+	sigc::signal<void(const std::set<std::string> &)> &reach_changed() { return _reach_changed; }
+
 	/** Emitted when a node fell silent; one that stops is not lost before. */
 	sigc::signal<void(const std::string &)> &peer_lost() { return _peer_lost; }
 };
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -147,6 +147,17 @@
 	return is_safe && _runs < route.most_endpoints;
 }
 
+bool gateway_request::_may_resume() const {
+	const bool can_go_on = _request.route->is_resumable && !_events.get_last_id().empty() && _resumes < MOST_RESUMES;
+	return can_go_on && _runs < std::max(_request.route->most_endpoints, 1);
+}
+
+bool gateway_request::_may_go_on_elsewhere() const {
+	const bool has_begun = _answer_started || !_events.get_last_id().empty();
+	// The run that is broken off counts as one.
+	return _runs + 1 < _request.route->most_endpoints && (has_begun ? _may_resume() : _may_repeat_run());
+}
+
 bool gateway_request::_try_repeat_budget() {
 	return _services.repeats[_request.service].try_repeat(_services.context.settings.retries, _services.fleet.get_live_count(), event_loop::now());
 }
@@ -319,6 +330,7 @@
 	channel_request request;
 	request.endpoint = endpoint.listing.vm;
 	request.to = endpoint.listing.address;
+	request.zone = endpoint.listing.zone;
 	request.bytes = write_endpoint_request(_request.exchange->head, _request.exchange->body, send);
 	request.echo_header = std::string(get_echo_header());
 	request.echo_value = _request.facts.attempt;
@@ -438,8 +450,7 @@
 }
 
 bool gateway_request::_resume() {
-	const bool can_go_on = _request.route->is_resumable && !_events.get_last_id().empty() && _resumes < MOST_RESUMES;
-	if (!can_go_on || _runs >= std::max(_request.route->most_endpoints, 1) || !_try_repeat_budget()) {
+	if (!_may_resume() || !_try_repeat_budget()) {
 		return false;
 	}
 	_resumes++;
@@ -556,6 +567,15 @@
 	_refuse(p_reason, SHORT_RETRY_AFTER);
 }
 
+void gateway_request::on_reach_changed(const std::set<std::string> &p_unreached_zones) {
+	const endpoint_state *endpoint = _exchange == 0 ? nullptr : _get_router().find(_endpoint);
+	if (endpoint == nullptr || !p_unreached_zones.contains(endpoint->listing.zone) || !_may_go_on_elsewhere()) {
+		return;
+	}
+	_services.context.channels.cancel(_exchange);
+	_on_end_of_answer(channel_end::BROKEN);
+}
+
 void gateway_request::end_for_stop() {
 	if (!_answer_started) {
 		_give_up(reason::DRAINING);
--- a/main/gateway_request.h
+++ b/main/gateway_request.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -113,6 +114,9 @@
 	bool _is_engine() const;
 	router &_get_router() const;
 	bool _may_repeat_run() const;
+	bool _may_resume() const;
+	/** Whether the request may be sent to another endpoint although its run did not end. */
+	bool _may_go_on_elsewhere() const;
 	bool _try_repeat_budget();
 	std::optional<endpoint_id> _choose_endpoint(const std::string &p_zone);
 	std::vector<prompt_link> _make_prompt_links() const;
@@ -152,6 +156,9 @@
 	/** Begins the work. */
 	void start();
 
+	/** Zones that are cut off: a request whose answer was to come from there is sent elsewhere if it may be. */
+	void on_reach_changed(const std::set<std::string> &p_unreached_zones);
+
 	/** The node ends in a moment: a request whose answer has not begun gets its final one now. */
 	void end_for_stop();
 };
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -84,6 +84,7 @@
 		_release(_pools[p_message.pool], p_message.handles);
 	});
 	link.results_told().connect([this](const std::string &p_vm, const tell_results_message &p_message) { _on_results_told(p_vm, p_message); });
+	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_fleet.peer_lost().connect([this](const std::string &p_vm) { _on_peer_lost(p_vm); });
 }
 
@@ -110,7 +111,7 @@
 			pool.set_replicas(by_pool[name]);
 		}
 	}
-	_pump_soon();
+	_on_reach_changed(_fleet.get_unreached_zones());
 }
 
 std::string stage_dispatcher::_choose_node(const std::string &p_pool, const std::string &p_except) const {
@@ -319,6 +320,14 @@
 	}
 }
 
+void stage_dispatcher::_on_reach_changed(const std::set<std::string> &p_zones) {
+	const instant now = event_loop::now();
+	for (auto &[name, entry] : _pools) {
+		entry.pool.set_unreached_zones(p_zones, [this, &repeats = entry.repeats, now] { return repeats.try_repeat(_context.settings.retries, 1, now); });
+	}
+	_pump_soon();
+}
+
 void stage_dispatcher::_pump_soon() {
 	if (_pump_posted) {
 		return;
@@ -356,6 +365,7 @@
 	channel_request request;
 	request.endpoint = p_call.replica;
 	request.to = p_call.to;
+	request.zone = p_call.zone;
 	request.bytes = write_stage_call(p_call.replica, p_call.to, items);
 	request.longest_idle = REPLICA_IDLE;
 	request.connect_timeout = CONNECT_TIMEOUT;
--- a/main/stage_dispatcher.h
+++ b/main/stage_dispatcher.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -93,6 +94,7 @@
 	void _tell_held(const std::string &p_pool, std::map<std::string, own_result> &r_held);
 	void _on_results_told(const std::string &p_owner, const tell_results_message &p_message);
 	void _release_of_lost();
+	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_peer_lost(const std::string &p_vm);
 	void _on_work_handed(const std::string &p_vm, const hand_work_message &p_message);
 
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -83,6 +83,34 @@
 	std::erase_if(_replicas, [](const auto &p_entry) { return !p_entry.second.listed && p_entry.second.calls == 0; });
 }
 
+bool stage_pool::_is_reached(const replica_state &p_replica) const {
+	return !_unreached_zones.contains(p_replica.listing.zone);
+}
+
+void stage_pool::_make_again(running_call &r_call, const std::function<bool()> &p_may_repeat) {
+	r_call.repeated = true;
+	if (!p_may_repeat()) {
+		return;
+	}
+	for (const stage_item &item : r_call.items) {
+		_put_back(item, true);
+	}
+}
+
+void stage_pool::set_unreached_zones(const std::set<std::string> &p_zones, const std::function<bool()> &p_may_repeat) {
+	_unreached_zones = p_zones;
+	const bool is_any_left = std::any_of(_replicas.begin(), _replicas.end(), [this](const auto &p_entry) { return p_entry.second.listed && _is_reached(p_entry.second); });
+	if (!is_any_left) {
+		_unreached_zones.clear();
+	}
+	for (auto &[id, call] : _calls) {
+		const auto replica = _replicas.find(call.replica);
+		if (!call.repeated && replica != _replicas.end() && !_is_reached(replica->second)) {
+			_make_again(call, p_may_repeat);
+		}
+	}
+}
+
 void stage_pool::add(work_id p_id, stage_work p_work, instant p_now) {
 	queued_work entry;
 	entry.states.assign(p_work.pieces, piece_state::WAITING);
@@ -249,7 +277,7 @@
 	duration best_finish = duration::max();
 	const double bytes = static_cast<double>(p_work.work.result_bytes);
 	for (auto &[id, replica] : _replicas) {
-		if (!replica.listed || p_now < replica.blocked_until || !_has_room(replica, bytes, p_now)) {
+		if (!replica.listed || !_is_reached(replica) || p_now < replica.blocked_until || !_has_room(replica, bytes, p_now)) {
 			continue;
 		}
 		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * _get_slowness(replica, p_now)));
@@ -314,6 +342,7 @@
 		call.id = _next_call++;
 		call.replica = replica->listing.vm;
 		call.to = replica->listing.address;
+		call.zone = replica->listing.zone;
 		_fill(call, *replica, p_now);
 		if (call.items.empty()) {
 			continue;
@@ -472,19 +501,13 @@
 		if (call.repeated || p_now - call.started_at < allowed) {
 			continue;
 		}
-		call.repeated = true;
 		const auto replica = _replicas.find(call.replica);
 		if (replica != _replicas.end()) {
 			replica->second.slowness = std::max(_get_slowness(replica->second, p_now), OVERRUN_FACTOR + 1.0);
 			replica->second.slowness_at = p_now;
 			replica->second.free_at = p_now + call.expected;
 		}
-		if (!p_may_repeat()) {
-			continue;
-		}
-		for (const stage_item &item : call.items) {
-			_put_back(item, true);
-		}
+		_make_again(call, p_may_repeat);
 	}
 	std::vector<std::string> expired;
 	for (const auto &[handle, result] : _results) {
@@ -553,7 +576,7 @@
 	double capacity = 0.0;
 	for (const auto &[id, replica] : _replicas) {
 		const bool is_failing = replica.failures > 0 && p_now < replica.blocked_until;
-		if (replica.listed && !is_failing) {
+		if (replica.listed && !is_failing && _is_reached(replica)) {
 			capacity += static_cast<double>(_spec.slots) / std::max(1.0, _get_slowness(replica, p_now));
 		}
 	}
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -51,6 +51,7 @@
 	std::uint64_t id = 0;
 	std::string replica;
 	network_address to;
+	std::string zone; ///< Of the replica.
 	std::vector<stage_item> items;
 };
 
@@ -158,6 +159,7 @@
 
 	stage_pool_spec _spec;
 	std::map<std::string, replica_state> _replicas;
+	std::set<std::string> _unreached_zones;
 	std::map<work_id, queued_work> _works;
 	std::map<std::uint64_t, running_call> _calls;
 	std::map<std::string, kept_result> _results;
@@ -178,6 +180,8 @@
 	duration _get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const;
 	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now);
 	duration _get_expected(std::size_t p_items) const;
+	bool _is_reached(const replica_state &p_replica) const;
+	void _make_again(running_call &r_call, const std::function<bool()> &p_may_repeat);
 	bool _has_room(const replica_state &p_replica, double p_bytes, instant p_now) const;
 	void _learn_room(replica_state &p_replica, const running_call &p_call, const std::vector<item_result> &p_items, instant p_now);
 	void _keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now);
@@ -197,6 +201,13 @@
 	/** Takes the pool's replicas that may get work; others get none from now on. */
 	void set_replicas(const std::vector<endpoint_listing> &p_replicas);
 
+	/**
+	 * Takes the zones that are cut off: their replicas get calls only when no other is left, and what they were asked for
+	 * is made elsewhere at once. An answer that comes all the same counts.
+	 * @param p_may_repeat takes the right to repeat a call.
+	 */
+	void set_unreached_zones(const std::set<std::string> &p_zones, const std::function<bool()> &p_may_repeat);
+
 	/** Queues work under an id that the caller made. */
 	void add(work_id p_id, stage_work p_work, instant p_now);
 
--- /dev/null
+++ b/servers/gateway/zone_reach.cpp
@@ -0,0 +1,59 @@
+/*
+ * calicoscale: zone_reach.cpp
+ * Which availability zones this node reaches just now.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/zone_reach.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+/** Two heartbeats of all nodes of a zone missed, and some delay. */
+constexpr duration ZONE_SILENCE = std::chrono::milliseconds(450);
+/** A longer gap between checks means that this process stood still and heard nobody. */
+constexpr duration PAUSE = std::chrono::milliseconds(250);
+
+} // namespace
+
+bool zone_reach::_is_silent(const zone_state &p_state, instant p_now) {
+	const instant heard_at = std::max(p_state.node_heard_at, p_state.endpoint_heard_at);
+	return p_state.node_heard_at != instant{} && p_now - heard_at >= ZONE_SILENCE;
+}
+
+void zone_reach::on_node_heard(const std::string &p_zone, instant p_now) {
+	_zones[p_zone].node_heard_at = p_now;
+}
+
+void zone_reach::on_endpoint_heard(const std::string &p_zone, instant p_now) {
+	_zones[p_zone].endpoint_heard_at = p_now;
+}
+
+bool zone_reach::is_reached(const std::string &p_zone, instant p_now) const {
+	const auto found = _zones.find(p_zone);
+	return p_zone == _own_zone || found == _zones.end() || !_is_silent(found->second, p_now);
+}
+
+std::vector<zone_reach::change> zone_reach::check(instant p_now) {
+	const bool was_paused = _checked_at != instant{} && p_now - _checked_at > PAUSE;
+	_checked_at = p_now;
+	std::vector<change> changes;
+	for (auto &[zone, state] : _zones) {
+		if (was_paused && state.was_reached && state.node_heard_at != instant{}) {
+			state.node_heard_at = p_now;
+		}
+		const bool is_reached_now = is_reached(zone, p_now);
+		if (is_reached_now != state.was_reached) {
+			state.was_reached = is_reached_now;
+			changes.push_back(change{ zone, is_reached_now });
+		}
+	}
+	return changes;
+}
+
+} // namespace calicoscale
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -204,7 +204,7 @@
 }
 
 bool router::_may_try(const endpoint_state &p_endpoint, instant p_now) const {
-	if (!p_endpoint.is_open()) {
+	if (!p_endpoint.is_open() || _unreached_zones.contains(p_endpoint.listing.zone)) {
 		return false;
 	}
 	if (!p_endpoint.ejected) {
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -87,6 +88,8 @@
 	void _forget_idle();
 	bool _is_drained(const endpoint_state &p_endpoint) const;
 	endpoint_group &_get_group(const choice_request &p_request);
+	std::set<std::string> _unreached_zones;
+
 	bool _may_try(const endpoint_state &p_endpoint, instant p_now) const;
 	endpoint_state *_choose_by_affinity(const endpoint_group &p_group, const choice_request &p_request, instant p_now);
 	endpoint_state *_choose_by_policy(endpoint_group &r_group, const std::function<bool(const endpoint_state &)> &p_usable, instant p_now);
@@ -106,6 +109,9 @@
 	/** Puts new settings in force. */
 	void set_settings(router_settings p_settings);
 
+	/** Zones whose endpoints are chosen only when no other is left. */
+	void set_unreached_zones(std::set<std::string> p_zones) { _unreached_zones = std::move(p_zones); }
+
 	/** Replaces the list. Endpoints gone from it get no new work; their attempts go on. */
 	void set_listings(const std::vector<endpoint_listing> &p_listings);
 
--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -76,6 +76,7 @@
 	std::unique_ptr<endpoint_channels> _callers;
 	int _next_attempt = 1;
 	double _cores = 1.0; ///< Of the gateways started from now on.
+	std::string _zone = "a"; ///< Of the gateways started from now on.
 
 	void SetUp() override { _callers = std::make_unique<endpoint_channels>(_loop); }
 
@@ -95,8 +96,9 @@
 		run_until([until] { return event_loop::now() > until; });
 	}
 
-	standin_replica &add_replica(const std::string &p_service) {
+	standin_replica &add_replica(const std::string &p_service, const std::string &p_zone = "a") {
 		_replicas.emplace_back(_loop, "i-" + std::to_string(_replicas.size()));
+		_replicas.back().zone = p_zone;
 		_store.put(ENDPOINT_TOPIC, _replicas.back().get_name(), _replicas.back().get_entry(p_service));
 		return _replicas.back();
 	}
@@ -108,7 +110,7 @@
 	gateway &start_gateway(const standin_store &p_store) {
 		gateway_settings settings;
 		settings.vm = "n" + std::to_string(_gateways.size());
-		settings.zone = "a";
+		settings.zone = _zone;
 		for (network_address *address : { &settings.caller_address, &settings.readiness_address, &settings.link_address }) {
 			*address = network_address{ "127.0.0.1", 0 };
 		}
--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -62,6 +62,26 @@
 	}
 }
 
+TEST_F(gateway_fleet_test, a_request_at_an_endpoint_of_a_zone_that_falls_silent_goes_elsewhere_at_once) {
+	configure(1);
+	standin_replica &far = add_replica("llm", "b");
+	gateway &one = start_ready();
+	_zone = "b";
+	start_ready();
+	wait(milliseconds(600));
+	far.mode = replica_mode::HOLD;
+	const std::shared_ptr<caller_result> result = send(one, "/stream/again/x");
+	run_until([&far] { return far.runs.size() == 1U; });
+	standin_replica &near = add_replica("llm", "a");
+	wait(milliseconds(1300));
+	EXPECT_FALSE(result->end) << "the endpoint is only slow as long as a node of its zone is heard";
+	_gateways.pop_back();
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->body, WHOLE_STREAM);
+	EXPECT_EQ(near.runs.size(), 1U);
+	EXPECT_TRUE(far.is_held_gone());
+}
+
 TEST_F(gateway_fleet_test, what_a_stopping_node_handed_over_comes_back_to_it) {
 	// One of the two dispatches the pool, so that each is once the one that stops and has handed work to the other.
 	for (const std::size_t stopping : { 0U, 1U }) {
--- a/tests/servers/gateway/stage_pool_test.cpp
+++ b/tests/servers/gateway/stage_pool_test.cpp
@@ -135,6 +135,34 @@
 	EXPECT_EQ(take_call(milliseconds(1900)).items.front().work, 1U);
 }
 
+TEST_F(stage_pool_test, calls_to_a_zone_that_is_cut_off_are_made_elsewhere_at_once_and_an_answer_counts_all_the_same) {
+	_pool.set_replicas({ make_replica("e1", "a"), make_replica("e2", "b") });
+	_pool.add(1, make_work(8, at(milliseconds(2000))), at(milliseconds(0)));
+	_pool.add(2, make_work(8, at(milliseconds(2100))), at(milliseconds(0)));
+	std::map<std::string, stage_call> calls;
+	for (int i = 0; i < 2; i++) {
+		const stage_call call = take_call(milliseconds(0));
+		calls[call.replica] = call;
+	}
+	ASSERT_EQ(calls.size(), 2U);
+	EXPECT_DOUBLE_EQ(_pool.get_capacity(at(milliseconds(1))), 2.0);
+	_pool.set_unreached_zones({ "b" }, MAY_REPEAT);
+	EXPECT_DOUBLE_EQ(_pool.get_capacity(at(milliseconds(1))), 1.0);
+	_pool.on_call_ended(calls.at("e1").id, call_end::ANSWERED, make_results(calls.at("e1"), "e1:1"), at(milliseconds(230)));
+	const stage_call again = take_call(milliseconds(230));
+	EXPECT_EQ(again.replica, "e1");
+	EXPECT_EQ(again.items.front().work, calls.at("e2").items.front().work);
+	_pool.on_call_ended(calls.at("e2").id, call_end::ANSWERED, make_results(calls.at("e2"), "e2:1"), at(milliseconds(240)));
+	EXPECT_EQ(_pool.take_ended().size(), 2U);
+	EXPECT_EQ(_pool.get_work_count(), 0U);
+}
+
+TEST_F(stage_pool_test, with_all_zones_cut_off_any_replica_is_tried) {
+	_pool.set_unreached_zones({ "a" }, MAY_REPEAT);
+	_pool.add(1, make_work(1, at(milliseconds(2000))), at(milliseconds(0)));
+	EXPECT_EQ(take_call(milliseconds(0)).replica, "e1");
+}
+
 TEST_F(stage_pool_test, a_call_far_over_its_time_is_made_anew_elsewhere_and_the_first_answer_counts) {
 	_pool.set_replicas({ make_replica("e1"), make_replica("e2") });
 	_pool.add(1, make_work(1, at(milliseconds(2000))), at(milliseconds(0)));
--- a/tests/servers/routing_test.cpp
+++ b/tests/servers/routing_test.cpp
@@ -289,6 +289,19 @@
 	EXPECT_EQ(table.find(*table.choose(make_request(), at(0)))->listing.zone, "z2");
 }
 
+TEST(router, endpoints_of_a_zone_that_is_cut_off_are_chosen_only_when_no_other_is_left) {
+	router table("z1", 1);
+	table.set_listings(make_pool(4, { "z1", "z2" }));
+	table.set_unreached_zones({ "z1" });
+	EXPECT_EQ(table.find(*table.choose(make_request(), at(0)))->listing.zone, "z2");
+	EXPECT_EQ(table.get_usable("pool", {}, at(0)).size(), 2U);
+	table.set_unreached_zones({ "z1", "z2" });
+	EXPECT_TRUE(table.choose(make_request(), at(0)));
+	EXPECT_EQ(table.get_usable("pool", {}, at(0)).size(), 4U);
+	table.set_unreached_zones({});
+	EXPECT_EQ(table.find(*table.choose(make_request(), at(0)))->listing.zone, "z1");
+}
+
 TEST(router, selector_and_drain_bound_the_choice) {
 	router table("z1", 1);
 	table.set_listings(make_pool(4));
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -29,7 +29,7 @@
 }
 
 std::string standin_replica::get_entry(const std::string &p_service, bool p_leaving) const {
-	return json{ { "service", p_service }, { "address", to_string(get_address()) }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", p_leaving ? "draining" : "ready" }, { "seq_no", 1 } }.dump();
+	return json{ { "service", p_service }, { "address", to_string(get_address()) }, { "zone", zone }, { "version", "v1" }, { "slots", 4 }, { "state", p_leaving ? "draining" : "ready" }, { "seq_no", 1 } }.dump();
 }
 
 bool standin_replica::is_held_gone() const {
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -57,6 +57,7 @@
 
 public:
 	replica_mode mode = replica_mode::ANSWER;
+	std::string zone = "a";
 	std::vector<seen_request> runs; ///< Requests it began to work on.
 	std::size_t stage_calls = 0;
 	std::vector<std::string> stage_items; ///< "attempt.stage.piece" of each piece made.
