Take a peer that does not tell when it beats for one that beats often

Cause, found by reading the change: a node of a version before sends no time to its next heartbeat; zero would have been taken for a silence of 0.15 s, so that nodes of two versions would have lost each other during an upgrade. What is told is bounded as well. The new test fails without the change. Nodes of one version behave as before.

--- a/servers/membership/peer_contacts.cpp
+++ b/servers/membership/peer_contacts.cpp
@@ -8,6 +8,8 @@
 
 #include "servers/membership/peer_contacts.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
@@ -43,7 +45,8 @@
 void peer_contacts::on_heard(const std::string &p_peer, duration p_next_in, instant p_now) {
 	contact &entry = _contacts[p_peer];
 	entry.heard_at = p_now;
-	entry.next_in = p_next_in;
+	// A node of a version that does not tell beats as often as any; what is told is bounded, as it decides on its own loss.
+	entry.next_in = std::clamp(p_next_in, BEAT_INTERVAL, SMALL_BEAT_INTERVAL);
 }
 
 bool peer_contacts::is_heard(const std::string &p_peer, instant p_now) const {
--- a/servers/membership/peer_contacts.h
+++ b/servers/membership/peer_contacts.h
@@ -55,7 +55,7 @@
 	/** Between heartbeats to a peer. @param p_is_close one of the two dispatches pools. */
 	static duration get_interval(bool p_is_close);
 
-	/** A heartbeat came, and the next will after a time. */
+	/** A heartbeat came, and the next will after a time; zero when the peer did not tell. */
 	void on_heard(const std::string &p_peer, duration p_next_in, instant p_now);
 
 	/** Whether a peer was heard just now, given how often it beats. */
--- a/tests/servers/peer_contacts_test.cpp
+++ b/tests/servers/peer_contacts_test.cpp
@@ -80,6 +80,14 @@
 	EXPECT_TRUE(contacts.on_sent("n", at(21000)).empty());
 }
 
+TEST(peer_contacts, a_peer_that_does_not_tell_when_it_beats_counts_as_one_that_beats_often) {
+	peer_contacts contacts;
+	contacts.on_heard("of an older version", duration::zero(), at(0));
+	contacts.on_heard("absurd", std::chrono::hours(1), at(0));
+	EXPECT_TRUE(contacts.is_heard("of an older version", at(740)));
+	EXPECT_FALSE(contacts.is_heard("absurd", at(3150)));
+}
+
 TEST(peer_contacts, a_peer_is_lost_after_three_of_its_own_beats) {
 	peer_contacts contacts;
 	EXPECT_FALSE(contacts.is_heard("n", at(0)));
