Let a stand-in that is shut keep its port

A stand-in that refuses closes its listening socket and listens at the same port again later; meanwhile the port was free, and another test of the same run got it. Ruled out: the product, whose nodes had started and were ready; no promise of the test was reached.

Change: while shut, the stand-in holds its port bound without listening, so that callers are refused and nobody else gets it.

--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -22,6 +22,9 @@
 	network_address _address;
 	std::function<void(std::unique_ptr<http_exchange>)> _handler;
 	std::unique_ptr<http_server> _server;
+	std::unique_ptr<int, std::function<void(int *)>> _port_holder; ///< Bound and not listening while shut, so that nobody else gets the port.
+
+	void _hold_port();
 
 public:
 	standin_server(event_loop &p_loop, const network_address &p_address, std::function<void(std::unique_ptr<http_exchange>)> p_handler);
