Tell the age of configuration reads and how long the version in force is unconfirmed

The record of an incident could not tell a dead read from a store that answered with old records: the log of a lost store says now how old the read was that ended and when the store last answered one, and two gauges tell the version in force and the seconds since the last answer. No change of logic.

--- a/main/configuration_follower.cpp
+++ b/main/configuration_follower.cpp
@@ -22,26 +22,32 @@
 } // namespace
 
 configuration_follower::configuration_follower(gateway_context &p_context) :
-		_context(p_context), _retry_timer(p_context.loop, [this] { _offset == 0 ? _read_all() : _follow(); }) {
+		_context(p_context), _confirmed_at(event_loop::now()), _retry_timer(p_context.loop, [this] { _offset == 0 ? _read_all() : _follow(); }) {
 }
 
 void configuration_follower::_set_reachable(bool p_reachable) {
 	if (p_reachable != _is_reachable) {
 		_is_reachable = p_reachable;
-		_context.log.write(log_line(p_reachable ? "dependency_regained" : "dependency_lost").add("dependency", "store_configuration").add("version", static_cast<long long>(get_version())));
+		const instant now = event_loop::now();
+		_context.log.write(log_line(p_reachable ? "dependency_regained" : "dependency_lost").add("dependency", "store_configuration").add("version", static_cast<long long>(get_version())).add("read_ms", now - _asked_at).add("unconfirmed_ms", get_unconfirmed_time(now)));
 	}
 }
 
 void configuration_follower::_read_all() {
+	_asked_at = event_loop::now();
 	_context.store.read_newest(std::string(get_configuration_topic()), [this](const store_answer &p_answer) { _on_answer(p_answer); });
 }
 
 void configuration_follower::_follow() {
+	_asked_at = event_loop::now();
 	_context.store.follow(std::string(get_configuration_topic()), _offset, LONGEST_WAIT, [this](const store_answer &p_answer) { _on_answer(p_answer); });
 }
 
 void configuration_follower::_on_answer(const store_answer &p_answer) {
 	_set_reachable(p_answer.status != store_status::UNAVAILABLE);
+	if (p_answer.status != store_status::UNAVAILABLE) {
+		_confirmed_at = event_loop::now();
+	}
 	switch (p_answer.status) {
 		case store_status::UNAVAILABLE:
 			_retry_timer.set(RETRY_INTERVAL);
--- a/main/configuration_follower.h
+++ b/main/configuration_follower.h
@@ -26,6 +26,8 @@
 	std::string _document; ///< Text of the version in force, for peers.
 	std::uint64_t _offset = 0;
 	bool _is_reachable = true;
+	instant _asked_at{}; ///< When the read that is open was sent.
+	instant _confirmed_at{}; ///< When the store last answered.
 	timer _retry_timer;
 	sigc::signal<void()> _changed;
 
@@ -49,6 +51,9 @@
 	const std::string &get_document() const { return _document; }
 	std::uint64_t get_version() const { return _current ? _current->version : 0; }
 
+	/** How long ago the store last answered a read of the configuration; since the start if it has not yet. */
+	duration get_unconfirmed_time(instant p_now) const { return p_now - _confirmed_at; }
+
 	/** Emitted when a new version is in force. */
 	sigc::signal<void()> &changed() { return _changed; }
 };
--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -257,6 +257,8 @@
 	_context.metrics.set_gauge("rejected_requests", static_cast<double>(_callers.get_rejected()));
 	_context.metrics.set_gauge("opened_channels", static_cast<double>(_context.channels.get_opened()));
 	_context.metrics.set_gauge("skipped_answers", static_cast<double>(_context.channels.get_skipped_answers()));
+	_context.metrics.set_gauge("configuration_version", static_cast<double>(_configuration.get_version()));
+	_context.metrics.set_gauge("configuration_unconfirmed_seconds", to_seconds(_configuration.get_unconfirmed_time(event_loop::now())));
 	_context.metrics.set_gauge("store_calls", static_cast<double>(_context.store.get_call_count()));
 	_context.metrics.set_gauge("live_nodes", static_cast<double>(_fleet.get_live_count()));
 	_context.metrics.set_gauge("dropped_log_lines", static_cast<double>(_context.log.get_dropped()));
