Show by two failing tests that a dead waiting read delays a confirmed configuration

A read that waits is silent both when nothing changed and when its connection is dead. With the store silent for a while, and with one dead connection alone, the node keeps the old version beyond the time a change may take.

--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -10,6 +10,18 @@
 
 misc/scripts/install.sh
 
+# Tests that fail for a fault that is known and not mended yet: "test | cause | issue", at most three lines.
+known_red=()
+if [ -s KNOWN-RED.txt ]; then
+	if grep -qvE '^[a-z0-9_/.]+ \| .+ \| issue [0-9]+$' KNOWN-RED.txt || [ "$(wc -l <KNOWN-RED.txt)" -gt 3 ]; then
+		echo "KNOWN-RED.txt takes at most three lines of the form: test | cause | issue N" >&2
+		exit 1
+	fi
+	echo "== known red, not run"
+	cat KNOWN-RED.txt
+	known_red=(--exclude-regex "^($(cut -d ' ' -f 1 KNOWN-RED.txt | sed 's/\./\\./g' | paste -sd '|'))\$")
+fi
+
 echo "== format"
 mapfile -t sources < <(git ls-files 'core/*.h' 'core/*.cpp' 'servers/*.h' 'servers/*.cpp' 'drivers/*.h' 'drivers/*.cpp' 'main/*.h' 'main/*.cpp' 'platform/*.h' 'platform/*.cpp' 'tests/*.h' 'tests/*.cpp' | grep -v '/generated/')
 clang-format --dry-run --Werror "${sources[@]}"
@@ -27,8 +39,8 @@
 echo "== tests with sanitizers"
 cmake -S . -B "$build-sanitize" -G Ninja -DCALICOSCALE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug >/dev/null
 cmake --build "$build-sanitize" -j "$jobs"
-ctest --test-dir "$build-sanitize" --output-on-failure -j "$jobs"
+ctest --test-dir "$build-sanitize" --output-on-failure -j "$jobs" "${known_red[@]}"
 
 echo "== tests"
 echo "property tests: $RC_PARAMS"
-exec ctest --test-dir "$build" --output-on-failure -j "$jobs"
+exec ctest --test-dir "$build" --output-on-failure -j "$jobs" "${known_red[@]}"
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -67,6 +67,20 @@
 	}
 }
 
+void standin_store::set_mute(bool p_mute) {
+	_mute = p_mute;
+	if (_mute) {
+		lose_waiting_reads();
+	}
+}
+
+void standin_store::lose_waiting_reads() {
+	for (const waiting_read &entry : _waiting) {
+		_unanswered.push_back(entry.exchange);
+	}
+	_waiting.clear();
+}
+
 void standin_store::forget_history() {
 	for (auto &[name, entry] : _topics) {
 		entry.first_kept = entry.records.size();
