Believe a silent waiting read of the configuration only as long as it was told to wait

Cause: a waiting read is silent both when nothing changed and when its connection is dead. The follower believed its silence for five seconds (four of wait, one of margin), also when the read had been sent into a silent store, and nothing else was asked. A change may take two seconds.

Change: the wait follows from the time a change may take (setting configuration_apply_ms, less half a second). An answer that is 0.3 s overdue is asked for again beside the first read, without waiting and on a new connection, each 0.7 s until the store answers. The reading of the endpoints did so already and left a gap of up to 1.8 s once four reads were open; both are now one topic_reader, what it decides is read_schedule. Of several versions only the newest is parsed.

Ruled out: old records (no answered call besides the endpoint reads), busy nodes (six versions took 12 ms).

--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -278,7 +278,7 @@
 	const instant now = event_loop::now();
 	std::unique_ptr<channel> used;
 	const auto kept = _idle.find(p_request.endpoint);
-	if (kept != _idle.end()) {
+	if (p_request.use_kept && kept != _idle.end()) {
 		std::vector<std::unique_ptr<channel>> &stack = kept->second;
 		if (!stack.empty() && now - stack.back()->_idle_since <= std::min(p_request.longest_idle, stack.back()->_kept_for)) {
 			used = std::move(stack.back());
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -43,6 +43,7 @@
 	std::string echo_header; ///< Header by which the answer names its request; empty when answers do not.
 	std::string echo_value;
 	bool is_head = false; ///< The answer has no body.
+	bool use_kept = true; ///< Whether a kept connection will do.
 	duration connect_timeout = std::chrono::milliseconds(250); ///< Many round trips within a region; a lost packet costs an attempt elsewhere, which is less than waiting for its repeat.
 	duration longest_idle = std::chrono::seconds(2); ///< Older kept connections are not used, as the endpoint may close them meanwhile.
 };
--- a/main/configuration_follower.h
+++ b/main/configuration_follower.h
@@ -9,7 +9,7 @@
 #ifndef CONFIGURATION_FOLLOWER_H
 #define CONFIGURATION_FOLLOWER_H
 
-#include "main/gateway_context.h"
+#include "main/topic_reader.h"
 #include "servers/gateway/gateway_configuration.h"
 
 #include <sigc++/sigc++.h>
@@ -24,27 +24,23 @@
 	gateway_context &_context;
 	std::shared_ptr<const gateway_configuration> _current;
 	std::string _document; ///< Text of the version in force, for peers.
-	std::uint64_t _offset = 0;
-	bool _is_reachable = true;
-	instant _asked_at{}; ///< When the read that is open was sent.
-	instant _confirmed_at{}; ///< When the store last answered.
-	timer _retry_timer;
+	topic_reader _reader;
 	sigc::signal<void()> _changed;
 
-	void _read_all();
-	void _follow();
-	void _on_answer(const store_answer &p_answer);
 	void _take_records(const store_answer &p_answer);
-	void _set_reachable(bool p_reachable);
 
 public:
 	explicit configuration_follower(gateway_context &p_context);
 
 	/** Begins to read. */
-	void start() { _read_all(); }
+	void start() { _reader.read(); }
 
-	/** Puts a document in force if its version is higher. @param p_source who told it, for the log. */
-	void offer(const std::string &p_document, std::string_view p_source);
+	/**
+	 * Puts a document in force if its version is higher.
+	 * @param p_source who told it, for the log.
+	 * @return whether it is valid, also if its version is not higher.
+	 */
+	bool offer(const std::string &p_document, std::string_view p_source);
 
 	/** The version in force; null before the first is known. */
 	const std::shared_ptr<const gateway_configuration> &get_current() const { return _current; }
@@ -52,7 +48,7 @@
 	std::uint64_t get_version() const { return _current ? _current->version : 0; }
 
 	/** How long ago the store last answered a read of the configuration; since the start if it has not yet. */
-	duration get_unconfirmed_time(instant p_now) const { return p_now - _confirmed_at; }
+	duration get_unconfirmed_time(instant p_now) const { return _reader.get_unconfirmed_time(p_now); }
 
 	/** Emitted when a new version is in force. */
 	sigc::signal<void()> &changed() { return _changed; }
--- a/main/endpoint_follower.cpp
+++ b/main/endpoint_follower.cpp
@@ -22,7 +22,6 @@
  * come within half a second of the store's return, as entries that are missing then are kept for two more.
  */
 constexpr duration NEXT_READ = std::chrono::milliseconds(400);
-constexpr int MOST_OPEN_READS = 4;
 /** While entries that went with an outage are waited for. */
 constexpr duration RETURN_INTERVAL = std::chrono::milliseconds(400);
 
@@ -30,69 +29,21 @@
 
 endpoint_follower::endpoint_follower(gateway_context &p_context) :
 		_context(p_context),
-		_read_timer(p_context.loop, [this] { _open_reads == 0 ? _begin_reading() : _read(); }),
+		_reader(p_context, get_endpoint_topic(), "store_endpoints", read_times{ duration::zero(), NEXT_READ, NEXT_READ, RETRY_INTERVAL },
+				topic_reader_hooks{
+						[this](const store_answer &p_answer, bool p_is_whole) { _on_answer(p_answer, p_is_whole); },
+						[this] { _on_failure(); },
+						[this](log_line &r_line) { r_line.add("endpoints", static_cast<long long>(_directory.get_size())); } }),
 		_drop_timer(p_context.loop, [this] { _set_timers(); }) {
 }
 
-void endpoint_follower::_set_reachable(bool p_reachable) {
-	if (p_reachable != _is_reachable) {
-		_is_reachable = p_reachable;
-		_context.log.write(log_line(p_reachable ? "dependency_regained" : "dependency_lost").add("dependency", "store_endpoints").add("endpoints", static_cast<long long>(_directory.get_size())));
-	}
-}
-
-void endpoint_follower::_begin_reading() {
-	_reading++;
-	_open_reads = 0;
-	_read();
-}
-
-void endpoint_follower::_read() {
-	if (_open_reads >= MOST_OPEN_READS) {
-		return;
-	}
-	_open_reads++;
-	_read_timer.set(NEXT_READ);
-	const bool is_whole = _offset == 0;
-	const auto take = [this, is_whole, reading = _reading](const store_answer &p_answer) {
-		if (reading == _reading) {
-			_open_reads--;
-			_on_answer(p_answer, is_whole);
-		}
-	};
-	const std::string topic(get_endpoint_topic());
-	if (is_whole) {
-		_context.store.read_newest(topic, take);
-	} else {
-		_context.store.follow(topic, _offset, duration::zero(), take);
-	}
-}
-
-void endpoint_follower::_on_failed_read() {
-	_set_reachable(false);
+void endpoint_follower::_on_failure() {
 	_directory.tick(event_loop::now());
 	_publish();
-	if (_open_reads == 0) {
-		_read_timer.set(RETRY_INTERVAL);
-	}
 }
 
 void endpoint_follower::_on_answer(const store_answer &p_answer, bool p_is_whole) {
-	if (p_answer.status == store_status::UNAVAILABLE) {
-		_on_failed_read();
-		return;
-	}
-	_set_reachable(true);
-	if (p_answer.status == store_status::HISTORY_GONE) {
-		_context.log.write(log_line("history_gone").add("topic", get_endpoint_topic()).add("offset", static_cast<long long>(_offset)));
-		_offset = 0;
-		_begin_reading();
-		return;
-	}
-	_reading++;
-	_open_reads = 0;
 	_directory.on_read(event_loop::now());
-	_offset = p_answer.next_offset;
 	if (p_is_whole) {
 		_take_whole(p_answer);
 	} else {
@@ -109,11 +60,8 @@
 	if (drop_at) {
 		_drop_timer.set_at(*drop_at);
 	}
-	if (_open_reads > 0) {
-		return;
-	}
 	const duration usual = drop_at ? RETURN_INTERVAL : READ_INTERVAL;
-	_read_timer.set(_directory.get_size() == 0 ? RETRY_INTERVAL : usual);
+	_reader.read_in(_directory.get_size() == 0 ? RETRY_INTERVAL : usual);
 }
 
 void endpoint_follower::_take_records(const store_answer &p_answer) {
--- a/main/endpoint_follower.h
+++ b/main/endpoint_follower.h
@@ -9,7 +9,7 @@
 #ifndef ENDPOINT_FOLLOWER_H
 #define ENDPOINT_FOLLOWER_H
 
-#include "main/gateway_context.h"
+#include "main/topic_reader.h"
 #include "servers/gateway/endpoint_directory.h"
 
 #include <sigc++/sigc++.h>
@@ -20,29 +20,22 @@
 class endpoint_follower {
 	gateway_context &_context;
 	endpoint_directory _directory;
-	std::uint64_t _offset = 0;
-	std::uint64_t _reading = 0; ///< Counts readings; answers to reads of an earlier one are not taken.
-	int _open_reads = 0; ///< Of this reading.
-	bool _is_reachable = true;
-	timer _read_timer;
+	topic_reader _reader;
 	timer _drop_timer; ///< Entries that went with an outage are dropped.
 	sigc::signal<void()> _changed;
 
-	void _begin_reading();
-	void _read();
 	void _on_answer(const store_answer &p_answer, bool p_is_whole);
-	void _on_failed_read();
+	void _on_failure();
 	void _set_timers();
 	void _take_records(const store_answer &p_answer);
 	void _take_whole(const store_answer &p_answer);
-	void _set_reachable(bool p_reachable);
 	void _publish();
 
 public:
 	explicit endpoint_follower(gateway_context &p_context);
 
 	/** Begins to read. */
-	void start() { _begin_reading(); }
+	void start() { _reader.read(); }
 
 	/** A peer or an answer told that an endpoint leaves. */
 	void mark_leaving(const std::string &p_name);
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -184,7 +184,7 @@
 	// Seeds may all be stale, and a zone that was cut off may know nobody: then the names in the store help.
 	if (_link.get_linked().empty() && now - _read_names_at > NAMES_INTERVAL) {
 		_read_names_at = now;
-		_context.store.read_newest(std::string(get_node_topic()), [this](const store_answer &p_answer) {
+		_context.store.read_newest(std::string(get_node_topic()), true, [this](const store_answer &p_answer) {
 			for (const store_record &record : p_answer.records) {
 				const network_address address = record.value ? parse_network_address(record.value->substr(0, record.value->find(' '))) : network_address();
 				if (record.key != get_vm() && address.port != 0) {
--- a/main/gateway_settings.cpp
+++ b/main/gateway_settings.cpp
@@ -52,6 +52,7 @@
 	settings.retries.slack = retries.value("slack", settings.retries.slack);
 	settings.retries.window = from_seconds(retries.value("window_seconds", to_seconds(settings.retries.window)));
 	settings.cores = document.value("cores", settings.cores);
+	settings.configuration_apply = std::chrono::milliseconds(document.value("configuration_apply_ms", static_cast<long long>(to_milliseconds(settings.configuration_apply))));
 	settings.stop_grace = from_seconds(document.value("stop_grace_seconds", to_seconds(settings.stop_grace)));
 	if (!problems.empty()) {
 		throw document_error(std::move(problems));
--- a/main/gateway_settings.h
+++ b/main/gateway_settings.h
@@ -34,6 +34,7 @@
 	std::string fleet_key; ///< Shared by the nodes; empty admits every peer.
 	retry_bounds retries;
 	double cores = 1.0; ///< Share of a core, or cores, this process may use; the larger nodes dispatch stage pools.
+	duration configuration_apply = std::chrono::seconds(2); ///< A confirmed change of the configuration is in force within this.
 	duration stop_grace = std::chrono::seconds(8); ///< From the stop signal until the process is killed.
 };
 
--- /dev/null
+++ b/main/topic_reader.h
@@ -0,0 +1,60 @@
+/*
+ * calicoscale: topic_reader.h
+ * Reads one topic of the store, again and again.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef TOPIC_READER_H
+#define TOPIC_READER_H
+
+#include "main/gateway_context.h"
+#include "servers/gateway/read_schedule.h"
+
+#include <functional>
+#include <string>
+
+namespace calicoscale {
+
+/** What a reader tells its owner. */
+struct topic_reader_hooks {
+	std::function<void(const store_answer &p_answer, bool p_is_whole)> on_answer; ///< p_is_whole: the newest record of each key.
+	std::function<void()> on_failure; ///< A read ended without an answer.
+	std::function<void(log_line &r_line)> describe; ///< Adds to a log line what is known while the store is away.
+};
+
+/** Keeps the offset of a topic and reads it from there on; whole at first, and when its history is gone. */
+class topic_reader {
+	gateway_context &_context;
+	const std::string _topic;
+	const std::string _dependency; ///< Its name in the log.
+	const topic_reader_hooks _hooks;
+	read_schedule _schedule;
+	std::uint64_t _offset = 0;
+	bool _is_reachable = true;
+	instant _read_since; ///< When this reading began.
+	instant _answered_at; ///< When the store last answered.
+	timer _timer;
+
+	void _send(const planned_read &p_read);
+	void _check();
+	void _on_answer(const store_answer &p_answer, std::uint64_t p_reading, bool p_is_whole);
+	void _set_reachable(bool p_reachable);
+
+public:
+	topic_reader(gateway_context &p_context, std::string_view p_topic, const std::string &p_dependency, const read_times &p_times, topic_reader_hooks p_hooks);
+
+	/** Begins a reading at once. */
+	void read();
+
+	/** Begins a reading after this time; a reading that is under way goes on instead. */
+	void read_in(duration p_time);
+
+	/** How long ago the store last answered a read of this topic; since the start if it has not yet. */
+	duration get_unconfirmed_time(instant p_now) const { return p_now - _answered_at; }
+};
+
+} // namespace calicoscale
+
+#endif // TOPIC_READER_H
--- /dev/null
+++ b/servers/gateway/read_schedule.cpp
@@ -0,0 +1,67 @@
+/*
+ * calicoscale: read_schedule.cpp
+ * Decides when a topic of the store is read again, and how.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/read_schedule.h"
+
+namespace calicoscale {
+
+namespace {
+
+/** Each read that waits in vain holds a connection until it times out; the calls that a silent store costs are bounded so. */
+constexpr int MOST_OPEN_READS = 4;
+
+} // namespace
+
+planned_read read_schedule::_plan(bool p_is_first) {
+	_open++;
+	planned_read read;
+	read.reading = _reading;
+	const bool is_trusted = p_is_first && _is_heard;
+	read.wait = is_trusted ? _times.wait : duration::zero();
+	read.on_new_connection = !is_trusted;
+	read.check_in = is_trusted ? _times.wait + _times.overdue : _times.repeat;
+	return read;
+}
+
+planned_read read_schedule::begin() {
+	_reading++;
+	_open = 0;
+	return _plan(true);
+}
+
+std::optional<planned_read> read_schedule::check() {
+	if (_open == 0) {
+		return begin();
+	}
+	_is_heard = false;
+	if (_open >= MOST_OPEN_READS) {
+		return std::nullopt;
+	}
+	return _plan(false);
+}
+
+bool read_schedule::on_answered(std::uint64_t p_reading) {
+	if (p_reading != _reading) {
+		return false;
+	}
+	_reading++;
+	_open = 0;
+	_is_heard = true;
+	return true;
+}
+
+bool read_schedule::on_failed(std::uint64_t p_reading) {
+	if (p_reading != _reading) {
+		return false;
+	}
+	_open--;
+	_is_heard = false;
+	return true;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/gateway/read_schedule.h
@@ -0,0 +1,73 @@
+/*
+ * calicoscale: read_schedule.h
+ * Decides when a topic of the store is read again, and how.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef READ_SCHEDULE_H
+#define READ_SCHEDULE_H
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace calicoscale {
+
+/** Times of reading one topic. */
+struct read_times {
+	duration wait{}; ///< A read waits this long at the store for the next record; zero for reads that are answered at once.
+	duration overdue{}; ///< An answer that takes longer than this beyond the wait may never come: another read is sent beside it.
+	duration repeat{}; ///< Between the further reads that are sent beside it.
+	duration retry{}; ///< From the failure of the last open read to the next one.
+};
+
+/** One read to be sent. */
+struct planned_read {
+	std::uint64_t reading = 0; ///< Which reading it belongs to.
+	duration wait{}; ///< For the next record, at the store.
+	bool on_new_connection = false; ///< Kept connections may be as dead as the one that is silent.
+	duration check_in{}; ///< When to ask the schedule again if no answer has come.
+};
+
+/**
+ * A waiting read is silent when nothing has changed and when its connection is dead, so its silence counts only as long as
+ * it was told to wait. Beyond that reads that do not wait are sent beside it, on new connections, until one is answered.
+ * A reading is the set of reads until an answer comes; what comes later of earlier readings does not count.
+ */
+class read_schedule {
+	const read_times _times;
+	std::uint64_t _reading = 0;
+	int _open = 0; ///< Reads of this reading without an answer.
+	bool _is_heard = true; ///< The last reading was answered by its first read.
+
+	planned_read _plan(bool p_is_first);
+
+public:
+	explicit read_schedule(const read_times &p_times) :
+			_times(p_times) {}
+
+	/** Begins a reading, whatever is still open of the one before. */
+	planned_read begin();
+
+	/** The time that the last read named has passed without an answer. Empty while as many are open as may be. */
+	std::optional<planned_read> check();
+
+	/** A read was answered. False if it belongs to an earlier reading. */
+	bool on_answered(std::uint64_t p_reading);
+
+	/** A read ended without an answer. False if it belongs to an earlier reading. */
+	bool on_failed(std::uint64_t p_reading);
+
+	/** Whether an answer may still come. */
+	bool is_reading() const { return _open > 0; }
+
+	duration get_retry() const { return _times.retry; }
+	duration get_repeat() const { return _times.repeat; }
+};
+
+} // namespace calicoscale
+
+#endif // READ_SCHEDULE_H
