Let each mechanism of deciding be switched off by the settings, to measure its worth

Settings list 'ablation', by the names of servers/gateway/mechanism.h; empty by default, an unknown name is an error, and each mechanism that is off is told in the log at start. No change while the list is empty.

--- a/main/gateway.cpp
+++ b/main/gateway.cpp
@@ -56,6 +56,7 @@
 		_dispatcher(_context, _configuration, _fleet, _commitments),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
+		_engine_caches(p_settings.without),
 		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _engine_caches, _first_event_times },
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
@@ -68,16 +69,22 @@
 	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_configuration.changed().connect([this] { _on_configuration(); });
 	_endpoints.changed().connect([this] { _on_endpoints(); });
-	router_settings engine_settings;
-	engine_settings.connect_failures_to_eject = 1;
-	_engines.set_settings(engine_settings);
-	router_settings service_settings;
-	service_settings.connect_failures_to_eject = 1;
-	_services.set_settings(service_settings);
+	router_settings routing;
+	routing.connect_failures_to_eject = 1;
+	if (!p_settings.without.has(mechanism::EJECTION)) {
+		routing.max_ejected_share = 0.0;
+	}
+	_engines.set_settings(routing);
+	_services.set_settings(routing);
 }
 
 void gateway::start() {
 	_context.log.write(log_line("started").add("vm", _context.settings.vm).add("zone", _context.settings.zone).add("callers", to_string(_callers.get_address())).add("link", to_string(get_link_address())).add("incarnation", static_cast<long long>(_context.incarnation)).add("wall_ms", static_cast<long long>(event_loop::wall())));
+	for (std::size_t i = 0; i < static_cast<std::size_t>(mechanism::COUNT); i++) {
+		if (!_context.settings.without.has(static_cast<mechanism>(i))) {
+			_context.log.write(log_line("switched_off").add("mechanism", get_name(static_cast<mechanism>(i))));
+		}
+	}
 	_configuration.start();
 	_endpoints.start();
 	_fleet.start();
@@ -92,7 +99,7 @@
 	_update_readiness();
 	const std::size_t live = _fleet.get_live_count();
 	const bool knows_peers = live > 1 && _fleet.get_ready_nodes().size() == live;
-	_settled = knows_peers || event_loop::now() - _started_at > SETTLE_TIME;
+	_settled = knows_peers || !_context.settings.without.has(mechanism::HOLD_AT_START) || event_loop::now() - _started_at > SETTLE_TIME;
 	if (!_settled) {
 		_settle_timer.set(SETTLE_INTERVAL);
 		return;
@@ -210,7 +217,7 @@
 
 bool gateway::_refuse_if_late(admitted_request &r_request) {
 	const gateway_route &route = *r_request.route;
-	if (route.stages.empty()) {
+	if (route.stages.empty() || !_context.settings.without.has(mechanism::ADMISSION)) {
 		return false;
 	}
 	const duration stages = _commitments.predict_stages(*r_request.configuration, route, r_request.facts.stage_pieces, get_priority(r_request));
@@ -222,7 +229,8 @@
 	}
 	const duration remaining = r_request.facts.remaining.value_or(route.timeout);
 	const duration wait = duration(static_cast<duration::rep>(static_cast<double>((predicted - allowed).count()) * (1.0 + _context.random.get_unit() * RETRY_SPREAD)));
-	const duration retry_after = std::clamp<duration>(wait, SHORTEST_RETRY_AFTER, std::max<duration>(SHORTEST_RETRY_AFTER, remaining / 3));
+	const duration honest = _context.settings.without.has(mechanism::PREDICTED_RETURN) ? wait : RETRY_AFTER;
+	const duration retry_after = std::clamp<duration>(honest, SHORTEST_RETRY_AFTER, std::max<duration>(SHORTEST_RETRY_AFTER, remaining / 3));
 	const outcome result{ verdict::NOT_RUN, reason::DEADLINE_UNREACHABLE };
 	_context.metrics.on_request(route.name, result, event_loop::now() - r_request.exchange->received_at);
 	_context.log.write_request(log_line("request_refused").add("request", r_request.facts.attempt).add("route", route.name).add("reason", get_name(result.why)).add("status", static_cast<long long>(http_status::UNAVAILABLE)).add("predicted_ms", predicted).add("allowed_ms", allowed).add("retry_after_ms", retry_after));
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -57,6 +57,9 @@
 }
 
 void gateway_fleet::_watch() {
+	if (!_context.settings.without.has(mechanism::ZONE_SILENCE)) {
+		return;
+	}
 	const std::vector<zone_reach::change> changes = _context.zones.check(event_loop::now());
 	for (const zone_reach::change &change : changes) {
 		_context.log.write(log_line(change.is_reached ? "zone_reached" : "zone_cut_off").add("zone", change.zone));
@@ -78,7 +81,7 @@
 		return false;
 	}
 	const member *peer = _members.find(p_vm);
-	return peer == nullptr || _context.zones.is_reached(peer->digest.zone, p_now);
+	return peer == nullptr || !_context.settings.without.has(mechanism::ZONE_SILENCE) || _context.zones.is_reached(peer->digest.zone, p_now);
 }
 
 std::vector<std::string> gateway_fleet::get_live_nodes() const {
@@ -124,6 +127,9 @@
 		return peer == nullptr ? _context.settings.cores : peer->digest.cores;
 	};
 	std::vector<std::string> nodes = get_ready_nodes();
+	if (!_context.settings.without.has(mechanism::DISPATCH_BY_SIZE)) {
+		return nodes;
+	}
 	double most = 0.0;
 	for (const std::string &vm : nodes) {
 		most = std::max(most, get_cores(vm));
--- a/main/gateway_request.cpp
+++ b/main/gateway_request.cpp
@@ -121,6 +121,9 @@
 }
 
 void gateway_request::_on_late() {
+	if (!_services.context.settings.without.has(mechanism::LATE_COMMITMENTS)) {
+		return;
+	}
 	for (std::size_t i = 0; i < _committed.size(); i++) {
 		const std::string &pool = _stages.get_spec(i).pool;
 		_services.commitments.remove(pool, _committed_priority, _committed[i]);
@@ -130,6 +133,9 @@
 }
 
 instant gateway_request::_get_due(std::size_t p_stage) const {
+	if (!_services.context.settings.without.has(mechanism::STAGE_DUE_TIMES)) {
+		return _started + _request.route->objective;
+	}
 	return _started + _request.route->objective - _times_after[p_stage] - get_first_event_time(_services, _request.route->name);
 }
 
@@ -160,6 +166,9 @@
 }
 
 bool gateway_request::_try_repeat_budget() {
+	if (!_services.context.settings.without.has(mechanism::REPEATS)) {
+		return false;
+	}
 	return _services.repeats[_request.service].try_repeat(_services.context.settings.retries, _services.fleet.get_live_count(), event_loop::now());
 }
 
@@ -192,6 +201,9 @@
 	const instant now = event_loop::now();
 	_predicted = _services.engine_caches.predict(_endpoint_name, _prompt, now);
 	_services.engine_caches.on_sent(_endpoint_name, _prompt, now);
+	if (!_services.context.settings.without.has(mechanism::PROMPTS_TOLD)) {
+		return;
+	}
 	for (const std::string &vm : _services.fleet.get_live_nodes()) {
 		_services.fleet.get_link().send(vm, prompt_sent_message{ _endpoint_name, _prompt });
 	}
--- a/main/gateway_settings.cpp
+++ b/main/gateway_settings.cpp
@@ -54,6 +54,14 @@
 	settings.cores = document.value("cores", settings.cores);
 	settings.configuration_apply = std::chrono::milliseconds(document.value("configuration_apply_ms", static_cast<long long>(to_milliseconds(settings.configuration_apply))));
 	settings.stop_grace = from_seconds(document.value("stop_grace_seconds", to_seconds(settings.stop_grace)));
+	for (const json &name : document.value("ablation", json::array())) {
+		const std::optional<mechanism> found = find_mechanism(name.get<std::string>());
+		if (found) {
+			settings.without.switch_off(*found);
+		} else {
+			problems.push_back(document_problem{ "/ablation", "\"" + name.get<std::string>() + "\"", "the name of a mechanism" });
+		}
+	}
 	if (!problems.empty()) {
 		throw document_error(std::move(problems));
 	}
--- a/main/gateway_settings.h
+++ b/main/gateway_settings.h
@@ -10,6 +10,7 @@
 #define GATEWAY_SETTINGS_H
 
 #include "core/document_problem.h"
+#include "servers/gateway/mechanism.h"
 #include "servers/gateway/retry_window.h"
 #include "servers/routing/endpoint_state.h"
 
@@ -35,6 +36,7 @@
 	retry_bounds retries;
 	double cores = 1.0; ///< Share of a core, or cores, this process may use; the larger nodes dispatch stage pools.
 	duration configuration_apply = std::chrono::seconds(2); ///< A confirmed change of the configuration is in force within this.
+	ablation without; ///< Mechanisms that are switched off, for measuring what they are worth.
 	duration stop_grace = std::chrono::seconds(8); ///< From the stop signal until the process is killed.
 };
 
--- a/main/stage_dispatcher.cpp
+++ b/main/stage_dispatcher.cpp
@@ -81,7 +81,7 @@
 		}
 	});
 	link.results_released().connect([this](const std::string &, const release_results_message &p_message) {
-		_release(_pools[p_message.pool], p_message.handles);
+		_release(_get_pool(p_message.pool), p_message.handles);
 	});
 	link.results_told().connect([this](const std::string &p_vm, const tell_results_message &p_message) { _on_results_told(p_vm, p_message); });
 	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
@@ -106,7 +106,7 @@
 	}
 	for (const auto &[name, service] : configuration->services) {
 		if (service.stage_pool) {
-			stage_pool &pool = _pools[name].pool;
+			stage_pool &pool = _get_pool(name).pool;
 			pool.set_spec(*service.stage_pool);
 			pool.set_replicas(by_pool[name]);
 		}
@@ -114,7 +114,14 @@
 	_on_reach_changed(_fleet.get_unreached_zones());
 }
 
+stage_dispatcher::pool_entry &stage_dispatcher::_get_pool(const std::string &p_name) {
+	return _pools.try_emplace(p_name, _context.settings.without).first->second;
+}
+
 std::string stage_dispatcher::_choose_node(const std::string &p_pool, const std::string &p_except) const {
+	if (!_context.settings.without.has(mechanism::SHARED_DISPATCH)) {
+		return _fleet.get_vm();
+	}
 	std::string best = _fleet.get_vm();
 	std::uint64_t best_score = 0;
 	for (const std::string &vm : _fleet.get_dispatch_nodes()) {
@@ -168,7 +175,7 @@
 }
 
 void stage_dispatcher::_accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work) {
-	pool_entry &entry = _pools[p_pool];
+	pool_entry &entry = _get_pool(p_pool);
 	const instant now = event_loop::now();
 	const work_id id = _next_accepted++;
 	entry.accepted[id] = accepted_work{ p_node, p_id };
@@ -219,7 +226,7 @@
 	const own_work own = std::move(found->second);
 	_own.erase(found);
 	if (own.node == _fleet.get_vm()) {
-		_cancel_accepted(_pools[own.pool], "", p_id);
+		_cancel_accepted(_get_pool(own.pool), "", p_id);
 	} else {
 		_fleet.get_link().send(own.node, cancel_work_message{ p_id, own.pool });
 	}
@@ -239,7 +246,7 @@
 }
 
 void stage_dispatcher::_tell_held(const std::string &p_pool, std::map<std::string, own_result> &r_held) {
-	if (r_held.empty()) {
+	if (r_held.empty() || !_context.settings.without.has(mechanism::TOLD_RESULTS)) {
 		return;
 	}
 	const std::string node = _choose_node(p_pool, "");
@@ -270,7 +277,7 @@
 	for (std::size_t i = 0; i < p_message.handles.size(); i++) {
 		results.push_back(held_result{ p_message.handles[i], get_maker(p_message.handles[i]), static_cast<double>(p_message.result_bytes[i]) });
 	}
-	_pools[p_message.pool].pool.on_results_told(p_owner, results, event_loop::now());
+	_get_pool(p_message.pool).pool.on_results_told(p_owner, results, event_loop::now());
 }
 
 void stage_dispatcher::_release_of_lost() {
@@ -280,7 +287,7 @@
 			++lost;
 			continue;
 		}
-		if (!_fleet.is_heard(lost->first)) {
+		if (!_fleet.is_heard(lost->first) && _context.settings.without.has(mechanism::LOST_RESULTS)) {
 			for (auto &[name, entry] : _pools) {
 				const std::vector<std::string> handles = entry.pool.get_results_of(lost->first);
 				_release(entry, handles);
@@ -401,7 +408,7 @@
 }
 
 void stage_dispatcher::_on_call_ended(const std::string &p_name, const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body) {
-	pool_entry &entry = _pools[p_name];
+	pool_entry &entry = _get_pool(p_name);
 	entry.exchanges.erase(p_call.id);
 	const call_end end = get_call_end(p_end, p_status, p_did_not_run);
 	std::vector<item_result> results;
@@ -451,7 +458,7 @@
 	if (node != _fleet.get_vm() && _fleet.get_link().send(node, release_results_message{ p_pool, p_handles })) {
 		return;
 	}
-	_release(_pools[p_pool], p_handles);
+	_release(_get_pool(p_pool), p_handles);
 }
 
 void stage_dispatcher::_release(pool_entry &p_entry, const std::vector<std::string> &p_handles) {
--- a/main/stage_dispatcher.h
+++ b/main/stage_dispatcher.h
@@ -45,6 +45,9 @@
 	};
 
 	struct pool_entry {
+		explicit pool_entry(const ablation &p_without) :
+				pool(p_without) {}
+
 		stage_pool pool;
 		std::map<std::uint64_t, exchange_id> exchanges; ///< By call.
 		retry_window repeats;
@@ -73,6 +76,7 @@
 	instant _ticked_at{};
 	bool _pump_posted = false;
 
+	pool_entry &_get_pool(const std::string &p_name);
 	std::string _choose_node(const std::string &p_pool, const std::string &p_except) const;
 	void _assign(std::uint64_t p_id, const std::string &p_except);
 	void _log_asked(const own_work &p_own);
--- a/servers/gateway/engine_view.cpp
+++ b/servers/gateway/engine_view.cpp
@@ -47,18 +47,18 @@
 
 } // namespace
 
-engine_view::engine_view() :
-		_tokens_per_ms(FIRST_TOKENS_PER_MS) {
+engine_view::engine_view(const ablation &p_without) :
+		_tokens_per_ms(FIRST_TOKENS_PER_MS), _without(p_without) {
 }
 
 bool engine_view::_has_read(const std::string &p_engine, std::uint64_t p_chain) const {
 	const auto part = _parts.find(p_chain);
-	return part != _parts.end() && part->second.read_by.contains(p_engine);
+	return _without.has(mechanism::ENGINE_CACHE) && part != _parts.end() && part->second.read_by.contains(p_engine);
 }
 
 double engine_view::_get_slowness(const std::string &p_engine, instant p_now) const {
 	const auto found = _engines.find(p_engine);
-	if (found == _engines.end()) {
+	if (found == _engines.end() || !_without.has(mechanism::ENGINE_SLOWNESS)) {
 		return 1.0;
 	}
 	const double age = to_seconds(p_now - found->second.learnt_at) / to_seconds(SLOWNESS_MEMORY);
@@ -82,7 +82,7 @@
 		prediction.unread_shared += i + 1 < p_prompt.size() ? p_prompt[i].tokens : 0;
 	}
 	const auto found = _engines.find(p_engine);
-	if (found != _engines.end()) {
+	if (found != _engines.end() && _without.has(mechanism::ENGINE_WAIT)) {
 		prediction.wait = std::max(duration::zero(), found->second.busy_until - p_now);
 	}
 	const double slowness = _get_slowness(p_engine, p_now);
@@ -148,15 +148,19 @@
 		order.emplace_back(hash_bytes(p_candidates[i].name, key), i);
 	}
 	std::sort(order.rbegin(), order.rend());
+	const double shared_price = _without.has(mechanism::SHARED_PART_PRICE) ? 1.0 / SHARED_TOKENS_PER_MS : 0.0;
+	const double rank_price = _without.has(mechanism::ENGINE_RANKS) ? to_milliseconds(RANK_PENALTY) : 0.0;
+	const double zone_price = _without.has(mechanism::ENGINE_ZONE) ? to_milliseconds(ZONE_PENALTY) : 0.0;
+	const duration in_flight_price = _without.has(mechanism::ENGINE_IN_FLIGHT) ? IN_FLIGHT_PENALTY : duration::zero();
 	std::size_t best = 0;
 	double best_score = 0.0;
 	for (std::size_t rank = 0; rank < order.size(); rank++) {
 		const engine_candidate &candidate = p_candidates[order[rank].second];
 		const engine_prediction prediction = predict(candidate.name, p_prompt, p_now);
-		double score = to_milliseconds(prediction.wait + prediction.reading + IN_FLIGHT_PENALTY * candidate.in_flight);
-		score += static_cast<double>(prediction.unread_shared) / SHARED_TOKENS_PER_MS;
-		score += to_milliseconds(RANK_PENALTY) * static_cast<double>(std::min(rank, MOST_PENALIZED_RANKS));
-		score += p_zone.empty() || p_zone == candidate.zone ? 0.0 : to_milliseconds(ZONE_PENALTY);
+		double score = to_milliseconds(prediction.wait + prediction.reading + in_flight_price * candidate.in_flight);
+		score += static_cast<double>(prediction.unread_shared) * shared_price;
+		score += rank_price * static_cast<double>(std::min(rank, MOST_PENALIZED_RANKS));
+		score += p_zone.empty() || p_zone == candidate.zone ? 0.0 : zone_price;
 		if (rank == 0 || score < best_score) {
 			best = order[rank].second;
 			best_score = score;
--- a/servers/gateway/engine_view.h
+++ b/servers/gateway/engine_view.h
@@ -10,6 +10,7 @@
 #define ENGINE_VIEW_H
 
 #include "core/time.h"
+#include "servers/gateway/mechanism.h"
 
 #include <cstdint>
 #include <deque>
@@ -60,6 +61,7 @@
 	std::unordered_map<std::uint64_t, cached_part> _parts;
 	std::deque<std::pair<instant, std::uint64_t>> _uses; ///< For forgetting parts in order of use.
 	double _tokens_per_ms;
+	ablation _without;
 
 	bool _has_read(const std::string &p_engine, std::uint64_t p_chain) const;
 	double _get_slowness(const std::string &p_engine, instant p_now) const;
@@ -67,7 +69,7 @@
 	void _forget(instant p_now);
 
 public:
-	engine_view();
+	explicit engine_view(const ablation &p_without = {});
 
 	/** What the prompt would meet at the engine. */
 	engine_prediction predict(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) const;
--- /dev/null
+++ b/servers/gateway/mechanism.cpp
@@ -0,0 +1,61 @@
+/*
+ * calicoscale: mechanism.cpp
+ * What the gateway decides by, so that each part can be switched off and its worth measured.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/mechanism.h"
+
+#include "core/enum_names.h"
+
+#include <array>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr std::array<enum_name<mechanism>, static_cast<std::size_t>(mechanism::COUNT)> MECHANISM_NAMES{ {
+		{ mechanism::SHARED_DISPATCH, "shared_dispatch" },
+		{ mechanism::DISPATCH_BY_SIZE, "dispatch_by_size" },
+		{ mechanism::HOLD_AT_START, "hold_at_start" },
+		{ mechanism::TOLD_RESULTS, "told_results" },
+		{ mechanism::LOST_RESULTS, "lost_results" },
+		{ mechanism::ADMISSION, "admission" },
+		{ mechanism::LATE_COMMITMENTS, "late_commitments" },
+		{ mechanism::MEASURED_CAPACITY, "measured_capacity" },
+		{ mechanism::PREDICTED_RETURN, "predicted_return" },
+		{ mechanism::STAGE_DUE_TIMES, "stage_due_times" },
+		{ mechanism::PRIORITY_ORDER, "priority_order" },
+		{ mechanism::SPLIT_FIRST, "split_first" },
+		{ mechanism::LATE_LAST, "late_last" },
+		{ mechanism::REPLICA_ZONE, "replica_zone" },
+		{ mechanism::REPLICA_SLOWNESS, "replica_slowness" },
+		{ mechanism::ROOM, "room" },
+		{ mechanism::REPEATED_CALLS, "repeated_calls" },
+		{ mechanism::OVERDUE_CALLS, "overdue_calls" },
+		{ mechanism::ENGINE_WAIT, "engine_wait" },
+		{ mechanism::ENGINE_SLOWNESS, "engine_slowness" },
+		{ mechanism::ENGINE_CACHE, "engine_cache" },
+		{ mechanism::SHARED_PART_PRICE, "shared_part_price" },
+		{ mechanism::PROMPTS_TOLD, "prompts_told" },
+		{ mechanism::ENGINE_RANKS, "engine_ranks" },
+		{ mechanism::ENGINE_IN_FLIGHT, "engine_in_flight" },
+		{ mechanism::ENGINE_ZONE, "engine_zone" },
+		{ mechanism::EJECTION, "ejection" },
+		{ mechanism::REPEATS, "repeats" },
+		{ mechanism::ZONE_SILENCE, "zone_silence" },
+} };
+
+} // namespace
+
+std::string_view get_name(mechanism p_mechanism) {
+	return find_name(MECHANISM_NAMES, p_mechanism);
+}
+
+std::optional<mechanism> find_mechanism(std::string_view p_name) {
+	return find_value(MECHANISM_NAMES, p_name);
+}
+
+} // namespace calicoscale
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -157,9 +157,11 @@
 	const duration left = p_work.work.due_at - p_now;
 	const bool is_split = p_work.missing < p_work.states.size();
 	const bool has_cost = is_split || !p_work.work.inputs.empty();
-	const bool is_late = left < _get_expected(p_work.missing);
+	const bool is_late = left < _get_expected(p_work.missing) && _without.has(mechanism::LATE_LAST);
+	const int rank = _without.has(mechanism::PRIORITY_ORDER) ? p_work.work.priority : 0;
+	const bool goes_first = is_split && _without.has(mechanism::SPLIT_FIRST);
 	const duration late_penalty = has_cost ? _spec.result_ttl / LATE_PART_OF_TTL : LATE_PENALTY;
-	return left + PRIORITY_STEP * p_work.work.priority + (is_late ? late_penalty : duration::zero()) - (is_split ? SPLIT_BONUS : duration::zero());
+	return left + PRIORITY_STEP * rank + (is_late ? late_penalty : duration::zero()) - (goes_first ? SPLIT_BONUS : duration::zero());
 }
 
 std::vector<work_id> stage_pool::_order_works(instant p_now) const {
@@ -193,12 +195,15 @@
 }
 
 double stage_pool::_get_slowness(const replica_state &p_replica, instant p_now) const {
+	if (!_without.has(mechanism::REPLICA_SLOWNESS)) {
+		return 1.0;
+	}
 	const double age = to_seconds(p_now - p_replica.slowness_at) / to_seconds(SLOWNESS_MEMORY);
 	return 1.0 + (p_replica.slowness - 1.0) * std::exp(-std::max(0.0, age));
 }
 
 duration stage_pool::_get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const {
-	if (p_work.work.zone.empty() || p_work.work.zone == p_replica.listing.zone) {
+	if (p_work.work.zone.empty() || p_work.work.zone == p_replica.listing.zone || !_without.has(mechanism::REPLICA_ZONE)) {
 		return duration::zero();
 	}
 	const duration wanted = duration(static_cast<duration::rep>(static_cast<double>(p_work.work.transfer_bytes) * ZONE_MICROSECONDS_PER_BYTE));
@@ -208,7 +213,7 @@
 }
 
 bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes, instant p_now) const {
-	if (_spec.room_bytes <= 0.0) {
+	if (_spec.room_bytes <= 0.0 || !_without.has(mechanism::ROOM)) {
 		return true;
 	}
 	// What is not known goes by its time to live, or earlier when somebody releases it.
@@ -498,7 +503,7 @@
 	}
 	for (auto &[id, call] : _calls) {
 		const duration allowed = duration(static_cast<duration::rep>(static_cast<double>(call.expected.count()) * OVERRUN_FACTOR)) + OVERRUN_MARGIN;
-		if (call.repeated || p_now - call.started_at < allowed) {
+		if (call.repeated || p_now - call.started_at < allowed || !_without.has(mechanism::REPEATED_CALLS)) {
 			continue;
 		}
 		const auto replica = _replicas.find(call.replica);
@@ -521,7 +526,7 @@
 std::vector<std::uint64_t> stage_pool::get_overdue(instant p_now) const {
 	std::vector<std::uint64_t> overdue;
 	for (const auto &[id, call] : _calls) {
-		if (p_now - call.started_at > call.expected * OVERDUE_FACTOR + OVERDUE_MARGIN) {
+		if (p_now - call.started_at > call.expected * OVERDUE_FACTOR + OVERDUE_MARGIN && _without.has(mechanism::OVERDUE_CALLS)) {
 			overdue.push_back(id);
 		}
 	}
@@ -547,7 +552,7 @@
 
 double stage_pool::get_capacity(instant p_now) const {
 	const double nominal = _get_nominal_capacity(p_now);
-	return _measured_capacity ? std::min(nominal, *_measured_capacity) : nominal;
+	return _measured_capacity && _without.has(mechanism::MEASURED_CAPACITY) ? std::min(nominal, *_measured_capacity) : nominal;
 }
 
 void stage_pool::_measure(instant p_now) {
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -10,6 +10,7 @@
 #define STAGE_POOL_H
 
 #include "servers/gateway/gateway_configuration.h"
+#include "servers/gateway/mechanism.h"
 #include "servers/routing/endpoint_state.h"
 
 #include <cstdint>
@@ -157,6 +158,7 @@
 		std::string owner; ///< Who it was handed to; empty for this node itself.
 	};
 
+	ablation _without;
 	stage_pool_spec _spec;
 	std::map<std::string, replica_state> _replicas;
 	std::set<std::string> _unreached_zones;
@@ -195,6 +197,9 @@
 	void _learn_time(replica_state &p_replica, const running_call &p_call, instant p_now);
 
 public:
+	explicit stage_pool(const ablation &p_without = {}) :
+			_without(p_without) {}
+
 	/** Takes the pool's properties. */
 	void set_spec(const stage_pool_spec &p_spec) { _spec = p_spec; }
 
