Read the store once a zone: the chosen reader tells the others what it read

One node of a zone, chosen by hashing among its larger ones, reads the endpoints and tells each node of its zone what changed, with the offsets between which that is true; a node takes it as its own reading when nothing is missing, compares a digest of the list, and reads for itself when no reading is told for 1.35 s. The configuration is followed by readers only; a node leaves it to them while one that beats each 0.2 s says that the store answers it, and follows by itself as soon as none does, or when a version that a peer has does not come within 0.4 s. The wait at the store is a second shorter than a change may take.

While no node is ready all beat often: at the first start zones took each other for cut off for a second.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -62,6 +62,38 @@
 	return digest;
 }
 
+using listing_offsets = flatbuffers::Vector<flatbuffers::Offset<wire::endpoint_entry>>;
+
+flatbuffers::Offset<listing_offsets> write_listings(builder &r_builder, const std::vector<endpoint_listing> &p_listings) {
+	std::vector<flatbuffers::Offset<wire::endpoint_entry>> entries;
+	entries.reserve(p_listings.size());
+	for (const endpoint_listing &listing : p_listings) {
+		const text_offset name = r_builder.CreateString(listing.vm);
+		const text_offset pool = r_builder.CreateString(listing.pool);
+		const text_offset zone = r_builder.CreateString(listing.zone);
+		const text_offset address = r_builder.CreateString(to_string(listing.address));
+		entries.push_back(wire::Createendpoint_entry(r_builder, name, pool, zone, address, listing.leaving));
+	}
+	return r_builder.CreateVector(entries);
+}
+
+std::vector<endpoint_listing> read_listings(const listing_offsets *p_entries) {
+	std::vector<endpoint_listing> listings;
+	if (p_entries == nullptr) {
+		return listings;
+	}
+	for (const wire::endpoint_entry *entry : *p_entries) {
+		endpoint_listing listing;
+		listing.vm = read(entry->name());
+		listing.pool = read(entry->pool());
+		listing.zone = read(entry->zone());
+		listing.address = parse_network_address(read(entry->address()));
+		listing.leaving = entry->leaving();
+		listings.push_back(std::move(listing));
+	}
+	return listings;
+}
+
 /** Writes each kind of message. */
 struct body_writer {
 	builder &target;
@@ -102,7 +134,7 @@
 		const auto commitment_vector = target.CreateVector(commitments);
 		const auto capacity_vector = target.CreateVector(capacities);
 		const auto gone = target.CreateVectorOfStrings(p_message.gone);
-		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, static_cast<std::uint32_t>(p_message.next_in.count() / 1000)).Union() };
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, static_cast<std::uint32_t>(p_message.next_in.count() / 1000), p_message.follows).Union() };
 	}
 
 	encoded_body operator()(const ask_configuration_message &p_message) const {
@@ -146,18 +178,17 @@
 	}
 
 	encoded_body operator()(const tell_endpoints_message &p_message) const {
-		std::vector<flatbuffers::Offset<wire::endpoint_entry>> entries;
-		for (const endpoint_listing &listing : p_message.endpoints) {
-			const text_offset name = target.CreateString(listing.vm);
-			const text_offset pool = target.CreateString(listing.pool);
-			const text_offset zone = target.CreateString(listing.zone);
-			const text_offset address = target.CreateString(to_string(listing.address));
-			entries.push_back(wire::Createendpoint_entry(target, name, pool, zone, address, listing.leaving));
-		}
-		const auto endpoints = target.CreateVector(entries);
+		const auto endpoints = write_listings(target, p_message.endpoints);
 		return { wire::message_tell_endpoints, wire::Createtell_endpoints(target, endpoints).Union() };
 	}
 
+	encoded_body operator()(const tell_reading_message &p_message) const {
+		const endpoint_reading &reading = p_message.reading;
+		const auto written = write_listings(target, reading.written);
+		const auto dropped = target.CreateVectorOfStrings(reading.dropped);
+		return { wire::message_tell_reading, wire::Createtell_reading(target, reading.from, reading.to, written, dropped, reading.listed).Union() };
+	}
+
 	encoded_body operator()(const cancel_work_message &p_message) const {
 		const text_offset pool = target.CreateString(p_message.pool);
 		return { wire::message_cancel_work, wire::Createcancel_work(target, p_message.id, pool).Union() };
@@ -224,6 +255,7 @@
 		}
 	}
 	message.gone = read_texts(p_message.gone());
+	message.follows = p_message.follows();
 	message.next_in = std::chrono::milliseconds(p_message.next_in_ms());
 	return message;
 }
@@ -249,21 +281,14 @@
 	return message;
 }
 
-tell_endpoints_message read_tell_endpoints(const wire::tell_endpoints &p_message) {
-	tell_endpoints_message message;
-	if (p_message.endpoints() == nullptr) {
-		return message;
-	}
-	for (const wire::endpoint_entry *entry : *p_message.endpoints()) {
-		endpoint_listing listing;
-		listing.vm = read(entry->name());
-		listing.pool = read(entry->pool());
-		listing.zone = read(entry->zone());
-		listing.address = parse_network_address(read(entry->address()));
-		listing.leaving = entry->leaving();
-		message.endpoints.push_back(std::move(listing));
-	}
-	return message;
+endpoint_reading read_reading(const wire::tell_reading &p_message) {
+	endpoint_reading reading;
+	reading.from = p_message.from();
+	reading.to = p_message.to();
+	reading.written = read_listings(p_message.written());
+	reading.dropped = read_texts(p_message.dropped());
+	reading.listed = p_message.listed();
+	return reading;
 }
 
 prompt_sent_message read_prompt_sent(const wire::prompt_sent &p_message) {
@@ -343,7 +368,9 @@
 			return cancel_work_message{ cancelled->id(), read(cancelled->pool()) };
 		}
 		case wire::message_tell_endpoints:
-			return read_tell_endpoints(*frame->body_as_tell_endpoints());
+			return tell_endpoints_message{ read_listings(frame->body_as_tell_endpoints()->endpoints()) };
+		case wire::message_tell_reading:
+			return tell_reading_message{ read_reading(*frame->body_as_tell_reading()) };
 		case wire::message_prompt_sent:
 			return read_prompt_sent(*frame->body_as_prompt_sent());
 		case wire::message_tell_results: {
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -177,6 +177,8 @@
 			_owner._prompt_sent.emit(_vm, *prompt);
 		} else if (const auto *endpoints = std::get_if<tell_endpoints_message>(&p_message)) {
 			_owner._endpoints_told.emit(_vm, *endpoints);
+		} else if (const auto *reading = std::get_if<tell_reading_message>(&p_message)) {
+			_owner._reading_told.emit(_vm, *reading);
 		}
 	}
 
@@ -422,6 +424,10 @@
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
 }
 
+bool node_link::send(const std::string &p_vm, const tell_reading_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+}
+
 void node_link::drop(const std::string &p_vm) {
 	const std::vector<std::shared_ptr<link>> links = _links;
 	for (const std::shared_ptr<link> &entry : links) {
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -13,6 +13,7 @@
 #include "drivers/event_loop.h"
 #include "servers/configuration/configuration_fold.h"
 #include "servers/gateway/commitment_table.h"
+#include "servers/gateway/endpoint_directory.h"
 #include "servers/gateway/engine_view.h"
 #include "servers/membership/member_table.h"
 
@@ -45,6 +46,7 @@
 	std::vector<pool_commitment> commitments; ///< Stage work this node has admitted and not finished.
 	std::vector<pool_capacity> capacities; ///< Of the pools this node dispatches.
 	std::vector<std::string> gone; ///< Endpoints whose entry this node saw go, reading without a break.
+	bool follows = false; ///< This node follows the configuration in the store and was answered just now.
 	duration next_in = duration::zero(); ///< Until the next heartbeat to the same peer; zero when it is not told.
 };
 
@@ -119,6 +121,11 @@
 	std::vector<endpoint_listing> endpoints;
 };
 
+/** What one read of the endpoints' topic brought, for nodes that do not read it themselves. */
+struct tell_reading_message {
+	endpoint_reading reading;
+};
+
 /** Who a link is made as, and the secret of the fleet. */
 struct link_identity {
 	std::string vm;
@@ -161,6 +168,7 @@
 	sigc::signal<void(const std::string &, const tell_results_message &)> _results_told;
 	sigc::signal<void(const std::string &, const prompt_sent_message &)> _prompt_sent;
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> _endpoints_told;
+	sigc::signal<void(const std::string &, const tell_reading_message &)> _reading_told;
 
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
@@ -209,6 +217,7 @@
 	bool send(const std::string &p_vm, const tell_results_message &p_message);
 	bool send(const std::string &p_vm, const prompt_sent_message &p_message);
 	bool send(const std::string &p_vm, const tell_endpoints_message &p_message);
+	bool send(const std::string &p_vm, const tell_reading_message &p_message);
 
 	/** Closes the links of a VM that has fallen silent; they are dialled anew. */
 	void drop(const std::string &p_vm);
@@ -228,6 +237,7 @@
 	sigc::signal<void(const std::string &, const tell_results_message &)> &results_told() { return _results_told; }
 	sigc::signal<void(const std::string &, const prompt_sent_message &)> &prompt_sent() { return _prompt_sent; }
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> &endpoints_told() { return _endpoints_told; }
+	sigc::signal<void(const std::string &, const tell_reading_message &)> &reading_told() { return _reading_told; }
 
 	const network_address &get_address() const { return _address; }
 	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
--- a/main/configuration_follower.cpp
+++ b/main/configuration_follower.cpp
@@ -18,10 +18,10 @@
 namespace {
 
 /**
- * Of the time that a change may take, what is left after a waiting read: an overdue answer is noticed, the next read is sent
- * and answered, and the version is parsed.
+ * Of the time that a change may take, what is left after a waiting read: an overdue answer is noticed (0.3 s), peers that
+ * leave the following to this node are told (0.2 s), they read for themselves and parse the version.
  */
-constexpr duration AFTER_WAIT = std::chrono::milliseconds(500);
+constexpr duration AFTER_WAIT = std::chrono::milliseconds(1000);
 constexpr duration SHORTEST_WAIT = std::chrono::milliseconds(200);
 /** A store that is fifty times slower than usual answers within 0.2 s. */
 constexpr duration OVERDUE = std::chrono::milliseconds(300);
@@ -51,7 +51,27 @@
 			break;
 		}
 	}
-	_reader.read();
+	_is_proven = true;
+	if (!_is_covered) {
+		_reader.read();
+	}
+}
+
+void configuration_follower::set_covered(bool p_is_covered) {
+	if (p_is_covered) {
+		_reader.note_answered();
+	}
+	if (p_is_covered == _is_covered) {
+		return;
+	}
+	_is_covered = p_is_covered;
+	_context.log.write(log_line("configuration_followed").add("by", p_is_covered ? "peers" : "this node").add("version", static_cast<long long>(get_version())));
+	_is_proven = false;
+	if (p_is_covered) {
+		_reader.pause();
+	} else {
+		_reader.read();
+	}
 }
 
 bool configuration_follower::offer(const std::string &p_document, std::string_view p_source) {
--- a/main/configuration_follower.h
+++ b/main/configuration_follower.h
@@ -25,6 +25,8 @@
 	std::shared_ptr<const gateway_configuration> _current;
 	std::string _document; ///< Text of the version in force, for peers.
 	topic_reader _reader;
+	bool _is_covered = false;
+	bool _is_proven = false; ///< The store answered since this node began to follow it.
 	sigc::signal<void()> _changed;
 
 	void _take_records(const store_answer &p_answer);
@@ -50,6 +52,12 @@
 	/** How long ago the store last answered a read of the configuration; since the start if it has not yet. */
 	duration get_unconfirmed_time(instant p_now) const { return _reader.get_unconfirmed_time(p_now); }
 
+	/** Peers that are heard follow the configuration, so that this node need not. Told often; the last time counts as an answer. */
+	void set_covered(bool p_is_covered);
+
+	/** Whether this node follows the store itself and was answered in time. */
+	bool is_following() const { return !_is_covered && _is_proven && _reader.is_answered(); }
+
 	/** Emitted when a new version is in force. */
 	sigc::signal<void()> &changed() { return _changed; }
 };
--- a/main/endpoint_follower.cpp
+++ b/main/endpoint_follower.cpp
@@ -22,6 +22,13 @@
  * come within half a second of the store's return, as entries that are missing then are kept for two more.
  */
 constexpr duration NEXT_READ = std::chrono::milliseconds(400);
+/**
+ * A peer that reads for others tells each 0.9 s. One that fell silent is noticed and the list read within the two seconds
+ * after which an endpoint that leaves gets no new work.
+ */
+constexpr duration TOLD_INTERVAL = std::chrono::milliseconds(1350);
+/** Lists that differ are read as a whole no more often than this, as two nodes may differ for a while after an outage. */
+constexpr duration WHOLE_INTERVAL = std::chrono::seconds(4);
 /** While entries that went with an outage are waited for. */
 constexpr duration RETURN_INTERVAL = std::chrono::milliseconds(400);
 
@@ -46,10 +53,37 @@
 	_directory.on_read(event_loop::now());
 	if (p_is_whole) {
 		_take_whole(p_answer);
-	} else {
-		_take_records(p_answer);
+		_set_timers();
+		return;
+	}
+	const endpoint_reading reading = _take_records(p_answer);
+	_set_timers();
+	_reading_taken.emit(reading);
+}
+
+void endpoint_follower::take_reading(const endpoint_reading &p_reading, const std::string &p_peer) {
+	const std::uint64_t known = _reader.get_offset();
+	if (known == 0 || p_reading.from > known || p_reading.to < known) {
+		return;
 	}
+	const instant now = event_loop::now();
+	_reader.skip_to(p_reading.to);
+	_directory.on_read(now);
+	_directory.take_reading(p_reading, now);
 	_set_timers();
+	_reader.read_in(TOLD_INTERVAL);
+	_compare(p_reading.listed, p_peer);
+}
+
+void endpoint_follower::_compare(std::uint64_t p_listed, const std::string &p_peer) {
+	const instant now = event_loop::now();
+	if (p_listed == _directory.get_listed() || now - _differed_at < WHOLE_INTERVAL) {
+		return;
+	}
+	_differed_at = now;
+	_context.metrics.count("endpoint_lists_differed");
+	_context.log.write(log_line("endpoint_lists_differ").add("peer", p_peer).add("endpoints", static_cast<long long>(_directory.get_size())).add("offset", static_cast<long long>(_reader.get_offset())));
+	_reader.read_whole();
 }
 
 void endpoint_follower::_set_timers() {
@@ -64,20 +98,19 @@
 	_reader.read_in(_directory.get_size() == 0 ? RETRY_INTERVAL : usual);
 }
 
-void endpoint_follower::_take_records(const store_answer &p_answer) {
+endpoint_reading endpoint_follower::_take_records(const store_answer &p_answer) {
+	std::vector<endpoint_record> records;
+	records.reserve(p_answer.records.size());
 	for (const store_record &record : p_answer.records) {
-		if (!record.value) {
-			_directory.drop(record.key, event_loop::now());
-			continue;
-		}
-		const std::optional<endpoint_listing> listing = parse_endpoint_entry(record.key, *record.value);
-		if (listing) {
-			_directory.put(*listing);
-		} else {
+		const std::optional<endpoint_listing> listing = record.value ? parse_endpoint_entry(record.key, *record.value) : std::nullopt;
+		if (record.value && !listing) {
 			_context.metrics.count("endpoint_entry_rejected");
 			_context.log.write(log_line("endpoint_entry_rejected").add("endpoint", record.key));
+			continue;
 		}
+		records.push_back(endpoint_record{ record.key, listing });
 	}
+	return _directory.take_records(records, p_answer.next_offset - p_answer.records.size(), p_answer.next_offset, event_loop::now());
 }
 
 void endpoint_follower::_take_whole(const store_answer &p_answer) {
--- a/main/endpoint_follower.h
+++ b/main/endpoint_follower.h
@@ -23,11 +23,14 @@
 	topic_reader _reader;
 	timer _drop_timer; ///< Entries that went with an outage are dropped.
 	sigc::signal<void()> _changed;
+	sigc::signal<void(const endpoint_reading &)> _reading_taken;
+	instant _differed_at{}; ///< When this node last read the whole list because a peer's was another one.
 
 	void _on_answer(const store_answer &p_answer, bool p_is_whole);
 	void _on_failure();
 	void _set_timers();
-	void _take_records(const store_answer &p_answer);
+	endpoint_reading _take_records(const store_answer &p_answer);
+	void _compare(std::uint64_t p_listed, const std::string &p_peer);
 	void _take_whole(const store_answer &p_answer);
 	void _publish();
 
@@ -49,6 +52,15 @@
 	/** A peer told its list. */
 	void offer(const std::vector<endpoint_listing> &p_listings, const std::string &p_peer);
 
+	/**
+	 * A peer told what it read. Taken as if this node had read it, when nothing is missing in between; then this node reads
+	 * by itself only if no peer tells in time.
+	 */
+	void take_reading(const endpoint_reading &p_reading, const std::string &p_peer);
+
+	/** Emitted with what each read of this node brought, for peers that do not read. */
+	sigc::signal<void(const endpoint_reading &)> &reading_taken() { return _reading_taken; }
+
 	endpoint_directory &get_directory() { return _directory; }
 	/** Whether endpoints are known; an empty list means that none has said so yet. */
 	bool is_loaded() const { return _directory.is_loaded() && _directory.get_size() > 0; }
--- a/main/gateway.h
+++ b/main/gateway.h
@@ -97,6 +97,9 @@
 	/** Stage work of other nodes, and of this one, that this node dispatches now. */
 	std::size_t get_handed_work() const { return _dispatcher.get_accepted_count(); }
 
+	/** Nodes that this one heard just now, itself included. */
+	std::size_t get_live_count() const { return _fleet.get_live_count(); }
+
 	const network_address &get_caller_address() const { return _callers.get_address(); }
 	const network_address &get_readiness_address() const { return _readiness.get_address(); }
 	const network_address &get_link_address() { return _fleet.get_link().get_address(); }
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -48,6 +48,8 @@
 	});
 	_link.link_down().connect([this](const std::string &p_vm) { _set_live(p_vm, false); });
 	_link.endpoints_told().connect([this](const std::string &p_vm, const tell_endpoints_message &p_message) { _endpoints.offer(p_message.endpoints, p_vm); });
+	_link.reading_told().connect([this](const std::string &p_vm, const tell_reading_message &p_message) { _on_reading_told(p_vm, p_message.reading); });
+	_endpoints.reading_taken().connect([this](const endpoint_reading &p_reading) { _tell_reading(p_reading); });
 	_configuration.changed().connect([this] { _send_heartbeats(true); });
 }
 
@@ -154,6 +156,7 @@
 	_members.tick(now);
 	_dial();
 	_use_store();
+	_share_reading();
 	_endpoints.drop_told();
 	_collect_news();
 	_send_heartbeats(false);
@@ -201,6 +204,55 @@
 	}
 }
 
+bool gateway_fleet::_is_in_own_zone(const std::string &p_vm) const {
+	const member *peer = _members.find(p_vm);
+	return peer == nullptr ? p_vm == get_vm() : peer->digest.zone == _context.settings.zone;
+}
+
+void gateway_fleet::_share_reading() {
+	if (!_context.settings.without.has(mechanism::STORE_READERS)) {
+		return;
+	}
+	// The larger nodes of the zone read, or any if it has no large one left.
+	std::vector<std::string> candidates = get_dispatch_nodes();
+	std::erase_if(candidates, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
+	if (candidates.empty()) {
+		candidates = get_ready_nodes();
+		std::erase_if(candidates, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
+	}
+	const bool is_reader = choose_reader(_context.settings.zone, candidates) == get_vm();
+	if (is_reader != _is_reader) {
+		_is_reader = is_reader;
+		_context.log.write(log_line("store_reader").add("zone", _context.settings.zone).add("reads", is_reader ? "yes" : "no").add("candidates", static_cast<long long>(candidates.size())));
+	}
+	const instant now = event_loop::now();
+	const bool is_covered = _cover.is_covered(
+			_configuration.get_version(), [this, now](const std::string &p_vm) { return _is_heard(p_vm, now); }, now);
+	_configuration.set_covered(!_is_reader && is_covered && _configuration.get_current() != nullptr);
+}
+
+void gateway_fleet::_tell_reading(const endpoint_reading &p_reading) {
+	if (!_is_reader) {
+		return;
+	}
+	for (const std::string &vm : _link.get_linked()) {
+		if (_is_in_own_zone(vm)) {
+			_link.send(vm, tell_reading_message{ p_reading });
+		}
+	}
+}
+
+void gateway_fleet::_on_reading_told(const std::string &p_vm, const endpoint_reading &p_reading) {
+	if (!_context.settings.without.has(mechanism::STORE_READERS)) {
+		return;
+	}
+	_collect_news();
+	_endpoints.take_reading(p_reading, p_vm);
+	// The reader tells all nodes what it saw; that need not be told again by each node of its zone.
+	_endpoints.get_directory().take_news();
+	_endpoints.get_directory().take_gone();
+}
+
 void gateway_fleet::_collect_news() {
 	const instant now = event_loop::now();
 	for (const std::string &endpoint : _endpoints.get_directory().take_news()) {
@@ -218,6 +270,7 @@
 	heartbeat_message message;
 	message.digests = p_with_rumours ? _members.make_heartbeat() : _members.make_own_heartbeat();
 	message.commitments = _commitments.get_own();
+	message.follows = _configuration.is_following();
 	if (_get_capacities) {
 		message.capacities = _get_capacities();
 	}
@@ -248,7 +301,8 @@
 	heartbeat_message brief = full;
 	brief.digests.resize(1);
 	for (const std::string &vm : _link.get_linked()) {
-		const bool is_close = am_dispatching || is_dispatching(vm);
+		// Nobody dispatches until a node is ready; then all must learn soon of who is there.
+		const bool is_close = am_dispatching || is_dispatching(vm) || dispatching.empty() || (_is_reader && _is_in_own_zone(vm));
 		if (p_to_all || _contacts.is_due(vm, is_close, now)) {
 			_send_heartbeat(vm, is_close ? full : brief, is_close);
 		}
@@ -299,10 +353,13 @@
 		_endpoints.mark_gone(endpoint, p_vm);
 	}
 	_commitments.take_peer(p_vm, p_message.commitments);
+	const member *peer = _members.find(p_vm);
+	if (_cover.on_heartbeat(p_vm, p_message.follows, p_message.next_in, peer == nullptr ? 0 : peer->digest.configuration_version)) {
+		_share_reading();
+	}
 	for (const pool_capacity &entry : p_message.capacities) {
 		_commitments.set_capacity(entry.pool, entry.replicas);
 	}
-	const member *peer = _members.find(p_vm);
 	if (peer != nullptr) {
 		_context.zones.on_node_heard(peer->digest.zone, now);
 		_help_unready(peer->digest, now);
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -14,6 +14,7 @@
 #include "main/endpoint_follower.h"
 #include "servers/membership/member_table.h"
 #include "servers/membership/peer_contacts.h"
+#include "servers/membership/store_cover.h"
 
 #include <map>
 #include <set>
@@ -31,6 +32,8 @@
 	node_link _link;
 	member_table _members;
 	peer_contacts _contacts;
+	store_cover _cover;
+	bool _is_reader = false; ///< Of its zone.
 	std::map<std::string, bool> _was_live;
 	timer _beat_timer;
 	timer _watch_timer;
@@ -57,6 +60,11 @@
 	void _use_store();
 	void _note_changes();
 	void _set_live(const std::string &p_vm, bool p_live);
+	/** Decides whether this node reads the store for its zone, and whether peers follow the configuration for it. */
+	void _share_reading();
+	void _tell_reading(const endpoint_reading &p_reading);
+	void _on_reading_told(const std::string &p_vm, const endpoint_reading &p_reading);
+	bool _is_in_own_zone(const std::string &p_vm) const;
 	void _collect_news();
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
 	void _on_configuration_asked(const std::string &p_vm, std::uint64_t p_have);
--- a/main/topic_reader.cpp
+++ b/main/topic_reader.cpp
@@ -8,6 +8,8 @@
 
 #include "main/topic_reader.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 topic_reader::topic_reader(gateway_context &p_context, std::string_view p_topic, const std::string &p_dependency, const read_times &p_times, topic_reader_hooks p_hooks) :
@@ -26,12 +28,28 @@
 	_send(_schedule.begin());
 }
 
+void topic_reader::read_whole() {
+	_offset = 0;
+	read();
+}
+
 void topic_reader::read_in(duration p_time) {
 	if (!_schedule.is_reading()) {
 		_timer.set(p_time);
 	}
 }
 
+void topic_reader::skip_to(std::uint64_t p_offset) {
+	_offset = std::max(_offset, p_offset);
+	_answered_at = event_loop::now();
+	pause();
+}
+
+void topic_reader::pause() {
+	_schedule.abandon();
+	_timer.cancel();
+}
+
 void topic_reader::_check() {
 	if (!_schedule.is_reading()) {
 		read();
--- a/main/topic_reader.h
+++ b/main/topic_reader.h
@@ -48,9 +48,29 @@
 	/** Begins a reading at once. */
 	void read();
 
+	/** Begins a reading of the newest record of each key at once. */
+	void read_whole();
+
 	/** Begins a reading after this time; a reading that is under way goes on instead. */
 	void read_in(duration p_time);
 
+	/** The topic is known up to this offset by other means; what is under way is not waited for. */
+	void skip_to(std::uint64_t p_offset);
+
+	/** Ends the reading that is under way; the next one begins when it is asked for. */
+	void pause();
+
+	/** What is known is known to be the newest by other means. */
+	void note_answered() { _answered_at = event_loop::now(); }
+
+	/** Whether the store answered the last read within its time, and the one that is open is not overdue. */
+	bool is_answered() const { return _schedule.is_heard(); }
+
+	bool is_reading() const { return _schedule.is_reading(); }
+
+	/** Offset up to which the topic is known; 0 before it was read as a whole. */
+	std::uint64_t get_offset() const { return _offset; }
+
 	/** How long ago the store last answered a read of this topic; since the start if it has not yet. */
 	duration get_unconfirmed_time(instant p_now) const { return p_now - _answered_at; }
 };
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -8,6 +8,8 @@
 
 #include "servers/gateway/endpoint_directory.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
 
 namespace calicoscale {
@@ -48,6 +50,58 @@
 	_loaded = true;
 }
 
+std::optional<endpoint_listing> endpoint_directory::_find_kept(const std::string &p_name) const {
+	const auto found = _endpoints.find(p_name);
+	return found == _endpoints.end() || found->second.dropped_at ? std::nullopt : std::optional<endpoint_listing>(found->second.listing);
+}
+
+endpoint_reading endpoint_directory::take_records(const std::vector<endpoint_record> &p_records, std::uint64_t p_from, std::uint64_t p_to, instant p_now) {
+	endpoint_reading reading;
+	reading.from = p_from;
+	reading.to = p_to;
+	std::map<std::string, bool> is_dropped; // By name, by its newest record.
+	std::map<std::string, std::optional<endpoint_listing>> before;
+	for (const endpoint_record &record : p_records) {
+		is_dropped[record.name] = !record.listing;
+		before.emplace(record.name, _find_kept(record.name));
+	}
+	for (const endpoint_record &record : p_records) {
+		if (record.listing) {
+			put(*record.listing);
+		} else {
+			drop(record.name, p_now);
+		}
+	}
+	for (const auto &[name, dropped] : is_dropped) {
+		// What it is now, not its newest record: a record before may have said that it leaves, which is never undone.
+		const std::optional<endpoint_listing> now = _find_kept(name);
+		if (dropped) {
+			reading.dropped.push_back(name);
+		} else if (now && now != before.at(name)) {
+			reading.written.push_back(*now);
+		}
+	}
+	reading.listed = get_listed();
+	return reading;
+}
+
+void endpoint_directory::take_reading(const endpoint_reading &p_reading, instant p_now) {
+	for (const std::string &name : p_reading.dropped) {
+		drop(name, p_now);
+	}
+	for (const endpoint_listing &listing : p_reading.written) {
+		put(listing);
+	}
+}
+
+std::uint64_t endpoint_directory::get_listed() const {
+	std::uint64_t digest = 0;
+	for (const auto &[name, entry] : _endpoints) {
+		digest = hash_bytes(name, digest + (entry.listing.leaving ? 1 : 0));
+	}
+	return digest;
+}
+
 void endpoint_directory::put(const endpoint_listing &p_listing) {
 	if (p_listing.leaving && _left.insert(p_listing.vm).second) {
 		_news.push_back(p_listing.vm);
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -20,6 +20,21 @@
 
 namespace calicoscale {
 
+/** One record of the endpoints' log. */
+struct endpoint_record {
+	std::string name;
+	std::optional<endpoint_listing> listing; ///< Empty when the entry went.
+};
+
+/** What a part of the endpoints' log says, in the fewest words: what it changes for one who knows what came before. */
+struct endpoint_reading {
+	std::uint64_t from = 0; ///< Offset of the first record.
+	std::uint64_t to = 0; ///< Offset behind the last one.
+	std::vector<endpoint_listing> written;
+	std::vector<std::string> dropped;
+	std::uint64_t listed = 0; ///< Digest of the endpoints that the reader knows afterwards; others that differ read for themselves.
+};
+
 /**
  * Folds entries into the list of endpoints. An endpoint that said it leaves never comes back under its name. Entries
  * that went while the log was away may have lapsed only because nobody could renew them: these endpoints stay in use
@@ -41,6 +56,8 @@
 	bool _loaded = false;
 	bool _changed = false;
 
+	/** An endpoint whose entry is there; empty for one that went with an outage and is only kept for a while. */
+	std::optional<endpoint_listing> _find_kept(const std::string &p_name) const;
 	bool _is_after_outage(instant p_now) const;
 	bool _is_reading(instant p_now) const;
 	bool _knows_less_than_peers(const known_endpoint &p_endpoint, instant p_now) const;
@@ -56,6 +73,19 @@
 	/** An endpoint's entry went. */
 	void drop(const std::string &p_name, instant p_now);
 
+	/**
+	 * Takes records of the log in their order.
+	 * @param p_from offset of the first one. @param p_to offset behind the last one.
+	 * @return what they change, for nodes that knew the same before.
+	 */
+	endpoint_reading take_records(const std::vector<endpoint_record> &p_records, std::uint64_t p_from, std::uint64_t p_to, instant p_now);
+
+	/** Takes what a peer read, when this node knows all that came before it. */
+	void take_reading(const endpoint_reading &p_reading, instant p_now);
+
+	/** Digest of the names of all endpoints and which of them leave. */
+	std::uint64_t get_listed() const;
+
 	/** Takes a whole reading of all entries. */
 	void replace(const std::vector<endpoint_listing> &p_listings, instant p_now);
 
--- a/servers/gateway/mechanism.cpp
+++ b/servers/gateway/mechanism.cpp
@@ -45,6 +45,7 @@
 		{ mechanism::ENGINE_ZONE, "engine_zone" },
 		{ mechanism::EJECTION, "ejection" },
 		{ mechanism::REPEATS, "repeats" },
+		{ mechanism::STORE_READERS, "store_readers" },
 		{ mechanism::ZONE_SILENCE, "zone_silence" },
 } };
 
--- a/servers/gateway/mechanism.h
+++ b/servers/gateway/mechanism.h
@@ -45,6 +45,7 @@
 	ENGINE_ZONE, ///< Engines in the zone of the results are preferred.
 	EJECTION, ///< Endpoints that fail are left out for a while.
 	REPEATS, ///< Requests that may run again are sent again.
+	STORE_READERS, ///< One node a zone reads the store for the others.
 	ZONE_SILENCE, ///< A silent zone is taken for cut off.
 	COUNT, ///< Number of the others.
 };
--- a/servers/gateway/read_schedule.cpp
+++ b/servers/gateway/read_schedule.cpp
@@ -55,6 +55,11 @@
 	return true;
 }
 
+void read_schedule::abandon() {
+	_reading++;
+	_open = 0;
+}
+
 bool read_schedule::on_failed(std::uint64_t p_reading) {
 	if (p_reading != _reading) {
 		return false;
--- a/servers/gateway/read_schedule.h
+++ b/servers/gateway/read_schedule.h
@@ -61,6 +61,12 @@
 	/** A read ended without an answer. False if it belongs to an earlier reading. */
 	bool on_failed(std::uint64_t p_reading);
 
+	/** Answers to what is open are not waited for any more. */
+	void abandon();
+
+	/** Whether the last reading was answered by its first read, as far as that is known. */
+	bool is_heard() const { return _is_heard; }
+
 	/** Whether an answer may still come. */
 	bool is_reading() const { return _open > 0; }
 
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -53,6 +53,7 @@
 	message.digests.push_back(digest);
 	message.marks.push_back(leaving_mark{ "gone", 3 });
 	message.gone = { "lapsed", "stopped" };
+	message.follows = true;
 	return message;
 }
 
@@ -68,6 +69,17 @@
 	EXPECT_EQ(read.digests.at(0).demand.at(get_customer_code("c")), 1.5);
 	EXPECT_EQ(read.marks.at(0).incarnation, 3U);
 	EXPECT_EQ(read.gone, (std::vector<std::string>{ "lapsed", "stopped" }));
+	EXPECT_TRUE(read.follows);
+	endpoint_listing listing;
+	listing.vm = "llm-1";
+	listing.pool = "llm";
+	listing.leaving = true;
+	const endpoint_reading told_reading = std::get<tell_reading_message>(*decode_link_message(encode(link_message(tell_reading_message{ endpoint_reading{ 3, 9, { listing }, { "lapsed" }, 77 } })))).reading;
+	EXPECT_EQ(told_reading.from, 3U);
+	EXPECT_EQ(told_reading.to, 9U);
+	EXPECT_EQ(told_reading.written, (std::vector<endpoint_listing>{ listing }));
+	EXPECT_EQ(told_reading.dropped, (std::vector<std::string>{ "lapsed" }));
+	EXPECT_EQ(told_reading.listed, 77U);
 	configuration_snapshot snapshot{ 4, 9, true, "change", "{}" };
 	const configuration_snapshot told = std::get<configuration_snapshot>(*decode_link_message(encode(link_message(snapshot))));
 	EXPECT_EQ(told.version, 4U);
--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -223,6 +223,88 @@
 	EXPECT_GT(_store.count_unanswered(), 1U) << "the next read does not wait until all before it have timed out";
 }
 
+TEST_F(gateway_fleet_test, one_node_of_a_zone_reads_the_store_for_the_others) {
+	configure(1);
+	add_replica("llm");
+	for (int i = 0; i < 4; i++) {
+		start_ready();
+	}
+	wait(milliseconds(2500));
+	const std::size_t before = _store.get_calls();
+	wait(milliseconds(3600));
+	// One node alone makes four reads of the endpoints and three of the configuration in this time.
+	EXPECT_LE(_store.get_calls() - before, 10U);
+}
+
+TEST_F(gateway_fleet_test, nodes_that_do_not_read_learn_of_endpoints_and_versions) {
+	configure(1);
+	add_replica("llm");
+	for (int i = 0; i < 3; i++) {
+		start_ready();
+	}
+	wait(milliseconds(2500));
+	configure(2);
+	standin_replica &late = add_replica("llm");
+	json changed = make_configuration(3);
+	changed["tenants"][0]["api_keys"] = { "key-of-3" };
+	_store.put(CONFIGURATION_TOPIC, "config", changed.dump());
+	for (const std::unique_ptr<gateway> &entry : _gateways) {
+		run_until([this, &entry] { return ask(*entry, "/safe/", "key-of-3")->head.status == 200; });
+		late.runs.clear();
+		run_until([this, &entry, &late] {
+			ask(*entry, "/safe/", "key-of-3");
+			return !late.runs.empty();
+		});
+	}
+	_store.drop(ENDPOINT_TOPIC, late.get_name());
+	for (const std::unique_ptr<gateway> &entry : _gateways) {
+		run_until([this, &entry, &late] {
+			late.runs.clear();
+			for (int i = 0; i < 4; i++) {
+				ask(*entry, "/safe/", "key-of-3");
+			}
+			return late.runs.empty();
+		});
+	}
+}
+
+/** The reader of a zone is lost without a sign; what it read for the others is read by them. */
+TEST_F(gateway_fleet_test, when_the_reader_of_a_zone_is_lost_the_others_go_on) {
+	configure(1);
+	add_replica("llm");
+	for (int i = 0; i < 3; i++) {
+		start_ready();
+	}
+	wait(milliseconds(2500));
+	while (_gateways.size() > 1) {
+		_gateways.pop_back();
+		json changed = make_configuration(10 - static_cast<int>(_gateways.size()));
+		const std::string key = "key-" + std::to_string(_gateways.size()) + "-left";
+		changed["tenants"][0]["api_keys"] = { key };
+		_store.put(CONFIGURATION_TOPIC, "config", changed.dump());
+		standin_replica &late = add_replica("llm");
+		run_until([this, &key] { return ask(*_gateways.front(), "/safe/", key)->head.status == 200; });
+		run_until([this, &key, &late] {
+			ask(*_gateways.front(), "/safe/", key);
+			return !late.runs.empty();
+		});
+	}
+}
+
+TEST_F(gateway_fleet_test, nodes_that_start_without_a_configuration_do_not_take_each_others_zones_for_cut_off) {
+	start_gateway();
+	_zone = "b";
+	gateway &two = start_gateway();
+	run_until([&two] { return two.get_live_count() == 2; });
+	const instant until = event_loop::now() + milliseconds(1500);
+	bool was_alone = false;
+	run_until([&two, &was_alone, until] {
+		was_alone = was_alone || two.get_live_count() < 2;
+		return event_loop::now() > until;
+	});
+	EXPECT_FALSE(was_alone);
+}
+
 TEST_F(gateway_fleet_test, history_that_is_gone_is_read_anew) {
 	configure(1);
 	standin_replica &old = add_replica("llm");
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -46,9 +46,17 @@
 	return text;
 }
 
+/** How often it looks for reads that have waited long enough. */
+constexpr duration WAIT_CHECK = std::chrono::milliseconds(20);
+
+void answer_without_records(caller_exchange &p_exchange, std::size_t p_offset) {
+	p_exchange.reply(200, {}, big_endian(p_offset, 8) + big_endian(0, 8));
+}
+
 } // namespace
 
 standin_store::standin_store(event_loop &p_loop) :
+		_wait_timer(p_loop, [this] { _end_waits(); }),
 		_server(std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); })) {
 }
 
@@ -111,6 +119,19 @@
 	}
 }
 
+void standin_store::_end_waits() {
+	const instant now = event_loop::now();
+	for (const waiting_read &entry : _waiting) {
+		if (now >= entry.ends_at && !entry.exchange->is_gone()) {
+			answer_without_records(*entry.exchange, entry.offset);
+		}
+	}
+	std::erase_if(_waiting, [now](const waiting_read &p_entry) { return now >= p_entry.ends_at || p_entry.exchange->is_gone(); });
+	if (!_waiting.empty()) {
+		_wait_timer.set(WAIT_CHECK);
+	}
+}
+
 std::size_t standin_store::count_unanswered() const {
 	return static_cast<std::size_t>(std::count_if(_unanswered.begin(), _unanswered.end(), [](const std::shared_ptr<caller_exchange> &p_exchange) { return !p_exchange->is_gone(); }));
 }
@@ -134,9 +155,11 @@
 		const std::size_t offset = std::stoul(query.at("source"));
 		if (!_answer_read(*p_exchange, query.at("topic"), offset)) {
 			if (query.contains("wait_ms")) {
-				_waiting.push_back(waiting_read{ query.at("topic"), offset, p_exchange });
+				const instant ends_at = event_loop::now() + std::chrono::milliseconds(std::stol(query.at("wait_ms")));
+				_waiting.push_back(waiting_read{ query.at("topic"), offset, p_exchange, ends_at });
+				_wait_timer.set(WAIT_CHECK);
 			} else {
-				p_exchange->reply(200, {}, big_endian(offset, 8) + big_endian(0, 8));
+				answer_without_records(*p_exchange, offset);
 			}
 		}
 	} else if (path == "/log-append") {
--- a/tests/standins/standin_store.h
+++ b/tests/standins/standin_store.h
@@ -37,10 +37,12 @@
 		std::string topic_name;
 		std::size_t offset = 0;
 		std::shared_ptr<caller_exchange> exchange;
+		instant ends_at{}; ///< Then it is answered without a record.
 	};
 
 	std::map<std::string, topic> _topics;
 	std::list<waiting_read> _waiting;
+	timer _wait_timer;
 	bool _away = false;
 	bool _mute = false;
 	std::vector<std::shared_ptr<caller_exchange>> _unanswered; ///< Came while it was mute.
@@ -53,6 +55,7 @@
 	bool _answer_read(caller_exchange &p_exchange, const std::string &p_topic, std::size_t p_offset);
 	void _append(caller_exchange &p_exchange, const std::string &p_topic);
 	void _wake();
+	void _end_waits();
 
 public:
 	explicit standin_store(event_loop &p_loop);
