Follow an empty topic by waiting; let a zone's reader be any of its larger live nodes

The reader is chosen among live nodes, ready or not, so that one reads for its zone also before any endpoint is there.

--- a/main/endpoint_follower.cpp
+++ b/main/endpoint_follower.cpp
@@ -63,7 +63,7 @@
 
 void endpoint_follower::take_reading(const endpoint_reading &p_reading, const std::string &p_peer) {
 	const std::uint64_t known = _reader.get_offset();
-	if (known == 0 || p_reading.from > known || p_reading.to < known) {
+	if (!_reader.is_loaded() || p_reading.from > known || p_reading.to < known) {
 		return;
 	}
 	const instant now = event_loop::now();
--- a/main/gateway_fleet.cpp
+++ b/main/gateway_fleet.cpp
@@ -123,21 +123,22 @@
 	return nodes;
 }
 
-std::vector<std::string> gateway_fleet::get_dispatch_nodes() const {
+std::vector<std::string> gateway_fleet::_keep_larger(std::vector<std::string> p_nodes) const {
 	const auto get_cores = [this](const std::string &p_vm) {
 		const member *peer = _members.find(p_vm);
 		return peer == nullptr ? _context.settings.cores : peer->digest.cores;
 	};
-	std::vector<std::string> nodes = get_ready_nodes();
-	if (!_context.settings.without.has(mechanism::DISPATCH_BY_SIZE)) {
-		return nodes;
-	}
 	double most = 0.0;
-	for (const std::string &vm : nodes) {
+	for (const std::string &vm : p_nodes) {
 		most = std::max(most, get_cores(vm));
 	}
-	std::erase_if(nodes, [&get_cores, most](const std::string &p_vm) { return get_cores(p_vm) < most * LEAST_PART_TO_DISPATCH; });
-	return nodes;
+	std::erase_if(p_nodes, [&get_cores, most](const std::string &p_vm) { return get_cores(p_vm) < most * LEAST_PART_TO_DISPATCH; });
+	return p_nodes;
+}
+
+std::vector<std::string> gateway_fleet::get_dispatch_nodes() const {
+	const bool by_size = _context.settings.without.has(mechanism::DISPATCH_BY_SIZE);
+	return by_size ? _keep_larger(get_ready_nodes()) : get_ready_nodes();
 }
 
 void gateway_fleet::_help_unready(const member_digest &p_peer, instant p_now) {
@@ -213,13 +214,9 @@
 	if (!_context.settings.without.has(mechanism::STORE_READERS)) {
 		return;
 	}
-	// The larger nodes of the zone read, or any if it has no large one left.
-	std::vector<std::string> candidates = get_dispatch_nodes();
+	std::vector<std::string> candidates = get_live_nodes();
 	std::erase_if(candidates, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
-	if (candidates.empty()) {
-		candidates = get_ready_nodes();
-		std::erase_if(candidates, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
-	}
+	candidates = _keep_larger(std::move(candidates));
 	const bool is_reader = choose_reader(_context.settings.zone, candidates) == get_vm();
 	if (is_reader != _is_reader) {
 		_is_reader = is_reader;
--- a/main/gateway_fleet.h
+++ b/main/gateway_fleet.h
@@ -64,6 +64,8 @@
 	void _share_reading();
 	void _tell_reading(const endpoint_reading &p_reading);
 	void _on_reading_told(const std::string &p_vm, const endpoint_reading &p_reading);
+	/** Of some nodes those that are large enough to work for others. */
+	std::vector<std::string> _keep_larger(std::vector<std::string> p_nodes) const;
 	bool _is_in_own_zone(const std::string &p_vm) const;
 	void _collect_news();
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
--- a/main/topic_reader.cpp
+++ b/main/topic_reader.cpp
@@ -29,7 +29,7 @@
 }
 
 void topic_reader::read_whole() {
-	_offset = 0;
+	_is_loaded = false;
 	read();
 }
 
@@ -66,7 +66,7 @@
 }
 
 void topic_reader::_send(const planned_read &p_read) {
-	const bool is_whole = _offset == 0;
+	const bool is_whole = !_is_loaded;
 	const auto take = [this, reading = p_read.reading, is_whole](const store_answer &p_answer) { _on_answer(p_answer, reading, is_whole); };
 	_timer.set(p_read.check_in);
 	if (is_whole) {
@@ -93,10 +93,10 @@
 	_answered_at = event_loop::now();
 	if (p_answer.status == store_status::HISTORY_GONE) {
 		_context.log.write(log_line("history_gone").add("topic", _topic).add("offset", static_cast<long long>(_offset)));
-		_offset = 0;
-		read();
+		read_whole();
 		return;
 	}
+	_is_loaded = true;
 	_offset = p_answer.next_offset;
 	_hooks.on_answer(p_answer, p_is_whole);
 }
--- a/main/topic_reader.h
+++ b/main/topic_reader.h
@@ -32,6 +32,7 @@
 	const topic_reader_hooks _hooks;
 	read_schedule _schedule;
 	std::uint64_t _offset = 0;
+	bool _is_loaded = false; ///< Read as a whole, so that it is read on from the offset.
 	bool _is_reachable = true;
 	instant _read_since; ///< When this reading began.
 	instant _answered_at; ///< When the store last answered.
@@ -68,7 +69,10 @@
 
 	bool is_reading() const { return _schedule.is_reading(); }
 
-	/** Offset up to which the topic is known; 0 before it was read as a whole. */
+	/** Whether the topic was read as a whole. */
+	bool is_loaded() const { return _is_loaded; }
+
+	/** Offset up to which the topic is known. */
 	std::uint64_t get_offset() const { return _offset; }
 
 	/** How long ago the store last answered a read of this topic; since the start if it has not yet. */
--- a/tests/main/configuration_follower_test.cpp
+++ b/tests/main/configuration_follower_test.cpp
@@ -64,6 +64,13 @@
 	EXPECT_EQ(ask_with(entry, "key-of-2"), 401);
 }
 
+TEST_F(configuration_follower_test, before_the_first_version_the_store_is_waited_on_and_not_asked_without_end) {
+	start_gateway();
+	wait(milliseconds(900));
+	// Two waiting reads of the configuration, the endpoints each 0.3 s, the own name.
+	EXPECT_LE(_store.get_calls(), 9U);
+}
+
 /** The same cause without an outage: one answer of the store is lost, and its connection says nothing more. */
 TEST_F(configuration_follower_test, a_change_is_in_force_in_time_though_the_waiting_read_is_dead) {
 	gateway &entry = start_waiting(2, "key-of-2");
