--- /dev/null
+++ b/servers/gateway/result_room.cpp
@@ -0,0 +1,100 @@
+/*
+ * calicoscale: result_room.cpp
+ * Room that results hold at the replicas of a stage pool.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/result_room.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+void result_room::set_bounds(double p_room_bytes, duration p_time_to_live) {
+	_room_bytes = p_room_bytes;
+	_time_to_live = p_time_to_live;
+}
+
+void result_room::keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now) {
+	if (_results.emplace(p_handle, kept_result{ p_replica, p_bytes, p_now + _time_to_live, p_owner }).second) {
+		_replicas[p_replica].used += p_bytes;
+	}
+}
+
+void result_room::set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner) {
+	for (const std::string &handle : p_handles) {
+		const auto found = _results.find(handle);
+		if (found != _results.end()) {
+			found->second.owner = p_owner;
+		}
+	}
+}
+
+std::vector<std::string> result_room::get_results_of(const std::string &p_owner) const {
+	std::vector<std::string> handles;
+	for (const auto &[handle, result] : _results) {
+		if (result.owner == p_owner) {
+			handles.push_back(handle);
+		}
+	}
+	return handles;
+}
+
+void result_room::release(const std::vector<std::string> &p_handles) {
+	for (const std::string &handle : p_handles) {
+		const auto found = _results.find(handle);
+		if (found == _results.end()) {
+			continue;
+		}
+		const auto replica = _replicas.find(found->second.replica);
+		if (replica != _replicas.end()) {
+			replica->second.used = std::max(0.0, replica->second.used - found->second.bytes);
+		}
+		_results.erase(found);
+	}
+}
+
+void result_room::expire(instant p_now) {
+	std::vector<std::string> expired;
+	for (const auto &[handle, result] : _results) {
+		if (p_now >= result.expires_at) {
+			expired.push_back(handle);
+		}
+	}
+	release(expired);
+}
+
+void result_room::on_refused(const std::string &p_replica, double p_known, instant p_now) {
+	replica_room &replica = _replicas[p_replica];
+	replica.lost = std::max(0.0, _room_bytes - p_known);
+	replica.lost_at = p_now;
+}
+
+double result_room::get_used(const std::string &p_replica) const {
+	const auto found = _replicas.find(p_replica);
+	return found == _replicas.end() ? 0.0 : found->second.used;
+}
+
+bool result_room::has_room(const std::string &p_replica, double p_bytes, instant p_now) const {
+	if (_room_bytes <= 0.0) {
+		return true;
+	}
+	const auto found = _replicas.find(p_replica);
+	if (found == _replicas.end()) {
+		return p_bytes <= _room_bytes;
+	}
+	const replica_room &replica = found->second;
+	// What is not known goes by its time to live, or earlier when somebody releases it.
+	const double age = _time_to_live > duration::zero() ? to_seconds(p_now - replica.lost_at) / to_seconds(_time_to_live) : 1.0;
+	const double lost = replica.lost * std::max(0.0, 1.0 - age);
+	return replica.used + lost + p_bytes <= _room_bytes;
+}
+
+void result_room::forget_replica(const std::string &p_replica) {
+	_replicas.erase(p_replica);
+	std::erase_if(_results, [&p_replica](const auto &p_entry) { return p_entry.second.replica == p_replica; });
+}
+
+} // namespace calicoscale
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -40,11 +40,6 @@
 /** A call is made anew when it takes this many times what it should, and the margin. */
 constexpr double OVERRUN_FACTOR = 2.0;
 constexpr duration OVERRUN_MARGIN = std::chrono::milliseconds(150);
-/** Long enough for each replica to end a few calls. */
-constexpr duration MEASURE_WINDOW = std::chrono::milliseconds(800);
-constexpr double BACKLOGGED_PART = 0.8;
-/** A pool that made nothing in a window is still not without any capacity. */
-constexpr double LEAST_CAPACITY = 0.2;
 /** Answers get lost without a sign. A call this far over its time is given up, or its replica would stay taken for good. */
 constexpr int OVERDUE_FACTOR = 6;
 constexpr duration OVERDUE_MARGIN = std::chrono::milliseconds(500);
@@ -71,6 +66,11 @@
 	return find_name(END_NAMES, p_end);
 }
 
+void stage_pool::set_spec(const stage_pool_spec &p_spec) {
+	_spec = p_spec;
+	_room.set_bounds(p_spec.room_bytes, p_spec.result_ttl);
+}
+
 void stage_pool::set_replicas(const std::vector<endpoint_listing> &p_replicas) {
 	for (auto &[id, replica] : _replicas) {
 		replica.listed = false;
@@ -80,7 +80,18 @@
 		replica.listing = listing;
 		replica.listed = true;
 	}
-	std::erase_if(_replicas, [](const auto &p_entry) { return !p_entry.second.listed && p_entry.second.calls == 0; });
+	_forget_unlisted();
+}
+
+void stage_pool::_forget_unlisted() {
+	for (auto replica = _replicas.begin(); replica != _replicas.end();) {
+		if (replica->second.listed || replica->second.calls > 0) {
+			++replica;
+			continue;
+		}
+		_room.forget_replica(replica->first);
+		replica = _replicas.erase(replica);
+	}
 }
 
 bool stage_pool::_is_reached(const replica_state &p_replica) const {
@@ -213,16 +224,10 @@
 }
 
 bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes, instant p_now) const {
-	if (_spec.room_bytes <= 0.0 || !_without.has(mechanism::ROOM)) {
-		return true;
-	}
-	// What is not known goes by its time to live, or earlier when somebody releases it.
-	const double age = _spec.result_ttl > duration::zero() ? to_seconds(p_now - p_replica.room_lost_at) / to_seconds(_spec.result_ttl) : 1.0;
-	const double lost = p_replica.room_lost * std::max(0.0, 1.0 - age);
-	return p_replica.room_used + lost + p_bytes <= _spec.room_bytes;
+	return !_without.has(mechanism::ROOM) || _room.has_room(p_replica.listing.vm, p_bytes, p_now);
 }
 
-void stage_pool::_learn_room(replica_state &p_replica, const running_call &p_call, const std::vector<item_result> &p_items, instant p_now) {
+void stage_pool::_learn_room(const running_call &p_call, const std::vector<item_result> &p_items, instant p_now) {
 	double made = 0.0;
 	bool was_full = false;
 	for (std::size_t i = 0; i < p_items.size(); i++) {
@@ -231,30 +236,9 @@
 		made += is_made ? static_cast<double>(work->second.work.result_bytes) : 0.0;
 		was_full = was_full || p_items[i].end == item_end::NO_ROOM;
 	}
-	if (!was_full) {
-		return;
-	}
 	// A piece found no room beside what was known, so the rest is held by results of a dispatcher before this one.
-	p_replica.room_lost = std::max(0.0, _spec.room_bytes - p_call.room_used - made);
-	p_replica.room_lost_at = p_now;
-}
-
-void stage_pool::_keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now) {
-	if (!_results.emplace(p_handle, kept_result{ p_replica, p_bytes, p_now + _spec.result_ttl, p_owner }).second) {
-		return;
-	}
-	const auto replica = _replicas.find(p_replica);
-	if (replica != _replicas.end()) {
-		replica->second.room_used += p_bytes;
-	}
-}
-
-void stage_pool::set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner) {
-	for (const std::string &handle : p_handles) {
-		const auto found = _results.find(handle);
-		if (found != _results.end()) {
-			found->second.owner = p_owner;
-		}
+	if (was_full) {
+		_room.on_refused(p_call.replica, p_call.room_used + made, p_now);
 	}
 }
 
@@ -262,21 +246,11 @@
 	for (const held_result &result : p_results) {
 		const auto maker = std::find_if(_replicas.begin(), _replicas.end(), [&result](const auto &p_entry) { return p_entry.second.listing.address == result.maker; });
 		if (maker != _replicas.end()) {
-			_keep(result.handle, maker->first, result.bytes, p_owner, p_now);
+			_room.keep(result.handle, maker->first, result.bytes, p_owner, p_now);
 		}
 	}
 }
 
-std::vector<std::string> stage_pool::get_results_of(const std::string &p_owner) const {
-	std::vector<std::string> handles;
-	for (const auto &[handle, result] : _results) {
-		if (result.owner == p_owner) {
-			handles.push_back(handle);
-		}
-	}
-	return handles;
-}
-
 stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now) {
 	replica_state *best = nullptr;
 	duration best_finish = duration::max();
@@ -352,7 +326,7 @@
 		if (call.items.empty()) {
 			continue;
 		}
-		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false, replica->room_used };
+		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false, _room.get_used(call.replica) };
 		replica->calls++;
 		replica->free_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(running.expected.count()) * _get_slowness(*replica, p_now)));
 		_calls.emplace(call.id, std::move(running));
@@ -395,9 +369,9 @@
 void stage_pool::_take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now) {
 	const auto found = _works.find(p_item.work);
 	if (p_result.end == item_end::DONE) {
-		_window_made++;
+		_meter.on_made();
 		const double bytes = found == _works.end() ? 0.0 : static_cast<double>(found->second.work.result_bytes);
-		_keep(p_result.handle, p_replica == nullptr ? "" : p_replica->listing.vm, bytes, "", p_now);
+		_room.keep(p_result.handle, p_replica == nullptr ? "" : p_replica->listing.vm, bytes, "", p_now);
 		const bool is_made = found != _works.end() && found->second.states[p_item.piece] == piece_state::DONE;
 		if (found == _works.end() || (is_made && found->second.handles[p_item.piece] != p_result.handle)) {
 			_unwanted.insert(p_result.handle);
@@ -464,7 +438,7 @@
 		_block(*replica, FIRST_FAILURE_BLOCK * (1 << doublings), p_now);
 	}
 	if (replica != nullptr && is_answered) {
-		_learn_room(*replica, call, p_items, p_now);
+		_learn_room(call, p_items, p_now);
 	}
 	for (std::size_t i = 0; i < call.items.size(); i++) {
 		if (is_answered) {
@@ -473,25 +447,11 @@
 			_put_back(call.items[i], p_end == call_end::ANSWERED || p_end == call_end::BROKEN);
 		}
 	}
-	std::erase_if(_replicas, [](const auto &p_entry) { return !p_entry.second.listed && p_entry.second.calls == 0; });
-}
-
-void stage_pool::on_released(const std::vector<std::string> &p_handles) {
-	for (const std::string &handle : p_handles) {
-		const auto found = _results.find(handle);
-		if (found == _results.end()) {
-			continue;
-		}
-		const auto replica = _replicas.find(found->second.replica);
-		if (replica != _replicas.end()) {
-			replica->second.room_used = std::max(0.0, replica->second.room_used - found->second.bytes);
-		}
-		_results.erase(found);
-	}
+	_forget_unlisted();
 }
 
 void stage_pool::tick(const std::function<bool()> &p_may_repeat, instant p_now) {
-	_measure(p_now);
+	_meter.tick(_spec, _waiting_pieces, p_now);
 	std::vector<work_id> late;
 	for (const auto &[id, entry] : _works) {
 		if (p_now >= entry.work.give_up_at) {
@@ -514,13 +474,7 @@
 		}
 		_make_again(call, p_may_repeat);
 	}
-	std::vector<std::string> expired;
-	for (const auto &[handle, result] : _results) {
-		if (p_now >= result.expires_at) {
-			expired.push_back(handle);
-		}
-	}
-	on_released(expired);
+	_room.expire(p_now);
 }
 
 std::vector<std::uint64_t> stage_pool::get_overdue(instant p_now) const {
@@ -552,29 +506,8 @@
 
 double stage_pool::get_capacity(instant p_now) const {
 	const double nominal = _get_nominal_capacity(p_now);
-	return _measured_capacity && _without.has(mechanism::MEASURED_CAPACITY) ? std::min(nominal, *_measured_capacity) : nominal;
-}
-
-void stage_pool::_measure(instant p_now) {
-	if (_ticked_at != instant{} && _waiting_pieces >= _spec.batch) {
-		_window_backlogged += p_now - _ticked_at;
-	}
-	_ticked_at = p_now;
-	const duration window = p_now - _window_started;
-	if (window < MEASURE_WINDOW) {
-		return;
-	}
-	const bool was_backlogged = to_seconds(_window_backlogged) >= BACKLOGGED_PART * to_seconds(window);
-	if (was_backlogged && window < MEASURE_WINDOW * 2) {
-		const duration cost = _spec.piece_time * static_cast<duration::rep>(_window_made) + _spec.call_time * static_cast<duration::rep>(_window_made) / static_cast<duration::rep>(_spec.batch);
-		const double measured = std::max(LEAST_CAPACITY, to_seconds(cost) / to_seconds(window));
-		_measured_capacity = _measured_capacity ? (*_measured_capacity + measured) / 2.0 : measured;
-	} else {
-		_measured_capacity.reset();
-	}
-	_window_started = p_now;
-	_window_backlogged = duration::zero();
-	_window_made = 0;
+	const std::optional<double> measured = _without.has(mechanism::MEASURED_CAPACITY) ? _meter.get_capacity() : std::nullopt;
+	return measured ? std::min(nominal, *measured) : nominal;
 }
 
 double stage_pool::_get_nominal_capacity(instant p_now) const {
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -11,6 +11,8 @@
 
 #include "servers/gateway/gateway_configuration.h"
 #include "servers/gateway/mechanism.h"
+#include "servers/gateway/pool_meter.h"
+#include "servers/gateway/result_room.h"
 #include "servers/routing/endpoint_state.h"
 
 #include <cstdint>
@@ -144,36 +146,22 @@
 		int failures = 0;
 		double slowness = 1.0;
 		instant slowness_at{};
-		double room_used = 0.0; ///< By results this pool knows.
-		double room_lost = 0.0; ///< By results it does not know, as far as refused pieces told.
-		instant room_lost_at{};
 	};
 
 	using pieces_ahead = std::map<std::string, std::size_t>; ///< Pieces before a work in the queue, by zone; all under "".
 
-	struct kept_result {
-		std::string replica;
-		double bytes = 0.0;
-		instant expires_at{};
-		std::string owner; ///< Who it was handed to; empty for this node itself.
-	};
-
 	ablation _without;
 	stage_pool_spec _spec;
 	std::map<std::string, replica_state> _replicas;
 	std::set<std::string> _unreached_zones;
 	std::map<work_id, queued_work> _works;
 	std::map<std::uint64_t, running_call> _calls;
-	std::map<std::string, kept_result> _results;
+	result_room _room;
 	std::vector<work_result> _ended;
 	std::set<std::string> _unwanted; ///< Results nobody waits for.
 	std::uint64_t _next_call = 1;
 	std::size_t _waiting_pieces = 0;
-	instant _window_started{};
-	instant _ticked_at{};
-	duration _window_backlogged = duration::zero(); ///< Part of the window in which pieces waited.
-	std::size_t _window_made = 0; ///< Pieces made in the window.
-	std::optional<double> _measured_capacity; ///< Of the last window in which pieces waited nearly all the time.
+	pool_meter _meter;
 
 	duration _get_urgency(const queued_work &p_work, instant p_now) const;
 	std::vector<work_id> _order_works(instant p_now) const;
@@ -182,17 +170,16 @@
 	duration _get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const;
 	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now);
 	duration _get_expected(std::size_t p_items) const;
+	void _forget_unlisted();
 	bool _is_reached(const replica_state &p_replica) const;
 	void _make_again(running_call &r_call, const std::function<bool()> &p_may_repeat);
 	bool _has_room(const replica_state &p_replica, double p_bytes, instant p_now) const;
-	void _learn_room(replica_state &p_replica, const running_call &p_call, const std::vector<item_result> &p_items, instant p_now);
-	void _keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now);
+	void _learn_room(const running_call &p_call, const std::vector<item_result> &p_items, instant p_now);
 	void _fill(stage_call &r_call, replica_state &p_replica, instant p_now);
 	void _end(work_id p_id, work_end p_end);
 	void _put_back(const stage_item &p_item, bool p_counts);
 	void _take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now);
 	void _block(replica_state &p_replica, duration p_time, instant p_now);
-	void _measure(instant p_now);
 	double _get_nominal_capacity(instant p_now) const;
 	void _learn_time(replica_state &p_replica, const running_call &p_call, instant p_now);
 
@@ -201,7 +188,7 @@
 			_without(p_without) {}
 
 	/** Takes the pool's properties. */
-	void set_spec(const stage_pool_spec &p_spec) { _spec = p_spec; }
+	void set_spec(const stage_pool_spec &p_spec);
 
 	/** Takes the pool's replicas that may get work; others get none from now on. */
 	void set_replicas(const std::vector<endpoint_listing> &p_replicas);
@@ -226,16 +213,16 @@
 	void on_call_ended(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_items, instant p_now);
 
 	/** Results were handed to a node, which releases them or is lost with them. */
-	void set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner);
+	void set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner) { _room.set_owner(p_handles, p_owner); }
 
 	/** A node tells what it holds of results that were made before this pool was dispatched here. */
 	void on_results_told(const std::string &p_owner, const std::vector<held_result> &p_results, instant p_now);
 
 	/** Handles of the results that a node holds, which was lost; they are still to be released. */
-	std::vector<std::string> get_results_of(const std::string &p_owner) const;
+	std::vector<std::string> get_results_of(const std::string &p_owner) const { return _room.get_results_of(p_owner); }
 
 	/** Results were released, or their makers told to. */
-	void on_released(const std::vector<std::string> &p_handles);
+	void on_released(const std::vector<std::string> &p_handles) { _room.release(p_handles); }
 
 	/**
 	 * Lets time pass: ends work that is late and makes pieces anew whose call is far over its time.
--- /dev/null
+++ b/tests/servers/gateway/result_room_test.cpp
@@ -0,0 +1,87 @@
+/*
+ * calicoscale: result_room_test.cpp
+ * Room that results hold at replicas, and what a pool is seen to do.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/pool_meter.h"
+#include "servers/gateway/result_room.h"
+
+#include <gtest/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+instant at(int p_ms) {
+	return instant(seconds(1000) + milliseconds(p_ms));
+}
+
+result_room make_room() {
+	result_room room;
+	room.set_bounds(100.0, seconds(4));
+	return room;
+}
+
+} // namespace
+
+TEST(result_room, known_results_take_room_until_they_are_released_or_expire) {
+	result_room room = make_room();
+	EXPECT_TRUE(room.has_room("r", 100.0, at(0)));
+	EXPECT_FALSE(room.has_room("r", 101.0, at(0)));
+	room.keep("one", "r", 60.0, "", at(0));
+	room.keep("one", "r", 60.0, "", at(0));
+	EXPECT_EQ(room.get_used("r"), 60.0) << "a result is counted once";
+	EXPECT_FALSE(room.has_room("r", 41.0, at(0)));
+	room.keep("two", "r", 30.0, "", at(1000));
+	room.release({ "one", "unknown" });
+	EXPECT_TRUE(room.has_room("r", 70.0, at(1000)));
+	room.expire(at(5000));
+	EXPECT_EQ(room.get_used("r"), 0.0);
+}
+
+TEST(result_room, what_a_refusal_shows_goes_with_its_time_to_live) {
+	result_room room = make_room();
+	room.on_refused("r", 20.0, at(0));
+	EXPECT_FALSE(room.has_room("r", 21.0, at(0)));
+	EXPECT_TRUE(room.has_room("r", 59.0, at(2000)));
+	EXPECT_TRUE(room.has_room("r", 100.0, at(4000)));
+}
+
+TEST(result_room, results_are_found_by_who_holds_them) {
+	result_room room = make_room();
+	room.keep("one", "r", 10.0, "", at(0));
+	room.keep("two", "r", 10.0, "", at(0));
+	room.set_owner({ "two" }, "node");
+	EXPECT_EQ(room.get_results_of("node"), (std::vector<std::string>{ "two" }));
+	room.forget_replica("r");
+	EXPECT_TRUE(room.get_results_of("node").empty());
+}
+
+TEST(pool_meter, tells_a_capacity_only_while_work_waits) {
+	stage_pool_spec spec;
+	spec.batch = 10;
+	spec.call_time = milliseconds(100);
+	spec.piece_time = milliseconds(10);
+	pool_meter meter;
+	meter.tick(spec, 20, at(0));
+	for (int now = 100; now <= 1000; now += 100) {
+		for (int i = 0; i < 10; i++) {
+			meter.on_made();
+		}
+		meter.tick(spec, 20, at(now));
+	}
+	ASSERT_TRUE(meter.get_capacity());
+	EXPECT_NEAR(*meter.get_capacity(), 2.0, 0.3) << "ten pieces cost 0.2 s of a replica and are made in 0.1 s";
+	for (int now = 1100; now <= 2000; now += 100) {
+		meter.tick(spec, 0, at(now));
+	}
+	EXPECT_FALSE(meter.get_capacity());
+}
+
+} // namespace calicoscale
