--- a/main/command_client.cpp
+++ b/main/commands/command_client.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/command_client.h"
+#include "main/commands/command_client.h"
 
 namespace calicoscale {
 
--- a/main/command_options.h
+++ b/main/commands/command_options.h
@@ -9,8 +9,8 @@
 #ifndef COMMAND_OPTIONS_H
 #define COMMAND_OPTIONS_H
 
-#include "main/command_client.h"
-#include "main/commands.h"
+#include "main/commands/command_client.h"
+#include "main/commands/commands.h"
 
 #include <boost/program_options.hpp>
 
--- a/main/config_command.cpp
+++ b/main/commands/config_command.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/command_options.h"
+#include "main/commands/command_options.h"
 
 #include <nlohmann/json.hpp>
 
--- a/main/gateway_command.cpp
+++ b/main/commands/gateway_command.cpp
@@ -6,8 +6,8 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/command_options.h"
-#include "main/gateway.h"
+#include "main/commands/command_options.h"
+#include "main/gateway/gateway.h"
 
 #include <glog/logging.h>
 
--- a/main/load_command.cpp
+++ b/main/commands/load_command.cpp
@@ -6,8 +6,8 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/command_options.h"
-#include "main/load_run.h"
+#include "main/commands/command_options.h"
+#include "main/load/load_run.h"
 
 #include <nlohmann/json.hpp>
 
--- a/main/serve_command.cpp
+++ b/main/commands/serve_command.cpp
@@ -6,8 +6,8 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/command_options.h"
-#include "main/node.h"
+#include "main/commands/command_options.h"
+#include "main/serve/node.h"
 #include "servers/configuration/configuration_parser.h"
 
 #include <glog/logging.h>
--- a/main/configuration_follower.cpp
+++ b/main/gateway/configuration_follower.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/configuration_follower.h"
+#include "main/gateway/configuration_follower.h"
 
 #include "core/document_problem.h"
 #include "platform/configuration_codec.h"
--- a/main/configuration_follower.h
+++ b/main/gateway/configuration_follower.h
@@ -9,7 +9,7 @@
 #ifndef CONFIGURATION_FOLLOWER_H
 #define CONFIGURATION_FOLLOWER_H
 
-#include "main/topic_reader.h"
+#include "main/gateway/topic_reader.h"
 #include "servers/gateway/gateway_configuration.h"
 
 #include <sigc++/sigc++.h>
--- a/main/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/endpoint_follower.h"
+#include "main/gateway/endpoint_follower.h"
 
 #include "platform/configuration_codec.h"
 
--- a/main/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -9,7 +9,7 @@
 #ifndef ENDPOINT_FOLLOWER_H
 #define ENDPOINT_FOLLOWER_H
 
-#include "main/topic_reader.h"
+#include "main/gateway/topic_reader.h"
 #include "servers/gateway/endpoint_directory.h"
 
 #include <sigc++/sigc++.h>
--- a/main/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/gateway.h"
+#include "main/gateway/gateway.h"
 
 #include "drivers/http_status.h"
 
--- a/main/gateway.h
+++ b/main/gateway/gateway.h
@@ -9,7 +9,7 @@
 #ifndef GATEWAY_H
 #define GATEWAY_H
 
-#include "main/gateway_request.h"
+#include "main/gateway/gateway_request.h"
 
 #include <functional>
 #include <map>
--- a/main/gateway_context.cpp
+++ b/main/gateway/gateway_context.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/gateway_context.h"
+#include "main/gateway/gateway_context.h"
 
 #include "core/digest.h"
 
--- a/main/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -13,7 +13,7 @@
 #include "drivers/endpoint_channels.h"
 #include "drivers/event_log.h"
 #include "drivers/event_loop.h"
-#include "main/gateway_settings.h"
+#include "main/gateway/gateway_settings.h"
 #include "main/node_metrics.h"
 #include "platform/store_client.h"
 #include "servers/gateway/zone_reach.h"
--- a/main/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/gateway_fleet.h"
+#include "main/gateway/gateway_fleet.h"
 
 #include <algorithm>
 
--- a/main/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -10,8 +10,8 @@
 #define GATEWAY_FLEET_H
 
 #include "drivers/node_link.h"
-#include "main/configuration_follower.h"
-#include "main/endpoint_follower.h"
+#include "main/gateway/configuration_follower.h"
+#include "main/gateway/endpoint_follower.h"
 #include "servers/membership/member_table.h"
 #include "servers/membership/peer_contacts.h"
 #include "servers/membership/store_cover.h"
--- a/main/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/gateway_request.h"
+#include "main/gateway/gateway_request.h"
 
 #include "core/digest.h"
 #include "drivers/http_status.h"
--- a/main/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -11,8 +11,8 @@
 
 #include "core/verdict.h"
 #include "drivers/caller_server.h"
-#include "main/gateway_fleet.h"
-#include "main/stage_dispatcher.h"
+#include "main/gateway/gateway_fleet.h"
+#include "main/gateway/stage_dispatcher.h"
 #include "platform/request_codec.h"
 #include "servers/gateway/engine_view.h"
 #include "servers/gateway/event_splitter.h"
--- a/main/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/gateway_settings.h"
+#include "main/gateway/gateway_settings.h"
 
 #include "servers/configuration/document_schema.h"
 
--- a/main/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/stage_dispatcher.h"
+#include "main/gateway/stage_dispatcher.h"
 
 #include "core/digest.h"
 #include "drivers/http_status.h"
--- a/main/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -9,7 +9,7 @@
 #ifndef STAGE_DISPATCHER_H
 #define STAGE_DISPATCHER_H
 
-#include "main/gateway_fleet.h"
+#include "main/gateway/gateway_fleet.h"
 #include "servers/gateway/stage_pool.h"
 
 #include <functional>
--- a/main/topic_reader.cpp
+++ b/main/gateway/topic_reader.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/topic_reader.h"
+#include "main/gateway/topic_reader.h"
 
 #include <algorithm>
 
--- a/main/topic_reader.h
+++ b/main/gateway/topic_reader.h
@@ -9,7 +9,7 @@
 #ifndef TOPIC_READER_H
 #define TOPIC_READER_H
 
-#include "main/gateway_context.h"
+#include "main/gateway/gateway_context.h"
 #include "servers/gateway/read_schedule.h"
 
 #include <functional>
--- a/main/load_mix.cpp
+++ b/main/load/load_mix.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/load_mix.h"
+#include "main/load/load_mix.h"
 
 #include "core/document_problem.h"
 #include "servers/configuration/document_schema.h"
--- a/main/load_report.cpp
+++ b/main/load/load_report.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/load_report.h"
+#include "main/load/load_report.h"
 
 #include <nlohmann/json.hpp>
 
--- a/main/load_run.cpp
+++ b/main/load/load_run.cpp
@@ -6,11 +6,11 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/load_run.h"
+#include "main/load/load_run.h"
 
 #include "core/digest.h"
 #include "core/ids.h"
-#include "main/answer_check.h"
+#include "main/load/answer_check.h"
 
 #include <nlohmann/json.hpp>
 
--- a/main/load_run.h
+++ b/main/load/load_run.h
@@ -11,8 +11,8 @@
 
 #include "core/random_source.h"
 #include "drivers/http_client.h"
-#include "main/load_mix.h"
-#include "main/load_report.h"
+#include "main/load/load_mix.h"
+#include "main/load/load_report.h"
 
 #include <map>
 #include <memory>
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/commands.h"
+#include "main/commands/commands.h"
 
 #include <glog/logging.h>
 
--- a/main/program.cpp
+++ b/main/program.cpp
@@ -7,8 +7,8 @@
  */
 
 #include "core/document_problem.h"
-#include "main/command_options.h"
-#include "main/commands.h"
+#include "main/commands/command_options.h"
+#include "main/commands/commands.h"
 
 #include <array>
 #include <functional>
--- a/main/admin_interface.cpp
+++ b/main/serve/admin_interface.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/admin_interface.h"
+#include "main/serve/admin_interface.h"
 
 #include "core/digest.h"
 #include "servers/configuration/configuration_parser.h"
--- a/main/admin_interface.h
+++ b/main/serve/admin_interface.h
@@ -10,7 +10,7 @@
 #define ADMIN_INTERFACE_H
 
 #include "drivers/http_server.h"
-#include "main/request_door.h"
+#include "main/serve/request_door.h"
 
 #include <functional>
 #include <memory>
--- a/main/answer_writer.cpp
+++ b/main/serve/answer_writer.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/answer_writer.h"
+#include "main/serve/answer_writer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/main/caller_interface.cpp
+++ b/main/serve/caller_interface.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/caller_interface.h"
+#include "main/serve/caller_interface.h"
 
 #include "core/digest.h"
 
--- a/main/caller_interface.h
+++ b/main/serve/caller_interface.h
@@ -10,8 +10,8 @@
 #define CALLER_INTERFACE_H
 
 #include "drivers/http_server.h"
-#include "main/request_door.h"
-#include "main/resume_service.h"
+#include "main/serve/request_door.h"
+#include "main/serve/resume_service.h"
 
 #include <memory>
 
--- a/main/configuration_service.cpp
+++ b/main/serve/configuration_service.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/configuration_service.h"
+#include "main/serve/configuration_service.h"
 
 #include "core/ids.h"
 #include "servers/configuration/configuration_parser.h"
--- a/main/configuration_service.h
+++ b/main/serve/configuration_service.h
@@ -9,7 +9,7 @@
 #ifndef CONFIGURATION_SERVICE_H
 #define CONFIGURATION_SERVICE_H
 
-#include "main/node_context.h"
+#include "main/serve/node_context.h"
 #include "servers/configuration/change_publisher.h"
 #include "servers/configuration/configuration_fold.h"
 
--- a/main/fleet_service.cpp
+++ b/main/serve/fleet_service.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/fleet_service.h"
+#include "main/serve/fleet_service.h"
 
 #include "servers/request/steering.h"
 
--- a/main/fleet_service.h
+++ b/main/serve/fleet_service.h
@@ -10,7 +10,7 @@
 #define FLEET_SERVICE_H
 
 #include "drivers/node_link.h"
-#include "main/configuration_service.h"
+#include "main/serve/configuration_service.h"
 #include "servers/limits/customer_limiter.h"
 #include "servers/membership/list_guard.h"
 #include "servers/membership/member_table.h"
--- a/main/ledger_service.cpp
+++ b/main/serve/ledger_service.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/ledger_service.h"
+#include "main/serve/ledger_service.h"
 
 #include <algorithm>
 
--- a/main/ledger_service.h
+++ b/main/serve/ledger_service.h
@@ -9,7 +9,7 @@
 #ifndef LEDGER_SERVICE_H
 #define LEDGER_SERVICE_H
 
-#include "main/node_context.h"
+#include "main/serve/node_context.h"
 #include "servers/ledger/ledger_fold.h"
 
 #include <functional>
--- a/main/node.cpp
+++ b/main/serve/node.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/node.h"
+#include "main/serve/node.h"
 
 #include <glog/logging.h>
 
--- a/main/node.h
+++ b/main/serve/node.h
@@ -9,8 +9,8 @@
 #ifndef NODE_H
 #define NODE_H
 
-#include "main/admin_interface.h"
-#include "main/caller_interface.h"
+#include "main/serve/admin_interface.h"
+#include "main/serve/caller_interface.h"
 
 namespace calicoscale {
 
--- a/main/node_context.cpp
+++ b/main/serve/node_context.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/node_context.h"
+#include "main/serve/node_context.h"
 
 #include <openssl/rand.h>
 
--- a/main/node_context.h
+++ b/main/serve/node_context.h
@@ -15,8 +15,8 @@
 #include "drivers/platform_log.h"
 #include "drivers/vm_list.h"
 #include "main/node_metrics.h"
-#include "main/node_settings.h"
-#include "main/timeline_recorder.h"
+#include "main/serve/node_settings.h"
+#include "main/serve/timeline_recorder.h"
 
 #include <cstdint>
 
--- a/main/node_settings.cpp
+++ b/main/serve/node_settings.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/node_settings.h"
+#include "main/serve/node_settings.h"
 
 #include "servers/configuration/document_schema.h"
 
--- a/main/once_service.cpp
+++ b/main/serve/once_service.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/once_service.h"
+#include "main/serve/once_service.h"
 
 #include "core/digest.h"
 
--- a/main/once_service.h
+++ b/main/serve/once_service.h
@@ -9,7 +9,7 @@
 #ifndef ONCE_SERVICE_H
 #define ONCE_SERVICE_H
 
-#include "main/fleet_service.h"
+#include "main/serve/fleet_service.h"
 #include "servers/once/claim_book.h"
 #include "servers/once/ticket_book.h"
 
--- a/main/request_door.cpp
+++ b/main/serve/request_door.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/request_door.h"
+#include "main/serve/request_door.h"
 
 #include "servers/request/steering.h"
 
--- a/main/request_door.h
+++ b/main/serve/request_door.h
@@ -9,9 +9,9 @@
 #ifndef REQUEST_DOOR_H
 #define REQUEST_DOOR_H
 
-#include "main/answer_writer.h"
-#include "main/once_service.h"
-#include "main/request_service.h"
+#include "main/serve/answer_writer.h"
+#include "main/serve/once_service.h"
+#include "main/serve/request_service.h"
 
 #include <deque>
 #include <functional>
--- a/main/request_service.cpp
+++ b/main/serve/request_service.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/request_service.h"
+#include "main/serve/request_service.h"
 
 #include <glog/logging.h>
 
--- a/main/request_service.h
+++ b/main/serve/request_service.h
@@ -9,8 +9,8 @@
 #ifndef REQUEST_SERVICE_H
 #define REQUEST_SERVICE_H
 
-#include "main/fleet_service.h"
-#include "main/ledger_service.h"
+#include "main/serve/fleet_service.h"
+#include "main/serve/ledger_service.h"
 #include "servers/limits/pool_gate.h"
 #include "servers/limits/stage_times.h"
 #include "servers/request/request_flow.h"
--- a/main/resume_service.cpp
+++ b/main/serve/resume_service.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/resume_service.h"
+#include "main/serve/resume_service.h"
 
 #include "core/digest.h"
 
--- a/main/resume_service.h
+++ b/main/serve/resume_service.h
@@ -9,7 +9,7 @@
 #ifndef RESUME_SERVICE_H
 #define RESUME_SERVICE_H
 
-#include "main/request_service.h"
+#include "main/serve/request_service.h"
 
 #include <functional>
 #include <optional>
--- a/main/timeline_recorder.cpp
+++ b/main/serve/timeline_recorder.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/timeline_recorder.h"
+#include "main/serve/timeline_recorder.h"
 
 #include "drivers/event_loop.h"
 
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -81,7 +81,7 @@
 mutate "ledger" "an entry read twice counts twice" servers/ledger/ledger_fold.cpp "if (!_is_new(entry->incarnation, entry->sequence))" "if (false)" shared_state_test
 mutate "ledger" "an unconfirmed entry gets a new number" servers/ledger/cost_ledger.cpp "if (p_result == append_result::DONE)" "if (p_result != append_result::DONE && _sending) { _sending->sequence = _next_sequence++; } else if (p_result == append_result::DONE)" shared_state_test
 
-request=main/gateway_request.cpp
+request=main/gateway/gateway_request.cpp
 mutate "gateway: echo" "an answer with another request's id is taken" drivers/endpoint_channels.cpp "_skipping = echo != nullptr && *echo != _request.echo_value;" "_skipping = false;" http_exchange_test
 mutate "gateway: seal" "a success without one is passed on" $request "if (!_answer.has_seal) {
 			_on_failure" "if (false) {
@@ -96,15 +96,15 @@
 		_exchange = 0;
 		_observe(outcome{ verdict::MAY_HAVE_RUN, reason::CALLER_GONE });" gateway_test
 mutate "gateway: leaving marks" "an older entry brings an endpoint back" servers/gateway/endpoint_directory.cpp "entry.listing.leaving = _left.contains(p_listing.vm);" "" gateway_state_test
-mutate "gateway: entries that went" "peers' words are not heard" main/gateway_fleet.cpp "_endpoints.mark_gone(endpoint, p_vm);" "" gateway_fleet_test
+mutate "gateway: entries that went" "peers' words are not heard" main/gateway/gateway_fleet.cpp "_endpoints.mark_gone(endpoint, p_vm);" "" gateway_fleet_test
 mutate "gateway: outage of the store" "missing entries are dropped at once" servers/gateway/endpoint_directory.cpp "if (_is_after_outage(p_now) && !found->second.listing.leaving)" "if (false)" gateway_state_test
-mutate "gateway: versions" "an older configuration replaces a newer one" main/configuration_follower.cpp "if (offered->version <= get_version())" "if (false)" gateway_test
+mutate "gateway: versions" "an older configuration replaces a newer one" main/gateway/configuration_follower.cpp "if (offered->version <= get_version())" "if (false)" gateway_test
 mutate "gateway: retry budget" "it is not spent" servers/gateway/retry_window.cpp "_get_bucket(p_bounds, p_now).repeats += 1.0;" "" gateway_state_test
 mutate "gateway: named endpoint" "a send does not say whom it is for" platform/request_codec.cpp "add_header(text, ENDPOINT, p_send.endpoint);" "" gateway_test
-mutate "gateway: planned stop" "the loop ends while requests run" main/gateway.cpp "const bool is_over = since >= grace - STOP_MARGIN;" "const bool is_over = true;" gateway_fleet_test
-mutate "gateway: pause" "a node that stood still goes on with what was handed to it" main/stage_dispatcher.cpp "_forget_after_pause();
+mutate "gateway: planned stop" "the loop ends while requests run" main/gateway/gateway.cpp "const bool is_over = since >= grace - STOP_MARGIN;" "const bool is_over = true;" gateway_fleet_test
+mutate "gateway: pause" "a node that stood still goes on with what was handed to it" main/gateway/stage_dispatcher.cpp "_forget_after_pause();
 	}
 	_ticked_at" "}
 	_ticked_at" gateway_fleet_test
-mutate "gateway: lost dispatcher" "its work is not handed to another" main/stage_dispatcher.cpp "_assign(id, p_vm);" "" gateway_fleet_test
+mutate "gateway: lost dispatcher" "its work is not handed to another" main/gateway/stage_dispatcher.cpp "_assign(id, p_vm);" "" gateway_fleet_test
 exit "$status"
--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -10,7 +10,7 @@
 #define GATEWAY_FIXTURE_H
 
 #include "drivers/endpoint_channels.h"
-#include "main/gateway.h"
+#include "main/gateway/gateway.h"
 #include "tests/standins/standin_replica.h"
 #include "tests/standins/standin_store.h"
 
--- a/tests/main/node_fixture.h
+++ b/tests/main/node_fixture.h
@@ -9,7 +9,7 @@
 #ifndef NODE_FIXTURE_H
 #define NODE_FIXTURE_H
 
-#include "main/node.h"
+#include "main/serve/node.h"
 #include "tests/standins/standin_platform.h"
 
 #include <gtest/gtest.h>
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -7,9 +7,9 @@
  */
 
 #include "core/digest.h"
-#include "main/answer_check.h"
-#include "main/load_mix.h"
-#include "main/node_settings.h"
+#include "main/load/answer_check.h"
+#include "main/load/load_mix.h"
+#include "main/serve/node_settings.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/servers/request_flow_test.cpp
+++ b/tests/servers/request_flow_test.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/answer_check.h"
+#include "main/load/answer_check.h"
 #include "servers/request/request_flow.h"
 #include "tests/choice_source.h"
 
--- a/tests/servers/store_cover_test.cpp
+++ b/tests/servers/store_cover_test.cpp
@@ -53,7 +53,8 @@
 	EXPECT_FALSE(cover.is_covered(1, hear_all, at(0)));
 	cover.on_heartbeat("peer", true, OFTEN, 1);
 	EXPECT_TRUE(cover.is_covered(1, hear_all, at(0)));
-	EXPECT_FALSE(cover.is_covered(1, [](const std::string &) { return false; }, at(0)));
+	EXPECT_FALSE(cover.is_covered(
+			1, [](const std::string &) { return false; }, at(0)));
 	EXPECT_TRUE(cover.on_heartbeat("peer", false, OFTEN, 1));
 	EXPECT_FALSE(cover.is_covered(1, hear_all, at(0)));
 	EXPECT_FALSE(cover.on_heartbeat("peer", false, OFTEN, 1)) << "it had stopped before";
--- a/tests/standins/standin_endpoint.cpp
+++ b/tests/standins/standin_endpoint.cpp
@@ -10,7 +10,7 @@
 
 #include "core/digest.h"
 #include "core/ids.h"
-#include "main/answer_check.h"
+#include "main/load/answer_check.h"
 
 #include <nlohmann/json.hpp>
 
