--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -65,7 +65,6 @@
 		_times_after(get_times_after(*_request.configuration, *_request.route, _request.facts.stage_pieces)),
 		_give_up_timer(p_services.context.loop, [this] { _give_up(reason::DEADLINE_PASSED); }),
 		_retry_timer(p_services.context.loop, [this] { _send(); }),
-		_late_timer(p_services.context.loop, [this] { _on_late(); }),
 		_prompt(_make_prompt_links()) {
 }
 
@@ -87,7 +86,6 @@
 		return;
 	}
 	_commit();
-	_late_timer.set_at(_started + _request.route->objective);
 	_advance_stages();
 }
 
@@ -102,36 +100,23 @@
 
 void gateway_request::_commit() {
 	_committed.assign(_request.route->stages.size(), duration::zero());
-	_committed_priority = _get_priority();
 	for (std::size_t i = 0; i < _committed.size(); i++) {
 		const std::string &pool = _stages.get_spec(i).pool;
 		const gateway_service *service = _request.configuration->find_service(pool);
 		if (service != nullptr && service->stage_pool) {
 			_committed[i] = commitment_table::get_cost(*service->stage_pool, _stages.get_pieces(i));
-			_services.commitments.add(pool, _committed_priority, _committed[i]);
+			_services.commitments.add(pool, _get_priority(), _committed[i]);
 		}
 	}
 }
 
 void gateway_request::_uncommit(std::size_t p_stage) {
 	if (p_stage < _committed.size() && _committed[p_stage] > duration::zero()) {
-		_services.commitments.remove(_stages.get_spec(p_stage).pool, _committed_priority, _committed[p_stage]);
+		_services.commitments.remove(_stages.get_spec(p_stage).pool, _get_priority(), _committed[p_stage]);
 		_committed[p_stage] = duration::zero();
 	}
 }
 
-void gateway_request::_on_late() {
-	if (!_services.context.settings.without.has(mechanism::LATE_COMMITMENTS)) {
-		return;
-	}
-	for (std::size_t i = 0; i < _committed.size(); i++) {
-		const std::string &pool = _stages.get_spec(i).pool;
-		_services.commitments.remove(pool, _committed_priority, _committed[i]);
-		_services.commitments.add(pool, LATE_PRIORITY, _committed[i]);
-	}
-	_committed_priority = LATE_PRIORITY;
-}
-
 instant gateway_request::_get_due(std::size_t p_stage) const {
 	if (!_services.context.settings.without.has(mechanism::STAGE_DUE_TIMES)) {
 		return _started + _request.route->objective;
@@ -613,7 +598,6 @@
 	_ended = true;
 	_give_up_timer.cancel();
 	_retry_timer.cancel();
-	_late_timer.cancel();
 	_cancel_works();
 	for (std::size_t i = 0; i < _committed.size(); i++) {
 		_uncommit(i);
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -82,11 +82,9 @@
 	stage_transfers _transfers;
 	std::vector<duration> _times_after; ///< From the end of each stage to that of the last one, when nothing waits.
 	std::vector<duration> _committed; ///< Work counted in the commitments, by stage.
-	int _committed_priority = 0;
 	std::map<std::uint64_t, asked_stage> _works; ///< Work asked for.
 	timer _give_up_timer;
 	timer _retry_timer;
-	timer _late_timer; ///< At the time by which the answer should have begun.
 	exchange_id _exchange = 0;
 	endpoint_id _endpoint = 0; ///< Of the newest send.
 	std::string _endpoint_name;
@@ -111,7 +109,6 @@
 	int _get_priority() const;
 	void _commit();
 	void _uncommit(std::size_t p_stage);
-	void _on_late();
 	instant _get_due(std::size_t p_stage) const;
 	bool _is_engine() const;
 	router &_get_router() const;
--- a/servers/gateway/commitment_table.h
+++ b/servers/gateway/commitment_table.h
@@ -11,16 +11,12 @@
 
 #include "servers/gateway/gateway_configuration.h"
 
-#include <limits>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace calicoscale {
 
-/** Priority of work that cannot be in time any more: it waits for all other work. */
-constexpr int LATE_PRIORITY = std::numeric_limits<int>::max();
-
 /** Admitted work of one node for one pool at one priority, as time of a replica whose calls are full. */
 struct pool_commitment {
 	std::string pool;
--- a/servers/gateway/mechanism.h
+++ b/servers/gateway/mechanism.h
@@ -23,12 +23,10 @@
 	TOLD_RESULTS, ///< A pool's new dispatcher is told what room is taken.
 	LOST_RESULTS, ///< Results of lost nodes are released.
 	ADMISSION, ///< What is predicted to be late is refused.
-	LATE_COMMITMENTS, ///< Work of late requests counts as behind all other.
 	MEASURED_CAPACITY, ///< A pool with a backlog counts for what it does.
 	PREDICTED_RETURN, ///< Times to come back follow from the prediction.
 	STAGE_DUE_TIMES, ///< A stage is due before its request by what follows it.
 	PRIORITY_ORDER, ///< More urgent work goes before other in the queue.
-	SPLIT_FIRST, ///< Work with pieces made goes before other.
 	LATE_LAST, ///< Work that cannot be in time goes behind.
 	REPLICA_ZONE, ///< Replicas in the zone of large inputs are preferred.
 	REPLICA_SLOWNESS, ///< Slow replicas are avoided.
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -18,17 +18,14 @@
 
 namespace {
 
-/** What one rank of priority is worth in time left; about one call of the pools seen. */
+/** What one rank of priority is worth in time left: about one call of a pool whose calls take some tenths of a second. */
 constexpr duration PRIORITY_STEP = std::chrono::milliseconds(600);
-/** Work of which some pieces are made holds room until the rest is; it goes before other work by this. */
-constexpr duration SPLIT_BONUS = std::chrono::milliseconds(1000);
 /** Work that nothing was spent on yet and that cannot be in time goes behind all that can, whatever its priority. */
 constexpr duration LATE_PENALTY = std::chrono::seconds(30);
 /**
  * Late work with inputs goes behind by this part of their time to live: they hold room and expire. Were it not put
- * behind, one delay would make all that comes after it late too; together with due times by stage and late work left out
- * of the commitments this gains 0.011 of the worth of all requests (80 paired replays with faults on three deployments,
- * standard error 0.003).
+ * behind, one delay would make all that comes after it late too; together with due times by stage this gains 0.011 of the
+ * worth of all requests (80 paired replays with faults on three deployments, standard error 0.003).
  */
 constexpr int LATE_PART_OF_TTL = 2;
 /** Delay worth taking for each byte that does not cross zones: 40 ms a megabyte, to a bound and part of the time left. */
@@ -170,9 +167,8 @@
 	const bool has_cost = is_split || !p_work.work.inputs.empty();
 	const bool is_late = left < _get_expected(p_work.missing) && _without.has(mechanism::LATE_LAST);
 	const int rank = _without.has(mechanism::PRIORITY_ORDER) ? p_work.work.priority : 0;
-	const bool goes_first = is_split && _without.has(mechanism::SPLIT_FIRST);
 	const duration late_penalty = has_cost ? _spec.result_ttl / LATE_PART_OF_TTL : LATE_PENALTY;
-	return left + PRIORITY_STEP * rank + (is_late ? late_penalty : duration::zero()) - (goes_first ? SPLIT_BONUS : duration::zero());
+	return left + PRIORITY_STEP * rank + (is_late ? late_penalty : duration::zero());
 }
 
 std::vector<work_id> stage_pool::_order_works(instant p_now) const {
