--- a/main/gateway/topic_reader.h
+++ b/main/gateway/topic_reader.h
@@ -67,8 +67,6 @@
 	/** Whether the store answered the last read within its time, and the one that is open is not overdue. */
 	bool is_answered() const { return _schedule.is_heard(); }
 
-	bool is_reading() const { return _schedule.is_reading(); }
-
 	/** Whether the topic was read as a whole. */
 	bool is_loaded() const { return _is_loaded; }
 
--- a/servers/gateway/read_schedule.h
+++ b/servers/gateway/read_schedule.h
@@ -41,7 +41,7 @@
 	const read_times _times;
 	std::uint64_t _reading = 0;
 	int _open = 0; ///< Reads of this reading without an answer.
-	bool _is_heard = true; ///< The last reading was answered by its first read.
+	bool _is_heard = true; ///< The store answered the last reading, and the open one is not overdue.
 
 	planned_read _plan(bool p_is_first);
 
@@ -64,7 +64,7 @@
 	/** Answers to what is open are not waited for any more. */
 	void abandon();
 
-	/** Whether the last reading was answered by its first read, as far as that is known. */
+	/** Whether the store answered the last reading, and the open one is not overdue. True before the first. */
 	bool is_heard() const { return _is_heard; }
 
 	/** Whether an answer may still come. */
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -7,6 +7,7 @@
  */
 
 #include "core/digest.h"
+#include "main/gateway/gateway_settings.h"
 #include "main/load/answer_check.h"
 #include "main/load/load_mix.h"
 #include "main/serve/node_settings.h"
@@ -44,6 +45,8 @@
 	return p_text.replace(p_text.find(p_from), p_from.size(), p_to);
 }
 
+constexpr const char *GATEWAY = R"({ "vm": "entry-a", "zone": "z1", "caller_address": "127.0.0.1:7000", "readiness_address": "127.0.0.1:7001", "link_address": "127.0.0.1:7002", "store_address": "127.0.0.1:9000" })";
+
 } // namespace
 
 TEST(node_settings, sound) {
@@ -66,6 +69,29 @@
 	EXPECT_FALSE(find_places(replace(SOUND, "\"platform\"", R"("limits": { "caller_idle_seconds": 5 }, "platform")")).empty());
 }
 
+TEST(gateway_settings, mechanisms_are_switched_off_by_name_and_unknown_names_are_told) {
+	const gateway_settings usual = parse_gateway_settings(GATEWAY);
+	EXPECT_TRUE(usual.without.is_empty());
+	EXPECT_EQ(usual.configuration_apply, std::chrono::seconds(2));
+	const gateway_settings reduced = parse_gateway_settings(replace(GATEWAY, "\"zone\"", R"("ablation": ["admission", "store_readers"], "configuration_apply_ms": 3000, "zone")"));
+	EXPECT_FALSE(reduced.without.has(mechanism::ADMISSION));
+	EXPECT_FALSE(reduced.without.has(mechanism::STORE_READERS));
+	EXPECT_TRUE(reduced.without.has(mechanism::ROOM));
+	EXPECT_EQ(reduced.configuration_apply, std::chrono::seconds(3));
+	try {
+		parse_gateway_settings(replace(GATEWAY, "\"zone\"", R"("ablation": ["admision"], "zone")"));
+		FAIL() << "a misspelt name must not be passed over";
+	} catch (const document_error &error) {
+		EXPECT_EQ(error.get_problems().at(0).place, "/ablation");
+	}
+}
+
+TEST(gateway_settings, every_mechanism_has_a_name_of_its_own) {
+	for (std::size_t i = 0; i < static_cast<std::size_t>(mechanism::COUNT); i++) {
+		EXPECT_EQ(find_mechanism(get_name(static_cast<mechanism>(i))), static_cast<mechanism>(i));
+	}
+}
+
 TEST(load_mix, customers_must_be_known) {
 	EXPECT_THROW(parse_mix(R"({"name": "m", "customers": [{"name": "a", "key": "k"}], "requests": [{"pipeline": "p", "customers": ["b"]}]})"), document_error);
 	EXPECT_EQ(parse_mix(R"({"name": "m", "customers": [{"name": "a", "key": "k"}], "requests": [{"pipeline": "p"}]})").requests.size(), 1U);
