--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -17,7 +17,7 @@
 
 constexpr duration FLUSH_INTERVAL = std::chrono::milliseconds(200);
 constexpr std::size_t MOST_BUFFERED_BYTES = 256 * 1024;
-/** Lines a second about requests; a node of the size seen serves some tens of requests a second. */
+/** Lines a second about requests: about ten lines each for some tens of requests; what is above it is counted, not written. */
 constexpr double REQUEST_LINES_PER_SECOND = 300.0;
 constexpr double REQUEST_LINES_BURST = 600.0;
 /** Lines carry the steady clock only; this often one tells the time of day beside it, for reading logs of many nodes together. */
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -26,7 +26,7 @@
 constexpr duration CONNECT_TIMEOUT = std::chrono::milliseconds(120);
 /** A node that fell silent may still come back with its requests; after this its results go, before they expire by themselves. */
 constexpr duration LOST_RESULTS_KEPT = std::chrono::milliseconds(600);
-/** Requests that a call's line names; calls of the pools seen are shared by fewer. */
+/** Requests that a call's line names; a line stays within about a kilobyte so. */
 constexpr std::size_t MOST_LOGGED_REQUESTS = 32;
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
 
--- a/servers/gateway/engine_view.cpp
+++ b/servers/gateway/engine_view.cpp
@@ -29,7 +29,7 @@
 constexpr double SLOWNESS_STEP = 0.3;
 constexpr double SLOWNESS_HIGHEST = 30.0;
 constexpr duration SLOWNESS_MEMORY = std::chrono::seconds(6);
-/** An engine keeps parts by use; this many seconds is well within the memory of engines of the size seen. */
+/** An engine keeps parts by use; one that was not used for two minutes may have been pushed out. */
 constexpr duration PART_MEMORY = std::chrono::seconds(120);
 constexpr std::size_t MOST_USES = 50000;
 /** Reading shared tokens again costs their time and a price; a millisecond stands for about this many of them. */
