--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -10,6 +10,8 @@
 
 #include "drivers/generated/node_link_generated.h"
 
+#include <map>
+
 namespace calicoscale {
 
 namespace {
@@ -38,7 +40,7 @@
 	const text_offset link = r_builder.CreateString(to_string(p_digest.link));
 	const text_offset admin = r_builder.CreateString(to_string(p_digest.admin));
 	const auto demand = r_builder.CreateVectorOfStructs(demands);
-	return wire::Createdigest(r_builder, vm, p_digest.incarnation, p_digest.heartbeat, zone, region, link, admin, p_digest.ready, p_digest.leaving, p_digest.configuration_version, demand, static_cast<float>(p_digest.cores));
+	return wire::Createdigest(r_builder, vm, p_digest.incarnation, p_digest.heartbeat, zone, region, link, admin, p_digest.ready, p_digest.leaving, p_digest.configuration_version, demand, static_cast<float>(p_digest.cores), p_digest.hub);
 }
 
 member_digest read_digest(const wire::digest &p_digest) {
@@ -54,6 +56,7 @@
 	digest.leaving = p_digest.leaving();
 	digest.configuration_version = p_digest.configuration_version();
 	digest.cores = static_cast<double>(p_digest.cores());
+	digest.hub = p_digest.hub();
 	if (p_digest.demands() != nullptr) {
 		for (const wire::customer_demand *demand : *p_digest.demands()) {
 			digest.demand[demand->code()] = static_cast<double>(demand->rate());
@@ -134,7 +137,10 @@
 		const auto commitment_vector = target.CreateVector(commitments);
 		const auto capacity_vector = target.CreateVector(capacities);
 		const auto gone = target.CreateVectorOfStrings(p_message.gone);
-		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, static_cast<std::uint32_t>(p_message.next_in.count() / 1000), p_message.follows).Union() };
+		const auto dispatchers = target.CreateVectorOfStrings(p_message.dispatchers);
+		const auto unreached_zones = target.CreateVectorOfStrings(p_message.unreached_zones);
+		const std::uint32_t next_in = static_cast<std::uint32_t>(p_message.next_in.count() / 1000);
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, next_in, p_message.follows, p_message.wants_link, p_message.relies_on_you, p_message.is_total, p_message.zone_nodes, p_message.fleet_nodes, dispatchers, unreached_zones).Union() };
 	}
 
 	encoded_body operator()(const ask_configuration_message &p_message) const {
@@ -207,15 +213,28 @@
 		return { wire::message_tell_results, wire::Createtell_results(target, pool, handles, sizes).Union() };
 	}
 
-	encoded_body operator()(const prompt_sent_message &p_message) const {
-		std::vector<wire::prompt_link> links;
-		links.reserve(p_message.prompt.size());
-		for (const prompt_link &link : p_message.prompt) {
-			links.emplace_back(link.chain, link.tokens);
+	encoded_body operator()(const tell_prompts_message &p_message) const {
+		std::vector<std::string> engines;
+		std::map<std::string, std::uint16_t> indices;
+		std::vector<wire::prompt_entry> prompts;
+		std::vector<std::uint64_t> chains;
+		std::vector<std::uint32_t> tokens;
+		for (const told_prompt &told : p_message.prompts) {
+			const auto [index, is_new] = indices.try_emplace(told.engine, static_cast<std::uint16_t>(engines.size()));
+			if (is_new) {
+				engines.push_back(told.engine);
+			}
+			prompts.emplace_back(told.origin, index->second, static_cast<std::uint16_t>(told.prompt.size()));
+			for (const prompt_link &link : told.prompt) {
+				chains.push_back(link.chain);
+				tokens.push_back(static_cast<std::uint32_t>(link.tokens));
+			}
 		}
-		const text_offset engine = target.CreateString(p_message.engine);
-		const auto prompt = target.CreateVectorOfStructs(links);
-		return { wire::message_prompt_sent, wire::Createprompt_sent(target, engine, prompt).Union() };
+		const auto engine_vector = target.CreateVectorOfStrings(engines);
+		const auto prompt_vector = target.CreateVectorOfStructs(prompts);
+		const auto chain_vector = target.CreateVector(chains);
+		const auto token_vector = target.CreateVector(tokens);
+		return { wire::message_tell_prompts, wire::Createtell_prompts(target, engine_vector, prompt_vector, chain_vector, token_vector).Union() };
 	}
 };
 
@@ -256,6 +275,13 @@
 	}
 	message.gone = read_texts(p_message.gone());
 	message.follows = p_message.follows();
+	message.wants_link = p_message.wants_link();
+	message.relies_on_you = p_message.relies_on_you();
+	message.is_total = p_message.is_total();
+	message.zone_nodes = p_message.zone_nodes();
+	message.fleet_nodes = p_message.fleet_nodes();
+	message.dispatchers = read_texts(p_message.dispatchers());
+	message.unreached_zones = read_texts(p_message.unreached_zones());
 	message.next_in = std::chrono::milliseconds(p_message.next_in_ms());
 	return message;
 }
@@ -291,13 +317,28 @@
 	return reading;
 }
 
-prompt_sent_message read_prompt_sent(const wire::prompt_sent &p_message) {
-	prompt_sent_message message;
-	message.engine = read(p_message.engine());
-	if (p_message.prompt() != nullptr) {
-		for (const wire::prompt_link *link : *p_message.prompt()) {
-			message.prompt.push_back(prompt_link{ link->chain(), link->tokens() });
+/** Empty when an index or a count does not fit the rest. */
+std::optional<tell_prompts_message> read_prompts(const wire::tell_prompts &p_message) {
+	tell_prompts_message message;
+	if (p_message.prompts() == nullptr) {
+		return message;
+	}
+	const std::vector<std::string> engines = read_texts(p_message.engines());
+	const std::size_t links = p_message.chains() == nullptr ? 0 : p_message.chains()->size();
+	if (links != (p_message.tokens() == nullptr ? 0 : p_message.tokens()->size())) {
+		return std::nullopt;
+	}
+	std::size_t next = 0;
+	for (const wire::prompt_entry *entry : *p_message.prompts()) {
+		if (entry->engine() >= engines.size() || next + entry->links() > links) {
+			return std::nullopt;
 		}
+		told_prompt told{ entry->origin(), engines[entry->engine()], {} };
+		for (const std::size_t end = next + entry->links(); next < end; next++) {
+			const flatbuffers::uoffset_t index = static_cast<flatbuffers::uoffset_t>(next);
+			told.prompt.push_back(prompt_link{ p_message.chains()->Get(index), p_message.tokens()->Get(index) });
+		}
+		message.prompts.push_back(std::move(told));
 	}
 	return message;
 }
@@ -371,8 +412,10 @@
 			return tell_endpoints_message{ read_listings(frame->body_as_tell_endpoints()->endpoints()) };
 		case wire::message_tell_reading:
 			return tell_reading_message{ read_reading(*frame->body_as_tell_reading()) };
-		case wire::message_prompt_sent:
-			return read_prompt_sent(*frame->body_as_prompt_sent());
+		case wire::message_tell_prompts: {
+			std::optional<tell_prompts_message> told = read_prompts(*frame->body_as_tell_prompts());
+			return told ? std::optional<link_message>(std::move(*told)) : std::nullopt;
+		}
 		case wire::message_tell_results: {
 			const wire::tell_results *told = frame->body_as_tell_results();
 			tell_results_message message{ read(told->pool()), read_texts(told->handles()), {} };
--- a/drivers/link_codec.h
+++ b/drivers/link_codec.h
@@ -35,7 +35,7 @@
 	std::uint64_t have = 0;
 };
 
-using link_message = std::variant<hello_message, proof_message, heartbeat_message, ask_configuration_message, configuration_snapshot, pass_request_message, pass_answer_message, hand_work_message, work_ended_message, cancel_work_message, release_results_message, prompt_sent_message, tell_endpoints_message, tell_results_message, tell_reading_message>;
+using link_message = std::variant<hello_message, proof_message, heartbeat_message, ask_configuration_message, configuration_snapshot, pass_request_message, pass_answer_message, hand_work_message, work_ended_message, cancel_work_message, release_results_message, tell_prompts_message, tell_endpoints_message, tell_results_message, tell_reading_message>;
 
 /** Writes a message as the bytes of one frame, its length not included. */
 std::string encode(const link_message &p_message);
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -35,7 +35,8 @@
 /** Before a peer has proved itself it gets to send no more than a hello. */
 constexpr std::size_t LARGEST_UNPROVEN_FRAME = 4 * 1024;
 constexpr std::size_t MOST_UNSENT_BYTES = 8 * 1024 * 1024;
-constexpr std::size_t MOST_LINKS = 256;
+/** A node that dispatches pools has a link to each node of a fleet of up to some hundreds; each takes one descriptor. */
+constexpr std::size_t MOST_LINKS = 1024;
 constexpr duration FIRST_BACK_OFF = std::chrono::milliseconds(250);
 constexpr int SILENCE_SECONDS = 10;
 constexpr int NONCE_BYTES = 16;
@@ -173,8 +174,8 @@
 			_owner._results_told.emit(_vm, *results);
 		} else if (const auto *released = std::get_if<release_results_message>(&p_message)) {
 			_owner._results_released.emit(_vm, *released);
-		} else if (const auto *prompt = std::get_if<prompt_sent_message>(&p_message)) {
-			_owner._prompt_sent.emit(_vm, *prompt);
+		} else if (const auto *prompts = std::get_if<tell_prompts_message>(&p_message)) {
+			_owner._prompts_told.emit(_vm, *prompts);
 		} else if (const auto *endpoints = std::get_if<tell_endpoints_message>(&p_message)) {
 			_owner._endpoints_told.emit(_vm, *endpoints);
 		} else if (const auto *reading = std::get_if<tell_reading_message>(&p_message)) {
@@ -305,6 +306,13 @@
 	}
 	removed->close();
 	std::erase(_links, removed);
+	const auto proven = _proven.find(removed->get_vm());
+	if (proven != _proven.end()) {
+		std::erase(proven->second, p_link);
+		if (proven->second.empty()) {
+			_proven.erase(proven);
+		}
+	}
 	// Freed from the loop, as this may run inside one of the link's own callbacks.
 	_loop.post([removed] {});
 	const std::string vm = removed->get_vm();
@@ -316,16 +324,13 @@
 void node_link::_on_proven(link *p_link) {
 	_back_off.erase(p_link->get_dial_key());
 	_dial_after.erase(p_link->get_dial_key());
+	_proven[p_link->get_vm()].push_back(p_link);
 	_link_up.emit(p_link->get_vm());
 }
 
 node_link::link *node_link::_find(const std::string &p_vm) const {
-	for (const std::shared_ptr<link> &entry : _links) {
-		if (entry->is_proven() && entry->get_vm() == p_vm) {
-			return entry.get();
-		}
-	}
-	return nullptr;
+	const auto found = _proven.find(p_vm);
+	return found == _proven.end() ? nullptr : found->second.front();
 }
 
 bool node_link::_is_cut_off(const std::string &p_vm) const {
@@ -344,11 +349,9 @@
 
 std::vector<std::string> node_link::get_linked() const {
 	std::vector<std::string> vms;
-	for (const std::shared_ptr<link> &entry : _links) {
-		const bool is_new = std::find(vms.begin(), vms.end(), entry->get_vm()) == vms.end();
-		if (entry->is_proven() && is_new) {
-			vms.push_back(entry->get_vm());
-		}
+	vms.reserve(_proven.size());
+	for (const auto &[vm, links] : _proven) {
+		vms.push_back(vm);
 	}
 	return vms;
 }
@@ -360,10 +363,12 @@
 void node_link::send(const std::string &p_vm, const heartbeat_message &p_message) {
 	// Two nodes that dial each other at once have two links, and each end may use another one for what it sends. Heartbeats
 	// go over both, as a link on which nothing comes in is closed.
-	for (const std::shared_ptr<link> &entry : std::vector<std::shared_ptr<link>>(_links)) {
-		if (entry->is_proven() && entry->get_vm() == p_vm) {
-			entry->send(p_message);
-		}
+	const auto found = _proven.find(p_vm);
+	if (found == _proven.end()) {
+		return;
+	}
+	for (link *entry : std::vector<link *>(found->second)) {
+		entry->send(p_message);
 	}
 }
 
@@ -416,7 +421,7 @@
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
 }
 
-bool node_link::send(const std::string &p_vm, const prompt_sent_message &p_message) {
+bool node_link::send(const std::string &p_vm, const tell_prompts_message &p_message) {
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
 }
 
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -14,7 +14,7 @@
 #include "servers/configuration/configuration_fold.h"
 #include "servers/gateway/commitment_table.h"
 #include "servers/gateway/endpoint_directory.h"
-#include "servers/gateway/engine_view.h"
+#include "servers/gateway/prompt_digest.h"
 #include "servers/membership/member_table.h"
 
 #include <sigc++/sigc++.h>
@@ -24,6 +24,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 struct bufferevent;
@@ -48,6 +49,13 @@
 	std::vector<std::string> gone; ///< Endpoints whose entry this node saw go, reading without a break.
 	bool follows = false; ///< This node follows the configuration in the store and was answered just now.
 	duration next_in = duration::zero(); ///< Until the next heartbeat to the same peer; zero when it is not told.
+	bool wants_link = false; ///< The sender needs this link, so the receiver is to beat back.
+	bool relies_on_you = false; ///< The receiver is the hub through which the sender knows the fleet.
+	bool is_total = false; ///< Commitments are those of the whole fleet, for nodes that rely on the sender.
+	std::uint32_t zone_nodes = 0; ///< Live nodes of the sender's zone, as it hears them; told by hubs.
+	std::uint32_t fleet_nodes = 0; ///< Live nodes of all zones; told by hubs.
+	std::vector<std::string> dispatchers; ///< Nodes that may dispatch pools; told by hubs.
+	std::vector<std::string> unreached_zones; ///< Zones that are cut off from the sender; told by hubs.
 };
 
 /** A submission under a key that the receiver owns. */
@@ -110,10 +118,9 @@
 	std::vector<std::uint64_t> result_bytes; ///< Of each handle.
 };
 
-/** A node sent a prompt to an engine. */
-struct prompt_sent_message {
-	std::string engine;
-	std::vector<prompt_link> prompt;
+/** Prompts that nodes sent to engines. */
+struct tell_prompts_message {
+	std::vector<told_prompt> prompts;
 };
 
 /** All endpoints the sender knows, for a node that cannot read them. */
@@ -146,6 +153,7 @@
 	network_address _address;
 	evconnlistener *_listener = nullptr;
 	std::vector<std::shared_ptr<link>> _links;
+	std::unordered_map<std::string, std::vector<link *>> _proven; ///< By VM, oldest first.
 	std::map<std::string, instant> _dial_after; ///< By VM, or by address where the VM is not known; back-off.
 	std::map<std::string, duration> _back_off;
 	std::vector<std::string> _cut_off; ///< VMs no link is held with, for failure tests.
@@ -166,7 +174,7 @@
 	sigc::signal<void(const std::string &, const cancel_work_message &)> _work_cancelled;
 	sigc::signal<void(const std::string &, const release_results_message &)> _results_released;
 	sigc::signal<void(const std::string &, const tell_results_message &)> _results_told;
-	sigc::signal<void(const std::string &, const prompt_sent_message &)> _prompt_sent;
+	sigc::signal<void(const std::string &, const tell_prompts_message &)> _prompts_told;
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> _endpoints_told;
 	sigc::signal<void(const std::string &, const tell_reading_message &)> _reading_told;
 
@@ -215,7 +223,7 @@
 	bool send(const std::string &p_vm, const cancel_work_message &p_message);
 	bool send(const std::string &p_vm, const release_results_message &p_message);
 	bool send(const std::string &p_vm, const tell_results_message &p_message);
-	bool send(const std::string &p_vm, const prompt_sent_message &p_message);
+	bool send(const std::string &p_vm, const tell_prompts_message &p_message);
 	bool send(const std::string &p_vm, const tell_endpoints_message &p_message);
 	bool send(const std::string &p_vm, const tell_reading_message &p_message);
 
@@ -235,7 +243,7 @@
 	sigc::signal<void(const std::string &, const cancel_work_message &)> &work_cancelled() { return _work_cancelled; }
 	sigc::signal<void(const std::string &, const release_results_message &)> &results_released() { return _results_released; }
 	sigc::signal<void(const std::string &, const tell_results_message &)> &results_told() { return _results_told; }
-	sigc::signal<void(const std::string &, const prompt_sent_message &)> &prompt_sent() { return _prompt_sent; }
+	sigc::signal<void(const std::string &, const tell_prompts_message &)> &prompts_told() { return _prompts_told; }
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> &endpoints_told() { return _endpoints_told; }
 	sigc::signal<void(const std::string &, const tell_reading_message &)> &reading_told() { return _reading_told; }
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -57,7 +57,8 @@
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
 		_engine_caches(p_settings.without),
-		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _engine_caches, _first_event_times },
+		_prompts(_context, _fleet, _engine_caches),
+		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _engine_caches, _prompts, _first_event_times },
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
 		_tick_timer(p_loop, [this] { _tick(); }),
@@ -65,7 +66,6 @@
 	if (p_settings.metrics_address) {
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
-	_fleet.get_link().prompt_sent().connect([this](const std::string &, const prompt_sent_message &p_message) { _engine_caches.on_sent(p_message.engine, p_message.prompt, event_loop::now()); });
 	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_configuration.changed().connect([this] { _on_configuration(); });
 	_endpoints.changed().connect([this] { _on_endpoints(); });
@@ -97,9 +97,7 @@
 void gateway::_settle() {
 	// A node that begins alone would take the pools for its own and admit as much as all nodes together may.
 	_update_readiness();
-	const std::size_t live = _fleet.get_live_count();
-	const bool knows_peers = live > 1 && _fleet.get_ready_nodes().size() == live;
-	_settled = knows_peers || !_context.settings.without.has(mechanism::HOLD_AT_START) || event_loop::now() - _started_at > SETTLE_TIME;
+	_settled = _fleet.knows_fleet() || !_context.settings.without.has(mechanism::HOLD_AT_START) || event_loop::now() - _started_at > SETTLE_TIME;
 	if (!_settled) {
 		_settle_timer.set(SETTLE_INTERVAL);
 		return;
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -36,6 +36,7 @@
 	router _services;
 	router _engines;
 	engine_view _engine_caches;
+	prompt_exchange _prompts;
 	std::map<std::string, retry_window> _repeats;
 	std::map<std::string, duration> _usual_times;
 	std::map<std::string, duration> _first_event_times;
@@ -100,6 +101,9 @@
 	/** Nodes that this one heard just now, itself included. */
 	std::size_t get_live_count() const { return _fleet.get_live_count(); }
 
+	/** Nodes that this one has a link to. */
+	std::size_t get_link_count() { return _fleet.get_link().get_linked().size(); }
+
 	const network_address &get_caller_address() const { return _callers.get_address(); }
 	const network_address &get_readiness_address() const { return _readiness.get_address(); }
 	const network_address &get_link_address() { return _fleet.get_link().get_address(); }
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -23,10 +23,16 @@
 constexpr duration ASK_INTERVAL = std::chrono::milliseconds(300);
 /** A node that starts asks nothing; it is told what it may lack until it is ready. */
 constexpr duration TELL_INTERVAL = std::chrono::milliseconds(1000);
-/** Each node is linked to every other, so what one knows of others is told each so many beats only, for those that start. */
+/** Hubs repeat some of what they know of others each so many beats, so that nodes without a link to each other do not forget. */
 constexpr int BEATS_PER_RUMOUR = 5;
-/** A pool's dispatcher handles the work of all nodes; nodes with less than this part of the largest one's processor do not. */
-constexpr double LEAST_PART_TO_DISPATCH = 0.6;
+/** A link that work needed is kept longer than results live, as the release of a node's results goes over it. */
+constexpr duration KEPT_TIME = std::chrono::seconds(15);
+/** A hub notices within this that a node it told of is lost; until then this node's own broken link counts. */
+constexpr duration DOWN_TIME = std::chrono::milliseconds(1500);
+
+bool contains(const std::vector<std::string> &p_names, const std::string &p_name) {
+	return std::find(p_names.begin(), p_names.end(), p_name) != p_names.end();
+}
 
 } // namespace
 
@@ -37,20 +43,18 @@
 		_commitments(p_commitments),
 		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, LONGEST_BACK_OFF }),
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {}, p_context.settings.cores }),
+		_overlay(p_context.settings.vm, p_context.settings.zone),
 		_beat_timer(p_context.loop, [this] { _beat(); }),
 		_watch_timer(p_context.loop, [this] { _watch(); }) {
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
 	_link.configuration_asked().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_asked(p_vm, p_have); });
 	_link.configuration_told().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
-	_link.link_up().connect([this](const std::string &p_vm) {
-		_contacts.on_linked(p_vm);
-		_send_heartbeat(p_vm, _make_heartbeat(true), true);
-	});
-	_link.link_down().connect([this](const std::string &p_vm) { _set_live(p_vm, false); });
+	_link.link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
+	_link.link_down().connect([this](const std::string &p_vm) { _on_link_down(p_vm); });
 	_link.endpoints_told().connect([this](const std::string &p_vm, const tell_endpoints_message &p_message) { _endpoints.offer(p_message.endpoints, p_vm); });
 	_link.reading_told().connect([this](const std::string &p_vm, const tell_reading_message &p_message) { _on_reading_told(p_vm, p_message.reading); });
 	_endpoints.reading_taken().connect([this](const endpoint_reading &p_reading) { _tell_reading(p_reading); });
-	_configuration.changed().connect([this] { _send_heartbeats(true); });
+	_configuration.changed().connect([this] { _send_heartbeats(beat_scope::CLOSE); });
 }
 
 void gateway_fleet::start() {
@@ -63,27 +67,52 @@
 		return;
 	}
 	const std::vector<zone_reach::change> changes = _context.zones.check(event_loop::now());
-	for (const zone_reach::change &change : changes) {
-		_context.log.write(log_line(change.is_reached ? "zone_reached" : "zone_cut_off").add("zone", change.zone));
-		if (change.is_reached) {
-			_unreached_zones.erase(change.zone);
-		} else {
-			_unreached_zones.insert(change.zone);
+	// A node that is no hub hears too little of other zones to judge their silence.
+	if (_plan.is_hub && !changes.empty()) {
+		std::set<std::string> unreached = _unreached_zones;
+		for (const zone_reach::change &change : changes) {
+			if (change.is_reached) {
+				unreached.erase(change.zone);
+			} else {
+				unreached.insert(change.zone);
+			}
 		}
-	}
-	if (!changes.empty()) {
-		_note_changes();
-		_reach_changed.emit(_unreached_zones);
+		_set_unreached_zones(std::move(unreached));
 	}
 	_watch_timer.set(WATCH_INTERVAL);
 }
 
+void gateway_fleet::_set_unreached_zones(std::set<std::string> p_zones) {
+	if (p_zones == _unreached_zones) {
+		return;
+	}
+	for (const std::string &zone : p_zones) {
+		if (!_unreached_zones.contains(zone)) {
+			_context.log.write(log_line("zone_cut_off").add("zone", zone).add("source", _plan.is_hub ? "this node" : "peer/" + _reader));
+		}
+	}
+	for (const std::string &zone : _unreached_zones) {
+		if (!p_zones.contains(zone)) {
+			_context.log.write(log_line("zone_reached").add("zone", zone).add("source", _plan.is_hub ? "this node" : "peer/" + _reader));
+		}
+	}
+	_unreached_zones = std::move(p_zones);
+	if (_plan.is_hub) {
+		_send_heartbeats(beat_scope::CLOSE);
+	}
+	_note_changes();
+	_reach_changed.emit(_unreached_zones);
+}
+
 bool gateway_fleet::_is_heard(const std::string &p_vm, instant p_now) const {
-	if (!_contacts.is_heard(p_vm, p_now) || !_link.is_linked(p_vm)) {
+	if (!_contacts.is_heard(p_vm, p_now) || !_link.is_linked(p_vm) || _told_lost.contains(p_vm)) {
 		return false;
 	}
 	const member *peer = _members.find(p_vm);
-	return peer == nullptr || !_context.settings.without.has(mechanism::ZONE_SILENCE) || _context.zones.is_reached(peer->digest.zone, p_now);
+	if (peer == nullptr || !_context.settings.without.has(mechanism::ZONE_SILENCE)) {
+		return true;
+	}
+	return _plan.is_hub ? _context.zones.is_reached(peer->digest.zone, p_now) : !_unreached_zones.contains(peer->digest.zone);
 }
 
 std::vector<std::string> gateway_fleet::get_live_nodes() const {
@@ -97,52 +126,127 @@
 			nodes.push_back(vm);
 		}
 	}
-	if (nodes.empty()) {
-		nodes.push_back(get_vm());
-	}
-	std::sort(nodes.begin(), nodes.end());
 	return nodes;
 }
 
 void gateway_fleet::set_ready(bool p_ready) {
 	if (p_ready != _ready) {
 		_ready = p_ready;
-		_send_heartbeats(true);
+		_send_heartbeats(beat_scope::CLOSE);
 	}
 }
 
-std::vector<std::string> gateway_fleet::get_ready_nodes() const {
-	std::vector<std::string> nodes;
-	for (const std::string &vm : get_live_nodes()) {
+std::vector<std::string> gateway_fleet::_find_dispatchers() const {
+	const instant now = event_loop::now();
+	std::vector<overlay_node> nodes;
+	for (const std::string &vm : _plan.hubs) {
 		const member *peer = _members.find(vm);
-		const bool is_ready = peer == nullptr ? _ready : peer->digest.ready;
-		if (is_ready) {
-			nodes.push_back(vm);
+		if (vm == get_vm()) {
+			if (_ready && !_leaving) {
+				nodes.push_back(overlay_node{ vm, _context.settings.zone, _context.settings.cores });
+			}
+		} else if (peer != nullptr && peer->digest.ready && !peer->digest.leaving && _is_heard(vm, now)) {
+			nodes.push_back(overlay_node{ vm, peer->digest.zone, peer->digest.cores });
 		}
 	}
-	return nodes;
+	if (_context.settings.without.has(mechanism::DISPATCH_BY_SIZE)) {
+		nodes = keep_larger(std::move(nodes));
+	}
+	std::vector<std::string> names;
+	for (const overlay_node &node : nodes) {
+		names.push_back(node.vm);
+	}
+	std::sort(names.begin(), names.end());
+	return names;
 }
 
-std::vector<std::string> gateway_fleet::_keep_larger(std::vector<std::string> p_nodes) const {
-	const auto get_cores = [this](const std::string &p_vm) {
+std::vector<std::string> gateway_fleet::get_dispatch_nodes() const {
+	if (_plan.is_hub) {
+		return _find_dispatchers();
+	}
+	const instant now = event_loop::now();
+	std::vector<std::string> nodes = _told_dispatchers;
+	std::erase_if(nodes, [this, now](const std::string &p_vm) {
 		const member *peer = _members.find(p_vm);
-		return peer == nullptr ? _context.settings.cores : peer->digest.cores;
-	};
-	double most = 0.0;
-	for (const std::string &vm : p_nodes) {
-		most = std::max(most, get_cores(vm));
+		const auto down = _down_at.find(p_vm);
+		const bool is_down = down != _down_at.end() && now - down->second < DOWN_TIME && !_is_heard(p_vm, now);
+		const bool is_silent = _link.is_linked(p_vm) && !_is_heard(p_vm, now);
+		return is_down || is_silent || _told_lost.contains(p_vm) || (peer != nullptr && peer->digest.leaving);
+	});
+	return nodes;
+}
+
+bool gateway_fleet::knows_fleet() const {
+	if (!_plan.is_hub) {
+		return !_told_dispatchers.empty();
 	}
-	std::erase_if(p_nodes, [&get_cores, most](const std::string &p_vm) { return get_cores(p_vm) < most * LEAST_PART_TO_DISPATCH; });
-	return p_nodes;
+	const instant now = event_loop::now();
+	std::size_t heard = 0;
+	for (const auto &[vm, entry] : _members.get_members()) {
+		if (entry.digest.leaving || !_is_heard(vm, now)) {
+			continue;
+		}
+		if (!entry.digest.ready) {
+			return false;
+		}
+		heard++;
+	}
+	return heard > 0 && _ready;
 }
 
-std::vector<std::string> gateway_fleet::get_dispatch_nodes() const {
-	const bool by_size = _context.settings.without.has(mechanism::DISPATCH_BY_SIZE);
-	return by_size ? _keep_larger(get_ready_nodes()) : get_ready_nodes();
+std::uint32_t gateway_fleet::_count_zone() const {
+	const instant now = event_loop::now();
+	std::uint32_t count = _leaving ? 0 : 1;
+	for (const auto &[vm, entry] : _members.get_members()) {
+		count += entry.digest.zone == _context.settings.zone && !entry.digest.leaving && _is_heard(vm, now) ? 1 : 0;
+	}
+	return count;
+}
+
+std::uint32_t gateway_fleet::_count_fleet() const {
+	const instant now = event_loop::now();
+	std::map<std::string, std::uint32_t> by_zone{ { _context.settings.zone, _count_zone() } };
+	for (const auto &[vm, count] : _zone_nodes) {
+		const member *hub = _members.find(vm);
+		if (hub != nullptr && _is_heard(vm, now)) {
+			std::uint32_t &zone_count = by_zone[hub->digest.zone];
+			zone_count = std::max(zone_count, count);
+		}
+	}
+	std::uint32_t sum = 0;
+	for (const auto &[zone, count] : by_zone) {
+		sum += count;
+	}
+	return sum;
+}
+
+std::size_t gateway_fleet::get_live_count() const {
+	const std::size_t told = _plan.is_hub ? 0 : _told_fleet_nodes;
+	return std::max<std::size_t>({ 1, told, _plan.is_hub ? _count_fleet() : get_live_nodes().size() });
+}
+
+void gateway_fleet::keep_link(const std::string &p_vm) {
+	_kept_until[p_vm] = event_loop::now() + KEPT_TIME;
+	const member *peer = _members.find(p_vm);
+	if (peer != nullptr && !_link.is_linked(p_vm)) {
+		_link.dial(p_vm, peer->digest.link);
+	}
+}
+
+std::vector<std::string> gateway_fleet::get_other_hubs() const {
+	std::vector<std::string> hubs;
+	for (const std::string &vm : _plan.is_hub ? _link.get_linked() : std::vector<std::string>()) {
+		const member *peer = _members.find(vm);
+		if (peer != nullptr && peer->digest.hub) {
+			hubs.push_back(vm);
+		}
+	}
+	return hubs;
 }
 
 void gateway_fleet::_help_unready(const member_digest &p_peer, instant p_now) {
-	if (p_peer.ready || p_peer.leaving || !_endpoints.is_loaded()) {
+	const bool may_help = _plan.is_hub || _is_starting;
+	if (p_peer.ready || p_peer.leaving || !may_help || !_endpoints.is_loaded()) {
 		return;
 	}
 	instant &told = _told_endpoints_at[p_peer.vm];
@@ -155,38 +259,61 @@
 void gateway_fleet::_beat() {
 	const instant now = event_loop::now();
 	_members.tick(now);
-	_dial();
+	std::erase_if(_kept_until, [now](const auto &p_entry) { return p_entry.second < now; });
+	std::erase_if(_down_at, [now](const auto &p_entry) { return now - p_entry.second > DOWN_TIME; });
+	_plan_links();
 	_use_store();
-	_share_reading();
 	_endpoints.drop_told();
 	_collect_news();
-	_send_heartbeats(false);
+	_send_heartbeats(beat_scope::DUE);
 	_note_changes();
 	_beat_timer.set(peer_contacts::get_interval(true));
 }
 
-void gateway_fleet::_dial() {
-	const std::vector<std::string> linked = _link.get_linked();
-	if (linked.empty()) {
-		for (const network_address &peer : _context.settings.peers) {
-			if (!(peer == _link.get_address())) {
-				_link.dial_unnamed(peer);
-			}
+void gateway_fleet::_plan_links() {
+	const instant now = event_loop::now();
+	// A hub that stops is one to the end, as others still wait for what it has.
+	std::vector<overlay_node> nodes{ overlay_node{ get_vm(), _context.settings.zone, _context.settings.cores } };
+	for (const auto &[vm, entry] : _members.get_members()) {
+		if (entry.state != member_state::GONE && entry.digest.link.port != 0 && !entry.digest.leaving) {
+			nodes.push_back(overlay_node{ vm, entry.digest.zone, entry.digest.cores });
 		}
 	}
-	for (const auto &[vm, entry] : _members.get_members()) {
-		if (entry.state == member_state::GONE || entry.digest.link.port == 0) {
-			continue;
+	const bool was_hub = _plan.is_hub;
+	const bool has_followers = !_contacts.get_followers(now).empty();
+	_plan = _overlay.plan(
+			nodes, [this, now](const std::string &p_vm) { return _is_heard(p_vm, now); }, has_followers, now);
+	if (_plan.is_hub != was_hub) {
+		_members.set_hub(_plan.is_hub);
+		if (_plan.is_hub) {
+			_commitments.forget_total();
+		}
+		_context.log.write(log_line("hub").add("zone", _context.settings.zone).add("is_hub", _plan.is_hub ? "yes" : "no").add("known", static_cast<long long>(nodes.size())).add("links", static_cast<long long>(_link.get_linked().size())));
+	}
+	_is_starting = get_dispatch_nodes().empty();
+	_share_reading();
+	_dial();
+}
+
+void gateway_fleet::_dial() {
+	if (_link.get_linked().empty() && !_context.settings.peers.empty()) {
+		// One at a time, so that a fleet that starts does not ask all of its seeds at once.
+		const network_address &seed = _context.settings.peers[_next_seed++ % _context.settings.peers.size()];
+		if (!(seed == _link.get_address())) {
+			_link.dial_unnamed(seed);
 		}
+	}
+	for (const std::string &vm : _plan.wanted) {
 		if (!_link.is_linked(vm)) {
-			_link.dial(vm, entry.digest.link);
+			_link.dial(vm, _members.find(vm)->digest.link);
 		}
 	}
 }
 
 void gateway_fleet::_use_store() {
 	const instant now = event_loop::now();
-	if (!_named_in_store && now - _named_at > NAME_RETRY) {
+	// Whoever finds a hub finds all nodes.
+	if (!_named_in_store && _plan.is_hub && now - _named_at > NAME_RETRY) {
 		_named_at = now;
 		const std::string value = to_string(_link.get_address()) + " " + _context.settings.zone;
 		_context.store.put(std::string(get_node_topic()), get_vm(), value, [this](bool p_written) { _named_in_store = _named_in_store || p_written; });
@@ -211,25 +338,24 @@
 }
 
 void gateway_fleet::_share_reading() {
+	std::vector<std::string> candidates = _plan.hubs;
+	std::erase_if(candidates, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
+	const bool was_reader = _is_reader();
+	_reader = candidates.empty() ? get_vm() : choose_reader(_context.settings.zone, candidates);
 	if (!_context.settings.without.has(mechanism::STORE_READERS)) {
 		return;
 	}
-	std::vector<std::string> candidates = get_live_nodes();
-	std::erase_if(candidates, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
-	candidates = _keep_larger(std::move(candidates));
-	const bool is_reader = choose_reader(_context.settings.zone, candidates) == get_vm();
-	if (is_reader != _is_reader) {
-		_is_reader = is_reader;
-		_context.log.write(log_line("store_reader").add("zone", _context.settings.zone).add("reads", is_reader ? "yes" : "no").add("candidates", static_cast<long long>(candidates.size())));
+	if (_is_reader() != was_reader) {
+		_context.log.write(log_line("store_reader").add("zone", _context.settings.zone).add("reads", _is_reader() ? "yes" : "no").add("reader", _reader).add("candidates", static_cast<long long>(candidates.size())));
 	}
 	const instant now = event_loop::now();
 	const bool is_covered = _cover.is_covered(
 			_configuration.get_version(), [this, now](const std::string &p_vm) { return _is_heard(p_vm, now); }, now);
-	_configuration.set_covered(!_is_reader && is_covered && _configuration.get_current() != nullptr);
+	_configuration.set_covered(!_is_reader() && is_covered && _configuration.get_current() != nullptr);
 }
 
 void gateway_fleet::_tell_reading(const endpoint_reading &p_reading) {
-	if (!_is_reader) {
+	if (!_is_reader() || !_context.settings.without.has(mechanism::STORE_READERS)) {
 		return;
 	}
 	for (const std::string &vm : _link.get_linked()) {
@@ -262,50 +388,117 @@
 	_contacts.forget_news(is_back, now);
 }
 
-heartbeat_message gateway_fleet::_make_heartbeat(bool p_with_rumours) {
+gateway_fleet::peer_role gateway_fleet::_get_role(const std::string &p_vm, instant p_now) const {
+	const member *peer = _members.find(p_vm);
+	const bool is_hub_peer = peer != nullptr && peer->digest.hub;
+	const bool is_own_zone = _is_in_own_zone(p_vm);
+	const bool relies_on_me = _contacts.is_relied_on(p_vm, p_now);
+	peer_role role;
+	role.is_mesh = _plan.is_hub && is_hub_peer;
+	role.is_follower = relies_on_me || (_plan.is_hub && is_own_zone && !is_hub_peer);
+	role.is_relied_on = p_vm == get_relied_on();
+	const bool is_wanted = contains(_plan.wanted, p_vm) || _kept_until.contains(p_vm) || _contacts.is_wanted(p_vm, p_now);
+	role.is_needed = role.is_mesh || role.is_follower || role.is_relied_on || is_wanted || _is_starting;
+	role.is_close = role.is_mesh || relies_on_me || role.is_relied_on || _is_starting;
+	role.hears_news = role.is_mesh || is_own_zone;
+	return role;
+}
+
+gateway_fleet::beat_texts gateway_fleet::_make_texts(bool p_with_rumours) {
 	_members.update_self(_ready, _leaving, _configuration.get_version(), {});
-	heartbeat_message message;
-	message.digests = p_with_rumours ? _members.make_heartbeat() : _members.make_own_heartbeat();
-	message.commitments = _commitments.get_own();
-	message.follows = _configuration.is_following();
+	beat_texts texts;
+	std::vector<member_digest> digests = p_with_rumours ? _members.make_heartbeat() : _members.make_own_heartbeat();
+	texts.plain.digests = { digests.front() };
+	texts.rumours.assign(digests.begin() + 1, digests.end());
+	texts.plain.follows = _configuration.is_following();
 	if (_get_capacities) {
-		message.capacities = _get_capacities();
+		texts.plain.capacities = _get_capacities();
+	}
+	texts.to_hub = texts.plain;
+	texts.to_hub.commitments = _plan.is_hub ? _commitments.get_subtree() : _commitments.get_own();
+	texts.to_hub.zone_nodes = _plan.is_hub ? _count_zone() : 0;
+	texts.to_follower = texts.plain;
+	texts.to_follower.commitments = _commitments.get_total();
+	texts.to_follower.is_total = true;
+	texts.to_follower.capacities = _commitments.get_capacities();
+	texts.to_follower.fleet_nodes = _count_fleet();
+	texts.to_follower.dispatchers = _find_dispatchers();
+	texts.to_follower.unreached_zones.assign(_unreached_zones.begin(), _unreached_zones.end());
+	return texts;
+}
+
+void gateway_fleet::_add_members(const std::string &p_vm, const beat_texts &p_texts, heartbeat_message &r_message) {
+	const member *peer = _members.find(p_vm);
+	if (peer == nullptr) {
+		return;
+	}
+	// A node needs to know those that may become hubs of its own zone, and the hubs of others, whose dispatchers it works with.
+	const auto is_of_use = [this, peer](const std::string &p_other) {
+		const member *other = _members.find(p_other);
+		return other != nullptr && (peer->digest.hub || other->digest.hub || other->digest.zone == peer->digest.zone);
+	};
+	for (const std::string &vm : _feed.take(p_vm, is_of_use)) {
+		r_message.digests.push_back(_members.find(vm)->digest);
 	}
-	return message;
+	r_message.digests.insert(r_message.digests.end(), p_texts.rumours.begin(), p_texts.rumours.end());
 }
 
-void gateway_fleet::_send_heartbeat(const std::string &p_vm, heartbeat_message p_message, bool p_is_close) {
-	p_message.next_in = peer_contacts::get_interval(p_is_close);
-	for (const endpoint_news &news : _contacts.on_sent(p_vm, event_loop::now())) {
+void gateway_fleet::_send_heartbeat(const std::string &p_vm, const peer_role &p_role, const beat_texts &p_texts) {
+	heartbeat_message message = p_texts.plain;
+	if (p_role.is_mesh || p_role.is_relied_on) {
+		message = p_texts.to_hub;
+	} else if (p_role.is_follower) {
+		message = p_texts.to_follower;
+	}
+	if (p_role.is_relied_on) {
+		_own_told = message.commitments;
+	}
+	message.relies_on_you = p_role.is_relied_on;
+	// Until a hub is heard, any link may be the one that tells of it.
+	message.wants_link = p_role.is_relied_on || contains(_plan.wanted, p_vm) || _kept_until.contains(p_vm) || _is_starting;
+	message.next_in = peer_contacts::get_interval(p_role.is_close);
+	_add_members(p_vm, p_texts, message);
+	for (const endpoint_news &news : _contacts.on_sent(p_vm, p_role.is_close, p_role.hears_news, event_loop::now())) {
 		if (news.is_gone) {
-			p_message.gone.push_back(news.endpoint);
+			message.gone.push_back(news.endpoint);
 		} else {
-			p_message.marks.push_back(leaving_mark{ news.endpoint, 0 });
+			message.marks.push_back(leaving_mark{ news.endpoint, 0 });
 		}
 	}
 	_context.metrics.count("heartbeats_sent");
-	_context.metrics.count("endpoint_news_sent", static_cast<double>(p_message.gone.size() + p_message.marks.size()));
-	_link.send(p_vm, p_message);
+	_context.metrics.count("endpoint_news_sent", static_cast<double>(message.gone.size() + message.marks.size()));
+	_link.send(p_vm, message);
 }
 
-void gateway_fleet::_send_heartbeats(bool p_to_all) {
+void gateway_fleet::_send_heartbeats(beat_scope p_scope) {
 	const instant now = event_loop::now();
-	const std::vector<std::string> dispatching = get_dispatch_nodes();
-	const auto is_dispatching = [&dispatching](const std::string &p_vm) { return std::binary_search(dispatching.begin(), dispatching.end(), p_vm); };
-	const bool am_dispatching = is_dispatching(get_vm());
-	const bool has_rumours = _beats++ % BEATS_PER_RUMOUR == 0;
-	const heartbeat_message full = _make_heartbeat(has_rumours);
-	heartbeat_message brief = full;
-	brief.digests.resize(1);
+	const bool has_rumours = p_scope == beat_scope::DUE && _beats++ % BEATS_PER_RUMOUR == 0;
+	const beat_texts texts = _make_texts(has_rumours);
 	for (const std::string &vm : _link.get_linked()) {
-		// Nobody dispatches until a node is ready; then all must learn soon of who is there.
-		const bool is_close = am_dispatching || is_dispatching(vm) || dispatching.empty() || (_is_reader && _is_in_own_zone(vm));
-		if (p_to_all || _contacts.is_due(vm, is_close, now)) {
-			_send_heartbeat(vm, is_close ? full : brief, is_close);
+		const peer_role role = _get_role(vm, now);
+		const bool is_due = role.is_needed && _contacts.is_due(vm, role.is_close, role.hears_news, now);
+		if (p_scope == beat_scope::ALL || (p_scope == beat_scope::CLOSE && role.is_close) || (p_scope == beat_scope::DUE && is_due)) {
+			_send_heartbeat(vm, role, texts);
 		}
 	}
 }
 
+void gateway_fleet::_on_link_up(const std::string &p_vm) {
+	_contacts.on_linked(p_vm);
+	_feed.restart(p_vm);
+	_greeted.erase(p_vm);
+	_down_at.erase(p_vm);
+	_send_heartbeat(p_vm, _get_role(p_vm, event_loop::now()), _make_texts(false));
+}
+
+void gateway_fleet::_on_link_down(const std::string &p_vm) {
+	_down_at[p_vm] = event_loop::now();
+	_set_live(p_vm, false);
+	if (p_vm == get_relied_on() || _plan.is_hub) {
+		_plan_links();
+	}
+}
+
 void gateway_fleet::_set_live(const std::string &p_vm, bool p_live) {
 	bool &was_live = _was_live[p_vm];
 	if (p_live == was_live) {
@@ -317,6 +510,7 @@
 	_context.log.write(log_line(p_live ? "peer_live" : "peer_lost").add("vm", p_vm).add("leaving", is_leaving ? "yes" : "no"));
 	if (!p_live) {
 		_commitments.forget_peer(p_vm);
+		_zone_nodes.erase(p_vm);
 		_peer_lost.emit(p_vm);
 	}
 }
@@ -335,39 +529,120 @@
 	_members.take_changes();
 }
 
-void gateway_fleet::_on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message) {
-	const instant now = event_loop::now();
-	_contacts.on_heard(p_vm, p_message.next_in, now);
+void gateway_fleet::_take_members(const heartbeat_message &p_message) {
 	const std::size_t known = _members.get_members().size();
-	_members.take_digests(p_message.digests, now);
+	std::map<std::string, bool> were_hubs;
+	for (const member_digest &digest : p_message.digests) {
+		const member *peer = _members.find(digest.vm);
+		were_hubs[digest.vm] = peer != nullptr && peer->digest.hub;
+	}
+	_members.take_digests(p_message.digests, event_loop::now());
+	for (const auto &[vm, was_hub] : were_hubs) {
+		const member *peer = _members.find(vm);
+		if (peer == nullptr) {
+			continue;
+		}
+		_feed.note(peer->digest);
+		if (peer->digest.hub && !was_hub) {
+			// A hub needs to know all nodes.
+			_feed.restart(vm);
+		}
+	}
 	if (_members.get_members().size() > known) {
-		_dial();
+		_plan_links();
 	}
+}
+
+void gateway_fleet::_take_endpoint_news(const std::string &p_vm, const heartbeat_message &p_message) {
 	for (const leaving_mark &mark : p_message.marks) {
 		_endpoints.mark_leaving(mark.vm);
 	}
 	for (const std::string &endpoint : p_message.gone) {
 		_endpoints.mark_gone(endpoint, p_vm);
 	}
-	_commitments.take_peer(p_vm, p_message.commitments);
+}
+
+void gateway_fleet::_take_commitments(const std::string &p_vm, const heartbeat_message &p_message) {
+	const member *peer = _members.find(p_vm);
+	for (const pool_capacity &entry : p_message.capacities) {
+		_commitments.set_capacity(entry.pool, entry.replicas);
+	}
+	if (p_message.relies_on_you) {
+		_commitments.take_follower(p_vm, p_message.commitments);
+	} else if (p_message.is_total) {
+		if (p_vm == get_relied_on()) {
+			_commitments.take_total(p_message.commitments, _own_told);
+		}
+	} else if (_plan.is_hub && peer != nullptr && peer->digest.hub) {
+		_commitments.take_peer(p_vm, p_message.commitments);
+	} else {
+		_commitments.forget_peer(p_vm);
+	}
+}
+
+void gateway_fleet::_take_fleet_state(const std::string &p_vm, const heartbeat_message &p_message) {
+	if (p_message.zone_nodes > 0) {
+		_zone_nodes[p_vm] = p_message.zone_nodes;
+	}
+	if (!p_message.is_total || _plan.is_hub || !_is_in_own_zone(p_vm)) {
+		return;
+	}
+	_told_fleet_nodes = p_message.fleet_nodes;
+	std::vector<std::string> before = p_message.dispatchers;
+	before.swap(_told_dispatchers);
+	for (const std::string &vm : before) {
+		const member *peer = _members.find(vm);
+		const bool is_stopping = peer != nullptr && peer->digest.leaving;
+		if (vm != get_vm() && !contains(_told_dispatchers, vm) && !is_stopping && !p_message.dispatchers.empty()) {
+			_told_lost.insert(vm);
+			_set_live(vm, false);
+		}
+	}
+	for (const std::string &vm : _told_dispatchers) {
+		_told_lost.erase(vm);
+	}
+	if (p_vm == get_relied_on()) {
+		_set_unreached_zones(std::set<std::string>(p_message.unreached_zones.begin(), p_message.unreached_zones.end()));
+	}
+}
+
+void gateway_fleet::_on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message) {
+	const instant now = event_loop::now();
+	_contacts.on_heard(p_vm, p_message.next_in, now);
+	_contacts.on_needs(p_vm, p_message.wants_link, p_message.relies_on_you, now);
+	_told_lost.erase(p_vm);
+	_take_members(p_message);
+	if (!_plan.is_hub && p_message.relies_on_you) {
+		_plan_links();
+	}
+	_take_endpoint_news(p_vm, p_message);
+	_take_commitments(p_vm, p_message);
+	_take_fleet_state(p_vm, p_message);
 	const member *peer = _members.find(p_vm);
 	if (_cover.on_heartbeat(p_vm, p_message.follows, p_message.next_in, peer == nullptr ? 0 : peer->digest.configuration_version)) {
 		_share_reading();
 	}
-	for (const pool_capacity &entry : p_message.capacities) {
-		_commitments.set_capacity(entry.pool, entry.replicas);
+	if (_greeted.insert(p_vm).second) {
+		// Its zone is known only now, and so what it needs to know.
+		_send_heartbeat(p_vm, _get_role(p_vm, now), _make_texts(true));
 	}
 	if (peer != nullptr) {
 		_context.zones.on_node_heard(peer->digest.zone, now);
 		_help_unready(peer->digest, now);
+		_ask_newer_configuration(peer->digest);
 	}
-	if (peer == nullptr || peer->digest.configuration_version <= _configuration.get_version()) {
+}
+
+void gateway_fleet::_ask_newer_configuration(const member_digest &p_peer) {
+	const instant now = event_loop::now();
+	const bool is_near = _plan.is_hub || _is_starting || p_peer.zone == _context.settings.zone;
+	if (!is_near || p_peer.configuration_version <= _configuration.get_version()) {
 		return;
 	}
-	instant &asked = _asked_at[peer->digest.configuration_version];
+	instant &asked = _asked_at[p_peer.configuration_version];
 	if (asked == instant{} || now - asked > ASK_INTERVAL) {
 		asked = now;
-		_link.ask_configuration(p_vm, _configuration.get_version());
+		_link.ask_configuration(p_peer.vm, _configuration.get_version());
 	}
 	while (_asked_at.size() > 4) {
 		_asked_at.erase(_asked_at.begin());
@@ -382,7 +657,7 @@
 
 void gateway_fleet::announce_leaving() {
 	_leaving = true;
-	_send_heartbeats(true);
+	_send_heartbeats(beat_scope::ALL);
 }
 
 } // namespace calicoscale
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -12,6 +12,8 @@
 #include "drivers/node_link.h"
 #include "main/gateway/configuration_follower.h"
 #include "main/gateway/endpoint_follower.h"
+#include "servers/membership/digest_feed.h"
+#include "servers/membership/fleet_overlay.h"
 #include "servers/membership/member_table.h"
 #include "servers/membership/peer_contacts.h"
 #include "servers/membership/store_cover.h"
@@ -23,8 +25,37 @@
 
 namespace calicoscale {
 
-/** Keeps a link to every other node and knows which of them answered just now. */
+/**
+ * Keeps the links of the overlay and those that work needs, and knows who is there. A hub of its zone hears all nodes of the
+ * zone and all other hubs; any other node hears its hubs, relies on one of them, and is told by it who dispatches, what the
+ * fleet has admitted and which zones are cut off.
+ */
 class gateway_fleet {
+	/** Which peers a round of heartbeats goes to. */
+	enum class beat_scope {
+		DUE, ///< Those whose next heartbeat is due.
+		CLOSE, ///< Those that rely on this node or on which it relies, whether it is due or not.
+		ALL, ///< All that are linked.
+	};
+
+	/** How a peer stands to this node. */
+	struct peer_role {
+		bool is_mesh = false; ///< Both are hubs.
+		bool is_follower = false; ///< It relies on this node, or is of a zone whose hub this node is.
+		bool is_relied_on = false; ///< This node relies on it.
+		bool is_close = false; ///< It is told often.
+		bool is_needed = false; ///< One of the two needs the link.
+		bool hears_news = false; ///< It is told of endpoints.
+	};
+
+	/** What one round of heartbeats tells, by the role of the receiver. */
+	struct beat_texts {
+		heartbeat_message plain; ///< To peers that only keep a link for work.
+		heartbeat_message to_hub; ///< To other hubs, or to the one this node relies on.
+		heartbeat_message to_follower;
+		std::vector<member_digest> rumours;
+	};
+
 	gateway_context &_context;
 	configuration_follower &_configuration;
 	endpoint_follower &_endpoints;
@@ -32,12 +63,25 @@
 	node_link _link;
 	member_table _members;
 	peer_contacts _contacts;
+	digest_feed _feed;
+	fleet_overlay _overlay;
+	overlay_plan _plan;
 	store_cover _cover;
-	bool _is_reader = false; ///< Of its zone.
+	std::string _reader; ///< Of the store, for this zone; other nodes of the zone rely on it.
 	std::map<std::string, bool> _was_live;
+	std::map<std::string, std::uint32_t> _zone_nodes; ///< Live nodes of a hub's zone, by hub.
+	std::uint32_t _told_fleet_nodes = 0;
+	std::vector<std::string> _told_dispatchers; ///< By a hub of the zone, sorted; used by nodes that are none.
+	std::set<std::string> _told_lost; ///< Nodes that a hub does not hear any more, until they are heard here again.
+	std::map<std::string, instant> _down_at; ///< When the link to a node broke.
+	std::map<std::string, instant> _kept_until; ///< Nodes to keep a link to, for work.
+	std::vector<pool_commitment> _own_told; ///< What the reader was told of this node's commitments.
 	timer _beat_timer;
 	timer _watch_timer;
 	int _beats = 0;
+	bool _is_starting = true; ///< Nobody is known to dispatch.
+	std::set<std::string> _greeted; ///< Peers whose link is not new any more.
+	std::size_t _next_seed = 0;
 	bool _ready = false;
 	bool _leaving = false;
 	bool _named_in_store = false;
@@ -52,10 +96,13 @@
 
 	void _beat();
 	void _watch();
-	heartbeat_message _make_heartbeat(bool p_with_rumours);
-	void _send_heartbeat(const std::string &p_vm, heartbeat_message p_message, bool p_is_close);
-	/** Sends to the peers that are due, or to all. */
-	void _send_heartbeats(bool p_to_all);
+	void _set_unreached_zones(std::set<std::string> p_zones);
+	peer_role _get_role(const std::string &p_vm, instant p_now) const;
+	beat_texts _make_texts(bool p_with_rumours);
+	void _add_members(const std::string &p_vm, const beat_texts &p_texts, heartbeat_message &r_message);
+	void _send_heartbeat(const std::string &p_vm, const peer_role &p_role, const beat_texts &p_texts);
+	void _send_heartbeats(beat_scope p_scope);
+	void _plan_links();
 	void _dial();
 	void _use_store();
 	void _note_changes();
@@ -64,14 +111,23 @@
 	void _share_reading();
 	void _tell_reading(const endpoint_reading &p_reading);
 	void _on_reading_told(const std::string &p_vm, const endpoint_reading &p_reading);
-	/** Of some nodes those that are large enough to work for others. */
-	std::vector<std::string> _keep_larger(std::vector<std::string> p_nodes) const;
+	bool _is_reader() const { return _reader == get_vm(); }
 	bool _is_in_own_zone(const std::string &p_vm) const;
+	std::uint32_t _count_zone() const;
+	std::uint32_t _count_fleet() const;
 	void _collect_news();
+	void _on_link_up(const std::string &p_vm);
+	void _on_link_down(const std::string &p_vm);
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
+	void _take_members(const heartbeat_message &p_message);
+	void _take_endpoint_news(const std::string &p_vm, const heartbeat_message &p_message);
+	void _take_commitments(const std::string &p_vm, const heartbeat_message &p_message);
+	void _take_fleet_state(const std::string &p_vm, const heartbeat_message &p_message);
+	void _ask_newer_configuration(const member_digest &p_peer);
 	void _on_configuration_asked(const std::string &p_vm, std::uint64_t p_have);
 	void _help_unready(const member_digest &p_peer, instant p_now);
 	bool _is_heard(const std::string &p_vm, instant p_now) const;
+	std::vector<std::string> _find_dispatchers() const;
 
 public:
 	gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, commitment_table &p_commitments);
@@ -88,16 +144,35 @@
 	/** This node stops; peers hand it nothing from now on. */
 	void announce_leaving();
 
-	/** Nodes that answered just now and do not stop, this one included, sorted by name. */
+	/** Nodes heard just now that do not stop, this one included. */
 	std::vector<std::string> get_live_nodes() const;
 
-	/** Live nodes that know the configuration and the endpoints, so that they can dispatch. */
-	std::vector<std::string> get_ready_nodes() const;
-
-	/** Ready nodes that are large enough to dispatch a pool for all nodes; never empty while a node is ready. */
+	/**
+	 * Ready nodes that are large enough to dispatch a pool for all nodes, sorted by name: hubs that are heard, or what a hub
+	 * told. Empty while none is known.
+	 */
 	std::vector<std::string> get_dispatch_nodes() const;
 
-	std::size_t get_live_count() const { return get_live_nodes().size(); }
+	/** Whether this node knows what it needs to take work: who dispatches, and if it is a hub that all others it hears are ready. */
+	bool knows_fleet() const;
+
+	/** Live nodes of all zones, as far as is known. */
+	std::size_t get_live_count() const;
+
+	/** Keeps a link to a node for some time, and makes one if there is none. */
+	void keep_link(const std::string &p_vm);
+
+	/** Whether this node carries the control traffic of its zone. */
+	bool is_hub() const { return _plan.is_hub; }
+
+	/** Other hubs with a link to this node; none for a node that is no hub. */
+	std::vector<std::string> get_other_hubs() const;
+
+	/** Nodes that rely on this one. */
+	std::vector<std::string> get_followers() const { return _contacts.get_followers(event_loop::now()); }
+
+	/** The hub that this node relies on; empty for a hub. */
+	std::string get_relied_on() const { return _plan.is_hub || _is_reader() ? "" : _reader; }
 
 	/** Whether a node answered just now, also one that stops. */
 	bool is_heard(const std::string &p_vm) const { return _is_heard(p_vm, event_loop::now()); }
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -182,18 +182,6 @@
 	return candidates[_services.engine_caches.choose(candidates, _prompt, p_zone, now)].id;
 }
 
-void gateway_request::_tell_prompt_sent() {
-	const instant now = event_loop::now();
-	_predicted = _services.engine_caches.predict(_endpoint_name, _prompt, now);
-	_services.engine_caches.on_sent(_endpoint_name, _prompt, now);
-	if (!_services.context.settings.without.has(mechanism::PROMPTS_TOLD)) {
-		return;
-	}
-	for (const std::string &vm : _services.fleet.get_live_nodes()) {
-		_services.fleet.get_link().send(vm, prompt_sent_message{ _endpoint_name, _prompt });
-	}
-}
-
 void gateway_request::_set_zone(std::size_t p_stage, stage_work &r_work) {
 	const stage_spec &spec = _stages.get_spec(p_stage);
 	std::size_t input_bytes = 0;
@@ -341,7 +329,8 @@
 	_answer_body.clear();
 	choices.on_attempt_started(_endpoint, now);
 	if (_is_engine()) {
-		_tell_prompt_sent();
+		_predicted = _services.engine_caches.predict(_endpoint_name, _prompt, now);
+		_services.prompts.tell(_endpoint_name, _prompt);
 	}
 	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_name).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_count_read(_transfers.get_final_read(_request.service, endpoint.listing.zone)))).add("version", static_cast<long long>(_request.configuration->version)));
 	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -12,6 +12,7 @@
 #include "core/verdict.h"
 #include "drivers/caller_server.h"
 #include "main/gateway/gateway_fleet.h"
+#include "main/gateway/prompt_exchange.h"
 #include "main/gateway/stage_dispatcher.h"
 #include "platform/request_codec.h"
 #include "servers/gateway/engine_view.h"
@@ -42,6 +43,7 @@
 	std::map<std::string, duration> &usual_times; ///< Of answers, by service.
 	commitment_table &commitments;
 	engine_view &engine_caches;
+	prompt_exchange &prompts;
 	std::map<std::string, duration> &first_event_times; ///< From the send to the first event, by route.
 };
 
@@ -119,7 +121,6 @@
 	bool _try_repeat_budget();
 	std::optional<endpoint_id> _choose_endpoint(const std::string &p_zone);
 	std::vector<prompt_link> _make_prompt_links() const;
-	void _tell_prompt_sent();
 	void _set_zone(std::size_t p_stage, stage_work &r_work);
 	/** Counts results that were read. @return bytes that crossed zones. */
 	std::size_t _count_read(const std::vector<result_transfer> &p_transfers);
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr duration LOST_RESULTS_KEPT = std::chrono::milliseconds(600);
 /** Requests that a call's line names; a line stays within about a kilobyte so. */
 constexpr std::size_t MOST_LOGGED_REQUESTS = 32;
+/** A link to the dispatcher of a pool is made in milliseconds; after this another node that is linked gets the work. */
+constexpr duration LINK_WAIT = std::chrono::milliseconds(400);
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
 
 call_end get_call_end(channel_end p_end, int p_status, bool p_did_not_run) {
@@ -61,6 +63,20 @@
 	return list;
 }
 
+/** Of some nodes the one that dispatches a pool, the same for all that know the same nodes. */
+std::string choose_dispatcher(const std::string &p_pool, const std::vector<std::string> &p_nodes, const std::function<bool(const std::string &)> &p_may_be, const std::string &p_otherwise) {
+	std::string best = p_otherwise;
+	std::uint64_t best_score = 0;
+	for (const std::string &vm : p_nodes) {
+		const std::uint64_t score = hash_bytes(p_pool + "/" + vm);
+		if (score > best_score && p_may_be(vm)) {
+			best = vm;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
 } // namespace
 
 stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments) :
@@ -122,52 +138,88 @@
 	if (!_context.settings.without.has(mechanism::SHARED_DISPATCH)) {
 		return _fleet.get_vm();
 	}
-	std::string best = _fleet.get_vm();
-	std::uint64_t best_score = 0;
-	for (const std::string &vm : _fleet.get_dispatch_nodes()) {
-		const std::uint64_t score = hash_bytes(p_pool + "/" + vm);
-		if (vm != p_except && score > best_score) {
-			best = vm;
-			best_score = score;
-		}
-	}
-	return best;
+	return choose_dispatcher(
+			p_pool, _fleet.get_dispatch_nodes(), [&p_except](const std::string &p_vm) { return p_vm != p_except; }, _fleet.get_vm());
+}
+
+std::string stage_dispatcher::_choose_linked_node(const std::string &p_pool) const {
+	return choose_dispatcher(
+			p_pool, _fleet.get_dispatch_nodes(), [this](const std::string &p_vm) { return _fleet.get_link().is_linked(p_vm); }, _fleet.get_vm());
 }
 
 std::uint64_t stage_dispatcher::submit(const std::string &p_pool, stage_work p_work, end_hook p_hook) {
 	const std::uint64_t id = _next_own++;
-	_own.emplace(id, own_work{ p_pool, std::move(p_work), "", std::move(p_hook) });
+	_own.emplace(id, own_work{ p_pool, std::move(p_work), "", std::move(p_hook), {} });
 	_assign(id, "");
 	return id;
 }
 
+hand_work_message stage_dispatcher::_make_hand_over(std::uint64_t p_id, const own_work &p_own) const {
+	const instant now = event_loop::now();
+	hand_work_message message;
+	message.id = p_id;
+	message.pool = p_own.pool;
+	message.attempt = p_own.work.attempt;
+	message.stage = static_cast<std::uint32_t>(p_own.work.stage);
+	message.pieces = static_cast<std::uint32_t>(p_own.work.pieces);
+	message.caller_key = p_own.work.caller_key;
+	message.inputs = p_own.work.inputs;
+	message.give_up_in = p_own.work.give_up_at - now;
+	message.due_in = p_own.work.due_at - now;
+	message.priority = p_own.work.priority;
+	message.zone = p_own.work.zone;
+	message.result_bytes = p_own.work.result_bytes;
+	message.transfer_bytes = p_own.work.transfer_bytes;
+	return message;
+}
+
 void stage_dispatcher::_assign(std::uint64_t p_id, const std::string &p_except) {
 	own_work &own = _own.at(p_id);
-	own.node = _choose_node(own.pool, p_except);
-	if (own.node != _fleet.get_vm()) {
-		const instant now = event_loop::now();
-		hand_work_message message;
-		message.id = p_id;
-		message.pool = own.pool;
-		message.attempt = own.work.attempt;
-		message.stage = static_cast<std::uint32_t>(own.work.stage);
-		message.pieces = static_cast<std::uint32_t>(own.work.pieces);
-		message.caller_key = own.work.caller_key;
-		message.inputs = own.work.inputs;
-		message.give_up_in = own.work.give_up_at - now;
-		message.due_in = own.work.due_at - now;
-		message.priority = own.work.priority;
-		message.zone = own.work.zone;
-		message.result_bytes = own.work.result_bytes;
-		message.transfer_bytes = own.work.transfer_bytes;
-		if (_fleet.get_link().send(own.node, message)) {
-			_log_asked(own);
-			return;
+	const instant now = event_loop::now();
+	std::string node = _choose_node(own.pool, p_except);
+	if (own.waits_since != instant{} && now - own.waits_since > LINK_WAIT) {
+		node = _choose_linked_node(own.pool);
+	}
+	if (node == _fleet.get_vm()) {
+		own.node = node;
+		_log_asked(own);
+		_accept(own.pool, "", p_id, own.work);
+		return;
+	}
+	if (_fleet.get_link().send(node, _make_hand_over(p_id, own))) {
+		own.node = node;
+		_log_asked(own);
+		return;
+	}
+	_fleet.keep_link(node);
+	own.node.clear();
+	own.waits_since = own.waits_since == instant{} ? now : own.waits_since;
+}
+
+void stage_dispatcher::_assign_waiting() {
+	std::vector<std::uint64_t> waiting;
+	for (const auto &[id, own] : _own) {
+		if (own.node.empty()) {
+			waiting.push_back(id);
+		}
+	}
+	for (const std::uint64_t id : waiting) {
+		if (_own.contains(id)) {
+			_assign(id, "");
+		}
+	}
+}
+
+void stage_dispatcher::_keep_links() {
+	if (!_configuration.get_current()) {
+		return;
+	}
+	for (const auto &[name, service] : _configuration.get_current()->services) {
+		const std::string node = service.stage_pool ? _choose_node(name, "") : _fleet.get_vm();
+		if (node != _fleet.get_vm()) {
+			_fleet.keep_link(node);
 		}
-		own.node = _fleet.get_vm();
 	}
-	_log_asked(own);
-	_accept(own.pool, "", p_id, own.work);
 }
 
 void stage_dispatcher::_log_asked(const own_work &p_own) {
@@ -227,7 +279,7 @@
 	_own.erase(found);
 	if (own.node == _fleet.get_vm()) {
 		_cancel_accepted(_get_pool(own.pool), "", p_id);
-	} else {
+	} else if (!own.node.empty()) {
 		_fleet.get_link().send(own.node, cancel_work_message{ p_id, own.pool });
 	}
 }
@@ -527,6 +579,8 @@
 		_forget_after_pause();
 	}
 	_ticked_at = now;
+	_keep_links();
+	_assign_waiting();
 	for (auto &[name, held] : _held) {
 		_tell_held(name, held);
 	}
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -34,8 +34,9 @@
 	struct own_work {
 		std::string pool;
 		stage_work work;
-		std::string node; ///< Who dispatches it.
+		std::string node; ///< Who dispatches it; empty while there is no link to that node.
 		end_hook hook;
+		instant waits_since{}; ///< For a link.
 	};
 
 	/** Work in a pool of this node. */
@@ -78,7 +79,11 @@
 
 	pool_entry &_get_pool(const std::string &p_name);
 	std::string _choose_node(const std::string &p_pool, const std::string &p_except) const;
+	std::string _choose_linked_node(const std::string &p_pool) const;
 	void _assign(std::uint64_t p_id, const std::string &p_except);
+	hand_work_message _make_hand_over(std::uint64_t p_id, const own_work &p_own) const;
+	void _assign_waiting();
+	void _keep_links();
 	void _log_asked(const own_work &p_own);
 	void _accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work);
 	void _cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id);
--- a/servers/gateway/commitment_table.cpp
+++ b/servers/gateway/commitment_table.cpp
@@ -21,6 +21,32 @@
 	return p_stage < p_pieces.size() ? p_pieces[p_stage] : 0;
 }
 
+using work_map = std::map<std::pair<std::string, int>, duration>;
+
+work_map make_map(const std::vector<pool_commitment> &p_commitments) {
+	work_map works;
+	for (const pool_commitment &entry : p_commitments) {
+		works[{ entry.pool, entry.priority }] = entry.work;
+	}
+	return works;
+}
+
+std::vector<pool_commitment> make_list(const work_map &p_works) {
+	std::vector<pool_commitment> commitments;
+	for (const auto &[key, work] : p_works) {
+		if (work > duration::zero()) {
+			commitments.push_back(pool_commitment{ key.first, key.second, work });
+		}
+	}
+	return commitments;
+}
+
+void add_to(work_map &r_sum, const work_map &p_works) {
+	for (const auto &[key, work] : p_works) {
+		r_sum[key] += work;
+	}
+}
+
 } // namespace
 
 duration commitment_table::get_cost(const stage_pool_spec &p_spec, std::size_t p_pieces) {
@@ -38,39 +64,74 @@
 }
 
 void commitment_table::take_peer(const std::string &p_node, const std::vector<pool_commitment> &p_commitments) {
-	work_map &known = _peers[p_node];
-	known.clear();
-	for (const pool_commitment &entry : p_commitments) {
-		known[{ entry.pool, entry.priority }] = entry.work;
-	}
+	_followers.erase(p_node);
+	_peers[p_node] = make_map(p_commitments);
+}
+
+void commitment_table::take_follower(const std::string &p_node, const std::vector<pool_commitment> &p_commitments) {
+	_peers.erase(p_node);
+	_followers[p_node] = make_map(p_commitments);
+}
+
+void commitment_table::take_total(const std::vector<pool_commitment> &p_commitments, const std::vector<pool_commitment> &p_own_told) {
+	_total = make_map(p_commitments);
+	_own_in_total = make_map(p_own_told);
+	_peers.clear();
+}
+
+void commitment_table::forget_total() {
+	_total.clear();
+	_own_in_total.clear();
 }
 
 void commitment_table::forget_peer(const std::string &p_node) {
 	_peers.erase(p_node);
+	_followers.erase(p_node);
 }
 
 std::vector<pool_commitment> commitment_table::get_own() const {
-	std::vector<pool_commitment> commitments;
-	for (const auto &[key, work] : _own) {
-		if (work > duration::zero()) {
-			commitments.push_back(pool_commitment{ key.first, key.second, work });
+	return make_list(_own);
+}
+
+std::vector<pool_commitment> commitment_table::get_subtree() const {
+	work_map sum = _own;
+	for (const auto &[node, works] : _followers) {
+		add_to(sum, works);
+	}
+	return make_list(sum);
+}
+
+std::vector<pool_commitment> commitment_table::get_total() const {
+	work_map sum = _own;
+	for (const std::map<std::string, work_map> *nodes : { &_followers, &_peers }) {
+		for (const auto &[node, works] : *nodes) {
+			add_to(sum, works);
 		}
 	}
-	return commitments;
+	return make_list(sum);
+}
+
+std::vector<pool_capacity> commitment_table::get_capacities() const {
+	std::vector<pool_capacity> capacities;
+	for (const auto &[pool, replicas] : _capacities) {
+		capacities.push_back(pool_capacity{ pool, replicas });
+	}
+	return capacities;
 }
 
 duration commitment_table::_get_ahead(const std::string &p_pool, int p_priority) const {
-	duration ahead = duration::zero();
-	const auto add_up = [&p_pool, p_priority, &ahead](const work_map &p_works) {
+	const auto add_up = [&p_pool, p_priority](const work_map &p_works) {
+		duration sum = duration::zero();
 		for (auto entry = p_works.lower_bound({ p_pool, INT_MIN }); entry != p_works.end() && entry->first.first == p_pool; ++entry) {
-			if (entry->first.second <= p_priority) {
-				ahead += entry->second;
-			}
+			sum += entry->first.second <= p_priority ? entry->second : duration::zero();
 		}
+		return sum;
 	};
-	add_up(_own);
-	for (const auto &[node, works] : _peers) {
-		add_up(works);
+	duration ahead = add_up(_own) + std::max(duration::zero(), add_up(_total) - add_up(_own_in_total));
+	for (const std::map<std::string, work_map> *nodes : { &_followers, &_peers }) {
+		for (const auto &[node, works] : *nodes) {
+			ahead += add_up(works);
+		}
 	}
 	return ahead;
 }
--- a/servers/gateway/commitment_table.h
+++ b/servers/gateway/commitment_table.h
@@ -39,13 +39,17 @@
 
 /**
  * Counts work for all stages of a request from its admission on, so that a pool late in the chain is seen to be full
- * before the requests on their way to it arrive there. Other nodes' work is known from their heartbeats.
+ * before the requests on their way to it arrive there. Hubs tell each other sums of their own work and that of the nodes that
+ * rely on them; the others are told the sum of all. So what a node keeps and tells does not grow with the fleet.
  */
 class commitment_table {
 	using work_map = std::map<std::pair<std::string, int>, duration>; ///< By pool and priority.
 
 	work_map _own;
-	std::map<std::string, work_map> _peers; ///< By node.
+	std::map<std::string, work_map> _peers; ///< Of other hubs, with all nodes that rely on them.
+	std::map<std::string, work_map> _followers; ///< Of nodes that rely on this one.
+	work_map _total; ///< Of all nodes, as the hub told it; empty for a hub.
+	work_map _own_in_total; ///< This node's part of it.
 	std::map<std::string, double> _capacities;
 
 	duration _get_ahead(const std::string &p_pool, int p_priority) const;
@@ -57,14 +61,34 @@
 	void add(const std::string &p_pool, int p_priority, duration p_work);
 	void remove(const std::string &p_pool, int p_priority, duration p_work);
 
-	/** Replaces what is known of a peer. */
+	/** Replaces what another hub told of itself and the nodes that rely on it. */
 	void take_peer(const std::string &p_node, const std::vector<pool_commitment> &p_commitments);
+
+	/** Replaces what is known of a node that relies on this one. */
+	void take_follower(const std::string &p_node, const std::vector<pool_commitment> &p_commitments);
+
+	/** A hub told what all nodes admitted. @param p_own_told what this node had told it before. */
+	void take_total(const std::vector<pool_commitment> &p_commitments, const std::vector<pool_commitment> &p_own_told);
+
+	/** This node is a hub now, and adds up by itself. */
+	void forget_total();
+
+	/** Forgets a node that was lost or tells through another one now. */
 	void forget_peer(const std::string &p_node);
 	void set_capacity(const std::string &p_pool, double p_replicas) { _capacities[p_pool] = p_replicas; }
 
-	/** This node's own work, to tell peers. */
+	/** This node's own work. */
 	std::vector<pool_commitment> get_own() const;
 
+	/** This node's work and that of the nodes that rely on it, to tell other hubs. */
+	std::vector<pool_commitment> get_subtree() const;
+
+	/** Work of all nodes, to tell those that rely on this one. */
+	std::vector<pool_commitment> get_total() const;
+
+	/** Capacities of all pools that are known. */
+	std::vector<pool_capacity> get_capacities() const;
+
 	/** Time until a pool has done what is as urgent or more; zero when its capacity is not known. */
 	duration get_drain_time(const std::string &p_pool, int p_priority) const;
 
--- a/servers/membership/member_table.h
+++ b/servers/membership/member_table.h
@@ -46,6 +46,7 @@
 	std::uint64_t configuration_version = 0;
 	customer_demands demand; ///< The largest ones.
 	double cores = 1.0; ///< Share of a processor core, or cores, that the node may use.
+	bool hub = false; ///< It carries the control traffic of its zone.
 };
 
 /** An entry node on the platform's list. */
@@ -91,6 +92,9 @@
 	/** Changes what this node says of itself. */
 	void update_self(bool p_ready, bool p_leaving, std::uint64_t p_configuration_version, customer_demands p_demand);
 
+	/** Says whether this node is a hub of its zone. */
+	void set_hub(bool p_is_hub) { _self.hub = p_is_hub; }
+
 	/** Raises the own heartbeat and returns the digests to send: the own first, then a bounded rotation of others. */
 	std::vector<member_digest> make_heartbeat();
 
--- a/servers/membership/peer_contacts.cpp
+++ b/servers/membership/peer_contacts.cpp
@@ -16,7 +16,7 @@
 
 constexpr duration BEAT_INTERVAL = std::chrono::milliseconds(200);
 /**
- * Between nodes that dispatch no pools. With 55 of 61 nodes that small, heartbeats with all news to all each 200 ms took half
+ * Between nodes that do not rely on each other. With 55 of 61 nodes small, heartbeats with all news to all each 200 ms took half
  * of their links of 10 Mbit/s, until little else came through; with this and each news told once, 0.15 more of the worth
  * of all requests is earned there (five days with faults, one pair each, standard error 0.07).
  */
@@ -24,6 +24,8 @@
 /** Three beats missed and some delay: work handed to such a node is handed to another one. */
 constexpr int MISSED_BEATS = 3;
 constexpr duration BEAT_DELAY = std::chrono::milliseconds(150);
+/** What a peer said of its needs holds for three of the slower heartbeats, as does its life. */
+constexpr duration NEEDED_TIME = std::chrono::milliseconds(3150);
 /** A link silent for this much longer is closed, so that a new one is tried. */
 constexpr duration DEAD_LINK = std::chrono::milliseconds(1750);
 /** Of an endpoint that leaves; those who link up later read of it in the store. */
@@ -66,22 +68,59 @@
 
 void peer_contacts::on_linked(const std::string &p_peer) {
 	_contacts[p_peer].told_news = 0;
+	_contacts[p_peer].told_close = false;
 }
 
-bool peer_contacts::is_due(const std::string &p_peer, bool p_is_close, instant p_now) const {
+const peer_contacts::contact *peer_contacts::_find(const std::string &p_peer) const {
 	const auto found = _contacts.find(p_peer);
-	if (found == _contacts.end() || p_is_close) {
+	return found == _contacts.end() ? nullptr : &found->second;
+}
+
+void peer_contacts::on_needs(const std::string &p_peer, bool p_wants_link, bool p_relies, instant p_now) {
+	contact &entry = _contacts[p_peer];
+	entry.wanted_at = p_wants_link ? p_now : instant{};
+	entry.relied_at = p_relies ? p_now : instant{};
+}
+
+bool peer_contacts::is_wanted(const std::string &p_peer, instant p_now) const {
+	const contact *entry = _find(p_peer);
+	return entry != nullptr && entry->wanted_at != instant{} && p_now - entry->wanted_at < NEEDED_TIME;
+}
+
+bool peer_contacts::is_relied_on(const std::string &p_peer, instant p_now) const {
+	const contact *entry = _find(p_peer);
+	return entry != nullptr && entry->relied_at != instant{} && p_now - entry->relied_at < _get_silence(*entry);
+}
+
+std::vector<std::string> peer_contacts::get_followers(instant p_now) const {
+	std::vector<std::string> followers;
+	for (const auto &[peer, entry] : _contacts) {
+		if (is_relied_on(peer, p_now)) {
+			followers.push_back(peer);
+		}
+	}
+	return followers;
+}
+
+bool peer_contacts::is_due(const std::string &p_peer, bool p_is_close, bool p_tells_news, instant p_now) const {
+	const contact *entry = _find(p_peer);
+	// A peer that expects the next heartbeat soon would take a pause for this node's end, and release what it holds.
+	if (entry == nullptr || p_is_close || entry->told_close) {
 		return true;
 	}
-	const bool has_news = !_news.empty() && _news.back().number > found->second.told_news;
+	const bool has_news = p_tells_news && !_news.empty() && _news.back().number > entry->told_news;
 	// The timer of the beats may go off a little early against the last one.
-	return has_news || p_now - found->second.sent_at > SMALL_BEAT_INTERVAL - BEAT_INTERVAL / 2;
+	return has_news || p_now - entry->sent_at > SMALL_BEAT_INTERVAL - BEAT_INTERVAL / 2;
 }
 
-std::vector<endpoint_news> peer_contacts::on_sent(const std::string &p_peer, instant p_now) {
+std::vector<endpoint_news> peer_contacts::on_sent(const std::string &p_peer, bool p_is_close, bool p_tells_news, instant p_now) {
 	contact &entry = _contacts[p_peer];
 	entry.sent_at = p_now;
+	entry.told_close = p_is_close;
 	std::vector<endpoint_news> told;
+	if (!p_tells_news) {
+		return told;
+	}
 	for (const numbered_news &item : _news) {
 		if (item.number > entry.told_news) {
 			entry.told_news = item.number;
--- a/servers/membership/peer_contacts.h
+++ b/servers/membership/peer_contacts.h
@@ -36,6 +36,9 @@
 		instant heard_at{};
 		duration next_in = duration::zero(); ///< Between its heartbeats to this node, as it told.
 		instant sent_at{};
+		bool told_close = false; ///< It was told to expect the next heartbeat soon.
+		instant wanted_at{}; ///< When it last said that it needs the link.
+		instant relied_at{}; ///< When it last said that it relies on this node.
 		std::uint64_t told_news = 0; ///< Number of the last news it was told.
 	};
 
@@ -50,6 +53,7 @@
 	std::uint64_t _next_news = 1;
 
 	static duration _get_silence(const contact &p_contact);
+	const contact *_find(const std::string &p_peer) const;
 
 public:
 	/** Between heartbeats to a peer. @param p_is_close one of the two dispatches pools. */
@@ -67,11 +71,26 @@
 	/** A link to a peer is new: it may have missed everything. */
 	void on_linked(const std::string &p_peer);
 
-	/** Whether a heartbeat to a peer is due, for the time or for news. */
-	bool is_due(const std::string &p_peer, bool p_is_close, instant p_now) const;
+	/** A heartbeat said whether the peer needs this link, and whether it relies on this node to know the fleet. */
+	void on_needs(const std::string &p_peer, bool p_wants_link, bool p_relies, instant p_now);
+
+	/** Whether a peer needs the link to this node, as it said not long ago. */
+	bool is_wanted(const std::string &p_peer, instant p_now) const;
+
+	/** Whether a peer relies on this node, as it said not long ago. */
+	bool is_relied_on(const std::string &p_peer, instant p_now) const;
+
+	/** Peers that rely on this node. */
+	std::vector<std::string> get_followers(instant p_now) const;
+
+	/**
+	 * Whether a heartbeat to a peer is due: for the time, for news, or as the next one will come later than the peer expects.
+	 * @param p_tells_news the peer is told news.
+	 */
+	bool is_due(const std::string &p_peer, bool p_is_close, bool p_tells_news, instant p_now) const;
 
 	/** A heartbeat goes out now. @return the news that belong into it. */
-	std::vector<endpoint_news> on_sent(const std::string &p_peer, instant p_now);
+	std::vector<endpoint_news> on_sent(const std::string &p_peer, bool p_is_close, bool p_tells_news, instant p_now);
 
 	/** Something to tell all peers. */
 	void add_news(endpoint_news p_news, instant p_now);
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -59,6 +59,22 @@
 
 } // namespace
 
+TEST(link_codec, prompts_come_back_with_their_engines_and_links) {
+	tell_prompts_message told;
+	told.prompts.push_back(told_prompt{ 7, "i-1", { prompt_link{ 11, 100 }, prompt_link{ 12, 20 } } });
+	told.prompts.push_back(told_prompt{ 8, "i-2", {} });
+	told.prompts.push_back(told_prompt{ 9, "i-1", { prompt_link{ 13, 5 } } });
+	const std::optional<link_message> decoded = decode_link_message(encode(link_message(told)));
+	ASSERT_TRUE(decoded);
+	const tell_prompts_message &read = std::get<tell_prompts_message>(*decoded);
+	ASSERT_EQ(read.prompts.size(), 3U);
+	EXPECT_EQ(read.prompts[0].engine, "i-1");
+	EXPECT_EQ(read.prompts[0].prompt[1].chain, 12U);
+	EXPECT_EQ(read.prompts[1].prompt.size(), 0U);
+	EXPECT_EQ(read.prompts[2].origin, 9U);
+	EXPECT_EQ(read.prompts[2].prompt[0].tokens, 5U);
+}
+
 TEST(link_codec, every_message_comes_back) {
 	const std::optional<link_message> heartbeat = decode_link_message(encode(link_message(make_heartbeat())));
 	ASSERT_TRUE(heartbeat.has_value());
--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -138,6 +138,72 @@
 	EXPECT_EQ(first->body, WHOLE_STREAM);
 }
 
+TEST_F(gateway_fleet_test, smaller_nodes_link_to_the_hubs_alone_and_are_served_by_them) {
+	configure(1);
+	standin_replica &engine = add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	add_replica("search");
+	_cores = 0.5;
+	start_ready();
+	start_ready();
+	_cores = 0.12;
+	for (int i = 0; i < 5; i++) {
+		start_ready();
+	}
+	// A link that only helped to find the hubs is let go after ten seconds.
+	run_until([this] { return std::all_of(_gateways.begin() + 2, _gateways.end(), [](const std::unique_ptr<gateway> &p_node) { return p_node->get_link_count() == 2; }); });
+	for (std::size_t i = 2; i < _gateways.size(); i++) {
+		EXPECT_EQ(ask(*_gateways[i], "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n")->body, WHOLE_STREAM);
+		EXPECT_EQ(_gateways[i]->get_handed_work(), 0U);
+		EXPECT_EQ(_gateways[i]->get_live_count(), 7U) << "as the hubs tell";
+	}
+	EXPECT_EQ(engine.runs.size(), 5U);
+	EXPECT_EQ(encode.stage_items.size(), 5U);
+}
+
+TEST_F(gateway_fleet_test, what_a_stopping_hub_holds_is_not_released) {
+	configure(1);
+	standin_replica &engine = add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	standin_replica &search = add_replica("search");
+	engine.mode = replica_mode::HOLD;
+	start_ready();
+	start_ready();
+	start_ready();
+	wait(milliseconds(600));
+	// Each of them dispatches some pool or none, and holds results of pools that others dispatch.
+	for (const std::unique_ptr<gateway> &entry : _gateways) {
+		send(*entry, "/stream/staged/x", "key-1", "X-Segments: 2,2\r\nX-Segment-Key: k\r\n");
+	}
+	run_until([&engine] { return engine.runs.size() == 3; });
+	run_until([&encode, &search] { return encode.results.size() + search.results.size() == 6U; });
+	for (const std::unique_ptr<gateway> &entry : _gateways) {
+		entry->stop();
+	}
+	// Longer than a node may be silent and a lost one's results are kept, shorter than they live.
+	wait(milliseconds(1700));
+	EXPECT_EQ(encode.results.size() + search.results.size(), 6U);
+}
+
+TEST_F(gateway_fleet_test, smaller_nodes_go_on_when_their_hub_dies) {
+	configure(1);
+	add_replica("llm");
+	add_replica("encode");
+	add_replica("search");
+	_cores = 0.12;
+	for (int i = 0; i < 4; i++) {
+		start_ready();
+	}
+	_cores = 0.5;
+	start_ready();
+	wait(milliseconds(1000));
+	_gateways.pop_back();
+	for (const std::unique_ptr<gateway> &entry : _gateways) {
+		const std::shared_ptr<caller_result> result = ask(*entry, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+		EXPECT_EQ(result->body, WHOLE_STREAM);
+	}
+}
+
 TEST_F(gateway_fleet_test, results_of_a_node_that_dies_are_released_before_their_time_to_live) {
 	configure(1);
 	standin_replica &engine = add_replica("llm");
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -345,6 +345,41 @@
 	EXPECT_EQ(table.get_own().front().priority, LEAST_URGENT) << "peers are told";
 }
 
+TEST(commitment_table, hubs_add_up_what_the_nodes_that_rely_on_them_admitted) {
+	commitment_table hub;
+	commitment_table other_hub;
+	commitment_table follower;
+	for (commitment_table *table : { &hub, &other_hub, &follower }) {
+		table->set_capacity("search", 1.0);
+	}
+	hub.add("search", 1, seconds(1));
+	other_hub.add("search", 1, seconds(2));
+	follower.add("search", 1, seconds(4));
+	hub.take_follower("follower", follower.get_own());
+	other_hub.take_peer("hub", hub.get_subtree());
+	hub.take_peer("other_hub", other_hub.get_subtree());
+	follower.take_total(hub.get_total(), follower.get_own());
+	for (const commitment_table *table : { &hub, &other_hub, &follower }) {
+		EXPECT_EQ(table->get_drain_time("search", 1), duration(seconds(7)));
+	}
+	follower.add("search", 1, seconds(1));
+	EXPECT_EQ(follower.get_drain_time("search", 1), duration(seconds(8))) << "its own newest work counts at once, and once";
+	hub.forget_peer("follower");
+	EXPECT_EQ(hub.get_drain_time("search", 1), duration(seconds(3)));
+	EXPECT_EQ(hub.get_subtree().front().work, duration(seconds(1)));
+}
+
+TEST(commitment_table, a_node_that_becomes_a_hub_counts_nothing_twice) {
+	commitment_table table;
+	table.set_capacity("search", 1.0);
+	table.take_total({ pool_commitment{ "search", 1, seconds(5) } }, {});
+	table.forget_total();
+	table.take_peer("n2", { pool_commitment{ "search", 1, seconds(5) } });
+	EXPECT_EQ(table.get_drain_time("search", 1), duration(seconds(5)));
+	table.take_total({ pool_commitment{ "search", 1, seconds(5) } }, {});
+	EXPECT_EQ(table.get_drain_time("search", 1), duration(seconds(5))) << "and one that is none any more";
+}
+
 TEST(stage_times, a_stage_is_followed_by_the_longest_chain_of_stages_that_have_pieces) {
 	gateway_configuration configuration = make_pools();
 	gateway_route &route = configuration.routes[0];
--- /dev/null
+++ b/tests/servers/gateway/prompt_digest_test.cpp
@@ -0,0 +1,66 @@
+/*
+ * calicoscale: prompt_digest_test.cpp
+ * What telling prompts costs is bounded, and what is dropped is worth least.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/prompt_digest.h"
+
+#include <gtest/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+instant at(int p_milliseconds) {
+	return instant(std::chrono::seconds(1000) + milliseconds(p_milliseconds));
+}
+
+told_prompt make_prompt(std::uint64_t p_tokens) {
+	return told_prompt{ get_origin_code("n"), "e", { prompt_link{ p_tokens, p_tokens } } };
+}
+
+/** Messages sent at once in ten seconds, of a node that sends prompts at a rate to a number of others. */
+std::size_t count_at_once(int p_prompts_per_second, std::size_t p_receivers) {
+	prompt_digest digest;
+	std::size_t sent = 0;
+	for (int i = 0; i < p_prompts_per_second * 10; i++) {
+		digest.add(make_prompt(1));
+		if (digest.try_spend(p_receivers, at(i * 1000 / p_prompts_per_second))) {
+			digest.take();
+			sent += p_receivers;
+		}
+	}
+	return sent;
+}
+
+} // namespace
+
+TEST(prompt_digest, a_small_fleet_is_told_at_once) {
+	EXPECT_EQ(count_at_once(6, 8), 6U * 10U * 8U);
+}
+
+TEST(prompt_digest, messages_are_bounded_whatever_the_load_and_the_fleet) {
+	// Telling each prompt at once would take 450 x 34 = 15,300 messages a second.
+	EXPECT_LE(count_at_once(450, 34), 200U * 11U);
+}
+
+TEST(prompt_digest, what_a_heartbeat_cannot_carry_is_dropped_the_shortest_first) {
+	prompt_digest digest;
+	for (std::uint64_t tokens = 1; tokens <= 1000; tokens++) {
+		digest.add(make_prompt(tokens));
+	}
+	const std::vector<told_prompt> told = digest.take();
+	ASSERT_EQ(told.size() + digest.get_dropped(), 1000U);
+	EXPECT_LE(told.size(), 140U);
+	for (const told_prompt &prompt : told) {
+		EXPECT_GT(prompt.prompt.front().tokens, digest.get_dropped());
+	}
+	EXPECT_TRUE(digest.is_empty());
+}
+
+} // namespace calicoscale
--- a/tests/servers/peer_contacts_test.cpp
+++ b/tests/servers/peer_contacts_test.cpp
@@ -25,9 +25,9 @@
 	int beats = 0;
 	std::size_t news = 0;
 	for (int now = 0; now < 10000; now += 200) {
-		if (r_contacts.is_due("n", p_is_close, at(now))) {
+		if (r_contacts.is_due("n", p_is_close, true, at(now))) {
 			beats++;
-			news += r_contacts.on_sent("n", at(now)).size();
+			news += r_contacts.on_sent("n", p_is_close, true, at(now)).size();
 		}
 	}
 	return { beats, news };
@@ -53,12 +53,12 @@
 
 TEST(peer_contacts, news_do_not_wait_for_the_next_beat) {
 	peer_contacts contacts;
-	contacts.on_sent("n", at(0));
-	EXPECT_FALSE(contacts.is_due("n", false, at(200)));
+	contacts.on_sent("n", false, true, at(0));
+	EXPECT_FALSE(contacts.is_due("n", false, true, at(200)));
 	contacts.add_news(endpoint_news{ "e", false }, at(200));
-	EXPECT_TRUE(contacts.is_due("n", false, at(200)));
-	EXPECT_EQ(contacts.on_sent("n", at(200)).size(), 1U);
-	EXPECT_FALSE(contacts.is_due("n", false, at(400)));
+	EXPECT_TRUE(contacts.is_due("n", false, true, at(200)));
+	EXPECT_EQ(contacts.on_sent("n", false, true, at(200)).size(), 1U);
+	EXPECT_FALSE(contacts.is_due("n", false, true, at(400)));
 }
 
 TEST(peer_contacts, a_peer_that_is_linked_anew_is_told_what_is_recent_and_still_true) {
@@ -66,18 +66,18 @@
 	contacts.add_news(endpoint_news{ "leaving", false }, at(0));
 	contacts.add_news(endpoint_news{ "gone", true }, at(0));
 	contacts.add_news(endpoint_news{ "back", true }, at(0));
-	EXPECT_EQ(contacts.on_sent("n", at(0)).size(), 3U);
+	EXPECT_EQ(contacts.on_sent("n", false, true, at(0)).size(), 3U);
 	contacts.on_linked("n");
 	contacts.forget_news([](const endpoint_news &p_news) { return p_news.endpoint == "back"; }, at(1000));
-	EXPECT_EQ(contacts.on_sent("n", at(1000)).size(), 2U);
+	EXPECT_EQ(contacts.on_sent("n", false, true, at(1000)).size(), 2U);
 	contacts.on_linked("n");
 	contacts.forget_news(is_never_over, at(6000));
-	const std::vector<endpoint_news> told = contacts.on_sent("n", at(6000));
+	const std::vector<endpoint_news> told = contacts.on_sent("n", false, true, at(6000));
 	ASSERT_EQ(told.size(), 1U) << "the store tells of an endpoint that leaves by then";
 	EXPECT_EQ(told[0].endpoint, "gone");
 	contacts.on_linked("n");
 	contacts.forget_news(is_never_over, at(21000));
-	EXPECT_TRUE(contacts.on_sent("n", at(21000)).empty());
+	EXPECT_TRUE(contacts.on_sent("n", false, true, at(21000)).empty());
 }
 
 TEST(peer_contacts, a_peer_that_does_not_tell_when_it_beats_counts_as_one_that_beats_often) {
