--- a/tests/servers/peer_contacts_test.cpp
+++ b/tests/servers/peer_contacts_test.cpp
@@ -101,4 +101,33 @@
 	EXPECT_EQ(contacts.get_dead(at(2600)), std::vector<std::string>{ "n" });
 }
 
+TEST(peer_contacts, a_peer_is_told_that_heartbeats_slow_before_it_could_miss_one) {
+	// Without it a stopping node was taken for lost for a quarter of a second, and what was handed to it was made twice.
+	peer_contacts sender;
+	peer_contacts receiver;
+	sender.on_linked("receiver");
+	bool was_lost = false;
+	for (int now = 0; now < 5000; now += 200) {
+		const bool is_close = now < 1000;
+		was_lost = was_lost || (now > 0 && !receiver.is_heard("sender", at(now)));
+		if (sender.is_due("receiver", is_close, true, at(now))) {
+			sender.on_sent("receiver", is_close, true, at(now));
+			receiver.on_heard("sender", peer_contacts::get_interval(is_close), at(now));
+		}
+	}
+	EXPECT_FALSE(was_lost);
+}
+
+TEST(peer_contacts, needs_hold_for_some_heartbeats_and_end_when_they_are_taken_back) {
+	peer_contacts contacts;
+	contacts.on_heard("n", peer_contacts::get_interval(true), at(0));
+	contacts.on_needs("n", true, true, at(0));
+	EXPECT_TRUE(contacts.is_wanted("n", at(3000)));
+	EXPECT_EQ(contacts.get_followers(at(500)), std::vector<std::string>{ "n" });
+	EXPECT_TRUE(contacts.get_followers(at(1000)).empty()) << "a silent node counts for nothing";
+	contacts.on_needs("n", false, false, at(1100));
+	EXPECT_FALSE(contacts.is_wanted("n", at(1100)));
+	EXPECT_FALSE(contacts.is_relied_on("n", at(1100)));
+}
+
 } // namespace calicoscale
