Let a hub tell its zone of the fleet only when it has heard the other hubs once

Found in the logs by nodes that lost four dispatchers in the same millisecond. Change: only the hub a node relies on is believed; it tells nothing until it has heard all that may be hubs, 0.3 s at least after it became one; a node that becomes a hub keeps the total it was told until then.

--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -20,6 +20,8 @@
 constexpr duration LONGEST_BACK_OFF = std::chrono::milliseconds(1000);
 /** Hubs repeat some of what they know of others each so many beats, so that nodes without a link to each other do not forget. */
 constexpr int BEATS_PER_RUMOUR = 5;
+/** A node that becomes a hub, also one that starts, hears of the others and links to them within this. */
+constexpr duration MEETING_TIME = std::chrono::milliseconds(300);
 /** A link that work needed is kept longer than results live, as the release of a node's results goes over it. */
 constexpr duration KEPT_TIME = std::chrono::seconds(15);
 
@@ -179,7 +181,7 @@
 		}
 		heard++;
 	}
-	return heard > 0 && _ready;
+	return heard > 0 && _ready && _plan.is_settled;
 }
 
 std::uint32_t gateway_fleet::_count_zone() const {
@@ -259,12 +261,15 @@
 	_plan = _overlay.plan(
 			nodes, [this, now](const std::string &p_vm) { return _is_heard(p_vm, now); }, has_followers, now);
 	if (_plan.is_hub != was_hub) {
+		_hub_since = now;
+		_knows_hubs = false;
 		_members.set_hub(_plan.is_hub);
-		if (_plan.is_hub) {
-			_commitments.forget_total();
-		}
 		_context.log.write(log_line("hub").add("zone", _context.settings.zone).add("is_hub", _plan.is_hub ? "yes" : "no").add("known", static_cast<long long>(nodes.size())).add("links", static_cast<long long>(_link.get_linked().size())));
 	}
+	if (_plan.is_hub && !_knows_hubs && _plan.is_settled && now - _hub_since >= MEETING_TIME) {
+		_knows_hubs = true;
+		_commitments.forget_total();
+	}
 	_is_starting = get_dispatch_nodes().empty();
 	std::vector<std::string> zone_hubs = _plan.hubs;
 	std::erase_if(zone_hubs, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
@@ -334,9 +339,13 @@
 	texts.to_hub.commitments = _plan.is_hub ? _commitments.get_subtree() : _commitments.get_own();
 	texts.to_hub.zone_nodes = _plan.is_hub ? _count_zone() : 0;
 	texts.to_follower = texts.plain;
+	texts.to_follower.capacities = _commitments.get_capacities();
+	// A hub that has just started hears some of the others only; told of these, its followers took the rest for lost.
+	if (!_knows_hubs) {
+		return texts;
+	}
 	texts.to_follower.commitments = _commitments.get_total();
 	texts.to_follower.is_total = true;
-	texts.to_follower.capacities = _commitments.get_capacities();
 	texts.to_follower.fleet_nodes = _count_fleet();
 	texts.to_follower.dispatchers = _find_dispatchers();
 	texts.to_follower.unreached_zones.assign(_unreached_zones.begin(), _unreached_zones.end());
@@ -500,21 +509,18 @@
 	if (p_message.zone_nodes > 0) {
 		_zone_nodes[p_vm] = p_message.zone_nodes;
 	}
-	if (!p_message.is_total || _plan.is_hub || !_is_in_own_zone(p_vm)) {
+	if (!p_message.is_total || p_vm != get_relied_on()) {
 		return;
 	}
 	for (const std::string &vm : _told.take(p_message.dispatchers, p_message.fleet_nodes)) {
 		const member *peer = _members.find(vm);
 		const bool is_stopping = peer != nullptr && peer->digest.leaving;
-		// A hub that starts tells of nobody, which says nothing of those there were.
 		if (vm != get_vm() && !is_stopping && !p_message.dispatchers.empty()) {
 			_told.set_lost(vm);
 			_set_live(vm, false);
 		}
 	}
-	if (p_vm == get_relied_on()) {
-		_set_unreached_zones(std::set<std::string>(p_message.unreached_zones.begin(), p_message.unreached_zones.end()));
-	}
+	_set_unreached_zones(std::set<std::string>(p_message.unreached_zones.begin(), p_message.unreached_zones.end()));
 }
 
 void gateway_fleet::_on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message) {
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -75,6 +75,8 @@
 	std::vector<pool_commitment> _own_told; ///< What the reader was told of this node's commitments.
 	timer _beat_timer;
 	timer _watch_timer;
+	instant _hub_since{};
+	bool _knows_hubs = false; ///< A hub that has heard all others once, so that it may tell its zone of them.
 	int _beats = 0;
 	bool _is_starting = true; ///< Nobody is known to dispatch.
 	std::set<std::string> _greeted; ///< Peers whose link is not new any more.
--- a/servers/gateway/commitment_table.cpp
+++ b/servers/gateway/commitment_table.cpp
@@ -127,13 +127,14 @@
 		}
 		return sum;
 	};
-	duration ahead = add_up(_own) + std::max(duration::zero(), add_up(_total) - add_up(_own_in_total));
+	duration heard = duration::zero();
 	for (const std::map<std::string, work_map> *nodes : { &_followers, &_peers }) {
 		for (const auto &[node, works] : *nodes) {
-			ahead += add_up(works);
+			heard += add_up(works);
 		}
 	}
-	return ahead;
+	// A node that becomes a hub knows the total from before until all other hubs have told it.
+	return add_up(_own) + std::max(heard, add_up(_total) - add_up(_own_in_total));
 }
 
 duration commitment_table::get_drain_time(const std::string &p_pool, int p_priority) const {
--- a/servers/gateway/commitment_table.h
+++ b/servers/gateway/commitment_table.h
@@ -70,7 +70,7 @@
 	/** A hub told what all nodes admitted. @param p_own_told what this node had told it before. */
 	void take_total(const std::vector<pool_commitment> &p_commitments, const std::vector<pool_commitment> &p_own_told);
 
-	/** This node is a hub now, and adds up by itself. */
+	/** This node is a hub and has heard all others, so that it adds up by itself. */
 	void forget_total();
 
 	/** Forgets a node that was lost or tells through another one now. */
--- a/servers/membership/fleet_overlay.cpp
+++ b/servers/membership/fleet_overlay.cpp
@@ -121,6 +121,7 @@
 	_hubs_per_zone = std::max(LEAST_HUBS_PER_ZONE, MOST_HUBS / std::max<std::size_t>(1, by_zone.size()));
 	overlay_plan plan;
 	const auto add_zone = [this, &plan](const zone_view &p_view) {
+		plan.is_settled = plan.is_settled && p_view.tried.empty();
 		plan.hubs.insert(plan.hubs.end(), p_view.hubs.begin(), p_view.hubs.end());
 		for (const std::vector<std::string> *nodes : { &p_view.hubs, &p_view.tried, &p_view.retried }) {
 			std::copy_if(nodes->begin(), nodes->end(), std::back_inserter(plan.wanted), [this](const std::string &p_vm) { return p_vm != _vm; });
--- a/servers/membership/fleet_overlay.h
+++ b/servers/membership/fleet_overlay.h
@@ -30,6 +30,7 @@
 	std::vector<std::string> hubs; ///< Hubs that are heard, of all zones a hub links to or of the own one; the own VM if it is one.
 	std::vector<std::string> wanted; ///< Nodes to keep a link to, or to make one to.
 	bool is_hub = false; ///< This node carries the traffic of its zone.
+	bool is_settled = true; ///< Nobody that may be a hub is still tried: what this node hears is all there is.
 };
 
 /**
--- a/tests/servers/fleet_overlay_test.cpp
+++ b/tests/servers/fleet_overlay_test.cpp
@@ -189,4 +189,20 @@
 	EXPECT_NE(std::find(plan.wanted.begin(), plan.wanted.end(), "n2"), plan.wanted.end()) << "a hub links to those of other zones";
 }
 
+TEST(fleet_overlay, a_node_that_starts_is_settled_only_when_it_heard_all_that_may_be_hubs) {
+	// It told its zone of the few it had heard, and each neighbour took all other dispatchers for lost.
+	fleet_overlay overlay("n0", "a");
+	std::set<std::string> heard;
+	const auto is_heard = [&heard](const std::string &p_vm) { return heard.contains(p_vm); };
+	const std::vector<overlay_node> nodes{ { "n0", "a", LARGE }, { "n1", "a", LARGE }, { "n2", "b", LARGE }, { "n3", "c", LARGE } };
+	EXPECT_FALSE(overlay.plan(nodes, is_heard, false, at(0)).is_settled);
+	heard = { "n1", "n2" };
+	EXPECT_FALSE(overlay.plan(nodes, is_heard, false, at(200)).is_settled);
+	heard = { "n1", "n2", "n3" };
+	EXPECT_TRUE(overlay.plan(nodes, is_heard, false, at(400)).is_settled);
+	heard = { "n1", "n2" };
+	EXPECT_FALSE(overlay.plan(nodes, is_heard, false, at(600)).is_settled);
+	EXPECT_TRUE(overlay.plan(nodes, is_heard, false, at(2000)).is_settled) << "a node that does not answer for a second is not waited for";
+}
+
 } // namespace calicoscale
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -373,8 +373,10 @@
 	commitment_table table;
 	table.set_capacity("search", 1.0);
 	table.take_total({ pool_commitment{ "search", 1, seconds(5) } }, {});
+	table.take_peer("n2", { pool_commitment{ "search", 1, seconds(3) } });
+	EXPECT_EQ(table.get_drain_time("search", 1), duration(seconds(5))) << "not all other hubs were heard yet";
+	table.take_peer("n3", { pool_commitment{ "search", 1, seconds(2) } });
 	table.forget_total();
-	table.take_peer("n2", { pool_commitment{ "search", 1, seconds(5) } });
 	EXPECT_EQ(table.get_drain_time("search", 1), duration(seconds(5)));
 	table.take_total({ pool_commitment{ "search", 1, seconds(5) } }, {});
 	EXPECT_EQ(table.get_drain_time("search", 1), duration(seconds(5))) << "and one that is none any more";
