--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -58,18 +58,9 @@
 	if (!_context.settings.without.has(mechanism::ZONE_SILENCE)) {
 		return;
 	}
-	const std::vector<zone_reach::change> changes = _context.zones.check(event_loop::now());
-	// A node that is no hub hears too little of other zones to judge their silence.
-	if (_plan.is_hub && !changes.empty()) {
-		std::set<std::string> unreached = _unreached_zones;
-		for (const zone_reach::change &change : changes) {
-			if (change.is_reached) {
-				unreached.erase(change.zone);
-			} else {
-				unreached.insert(change.zone);
-			}
-		}
-		_set_unreached_zones(std::move(unreached));
+	_context.zones.check(event_loop::now());
+	if (_knows_hubs) {
+		_set_unreached_zones(_context.zones.get_unreached());
 	}
 	_watch_timer.set(WATCH_INTERVAL);
 }
@@ -80,12 +71,12 @@
 	}
 	for (const std::string &zone : p_zones) {
 		if (!_unreached_zones.contains(zone)) {
-			_context.log.write(log_line("zone_cut_off").add("zone", zone).add("source", _plan.is_hub ? "this node" : "peer/" + _store.get_reader()));
+			_context.log.write(log_line("zone_cut_off").add("zone", zone).add("source", _knows_hubs ? "this node" : "peer/" + _store.get_reader()));
 		}
 	}
 	for (const std::string &zone : _unreached_zones) {
 		if (!p_zones.contains(zone)) {
-			_context.log.write(log_line("zone_reached").add("zone", zone).add("source", _plan.is_hub ? "this node" : "peer/" + _store.get_reader()));
+			_context.log.write(log_line("zone_reached").add("zone", zone).add("source", _knows_hubs ? "this node" : "peer/" + _store.get_reader()));
 		}
 	}
 	_unreached_zones = std::move(p_zones);
@@ -104,7 +95,8 @@
 	if (peer == nullptr || !_context.settings.without.has(mechanism::ZONE_SILENCE)) {
 		return true;
 	}
-	return _plan.is_hub ? _context.zones.is_reached(peer->digest.zone, p_now) : !_unreached_zones.contains(peer->digest.zone);
+	// A node that is no hub hears too little of other zones to judge their silence, and so does one that has just become one.
+	return _knows_hubs ? _context.zones.is_reached(peer->digest.zone, p_now) : !_unreached_zones.contains(peer->digest.zone);
 }
 
 std::vector<std::string> gateway_fleet::get_live_nodes() const {
--- a/servers/gateway/zone_reach.cpp
+++ b/servers/gateway/zone_reach.cpp
@@ -56,4 +56,14 @@
 	return changes;
 }
 
+std::set<std::string> zone_reach::get_unreached() const {
+	std::set<std::string> zones;
+	for (const auto &[zone, state] : _zones) {
+		if (!state.was_reached) {
+			zones.insert(zone);
+		}
+	}
+	return zones;
+}
+
 } // namespace calicoscale
--- a/servers/gateway/zone_reach.h
+++ b/servers/gateway/zone_reach.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
 	/** Whether the zone is reached, as far as is known; a zone of which no node was ever heard is. */
 	bool is_reached(const std::string &p_zone, instant p_now) const;
 
+	/** Zones that were cut off at the last check. */
+	std::set<std::string> get_unreached() const;
+
 	/** What changed since the last call. To be called often: after a gap this process stood still and starts to listen anew. */
 	std::vector<change> check(instant p_now);
 };
--- a/tests/servers/gateway/zone_reach_test.cpp
+++ b/tests/servers/gateway/zone_reach_test.cpp
@@ -70,4 +70,15 @@
 	EXPECT_EQ(check_until(3450, 3500), std::optional<bool>(false));
 }
 
+TEST_F(zone_reach_test, what_is_cut_off_is_known_also_to_who_did_not_follow_the_changes) {
+	// A node that became a hub went on avoiding a zone that it had been told was cut off, as it saw no change of its own.
+	_zones.on_node_heard("b", at(0));
+	_zones.on_node_heard("c", at(0));
+	check_until(0, 600);
+	EXPECT_EQ(_zones.get_unreached(), (std::set<std::string>{ "b", "c" }));
+	_zones.on_node_heard("b", at(650));
+	check_until(650, 700);
+	EXPECT_EQ(_zones.get_unreached(), std::set<std::string>{ "c" });
+}
+
 } // namespace calicoscale
