--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -137,6 +137,7 @@
 		nodes = keep_larger(std::move(nodes));
 	}
 	std::vector<std::string> names;
+	names.reserve(nodes.size());
 	for (const overlay_node &node : nodes) {
 		names.push_back(node.vm);
 	}
