Tell which requests an end of a connection cut, how long connections rested, and when a node was held up

Sight for the incident of the request without an answer; no logic is changed. New: request_cut_by_end with cause, rest and limit, counters of ended connections by cause, rested_ms and earlier in request_admitted, the idle limit in configuration_in_force, loop_held_up.

--- a/drivers/caller_server.cpp
+++ b/drivers/caller_server.cpp
@@ -37,6 +37,8 @@
 constexpr unsigned int USER_TIMEOUT_MS = 5000;
 constexpr int BACKLOG = 1024;
 
+constexpr std::array<std::string_view, 5> END_NAMES{ "rested", "stopping", "last_answer", "rejected", "broken_off" };
+
 struct status_phrase {
 	int status;
 	std::string_view phrase;
@@ -72,6 +74,10 @@
 	return "Status";
 }
 
+std::string_view get_name(connection_end p_end) {
+	return END_NAMES[static_cast<std::size_t>(p_end)];
+}
+
 /** One connection of a caller. */
 class caller_server::connection {
 	enum class phase {
@@ -88,6 +94,9 @@
 	std::string _body;
 	instant _idle_since;
 	instant _request_since{};
+	connection_end _end = connection_end::RESTED; ///< Counts once the connection lingers.
+	instant _ended_at{};
+	std::size_t _handed_over = 0;
 	bool _too_large = false;
 	bool _is_open_request = false;
 
@@ -133,7 +142,14 @@
 		_owner._rejected++;
 		const std::string text = "HTTP/1.1 " + std::to_string(p_status) + " " + std::string(get_reason_phrase(p_status)) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 		bufferevent_write(_stream, text.data(), text.size());
-		linger();
+		linger(connection_end::REJECTED);
+	}
+
+	/** Tells of bytes that came behind this side's end. */
+	void _note_crossed(std::size_t p_bytes) {
+		if (p_bytes > 0 && _owner._on_crossed) {
+			_owner._on_crossed(crossed_end{ _end, event_loop::now() - _ended_at, _ended_at - _idle_since, p_bytes });
+		}
 	}
 
 	/** Reads what is there as far as one request goes. */
@@ -151,6 +167,7 @@
 			_check_reader();
 		}
 		if (_phase == phase::LINGERING) {
+			_note_crossed(evbuffer_get_length(input));
 			evbuffer_drain(input, evbuffer_get_length(input));
 		}
 	}
@@ -190,6 +207,8 @@
 		_exchange->head = head;
 		_exchange->body = std::move(_body);
 		_exchange->received_at = _request_since;
+		_exchange->rested = _request_since - _idle_since;
+		_exchange->earlier = _handed_over++;
 		_body.clear();
 		const std::shared_ptr<caller_exchange> exchange = _exchange;
 		_owner._handler(exchange);
@@ -245,23 +264,25 @@
 	}
 
 	/** Sends what is left, then waits for the caller to close. */
-	void linger() {
+	void linger(connection_end p_end) {
 		_phase = phase::LINGERING;
-		_idle_since = event_loop::now();
+		_end = p_end;
+		_ended_at = event_loop::now();
+		_owner._ended[p_end]++;
 		if (evbuffer_get_length(bufferevent_get_output(_stream)) == 0) {
 			shutdown(bufferevent_getfd(_stream), SHUT_WR);
 		}
 	}
 
 	/** The answer is out: reads the next request or closes. */
-	void finish(bool p_keep) {
+	void finish(std::optional<connection_end> p_end) {
 		_forget_request();
-		if (!p_keep) {
-			linger();
+		_idle_since = event_loop::now();
+		if (p_end) {
+			linger(*p_end);
 			return;
 		}
 		_phase = phase::READING;
-		_idle_since = event_loop::now();
 		_reader.reset();
 		if (evbuffer_get_length(bufferevent_get_input(_stream)) > 0) {
 			bufferevent_trigger(_stream, EV_READ, BEV_OPT_DEFER_CALLBACKS);
@@ -276,10 +297,10 @@
 
 	/** Ends what takes too long. */
 	void sweep(instant p_now) {
-		if (_phase == phase::LINGERING && p_now - _idle_since > LINGER) {
+		if (_phase == phase::LINGERING && p_now - _ended_at > LINGER) {
 			close();
 		} else if (is_idle() && p_now - _idle_since > _owner._limits.idle_timeout) {
-			linger();
+			linger(connection_end::RESTED);
 		} else if (_phase == phase::READING && _reader.has_begun() && p_now - _request_since > _get_reading_limit()) {
 			_reject(http_status::REQUEST_TIMEOUT);
 		}
@@ -313,6 +334,12 @@
 	_started = true;
 }
 
+void caller_exchange::_finish_answer() {
+	_ended = true;
+	const std::optional<connection_end> end = head.keep_alive ? std::nullopt : std::optional<connection_end>(connection_end::LAST_ANSWER);
+	static_cast<caller_server::connection *>(_connection)->finish(end);
+}
+
 void caller_exchange::reply(int p_status, const std::vector<http_header> &p_headers, std::string_view p_body) {
 	if (is_gone() || _ended) {
 		return;
@@ -322,8 +349,7 @@
 	if (!_without_body) {
 		connection.write(p_body);
 	}
-	_ended = true;
-	connection.finish(head.keep_alive);
+	_finish_answer();
 }
 
 void caller_exchange::start(int p_status, const std::vector<http_header> &p_headers) {
@@ -357,8 +383,7 @@
 	if (_chunked) {
 		connection.write("0\r\n\r\n");
 	}
-	_ended = true;
-	connection.finish(head.keep_alive);
+	_finish_answer();
 }
 
 void caller_exchange::abort() {
@@ -372,7 +397,7 @@
 		connection.close();
 		return;
 	}
-	connection.finish(false);
+	connection.finish(connection_end::BROKEN_OFF);
 }
 
 caller_server::caller_server(event_loop &p_loop, const network_address &p_address, const caller_server_limits &p_limits, std::function<void(std::shared_ptr<caller_exchange>)> p_handler) :
@@ -433,7 +458,7 @@
 	const instant now = event_loop::now();
 	for (const std::unique_ptr<connection> &entry : _connections) {
 		if (entry->is_idle() && entry->get_rest(now) >= p_rest) {
-			entry->linger();
+			entry->linger(connection_end::STOPPING);
 		}
 	}
 }
--- a/drivers/caller_server.h
+++ b/drivers/caller_server.h
@@ -13,6 +13,7 @@
 #include "drivers/http_reader.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,26 @@
 	duration idle_timeout = std::chrono::seconds(15);
 };
 
+/** Why this side ended a connection of a caller. */
+enum class connection_end {
+	RESTED, ///< Without a request for longer than the limit.
+	STOPPING, ///< Without a request while the server stops.
+	LAST_ANSWER, ///< Behind an answer that said so.
+	REJECTED, ///< Behind the refusal of what is malformed, too large or too slow.
+	BROKEN_OFF, ///< An answer that cannot become whole.
+};
+
+/** Name of an end, e.g. "rested". */
+std::string_view get_name(connection_end p_end);
+
+/** Bytes of a caller that came when this side had ended the connection, and that nobody answers. */
+struct crossed_end {
+	connection_end end = connection_end::RESTED;
+	duration since_end = duration::zero(); ///< From the end to these bytes, as this side read them.
+	duration rested = duration::zero(); ///< Without a request, until the end.
+	std::size_t bytes = 0;
+};
+
 class caller_server;
 
 /** One request and the way to answer it. It outlives its connection: what is sent then goes nowhere. */
@@ -47,11 +68,14 @@
 	bool _without_body = false;
 
 	void _write_head(int p_status, const std::vector<http_header> &p_headers, std::optional<std::size_t> p_length);
+	void _finish_answer();
 
 public:
 	http_head head;
 	std::string body;
 	instant received_at{}; ///< When the first byte came.
+	duration rested = duration::zero(); ///< Since the connection's previous answer, or since it was opened.
+	std::size_t earlier = 0; ///< Requests that the connection carried before.
 
 	/** Calls the hook when the caller goes away before the answer is complete. */
 	void set_on_gone(std::function<void()> p_hook) { _on_gone = std::move(p_hook); }
@@ -87,6 +111,8 @@
 	bool _closing = false;
 	std::size_t _open_requests = 0;
 	std::size_t _rejected = 0;
+	std::map<connection_end, std::size_t> _ended;
+	std::function<void(const crossed_end &)> _on_crossed;
 
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _sweep();
@@ -114,6 +140,12 @@
 	/** Stops accepting connections; those that carry no request are closed. */
 	void stop_listening();
 
+	/** Sets what is told of callers' bytes that crossed an end of this side. */
+	void set_on_crossed(std::function<void(const crossed_end &)> p_hook) { _on_crossed = std::move(p_hook); }
+
+	/** Connections that this side ended, by cause. */
+	const std::map<connection_end, std::size_t> &get_ended() const { return _ended; }
+
 	const network_address &get_address() const { return _address; }
 	std::size_t get_open_requests() const { return _open_requests; }
 	std::size_t get_connection_count() const { return _connections.size(); }
--- a/main/gateway/configuration_follower.cpp
+++ b/main/gateway/configuration_follower.cpp
@@ -89,7 +89,7 @@
 		_context.log.write(log_line("configuration_rejected").add("source", p_source).add("reason", error.what()).add("version_in_force", static_cast<long long>(get_version())));
 		return false;
 	}
-	_context.log.write(log_line("configuration_in_force").add("version", static_cast<long long>(get_version())).add("source", p_source).add("routes", static_cast<long long>(_current->routes.size())));
+	_context.log.write(log_line("configuration_in_force").add("version", static_cast<long long>(get_version())).add("source", p_source).add("routes", static_cast<long long>(_current->routes.size())).add("idle_limit_ms", _current->limits.idle_timeout));
 	_changed.emit();
 	return true;
 }
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr duration TICK = std::chrono::milliseconds(100);
+/** A tick later than this is told: what waited for this node meanwhile is explained by it, not by what it was sent. */
+constexpr duration HOLD_UP = std::chrono::milliseconds(100);
 /** The balancer asks once a second and needs two misses. */
 constexpr duration STOP_LISTEN = std::chrono::milliseconds(2600);
 /** A connection that the balancer sent just now is given this long for its request. */
@@ -66,6 +68,7 @@
 	if (p_settings.metrics_address) {
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
+	_callers.set_on_crossed([this](const crossed_end &p_crossed) { _on_crossed(p_crossed); });
 	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_configuration.changed().connect([this] { _on_configuration(); });
 	_endpoints.changed().connect([this] { _on_endpoints(); });
@@ -116,6 +119,10 @@
 	return _phase == stop_phase::NONE && _configuration.get_current() != nullptr && _endpoints.is_loaded();
 }
 
+duration gateway::_get_idle_limit() const {
+	return _configuration.get_current() ? _configuration.get_current()->limits.idle_timeout : caller_server_limits().idle_timeout;
+}
+
 void gateway::_on_configuration() {
 	_callers.set_limits(get_limits(_configuration.get_current()->limits));
 	_on_endpoints();
@@ -253,6 +260,11 @@
 	request.start();
 }
 
+void gateway::_on_crossed(const crossed_end &p_crossed) {
+	_context.metrics.count("request_cut_by_end");
+	_context.log.write_request(log_line("request_cut_by_end").add("end", get_name(p_crossed.end)).add("since_end_ms", p_crossed.since_end).add("rested_ms", p_crossed.rested).add("bytes", static_cast<long long>(p_crossed.bytes)).add("idle_limit_ms", _get_idle_limit()).add("version", static_cast<long long>(_configuration.get_version())));
+}
+
 void gateway::_on_readiness(caller_exchange &p_exchange) {
 	p_exchange.reply(_is_ready() ? http_status::OK : http_status::UNAVAILABLE, {}, "");
 }
@@ -261,6 +273,9 @@
 	_context.metrics.set_gauge("open_requests", static_cast<double>(_requests.size()));
 	_context.metrics.set_gauge("caller_connections", static_cast<double>(_callers.get_connection_count()));
 	_context.metrics.set_gauge("rejected_requests", static_cast<double>(_callers.get_rejected()));
+	for (const auto &[end, number] : _callers.get_ended()) {
+		_context.metrics.set_gauge("caller_connections_ended_" + std::string(get_name(end)), static_cast<double>(number));
+	}
 	_context.metrics.set_gauge("opened_channels", static_cast<double>(_context.channels.get_opened()));
 	_context.metrics.set_gauge("skipped_answers", static_cast<double>(_context.channels.get_skipped_answers()));
 	_context.metrics.set_gauge("configuration_version", static_cast<double>(_configuration.get_version()));
@@ -280,7 +295,18 @@
 	}
 }
 
+void gateway::_note_hold_up() {
+	const instant now = event_loop::now();
+	const duration late = now - _tick_due;
+	if (_tick_due != instant{} && late > HOLD_UP) {
+		_context.metrics.count("loop_held_up");
+		_context.log.write(log_line("loop_held_up").add("late_ms", late).add("open", static_cast<long long>(_requests.size())).add("version", static_cast<long long>(_configuration.get_version())));
+	}
+	_tick_due = now + TICK;
+}
+
 void gateway::_tick() {
+	_note_hold_up();
 	_update_readiness();
 	if (_phase != stop_phase::NONE) {
 		_advance_stop();
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -47,6 +47,7 @@
 	caller_server _readiness;
 	std::unique_ptr<caller_server> _metrics_server;
 	timer _tick_timer;
+	instant _tick_due{};
 	std::vector<std::shared_ptr<caller_exchange>> _waiting_for_peers; ///< Came before this node knew what others do.
 	timer _settle_timer;
 	instant _started_at{};
@@ -70,6 +71,10 @@
 	void _run(admitted_request p_request);
 	void _on_readiness(caller_exchange &p_exchange);
 	void _on_metrics(caller_exchange &p_exchange);
+	/** Tells of a loop that did one thing for long. */
+	void _note_hold_up();
+	duration _get_idle_limit() const;
+	void _on_crossed(const crossed_end &p_crossed);
 	void _tick();
 	void _enter(stop_phase p_phase, const char *p_name);
 	void _advance_stop();
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -80,7 +80,7 @@
 	_request.exchange->set_on_gone([this] { _on_caller_gone(); });
 	_give_up_timer.set_at(_give_up_at);
 	_services.repeats[_request.service].on_request(_services.context.settings.retries, _started);
-	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(_get_priority())).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("version", static_cast<long long>(_request.configuration->version)));
+	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(_get_priority())).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("rested_ms", _request.exchange->rested).add("earlier", static_cast<long long>(_request.exchange->earlier)).add("version", static_cast<long long>(_request.configuration->version)));
 	if (_stages.is_complete()) {
 		_send();
 		return;
