--- a/tests/main/raw_connection.h
+++ b/tests/main/raw_connection.h
@@ -18,6 +18,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,7 @@
 	int _socket;
 	std::string _received;
 	bool _closed = false;
+	bool _reset = false;
 
 public:
 	explicit raw_connection(const network_address &p_to) :
@@ -44,7 +46,12 @@
 	raw_connection(const raw_connection &) = delete;
 	raw_connection &operator=(const raw_connection &) = delete;
 
-	void send_bytes(std::string_view p_bytes) { _closed = send(_socket, p_bytes.data(), p_bytes.size(), MSG_NOSIGNAL) < 0 || _closed; }
+	void send_bytes(std::string_view p_bytes) {
+		if (send(_socket, p_bytes.data(), p_bytes.size(), MSG_NOSIGNAL) < 0) {
+			_closed = true;
+			_reset = _reset || errno == ECONNRESET || errno == EPIPE;
+		}
+	}
 	void close_sending() { shutdown(_socket, SHUT_WR); }
 
 	/** Takes in what has come. */
@@ -56,6 +63,7 @@
 				_received.append(buffer.data(), static_cast<std::size_t>(count));
 				continue;
 			}
+			_reset = _reset || (count < 0 && errno == ECONNRESET);
 			_closed = _closed || count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 			return;
 		}
@@ -63,6 +71,8 @@
 
 	const std::string &get_received() const { return _received; }
 	bool is_closed() const { return _closed; }
+	/** Whether the other side closed with bytes of this one unread. */
+	bool is_reset() const { return _reset; }
 };
 
 } // namespace calicoscale
