Use no kept connection whose end waits in its socket, and give an answer that waits there its turn before giving up

A kept connection that its endpoint had closed was used again when the close had not been read in that turn of the loop; a request that may run once then failed as one that may have run. And a node that was held up past a route's time-out threw away an answer that had arrived in time, as timers run before sockets are read.

Ruled out: reading sockets before timers in general. The order is wanted, as after a pause an attempt whose time has passed must not be written out.

Tests, both failed before: endpoint_channels_test.a_kept_connection_whose_end_waits_in_the_socket_is_not_used, gateway_test.an_answer_that_waits_in_the_socket_at_the_time_to_give_up_is_delivered.

--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -10,6 +10,7 @@
 
 #include "core/enum_names.h"
 #include "drivers/socket_address.h"
+#include "drivers/socket_queues.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -273,18 +274,28 @@
 	_loop.post([removed] {});
 }
 
-exchange_id endpoint_channels::start(channel_request p_request, channel_hooks p_hooks) {
-	const exchange_id id = _next_id++;
-	const instant now = event_loop::now();
-	std::unique_ptr<channel> used;
+std::unique_ptr<endpoint_channels::channel> endpoint_channels::_take_kept(const channel_request &p_request) {
 	const auto kept = _idle.find(p_request.endpoint);
-	if (p_request.use_kept && kept != _idle.end()) {
-		std::vector<std::unique_ptr<channel>> &stack = kept->second;
-		if (!stack.empty() && now - stack.back()->_idle_since <= std::min(p_request.longest_idle, stack.back()->_kept_for)) {
-			used = std::move(stack.back());
-			stack.pop_back();
+	if (kept == _idle.end()) {
+		return nullptr;
+	}
+	const instant now = event_loop::now();
+	std::vector<std::unique_ptr<channel>> &stack = kept->second;
+	while (!stack.empty() && now - stack.back()->_idle_since <= std::min(p_request.longest_idle, stack.back()->_kept_for)) {
+		std::unique_ptr<channel> taken = std::move(stack.back());
+		stack.pop_back();
+		// The endpoint may have closed it in this very turn of the loop; a request sent then counts as one that may have run.
+		if (is_quiet(bufferevent_getfd(taken->_stream))) {
+			return taken;
 		}
+		_free(std::move(taken));
 	}
+	return nullptr;
+}
+
+exchange_id endpoint_channels::start(channel_request p_request, channel_hooks p_hooks) {
+	const exchange_id id = _next_id++;
+	std::unique_ptr<channel> used = p_request.use_kept ? _take_kept(p_request) : nullptr;
 	if (!used) {
 		used = std::make_unique<channel>(*this);
 		_opened++;
@@ -320,6 +331,11 @@
 	hook(p_end);
 }
 
+bool endpoint_channels::has_unread(exchange_id p_id) const {
+	const auto found = _busy.find(p_id);
+	return found != _busy.end() && found->second->_connected && get_unread_bytes(bufferevent_getfd(found->second->_stream)) > 0;
+}
+
 void endpoint_channels::cancel(exchange_id p_id) {
 	const auto found = _busy.find(p_id);
 	if (found == _busy.end()) {
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -74,6 +74,8 @@
 	std::uint64_t _opened = 0;
 	std::uint64_t _skipped_answers = 0;
 
+	/** The kept connection used last, if it is fresh enough and nothing came on it since; null when there is none. */
+	std::unique_ptr<channel> _take_kept(const channel_request &p_request);
 	void _free(std::unique_ptr<channel> p_channel);
 	void _on_idle_event(channel *p_channel);
 	void _finish(channel &p_channel, channel_end p_end, bool p_keep);
@@ -91,6 +93,9 @@
 	/** Ends an exchange by closing its connection; its hooks are not called any more. */
 	void cancel(exchange_id p_id);
 
+	/** Whether bytes of an answer have arrived that were not read yet. */
+	bool has_unread(exchange_id p_id) const;
+
 	/** Sets what is told the zone of an endpoint of which bytes or a new connection came. */
 	void set_on_heard(std::function<void(const std::string &)> p_hook) { _on_heard = std::move(p_hook); }
 
--- a/drivers/socket_queues.cpp
+++ b/drivers/socket_queues.cpp
@@ -1,6 +1,6 @@
 /*
  * calicoscale: socket_queues.cpp
- * What the system holds for a socket: bytes this side has not read, and bytes the other side has not taken.
+ * What waits at a socket: bytes or an end that this side has not read, and bytes the other side has not taken.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
@@ -9,6 +9,7 @@
 #include "drivers/socket_queues.h"
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 namespace calicoscale {
@@ -18,6 +19,11 @@
 	return ioctl(p_socket, FIONREAD, &count) == 0 && count > 0 ? static_cast<std::size_t>(count) : 0;
 }
 
+bool is_quiet(int p_socket) {
+	pollfd look{ p_socket, POLLIN | POLLRDHUP, 0 };
+	return poll(&look, 1, 0) == 0;
+}
+
 std::optional<std::size_t> get_unacknowledged_bytes(int p_socket) {
 	int count = 0;
 	if (ioctl(p_socket, SIOCOUTQ, &count) != 0 || count < 0) {
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -26,6 +26,11 @@
 constexpr duration RETRY_PAUSE = std::chrono::milliseconds(40);
 /** Time left below which a send cannot succeed any more. */
 constexpr duration LEAST_REMAINING = std::chrono::milliseconds(20);
+/**
+ * Once, when an answer waits unread at the time to give up: timers run before sockets are read, and a node that was held up
+ * would throw away what the endpoint answered in time. Long enough for one turn of the loop.
+ */
+constexpr duration LOOK_AGAIN = std::chrono::milliseconds(5);
 constexpr duration SHORT_RETRY_AFTER = std::chrono::milliseconds(300);
 constexpr std::size_t LARGEST_ANSWER = 32 * 1024 * 1024;
 /** Requests that may not run twice use kept connections this fresh only, as a close may cross them. */
@@ -63,7 +68,7 @@
 		_stages(_request.route->stages, _request.facts.stage_pieces),
 		_transfers(_stages, [this](const std::string &p_handle) { return _services.endpoints.get_directory().find_zone(get_maker(p_handle)); }),
 		_times_after(get_times_after(*_request.configuration, *_request.route, _request.facts.stage_pieces)),
-		_give_up_timer(p_services.context.loop, [this] { _give_up(reason::DEADLINE_PASSED); }),
+		_give_up_timer(p_services.context.loop, [this] { _on_give_up_time(); }),
 		_retry_timer(p_services.context.loop, [this] { _send(); }),
 		_prompt(_make_prompt_links()) {
 }
@@ -540,6 +545,15 @@
 	_finish(outcome{ verdict::MAY_HAVE_RUN, p_reason }, status);
 }
 
+void gateway_request::_on_give_up_time() {
+	if (!_has_looked_again && _exchange != 0 && _services.context.channels.has_unread(_exchange)) {
+		_has_looked_again = true;
+		_give_up_timer.set(LOOK_AGAIN);
+		return;
+	}
+	_give_up(reason::DEADLINE_PASSED);
+}
+
 void gateway_request::_give_up(reason p_reason) {
 	if (_ended) {
 		return;
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -107,6 +107,7 @@
 	bool _answer_started = false; ///< Its head went to the caller.
 	bool _stages_released = false;
 	bool _ended = false;
+	bool _has_looked_again = false; ///< For an answer that waits, at the time to give up.
 
 	int _get_priority() const;
 	void _commit();
@@ -144,6 +145,7 @@
 	void _pass_answer();
 	void _refuse(reason p_reason, duration p_retry_after);
 	void _fail(reason p_reason);
+	void _on_give_up_time();
 	void _give_up(reason p_reason);
 	void _on_caller_gone();
 	void _finish(const outcome &p_result, int p_status);
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -215,6 +215,15 @@
 	EXPECT_EQ(_channels.get_opened(), 1U);
 }
 
+TEST_F(endpoint_channels_test, a_kept_connection_whose_end_waits_in_the_socket_is_not_used) {
+	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->end, channel_end::COMPLETE);
+	// The loop does not turn between the endpoint's close and the next request.
+	_endpoint.close_connections();
+	const std::shared_ptr<outcome_of_exchange> next = run(WHOLE, raw_server::after::KEEP);
+	EXPECT_EQ(next->end, channel_end::COMPLETE) << "a request that may run once would count as one that may have run";
+	EXPECT_EQ(_channels.get_opened(), 2U);
+}
+
 TEST_F(endpoint_channels_test, surplus_bytes_end_the_connection) {
 	EXPECT_EQ(run(WHOLE + WHOLE, raw_server::after::KEEP)->body, "ok");
 	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->end, channel_end::COMPLETE);
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -6,8 +6,11 @@
  * SPDX-License-Identifier: MIT
  */
 
+#include "tests/main/bare_endpoint.h"
 #include "tests/main/gateway_fixture.h"
 
+#include <thread>
+
 namespace calicoscale {
 
 namespace {
@@ -49,6 +52,22 @@
 	EXPECT_EQ(ask(entry, "/open/", "")->head.status, 200);
 }
 
+TEST_F(gateway_test, an_answer_that_waits_in_the_socket_at_the_time_to_give_up_is_delivered) {
+	configure(1);
+	bare_endpoint endpoint;
+	const json entry{ { "service", "llm" }, { "address", to_string(endpoint.get_address()) }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", "ready" }, { "seq_no", 1 }, { "born", 1 } };
+	_store.put(ENDPOINT_TOPIC, "i-bare", entry.dump());
+	gateway &node = start_ready();
+	const std::shared_ptr<caller_result> result = send(node, "/hasty/");
+	run_until([&endpoint] { return endpoint.has_request(); });
+	endpoint.answer("HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Replica-Seal: s\r\nContent-Length: 4\r\n\r\nmade");
+	// The node does one long thing meanwhile, past the time at which it would give up.
+	std::this_thread::sleep_for(milliseconds(400));
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->head.status, 200);
+	EXPECT_EQ(result->body, "made");
+}
+
 TEST_F(gateway_test, a_newer_configuration_is_in_force_and_an_older_one_never_again) {
 	configure(5);
 	add_replica("llm");
--- a/tests/main/raw_server.h
+++ b/tests/main/raw_server.h
@@ -119,6 +119,16 @@
 		_after = p_after;
 	}
 
+	/** Closes all connections at once, without a turn of the loop. */
+	void close_connections() {
+		_after = after::CLOSE;
+		for (bufferevent *stream : _streams) {
+			if (bufferevent_getfd(stream) >= 0) {
+				_finish(stream);
+			}
+		}
+	}
+
 	/** Stops listening. */
 	void close() {
 		if (_listener != nullptr) {
