Tell the owner of handed work when a node that stood still drops it

A node whose loop stood still for over 0.6 s drops the work that others handed to it, taking it for moved. An owner moves work after 0.75 s of silence only, so after a pause between the two nobody had the work, and its request waited until its time was over. Now the owner is told and asks again; work that has moved meanwhile is not touched.

Ruled out: dropping nothing, as the work may be done by another node by then.

--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -84,12 +84,7 @@
 	_fleet.set_capacity_source([this] { return _get_capacities(); });
 	node_link &link = _fleet.get_link();
 	link.work_handed().connect([this](const std::string &p_vm, const hand_work_message &p_message) { _on_work_handed(p_vm, p_message); });
-	link.work_ended().connect([this](const std::string &p_vm, const work_ended_message &p_message) {
-		const auto found = _own.find(p_message.id);
-		if (found != _own.end() && found->second.node == p_vm) {
-			_end_own(p_message.id, work_result{ p_message.id, static_cast<work_end>(p_message.end), p_message.handles });
-		}
-	});
+	link.work_ended().connect([this](const std::string &p_vm, const work_ended_message &p_message) { _on_handed_work_ended(p_vm, p_message); });
 	link.work_cancelled().connect([this](const std::string &p_vm, const cancel_work_message &p_message) {
 		const auto found = _pools.find(p_message.pool);
 		if (found != _pools.end()) {
@@ -260,6 +255,26 @@
 	_accept(p_message.pool, p_vm, p_message.id, std::move(work));
 }
 
+void stage_dispatcher::_on_handed_work_ended(const std::string &p_vm, const work_ended_message &p_message) {
+	const auto found = _own.find(p_message.id);
+	// Work that has moved meanwhile is the other node's.
+	if (found == _own.end() || found->second.node != p_vm) {
+		return;
+	}
+	const work_end end = static_cast<work_end>(p_message.end);
+	if (end == work_end::DROPPED) {
+		_context.log.write_request(log_line("stage_asked_again").add("request", found->second.work.attempt).add("pool", found->second.pool).add("dropped_by", p_vm));
+		_assign(p_message.id, "");
+		return;
+	}
+	_end_own(p_message.id, work_result{ p_message.id, end, p_message.handles });
+}
+
+void stage_dispatcher::_drop_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id) {
+	_cancel_accepted(p_entry, p_node, p_id);
+	_fleet.get_link().send(p_node, work_ended_message{ p_id, static_cast<std::uint8_t>(work_end::DROPPED), {} });
+}
+
 void stage_dispatcher::_cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id) {
 	const auto found = p_entry.by_owner.find({ p_node, p_id });
 	if (found == p_entry.by_owner.end()) {
@@ -371,7 +386,7 @@
 			}
 		}
 		for (const std::uint64_t id : orphans) {
-			_cancel_accepted(entry, p_vm, id);
+			_drop_accepted(entry, p_vm, id);
 		}
 	}
 	if (!moved.empty()) {
@@ -552,7 +567,7 @@
 			}
 		}
 		for (const auto &[node, id] : handed) {
-			_cancel_accepted(entry, node, id);
+			_drop_accepted(entry, node, id);
 		}
 		if (!handed.empty()) {
 			_context.log.write(log_line("work_forgotten_after_pause").add("pool", name).add("count", static_cast<long long>(handed.size())));
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -87,6 +87,13 @@
 	void _log_asked(const own_work &p_own);
 	void _accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work);
 	void _cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id);
+	void _on_handed_work_ended(const std::string &p_vm, const work_ended_message &p_message);
+
+	/**
+	 * Cancels work that another node handed over, and tells that node. An owner that has not noticed this node's silence would
+	 * wait for it until the request's time is over: both stood still for 0.65 s, and three of six requests ended so.
+	 */
+	void _drop_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id);
 	void _end_own(std::uint64_t p_id, const work_result &p_result);
 	void _pump_soon();
 	void _pump();
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -50,11 +50,12 @@
 /** A replica that was slow is tried again as this passes; slow ones get no calls that would tell. */
 constexpr duration SLOWNESS_MEMORY = std::chrono::seconds(3);
 
-constexpr std::array<enum_name<work_end>, 4> END_NAMES{ {
+constexpr std::array<enum_name<work_end>, 5> END_NAMES{ {
 		{ work_end::DONE, "done" },
 		{ work_end::INPUT_GONE, "input_gone" },
 		{ work_end::LATE, "late" },
 		{ work_end::FAILED, "failed" },
+		{ work_end::DROPPED, "dropped" },
 } };
 
 } // namespace
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -87,6 +87,7 @@
 	INPUT_GONE, ///< A result it needs is lost.
 	LATE, ///< Nobody waits any more.
 	FAILED,
+	DROPPED, ///< By the node that it was handed to; its owner may ask again.
 };
 
 /** Name of an end, e.g. "input_gone". */
--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -8,6 +8,8 @@
 
 #include "tests/main/gateway_fixture.h"
 
+#include <thread>
+
 namespace calicoscale {
 
 namespace {
@@ -444,4 +446,41 @@
 	run_until([&entry] { return entry.has_stopped(); });
 }
 
+namespace {
+
+/** Nodes that stand still for some milliseconds while one works for another. */
+class held_up_nodes_test : public gateway_fixture, public ::testing::WithParamInterface<int> {};
+
+} // namespace
+
+TEST_P(held_up_nodes_test, ask_again_for_work_that_was_dropped_meanwhile) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	add_replica("search");
+	gateway &one = start_ready();
+	gateway &two = start_ready();
+	const std::string stages = "X-Segments: 1,1\r\nX-Segment-Key: k\r\n";
+	ask(one, "/stream/staged/x", "key-1", stages);
+	wait(milliseconds(900));
+	encode.hold_stages = true;
+	std::vector<std::shared_ptr<caller_result>> results;
+	for (int i = 0; i < 6; i++) {
+		results.push_back(send(i % 2 == 0 ? one : two, "/stream/staged/x", "key-1", stages));
+	}
+	run_until([&encode] { return encode.get_held_stages() > 0; });
+	wait(milliseconds(60));
+	std::this_thread::sleep_for(milliseconds(GetParam()));
+	encode.hold_stages = false;
+	encode.run_held_stages();
+	for (const std::shared_ptr<caller_result> &result : results) {
+		run_until([&result] { return result->end.has_value(); });
+		EXPECT_EQ(result->head.status, 200);
+		EXPECT_EQ(result->body, WHOLE_STREAM);
+	}
+}
+
+// Around the pause after which a node drops what was handed to it, and below the silence after which others take it for lost.
+INSTANTIATE_TEST_SUITE_P(pauses, held_up_nodes_test, ::testing::Values(300, 620, 650, 680, 720));
+
 } // namespace calicoscale
