Use a connection to an endpoint that came up while the loop was held up

The time to connect was judged before the socket: a node held up for over 0.25 s took each endpoint that it was just dialling for unreachable, and one such failure ejects an endpoint. Test endpoint_channels_test.a_connection_that_came_up_while_the_loop_was_held_up_is_used failed before. Beside it a test for surplus bytes that wait in the socket of a kept connection; it passes since.

--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -122,6 +122,10 @@
 			self._owner._on_idle_event(&self);
 			return;
 		}
+		if (!self._connected && (p_what & BEV_EVENT_TIMEOUT) != 0 && is_connected(bufferevent_getfd(self._stream))) {
+			self._await_connected();
+			return;
+		}
 		if (!self._connected) {
 			self._owner._finish(self, channel_end::CONNECT_FAILED, false);
 			return;
@@ -129,6 +133,12 @@
 		self._on_closed((p_what & BEV_EVENT_EOF) != 0);
 	}
 
+	/** The time to connect passed while the loop was held up, and the connection had come up meanwhile. */
+	void _await_connected() {
+		bufferevent_set_timeouts(_stream, nullptr, nullptr);
+		bufferevent_enable(_stream, EV_WRITE);
+	}
+
 	/** Only an orderly close can complete an answer without a length. */
 	void _on_closed(bool p_orderly) {
 		_read();
--- a/drivers/socket_queues.cpp
+++ b/drivers/socket_queues.cpp
@@ -24,6 +24,11 @@
 	return poll(&look, 1, 0) == 0;
 }
 
+bool is_connected(int p_socket) {
+	pollfd look{ p_socket, POLLOUT, 0 };
+	return poll(&look, 1, 0) == 1 && (look.revents & (POLLERR | POLLHUP)) == 0 && (look.revents & POLLOUT) != 0;
+}
+
 std::optional<std::size_t> get_unacknowledged_bytes(int p_socket) {
 	int count = 0;
 	if (ioctl(p_socket, SIOCOUTQ, &count) != 0 || count < 0) {
--- a/drivers/socket_queues.h
+++ b/drivers/socket_queues.h
@@ -20,6 +20,9 @@
 /** Whether neither bytes nor an end nor an error of the other side wait to be read. */
 bool is_quiet(int p_socket);
 
+/** Whether the connection of a socket has come up. */
+bool is_connected(int p_socket);
+
 /** Bytes written to a socket that the other side has not acknowledged; empty when the system does not tell. */
 std::optional<std::size_t> get_unacknowledged_bytes(int p_socket);
 
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -8,11 +8,14 @@
 
 #include "drivers/endpoint_channels.h"
 #include "tests/drivers/caller_server_fixture.h"
+#include "tests/main/bare_endpoint.h"
 #include "tests/main/raw_server.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <thread>
+
 namespace calicoscale {
 
 namespace {
@@ -175,11 +178,13 @@
 		std::optional<channel_end> end;
 	};
 
-	std::shared_ptr<outcome_of_exchange> start(const std::string &p_echo = "r1") {
+	std::shared_ptr<outcome_of_exchange> start(const std::string &p_echo = "r1") { return start(p_echo, _endpoint.get_address()); }
+
+	std::shared_ptr<outcome_of_exchange> start(const std::string &p_echo, const network_address &p_to) {
 		const std::shared_ptr<outcome_of_exchange> result = std::make_shared<outcome_of_exchange>();
 		channel_request request;
 		request.endpoint = "e1";
-		request.to = _endpoint.get_address();
+		request.to = p_to;
 		request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 		request.echo_header = "Echo";
 		request.echo_value = p_echo;
@@ -224,6 +229,26 @@
 	EXPECT_EQ(_channels.get_opened(), 2U);
 }
 
+TEST_F(endpoint_channels_test, a_connection_that_came_up_while_the_loop_was_held_up_is_used) {
+	_endpoint.set_answer(WHOLE, raw_server::after::KEEP);
+	const std::shared_ptr<outcome_of_exchange> result = start();
+	std::this_thread::sleep_for(channel_request().connect_timeout + std::chrono::milliseconds(100));
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->end, channel_end::COMPLETE) << "the endpoint would be taken for unreachable";
+}
+
+TEST_F(endpoint_channels_test, a_kept_connection_on_which_surplus_bytes_wait_in_the_socket_is_not_used) {
+	bare_endpoint endpoint;
+	const std::shared_ptr<outcome_of_exchange> first = start("r1", endpoint.get_address());
+	run_until([&endpoint] { return endpoint.has_request(); });
+	endpoint.answer(WHOLE);
+	run_until([&first] { return first->end.has_value(); });
+	endpoint.answer(WHOLE);
+	const std::shared_ptr<outcome_of_exchange> second = start("r1", endpoint.get_address());
+	EXPECT_EQ(_channels.get_opened(), 2U) << "the surplus would be taken for the answer to this request";
+	EXPECT_FALSE(second->end.has_value());
+}
+
 TEST_F(endpoint_channels_test, surplus_bytes_end_the_connection) {
 	EXPECT_EQ(run(WHOLE + WHOLE, raw_server::after::KEEP)->body, "ok");
 	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->end, channel_end::COMPLETE);
