--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -207,16 +207,17 @@
 		send(hello_message{ _owner._identity.vm, _owner._identity.incarnation, _nonce });
 	}
 
-	void send(const link_message &p_message) {
-		const std::string bytes = encode(p_message);
+	/** @return whether the message is on its way: a peer that does not read is not worth the memory. */
+	bool send(const link_message &p_message) {
 		if (_closed || evbuffer_get_length(bufferevent_get_output(_stream)) > MOST_UNSENT_BYTES) {
-			// A peer that does not read is not worth the memory; it will ask again.
-			return;
+			return false;
 		}
+		const std::string bytes = encode(p_message);
 		const std::uint32_t length = htonl(static_cast<std::uint32_t>(bytes.size()));
 		bufferevent_write(_stream, &length, LENGTH_BYTES);
 		bufferevent_write(_stream, bytes.data(), bytes.size());
 		_owner._bytes_sent += LENGTH_BYTES + bytes.size();
+		return true;
 	}
 
 	/** Stops all callbacks; the object is freed later. */
@@ -384,53 +385,49 @@
 	}
 }
 
-bool node_link::_send_if_linked(const std::string &p_vm, const std::function<void(link &)> &p_send) {
+bool node_link::_send_if_linked(const std::string &p_vm, const std::function<bool(link &)> &p_send) {
 	link *target = _find(p_vm);
-	if (target == nullptr) {
-		return false;
-	}
-	p_send(*target);
-	return true;
+	return target != nullptr && p_send(*target);
 }
 
 bool node_link::send(const std::string &p_vm, const pass_request_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const pass_answer_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const hand_work_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const work_ended_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const cancel_work_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const release_results_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const tell_results_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const tell_prompts_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const tell_endpoints_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 bool node_link::send(const std::string &p_vm, const tell_reading_message &p_message) {
-	return _send_if_linked(p_vm, [&p_message](link &r_link) { r_link.send(p_message); });
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
 void node_link::drop(const std::string &p_vm) {
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -185,7 +185,7 @@
 	void _remove(link *p_link);
 	std::shared_ptr<link> _hold(link *p_link) const;
 	void _on_proven(link *p_link);
-	bool _send_if_linked(const std::string &p_vm, const std::function<void(link &)> &p_send);
+	bool _send_if_linked(const std::string &p_vm, const std::function<bool(link &)> &p_send);
 	link *_find(const std::string &p_vm) const;
 	bool _is_cut_off(const std::string &p_vm) const;
 
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -146,6 +146,22 @@
 	run_until(loop, [&at_left, &at_right] { return at_left == 2 && at_right == 2; });
 }
 
+TEST(node_link, a_message_that_finds_no_room_is_not_said_to_be_on_its_way) {
+	event_loop loop;
+	node_link first(loop, any_address(), link_identity{ "a", 1, "key" });
+	node_link second(loop, any_address(), link_identity{ "b", 1, "key" });
+	first.dial("b", second.get_address());
+	run_until(loop, [&first] { return first.is_linked("b"); });
+	// The loop does not turn, as if the peer read nothing: what is unsent grows to its bound.
+	const release_results_message large{ "pool", { std::string(500'000, 'x') } };
+	int taken = 0;
+	while (taken < 100 && first.send("b", large)) {
+		taken++;
+	}
+	EXPECT_GT(taken, 0);
+	EXPECT_LT(taken, 100) << "work that was handed over so would be waited for in vain";
+}
+
 TEST(node_link, another_fleet_key_or_another_vm_is_refused) {
 	event_loop loop;
 	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
