--- a/servers/timeline/request_story.cpp
+++ b/servers/timeline/request_story.cpp
@@ -82,7 +82,7 @@
 	if (p_entry.event == "peer_lost" || p_entry.event == "work_moved") {
 		return _nodes.contains(p_node) || _nodes.contains(std::string(p_entry.find("vm"))) || _nodes.contains(std::string(p_entry.find("from")));
 	}
-	const bool is_life = p_entry.event == "started" || p_entry.event == "readiness" || p_entry.event == "stopping" || p_entry.event == "stopped" || p_entry.event == "work_forgotten_after_pause";
+	const bool is_life = p_entry.event == "started" || p_entry.event == "readiness" || p_entry.event == "stopping" || p_entry.event == "stopped" || p_entry.event == "work_forgotten_after_pause" || p_entry.event == "loop_held_up";
 	const bool is_dependency = p_entry.event == "dependency_lost" || p_entry.event == "dependency_regained" || p_entry.event == "configuration_in_force";
 	return (is_life || is_dependency || p_entry.event == "log_lines_dropped") && _nodes.contains(p_node);
 }
