--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -20,16 +20,23 @@
 
 constexpr int EVENTS_IN_STREAM = 4;
 
+std::uint64_t make_start_time() {
+	static std::uint64_t newest = 0;
+	newest = std::max(newest + 1, static_cast<std::uint64_t>(event_loop::wall()));
+	return newest;
+}
+
 } // namespace
 
 standin_replica::standin_replica(event_loop &p_loop, std::string p_name) :
 		_loop(p_loop),
 		_name(std::move(p_name)),
+		_born(make_start_time()),
 		_server(std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); })) {
 }
 
 std::string standin_replica::get_entry(const std::string &p_service, bool p_leaving) const {
-	return json{ { "service", p_service }, { "address", to_string(get_address()) }, { "zone", zone }, { "version", "v1" }, { "slots", 4 }, { "state", p_leaving ? "draining" : "ready" }, { "seq_no", 1 } }.dump();
+	return json{ { "service", p_service }, { "address", to_string(get_address()) }, { "zone", zone }, { "version", "v1" }, { "slots", 4 }, { "state", p_leaving ? "draining" : "ready" }, { "seq_no", 1 }, { "born", _born } }.dump();
 }
 
 bool standin_replica::is_held_gone() const {
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -45,6 +45,7 @@
 class standin_replica {
 	event_loop &_loop;
 	std::string _name;
+	const std::uint64_t _born; ///< Unix millisecond of its start; rises with each start, also within one millisecond.
 	std::unique_ptr<caller_server> _server;
 	std::vector<std::shared_ptr<caller_exchange>> _held;
 	std::vector<std::shared_ptr<caller_exchange>> _held_stages;
@@ -72,6 +73,7 @@
 	/** Its entry in the store. */
 	std::string get_entry(const std::string &p_service, bool p_leaving = false) const;
 	const std::string &get_name() const { return _name; }
+	std::uint64_t get_born() const { return _born; }
 	const network_address &get_address() const { return _server->get_address(); }
 
 	/** Runs the stage calls that wait and holds no more. */
