Judge records of other writers by a typed fault; use entries without a start where no more endpoints tell one

Cause: the deployments at hand write no "born" at all.

An entry without a start is now refused only where more endpoints tell theirs than do not: there it was written by another. A single record cannot shut the others out, as it counts for one. Ruled out: requiring it always (above); never requiring it (then a record that lacks a field names an endpoint); switching over at the first start that is seen (one record of another writer would take out the fleet).

Each record of another writer has one typed fault (entry_fault), counted by name and told once a key, at most 20 lines at once and one a second after, with at most 256 keys remembered. Such a record over the entry of an endpoint in use takes it out after 2 s unless the endpoint writes its entry again; a state that is not known takes it out at once. Before, a node that follows the topic kept such an endpoint for ever, and one that read the whole list dropped it at once, so that the two told each other different lists.

Replaced: "a missing start names no endpoint" by an_entry_without_its_start_is_used_only_where_most_tell_none, for the reason above.

--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -8,7 +8,7 @@
 
 #include "main/gateway/endpoint_follower.h"
 
-#include "platform/configuration_codec.h"
+#include "platform/endpoint_codec.h"
 
 namespace calicoscale {
 
@@ -34,10 +34,23 @@
 /** While entries that went with an outage are waited for. */
 constexpr duration RETURN_INTERVAL = std::chrono::milliseconds(400);
 
+std::vector<read_endpoint_record> read_entries(const store_answer &p_answer) {
+	std::vector<read_endpoint_record> entries;
+	entries.reserve(p_answer.records.size());
+	for (const store_record &record : p_answer.records) {
+		entries.push_back(read_endpoint_record{ record.key, std::nullopt });
+		if (record.value) {
+			entries.back().entry = parse_endpoint_entry(record.key, *record.value);
+		}
+	}
+	return entries;
+}
+
 } // namespace
 
 endpoint_follower::endpoint_follower(gateway_context &p_context) :
 		_context(p_context),
+		_rejections(event_loop::now()),
 		_reader(p_context, get_endpoint_topic(), "store_endpoints", read_times{ duration::zero(), NEXT_READ, NEXT_READ, RETRY_INTERVAL, LONGEST_RETRY },
 				topic_reader_hooks{
 						[this](const store_answer &p_answer, bool p_is_whole) { _on_answer(p_answer, p_is_whole); },
@@ -70,6 +83,7 @@
 	}
 	const instant now = event_loop::now();
 	_reader.skip_to(p_reading.to);
+	_filter.forget_holds();
 	_directory.on_read(now);
 	_directory.take_reading(p_reading, now);
 	_set_timers();
@@ -101,29 +115,28 @@
 }
 
 endpoint_reading endpoint_follower::_take_records(const store_answer &p_answer) {
-	std::vector<endpoint_record> records;
-	records.reserve(p_answer.records.size());
-	for (const store_record &record : p_answer.records) {
-		const std::optional<endpoint_listing> listing = record.value ? parse_endpoint_entry(record.key, *record.value) : std::nullopt;
-		if (record.value && !listing) {
-			_context.metrics.count("endpoint_entry_rejected");
-			_context.log.write(log_line("endpoint_entry_rejected").add("endpoint", record.key));
-			continue;
-		}
-		records.push_back(endpoint_record{ record.key, listing });
-	}
-	return _directory.take_records(records, p_answer.next_offset - p_answer.records.size(), p_answer.next_offset, event_loop::now());
+	const instant now = event_loop::now();
+	const std::vector<endpoint_record> records = _filter.take(read_entries(p_answer), _directory, now);
+	_note_rejected();
+	return _directory.take_records(records, p_answer.next_offset - p_answer.records.size(), p_answer.next_offset, now);
 }
 
 void endpoint_follower::_take_whole(const store_answer &p_answer) {
-	std::vector<endpoint_listing> listings;
-	for (const store_record &record : p_answer.records) {
-		const std::optional<endpoint_listing> listing = record.value ? parse_endpoint_entry(record.key, *record.value) : std::nullopt;
-		if (listing) {
-			listings.push_back(*listing);
+	const instant now = event_loop::now();
+	const std::vector<endpoint_listing> listings = _filter.take_whole(read_entries(p_answer), _directory, now);
+	_note_rejected();
+	_directory.replace(listings, now);
+}
+
+void endpoint_follower::_note_rejected() {
+	for (const rejected_entry &entry : _filter.take_rejected()) {
+		const std::string_view reason = get_name(entry.fault);
+		_context.metrics.count("endpoint_entry_rejected");
+		_context.metrics.count("endpoint_entry_rejected_" + std::string(reason));
+		if (_rejections.is_news(entry.name, entry.fault, event_loop::now())) {
+			_context.log.write(log_line("endpoint_entry_rejected").add("endpoint", entry.name).add("reason", reason).add("in_use", _directory.contains(entry.name) ? "yes" : "no").add("untold", static_cast<long long>(_rejections.take_untold())));
 		}
 	}
-	_directory.replace(listings, event_loop::now());
 }
 
 void endpoint_follower::mark_leaving(const std::string &p_name) {
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -11,6 +11,8 @@
 
 #include "main/gateway/topic_reader.h"
 #include "servers/gateway/endpoint_directory.h"
+#include "servers/gateway/endpoint_record_filter.h"
+#include "servers/gateway/rejection_notes.h"
 
 #include <sigc++/sigc++.h>
 
@@ -20,6 +22,8 @@
 class endpoint_follower {
 	gateway_context &_context;
 	endpoint_directory _directory;
+	endpoint_record_filter _filter;
+	rejection_notes _rejections;
 	topic_reader _reader;
 	timer _drop_timer; ///< Entries that went with an outage are dropped.
 	sigc::signal<void()> _changed;
@@ -32,6 +36,7 @@
 	endpoint_reading _take_records(const store_answer &p_answer);
 	void _compare(std::uint64_t p_listed, const std::string &p_peer);
 	void _take_whole(const store_answer &p_answer);
+	void _note_rejected();
 	void _publish();
 
 public:
--- /dev/null
+++ b/servers/gateway/endpoint_record_filter.cpp
@@ -0,0 +1,134 @@
+/*
+ * calicoscale: endpoint_record_filter.cpp
+ * Which records of the endpoints' topic name an endpoint to use.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/endpoint_record_filter.h"
+
+#include <algorithm>
+#include <set>
+
+namespace calicoscale {
+
+namespace {
+
+const endpoint_listing *find_listing(const read_endpoint_record &p_record) {
+	return p_record.entry ? std::get_if<endpoint_listing>(&*p_record.entry) : nullptr;
+}
+
+/** Whether more endpoints tell their start than do not, the records counted in. */
+bool is_start_told(const std::vector<endpoint_listing> &p_known, const std::vector<read_endpoint_record> &p_records) {
+	std::map<std::string, bool> is_told;
+	for (const endpoint_listing &listing : p_known) {
+		is_told[listing.vm] = listing.incarnation != 0;
+	}
+	for (const read_endpoint_record &record : p_records) {
+		const endpoint_listing *listing = find_listing(record);
+		if (listing != nullptr) {
+			is_told[record.name] = listing->incarnation != 0;
+		} else {
+			is_told.erase(record.name);
+		}
+	}
+	std::size_t told = 0;
+	for (const auto &[name, is_one] : is_told) {
+		told += is_one ? 1 : 0;
+	}
+	return 2 * told > is_told.size();
+}
+
+bool has_startless(const std::vector<read_endpoint_record> &p_records) {
+	return std::any_of(p_records.begin(), p_records.end(), [](const read_endpoint_record &p_record) {
+		const endpoint_listing *listing = find_listing(p_record);
+		return listing != nullptr && listing->incarnation == 0;
+	});
+}
+
+/** Why a record names no endpoint to use; empty also for an entry that went. */
+std::optional<entry_fault> find_fault(const read_endpoint_record &p_record, bool p_needs_start) {
+	if (!p_record.entry) {
+		return std::nullopt;
+	}
+	const endpoint_listing *listing = find_listing(p_record);
+	if (listing == nullptr) {
+		return std::get<entry_fault>(*p_record.entry);
+	}
+	return p_needs_start && listing->incarnation == 0 ? std::optional<entry_fault>(entry_fault::MISSING_START) : std::nullopt;
+}
+
+} // namespace
+
+bool endpoint_record_filter::_hold(const std::string &p_name, entry_fault p_fault, instant p_now) {
+	if (p_fault == entry_fault::UNKNOWN_STATE) {
+		_held.erase(p_name);
+		return false;
+	}
+	return p_now - _held.try_emplace(p_name, p_now).first->second < HOLD;
+}
+
+void endpoint_record_filter::_end_holds(const endpoint_directory &p_known, instant p_now, std::vector<endpoint_record> &r_records) {
+	for (auto held = _held.begin(); held != _held.end();) {
+		if (p_now - held->second < HOLD) {
+			++held;
+			continue;
+		}
+		if (p_known.contains(held->first)) {
+			r_records.push_back(endpoint_record{ held->first, std::nullopt });
+		}
+		held = _held.erase(held);
+	}
+}
+
+std::vector<endpoint_record> endpoint_record_filter::take(const std::vector<read_endpoint_record> &p_records, const endpoint_directory &p_known, instant p_now) {
+	const bool needs_start = has_startless(p_records) && is_start_told(p_known.get_listings(), p_records);
+	std::vector<endpoint_record> records;
+	records.reserve(p_records.size());
+	std::set<std::string> used; // By these records, before the directory has taken them.
+	for (const read_endpoint_record &record : p_records) {
+		const std::optional<entry_fault> fault = find_fault(record, needs_start);
+		if (!fault) {
+			const endpoint_listing *listing = find_listing(record);
+			_held.erase(record.name);
+			used.insert(record.name);
+			records.push_back(endpoint_record{ record.name, listing == nullptr ? std::nullopt : std::optional<endpoint_listing>(*listing) });
+			continue;
+		}
+		_rejected.push_back(rejected_entry{ record.name, *fault });
+		const bool is_in_use = p_known.contains(record.name) || used.contains(record.name);
+		if (is_in_use && !_hold(record.name, *fault, p_now)) {
+			records.push_back(endpoint_record{ record.name, std::nullopt });
+		}
+	}
+	_end_holds(p_known, p_now, records);
+	return records;
+}
+
+std::vector<endpoint_listing> endpoint_record_filter::take_whole(const std::vector<read_endpoint_record> &p_records, const endpoint_directory &p_known, instant p_now) {
+	const std::vector<endpoint_listing> known = p_known.get_listings();
+	const bool needs_start = is_start_told({}, p_records);
+	std::vector<endpoint_listing> listings;
+	std::map<std::string, instant> still_held;
+	for (const read_endpoint_record &record : p_records) {
+		const std::optional<entry_fault> fault = find_fault(record, needs_start);
+		if (!fault) {
+			if (record.entry) {
+				listings.push_back(*find_listing(record));
+			}
+			continue;
+		}
+		_rejected.push_back(rejected_entry{ record.name, *fault });
+		const auto in_use = std::find_if(known.begin(), known.end(), [&record](const endpoint_listing &p_listing) { return p_listing.vm == record.name; });
+		if (in_use != known.end() && _hold(record.name, *fault, p_now)) {
+			still_held.emplace(record.name, _held.at(record.name));
+			listings.push_back(*in_use);
+		}
+	}
+	// What is not held any more is either sound again or left out, and so dropped by the directory.
+	_held = std::move(still_held);
+	return listings;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/servers/gateway/endpoint_record_filter_test.cpp
@@ -0,0 +1,180 @@
+/*
+ * calicoscale: endpoint_record_filter_test.cpp
+ * Records of other writers beside, and over, the entries of endpoints.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/endpoint_record_filter.h"
+#include "servers/gateway/rejection_notes.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+instant at(int p_ms) {
+	return instant(std::chrono::hours(1)) + milliseconds(p_ms);
+}
+
+endpoint_listing make_listing(const std::string &p_name, std::uint64_t p_start = 7) {
+	endpoint_listing listing;
+	listing.vm = p_name;
+	listing.pool = "llm";
+	listing.incarnation = p_start;
+	listing.address = network_address{ "10.0.0.1", 80 };
+	return listing;
+}
+
+read_endpoint_record sound(const std::string &p_name, std::uint64_t p_start = 7) {
+	return read_endpoint_record{ p_name, make_listing(p_name, p_start) };
+}
+
+read_endpoint_record spoilt(const std::string &p_name, entry_fault p_fault = entry_fault::UNREADABLE) {
+	return read_endpoint_record{ p_name, p_fault };
+}
+
+read_endpoint_record gone(const std::string &p_name) {
+	return read_endpoint_record{ p_name, std::nullopt };
+}
+
+/** A filter and the directory that takes what it lets through. */
+struct filtered_directory {
+	endpoint_record_filter filter;
+	endpoint_directory directory;
+
+	void take(const std::vector<read_endpoint_record> &p_records, int p_ms) {
+		directory.on_read(at(p_ms));
+		directory.take_records(filter.take(p_records, directory, at(p_ms)), 0, 0, at(p_ms));
+	}
+
+	void take_whole(const std::vector<read_endpoint_record> &p_records, int p_ms) {
+		directory.on_read(at(p_ms));
+		directory.replace(filter.take_whole(p_records, directory, at(p_ms)), at(p_ms));
+	}
+};
+
+} // namespace
+
+TEST(endpoint_record_filter, spoilt_records_hold_no_other_back) {
+	filtered_directory list;
+	list.take({ spoilt("x"), sound("a"), spoilt(""), gone("y"), sound("b") }, 0);
+	EXPECT_TRUE(list.directory.contains("a"));
+	EXPECT_TRUE(list.directory.contains("b"));
+	EXPECT_EQ(list.directory.get_size(), 2U);
+	EXPECT_EQ(list.filter.take_rejected().size(), 2U);
+	EXPECT_TRUE(list.filter.take_rejected().empty());
+}
+
+TEST(endpoint_record_filter, an_endpoint_whose_entry_is_spoilt_stays_while_it_may_write_it_again) {
+	filtered_directory list;
+	list.take({ sound("a"), sound("b"), spoilt("b") }, 0);
+	list.take({ spoilt("a") }, 900);
+	list.take({ sound("a") }, 1800);
+	EXPECT_TRUE(list.directory.contains("b"));
+	list.take({}, 2000);
+	EXPECT_FALSE(list.directory.contains("b")) << "its entry names no endpoint, and it did not write another";
+	list.take({}, 4000);
+	EXPECT_TRUE(list.directory.contains("a")) << "it wrote its entry again";
+	list.take({ spoilt("a"), gone("a") }, 6000);
+	EXPECT_FALSE(list.directory.contains("a")) << "an entry that went is not held";
+}
+
+TEST(endpoint_record_filter, a_spoilt_record_that_is_repeated_does_not_prolong_the_hold) {
+	filtered_directory list;
+	list.take({ sound("a") }, 0);
+	for (int ms = 1000; ms < 3000; ms += 500) {
+		list.take({ spoilt("a") }, ms);
+		EXPECT_TRUE(list.directory.contains("a")) << ms;
+	}
+	list.take({ spoilt("a") }, 3000);
+	EXPECT_FALSE(list.directory.contains("a"));
+}
+
+TEST(endpoint_record_filter, a_state_that_is_not_known_takes_an_endpoint_out_at_once) {
+	filtered_directory list;
+	list.take({ sound("a") }, 0);
+	list.take({ spoilt("a", entry_fault::UNKNOWN_STATE) }, 100);
+	EXPECT_FALSE(list.directory.contains("a"));
+}
+
+TEST(endpoint_record_filter, a_whole_reading_holds_as_the_records_do) {
+	filtered_directory list;
+	list.take({ sound("a"), sound("b"), sound("c") }, 0);
+	list.take_whole({ spoilt("a"), sound("b"), spoilt("c", entry_fault::UNKNOWN_STATE), spoilt("new") }, 1000);
+	EXPECT_TRUE(list.directory.contains("a"));
+	EXPECT_EQ(list.directory.get_size(), 2U);
+	list.take_whole({ spoilt("a"), sound("b") }, 2000);
+	EXPECT_TRUE(list.directory.contains("a"));
+	list.take({}, 3000);
+	EXPECT_FALSE(list.directory.contains("a"));
+	EXPECT_TRUE(list.directory.contains("b"));
+}
+
+TEST(endpoint_record_filter, an_entry_without_its_start_is_used_only_where_most_tell_none) {
+	filtered_directory told;
+	told.take_whole({ sound("a"), sound("b"), sound("x", 0) }, 0);
+	told.take({ sound("y", 0) }, 100);
+	EXPECT_FALSE(told.directory.contains("x"));
+	EXPECT_FALSE(told.directory.contains("y"));
+	EXPECT_EQ(told.filter.take_rejected().back().fault, entry_fault::MISSING_START);
+	filtered_directory untold;
+	untold.take_whole({ sound("a", 0), sound("b", 0), sound("x") }, 0);
+	untold.take({ sound("c", 0), sound("y") }, 100);
+	EXPECT_EQ(untold.directory.get_size(), 5U) << "one record of another writer must not shut all others out";
+}
+
+RC_GTEST_PROP(endpoint_record_filter_properties, what_is_sound_is_in_use_whatever_lies_between, ()) {
+	filtered_directory list;
+	std::map<std::string, bool> is_sound; // By name, by its newest record.
+	int now = 0;
+	const int answers = *rc::gen::inRange(1, 12);
+	for (int i = 0; i < answers; i++) {
+		std::vector<read_endpoint_record> records;
+		const int count = *rc::gen::inRange(0, 6);
+		for (int k = 0; k < count; k++) {
+			const std::string name(1, *rc::gen::inRange('a', 'e'));
+			const int kind = *rc::gen::inRange(0, 4);
+			records.push_back(kind == 0 ? gone(name) : (kind == 1 ? spoilt(name, *rc::gen::element(entry_fault::UNREADABLE, entry_fault::UNKNOWN_STATE)) : sound(name)));
+			is_sound[name] = kind > 1;
+		}
+		now += *rc::gen::inRange(0, 900);
+		list.take(records, now);
+		for (const auto &[name, sound_now] : is_sound) {
+			RC_ASSERT(!sound_now || list.directory.contains(name));
+		}
+	}
+	list.take({}, now + 2000);
+	for (const auto &[name, sound_now] : is_sound) {
+		RC_ASSERT(sound_now == list.directory.contains(name));
+	}
+}
+
+TEST(rejection_notes, tell_each_key_once_and_again_when_its_fault_is_another) {
+	rejection_notes notes(at(0));
+	EXPECT_TRUE(notes.is_news("a", entry_fault::UNREADABLE, at(0)));
+	EXPECT_FALSE(notes.is_news("a", entry_fault::UNREADABLE, at(1)));
+	EXPECT_TRUE(notes.is_news("a", entry_fault::BAD_START, at(2)));
+	EXPECT_TRUE(notes.is_news("b", entry_fault::BAD_START, at(2)));
+	EXPECT_EQ(notes.take_untold(), 0U);
+}
+
+TEST(rejection_notes, a_flood_fills_neither_the_log_nor_the_memory) {
+	rejection_notes notes(at(0));
+	int lines = 0;
+	constexpr int FLOOD = 100'000;
+	constexpr int SECONDS = 10;
+	for (int i = 0; i < FLOOD; i++) {
+		lines += notes.is_news("key-" + std::to_string(i), entry_fault::UNREADABLE, at(i * SECONDS * 1000 / FLOOD)) ? 1 : 0;
+	}
+	EXPECT_LE(lines, rejection_notes::LINES_BURST + rejection_notes::LINES_PER_SECOND * SECONDS);
+	EXPECT_LE(notes.get_size(), rejection_notes::MOST_KEYS);
+	EXPECT_EQ(notes.take_untold(), static_cast<std::uint64_t>(FLOOD - lines));
+}
+
+} // namespace calicoscale
