Endpoint directory and news between nodes know each start of an endpoint

Cause: an endpoint may start again under its name. The directory kept a name that once said it leaves as leaving for good, took older records over newer ones, and news of an earlier start (leaving, gone) hit the later one.

Change: endpoint_identity {vm, incarnation} in the directory, in leaving marks (the field was there and was always 0), in lost entries, in listings and readings told. Fields are added at the end; a node of the version before reads names as it did and sends incarnation 0, which stands for the start that the receiver knows. The digest by names stays beside the one by starts, so that nodes of two versions do not take each other's lists for different ones.

Ruled out: telling a replaced start as gone to all peers (a peer that reads nothing would drop an endpoint that serves). Taking an earlier start over a later one only when its entry went in between: a clock that was set back.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -65,6 +65,24 @@
 	return digest;
 }
 
+std::vector<std::string> get_names(const std::vector<endpoint_identity> &p_identities) {
+	std::vector<std::string> names;
+	names.reserve(p_identities.size());
+	for (const endpoint_identity &identity : p_identities) {
+		names.push_back(identity.vm);
+	}
+	return names;
+}
+
+std::vector<std::uint64_t> get_incarnations(const std::vector<endpoint_identity> &p_identities) {
+	std::vector<std::uint64_t> incarnations;
+	incarnations.reserve(p_identities.size());
+	for (const endpoint_identity &identity : p_identities) {
+		incarnations.push_back(identity.incarnation);
+	}
+	return incarnations;
+}
+
 using listing_offsets = flatbuffers::Vector<flatbuffers::Offset<wire::endpoint_entry>>;
 
 flatbuffers::Offset<listing_offsets> write_listings(builder &r_builder, const std::vector<endpoint_listing> &p_listings) {
@@ -75,7 +93,7 @@
 		const text_offset pool = r_builder.CreateString(listing.pool);
 		const text_offset zone = r_builder.CreateString(listing.zone);
 		const text_offset address = r_builder.CreateString(to_string(listing.address));
-		entries.push_back(wire::Createendpoint_entry(r_builder, name, pool, zone, address, listing.leaving));
+		entries.push_back(wire::Createendpoint_entry(r_builder, name, pool, zone, address, listing.leaving, listing.incarnation));
 	}
 	return r_builder.CreateVector(entries);
 }
@@ -92,6 +110,7 @@
 		listing.zone = read(entry->zone());
 		listing.address = parse_network_address(read(entry->address()));
 		listing.leaving = entry->leaving();
+		listing.incarnation = entry->incarnation();
 		listings.push_back(std::move(listing));
 	}
 	return listings;
@@ -136,11 +155,12 @@
 		}
 		const auto commitment_vector = target.CreateVector(commitments);
 		const auto capacity_vector = target.CreateVector(capacities);
-		const auto gone = target.CreateVectorOfStrings(p_message.gone);
+		const auto gone = target.CreateVectorOfStrings(get_names(p_message.gone));
+		const auto gone_incarnations = target.CreateVector(get_incarnations(p_message.gone));
 		const auto dispatchers = target.CreateVectorOfStrings(p_message.dispatchers);
 		const auto unreached_zones = target.CreateVectorOfStrings(p_message.unreached_zones);
 		const std::uint32_t next_in = static_cast<std::uint32_t>(p_message.next_in.count() / 1000);
-		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, next_in, p_message.follows, p_message.wants_link, p_message.relies_on_you, p_message.is_total, p_message.zone_nodes, p_message.fleet_nodes, dispatchers, unreached_zones).Union() };
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, next_in, p_message.follows, p_message.wants_link, p_message.relies_on_you, p_message.is_total, p_message.zone_nodes, p_message.fleet_nodes, dispatchers, unreached_zones, gone_incarnations).Union() };
 	}
 
 	encoded_body operator()(const ask_configuration_message &p_message) const {
@@ -192,7 +212,7 @@
 		const endpoint_reading &reading = p_message.reading;
 		const auto written = write_listings(target, reading.written);
 		const auto dropped = target.CreateVectorOfStrings(reading.dropped);
-		return { wire::message_tell_reading, wire::Createtell_reading(target, reading.from, reading.to, written, dropped, reading.listed).Union() };
+		return { wire::message_tell_reading, wire::Createtell_reading(target, reading.from, reading.to, written, dropped, reading.listed, reading.listed_starts).Union() };
 	}
 
 	encoded_body operator()(const cancel_work_message &p_message) const {
@@ -250,6 +270,17 @@
 	return texts;
 }
 
+/** A node of a version that does not know incarnations sends none; each is 0 then. */
+std::vector<endpoint_identity> read_identities(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *p_names, const flatbuffers::Vector<std::uint64_t> *p_incarnations) {
+	std::vector<endpoint_identity> identities;
+	for (std::string &name : read_texts(p_names)) {
+		const flatbuffers::uoffset_t index = static_cast<flatbuffers::uoffset_t>(identities.size());
+		const bool is_told = p_incarnations != nullptr && index < p_incarnations->size();
+		identities.push_back(endpoint_identity{ std::move(name), is_told ? p_incarnations->Get(index) : 0 });
+	}
+	return identities;
+}
+
 heartbeat_message read_heartbeat(const wire::heartbeat &p_message) {
 	heartbeat_message message;
 	message.at = hybrid_time{ p_message.wall(), p_message.counter() };
@@ -273,7 +304,7 @@
 			message.capacities.push_back(pool_capacity{ read(entry->pool()), static_cast<double>(entry->replicas()) });
 		}
 	}
-	message.gone = read_texts(p_message.gone());
+	message.gone = read_identities(p_message.gone(), p_message.gone_incarnations());
 	message.follows = p_message.follows();
 	message.wants_link = p_message.wants_link();
 	message.relies_on_you = p_message.relies_on_you();
@@ -314,6 +345,7 @@
 	reading.written = read_listings(p_message.written());
 	reading.dropped = read_texts(p_message.dropped());
 	reading.listed = p_message.listed();
+	reading.listed_starts = p_message.listed_starts();
 	return reading;
 }
 
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -46,7 +46,7 @@
 	std::vector<leaving_mark> marks;
 	std::vector<pool_commitment> commitments; ///< Stage work this node has admitted and not finished.
 	std::vector<pool_capacity> capacities; ///< Of the pools this node dispatches.
-	std::vector<std::string> gone; ///< Endpoints whose entry this node saw go, reading without a break.
+	std::vector<endpoint_identity> gone; ///< Endpoints whose entry this node saw go, reading without a break.
 	bool follows = false; ///< This node follows the configuration in the store and was answered just now.
 	duration next_in = duration::zero(); ///< Until the next heartbeat to the same peer; zero when it is not told.
 	bool wants_link = false; ///< The sender needs this link, so the receiver is to beat back.
--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -74,12 +74,12 @@
 	_directory.take_reading(p_reading, now);
 	_set_timers();
 	_reader.read_in(TOLD_INTERVAL);
-	_compare(p_reading.listed, p_peer);
+	_compare(p_reading, p_peer);
 }
 
-void endpoint_follower::_compare(std::uint64_t p_listed, const std::string &p_peer) {
+void endpoint_follower::_compare(const endpoint_reading &p_reading, const std::string &p_peer) {
 	const instant now = event_loop::now();
-	if (p_listed == _directory.get_listed() || now - _differed_at < WHOLE_INTERVAL) {
+	if (_directory.is_like(p_reading) || now - _differed_at < WHOLE_INTERVAL) {
 		return;
 	}
 	_differed_at = now;
@@ -126,23 +126,23 @@
 	_directory.replace(listings, event_loop::now());
 }
 
-void endpoint_follower::mark_leaving(const std::string &p_name) {
-	if (_directory.mark_leaving(p_name)) {
-		_context.log.write(log_line("endpoint_leaving").add("endpoint", p_name).add("source", "peer"));
+void endpoint_follower::mark_leaving(const endpoint_identity &p_identity) {
+	if (_directory.mark_leaving(p_identity)) {
+		_context.log.write(log_line("endpoint_leaving").add("endpoint", p_identity.vm).add("incarnation", static_cast<long long>(p_identity.incarnation)).add("source", "peer"));
 		_publish();
 	}
 }
 
-void endpoint_follower::mark_gone(const std::string &p_name, const std::string &p_peer) {
-	if (_directory.mark_gone(p_name, event_loop::now())) {
-		_context.log.write(log_line("endpoint_gone").add("endpoint", p_name).add("source", "peer/" + p_peer));
+void endpoint_follower::mark_gone(const endpoint_identity &p_identity, const std::string &p_peer) {
+	if (_directory.mark_gone(p_identity, event_loop::now())) {
+		_context.log.write(log_line("endpoint_gone").add("endpoint", p_identity.vm).add("incarnation", static_cast<long long>(p_identity.incarnation)).add("source", "peer/" + p_peer));
 		_publish();
 	}
 }
 
 void endpoint_follower::drop_told() {
-	for (const std::string &name : _directory.drop_told(event_loop::now())) {
-		_context.log.write(log_line("endpoint_gone").add("endpoint", name).add("source", "peers, before"));
+	for (const endpoint_identity &identity : _directory.drop_told(event_loop::now())) {
+		_context.log.write(log_line("endpoint_gone").add("endpoint", identity.vm).add("incarnation", static_cast<long long>(identity.incarnation)).add("source", "peers, before"));
 	}
 	_publish();
 }
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -30,7 +30,7 @@
 	void _on_failure();
 	void _set_timers();
 	endpoint_reading _take_records(const store_answer &p_answer);
-	void _compare(std::uint64_t p_listed, const std::string &p_peer);
+	void _compare(const endpoint_reading &p_reading, const std::string &p_peer);
 	void _take_whole(const store_answer &p_answer);
 	void _publish();
 
@@ -47,13 +47,13 @@
 	std::uint64_t get_offset() const { return _reader.is_loaded() ? _reader.get_offset() : 0; }
 
 	/** A peer or an answer told that an endpoint leaves. */
-	void mark_leaving(const std::string &p_name);
+	void mark_leaving(const endpoint_identity &p_identity);
 
 	/** Drops endpoints that peers told of before and that count as gone by now. */
 	void drop_told();
 
 	/** A peer that reads the store without a break saw an endpoint's entry go. */
-	void mark_gone(const std::string &p_name, const std::string &p_peer);
+	void mark_gone(const endpoint_identity &p_identity, const std::string &p_peer);
 
 	/** A peer told its list, and up to where it knows the topic. A node that knows none takes both. */
 	void offer(const std::vector<endpoint_listing> &p_listings, std::uint64_t p_offset, const std::string &p_peer);
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -292,10 +292,10 @@
 
 void gateway_fleet::_collect_news() {
 	const instant now = event_loop::now();
-	for (const std::string &endpoint : _endpoints.get_directory().take_news()) {
+	for (const endpoint_identity &endpoint : _endpoints.get_directory().take_news()) {
 		_contacts.add_news(endpoint_news{ endpoint, false }, now);
 	}
-	for (const std::string &endpoint : _endpoints.get_directory().take_gone()) {
+	for (const endpoint_identity &endpoint : _endpoints.get_directory().take_gone()) {
 		_contacts.add_news(endpoint_news{ endpoint, true }, now);
 	}
 	const auto is_back = [this](const endpoint_news &p_news) { return p_news.is_gone && _endpoints.get_directory().contains(p_news.endpoint); };
@@ -380,7 +380,7 @@
 		if (news.is_gone) {
 			message.gone.push_back(news.endpoint);
 		} else {
-			message.marks.push_back(leaving_mark{ news.endpoint, 0 });
+			message.marks.push_back(leaving_mark{ news.endpoint.vm, news.endpoint.incarnation });
 		}
 	}
 	_context.metrics.count("heartbeats_sent");
@@ -473,9 +473,9 @@
 
 void gateway_fleet::_take_endpoint_news(const std::string &p_vm, const heartbeat_message &p_message) {
 	for (const leaving_mark &mark : p_message.marks) {
-		_endpoints.mark_leaving(mark.vm);
+		_endpoints.mark_leaving(endpoint_identity{ mark.vm, mark.incarnation });
 	}
-	for (const std::string &endpoint : p_message.gone) {
+	for (const endpoint_identity &endpoint : p_message.gone) {
 		_endpoints.mark_gone(endpoint, p_vm);
 	}
 }
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -11,6 +11,7 @@
 #include "core/digest.h"
 
 #include <algorithm>
+#include <set>
 
 namespace calicoscale {
 
@@ -34,10 +35,27 @@
 }
 
 void endpoint_directory::_erase(const std::string &p_name) {
-	if (_endpoints.erase(p_name) > 0) {
-		_gone.push_back(p_name);
-		_changed = true;
+	const auto found = _endpoints.find(p_name);
+	if (found == _endpoints.end()) {
+		return;
 	}
+	_gone.push_back(found->second.listing.get_identity());
+	_endpoints.erase(found);
+	_changed = true;
+}
+
+bool endpoint_directory::_has_left(const endpoint_identity &p_identity) const {
+	const auto mark = _left.find(p_identity.vm);
+	return mark != _left.end() && p_identity.incarnation <= mark->second;
+}
+
+bool endpoint_directory::_note_left(const endpoint_identity &p_identity) {
+	if (_has_left(p_identity)) {
+		return false;
+	}
+	_left[p_identity.vm] = p_identity.incarnation;
+	_news.push_back(p_identity);
+	return true;
 }
 
 void endpoint_directory::on_read(instant p_now) {
@@ -75,13 +93,18 @@
 	for (const auto &[name, dropped] : is_dropped) {
 		// What it is now, not its newest record: a record before may have said that it leaves, which is never undone.
 		const std::optional<endpoint_listing> now = _find_kept(name);
-		if (dropped) {
+		const std::optional<endpoint_listing> &known = before.at(name);
+		// An entry that went in between is all that lets an earlier start follow a later one.
+		const bool went_between = known && (!now || now->incarnation < known->incarnation);
+		if (dropped || went_between) {
 			reading.dropped.push_back(name);
-		} else if (now && now != before.at(name)) {
+		}
+		if (!dropped && now && now != known) {
 			reading.written.push_back(*now);
 		}
 	}
 	reading.listed = get_listed();
+	reading.listed_starts = get_listed_starts();
 	return reading;
 }
 
@@ -102,13 +125,34 @@
 	return digest;
 }
 
-void endpoint_directory::put(const endpoint_listing &p_listing) {
-	if (p_listing.leaving && _left.insert(p_listing.vm).second) {
-		_news.push_back(p_listing.vm);
+std::uint64_t endpoint_directory::get_listed_starts() const {
+	std::uint64_t digest = get_listed();
+	for (const auto &[name, entry] : _endpoints) {
+		digest = hash_bytes(name, digest + entry.listing.incarnation);
 	}
+	return digest;
+}
+
+bool endpoint_directory::is_like(const endpoint_reading &p_reading) const {
+	return p_reading.listed_starts == 0 ? p_reading.listed == get_listed() : p_reading.listed_starts == get_listed_starts();
+}
+
+void endpoint_directory::put(const endpoint_listing &p_listing) {
 	known_endpoint entry{ p_listing, std::nullopt };
-	entry.listing.leaving = _left.contains(p_listing.vm);
 	const auto found = _endpoints.find(p_listing.vm);
+	if (found != _endpoints.end()) {
+		const std::uint64_t known = found->second.listing.incarnation;
+		if (entry.listing.incarnation == 0) {
+			entry.listing.incarnation = known;
+		}
+		if (entry.listing.incarnation < known) {
+			return;
+		}
+	}
+	if (entry.listing.leaving) {
+		_note_left(entry.listing.get_identity());
+	}
+	entry.listing.leaving = _has_left(entry.listing.get_identity());
 	if (found != _endpoints.end() && found->second.listing == entry.listing && !found->second.dropped_at) {
 		return;
 	}
@@ -132,34 +176,46 @@
 	return !_is_reading(p_now) || p_endpoint.dropped_at.has_value();
 }
 
-bool endpoint_directory::mark_gone(const std::string &p_name, instant p_now) {
-	const auto found = _endpoints.find(p_name);
+std::map<std::string, endpoint_directory::known_endpoint>::iterator endpoint_directory::_find_gone(const endpoint_identity &p_identity) {
+	const auto found = _endpoints.find(p_identity.vm);
+	// The entry of a later start is not the one that went.
+	const bool is_later = found != _endpoints.end() && is_replaced_by(p_identity, found->second.listing.get_identity());
+	return is_later ? _endpoints.end() : found;
+}
+
+bool endpoint_directory::mark_gone(const endpoint_identity &p_identity, instant p_now) {
+	const auto found = _find_gone(p_identity);
 	if (found == _endpoints.end()) {
 		return false;
 	}
 	if (!_knows_less_than_peers(found->second, p_now)) {
-		_told_gone[p_name] = p_now;
+		_told_gone[p_identity] = p_now;
 		return false;
 	}
-	_erase(p_name);
+	_erase(p_identity.vm);
 	return true;
 }
 
-std::vector<std::string> endpoint_directory::drop_told(instant p_now) {
-	std::vector<std::string> dropped;
-	for (const auto &[name, told_at] : _told_gone) {
-		const auto found = _endpoints.find(name);
+std::vector<endpoint_identity> endpoint_directory::drop_told(instant p_now) {
+	std::vector<endpoint_identity> dropped;
+	for (const auto &[identity, told_at] : _told_gone) {
+		const auto found = _find_gone(identity);
 		if (found != _endpoints.end() && _knows_less_than_peers(found->second, p_now)) {
-			dropped.push_back(name);
+			dropped.push_back(identity);
 		}
 	}
-	for (const std::string &name : dropped) {
-		_told_gone.erase(name);
-		_erase(name);
+	for (const endpoint_identity &identity : dropped) {
+		_told_gone.erase(identity);
+		_erase(identity.vm);
 	}
 	return dropped;
 }
 
+bool endpoint_directory::contains(const endpoint_identity &p_identity) const {
+	const auto found = _endpoints.find(p_identity.vm);
+	return found != _endpoints.end() && found->second.listing.incarnation == p_identity.incarnation;
+}
+
 void endpoint_directory::replace(const std::vector<endpoint_listing> &p_listings, instant p_now) {
 	std::set<std::string> names;
 	for (const endpoint_listing &listing : p_listings) {
@@ -188,12 +244,19 @@
 	return true;
 }
 
-bool endpoint_directory::mark_leaving(const std::string &p_name) {
-	if (!_left.insert(p_name).second) {
+bool endpoint_directory::mark_leaving(const endpoint_identity &p_identity) {
+	const auto found = _endpoints.find(p_identity.vm);
+	endpoint_identity leaving = p_identity;
+	if (found != _endpoints.end()) {
+		const std::uint64_t known = found->second.listing.incarnation;
+		leaving.incarnation = leaving.incarnation == 0 ? known : leaving.incarnation;
+		if (leaving.incarnation < known) {
+			return false;
+		}
+	}
+	if (!_note_left(leaving)) {
 		return false;
 	}
-	_news.push_back(p_name);
-	const auto found = _endpoints.find(p_name);
 	if (found != _endpoints.end()) {
 		found->second.listing.leaving = true;
 		_changed = true;
@@ -245,14 +308,14 @@
 	return changed;
 }
 
-std::vector<std::string> endpoint_directory::take_gone() {
-	std::vector<std::string> gone;
+std::vector<endpoint_identity> endpoint_directory::take_gone() {
+	std::vector<endpoint_identity> gone;
 	gone.swap(_gone);
 	return gone;
 }
 
-std::vector<std::string> endpoint_directory::take_news() {
-	std::vector<std::string> news;
+std::vector<endpoint_identity> endpoint_directory::take_news() {
+	std::vector<endpoint_identity> news;
 	news.swap(_news);
 	return news;
 }
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -14,7 +14,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -33,12 +32,15 @@
 	std::vector<endpoint_listing> written;
 	std::vector<std::string> dropped;
 	std::uint64_t listed = 0; ///< Digest of the endpoints that the reader knows afterwards; others that differ read for themselves.
+	std::uint64_t listed_starts = 0; ///< The same with their incarnations; 0 from a reader that does not know them.
 };
 
 /**
- * Folds entries into the list of endpoints. An endpoint that said it leaves never comes back under its name. Entries
- * that went while the log was away may have lapsed only because nobody could renew them: these endpoints stay in use
- * until a short time after the log's return.
+ * Folds entries into the list of endpoints. A later start of an endpoint replaces what was known of the earlier one; what
+ * is told late of an earlier start changes nothing of the later one. A start that said it leaves never comes back.
+ * Entries that went while the log was away may have lapsed only because nobody could renew them: these endpoints stay in
+ * use until a short time after the log's return. Incarnation 0, from peers that do not know it, stands for the start that
+ * is known here.
  */
 class endpoint_directory {
 	struct known_endpoint {
@@ -47,10 +49,10 @@
 	};
 
 	std::map<std::string, known_endpoint> _endpoints;
-	std::set<std::string> _left; ///< Names that said they leave.
-	std::vector<std::string> _news; ///< Names that were found to leave since the last call.
-	std::vector<std::string> _gone; ///< Names whose entry went for good since the last call.
-	std::map<std::string, instant> _told_gone; ///< Entries that peers saw go and this node not yet, by when they told.
+	std::map<std::string, std::uint64_t> _left; ///< The newest incarnation of each name that said it leaves.
+	std::vector<endpoint_identity> _news; ///< Found to leave since the last call.
+	std::vector<endpoint_identity> _gone; ///< Their entry went for good since the last call.
+	std::map<endpoint_identity, instant> _told_gone; ///< Entries that peers saw go and this node not yet, by when they told.
 	instant _read_at{};
 	instant _returned_at{}; ///< End of the last outage seen.
 	bool _loaded = false;
@@ -62,12 +64,15 @@
 	bool _is_reading(instant p_now) const;
 	bool _knows_less_than_peers(const known_endpoint &p_endpoint, instant p_now) const;
 	void _erase(const std::string &p_name);
+	bool _has_left(const endpoint_identity &p_identity) const;
+	bool _note_left(const endpoint_identity &p_identity);
+	std::map<std::string, known_endpoint>::iterator _find_gone(const endpoint_identity &p_identity);
 
 public:
 	/** The log answered. Call it before the records of that answer are taken in. */
 	void on_read(instant p_now);
 
-	/** An endpoint's entry was written. */
+	/** An endpoint's entry was written. That of an earlier start than the one known is ignored. */
 	void put(const endpoint_listing &p_listing);
 
 	/** An endpoint's entry went. */
@@ -86,6 +91,12 @@
 	/** Digest of the names of all endpoints and which of them leave. */
 	std::uint64_t get_listed() const;
 
+	/** The same with their incarnations. */
+	std::uint64_t get_listed_starts() const;
+
+	/** Whether a reader knew the same endpoints after its reading, as far as it told. */
+	bool is_like(const endpoint_reading &p_reading) const;
+
 	/** Takes a whole reading of all entries. */
 	void replace(const std::vector<endpoint_listing> &p_listings, instant p_now);
 
@@ -93,17 +104,17 @@
 	bool adopt(const std::vector<endpoint_listing> &p_listings);
 
 	/** A peer knows that an endpoint leaves. Returns whether that was news. */
-	bool mark_leaving(const std::string &p_name);
+	bool mark_leaving(const endpoint_identity &p_identity);
 
 	/**
 	 * A peer that reads the log without a break saw an entry go. Counts while this node's own reading has stopped, or has
 	 * begun again and cannot tell what went because the log was away from what went while only this node was cut off.
 	 * Returns whether the entry was dropped. Peers tell once, so it is remembered until a later read shows the entry.
 	 */
-	bool mark_gone(const std::string &p_name, instant p_now);
+	bool mark_gone(const endpoint_identity &p_identity, instant p_now);
 
-	/** Drops what peers told of and what counts by now, and returns its names. To be called often. */
-	std::vector<std::string> drop_told(instant p_now);
+	/** Drops what peers told of and what counts by now, and returns it. To be called often. */
+	std::vector<endpoint_identity> drop_told(instant p_now);
 
 	/** Lets time pass. */
 	void tick(instant p_now);
@@ -121,13 +132,13 @@
 	bool take_changed();
 
 	/** Endpoints found to leave since the last call, to tell peers. */
-	std::vector<std::string> take_news();
+	std::vector<endpoint_identity> take_news();
 
 	/** Endpoints whose entry went for good since the last call, to tell peers. */
-	std::vector<std::string> take_gone();
+	std::vector<endpoint_identity> take_gone();
 
-	/** Whether an endpoint's entry is there. */
-	bool contains(const std::string &p_name) const { return _endpoints.contains(p_name); }
+	/** Whether the entry of this start of an endpoint is there. */
+	bool contains(const endpoint_identity &p_identity) const;
 
 	bool is_loaded() const { return _loaded; }
 	std::size_t get_size() const { return _endpoints.size(); }
--- a/servers/membership/peer_contacts.h
+++ b/servers/membership/peer_contacts.h
@@ -10,6 +10,7 @@
 #define PEER_CONTACTS_H
 
 #include "core/time.h"
+#include "servers/routing/endpoint_identity.h"
 
 #include <cstdint>
 #include <deque>
@@ -22,7 +23,7 @@
 
 /** An endpoint that leaves, or whose entry went. */
 struct endpoint_news {
-	std::string endpoint;
+	endpoint_identity endpoint;
 	bool is_gone = false; ///< Its entry went; else it leaves.
 };
 
--- a/servers/routing/endpoint_state.h
+++ b/servers/routing/endpoint_state.h
@@ -11,6 +11,7 @@
 
 #include "core/labels.h"
 #include "core/time.h"
+#include "servers/routing/endpoint_identity.h"
 
 #include <cstdint>
 #include <string>
@@ -35,13 +36,15 @@
 /** One endpoint as the platform's list tells it. */
 struct endpoint_listing {
 	std::string vm;
-	std::uint64_t incarnation = 0;
+	std::uint64_t incarnation = 0; ///< See endpoint_identity.
 	std::string zone;
 	std::string pool;
 	network_address address;
 	label_set labels;
 	bool leaving = false;
 	bool operator==(const endpoint_listing &p_other) const = default;
+
+	endpoint_identity get_identity() const { return endpoint_identity{ vm, incarnation }; }
 };
 
 /** Load as an endpoint reports it. */
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -6,6 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
+#include "drivers/generated/node_link_generated.h"
 #include "drivers/link_codec.h"
 #include "tests/main/raw_connection.h"
 
@@ -52,7 +53,7 @@
 	digest.demand[get_customer_code("c")] = 1.5;
 	message.digests.push_back(digest);
 	message.marks.push_back(leaving_mark{ "gone", 3 });
-	message.gone = { "lapsed", "stopped" };
+	message.gone = { { "lapsed", 41 }, { "stopped", 42 } };
 	message.follows = true;
 	return message;
 }
@@ -84,18 +85,20 @@
 	EXPECT_EQ(read.digests.at(0).cores, 0.5);
 	EXPECT_EQ(read.digests.at(0).demand.at(get_customer_code("c")), 1.5);
 	EXPECT_EQ(read.marks.at(0).incarnation, 3U);
-	EXPECT_EQ(read.gone, (std::vector<std::string>{ "lapsed", "stopped" }));
+	EXPECT_EQ(read.gone, (std::vector<endpoint_identity>{ { "lapsed", 41 }, { "stopped", 42 } }));
 	EXPECT_TRUE(read.follows);
 	endpoint_listing listing;
 	listing.vm = "llm-1";
+	listing.incarnation = 1'791'000'000'000;
 	listing.pool = "llm";
 	listing.leaving = true;
-	const endpoint_reading told_reading = std::get<tell_reading_message>(*decode_link_message(encode(link_message(tell_reading_message{ endpoint_reading{ 3, 9, { listing }, { "lapsed" }, 77 } })))).reading;
+	const endpoint_reading told_reading = std::get<tell_reading_message>(*decode_link_message(encode(link_message(tell_reading_message{ endpoint_reading{ 3, 9, { listing }, { "lapsed" }, 77, 78 } })))).reading;
 	EXPECT_EQ(told_reading.from, 3U);
 	EXPECT_EQ(told_reading.to, 9U);
 	EXPECT_EQ(told_reading.written, (std::vector<endpoint_listing>{ listing }));
 	EXPECT_EQ(told_reading.dropped, (std::vector<std::string>{ "lapsed" }));
 	EXPECT_EQ(told_reading.listed, 77U);
+	EXPECT_EQ(told_reading.listed_starts, 78U);
 	configuration_snapshot snapshot{ 4, 9, true, "change", "{}" };
 	const configuration_snapshot told = std::get<configuration_snapshot>(*decode_link_message(encode(link_message(snapshot))));
 	EXPECT_EQ(told.version, 4U);
@@ -104,6 +107,19 @@
 	EXPECT_EQ(std::get<pass_request_message>(*decode_link_message(encode(link_message(request)))).remaining, std::chrono::milliseconds(250));
 }
 
+TEST(link_codec, a_node_that_knows_no_incarnations_is_understood) {
+	flatbuffers::FlatBufferBuilder builder;
+	const auto gone = builder.CreateVectorOfStrings({ "lapsed" });
+	wire::heartbeatBuilder heartbeat(builder);
+	heartbeat.add_gone(gone);
+	const auto body = heartbeat.Finish().Union();
+	builder.Finish(wire::Createframe(builder, wire::message_heartbeat, body));
+	const std::string_view bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+	const std::optional<link_message> decoded = decode_link_message(bytes);
+	ASSERT_TRUE(decoded);
+	EXPECT_EQ(std::get<heartbeat_message>(*decoded).gone, (std::vector<endpoint_identity>{ { "lapsed", 0 } }));
+}
+
 RC_GTEST_PROP(link_codec_properties, any_bytes_are_read_or_refused_but_never_crash, (const std::vector<std::uint8_t> &p_bytes)) {
 	const std::string bytes(p_bytes.begin(), p_bytes.end());
 	decode_link_message(bytes);
--- a/tests/servers/gateway/endpoint_reading_test.cpp
+++ b/tests/servers/gateway/endpoint_reading_test.cpp
@@ -42,6 +42,7 @@
 			if (!choices.one_in(3)) {
 				record.listing = endpoint_listing();
 				record.listing->vm = name;
+				record.listing->incarnation = choices.pick(4); // 0 is one that is not told.
 				record.listing->pool = choices.pick(2) == 0 ? "llm" : "encode";
 				record.listing->leaving = choices.one_in(4);
 			}
@@ -63,6 +64,7 @@
 		RC_ASSERT(told.get_listings() == alone.get_listings());
 		RC_ASSERT(reader.get_listings() == alone.get_listings());
 		RC_ASSERT(told.get_listed() == reading.listed);
+		RC_ASSERT(told.is_like(reading));
 	}
 }
 
--- /dev/null
+++ b/tests/servers/gateway/endpoint_restart_test.cpp
@@ -0,0 +1,143 @@
+/*
+ * calicoscale: endpoint_restart_test.cpp
+ * Endpoints that start again under their name: the directory and what nodes tell each other.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/endpoint_directory.h"
+
+#include <gtest/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+instant at(int p_ms) {
+	return instant(seconds(1000) + milliseconds(p_ms));
+}
+
+endpoint_listing make_start(std::uint64_t p_incarnation, bool p_leaving = false) {
+	endpoint_listing listing;
+	listing.vm = "e";
+	listing.incarnation = p_incarnation;
+	listing.pool = "encode";
+	listing.address = network_address{ "10.0.0.1", 80 };
+	listing.leaving = p_leaving;
+	return listing;
+}
+
+using listings = std::vector<endpoint_listing>;
+
+} // namespace
+
+TEST(endpoint_identity, a_later_start_replaces_an_earlier_one_and_an_unknown_one_nothing) {
+	EXPECT_TRUE(is_replaced_by({ "e", 1 }, { "e", 2 }));
+	EXPECT_FALSE(is_replaced_by({ "e", 2 }, { "e", 2 }));
+	EXPECT_FALSE(is_replaced_by({ "e", 2 }, { "e", 1 }));
+	EXPECT_FALSE(is_replaced_by({ "e", 0 }, { "e", 2 }));
+	EXPECT_FALSE(is_replaced_by({ "e", 1 }, { "other", 2 }));
+}
+
+TEST(endpoint_directory_restart, what_left_may_start_again_and_its_earlier_start_stays_away) {
+	endpoint_directory directory;
+	directory.put(make_start(1, true));
+	directory.put(make_start(2));
+	EXPECT_EQ(directory.get_listings(), listings{ make_start(2) });
+	directory.drop("e", at(10));
+	directory.put(make_start(1));
+	EXPECT_TRUE(directory.get_listings().front().leaving);
+}
+
+TEST(endpoint_directory_restart, an_earlier_start_that_is_read_late_changes_nothing) {
+	endpoint_directory directory;
+	directory.put(make_start(2));
+	directory.put(make_start(1, true));
+	directory.replace({ make_start(1) }, at(10));
+	EXPECT_EQ(directory.get_listings(), listings{ make_start(2) });
+	EXPECT_TRUE(directory.take_news().empty());
+}
+
+TEST(endpoint_directory_restart, an_entry_that_went_lets_an_earlier_start_follow) {
+	endpoint_directory directory;
+	endpoint_directory told;
+	for (endpoint_directory *each : { &directory, &told }) {
+		each->on_read(at(0));
+		each->put(make_start(2));
+	}
+	// A clock that was set back.
+	const endpoint_reading reading = directory.take_records({ endpoint_record{ "e", std::nullopt }, endpoint_record{ "e", make_start(1) } }, 0, 2, at(10));
+	told.take_reading(reading, at(10));
+	EXPECT_EQ(directory.get_listings(), listings{ make_start(1) });
+	EXPECT_EQ(told.get_listings(), listings{ make_start(1) });
+}
+
+TEST(endpoint_directory_restart, late_news_of_an_earlier_start_changes_nothing) {
+	endpoint_directory directory;
+	directory.put(make_start(2));
+	EXPECT_FALSE(directory.mark_leaving({ "e", 1 }));
+	EXPECT_FALSE(directory.mark_gone({ "e", 1 }, at(0))) << "though this node reads nothing by itself";
+	EXPECT_EQ(directory.get_listings(), listings{ make_start(2) });
+	EXPECT_TRUE(directory.take_news().empty());
+}
+
+TEST(endpoint_directory_restart, news_told_before_a_restart_does_not_count_after_it) {
+	endpoint_directory directory;
+	directory.on_read(at(0));
+	directory.put(make_start(1));
+	EXPECT_FALSE(directory.mark_gone({ "e", 1 }, at(10))) << "this node reads by itself";
+	directory.put(make_start(2));
+	EXPECT_TRUE(directory.drop_told(at(5000)).empty());
+	EXPECT_TRUE(directory.contains({ "e", 2 }));
+	EXPECT_FALSE(directory.contains({ "e", 1 }));
+}
+
+TEST(endpoint_directory_restart, news_of_a_later_start_counts_for_what_is_known) {
+	endpoint_directory directory;
+	directory.put(make_start(1));
+	EXPECT_TRUE(directory.mark_leaving({ "e", 2 }));
+	EXPECT_TRUE(directory.get_listings().front().leaving);
+	EXPECT_TRUE(directory.mark_gone({ "e", 2 }, at(0)));
+	EXPECT_EQ(directory.get_size(), 0U);
+}
+
+TEST(endpoint_directory_restart, peers_that_know_no_incarnation_speak_of_the_start_that_is_known) {
+	endpoint_directory directory;
+	directory.put(make_start(2));
+	directory.put(make_start(0));
+	EXPECT_EQ(directory.get_listings(), listings{ make_start(2) });
+	EXPECT_TRUE(directory.mark_leaving({ "e", 0 }));
+	EXPECT_EQ(directory.take_news(), (std::vector<endpoint_identity>{ { "e", 2 } }));
+	directory.put(make_start(3));
+	EXPECT_FALSE(directory.get_listings().front().leaving);
+}
+
+TEST(endpoint_directory_restart, lists_that_differ_by_a_start_are_told_apart) {
+	endpoint_directory one;
+	endpoint_directory other;
+	one.put(make_start(1));
+	other.put(make_start(2));
+	endpoint_reading reading = one.take_records({}, 0, 0, at(0));
+	EXPECT_TRUE(one.is_like(reading));
+	EXPECT_FALSE(other.is_like(reading));
+	reading.listed_starts = 0;
+	EXPECT_TRUE(other.is_like(reading)) << "a reader of a version that knows names only";
+}
+
+TEST(endpoint_directory_restart, an_entry_kept_over_an_outage_is_replaced_by_a_later_start) {
+	endpoint_directory directory;
+	directory.on_read(at(0));
+	directory.put(make_start(1));
+	directory.on_read(at(6000));
+	directory.drop("e", at(6000));
+	directory.put(make_start(2));
+	directory.tick(at(8100));
+	EXPECT_EQ(directory.get_listings(), listings{ make_start(2) });
+	EXPECT_TRUE(directory.take_gone().empty());
+}
+
+} // namespace calicoscale
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -205,7 +205,7 @@
 	directory.put(make_endpoint("e1"));
 	EXPECT_TRUE(directory.take_changed());
 	directory.put(make_endpoint("e1", true));
-	EXPECT_EQ(directory.take_news(), std::vector<std::string>{ "e1" });
+	EXPECT_EQ(directory.take_news(), (std::vector<endpoint_identity>{ { "e1", 0 } }));
 	directory.put(make_endpoint("e1"));
 	EXPECT_TRUE(is_leaving(directory, "e1")) << "an older record read again does not bring it back";
 	directory.drop("e1", at(milliseconds(10)));
@@ -215,8 +215,8 @@
 
 TEST(endpoint_directory, a_mark_from_a_peer_counts_before_the_entry_is_read) {
 	endpoint_directory directory;
-	EXPECT_TRUE(directory.mark_leaving("e2"));
-	EXPECT_FALSE(directory.mark_leaving("e2"));
+	EXPECT_TRUE(directory.mark_leaving({ "e2", 0 }));
+	EXPECT_FALSE(directory.mark_leaving({ "e2", 0 }));
 	directory.put(make_endpoint("e2"));
 	EXPECT_TRUE(is_leaving(directory, "e2"));
 }
@@ -243,34 +243,34 @@
 	for (const char *name : { "back", "lost", "told_before" }) {
 		directory.put(make_endpoint(name));
 	}
-	EXPECT_TRUE(directory.mark_gone("told_before", at(milliseconds(5900)))) << "this node's own reading is old";
+	EXPECT_TRUE(directory.mark_gone({ "told_before", 0 }, at(milliseconds(5900)))) << "this node's own reading is old";
 	directory.on_read(at(milliseconds(6000)));
 	directory.drop("back", at(milliseconds(6000)));
 	directory.drop("lost", at(milliseconds(6000)));
 	EXPECT_EQ(directory.get_drop_time(), at(milliseconds(8000)));
-	EXPECT_TRUE(directory.mark_gone("lost", at(milliseconds(6200))));
-	EXPECT_FALSE(directory.mark_gone("unknown", at(milliseconds(6200))));
+	EXPECT_TRUE(directory.mark_gone({ "lost", 0 }, at(milliseconds(6200))));
+	EXPECT_FALSE(directory.mark_gone({ "unknown", 0 }, at(milliseconds(6200))));
 	directory.put(make_endpoint("back"));
 	EXPECT_EQ(directory.get_drop_time(), std::nullopt);
-	EXPECT_FALSE(directory.mark_gone("back", at(milliseconds(6300)))) << "its entry was read just now";
+	EXPECT_FALSE(directory.mark_gone({ "back", 0 }, at(milliseconds(6300)))) << "its entry was read just now";
 	EXPECT_TRUE(directory.drop_told(at(milliseconds(6400))).empty());
 	ASSERT_EQ(directory.get_size(), 1U);
 	EXPECT_EQ(directory.get_listings().front().vm, "back");
-	EXPECT_EQ(directory.take_gone(), (std::vector<std::string>{ "told_before", "lost" }));
+	EXPECT_EQ(directory.take_gone(), (std::vector<endpoint_identity>{ { "told_before", 0 }, { "lost", 0 } }));
 }
 
 TEST(endpoint_directory, what_a_peer_told_once_counts_when_this_node_stops_reading_and_not_when_it_reads_on) {
 	endpoint_directory directory;
 	directory.on_read(at(milliseconds(0)));
 	directory.put(make_endpoint("e"));
-	EXPECT_FALSE(directory.mark_gone("e", at(milliseconds(100)))) << "this node reads by itself";
+	EXPECT_FALSE(directory.mark_gone({ "e", 0 }, at(milliseconds(100)))) << "this node reads by itself";
 	EXPECT_TRUE(directory.drop_told(at(milliseconds(1400))).empty());
 	directory.on_read(at(milliseconds(1000)));
 	directory.on_read(at(milliseconds(2000)));
 	EXPECT_TRUE(directory.drop_told(at(milliseconds(6000))).empty()) << "two reads have shown that it is there";
 	directory.on_read(at(milliseconds(6100)));
-	EXPECT_FALSE(directory.mark_gone("e", at(milliseconds(6200))));
-	EXPECT_EQ(directory.drop_told(at(milliseconds(7700))), std::vector<std::string>{ "e" });
+	EXPECT_FALSE(directory.mark_gone({ "e", 0 }, at(milliseconds(6200))));
+	EXPECT_EQ(directory.drop_told(at(milliseconds(7700))), (std::vector<endpoint_identity>{ { "e", 0 } }));
 	EXPECT_EQ(directory.get_size(), 0U);
 }
 
--- a/tests/servers/peer_contacts_test.cpp
+++ b/tests/servers/peer_contacts_test.cpp
@@ -44,7 +44,7 @@
 	peer_contacts small;
 	for (peer_contacts *contacts : { &close, &small }) {
 		for (int i = 0; i < 100; i++) {
-			contacts->add_news(endpoint_news{ "e" + std::to_string(i), true }, at(0));
+			contacts->add_news(endpoint_news{ { "e" + std::to_string(i), 1 }, true }, at(0));
 		}
 	}
 	EXPECT_EQ(count_sent(close, true), (std::pair<int, std::size_t>(50, 100)));
@@ -55,7 +55,7 @@
 	peer_contacts contacts;
 	contacts.on_sent("n", false, true, at(0));
 	EXPECT_FALSE(contacts.is_due("n", false, true, at(200)));
-	contacts.add_news(endpoint_news{ "e", false }, at(200));
+	contacts.add_news(endpoint_news{ { "e", 1 }, false }, at(200));
 	EXPECT_TRUE(contacts.is_due("n", false, true, at(200)));
 	EXPECT_EQ(contacts.on_sent("n", false, true, at(200)).size(), 1U);
 	EXPECT_FALSE(contacts.is_due("n", false, true, at(400)));
@@ -63,18 +63,18 @@
 
 TEST(peer_contacts, a_peer_that_is_linked_anew_is_told_what_is_recent_and_still_true) {
 	peer_contacts contacts;
-	contacts.add_news(endpoint_news{ "leaving", false }, at(0));
-	contacts.add_news(endpoint_news{ "gone", true }, at(0));
-	contacts.add_news(endpoint_news{ "back", true }, at(0));
+	contacts.add_news(endpoint_news{ { "leaving", 1 }, false }, at(0));
+	contacts.add_news(endpoint_news{ { "gone", 1 }, true }, at(0));
+	contacts.add_news(endpoint_news{ { "back", 1 }, true }, at(0));
 	EXPECT_EQ(contacts.on_sent("n", false, true, at(0)).size(), 3U);
 	contacts.on_linked("n");
-	contacts.forget_news([](const endpoint_news &p_news) { return p_news.endpoint == "back"; }, at(1000));
+	contacts.forget_news([](const endpoint_news &p_news) { return p_news.endpoint.vm == "back"; }, at(1000));
 	EXPECT_EQ(contacts.on_sent("n", false, true, at(1000)).size(), 2U);
 	contacts.on_linked("n");
 	contacts.forget_news(is_never_over, at(6000));
 	const std::vector<endpoint_news> told = contacts.on_sent("n", false, true, at(6000));
 	ASSERT_EQ(told.size(), 1U) << "the store tells of an endpoint that leaves by then";
-	EXPECT_EQ(told[0].endpoint, "gone");
+	EXPECT_EQ(told[0].endpoint.vm, "gone");
 	contacts.on_linked("n");
 	contacts.forget_news(is_never_over, at(21000));
 	EXPECT_TRUE(contacts.on_sent("n", false, true, at(21000)).empty());
