Router reports a replaced start of an endpoint at once and by its identity

Cause: a change named the endpoint only, so what went with the earlier start (removed when its last attempt ended) took what was kept of the later one with it, and nothing told of the restart while attempts ran.

Failed first, on the router without the report: a_later_start_is_reported_at_once_and_begins_anew (one change in place of two), a_start_that_becomes_known_is_no_other_one (taken for another endpoint).

Ruled out: taking a start that becomes known for a restart.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -140,10 +140,10 @@
 	for (router *choices : { &_engines, &_services }) {
 		for (const endpoint_change &change : choices->take_changes()) {
 			if (change.what == endpoint_change::kind::REMOVED) {
-				_context.channels.drop_idle(change.vm);
-				_engine_caches.forget_engine(change.vm);
+				_context.channels.drop_idle(change.endpoint.vm);
+				_engine_caches.forget_engine(change.endpoint.vm);
 			}
-			_context.log.write(log_line("endpoint_changed").add("endpoint", change.vm).add("service", change.pool).add("change", get_name(change.what)));
+			_context.log.write(log_line("endpoint_changed").add("endpoint", change.endpoint.vm).add("incarnation", static_cast<long long>(change.endpoint.incarnation)).add("service", change.pool).add("change", get_name(change.what)));
 		}
 	}
 }
--- a/main/serve/fleet_service.cpp
+++ b/main/serve/fleet_service.cpp
@@ -257,8 +257,8 @@
 	}
 	for (const endpoint_change &change : _router.take_changes()) {
 		const std::string what(get_name(change.what));
-		LOG(INFO) << "event=endpoint_changed vm=" << change.vm << " pool=" << change.pool << " change=" << what;
-		_context.timeline.add(event_kind::ENDPOINT_CHANGED, "", change.vm, what);
+		LOG(INFO) << "event=endpoint_changed vm=" << change.endpoint.vm << " pool=" << change.pool << " change=" << what;
+		_context.timeline.add(event_kind::ENDPOINT_CHANGED, "", change.endpoint.vm, what);
 		_context.metrics.count("endpoint_" + what);
 	}
 }
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -35,12 +35,13 @@
 constexpr double LEAVE_ZONE_FACTOR = 1.5;
 constexpr double LEAVE_ZONE_MARGIN = 0.25;
 
-constexpr std::array<enum_name<endpoint_change::kind>, 5> CHANGE_NAMES{ {
+constexpr std::array<enum_name<endpoint_change::kind>, 6> CHANGE_NAMES{ {
 		{ endpoint_change::kind::ADDED, "added" },
 		{ endpoint_change::kind::REMOVED, "removed" },
 		{ endpoint_change::kind::LEAVING, "leaving" },
 		{ endpoint_change::kind::EJECTED, "ejected" },
 		{ endpoint_change::kind::READMITTED, "readmitted" },
+		{ endpoint_change::kind::REPLACED, "replaced" },
 } };
 
 bool is_contained(const std::vector<endpoint_id> &p_ids, endpoint_id p_id) {
@@ -71,7 +72,7 @@
 }
 
 void router::_note(endpoint_change::kind p_kind, const endpoint_state &p_endpoint) {
-	_changes.push_back(endpoint_change{ p_kind, p_endpoint.listing.vm, p_endpoint.listing.pool });
+	_changes.push_back(endpoint_change{ p_kind, p_endpoint.listing.get_identity(), p_endpoint.listing.pool });
 }
 
 std::vector<endpoint_change> router::take_changes() {
@@ -112,12 +113,19 @@
 
 void router::_update(endpoint_state &p_endpoint, const endpoint_listing &p_listing) {
 	p_endpoint.listed = true;
+	p_endpoint.listing.incarnation = p_listing.incarnation;
 	p_endpoint.listing.labels = p_listing.labels;
 	p_endpoint.listing.zone = p_listing.zone;
 	p_endpoint.listing.pool = p_listing.pool;
 	p_endpoint.drained = _is_drained(p_endpoint);
 }
 
+bool router::_is_same(const endpoint_state &p_endpoint, const endpoint_listing &p_listing) const {
+	// A peer that did not know the start told of it first.
+	const bool is_learnt = p_endpoint.listing.incarnation == 0;
+	return (is_learnt || p_endpoint.listing.incarnation == p_listing.incarnation) && p_endpoint.listing.address == p_listing.address;
+}
+
 void router::set_listings(const std::vector<endpoint_listing> &p_listings) {
 	if (p_listings == _last_listings) {
 		return;
@@ -136,10 +144,14 @@
 			continue;
 		}
 		endpoint_state &endpoint = *_endpoints.at(known->second);
-		const bool is_same = endpoint.listing.incarnation == listing.incarnation && endpoint.listing.address == listing.address;
-		if (is_same) {
+		if (_is_same(endpoint, listing)) {
 			_update(endpoint, listing);
-		} else if (listing.incarnation >= endpoint.listing.incarnation) {
+			continue;
+		}
+		if (is_replaced_by(endpoint.listing.get_identity(), listing.get_identity())) {
+			_note(endpoint_change::kind::REPLACED, endpoint);
+		}
+		if (listing.incarnation >= endpoint.listing.incarnation) {
 			_add(listing);
 		}
 	}
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -56,9 +56,10 @@
 		LEAVING,
 		EJECTED,
 		READMITTED,
+		REPLACED, ///< A later start of it is on the list; reported at once, though attempts may still run.
 	};
 	kind what = kind::ADDED;
-	std::string vm;
+	endpoint_identity endpoint;
 	std::string pool;
 };
 
@@ -85,6 +86,7 @@
 	bool _has_left(const std::string &p_vm, std::uint64_t p_incarnation) const;
 	void _add(const endpoint_listing &p_listing);
 	void _update(endpoint_state &p_endpoint, const endpoint_listing &p_listing);
+	bool _is_same(const endpoint_state &p_endpoint, const endpoint_listing &p_listing) const;
 	void _forget_idle();
 	bool _is_drained(const endpoint_state &p_endpoint) const;
 	endpoint_group &_get_group(const choice_request &p_request);
@@ -112,7 +114,10 @@
 	/** Zones whose endpoints are chosen only when no other is left. */
 	void set_unreached_zones(std::set<std::string> p_zones) { _unreached_zones = std::move(p_zones); }
 
-	/** Replaces the list. Endpoints gone from it get no new work; their attempts go on. */
+	/**
+	 * Replaces the list. Endpoints gone from it get no new work; their attempts go on. A later start of an endpoint begins
+	 * with nothing that was learnt of the earlier one.
+	 */
 	void set_listings(const std::vector<endpoint_listing> &p_listings);
 
 	/** Marks an incarnation, and all before it, as leaving; never undone. Returns whether that was news. */
--- a/tests/servers/routing_test.cpp
+++ b/tests/servers/routing_test.cpp
@@ -180,6 +180,47 @@
 
 } // namespace
 
+TEST(router_restart, a_later_start_is_reported_at_once_and_begins_anew) {
+	router table("z1", 1);
+	table.set_listings({ make_listing("vm0", "z1", 5) });
+	const endpoint_id earlier = *table.choose(make_request(), at(0));
+	table.on_attempt_started(earlier, at(0));
+	for (int i = 0; i < 5; i++) {
+		run_attempt(table, earlier, make_failure(reason::CONNECTION_LOST), at(0));
+	}
+	table.mark_leaving("vm0", 5);
+	table.take_changes();
+	table.set_listings({ make_listing("vm0", "z1", 6) });
+	const std::vector<endpoint_change> changes = table.take_changes();
+	ASSERT_EQ(changes.size(), 2U);
+	EXPECT_EQ(changes[0].what, endpoint_change::kind::REPLACED);
+	EXPECT_EQ(changes[0].endpoint, (endpoint_identity{ "vm0", 5 }));
+	EXPECT_EQ(changes[1].endpoint, (endpoint_identity{ "vm0", 6 }));
+	const endpoint_state &later = *table.find(*table.choose(make_request(), at(0)));
+	EXPECT_EQ(later.listing.incarnation, 6U);
+	EXPECT_EQ(later.in_flight, 0);
+	EXPECT_EQ(later.consecutive_failures, 0);
+	EXPECT_EQ(later.get_slowness(at(0)), 1.0);
+	// What ends late at the earlier start is no news of the later one.
+	table.on_attempt_ended(earlier, attempt_observation{ { verdict::NOT_RUN, reason::REFUSED_LEAVING }, {}, {} }, at(10));
+	EXPECT_EQ(choose_vm(table, make_request(), at(10)), "vm0");
+	const std::vector<endpoint_change> after = table.take_changes();
+	ASSERT_EQ(after.size(), 1U);
+	EXPECT_EQ(after[0].what, endpoint_change::kind::REMOVED);
+	EXPECT_EQ(after[0].endpoint, (endpoint_identity{ "vm0", 5 }));
+}
+
+TEST(router_restart, a_start_that_becomes_known_is_no_other_one) {
+	router table("z1", 1);
+	table.set_listings({ make_listing("vm0", "z1", 0) });
+	const endpoint_id known = *table.choose(make_request(), at(0));
+	table.take_changes();
+	table.set_listings({ make_listing("vm0", "z1", 6) });
+	EXPECT_TRUE(table.take_changes().empty());
+	EXPECT_EQ(table.find(known)->listing.incarnation, 6U);
+	EXPECT_EQ(table.choose(make_request(), at(0)), known);
+}
+
 RC_GTEST_PROP(router_properties, what_has_left_gets_no_new_work_whatever_lists_say, ()) {
 	choice_source choices(400);
 	router_world(choices).run();
