Connections and requests at a replaced start of an endpoint end at once

Cause: kept connections went by name to whatever serves under it, and a request at a process that had gone without a sign waited for its deadline although its later start was known.

The verdict stays that it may have run, or that it did not when the connection was never made; what may not be repeated is not.

Ruled out: ending every exchange under the earlier start. A restart is known a second or so after it, and connections made meanwhile are with the later start; one younger than that start, or than two seconds, goes on (a_request_that_met_the_later_start_before_it_was_known_is_not_cut). The floor of two seconds holds when the time of day jumps.

--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -37,6 +37,11 @@
 /** Kept connections are closed at this age, or at part of the time that the endpoint names. */
 constexpr duration LONGEST_KEPT = std::chrono::seconds(4);
 constexpr double KEEP_ALIVE_PART = 0.6;
+/**
+ * A restart is known some time after it: the endpoint writes its entry, and it is read each 0.9 s. A connection opened
+ * within this may be one with the later start, whatever the time of day says, and is left to break by itself.
+ */
+constexpr duration LEARNING_TIME = std::chrono::milliseconds(2000);
 constexpr std::size_t READ_HIGH_WATERMARK = 1024 * 1024;
 
 constexpr std::array<enum_name<channel_end>, 4> END_NAMES{ {
@@ -98,12 +103,13 @@
 	exchange_id _id = 0; ///< 0 while idle.
 	channel_request _request;
 	channel_hooks _hooks;
-	std::string _endpoint;
+	endpoint_identity _endpoint;
 	bool _connected = false;
 	bool _skipping = false;
 	bool _ended = false;
 	duration _kept_for = LONGEST_KEPT;
 	instant _idle_since{};
+	instant _opened_at{};
 
 	static void _on_readable(bufferevent *, void *p_self) {
 		static_cast<channel *>(p_self)->_read();
@@ -223,6 +229,7 @@
 
 	/** Begins to connect; false when not even that is possible. */
 	bool open(const network_address &p_to, duration p_timeout) {
+		_opened_at = event_loop::now();
 		const int handle = open_socket();
 		if (handle < 0) {
 			return false;
@@ -345,7 +352,7 @@
 	_free(std::move(owned));
 }
 
-void endpoint_channels::drop_idle(const std::string &p_endpoint) {
+void endpoint_channels::drop_idle(const endpoint_identity &p_endpoint) {
 	const auto kept = _idle.find(p_endpoint);
 	if (kept == _idle.end()) {
 		return;
@@ -356,6 +363,26 @@
 	_idle.erase(kept);
 }
 
+std::size_t endpoint_channels::end_replaced(const endpoint_identity &p_endpoint, duration p_started_ago) {
+	drop_idle(p_endpoint);
+	const instant latest = event_loop::now() - std::max(p_started_ago, LEARNING_TIME);
+	std::vector<exchange_id> replaced;
+	for (const auto &[id, entry] : _busy) {
+		if (entry->_endpoint == p_endpoint && entry->_opened_at < latest) {
+			replaced.push_back(id);
+		}
+	}
+	for (const exchange_id id : replaced) {
+		const auto found = _busy.find(id);
+		// A hook of one may have cancelled another.
+		if (found != _busy.end()) {
+			channel &ended = *found->second;
+			_finish(ended, ended._connected ? channel_end::BROKEN : channel_end::CONNECT_FAILED, false);
+		}
+	}
+	return replaced.size();
+}
+
 void endpoint_channels::_sweep() {
 	const instant now = event_loop::now();
 	for (auto &[endpoint, stack] : _idle) {
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -11,6 +11,7 @@
 
 #include "drivers/event_loop.h"
 #include "drivers/http_reader.h"
+#include "servers/routing/endpoint_identity.h"
 
 #include <functional>
 #include <map>
@@ -36,7 +37,7 @@
 
 /** One request to an endpoint. */
 struct channel_request {
-	std::string endpoint; ///< Connections are kept by this name, as an address may pass to another endpoint.
+	endpoint_identity endpoint; ///< Connections are kept by it, as an address may pass to another endpoint.
 	network_address to;
 	std::string zone; ///< Of the endpoint; empty when it is not known.
 	std::string bytes; ///< The whole request.
@@ -67,7 +68,7 @@
 
 	event_loop &_loop;
 	std::map<exchange_id, std::unique_ptr<channel>> _busy;
-	std::map<std::string, std::vector<std::unique_ptr<channel>>> _idle;
+	std::map<endpoint_identity, std::vector<std::unique_ptr<channel>>> _idle;
 	timer _sweep_timer;
 	exchange_id _next_id = 1;
 	std::function<void(const std::string &)> _on_heard;
@@ -95,7 +96,15 @@
 	void set_on_heard(std::function<void(const std::string &)> p_hook) { _on_heard = std::move(p_hook); }
 
 	/** Closes what is kept to an endpoint that is gone. */
-	void drop_idle(const std::string &p_endpoint);
+	void drop_idle(const endpoint_identity &p_endpoint);
+
+	/**
+	 * An endpoint started again. Closes what is kept to the start before, and ends the exchanges with it as broken, or as not
+	 * connected. An exchange whose connection may be one with the later start goes on.
+	 * @param p_started_ago how long ago the later start was, as far as the time of day tells.
+	 * @return exchanges that were ended.
+	 */
+	std::size_t end_replaced(const endpoint_identity &p_endpoint, duration p_started_ago);
 
 	std::uint64_t get_opened() const { return _opened; }
 	std::uint64_t get_skipped_answers() const { return _skipped_answers; }
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -137,14 +137,39 @@
 	_engines.set_listings(engines);
 	_services.set_listings(others);
 	_dispatcher.set_endpoints(listings);
-	for (router *choices : { &_engines, &_services }) {
-		for (const endpoint_change &change : choices->take_changes()) {
-			if (change.what == endpoint_change::kind::REMOVED) {
-				_context.channels.drop_idle(change.endpoint.vm);
-				_engine_caches.forget_engine(change.endpoint.vm);
-			}
-			_context.log.write(log_line("endpoint_changed").add("endpoint", change.endpoint.vm).add("incarnation", static_cast<long long>(change.endpoint.incarnation)).add("service", change.pool).add("change", get_name(change.what)));
+	const std::vector<endpoint_identity> engines_replaced = _note_changes(_engines);
+	const std::vector<endpoint_identity> others_replaced = _note_changes(_services);
+	// Requests that end here go on elsewhere, so all lists must be in force by then.
+	_end_replaced(engines_replaced, _engines);
+	_end_replaced(others_replaced, _services);
+}
+
+std::vector<endpoint_identity> gateway::_note_changes(router &r_choices) {
+	std::vector<endpoint_identity> replaced;
+	for (const endpoint_change &change : r_choices.take_changes()) {
+		const bool is_replaced = change.what == endpoint_change::kind::REPLACED;
+		if (is_replaced) {
+			replaced.push_back(change.endpoint);
+		}
+		if (is_replaced || change.what == endpoint_change::kind::REMOVED) {
+			_context.channels.drop_idle(change.endpoint);
+			_engine_caches.forget_engine(change.endpoint.vm);
+		}
+		_context.log.write(log_line("endpoint_changed").add("endpoint", change.endpoint.vm).add("incarnation", static_cast<long long>(change.endpoint.incarnation)).add("service", change.pool).add("change", get_name(change.what)));
+	}
+	return replaced;
+}
+
+void gateway::_end_replaced(const std::vector<endpoint_identity> &p_replaced, const router &p_choices) {
+	for (const endpoint_identity &earlier : p_replaced) {
+		const endpoint_state *later = p_choices.find_vm(earlier.vm);
+		if (later == nullptr) {
+			continue;
 		}
+		const std::uint64_t born = later->listing.incarnation;
+		const duration started_ago = std::chrono::milliseconds(event_loop::wall() - static_cast<unix_milliseconds>(born));
+		const std::size_t ended = _context.channels.end_replaced(earlier, started_ago);
+		_context.log.write(log_line("endpoint_restarted").add("endpoint", earlier.vm).add("earlier", static_cast<long long>(earlier.incarnation)).add("incarnation", static_cast<long long>(born)).add("started_ago_ms", started_ago).add("ended_exchanges", static_cast<long long>(ended)));
 	}
 }
 
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -59,6 +59,8 @@
 	bool _is_ready() const;
 	void _on_configuration();
 	void _on_endpoints();
+	std::vector<endpoint_identity> _note_changes(router &r_choices);
+	void _end_replaced(const std::vector<endpoint_identity> &p_replaced, const router &p_choices);
 	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -316,7 +316,7 @@
 	send.inputs = _stages.get_final_results();
 	send.last_event_id = _events.get_last_id();
 	channel_request request;
-	request.endpoint = endpoint.listing.vm;
+	request.endpoint = endpoint.listing.get_identity();
 	request.to = endpoint.listing.address;
 	request.zone = endpoint.listing.zone;
 	request.bytes = write_endpoint_request(_request.exchange->head, _request.exchange->body, send);
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -422,7 +422,7 @@
 		items.push_back(stage_call_item{ work, item.piece, work->give_up_at - now });
 	}
 	channel_request request;
-	request.endpoint = p_call.replica;
+	request.endpoint.vm = p_call.replica;
 	request.to = p_call.to;
 	request.zone = p_call.zone;
 	request.bytes = write_stage_call(p_call.replica, p_call.to, items);
@@ -526,7 +526,7 @@
 void stage_dispatcher::_send_releases(pool_entry &p_entry) {
 	for (const auto &[maker, handles] : p_entry.to_release) {
 		channel_request request;
-		request.endpoint = "release/" + maker;
+		request.endpoint.vm = "release/" + maker;
 		request.to = parse_network_address(maker);
 		request.bytes = write_release(request.to, handles);
 		request.longest_idle = REPLICA_IDLE;
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -209,6 +209,7 @@
 	event_loop _loop;
 	raw_server _endpoint{ _loop };
 	endpoint_channels _channels{ _loop };
+	std::uint64_t _endpoint_start = 1;
 
 	struct outcome_of_exchange {
 		int status = 0;
@@ -219,7 +220,7 @@
 	std::shared_ptr<outcome_of_exchange> start(const std::string &p_echo = "r1") {
 		const std::shared_ptr<outcome_of_exchange> result = std::make_shared<outcome_of_exchange>();
 		channel_request request;
-		request.endpoint = "e1";
+		request.endpoint = endpoint_identity{ "e1", _endpoint_start };
 		request.to = _endpoint.get_address();
 		request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 		request.echo_header = "Echo";
@@ -281,6 +282,29 @@
 	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", raw_server::after::KEEP)->end, channel_end::MALFORMED);
 }
 
+TEST_F(endpoint_channels_test, nothing_is_kept_from_one_start_of_an_endpoint_to_the_next) {
+	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->end, channel_end::COMPLETE);
+	_endpoint_start++;
+	EXPECT_EQ(run(WHOLE, raw_server::after::KEEP)->body, "ok");
+	EXPECT_EQ(_channels.get_opened(), 2U);
+}
+
+TEST_F(endpoint_channels_test, exchanges_with_a_replaced_start_end_as_broken_and_those_with_the_later_one_go_on) {
+	_endpoint.set_answer("", raw_server::after::KEEP);
+	const std::shared_ptr<outcome_of_exchange> earlier = start();
+	const instant opened = event_loop::now();
+	run_until([opened] { return event_loop::now() - opened > std::chrono::milliseconds(2200); });
+	const std::shared_ptr<outcome_of_exchange> fresh = start();
+	_endpoint_start++;
+	const std::shared_ptr<outcome_of_exchange> later = start();
+	run_until([fresh, later, this] { return _channels.get_opened() == 3U; });
+	EXPECT_EQ(_channels.end_replaced({ "e1", 1 }, std::chrono::hours(1)), 0U) << "the later start is older than the connections";
+	EXPECT_EQ(_channels.end_replaced({ "e1", 1 }, std::chrono::milliseconds(-5000)), 1U) << "the time of day may have jumped";
+	EXPECT_EQ(earlier->end, channel_end::BROKEN);
+	EXPECT_FALSE(fresh->end.has_value()) << "its connection may be one with the later start";
+	EXPECT_FALSE(later->end.has_value());
+}
+
 TEST_F(endpoint_channels_test, a_dead_port_fails_before_anything_is_sent) {
 	_endpoint.close();
 	const std::shared_ptr<outcome_of_exchange> result = start();
--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -142,7 +142,7 @@
 	std::shared_ptr<caller_result> send_bytes(const network_address &p_to, const std::string &p_bytes, exchange_id *r_id = nullptr) {
 		const std::shared_ptr<caller_result> result = std::make_shared<caller_result>();
 		channel_request request;
-		request.endpoint = to_string(p_to);
+		request.endpoint.vm = to_string(p_to);
 		request.to = p_to;
 		request.bytes = p_bytes;
 		const exchange_id id = _callers->start(std::move(request), channel_hooks{ [result](const http_head &p_head) { result->head = p_head; }, [result](std::string_view p_bytes_in) { result->body.append(p_bytes_in); }, [result](channel_end p_end) { result->end = p_end; } });
--- /dev/null
+++ b/tests/main/gateway_restart_test.cpp
@@ -0,0 +1,75 @@
+/*
+ * calicoscale: gateway_restart_test.cpp
+ * What a gateway does when an endpoint starts again under its name.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/main/gateway_fixture.h"
+
+namespace calicoscale {
+
+namespace {
+
+class gateway_restart_test : public gateway_fixture {
+protected:
+	/** Writes an entry as a later start of the replica would, at the same address. */
+	void restart(const standin_replica &p_replica, const std::string &p_service, std::uint64_t p_born, bool p_leaving = false) {
+		json entry = json::parse(p_replica.get_entry(p_service, p_leaving));
+		entry["born"] = p_born;
+		_store.put(ENDPOINT_TOPIC, p_replica.get_name(), entry.dump());
+	}
+
+	static std::uint64_t get_wall() { return static_cast<std::uint64_t>(event_loop::wall()); }
+};
+
+} // namespace
+
+TEST_F(gateway_restart_test, a_request_at_the_earlier_start_ends_and_is_not_sent_to_the_later_one) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	replica.mode = replica_mode::HOLD;
+	const std::shared_ptr<caller_result> result = send_lengthy(entry);
+	run_until([&replica] { return replica.runs.size() == 1; });
+	wait(milliseconds(2300));
+	replica.mode = replica_mode::ANSWER;
+	const instant restarted = event_loop::now();
+	restart(replica, "llm", get_wall());
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->head.status, 502) << "it may have run";
+	EXPECT_LT(event_loop::now() - restarted, duration(milliseconds(2000))) << "its deadline is 6.7 s away";
+	EXPECT_EQ(replica.runs.size(), 1U);
+	EXPECT_EQ(ask(entry, "/once/")->head.status, 200);
+}
+
+TEST_F(gateway_restart_test, a_request_that_met_the_later_start_before_it_was_known_is_not_cut) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	replica.mode = replica_mode::HOLD;
+	const std::uint64_t born = get_wall();
+	exchange_id ignored = 0;
+	const std::shared_ptr<caller_result> result = send(entry, "/once/", "key-1", "", &ignored);
+	run_until([&replica] { return replica.runs.size() == 1; });
+	restart(replica, "llm", born);
+	wait(milliseconds(1500));
+	EXPECT_FALSE(result->end.has_value());
+	EXPECT_FALSE(replica.is_held_gone());
+}
+
+TEST_F(gateway_restart_test, an_endpoint_that_left_serves_again_after_a_restart_and_its_late_entry_changes_nothing) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	_store.put(ENDPOINT_TOPIC, replica.get_name(), replica.get_entry("llm", true));
+	run_until([this, &entry] { return ask(entry, "/once/")->head.status == 503; });
+	restart(replica, "llm", get_wall());
+	run_until([this, &entry] { return ask(entry, "/once/")->head.status == 200; });
+	_store.put(ENDPOINT_TOPIC, replica.get_name(), replica.get_entry("llm", true));
+	wait(milliseconds(1500));
+	EXPECT_EQ(ask(entry, "/once/")->head.status, 200);
+}
+
+} // namespace calicoscale
