Engine view forgets what the earlier start of an engine read, and its slowness

Cause: cached parts, reading time and slowness were kept by name, and were forgotten only when the entry went. An engine that started again kept its name and entry, so prompts were drawn to a cache that is empty.

The tests as they stand are an_engine_that_started_again_has_read_nothing_and_is_as_fast_as_any and what_is_told_late_of_the_earlier_start_is_ignored.

Prompts told between nodes carry the incarnation of the engine, at the end of the table.

Ruled out: forgetting by name at the restart alone. Peers tell of sends to the earlier start for some time after it.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -234,8 +234,8 @@
 	}
 
 	encoded_body operator()(const tell_prompts_message &p_message) const {
-		std::vector<std::string> engines;
-		std::map<std::string, std::uint16_t> indices;
+		std::vector<endpoint_identity> engines;
+		std::map<endpoint_identity, std::uint16_t> indices;
 		std::vector<wire::prompt_entry> prompts;
 		std::vector<std::uint64_t> chains;
 		std::vector<std::uint32_t> tokens;
@@ -250,11 +250,12 @@
 				tokens.push_back(static_cast<std::uint32_t>(link.tokens));
 			}
 		}
-		const auto engine_vector = target.CreateVectorOfStrings(engines);
+		const auto engine_vector = target.CreateVectorOfStrings(get_names(engines));
+		const auto incarnation_vector = target.CreateVector(get_incarnations(engines));
 		const auto prompt_vector = target.CreateVectorOfStructs(prompts);
 		const auto chain_vector = target.CreateVector(chains);
 		const auto token_vector = target.CreateVector(tokens);
-		return { wire::message_tell_prompts, wire::Createtell_prompts(target, engine_vector, prompt_vector, chain_vector, token_vector).Union() };
+		return { wire::message_tell_prompts, wire::Createtell_prompts(target, engine_vector, prompt_vector, chain_vector, token_vector, incarnation_vector).Union() };
 	}
 };
 
@@ -355,7 +356,7 @@
 	if (p_message.prompts() == nullptr) {
 		return message;
 	}
-	const std::vector<std::string> engines = read_texts(p_message.engines());
+	const std::vector<endpoint_identity> engines = read_identities(p_message.engines(), p_message.engine_incarnations());
 	const std::size_t links = p_message.chains() == nullptr ? 0 : p_message.chains()->size();
 	if (links != (p_message.tokens() == nullptr ? 0 : p_message.tokens()->size())) {
 		return std::nullopt;
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -133,6 +133,9 @@
 		const gateway_service *service = configuration->find_service(listing.pool);
 		const bool is_engine = service != nullptr && service->is_engine;
 		(is_engine ? engines : others).push_back(listing);
+		if (is_engine) {
+			_engine_caches.set_start(listing.get_identity());
+		}
 	}
 	_engines.set_listings(engines);
 	_services.set_listings(others);
@@ -153,7 +156,7 @@
 		}
 		if (is_replaced || change.what == endpoint_change::kind::REMOVED) {
 			_context.channels.drop_idle(change.endpoint);
-			_engine_caches.forget_engine(change.endpoint.vm);
+			_engine_caches.forget_engine(change.endpoint);
 		}
 		_context.log.write(log_line("endpoint_changed").add("endpoint", change.endpoint.vm).add("incarnation", static_cast<long long>(change.endpoint.incarnation)).add("service", change.pool).add("change", get_name(change.what)));
 	}
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -174,7 +174,7 @@
 	}
 	std::vector<engine_candidate> candidates;
 	for (const endpoint_state *endpoint : _services.engines.get_usable(_request.service, _avoid, now)) {
-		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.vm, endpoint->listing.zone, endpoint->in_flight });
+		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.get_identity(), endpoint->listing.zone, endpoint->in_flight });
 	}
 	if (candidates.empty()) {
 		return std::nullopt;
@@ -303,7 +303,7 @@
 	}
 	const endpoint_state &endpoint = *choices.find(*chosen);
 	_endpoint = *chosen;
-	_endpoint_name = endpoint.listing.vm;
+	_endpoint_identity = endpoint.listing.get_identity();
 	_sends++;
 	_sent_at = now;
 	endpoint_send send;
@@ -329,10 +329,10 @@
 	_answer_body.clear();
 	choices.on_attempt_started(_endpoint, now);
 	if (_is_engine()) {
-		_predicted = _services.engine_caches.predict(_endpoint_name, _prompt, now);
-		_services.prompts.tell(_endpoint_name, _prompt);
+		_predicted = _services.engine_caches.predict(_endpoint_identity, _prompt, now);
+		_services.prompts.tell(_endpoint_identity, _prompt);
 	}
-	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_name).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_count_read(_transfers.get_final_read(_request.service, endpoint.listing.zone)))).add("version", static_cast<long long>(_request.configuration->version)));
+	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_count_read(_transfers.get_final_read(_request.service, endpoint.listing.zone)))).add("version", static_cast<long long>(_request.configuration->version)));
 	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
 }
 
@@ -369,8 +369,8 @@
 	duration &usual = _services.first_event_times[_request.route->name];
 	const instant now = event_loop::now();
 	const duration elapsed = now - _sent_at;
-	_services.engine_caches.on_first_event(_endpoint_name, _predicted, elapsed, now);
-	_services.context.log.write_request(log_line("first_event").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("took_ms", elapsed).add("wait_ms", _predicted.wait).add("reading_ms", _predicted.reading).add("unread_tokens", static_cast<long long>(_predicted.unread)));
+	_services.engine_caches.on_first_event(_endpoint_identity, _predicted, elapsed, now);
+	_services.context.log.write_request(log_line("first_event").add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("took_ms", elapsed).add("wait_ms", _predicted.wait).add("reading_ms", _predicted.reading).add("unread_tokens", static_cast<long long>(_predicted.unread)));
 	usual = usual == duration::zero() ? elapsed : usual + duration(static_cast<duration::rep>(static_cast<double>((elapsed - usual).count()) * USUAL_TIME_STEP));
 }
 
@@ -389,7 +389,7 @@
 	_get_router().on_attempt_ended(_endpoint, observation, now);
 	_services.context.metrics.on_attempt(_request.service, p_result);
 	if (p_result.what != verdict::COMPLETED) {
-		_services.context.log.write_request(log_line("attempt_failed").add("request", _request.facts.attempt).add("endpoint", _endpoint_name).add("reason", get_name(p_result.why)).add("verdict", get_name(p_result.what)).add("status", static_cast<long long>(_answer_head.status)).add("took_ms", observation.elapsed));
+		_services.context.log.write_request(log_line("attempt_failed").add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("reason", get_name(p_result.why)).add("verdict", get_name(p_result.what)).add("status", static_cast<long long>(_answer_head.status)).add("took_ms", observation.elapsed));
 	}
 }
 
@@ -444,7 +444,7 @@
 	}
 	_resumes++;
 	_events.drop_partial();
-	_services.context.log.write_request(log_line("resume").add("request", _request.facts.attempt).add("from", _endpoint_name).add("event", _events.get_last_id()));
+	_services.context.log.write_request(log_line("resume").add("request", _request.facts.attempt).add("from", _endpoint_identity.vm).add("event", _events.get_last_id()));
 	if (_stages.is_empty()) {
 		_send();
 		return true;
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -89,7 +89,7 @@
 	timer _retry_timer;
 	exchange_id _exchange = 0;
 	endpoint_id _endpoint = 0; ///< Of the newest send.
-	std::string _endpoint_name;
+	endpoint_identity _endpoint_identity;
 	std::vector<prompt_link> _prompt;
 	engine_prediction _predicted;
 	std::string _results_zone; ///< Where large results for the engine are made.
--- a/main/gateway/prompt_exchange.cpp
+++ b/main/gateway/prompt_exchange.cpp
@@ -21,7 +21,7 @@
 	_fleet.get_link().prompts_told().connect([this](const std::string &p_vm, const tell_prompts_message &p_message) { _on_told(p_vm, p_message); });
 }
 
-void prompt_exchange::tell(const std::string &p_engine, const std::vector<prompt_link> &p_prompt) {
+void prompt_exchange::tell(const endpoint_identity &p_engine, const std::vector<prompt_link> &p_prompt) {
 	_engines.on_sent(p_engine, p_prompt, event_loop::now());
 	if (!_context.settings.without.has(mechanism::PROMPTS_TOLD)) {
 		return;
--- a/main/gateway/prompt_exchange.h
+++ b/main/gateway/prompt_exchange.h
@@ -41,7 +41,7 @@
 	prompt_exchange(gateway_context &p_context, gateway_fleet &p_fleet, engine_view &p_engines);
 
 	/** This node sends a prompt to an engine. */
-	void tell(const std::string &p_engine, const std::vector<prompt_link> &p_prompt);
+	void tell(const endpoint_identity &p_engine, const std::vector<prompt_link> &p_prompt);
 };
 
 } // namespace calicoscale
--- a/servers/gateway/engine_view.cpp
+++ b/servers/gateway/engine_view.cpp
@@ -51,12 +51,12 @@
 		_tokens_per_ms(FIRST_TOKENS_PER_MS), _without(p_without) {
 }
 
-bool engine_view::_has_read(const std::string &p_engine, std::uint64_t p_chain) const {
+bool engine_view::_has_read(const endpoint_identity &p_engine, std::uint64_t p_chain) const {
 	const auto part = _parts.find(p_chain);
 	return _without.has(mechanism::ENGINE_CACHE) && part != _parts.end() && part->second.read_by.contains(p_engine);
 }
 
-double engine_view::_get_slowness(const std::string &p_engine, instant p_now) const {
+double engine_view::_get_slowness(const endpoint_identity &p_engine, instant p_now) const {
 	const auto found = _engines.find(p_engine);
 	if (found == _engines.end() || !_without.has(mechanism::ENGINE_SLOWNESS)) {
 		return 1.0;
@@ -69,7 +69,7 @@
 	return from_seconds(static_cast<double>(p_tokens) / _tokens_per_ms / 1e3);
 }
 
-engine_prediction engine_view::predict(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) const {
+engine_prediction engine_view::predict(const endpoint_identity &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) const {
 	engine_prediction prediction;
 	bool is_kept = true;
 	for (std::size_t i = 0; i < p_prompt.size(); i++) {
@@ -91,7 +91,10 @@
 	return prediction;
 }
 
-void engine_view::on_sent(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) {
+void engine_view::on_sent(const endpoint_identity &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) {
+	if (_is_replaced(p_engine)) {
+		return;
+	}
 	const engine_prediction prediction = predict(p_engine, p_prompt, p_now);
 	engine_state &engine = _engines[p_engine];
 	engine.busy_until = std::max(engine.busy_until, p_now) + _get_reading_time(prediction.unread);
@@ -117,9 +120,9 @@
 	}
 }
 
-void engine_view::on_first_event(const std::string &p_engine, const engine_prediction &p_predicted, duration p_elapsed, instant p_now) {
+void engine_view::on_first_event(const endpoint_identity &p_engine, const engine_prediction &p_predicted, duration p_elapsed, instant p_now) {
 	const duration expected = p_predicted.wait + p_predicted.reading;
-	if (expected <= duration::zero()) {
+	if (expected <= duration::zero() || _is_replaced(p_engine)) {
 		return;
 	}
 	engine_state &engine = _engines[p_engine];
@@ -133,19 +136,37 @@
 	}
 }
 
-void engine_view::forget_engine(const std::string &p_engine) {
+void engine_view::forget_engine(const endpoint_identity &p_engine) {
 	_engines.erase(p_engine);
+	const auto newest = _newest.find(p_engine.vm);
+	if (newest != _newest.end() && newest->second == p_engine.incarnation) {
+		_newest.erase(newest);
+	}
 	for (auto &[chain, part] : _parts) {
 		part.read_by.erase(p_engine);
 	}
 }
 
+bool engine_view::_is_replaced(const endpoint_identity &p_engine) const {
+	const auto newest = _newest.find(p_engine.vm);
+	return newest != _newest.end() && is_replaced_by(p_engine, endpoint_identity{ p_engine.vm, newest->second });
+}
+
+void engine_view::set_start(const endpoint_identity &p_engine) {
+	std::uint64_t &newest = _newest[p_engine.vm];
+	const endpoint_identity earlier{ p_engine.vm, newest };
+	newest = std::max(newest, p_engine.incarnation);
+	if (is_replaced_by(earlier, p_engine)) {
+		forget_engine(earlier);
+	}
+}
+
 std::size_t engine_view::choose(const std::vector<engine_candidate> &p_candidates, const std::vector<prompt_link> &p_prompt, const std::string &p_zone, instant p_now) const {
 	const std::uint64_t key = p_prompt.empty() ? 0 : p_prompt[p_prompt.size() > 1 ? p_prompt.size() - 2 : 0].chain;
 	std::vector<std::pair<std::uint64_t, std::size_t>> order;
 	order.reserve(p_candidates.size());
 	for (std::size_t i = 0; i < p_candidates.size(); i++) {
-		order.emplace_back(hash_bytes(p_candidates[i].name, key), i);
+		order.emplace_back(hash_bytes(p_candidates[i].engine.vm, key), i);
 	}
 	std::sort(order.rbegin(), order.rend());
 	const double shared_price = _without.has(mechanism::SHARED_PART_PRICE) ? 1.0 / SHARED_TOKENS_PER_MS : 0.0;
@@ -156,7 +177,7 @@
 	double best_score = 0.0;
 	for (std::size_t rank = 0; rank < order.size(); rank++) {
 		const engine_candidate &candidate = p_candidates[order[rank].second];
-		const engine_prediction prediction = predict(candidate.name, p_prompt, p_now);
+		const engine_prediction prediction = predict(candidate.engine, p_prompt, p_now);
 		double score = to_milliseconds(prediction.wait + prediction.reading + in_flight_price * candidate.in_flight);
 		score += static_cast<double>(prediction.unread_shared) * shared_price;
 		score += rank_price * static_cast<double>(std::min(rank, MOST_PENALIZED_RANKS));
--- a/servers/gateway/engine_view.h
+++ b/servers/gateway/engine_view.h
@@ -11,6 +11,7 @@
 
 #include "core/time.h"
 #include "servers/gateway/mechanism.h"
+#include "servers/routing/endpoint_identity.h"
 
 #include <cstdint>
 #include <deque>
@@ -29,7 +30,7 @@
 /** An engine that may be chosen. */
 struct engine_candidate {
 	std::uint64_t id = 0;
-	std::string name;
+	endpoint_identity engine;
 	std::string zone;
 	int in_flight = 0; ///< Requests of this node.
 };
@@ -45,6 +46,7 @@
 /**
  * Follows what all nodes send to engines: which prompt parts each engine has read, and until when it is busy reading.
  * Engines' own reports are older than the work they would tell of. Speeds are learnt from the times to the first event.
+ * An engine that starts again has read nothing; what is told late of its start before is ignored.
  */
 class engine_view {
 	struct engine_state {
@@ -54,34 +56,39 @@
 	};
 
 	struct cached_part {
-		std::unordered_map<std::string, instant> read_by; ///< Engines, with the last use.
+		std::unordered_map<endpoint_identity, instant, endpoint_identity_hash> read_by; ///< Engines, with the last use.
 	};
 
-	std::unordered_map<std::string, engine_state> _engines;
+	std::unordered_map<endpoint_identity, engine_state, endpoint_identity_hash> _engines;
+	std::unordered_map<std::string, std::uint64_t> _newest; ///< The latest incarnation heard of, by name.
 	std::unordered_map<std::uint64_t, cached_part> _parts;
 	std::deque<std::pair<instant, std::uint64_t>> _uses; ///< For forgetting parts in order of use.
 	double _tokens_per_ms;
 	ablation _without;
 
-	bool _has_read(const std::string &p_engine, std::uint64_t p_chain) const;
-	double _get_slowness(const std::string &p_engine, instant p_now) const;
+	bool _has_read(const endpoint_identity &p_engine, std::uint64_t p_chain) const;
+	double _get_slowness(const endpoint_identity &p_engine, instant p_now) const;
 	duration _get_reading_time(std::uint64_t p_tokens) const;
 	void _forget(instant p_now);
+	bool _is_replaced(const endpoint_identity &p_engine) const;
 
 public:
 	explicit engine_view(const ablation &p_without = {});
 
 	/** What the prompt would meet at the engine. */
-	engine_prediction predict(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) const;
+	engine_prediction predict(const endpoint_identity &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now) const;
 
 	/** A node sent the prompt to the engine. */
-	void on_sent(const std::string &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now);
+	void on_sent(const endpoint_identity &p_engine, const std::vector<prompt_link> &p_prompt, instant p_now);
 
 	/** An engine's first event came. @param p_predicted as it was when the prompt was sent. */
-	void on_first_event(const std::string &p_engine, const engine_prediction &p_predicted, duration p_elapsed, instant p_now);
+	void on_first_event(const endpoint_identity &p_engine, const engine_prediction &p_predicted, duration p_elapsed, instant p_now);
 
 	/** An engine was lost; what it had read is gone. */
-	void forget_engine(const std::string &p_engine);
+	void forget_engine(const endpoint_identity &p_engine);
+
+	/** A start of an engine is known; what is kept of those before is gone. */
+	void set_start(const endpoint_identity &p_engine);
 
 	/**
 	 * Chooses an engine by the predicted time to the first event, the price of reading shared parts again, and the zone.
--- a/servers/gateway/prompt_digest.h
+++ b/servers/gateway/prompt_digest.h
@@ -20,7 +20,7 @@
 /** A prompt that a node sent to an engine. */
 struct told_prompt {
 	std::uint32_t origin = 0; ///< Code of the node that sent it; see get_origin_code().
-	std::string engine;
+	endpoint_identity engine;
 	std::vector<prompt_link> prompt;
 };
 
--- a/tests/benchmarks/gateway_benchmark.cpp
+++ b/tests/benchmarks/gateway_benchmark.cpp
@@ -89,11 +89,11 @@
 	engine_view engines;
 	std::vector<engine_candidate> candidates;
 	for (int i = 0; i < p_state.range(0); i++) {
-		candidates.push_back(engine_candidate{ static_cast<std::uint64_t>(i), "i-" + std::to_string(i), "z" + std::to_string(i % 5), i % 3 });
+		candidates.push_back(engine_candidate{ static_cast<std::uint64_t>(i), { "i-" + std::to_string(i), 1'791'000'000'000U }, "z" + std::to_string(i % 5), i % 3 });
 	}
 	const std::vector<prompt_link> prompt{ { 1, 2520 }, { 2, 3780 }, { 3, 2890 } };
 	for (std::size_t i = 0; i < candidates.size(); i += 9) {
-		engines.on_sent(candidates[i].name, prompt, NOW);
+		engines.on_sent(candidates[i].engine, prompt, NOW);
 	}
 	for (auto _ : p_state) {
 		benchmark::DoNotOptimize(engines.choose(candidates, prompt, "z1", NOW));
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -62,14 +62,16 @@
 
 TEST(link_codec, prompts_come_back_with_their_engines_and_links) {
 	tell_prompts_message told;
-	told.prompts.push_back(told_prompt{ 7, "i-1", { prompt_link{ 11, 100 }, prompt_link{ 12, 20 } } });
-	told.prompts.push_back(told_prompt{ 8, "i-2", {} });
-	told.prompts.push_back(told_prompt{ 9, "i-1", { prompt_link{ 13, 5 } } });
+	told.prompts.push_back(told_prompt{ 7, { "i-1", 1 }, { prompt_link{ 11, 100 }, prompt_link{ 12, 20 } } });
+	told.prompts.push_back(told_prompt{ 8, { "i-2", 0 }, {} });
+	told.prompts.push_back(told_prompt{ 9, { "i-1", 2 }, { prompt_link{ 13, 5 } } });
 	const std::optional<link_message> decoded = decode_link_message(encode(link_message(told)));
 	ASSERT_TRUE(decoded);
 	const tell_prompts_message &read = std::get<tell_prompts_message>(*decoded);
 	ASSERT_EQ(read.prompts.size(), 3U);
-	EXPECT_EQ(read.prompts[0].engine, "i-1");
+	EXPECT_EQ(read.prompts[0].engine, (endpoint_identity{ "i-1", 1 }));
+	EXPECT_EQ(read.prompts[1].engine, (endpoint_identity{ "i-2", 0 }));
+	EXPECT_EQ(read.prompts[2].engine, (endpoint_identity{ "i-1", 2 })) << "two starts of one engine";
 	EXPECT_EQ(read.prompts[0].prompt[1].chain, 12U);
 	EXPECT_EQ(read.prompts[1].prompt.size(), 0U);
 	EXPECT_EQ(read.prompts[2].origin, 9U);
--- a/tests/servers/gateway/endpoint_restart_test.cpp
+++ b/tests/servers/gateway/endpoint_restart_test.cpp
@@ -1,12 +1,13 @@
 /*
  * calicoscale: endpoint_restart_test.cpp
- * Endpoints that start again under their name: the directory and what nodes tell each other.
+ * Endpoints that start again under their name: the directory, what nodes tell each other, and what engines have read.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
 #include "servers/gateway/endpoint_directory.h"
+#include "servers/gateway/engine_view.h"
 
 #include <gtest/gtest.h>
 
@@ -140,4 +141,40 @@
 	EXPECT_TRUE(directory.take_gone().empty());
 }
 
+TEST(engine_view_restart, an_engine_that_started_again_has_read_nothing_and_is_as_fast_as_any) {
+	const endpoint_identity earlier{ "e", 1 };
+	const endpoint_identity later{ "e", 2 };
+	const std::vector<prompt_link> prompt{ { 11, 8000 }, { 12, 100 } };
+	engine_view view;
+	view.set_start(earlier);
+	view.on_sent(earlier, prompt, at(0));
+	for (int i = 0; i < 8; i++) {
+		view.on_first_event(earlier, view.predict(earlier, prompt, at(i)), seconds(2), at(i));
+	}
+	const duration usual = view.predict({ "other", 1 }, prompt, at(10)).reading;
+	EXPECT_EQ(view.predict(earlier, prompt, at(10)).unread_shared, 0U);
+	view.set_start(later);
+	const engine_prediction anew = view.predict(later, prompt, at(10));
+	EXPECT_EQ(anew.unread_shared, 8000U);
+	EXPECT_EQ(anew.wait, duration::zero());
+	EXPECT_EQ(anew.reading, usual);
+}
+
+TEST(engine_view_restart, what_is_told_late_of_the_earlier_start_is_ignored) {
+	const endpoint_identity earlier{ "e", 1 };
+	const endpoint_identity later{ "e", 2 };
+	const std::vector<prompt_link> prompt{ { 11, 8000 }, { 12, 100 } };
+	engine_view view;
+	view.set_start(later);
+	const engine_prediction predicted = view.predict(later, prompt, at(0));
+	view.on_sent(earlier, prompt, at(0));
+	view.on_first_event(earlier, predicted, seconds(9), at(0));
+	EXPECT_EQ(view.predict(earlier, prompt, at(10)).unread_shared, 8000U) << "nothing is kept of it";
+	EXPECT_EQ(view.predict(later, prompt, at(10)).unread_shared, 8000U);
+	EXPECT_EQ(view.predict(later, prompt, at(10)).reading, predicted.reading);
+	view.set_start(earlier);
+	view.on_sent(later, prompt, at(20));
+	EXPECT_EQ(view.predict(later, prompt, at(30)).unread_shared, 0U);
+}
+
 } // namespace calicoscale
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -424,7 +424,7 @@
 namespace {
 
 const std::vector<engine_candidate> &get_engines() {
-	static const std::vector<engine_candidate> engines{ { 1, "e1", "a", 0 }, { 2, "e2", "a", 0 }, { 3, "e3", "b", 0 } };
+	static const std::vector<engine_candidate> engines{ { 1, { "e1", 1 }, "a", 0 }, { 2, { "e2", 1 }, "a", 0 }, { 3, { "e3", 1 }, "b", 0 } };
 	return engines;
 }
 
@@ -434,23 +434,23 @@
 	engine_view view;
 	const std::vector<prompt_link> first{ { 11, 13000 }, { 12, 3000 } };
 	const std::vector<prompt_link> second{ { 11, 13000 }, { 13, 3000 } };
-	view.on_sent("e3", first, at(milliseconds(0)));
+	view.on_sent({ "e3", 1 }, first, at(milliseconds(0)));
 	EXPECT_EQ(view.choose(get_engines(), second, "", at(milliseconds(5000))), 2U);
-	const engine_prediction prediction = view.predict("e3", second, at(milliseconds(5000)));
+	const engine_prediction prediction = view.predict({ "e3", 1 }, second, at(milliseconds(5000)));
 	EXPECT_EQ(prediction.unread, 3000U);
 	EXPECT_EQ(prediction.unread_shared, 0U);
-	EXPECT_EQ(view.predict("e1", second, at(milliseconds(5000))).unread_shared, 13000U);
+	EXPECT_EQ(view.predict({ "e1", 1 }, second, at(milliseconds(5000))).unread_shared, 13000U);
 }
 
 TEST(engine_view, leaves_a_reader_that_is_busy_for_long) {
 	engine_view view;
 	const std::vector<prompt_link> shared{ { 11, 2000 }, { 12, 100 } };
-	view.on_sent("e3", shared, at(milliseconds(0)));
+	view.on_sent({ "e3", 1 }, shared, at(milliseconds(0)));
 	for (std::uint64_t i = 0; i < 6; i++) {
-		view.on_sent("e3", { { 100 + i, 20000 } }, at(milliseconds(0)));
+		view.on_sent({ "e3", 1 }, { { 100 + i, 20000 } }, at(milliseconds(0)));
 	}
 	EXPECT_NE(view.choose(get_engines(), { { 11, 2000 }, { 14, 100 } }, "", at(milliseconds(10))), 2U);
-	EXPECT_GT(view.predict("e3", shared, at(milliseconds(10))).wait, duration(seconds(1)));
+	EXPECT_GT(view.predict({ "e3", 1 }, shared, at(milliseconds(10))).wait, duration(seconds(1)));
 }
 
 TEST(engine_view, spreads_prompts_that_are_new_and_agrees_with_other_nodes) {
@@ -469,14 +469,14 @@
 TEST(engine_view, learns_that_an_engine_is_slow_and_forgets_it) {
 	engine_view view;
 	const std::vector<prompt_link> prompt{ { 11, 4000 } };
-	const duration usual = view.predict("e1", prompt, at(milliseconds(0))).reading;
+	const duration usual = view.predict({ "e1", 1 }, prompt, at(milliseconds(0))).reading;
 	for (int i = 0; i < 8; i++) {
-		view.on_first_event("e1", view.predict("e1", prompt, at(milliseconds(i))), seconds(2), at(milliseconds(i)));
+		view.on_first_event({ "e1", 1 }, view.predict({ "e1", 1 }, prompt, at(milliseconds(i))), seconds(2), at(milliseconds(i)));
 	}
-	EXPECT_GT(view.predict("e1", prompt, at(milliseconds(10))).reading, usual * 3);
-	EXPECT_LT(view.predict("e2", prompt, at(milliseconds(10))).reading, usual * 3);
-	view.forget_engine("e1");
-	EXPECT_LT(view.predict("e1", prompt, at(milliseconds(10))).reading, usual * 3);
+	EXPECT_GT(view.predict({ "e1", 1 }, prompt, at(milliseconds(10))).reading, usual * 3);
+	EXPECT_LT(view.predict({ "e2", 1 }, prompt, at(milliseconds(10))).reading, usual * 3);
+	view.forget_engine({ "e1", 1 });
+	EXPECT_LT(view.predict({ "e1", 1 }, prompt, at(milliseconds(10))).reading, usual * 3);
 }
 
 } // namespace calicoscale
--- a/tests/servers/gateway/prompt_digest_test.cpp
+++ b/tests/servers/gateway/prompt_digest_test.cpp
@@ -21,7 +21,7 @@
 }
 
 told_prompt make_prompt(std::uint64_t p_tokens) {
-	return told_prompt{ get_origin_code("n"), "e", { prompt_link{ p_tokens, p_tokens } } };
+	return told_prompt{ get_origin_code("n"), { "e", 1 }, { prompt_link{ p_tokens, p_tokens } } };
 }
 
 /** Messages sent at once in ten seconds, of a node that sends prompts at a rate to a number of others. */
