Stage pool begins anew with a replica that started again, and makes again what it lost

Cause: slots, blocks, slowness and room were kept by name, so that a replica that had started again counted as busy, failing or full for what its earlier start had done; results made there were handed on though they were lost.

Nodes tell the incarnation of a result's maker with the handle, at the end of two tables, so that a node that takes a pool over does not count lost results for the later start.

Ruled out: counting a lost result as a failed try of its piece; a restart says nothing of the work, and three would end it.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -200,7 +200,7 @@
 
 	encoded_body operator()(const work_ended_message &p_message) const {
 		const auto handles = target.CreateVectorOfStrings(p_message.handles);
-		return { wire::message_work_ended, wire::Creatework_ended(target, p_message.id, p_message.end, handles).Union() };
+		return { wire::message_work_ended, wire::Creatework_ended(target, p_message.id, p_message.end, handles, target.CreateVector(p_message.incarnations)).Union() };
 	}
 
 	encoded_body operator()(const tell_endpoints_message &p_message) const {
@@ -230,7 +230,7 @@
 		const text_offset pool = target.CreateString(p_message.pool);
 		const auto handles = target.CreateVectorOfStrings(p_message.handles);
 		const auto sizes = target.CreateVector(p_message.result_bytes);
-		return { wire::message_tell_results, wire::Createtell_results(target, pool, handles, sizes).Union() };
+		return { wire::message_tell_results, wire::Createtell_results(target, pool, handles, sizes, target.CreateVector(p_message.incarnations)).Union() };
 	}
 
 	encoded_body operator()(const tell_prompts_message &p_message) const {
@@ -271,6 +271,10 @@
 	return texts;
 }
 
+std::vector<std::uint64_t> read_numbers(const flatbuffers::Vector<std::uint64_t> *p_numbers) {
+	return p_numbers == nullptr ? std::vector<std::uint64_t>() : std::vector<std::uint64_t>(p_numbers->begin(), p_numbers->end());
+}
+
 /** A node of a version that does not know incarnations sends none; each is 0 then. */
 std::vector<endpoint_identity> read_identities(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *p_names, const flatbuffers::Vector<std::uint64_t> *p_incarnations) {
 	std::vector<endpoint_identity> identities;
@@ -435,7 +439,7 @@
 			return read_hand_work(*frame->body_as_hand_work());
 		case wire::message_work_ended: {
 			const wire::work_ended *ended = frame->body_as_work_ended();
-			return work_ended_message{ ended->id(), ended->end(), read_texts(ended->handles()) };
+			return work_ended_message{ ended->id(), ended->end(), read_texts(ended->handles()), read_numbers(ended->incarnations()) };
 		}
 		case wire::message_cancel_work: {
 			const wire::cancel_work *cancelled = frame->body_as_cancel_work();
@@ -451,10 +455,7 @@
 		}
 		case wire::message_tell_results: {
 			const wire::tell_results *told = frame->body_as_tell_results();
-			tell_results_message message{ read(told->pool()), read_texts(told->handles()), {} };
-			if (told->result_bytes() != nullptr) {
-				message.result_bytes.assign(told->result_bytes()->begin(), told->result_bytes()->end());
-			}
+			const tell_results_message message{ read(told->pool()), read_texts(told->handles()), read_numbers(told->result_bytes()), read_numbers(told->incarnations()) };
 			// A handle without its size, or the reverse, is no message of ours.
 			if (message.handles.size() != message.result_bytes.size()) {
 				return std::nullopt;
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -97,6 +97,7 @@
 	std::uint64_t id = 0; ///< As the owner of the work gave it.
 	std::uint8_t end = 0; ///< A work_end.
 	std::vector<std::string> handles;
+	std::vector<std::uint64_t> incarnations; ///< Of the replicas that made them; empty from a node that does not know them.
 };
 
 /** Nobody waits for work handed over any more. */
@@ -116,6 +117,7 @@
 	std::string pool;
 	std::vector<std::string> handles;
 	std::vector<std::uint64_t> result_bytes; ///< Of each handle.
+	std::vector<std::uint64_t> incarnations; ///< Of the replicas that made them; empty from a node that does not know them.
 };
 
 /** Prompts that nodes sent to engines. */
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -87,7 +87,7 @@
 	link.work_ended().connect([this](const std::string &p_vm, const work_ended_message &p_message) {
 		const auto found = _own.find(p_message.id);
 		if (found != _own.end() && found->second.node == p_vm) {
-			_end_own(p_message.id, work_result{ p_message.id, static_cast<work_end>(p_message.end), p_message.handles });
+			_end_own(p_message.id, work_result{ p_message.id, static_cast<work_end>(p_message.end), p_message.handles, p_message.incarnations });
 		}
 	});
 	link.work_cancelled().connect([this](const std::string &p_vm, const cancel_work_message &p_message) {
@@ -291,8 +291,9 @@
 	}
 	const own_work own = std::move(found->second);
 	_own.erase(found);
-	for (const std::string &handle : p_result.handles) {
-		_held[own.pool][handle] = own_result{ own.work.result_bytes, own.node };
+	for (std::size_t i = 0; i < p_result.handles.size(); i++) {
+		const std::uint64_t incarnation = i < p_result.incarnations.size() ? p_result.incarnations[i] : 0;
+		_held[own.pool][p_result.handles[i]] = own_result{ own.work.result_bytes, own.node, incarnation };
 	}
 	own.hook(p_result);
 }
@@ -308,6 +309,7 @@
 		if (result.told_to != node) {
 			message.handles.push_back(handle);
 			message.result_bytes.push_back(result.bytes);
+			message.incarnations.push_back(result.incarnation);
 		}
 	}
 	if (message.handles.empty()) {
@@ -327,7 +329,8 @@
 void stage_dispatcher::_on_results_told(const std::string &p_owner, const tell_results_message &p_message) {
 	std::vector<held_result> results;
 	for (std::size_t i = 0; i < p_message.handles.size(); i++) {
-		results.push_back(held_result{ p_message.handles[i], get_maker(p_message.handles[i]), static_cast<double>(p_message.result_bytes[i]) });
+		const std::uint64_t incarnation = i < p_message.incarnations.size() ? p_message.incarnations[i] : 0;
+		results.push_back(held_result{ p_message.handles[i], get_maker(p_message.handles[i]), incarnation, static_cast<double>(p_message.result_bytes[i]) });
 	}
 	_get_pool(p_message.pool).pool.on_results_told(p_owner, results, event_loop::now());
 }
@@ -422,10 +425,10 @@
 		items.push_back(stage_call_item{ work, item.piece, work->give_up_at - now });
 	}
 	channel_request request;
-	request.endpoint.vm = p_call.replica;
+	request.endpoint = p_call.replica;
 	request.to = p_call.to;
 	request.zone = p_call.zone;
-	request.bytes = write_stage_call(p_call.replica, p_call.to, items);
+	request.bytes = write_stage_call(p_call.replica.vm, p_call.to, items);
 	request.longest_idle = REPLICA_IDLE;
 	request.connect_timeout = CONNECT_TIMEOUT;
 	struct answer_state {
@@ -445,7 +448,7 @@
 	};
 	_context.metrics.count("stage_calls");
 	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
-	_context.log.write_request(log_line("stage_call").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("pieces", static_cast<long long>(p_call.items.size())).add("requests", list_attempts(items)).add("waiting", static_cast<long long>(p_entry.pool.get_waiting_pieces())));
+	_context.log.write_request(log_line("stage_call").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("pieces", static_cast<long long>(p_call.items.size())).add("requests", list_attempts(items)).add("waiting", static_cast<long long>(p_entry.pool.get_waiting_pieces())));
 	p_entry.exchanges[p_call.id] = _context.channels.start(std::move(request), std::move(hooks));
 }
 
@@ -469,12 +472,12 @@
 	}
 	if (end != call_end::ANSWERED || results.empty()) {
 		_context.metrics.count("stage_calls_failed");
-		_context.log.write_request(log_line("stage_call_failed").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("end", get_name(p_end)).add("status", static_cast<long long>(p_status)));
+		_context.log.write_request(log_line("stage_call_failed").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("end", get_name(p_end)).add("status", static_cast<long long>(p_status)));
 	}
 	const std::ptrdiff_t without_room = std::count_if(results.begin(), results.end(), [](const item_result &p_result) { return p_result.end == item_end::NO_ROOM; });
 	if (without_room > 0) {
 		_context.metrics.count("stage_pieces_without_room", static_cast<double>(without_room));
-		_context.log.write_request(log_line("stage_call_without_room").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica).add("pieces", static_cast<long long>(results.size())).add("without_room", static_cast<long long>(without_room)));
+		_context.log.write_request(log_line("stage_call_without_room").add("pool", p_name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("pieces", static_cast<long long>(results.size())).add("without_room", static_cast<long long>(without_room)));
 	}
 	entry.pool.on_call_ended(p_call.id, end, results, event_loop::now());
 	_pump_pool(p_name, entry);
@@ -491,10 +494,10 @@
 		p_entry.accepted.erase(found);
 		p_entry.by_owner.erase({ accepted.node, accepted.id });
 		if (accepted.node.empty()) {
-			_end_own(accepted.id, work_result{ accepted.id, result.end, result.handles });
+			_end_own(accepted.id, work_result{ accepted.id, result.end, result.handles, result.incarnations });
 		} else {
 			p_entry.pool.set_owner(result.handles, accepted.node);
-			_fleet.get_link().send(accepted.node, work_ended_message{ accepted.id, static_cast<std::uint8_t>(result.end), result.handles });
+			_fleet.get_link().send(accepted.node, work_ended_message{ accepted.id, static_cast<std::uint8_t>(result.end), result.handles, result.incarnations });
 		}
 	}
 }
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -61,6 +61,7 @@
 	struct own_result {
 		std::size_t bytes = 0;
 		std::string told_to; ///< The node that knows of it.
+		std::uint64_t incarnation = 0; ///< Of the replica that made it; 0 when it is not known.
 	};
 
 	gateway_context &_context;
--- a/servers/gateway/result_room.cpp
+++ b/servers/gateway/result_room.cpp
@@ -17,7 +17,7 @@
 	_time_to_live = p_time_to_live;
 }
 
-void result_room::keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now) {
+void result_room::keep(const std::string &p_handle, const endpoint_identity &p_replica, double p_bytes, const std::string &p_owner, instant p_now) {
 	if (_results.emplace(p_handle, kept_result{ p_replica, p_bytes, p_now + _time_to_live, p_owner }).second) {
 		_replicas[p_replica].used += p_bytes;
 	}
@@ -66,18 +66,18 @@
 	release(expired);
 }
 
-void result_room::on_refused(const std::string &p_replica, double p_known, instant p_now) {
+void result_room::on_refused(const endpoint_identity &p_replica, double p_known, instant p_now) {
 	replica_room &replica = _replicas[p_replica];
 	replica.lost = std::max(0.0, _room_bytes - p_known);
 	replica.lost_at = p_now;
 }
 
-double result_room::get_used(const std::string &p_replica) const {
+double result_room::get_used(const endpoint_identity &p_replica) const {
 	const auto found = _replicas.find(p_replica);
 	return found == _replicas.end() ? 0.0 : found->second.used;
 }
 
-bool result_room::has_room(const std::string &p_replica, double p_bytes, instant p_now) const {
+bool result_room::has_room(const endpoint_identity &p_replica, double p_bytes, instant p_now) const {
 	if (_room_bytes <= 0.0) {
 		return true;
 	}
@@ -92,7 +92,7 @@
 	return replica.used + lost + p_bytes <= _room_bytes;
 }
 
-void result_room::forget_replica(const std::string &p_replica) {
+void result_room::forget_replica(const endpoint_identity &p_replica) {
 	_replicas.erase(p_replica);
 	std::erase_if(_results, [&p_replica](const auto &p_entry) { return p_entry.second.replica == p_replica; });
 }
--- a/servers/gateway/result_room.h
+++ b/servers/gateway/result_room.h
@@ -10,6 +10,7 @@
 #define RESULT_ROOM_H
 
 #include "core/time.h"
+#include "servers/routing/endpoint_identity.h"
 
 #include <map>
 #include <string>
@@ -23,7 +24,7 @@
  */
 class result_room {
 	struct kept_result {
-		std::string replica;
+		endpoint_identity replica;
 		double bytes = 0.0;
 		instant expires_at{};
 		std::string owner; ///< Who it was handed to; empty for this node itself.
@@ -38,14 +39,14 @@
 	double _room_bytes = 0.0; ///< Of each replica; 0 when it has no bound.
 	duration _time_to_live = duration::zero();
 	std::map<std::string, kept_result> _results; ///< By handle.
-	std::map<std::string, replica_room> _replicas;
+	std::map<endpoint_identity, replica_room> _replicas;
 
 public:
 	/** Takes a replica's room and how long a result is kept at most. */
 	void set_bounds(double p_room_bytes, duration p_time_to_live);
 
 	/** A replica keeps a result from now on. One that is known already changes nothing. */
-	void keep(const std::string &p_handle, const std::string &p_replica, double p_bytes, const std::string &p_owner, instant p_now);
+	void keep(const std::string &p_handle, const endpoint_identity &p_replica, double p_bytes, const std::string &p_owner, instant p_now);
 
 	/** Results were handed to a node, which releases them or is lost with them. */
 	void set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner);
@@ -60,16 +61,16 @@
 	void expire(instant p_now);
 
 	/** A replica refused a piece for lack of room. @param p_known what its known results took when the call was sent, and made since. */
-	void on_refused(const std::string &p_replica, double p_known, instant p_now);
+	void on_refused(const endpoint_identity &p_replica, double p_known, instant p_now);
 
 	/** What the known results of a replica take. */
-	double get_used(const std::string &p_replica) const;
+	double get_used(const endpoint_identity &p_replica) const;
 
 	/** Whether a replica has room for so much more. */
-	bool has_room(const std::string &p_replica, double p_bytes, instant p_now) const;
+	bool has_room(const endpoint_identity &p_replica, double p_bytes, instant p_now) const;
 
 	/** Forgets a replica that is gone, and with it its results. */
-	void forget_replica(const std::string &p_replica);
+	void forget_replica(const endpoint_identity &p_replica);
 };
 
 } // namespace calicoscale
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -73,10 +73,11 @@
 		replica.listed = false;
 	}
 	for (const endpoint_listing &listing : p_replicas) {
-		replica_state &replica = _replicas[listing.vm];
+		replica_state &replica = _replicas[listing.get_identity()];
 		replica.listing = listing;
 		replica.listed = true;
 	}
+	_forget_replaced();
 	_forget_unlisted();
 	_replica_counts.clear();
 	for (const endpoint_listing &listing : p_replicas) {
@@ -85,6 +86,42 @@
 	}
 }
 
+void stage_pool::_forget_replaced() {
+	std::vector<endpoint_identity> replaced;
+	// In order, so that the starts of one replica stand side by side.
+	for (auto replica = _replicas.begin(); replica != _replicas.end(); ++replica) {
+		const auto next = std::next(replica);
+		if (next != _replicas.end() && is_replaced_by(replica->first, next->first)) {
+			replica->second.replaced = true;
+			replaced.push_back(replica->first);
+		}
+	}
+	for (const endpoint_identity &maker : replaced) {
+		_room.forget_replica(maker);
+		_make_lost_again(maker);
+	}
+}
+
+void stage_pool::_make_lost_again(const endpoint_identity &p_maker) {
+	std::vector<stage_item> lost;
+	for (auto &[id, entry] : _works) {
+		for (std::size_t piece = 0; piece < entry.states.size(); piece++) {
+			if (entry.states[piece] == piece_state::DONE && entry.makers[piece] == p_maker) {
+				lost.push_back(stage_item{ id, piece });
+			}
+		}
+	}
+	for (const stage_item &item : lost) {
+		queued_work &entry = _works.at(item.work);
+		// Its maker may have been the later start already, which then keeps it until it is told.
+		_unwanted.insert(std::move(entry.handles[item.piece]));
+		entry.handles[item.piece].clear();
+		entry.states[item.piece] = piece_state::RUNNING;
+		entry.missing++;
+		_put_back(item, false);
+	}
+}
+
 void stage_pool::_forget_unlisted() {
 	for (auto replica = _replicas.begin(); replica != _replicas.end();) {
 		if (replica->second.listed || replica->second.calls > 0) {
@@ -136,6 +173,7 @@
 	entry.states.assign(p_work.pieces, piece_state::WAITING);
 	entry.tries.assign(p_work.pieces, 0);
 	entry.handles.resize(p_work.pieces);
+	entry.makers.resize(p_work.pieces);
 	entry.waiting = p_work.pieces;
 	entry.missing = p_work.pieces;
 	entry.queued_at = p_now;
@@ -160,8 +198,11 @@
 
 void stage_pool::_end(work_id p_id, work_end p_end) {
 	queued_work &entry = _works.at(p_id);
-	work_result result{ p_id, p_end, {} };
+	work_result result{ p_id, p_end, {}, {} };
 	if (p_end == work_end::DONE) {
+		for (const endpoint_identity &maker : entry.makers) {
+			result.incarnations.push_back(maker.incarnation);
+		}
 		result.handles = std::move(entry.handles);
 		entry.handles.clear();
 	}
@@ -231,7 +272,7 @@
 }
 
 bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes, instant p_now) const {
-	return !_without.has(mechanism::ROOM) || _room.has_room(p_replica.listing.vm, p_bytes, p_now);
+	return !_without.has(mechanism::ROOM) || _room.has_room(p_replica.listing.get_identity(), p_bytes, p_now);
 }
 
 void stage_pool::_learn_room(const running_call &p_call, const std::vector<item_result> &p_items, instant p_now) {
@@ -251,8 +292,13 @@
 
 void stage_pool::on_results_told(const std::string &p_owner, const std::vector<held_result> &p_results, instant p_now) {
 	for (const held_result &result : p_results) {
-		const auto maker = std::find_if(_replicas.begin(), _replicas.end(), [&result](const auto &p_entry) { return p_entry.second.listing.address == result.maker; });
-		if (maker != _replicas.end()) {
+		// The last one, as the starts of one replica follow each other.
+		const auto maker = std::find_if(_replicas.rbegin(), _replicas.rend(), [&result](const auto &p_entry) {
+			const endpoint_listing &listing = p_entry.second.listing;
+			const bool is_start = result.incarnation == 0 || result.incarnation == listing.incarnation;
+			return listing.address == result.maker && is_start;
+		});
+		if (maker != _replicas.rend()) {
 			_room.keep(result.handle, maker->first, result.bytes, p_owner, p_now);
 		}
 	}
@@ -328,7 +374,7 @@
 		}
 		stage_call call;
 		call.id = _next_call++;
-		call.replica = replica->listing.vm;
+		call.replica = replica->listing.get_identity();
 		call.to = replica->listing.address;
 		call.zone = replica->listing.zone;
 		_fill(call, *replica, p_now);
@@ -380,7 +426,8 @@
 	if (p_result.end == item_end::DONE) {
 		_meter.on_made();
 		const double bytes = found == _works.end() ? 0.0 : static_cast<double>(found->second.work.result_bytes);
-		_room.keep(p_result.handle, p_replica == nullptr ? "" : p_replica->listing.vm, bytes, "", p_now);
+		const endpoint_identity maker = p_replica == nullptr ? endpoint_identity() : p_replica->listing.get_identity();
+		_room.keep(p_result.handle, maker, bytes, "", p_now);
 		const bool is_made = found != _works.end() && found->second.states[p_item.piece] == piece_state::DONE;
 		if (found == _works.end() || (is_made && found->second.handles[p_item.piece] != p_result.handle)) {
 			_unwanted.insert(p_result.handle);
@@ -395,6 +442,7 @@
 		}
 		entry.states[p_item.piece] = piece_state::DONE;
 		entry.handles[p_item.piece] = p_result.handle;
+		entry.makers[p_item.piece] = maker;
 		entry.missing--;
 		if (entry.missing == 0) {
 			_end(p_item.work, work_end::DONE);
@@ -472,10 +520,11 @@
 	}
 	for (auto &[id, call] : _calls) {
 		const duration allowed = duration(static_cast<duration::rep>(static_cast<double>(call.expected.count()) * OVERRUN_FACTOR)) + OVERRUN_MARGIN;
-		if (call.repeated || p_now - call.started_at < allowed || !_without.has(mechanism::REPEATED_CALLS)) {
+		const auto replica = _replicas.find(call.replica);
+		const bool is_lost = replica != _replicas.end() && replica->second.replaced;
+		if (call.repeated || (!is_lost && p_now - call.started_at < allowed) || !_without.has(mechanism::REPEATED_CALLS)) {
 			continue;
 		}
-		const auto replica = _replicas.find(call.replica);
 		if (replica != _replicas.end()) {
 			replica->second.slowness = std::max(_get_slowness(replica->second, p_now), OVERRUN_FACTOR + 1.0);
 			replica->second.slowness_at = p_now;
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -52,7 +52,7 @@
 /** A call to send. */
 struct stage_call {
 	std::uint64_t id = 0;
-	std::string replica;
+	endpoint_identity replica;
 	network_address to;
 	std::string zone; ///< Of the replica.
 	std::vector<stage_item> items;
@@ -97,12 +97,14 @@
 	work_id id = 0;
 	work_end end = work_end::FAILED;
 	std::vector<std::string> handles; ///< One for each piece, when done.
+	std::vector<std::uint64_t> incarnations; ///< Of the replicas that made them.
 };
 
 /** A result that somebody holds, as told to the pool. */
 struct held_result {
 	std::string handle;
 	network_address maker; ///< The replica that made it.
+	std::uint64_t incarnation = 0; ///< Of that replica; 0 when it is not known.
 	double bytes = 0.0;
 };
 
@@ -123,13 +125,14 @@
 		std::vector<piece_state> states;
 		std::vector<int> tries;
 		std::vector<std::string> handles;
+		std::vector<endpoint_identity> makers; ///< Of the handles.
 		std::size_t waiting = 0;
 		std::size_t missing = 0;
 		instant queued_at{};
 	};
 
 	struct running_call {
-		std::string replica;
+		endpoint_identity replica;
 		std::vector<stage_item> items;
 		instant started_at{};
 		duration expected = duration::zero();
@@ -140,6 +143,7 @@
 	struct replica_state {
 		endpoint_listing listing;
 		bool listed = true;
+		bool replaced = false; ///< It started again, which is another replica here.
 		int calls = 0;
 		instant free_at{}; ///< When the call at work is expected to end.
 		instant blocked_until{};
@@ -152,7 +156,7 @@
 
 	ablation _without;
 	stage_pool_spec _spec;
-	std::map<std::string, replica_state> _replicas;
+	std::map<endpoint_identity, replica_state> _replicas;
 	std::map<std::string, std::size_t> _replica_counts; ///< Replicas that may get work, by zone; all under "".
 	std::set<std::string> _unreached_zones;
 	std::map<work_id, queued_work> _works;
@@ -172,6 +176,8 @@
 	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now);
 	duration _get_expected(std::size_t p_items) const;
 	void _forget_unlisted();
+	void _forget_replaced();
+	void _make_lost_again(const endpoint_identity &p_maker);
 	bool _is_any_free(instant p_now) const;
 	bool _is_reached(const replica_state &p_replica) const;
 	void _make_again(running_call &r_call, const std::function<bool()> &p_may_repeat);
@@ -192,7 +198,10 @@
 	/** Takes the pool's properties. */
 	void set_spec(const stage_pool_spec &p_spec);
 
-	/** Takes the pool's replicas that may get work; others get none from now on. */
+	/**
+	 * Takes the pool's replicas that may get work; others get none from now on. Of a replica that started again nothing is
+	 * kept: what it had made for work that still waits is made again.
+	 */
 	void set_replicas(const std::vector<endpoint_listing> &p_replicas);
 
 	/**
@@ -227,7 +236,8 @@
 	void on_released(const std::vector<std::string> &p_handles) { _room.release(p_handles); }
 
 	/**
-	 * Lets time pass: ends work that is late and makes pieces anew whose call is far over its time.
+	 * Lets time pass: ends work that is late and makes pieces anew whose call is far over its time or at a replica that
+	 * started again.
 	 * @param p_may_repeat takes the right to repeat a call.
 	 */
 	void tick(const std::function<bool()> &p_may_repeat, instant p_now);
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -101,6 +101,10 @@
 	EXPECT_EQ(told_reading.dropped, (std::vector<std::string>{ "lapsed" }));
 	EXPECT_EQ(told_reading.listed, 77U);
 	EXPECT_EQ(told_reading.listed_starts, 78U);
+	const work_ended_message ended = std::get<work_ended_message>(*decode_link_message(encode(link_message(work_ended_message{ 1, 0, { "h" }, { 5 } }))));
+	EXPECT_EQ(ended.incarnations, (std::vector<std::uint64_t>{ 5 }));
+	const tell_results_message results = std::get<tell_results_message>(*decode_link_message(encode(link_message(tell_results_message{ "p", { "h" }, { 9 }, { 5 } }))));
+	EXPECT_EQ(results.incarnations, (std::vector<std::uint64_t>{ 5 }));
 	configuration_snapshot snapshot{ 4, 9, true, "change", "{}" };
 	const configuration_snapshot told = std::get<configuration_snapshot>(*decode_link_message(encode(link_message(snapshot))));
 	EXPECT_EQ(told.version, 4U);
--- a/tests/servers/gateway/result_room_test.cpp
+++ b/tests/servers/gateway/result_room_test.cpp
@@ -32,34 +32,34 @@
 
 TEST(result_room, known_results_take_room_until_they_are_released_or_expire) {
 	result_room room = make_room();
-	EXPECT_TRUE(room.has_room("r", 100.0, at(0)));
-	EXPECT_FALSE(room.has_room("r", 101.0, at(0)));
-	room.keep("one", "r", 60.0, "", at(0));
-	room.keep("one", "r", 60.0, "", at(0));
-	EXPECT_EQ(room.get_used("r"), 60.0) << "a result is counted once";
-	EXPECT_FALSE(room.has_room("r", 41.0, at(0)));
-	room.keep("two", "r", 30.0, "", at(1000));
+	EXPECT_TRUE(room.has_room({ "r", 1 }, 100.0, at(0)));
+	EXPECT_FALSE(room.has_room({ "r", 1 }, 101.0, at(0)));
+	room.keep("one", { "r", 1 }, 60.0, "", at(0));
+	room.keep("one", { "r", 1 }, 60.0, "", at(0));
+	EXPECT_EQ(room.get_used({ "r", 1 }), 60.0) << "a result is counted once";
+	EXPECT_FALSE(room.has_room({ "r", 1 }, 41.0, at(0)));
+	room.keep("two", { "r", 1 }, 30.0, "", at(1000));
 	room.release({ "one", "unknown" });
-	EXPECT_TRUE(room.has_room("r", 70.0, at(1000)));
+	EXPECT_TRUE(room.has_room({ "r", 1 }, 70.0, at(1000)));
 	room.expire(at(5000));
-	EXPECT_EQ(room.get_used("r"), 0.0);
+	EXPECT_EQ(room.get_used({ "r", 1 }), 0.0);
 }
 
 TEST(result_room, what_a_refusal_shows_goes_with_its_time_to_live) {
 	result_room room = make_room();
-	room.on_refused("r", 20.0, at(0));
-	EXPECT_FALSE(room.has_room("r", 21.0, at(0)));
-	EXPECT_TRUE(room.has_room("r", 59.0, at(2000)));
-	EXPECT_TRUE(room.has_room("r", 100.0, at(4000)));
+	room.on_refused({ "r", 1 }, 20.0, at(0));
+	EXPECT_FALSE(room.has_room({ "r", 1 }, 21.0, at(0)));
+	EXPECT_TRUE(room.has_room({ "r", 1 }, 59.0, at(2000)));
+	EXPECT_TRUE(room.has_room({ "r", 1 }, 100.0, at(4000)));
 }
 
 TEST(result_room, results_are_found_by_who_holds_them) {
 	result_room room = make_room();
-	room.keep("one", "r", 10.0, "", at(0));
-	room.keep("two", "r", 10.0, "", at(0));
+	room.keep("one", { "r", 1 }, 10.0, "", at(0));
+	room.keep("two", { "r", 1 }, 10.0, "", at(0));
 	room.set_owner({ "two" }, "node");
 	EXPECT_EQ(room.get_results_of("node"), (std::vector<std::string>{ "two" }));
-	room.forget_replica("r");
+	room.forget_replica({ "r", 1 });
 	EXPECT_TRUE(room.get_results_of("node").empty());
 }
 
--- a/tests/servers/gateway/stage_pool_test.cpp
+++ b/tests/servers/gateway/stage_pool_test.cpp
@@ -142,7 +142,7 @@
 	std::map<std::string, stage_call> calls;
 	for (int i = 0; i < 2; i++) {
 		const stage_call call = take_call(milliseconds(0));
-		calls[call.replica] = call;
+		calls[call.replica.vm] = call;
 	}
 	ASSERT_EQ(calls.size(), 2U);
 	EXPECT_DOUBLE_EQ(_pool.get_capacity(at(milliseconds(1))), 2.0);
@@ -150,7 +150,7 @@
 	EXPECT_DOUBLE_EQ(_pool.get_capacity(at(milliseconds(1))), 1.0);
 	_pool.on_call_ended(calls.at("e1").id, call_end::ANSWERED, make_results(calls.at("e1"), "e1:1"), at(milliseconds(230)));
 	const stage_call again = take_call(milliseconds(230));
-	EXPECT_EQ(again.replica, "e1");
+	EXPECT_EQ(again.replica.vm, "e1");
 	EXPECT_EQ(again.items.front().work, calls.at("e2").items.front().work);
 	_pool.on_call_ended(calls.at("e2").id, call_end::ANSWERED, make_results(calls.at("e2"), "e2:1"), at(milliseconds(240)));
 	EXPECT_EQ(_pool.take_ended().size(), 2U);
@@ -160,7 +160,7 @@
 TEST_F(stage_pool_test, with_all_zones_cut_off_any_replica_is_tried) {
 	_pool.set_unreached_zones({ "a" }, MAY_REPEAT);
 	_pool.add(1, make_work(1, at(milliseconds(2000))), at(milliseconds(0)));
-	EXPECT_EQ(take_call(milliseconds(0)).replica, "e1");
+	EXPECT_EQ(take_call(milliseconds(0)).replica.vm, "e1");
 }
 
 TEST_F(stage_pool_test, a_call_far_over_its_time_is_made_anew_elsewhere_and_the_first_answer_counts) {
@@ -206,13 +206,13 @@
 	for (work_id id = 1; id <= 6; id++) {
 		_pool.add(id, make_work(1, at(now + milliseconds(2000))), at(now));
 		const stage_call call = take_call(now);
-		slow = slow.empty() ? call.replica : slow;
-		now += call.replica == slow ? milliseconds(800) : milliseconds(160);
+		slow = slow.empty() ? call.replica.vm : slow;
+		now += call.replica.vm == slow ? milliseconds(800) : milliseconds(160);
 		_pool.on_call_ended(call.id, call_end::ANSWERED, make_results(call, "x:1"), at(now));
 	}
 	_pool.add(7, make_work(1, at(now + milliseconds(2000))), at(now));
 	const stage_call good = take_call(now);
-	EXPECT_NE(good.replica, slow);
+	EXPECT_NE(good.replica.vm, slow);
 	_pool.add(8, make_work(1, at(now + milliseconds(2000))), at(now));
 	EXPECT_FALSE(_pool.next_call(at(now + milliseconds(1)))) << "waiting for the good one is quicker";
 	now += milliseconds(20000);
@@ -283,8 +283,8 @@
 	spec.room_bytes = 8.0;
 	_pool.set_spec(spec);
 	const network_address maker{ "10.0.0.1", 80 };
-	_pool.on_results_told("n1", { held_result{ "e1:1/a", maker, 3.0 }, held_result{ "e1:1/b", maker, 3.0 }, held_result{ "elsewhere", network_address{ "10.9.9.9", 1 }, 100.0 } }, at(milliseconds(0)));
-	_pool.on_results_told("n1", { held_result{ "e1:1/a", maker, 3.0 } }, at(milliseconds(1)));
+	_pool.on_results_told("n1", { held_result{ "e1:1/a", maker, 0, 3.0 }, held_result{ "e1:1/b", maker, 0, 3.0 }, held_result{ "elsewhere", network_address{ "10.9.9.9", 1 }, 0, 100.0 } }, at(milliseconds(0)));
+	_pool.on_results_told("n1", { held_result{ "e1:1/a", maker, 0, 3.0 } }, at(milliseconds(1)));
 	stage_work work = make_work(8, at(seconds(20)));
 	work.result_bytes = 1;
 	_pool.add(1, work, at(milliseconds(10)));
@@ -305,13 +305,13 @@
 	large.zone = "a";
 	large.transfer_bytes = 7'000'000;
 	_pool.add(1, large, at(milliseconds(0)));
-	EXPECT_EQ(take_call(milliseconds(0)).replica, "near");
+	EXPECT_EQ(take_call(milliseconds(0)).replica.vm, "near");
 	_pool.add(2, large, at(milliseconds(10)));
 	EXPECT_FALSE(_pool.next_call(at(milliseconds(10)))) << "the near one is free soon";
 	stage_work hurried = large;
 	hurried.due_at = at(milliseconds(180));
 	_pool.add(3, hurried, at(milliseconds(10)));
-	EXPECT_EQ(take_call(milliseconds(10)).replica, "far");
+	EXPECT_EQ(take_call(milliseconds(10)).replica.vm, "far");
 }
 
 TEST_F(stage_pool_test, capacity_is_what_was_seen_while_work_waited) {
@@ -366,7 +366,7 @@
 		} else if (what == 3 && !open.empty()) {
 			const auto entry = std::next(open.begin(), *rc::gen::inRange<long>(0, static_cast<long>(open.size())));
 			const call_end end = *rc::gen::element(call_end::ANSWERED, call_end::ANSWERED, call_end::REFUSED, call_end::BROKEN, call_end::UNREACHABLE);
-			pool.on_call_ended(entry->first, end, end == call_end::ANSWERED ? make_results(entry->second, entry->second.replica) : std::vector<item_result>(), at(now));
+			pool.on_call_ended(entry->first, end, end == call_end::ANSWERED ? make_results(entry->second, entry->second.replica.vm) : std::vector<item_result>(), at(now));
 			open.erase(entry);
 		} else {
 			pool.tick(MAY_REPEAT, at(now));
