--- a/tests/main/gateway_restart_test.cpp
+++ b/tests/main/gateway_restart_test.cpp
@@ -72,4 +72,38 @@
 	EXPECT_EQ(ask(entry, "/once/")->head.status, 200);
 }
 
+TEST_F(gateway_restart_test, all_nodes_use_an_endpoint_that_left_and_started_again) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &one = start_ready();
+	gateway &other = start_ready();
+	_store.put(ENDPOINT_TOPIC, replica.get_name(), replica.get_entry("llm", true));
+	for (gateway *entry : { &one, &other }) {
+		run_until([this, entry] { return ask(*entry, "/once/")->head.status == 503; });
+	}
+	restart(replica, "llm", get_wall());
+	for (gateway *entry : { &one, &other }) {
+		run_until([this, entry] { return ask(*entry, "/once/")->head.status == 200; });
+	}
+	wait(milliseconds(1500));
+	EXPECT_EQ(ask(one, "/once/")->head.status, 200) << "news of the earlier start change nothing";
+	EXPECT_EQ(ask(other, "/once/")->head.status, 200);
+}
+
+TEST_F(gateway_restart_test, stages_at_a_replica_that_started_again_are_made_again) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &encode = add_replica("encode");
+	add_replica("search");
+	gateway &entry = start_ready();
+	encode.hold_stages = true;
+	const std::shared_ptr<caller_result> result = send(entry, "/stream/staged/", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: s\r\n");
+	run_until([&encode] { return encode.get_held_stages() == 1; });
+	encode.hold_stages = false;
+	restart(encode, "encode", get_wall());
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->head.status, 200);
+	EXPECT_EQ(result->body, WHOLE_STREAM);
+}
+
 } // namespace calicoscale
