--- a/servers/gateway/endpoint_record_filter.cpp
+++ b/servers/gateway/endpoint_record_filter.cpp
@@ -75,7 +75,7 @@
 			++held;
 			continue;
 		}
-		if (p_known.contains(held->first)) {
+		if (p_known.contains_name(held->first)) {
 			r_records.push_back(endpoint_record{ held->first, std::nullopt });
 		}
 		held = _held.erase(held);
@@ -97,7 +97,7 @@
 			continue;
 		}
 		_rejected.push_back(rejected_entry{ record.name, *fault });
-		const bool is_in_use = p_known.contains(record.name) || used.contains(record.name);
+		const bool is_in_use = p_known.contains_name(record.name) || used.contains(record.name);
 		if (is_in_use && !_hold(record.name, *fault, p_now)) {
 			records.push_back(endpoint_record{ record.name, std::nullopt });
 		}
--- a/tests/servers/gateway/endpoint_record_filter_test.cpp
+++ b/tests/servers/gateway/endpoint_record_filter_test.cpp
@@ -64,8 +64,8 @@
 TEST(endpoint_record_filter, spoilt_records_hold_no_other_back) {
 	filtered_directory list;
 	list.take({ spoilt("x"), sound("a"), spoilt(""), gone("y"), sound("b") }, 0);
-	EXPECT_TRUE(list.directory.contains("a"));
-	EXPECT_TRUE(list.directory.contains("b"));
+	EXPECT_TRUE(list.directory.contains_name("a"));
+	EXPECT_TRUE(list.directory.contains_name("b"));
 	EXPECT_EQ(list.directory.get_size(), 2U);
 	EXPECT_EQ(list.filter.take_rejected().size(), 2U);
 	EXPECT_TRUE(list.filter.take_rejected().empty());
@@ -76,13 +76,13 @@
 	list.take({ sound("a"), sound("b"), spoilt("b") }, 0);
 	list.take({ spoilt("a") }, 900);
 	list.take({ sound("a") }, 1800);
-	EXPECT_TRUE(list.directory.contains("b"));
+	EXPECT_TRUE(list.directory.contains_name("b"));
 	list.take({}, 2000);
-	EXPECT_FALSE(list.directory.contains("b")) << "its entry names no endpoint, and it did not write another";
+	EXPECT_FALSE(list.directory.contains_name("b")) << "its entry names no endpoint, and it did not write another";
 	list.take({}, 4000);
-	EXPECT_TRUE(list.directory.contains("a")) << "it wrote its entry again";
+	EXPECT_TRUE(list.directory.contains_name("a")) << "it wrote its entry again";
 	list.take({ spoilt("a"), gone("a") }, 6000);
-	EXPECT_FALSE(list.directory.contains("a")) << "an entry that went is not held";
+	EXPECT_FALSE(list.directory.contains_name("a")) << "an entry that went is not held";
 }
 
 TEST(endpoint_record_filter, a_spoilt_record_that_is_repeated_does_not_prolong_the_hold) {
@@ -90,38 +90,38 @@
 	list.take({ sound("a") }, 0);
 	for (int ms = 1000; ms < 3000; ms += 500) {
 		list.take({ spoilt("a") }, ms);
-		EXPECT_TRUE(list.directory.contains("a")) << ms;
+		EXPECT_TRUE(list.directory.contains_name("a")) << ms;
 	}
 	list.take({ spoilt("a") }, 3000);
-	EXPECT_FALSE(list.directory.contains("a"));
+	EXPECT_FALSE(list.directory.contains_name("a"));
 }
 
 TEST(endpoint_record_filter, a_state_that_is_not_known_takes_an_endpoint_out_at_once) {
 	filtered_directory list;
 	list.take({ sound("a") }, 0);
 	list.take({ spoilt("a", entry_fault::UNKNOWN_STATE) }, 100);
-	EXPECT_FALSE(list.directory.contains("a"));
+	EXPECT_FALSE(list.directory.contains_name("a"));
 }
 
 TEST(endpoint_record_filter, a_whole_reading_holds_as_the_records_do) {
 	filtered_directory list;
 	list.take({ sound("a"), sound("b"), sound("c") }, 0);
 	list.take_whole({ spoilt("a"), sound("b"), spoilt("c", entry_fault::UNKNOWN_STATE), spoilt("new") }, 1000);
-	EXPECT_TRUE(list.directory.contains("a"));
+	EXPECT_TRUE(list.directory.contains_name("a"));
 	EXPECT_EQ(list.directory.get_size(), 2U);
 	list.take_whole({ spoilt("a"), sound("b") }, 2000);
-	EXPECT_TRUE(list.directory.contains("a"));
+	EXPECT_TRUE(list.directory.contains_name("a"));
 	list.take({}, 3000);
-	EXPECT_FALSE(list.directory.contains("a"));
-	EXPECT_TRUE(list.directory.contains("b"));
+	EXPECT_FALSE(list.directory.contains_name("a"));
+	EXPECT_TRUE(list.directory.contains_name("b"));
 }
 
 TEST(endpoint_record_filter, an_entry_without_its_start_is_used_only_where_most_tell_none) {
 	filtered_directory told;
 	told.take_whole({ sound("a"), sound("b"), sound("x", 0) }, 0);
 	told.take({ sound("y", 0) }, 100);
-	EXPECT_FALSE(told.directory.contains("x"));
-	EXPECT_FALSE(told.directory.contains("y"));
+	EXPECT_FALSE(told.directory.contains_name("x"));
+	EXPECT_FALSE(told.directory.contains_name("y"));
 	EXPECT_EQ(told.filter.take_rejected().back().fault, entry_fault::MISSING_START);
 	filtered_directory untold;
 	untold.take_whole({ sound("a", 0), sound("b", 0), sound("x") }, 0);
@@ -146,12 +146,12 @@
 		now += *rc::gen::inRange(0, 900);
 		list.take(records, now);
 		for (const auto &[name, sound_now] : is_sound) {
-			RC_ASSERT(!sound_now || list.directory.contains(name));
+			RC_ASSERT(!sound_now || list.directory.contains_name(name));
 		}
 	}
 	list.take({}, now + 2000);
 	for (const auto &[name, sound_now] : is_sound) {
-		RC_ASSERT(sound_now == list.directory.contains(name));
+		RC_ASSERT(sound_now == list.directory.contains_name(name));
 	}
 }
 
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -205,7 +205,7 @@
 	directory.put(make_endpoint("e1"));
 	EXPECT_TRUE(directory.take_changed());
 	directory.put(make_endpoint("e1", true));
-	EXPECT_EQ(directory.take_news(), std::vector<std::string>{ "e1" });
+	EXPECT_EQ(directory.take_news(), (std::vector<endpoint_identity>{ { "e1", 0 } }));
 	directory.put(make_endpoint("e1"));
 	EXPECT_TRUE(is_leaving(directory, "e1")) << "an older record read again does not bring it back";
 	directory.drop("e1", at(milliseconds(10)));
@@ -215,8 +215,8 @@
 
 TEST(endpoint_directory, a_mark_from_a_peer_counts_before_the_entry_is_read) {
 	endpoint_directory directory;
-	EXPECT_TRUE(directory.mark_leaving("e2"));
-	EXPECT_FALSE(directory.mark_leaving("e2"));
+	EXPECT_TRUE(directory.mark_leaving({ "e2", 0 }));
+	EXPECT_FALSE(directory.mark_leaving({ "e2", 0 }));
 	directory.put(make_endpoint("e2"));
 	EXPECT_TRUE(is_leaving(directory, "e2"));
 }
@@ -243,34 +243,34 @@
 	for (const char *name : { "back", "lost", "told_before" }) {
 		directory.put(make_endpoint(name));
 	}
-	EXPECT_TRUE(directory.mark_gone("told_before", at(milliseconds(5900)))) << "this node's own reading is old";
+	EXPECT_TRUE(directory.mark_gone({ "told_before", 0 }, at(milliseconds(5900)))) << "this node's own reading is old";
 	directory.on_read(at(milliseconds(6000)));
 	directory.drop("back", at(milliseconds(6000)));
 	directory.drop("lost", at(milliseconds(6000)));
 	EXPECT_EQ(directory.get_drop_time(), at(milliseconds(8000)));
-	EXPECT_TRUE(directory.mark_gone("lost", at(milliseconds(6200))));
-	EXPECT_FALSE(directory.mark_gone("unknown", at(milliseconds(6200))));
+	EXPECT_TRUE(directory.mark_gone({ "lost", 0 }, at(milliseconds(6200))));
+	EXPECT_FALSE(directory.mark_gone({ "unknown", 0 }, at(milliseconds(6200))));
 	directory.put(make_endpoint("back"));
 	EXPECT_EQ(directory.get_drop_time(), std::nullopt);
-	EXPECT_FALSE(directory.mark_gone("back", at(milliseconds(6300)))) << "its entry was read just now";
+	EXPECT_FALSE(directory.mark_gone({ "back", 0 }, at(milliseconds(6300)))) << "its entry was read just now";
 	EXPECT_TRUE(directory.drop_told(at(milliseconds(6400))).empty());
 	ASSERT_EQ(directory.get_size(), 1U);
 	EXPECT_EQ(directory.get_listings().front().vm, "back");
-	EXPECT_EQ(directory.take_gone(), (std::vector<std::string>{ "told_before", "lost" }));
+	EXPECT_EQ(directory.take_gone(), (std::vector<endpoint_identity>{ { "told_before", 0 }, { "lost", 0 } }));
 }
 
 TEST(endpoint_directory, what_a_peer_told_once_counts_when_this_node_stops_reading_and_not_when_it_reads_on) {
 	endpoint_directory directory;
 	directory.on_read(at(milliseconds(0)));
 	directory.put(make_endpoint("e"));
-	EXPECT_FALSE(directory.mark_gone("e", at(milliseconds(100)))) << "this node reads by itself";
+	EXPECT_FALSE(directory.mark_gone({ "e", 0 }, at(milliseconds(100)))) << "this node reads by itself";
 	EXPECT_TRUE(directory.drop_told(at(milliseconds(1400))).empty());
 	directory.on_read(at(milliseconds(1000)));
 	directory.on_read(at(milliseconds(2000)));
 	EXPECT_TRUE(directory.drop_told(at(milliseconds(6000))).empty()) << "two reads have shown that it is there";
 	directory.on_read(at(milliseconds(6100)));
-	EXPECT_FALSE(directory.mark_gone("e", at(milliseconds(6200))));
-	EXPECT_EQ(directory.drop_told(at(milliseconds(7700))), std::vector<std::string>{ "e" });
+	EXPECT_FALSE(directory.mark_gone({ "e", 0 }, at(milliseconds(6200))));
+	EXPECT_EQ(directory.drop_told(at(milliseconds(7700))), (std::vector<endpoint_identity>{ { "e", 0 } }));
 	EXPECT_EQ(directory.get_size(), 0U);
 }
 
@@ -424,7 +424,7 @@
 namespace {
 
 const std::vector<engine_candidate> &get_engines() {
-	static const std::vector<engine_candidate> engines{ { 1, "e1", "a", 0 }, { 2, "e2", "a", 0 }, { 3, "e3", "b", 0 } };
+	static const std::vector<engine_candidate> engines{ { 1, { "e1", 1 }, "a", 0 }, { 2, { "e2", 1 }, "a", 0 }, { 3, { "e3", 1 }, "b", 0 } };
 	return engines;
 }
 
@@ -434,23 +434,23 @@
 	engine_view view;
 	const std::vector<prompt_link> first{ { 11, 13000 }, { 12, 3000 } };
 	const std::vector<prompt_link> second{ { 11, 13000 }, { 13, 3000 } };
-	view.on_sent("e3", first, at(milliseconds(0)));
+	view.on_sent({ "e3", 1 }, first, at(milliseconds(0)));
 	EXPECT_EQ(view.choose(get_engines(), second, "", at(milliseconds(5000))), 2U);
-	const engine_prediction prediction = view.predict("e3", second, at(milliseconds(5000)));
+	const engine_prediction prediction = view.predict({ "e3", 1 }, second, at(milliseconds(5000)));
 	EXPECT_EQ(prediction.unread, 3000U);
 	EXPECT_EQ(prediction.unread_shared, 0U);
-	EXPECT_EQ(view.predict("e1", second, at(milliseconds(5000))).unread_shared, 13000U);
+	EXPECT_EQ(view.predict({ "e1", 1 }, second, at(milliseconds(5000))).unread_shared, 13000U);
 }
 
 TEST(engine_view, leaves_a_reader_that_is_busy_for_long) {
 	engine_view view;
 	const std::vector<prompt_link> shared{ { 11, 2000 }, { 12, 100 } };
-	view.on_sent("e3", shared, at(milliseconds(0)));
+	view.on_sent({ "e3", 1 }, shared, at(milliseconds(0)));
 	for (std::uint64_t i = 0; i < 6; i++) {
-		view.on_sent("e3", { { 100 + i, 20000 } }, at(milliseconds(0)));
+		view.on_sent({ "e3", 1 }, { { 100 + i, 20000 } }, at(milliseconds(0)));
 	}
 	EXPECT_NE(view.choose(get_engines(), { { 11, 2000 }, { 14, 100 } }, "", at(milliseconds(10))), 2U);
-	EXPECT_GT(view.predict("e3", shared, at(milliseconds(10))).wait, duration(seconds(1)));
+	EXPECT_GT(view.predict({ "e3", 1 }, shared, at(milliseconds(10))).wait, duration(seconds(1)));
 }
 
 TEST(engine_view, spreads_prompts_that_are_new_and_agrees_with_other_nodes) {
@@ -469,14 +469,14 @@
 TEST(engine_view, learns_that_an_engine_is_slow_and_forgets_it) {
 	engine_view view;
 	const std::vector<prompt_link> prompt{ { 11, 4000 } };
-	const duration usual = view.predict("e1", prompt, at(milliseconds(0))).reading;
+	const duration usual = view.predict({ "e1", 1 }, prompt, at(milliseconds(0))).reading;
 	for (int i = 0; i < 8; i++) {
-		view.on_first_event("e1", view.predict("e1", prompt, at(milliseconds(i))), seconds(2), at(milliseconds(i)));
+		view.on_first_event({ "e1", 1 }, view.predict({ "e1", 1 }, prompt, at(milliseconds(i))), seconds(2), at(milliseconds(i)));
 	}
-	EXPECT_GT(view.predict("e1", prompt, at(milliseconds(10))).reading, usual * 3);
-	EXPECT_LT(view.predict("e2", prompt, at(milliseconds(10))).reading, usual * 3);
-	view.forget_engine("e1");
-	EXPECT_LT(view.predict("e1", prompt, at(milliseconds(10))).reading, usual * 3);
+	EXPECT_GT(view.predict({ "e1", 1 }, prompt, at(milliseconds(10))).reading, usual * 3);
+	EXPECT_LT(view.predict({ "e2", 1 }, prompt, at(milliseconds(10))).reading, usual * 3);
+	view.forget_engine({ "e1", 1 });
+	EXPECT_LT(view.predict({ "e1", 1 }, prompt, at(milliseconds(10))).reading, usual * 3);
 }
 
 } // namespace calicoscale
