Hold against what others write: store answers, configurations, stage calls, peers' messages, log values

Found by feeding arbitrary and mutated documents to each codec, and by a whole gateway beside them. Each test failed before:

- A caller's id or stage key that is no UTF-8 ended the process: writing a stage call threw type_error.316 (a_caller_may_use_any_bytes_in_what_stages_are_given).
- An item of the store's page of another type threw type_error.306 in the loop (a_page_of_the_store_that_is_malformed_costs_no_endpoint).
- A list nested 200,000 deep in a configuration exhausted the stack (segmentation fault), as it was copied (a_configuration_that_cannot_be_read_does_not_stop_later_ones).
- A key with a blank, "&" or a line break was written as it stood into the request for the next page; no node became ready (spoilt_records_before_and_between_hold_nothing_back).
- A record of the log without a whole key made the answer malformed, and the topic was never read on (a_record_without_a_whole_key_is_passed_over).
- The version -1 was read as 2^64-1, and nothing could have replaced it; 1.5 and 1e300 were taken too (a_version_is_a_whole_number).
The message of a mistake quoted the whole document.
- A result's handle with a line break or a comma went into the header that lists inputs (a_handle_must_fit_into_a_list_in_a_header).
- Times of peers near the limits of the clock, and amounts that are no number, were passed on (times_and_amounts_out_of_range_are_brought_within).
- A log value had no limit: 100,000 bytes pushed the next pairs out (a_value_from_outside_keeps_to_its_pair_and_to_a_length).

from_seconds brings its value within a hundred years: "Keep-Alive: timeout=1e300" and its like overflowed at every caller. Looked at, no fault found: an end of work that is not known counts as failed; load headers and reports of engines are not read.

The property "survives_any_damage" took damaged bytes only; it takes arbitrary bytes and changed fields as well now.

--- a/core/time.h
+++ b/core/time.h
@@ -42,9 +42,14 @@
 	return static_cast<double>(p_value.count()) / 1e3;
 }
 
-/** Converts from seconds. */
+/** Converts from seconds. What is no number is none; beyond a hundred years it is brought within, so that sums do not overflow. */
 constexpr duration from_seconds(double p_value) {
-	return duration(static_cast<duration::rep>(p_value * 1e6));
+	constexpr double LONGEST = 100.0 * 365.0 * 24.0 * 3600.0;
+	if (p_value != p_value) {
+		return duration::zero();
+	}
+	const double seconds = p_value > LONGEST ? LONGEST : (p_value < -LONGEST ? -LONGEST : p_value);
+	return duration(static_cast<duration::rep>(seconds * 1e6));
 }
 
 } // namespace calicoscale
--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr duration FLUSH_INTERVAL = std::chrono::milliseconds(200);
+/** A list of 32 ids of requests fits; names and messages from outside may be of any length. */
+constexpr std::size_t LONGEST_VALUE = 2000;
 constexpr std::size_t MOST_BUFFERED_BYTES = 256 * 1024;
 /** Lines a second about requests: about ten lines each for some tens of requests; what is above it is counted, not written. */
 constexpr double REQUEST_LINES_PER_SECOND = 300.0;
@@ -34,10 +36,11 @@
 	_text += ' ';
 	_text += p_key;
 	_text += '=';
-	for (const char letter : p_value) {
+	for (const char letter : p_value.substr(0, LONGEST_VALUE)) {
 		// A value from outside must not start a line or a pair of its own.
-		_text += letter <= ' ' || letter == '=' || letter == 127 ? '_' : letter;
+		_text += letter <= ' ' || letter == '=' || letter >= 127 ? '_' : letter;
 	}
+	_text += p_value.size() > LONGEST_VALUE ? "..." : "";
 	return *this;
 }
 
--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -10,6 +10,8 @@
 
 #include "drivers/generated/node_link_generated.h"
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace calicoscale {
@@ -28,6 +30,20 @@
 	return p_text == nullptr ? std::string() : p_text->str();
 }
 
+/** Times told by peers are of requests; longer ones are no times, and would overflow when added to the clock. */
+constexpr std::int64_t LONGEST_MS = 24LL * 3600 * 1000;
+/** Work of all nodes in one pool is summed up; this is more than any fleet does in a day. */
+constexpr std::uint64_t LARGEST_WORK_US = 1ULL << 53U;
+
+duration read_ms(std::int64_t p_ms) {
+	return std::chrono::milliseconds(std::clamp(p_ms, -LONGEST_MS, LONGEST_MS));
+}
+
+/** An amount; what is no number or negative is none, as it would spoil every sum and comparison. */
+double read_amount(float p_amount) {
+	return std::isfinite(p_amount) && p_amount > 0.0F ? static_cast<double>(p_amount) : 0.0;
+}
+
 flatbuffers::Offset<wire::digest> write_digest(builder &r_builder, const member_digest &p_digest) {
 	std::vector<wire::customer_demand> demands;
 	demands.reserve(p_digest.demand.size());
@@ -55,11 +71,11 @@
 	digest.ready = p_digest.ready();
 	digest.leaving = p_digest.leaving();
 	digest.configuration_version = p_digest.configuration_version();
-	digest.cores = static_cast<double>(p_digest.cores());
+	digest.cores = read_amount(p_digest.cores());
 	digest.hub = p_digest.hub();
 	if (p_digest.demands() != nullptr) {
 		for (const wire::customer_demand *demand : *p_digest.demands()) {
-			digest.demand[demand->code()] = static_cast<double>(demand->rate());
+			digest.demand[demand->code()] = read_amount(demand->rate());
 		}
 	}
 	return digest;
@@ -265,12 +281,12 @@
 	}
 	if (p_message.commitments() != nullptr) {
 		for (const wire::pool_commitment *entry : *p_message.commitments()) {
-			message.commitments.push_back(pool_commitment{ read(entry->pool()), entry->priority(), duration(static_cast<duration::rep>(entry->work_us())) });
+			message.commitments.push_back(pool_commitment{ read(entry->pool()), entry->priority(), duration(static_cast<duration::rep>(std::min(entry->work_us(), LARGEST_WORK_US))) });
 		}
 	}
 	if (p_message.capacities() != nullptr) {
 		for (const wire::pool_capacity *entry : *p_message.capacities()) {
-			message.capacities.push_back(pool_capacity{ read(entry->pool()), static_cast<double>(entry->replicas()) });
+			message.capacities.push_back(pool_capacity{ read(entry->pool()), read_amount(entry->replicas()) });
 		}
 	}
 	message.gone = read_texts(p_message.gone());
@@ -302,7 +318,7 @@
 	message.customer = read(p_message.customer());
 	message.pipeline = read(p_message.pipeline());
 	message.key = read(p_message.key());
-	message.remaining = std::chrono::milliseconds(p_message.remaining_ms());
+	message.remaining = read_ms(p_message.remaining_ms());
 	message.input = read(p_message.input());
 	return message;
 }
@@ -352,8 +368,8 @@
 	message.pieces = p_message.pieces();
 	message.caller_key = read(p_message.caller_key());
 	message.inputs = read_texts(p_message.inputs());
-	message.give_up_in = std::chrono::milliseconds(p_message.give_up_ms());
-	message.due_in = std::chrono::milliseconds(p_message.due_ms());
+	message.give_up_in = read_ms(p_message.give_up_ms());
+	message.due_in = read_ms(p_message.due_ms());
 	message.priority = p_message.priority();
 	message.zone = read(p_message.zone());
 	message.result_bytes = p_message.result_bytes();
--- a/tests/drivers/event_log_test.cpp
+++ b/tests/drivers/event_log_test.cpp
@@ -93,4 +93,15 @@
 	EXPECT_EQ(text.find("\nms=1 event=forged"), std::string::npos);
 }
 
+TEST_F(event_log_test, a_value_from_outside_keeps_to_its_pair_and_to_a_length) {
+	event_log log(_loop);
+	log.write(log_line("seen").add("a", "x\ny z=\x7f\xff").add("b", std::string(100'000, 'v')).add("c", "end"));
+	run_for(std::chrono::milliseconds(400));
+	restore_output();
+	const std::string text = read_all();
+	EXPECT_NE(text.find("event=seen a=x_y_z___ b=v"), std::string::npos);
+	EXPECT_NE(text.find("v... c=end\n"), std::string::npos);
+	EXPECT_LT(text.size(), 10'000U);
+}
+
 } // namespace calicoscale
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -8,12 +8,15 @@
 
 #include "drivers/link_codec.h"
 #include "tests/main/raw_connection.h"
+#include "tests/mutation.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <arpa/inet.h>
 
+#include <limits>
+
 namespace calicoscale {
 
 namespace {
@@ -115,6 +118,39 @@
 	decode_link_message(damaged.substr(0, damaged.size() / 2));
 }
 
+TEST(link_codec, times_and_amounts_out_of_range_are_brought_within) {
+	hand_work_message work;
+	work.give_up_in = duration::max();
+	work.due_in = duration::min();
+	const hand_work_message told = std::get<hand_work_message>(*decode_link_message(encode(link_message(work))));
+	EXPECT_LT(told.give_up_in, duration(std::chrono::hours(25)));
+	EXPECT_GT(told.due_in, duration(std::chrono::hours(-25)));
+	heartbeat_message heartbeat = make_heartbeat();
+	heartbeat.digests.front().cores = std::numeric_limits<double>::quiet_NaN();
+	heartbeat.capacities.push_back(pool_capacity{ "p", std::numeric_limits<double>::infinity() });
+	heartbeat.commitments.push_back(pool_commitment{ "p", 1, duration(-1) });
+	const heartbeat_message heard = std::get<heartbeat_message>(*decode_link_message(encode(link_message(heartbeat))));
+	EXPECT_EQ(heard.digests.front().cores, 0.0);
+	EXPECT_EQ(heard.capacities.front().replicas, 0.0);
+	EXPECT_GE(heard.commitments.front().work, duration::zero());
+}
+
+RC_GTEST_PROP(link_codec_properties, a_damaged_message_is_read_or_refused, ()) {
+	endpoint_listing listing;
+	listing.vm = "llm-1";
+	tell_prompts_message prompts;
+	prompts.prompts.push_back(told_prompt{ 7, "i-1", { prompt_link{ 11, 100 }, prompt_link{ 12, 20 } } });
+	hand_work_message work;
+	work.inputs = { "10.0.0.1:1/a" };
+	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, tell_endpoints_message{ { listing }, 5 }, tell_reading_message{ endpoint_reading{ 3, 9, { listing }, { "lapsed" }, 77 } }, tell_results_message{ "p", { "h" }, { 5 } }, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" } };
+	for (const link_message &message : messages) {
+		const std::optional<link_message> read = decode_link_message(mutate(encode(message)));
+		if (read) {
+			encode(*read);
+		}
+	}
+}
+
 TEST(node_link, nodes_with_one_fleet_key_link_and_talk) {
 	event_loop loop;
 	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
--- /dev/null
+++ b/tests/main/other_writers_test.cpp
@@ -0,0 +1,113 @@
+/*
+ * calicoscale: other_writers_test.cpp
+ * A whole gateway beside records, answers and headers that nobody of its kind wrote.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/main/gateway_fixture.h"
+
+namespace calicoscale {
+
+namespace {
+
+/** Documents and bytes that name no endpoint to use. */
+std::vector<std::string> make_spoilt_values(const std::string &p_sound) {
+	std::vector<std::string> values{ "\xff\xfe\x00", "{", "[]", "7", "null", "\"text\"", std::string(50'000, '['), std::string(200'000, 'a') };
+	for (const char *field : { "service", "address", "zone", "state", "born" }) {
+		for (const char *value : { "null", "[]", "{}", "-1", "1e300", "\"\"" }) {
+			json entry = json::parse(p_sound);
+			entry[field] = json::parse(value);
+			values.push_back(entry.dump());
+		}
+	}
+	return values;
+}
+
+class other_writers_test : public gateway_fixture {
+protected:
+	/** Sends until a replica has got something new to run. */
+	void expect_served(const gateway &p_gateway, const standin_replica &p_replica) {
+		const std::size_t before = p_replica.runs.size();
+		run_until([this, &p_gateway, &p_replica, before] { ask(p_gateway, "/safe/"); return p_replica.runs.size() > before; });
+	}
+};
+
+} // namespace
+
+TEST_F(other_writers_test, spoilt_records_before_and_between_hold_nothing_back) {
+	configure(1);
+	standin_replica &first = add_replica("llm");
+	const std::vector<std::string> values = make_spoilt_values(first.get_entry("llm"));
+	// Keys that mean something in a request line, before, between and behind the names of endpoints.
+	const std::vector<std::string> keys{ "", " ", "%", "&part=1", "a b", "a#b", "i", "i-0 HTTP/1.1\r\nX: y\r\n\r\n", "i-00", "z", "\xc3\xa4" };
+	for (std::size_t i = 0; i < values.size(); i++) {
+		_store.put(ENDPOINT_TOPIC, keys[i % keys.size()] + std::to_string(i), values[i]);
+	}
+	gateway &entry = start_ready();
+	expect_served(entry, first);
+	for (std::size_t i = 0; i < values.size(); i++) {
+		_store.put(ENDPOINT_TOPIC, keys[i % keys.size()] + std::to_string(i), values[i]);
+	}
+	standin_replica &second = add_replica("llm");
+	expect_served(entry, second);
+}
+
+TEST_F(other_writers_test, a_record_without_a_whole_key_is_passed_over) {
+	configure(1);
+	standin_replica &first = add_replica("llm");
+	gateway &entry = start_ready();
+	expect_served(entry, first);
+	_store.put_raw(ENDPOINT_TOPIC, "");
+	_store.put_raw(ENDPOINT_TOPIC, "\x09short");
+	standin_replica &second = add_replica("llm");
+	expect_served(entry, second);
+}
+
+TEST_F(other_writers_test, a_configuration_that_cannot_be_read_does_not_stop_later_ones) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	gateway &entry = start_ready();
+	expect_served(entry, replica);
+	json negative = make_configuration(1);
+	negative["version"] = -1;
+	json nested = make_configuration(2);
+	nested["routes"][0]["stages"] = "nested";
+	std::string deep = nested.dump();
+	deep.replace(deep.find("\"nested\""), 8, std::string(200'000, '[') + std::string(200'000, ']'));
+	for (const std::string &value : { std::string("\xff"), std::string("{"), std::string("[]"), negative.dump(), deep }) {
+		_store.put(CONFIGURATION_TOPIC, "config", value);
+		wait(milliseconds(60));
+	}
+	EXPECT_EQ(ask(entry, "/safe/")->head.status, 200);
+	json changed = make_configuration(3);
+	changed["routes"][1]["path_prefix"] = "/moved/";
+	_store.put(CONFIGURATION_TOPIC, "config", changed.dump());
+	run_until([this, &entry] { return ask(entry, "/moved/")->head.status == 200; });
+	EXPECT_EQ(ask(entry, "/safe/")->head.status, 404);
+}
+
+TEST_F(other_writers_test, a_page_of_the_store_that_is_malformed_costs_no_endpoint) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	for (const char *page : { "[]", R"({"items":[5],"has_more":false,"end_offset":0})", R"({"items":[{"private_key":5,"value":[]}],"has_more":7,"end_offset":"x"})", R"({"items":[],"has_more":true,"end_offset":1})", R"({"items":[{"private_key":"a","value":"not base64!"}],"has_more":false,"end_offset":-1})" }) {
+		_store.answer_newest_once(page);
+	}
+	gateway &entry = start_ready();
+	expect_served(entry, replica);
+}
+
+TEST_F(other_writers_test, a_caller_may_use_any_bytes_in_what_stages_are_given) {
+	configure(1);
+	standin_replica &engine = add_replica("llm");
+	add_replica("encode");
+	add_replica("search");
+	gateway &entry = start_ready();
+	const std::shared_ptr<caller_result> result = send_bytes(entry.get_caller_address(), "POST /stream/staged/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: \xff\xc3\x28\r\nX-Deadline-Ms: 2500\r\nAuthorization: Bearer key-1\r\nX-Segments: 1,1\r\nX-Segment-Key: \xfe\r\nContent-Length: 0\r\n\r\n");
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->body, WHOLE_STREAM);
+	EXPECT_EQ(engine.runs.size(), 1U);
+}
+
+} // namespace calicoscale
--- a/tests/platform/endpoint_codec_test.cpp
+++ b/tests/platform/endpoint_codec_test.cpp
@@ -7,9 +7,10 @@
  */
 
 #include "platform/endpoint_codec.h"
+#include "tests/mutation.h"
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
 
 namespace calicoscale {
 
@@ -102,4 +103,18 @@
 	EXPECT_FALSE(find_fault(make_entry().dump(), "i-7f3a91c2"));
 }
 
+RC_GTEST_PROP(endpoint_codec_properties, any_bytes_name_an_endpoint_to_connect_to_or_none, (const std::string &p_name, const std::string &p_bytes)) {
+	for (const std::string &text : { p_bytes, mutate_document(make_entry().dump()) }) {
+		for (const std::string &name : { p_name, std::string("i-1") }) {
+			const parsed_entry entry = parse_endpoint_entry(name, text);
+			const endpoint_listing *listing = std::get_if<endpoint_listing>(&entry);
+			if (listing != nullptr) {
+				RC_ASSERT(listing->vm == name);
+				RC_ASSERT(!listing->pool.empty());
+				RC_ASSERT(listing->address.port != 0);
+			}
+		}
+	}
+}
+
 } // namespace calicoscale
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -10,6 +10,7 @@
 #include "platform/configuration_codec.h"
 #include "platform/request_codec.h"
 #include "platform/stage_codec.h"
+#include "tests/mutation.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -162,16 +163,51 @@
 	EXPECT_EQ(parse_gateway_configuration(document.dump())->routes[1].repeats, repeat_rule::ONCE) << "nothing is repeated that might not be";
 }
 
-RC_GTEST_PROP(configuration_codec, survives_any_damage, ()) {
-	std::string text = CONFIGURATION;
-	const int damages = *rc::gen::inRange(1, 6);
-	for (int i = 0; i < damages; i++) {
-		text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+TEST(configuration_codec, a_version_is_a_whole_number) {
+	for (const char *version : { "-1", "1.5", "true", "1e300", "null", "\"7\"" }) {
+		nlohmann::json document = nlohmann::json::parse(CONFIGURATION);
+		document["version"] = nlohmann::json::parse(version);
+		EXPECT_THROW(parse_gateway_configuration(document.dump()), document_error) << version;
 	}
+}
+
+TEST(configuration_codec, numbers_out_of_range_are_brought_within) {
+	nlohmann::json document = nlohmann::json::parse(CONFIGURATION);
+	document["routes"][0]["timeout_ms"] = 1e300;
+	document["routes"][0]["slo_ms"] = -5;
+	document["routes"][0]["max_attempts"] = 1e300;
+	document["routes"][0]["priority"] = -1e300;
+	document["routes"][0]["split"][0]["weight"] = -90;
+	document["limits"]["max_body_bytes"] = -1;
+	const std::shared_ptr<const gateway_configuration> configuration = parse_gateway_configuration(document.dump());
+	const gateway_route &route = configuration->routes[0];
+	EXPECT_GT(route.timeout, duration(std::chrono::hours(24)));
+	EXPECT_EQ(route.objective, duration::zero());
+	EXPECT_GE(route.most_endpoints, 1);
+	EXPECT_LE(route.priority, 0);
+	EXPECT_EQ(choose_service(route, 0.5), "llm2");
+	EXPECT_EQ(configuration->limits.body_bytes, 0U);
+}
+
+TEST(configuration_codec, the_message_of_a_mistake_is_short) {
 	try {
-		parse_gateway_configuration(text);
-	} catch (const document_error &) {
-		RC_SUCCEED("refused");
+		parse_gateway_configuration("{\"version\":\"" + std::string(100'000, 'x'));
+		FAIL() << "taken";
+	} catch (const document_error &error) {
+		EXPECT_LT(std::string_view(error.what()).size(), 500U);
+	}
+}
+
+RC_GTEST_PROP(configuration_codec, survives_any_damage, (const std::string &p_bytes)) {
+	for (const std::string &text : { p_bytes, mutate(CONFIGURATION), mutate_document(CONFIGURATION) }) {
+		try {
+			const std::shared_ptr<const gateway_configuration> configuration = parse_gateway_configuration(text);
+			configuration->find_route("one.example", "/letters/");
+			for (const gateway_route &route : configuration->routes) {
+				choose_service(route, 0.5);
+			}
+		} catch (const document_error &) {
+		}
 	}
 }
 
@@ -207,4 +243,42 @@
 	EXPECT_EQ(read_stage_answer(R"({"items":[{"handle":7}]})", 1).front().end, item_end::FAILED);
 }
 
+TEST(stage_codec, a_handle_must_fit_into_a_list_in_a_header) {
+	for (const std::string &handle : { std::string("10.0.0.1:1/a b"), std::string("10.0.0.1:1/a,10.0.0.1:1/b"), std::string("x\r\nX: y\r\n10.0.0.1:1/a"), std::string("10.0.0.1:1/\xc3\xa4"), "10.0.0.1:1/" + std::string(300, 'a') }) {
+		const std::string body = nlohmann::json{ { "items", { { { "handle", handle } } } } }.dump();
+		EXPECT_EQ(read_stage_answer(body, 1).front().end, item_end::FAILED) << handle;
+	}
+}
+
+RC_GTEST_PROP(stage_codec, any_answer_is_read_or_refused, (const std::string &p_bytes)) {
+	const std::string answer = R"({"items":[{"handle":"10.1.64.7:8080/91"},{"reason":"gone"}]})";
+	for (const std::string &text : { p_bytes, mutate(answer), mutate_document(answer) }) {
+		const std::vector<item_result> results = read_stage_answer(text, 2);
+		RC_ASSERT(results.empty() || results.size() == 2);
+	}
+}
+
+RC_GTEST_PROP(stage_codec, calls_are_written_from_any_bytes, (const std::string &p_attempt, const std::string &p_key, const std::vector<std::string> &p_inputs)) {
+	stage_work work;
+	work.attempt = p_attempt;
+	work.caller_key = p_key;
+	work.inputs = p_inputs;
+	for (const std::string &text : { write_stage_call("i-1", network_address{ "10.0.0.1", 80 }, { { &work, 0, milliseconds(900) } }), write_release(network_address{ "10.0.0.1", 80 }, p_inputs) }) {
+		RC_ASSERT(nlohmann::json::parse(text.substr(text.find("\r\n\r\n") + 4), nullptr, false).is_object());
+	}
+}
+
+RC_GTEST_PROP(request_codec, any_headers_are_read, (const std::string &p_name, const std::string &p_value)) {
+	http_head head = make_request();
+	for (http_header &header : head.headers) {
+		header.value = *rc::gen::inRange(0, 3) == 0 ? mutate(header.value) : header.value;
+	}
+	head.headers.push_back({ p_name, p_value });
+	const caller_request request = read_caller_request(head);
+	RC_ASSERT(request.remaining.value_or(duration::zero()) <= duration(std::chrono::hours(24)));
+	read_endpoint_answer(head);
+	get_passed_headers(head);
+	write_endpoint_request(head, p_value, endpoint_send());
+}
+
 } // namespace calicoscale
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -19,13 +19,26 @@
 
 using json = nlohmann::json;
 
+std::string decode_percent(std::string_view p_text) {
+	std::string text;
+	for (std::size_t i = 0; i < p_text.size(); i++) {
+		if (p_text[i] == '%' && i + 2 < p_text.size()) {
+			text += static_cast<char>(std::stoi(std::string(p_text.substr(i + 1, 2)), nullptr, 16));
+			i += 2;
+		} else {
+			text += p_text[i];
+		}
+	}
+	return text;
+}
+
 std::map<std::string, std::string> parse_query(const std::string &p_target) {
 	std::map<std::string, std::string> query;
 	std::size_t start = p_target.find('?');
 	while (start != std::string::npos) {
 		const std::size_t equals = p_target.find('=', start + 1);
 		const std::size_t end = p_target.find('&', start + 1);
-		query[p_target.substr(start + 1, equals - start - 1)] = p_target.substr(equals + 1, end == std::string::npos ? end : end - equals - 1);
+		query[p_target.substr(start + 1, equals - start - 1)] = decode_percent(p_target.substr(equals + 1, end == std::string::npos ? end : end - equals - 1));
 		start = end;
 	}
 	return query;
@@ -61,7 +74,12 @@
 }
 
 void standin_store::put(const std::string &p_topic, const std::string &p_key, const std::string &p_value) {
-	_topics[p_topic].records.push_back(record{ p_key, p_value });
+	_topics[p_topic].records.push_back(record{ p_key, p_value, std::nullopt });
+	_wake();
+}
+
+void standin_store::put_raw(const std::string &p_topic, const std::string &p_bytes) {
+	_topics[p_topic].records.push_back(record{ "", "", p_bytes });
 	_wake();
 }
 
@@ -170,9 +188,17 @@
 }
 
 void standin_store::_answer_newest(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query) {
+	if (!_next_pages.empty() && p_query.at("topic") == "keyed.servers") {
+		p_exchange.reply(200, {}, _next_pages.front());
+		_next_pages.erase(_next_pages.begin());
+		return;
+	}
 	const topic &entry = _topics[p_query.at("topic")];
 	std::map<std::string, std::string> newest;
 	for (const record &kept : entry.records) {
+		if (kept.raw) {
+			continue;
+		}
 		if (kept.value.empty()) {
 			newest.erase(kept.key);
 		} else {
@@ -203,7 +229,8 @@
 	}
 	std::string body = big_endian(entry.records.size(), 8) + big_endian(entry.first_kept, 8);
 	for (std::size_t i = p_offset; i < entry.records.size(); i++) {
-		const std::string bytes = std::string(1, static_cast<char>(entry.records[i].key.size())) + entry.records[i].key + entry.records[i].value;
+		const record &kept = entry.records[i];
+		const std::string bytes = kept.raw ? *kept.raw : std::string(1, static_cast<char>(kept.key.size())) + kept.key + kept.value;
 		body += big_endian(bytes.size(), 4) + bytes;
 	}
 	p_exchange.reply(200, {}, body);
--- a/tests/standins/standin_store.h
+++ b/tests/standins/standin_store.h
@@ -26,6 +26,7 @@
 	struct record {
 		std::string key;
 		std::string value; ///< Empty drops the key.
+		std::optional<std::string> raw; ///< Bytes that another writer left instead; no key is known.
 	};
 
 	struct topic {
@@ -48,6 +49,7 @@
 	std::vector<std::shared_ptr<caller_exchange>> _unanswered; ///< Came while it was mute.
 	std::size_t _calls = 0;
 	std::size_t _page_size = 3;
+	std::vector<std::string> _next_pages; ///< Answers to the next reads of the newest records of endpoints.
 	std::unique_ptr<caller_server> _server;
 
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
@@ -63,6 +65,12 @@
 	void put(const std::string &p_topic, const std::string &p_key, const std::string &p_value);
 	void drop(const std::string &p_topic, const std::string &p_key) { put(p_topic, p_key, ""); }
 
+	/** Leaves bytes in a topic that need not be a key and a value. */
+	void put_raw(const std::string &p_topic, const std::string &p_bytes);
+
+	/** The next read of the newest records of endpoints is answered so; called again, the one after it. */
+	void answer_newest_once(const std::string &p_body) { _next_pages.push_back(p_body); }
+
 	/** While away every call gets 503; waiting reads end so too. */
 	void set_away(bool p_away);
 
