A node told of endpoints by one that knows no starts reads the starts by itself

Cause: while a fleet is upgraded, a node that took the list and its offset, or the readings, of a peer of the version before would have kept the endpoints without their starts for good, as only changes are read; a later restart would not have been one.

Failed first, with the new conditions switched off: a_node_told_by_one_that_knows_no_starts_reads_them_by_itself (start unknown after 30 s).

Cost while it lasts, worked out and not measured: a node of the new version whose zone is read by an older one reads each 1.35 s, so 295 of them make 219 reading calls a second; the stores of the two sites on the users' pages take 2,000.

--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -10,6 +10,8 @@
 
 #include "platform/configuration_codec.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
@@ -65,7 +67,9 @@
 
 void endpoint_follower::take_reading(const endpoint_reading &p_reading, const std::string &p_peer) {
 	const std::uint64_t known = _reader.get_offset();
-	if (!_reader.is_loaded() || p_reading.from > known || p_reading.to < known) {
+	// What a reader that knows no starts tells lacks them for good, as only changes are read.
+	const bool has_starts = p_reading.listed_starts != 0;
+	if (!has_starts || !_reader.is_loaded() || p_reading.from > known || p_reading.to < known) {
 		return;
 	}
 	const instant now = event_loop::now();
@@ -155,7 +159,9 @@
 	if (!was_loaded) {
 		_context.log.write(log_line("endpoints_adopted").add("peer", p_peer).add("endpoints", static_cast<long long>(_directory.get_size())).add("offset", static_cast<long long>(p_offset)));
 	}
-	if (p_offset > 0 && !_reader.is_loaded()) {
+	// Without the starts the list is good enough to serve, and the node reads them by itself.
+	const bool has_starts = std::all_of(p_listings.begin(), p_listings.end(), [](const endpoint_listing &p_listing) { return p_listing.incarnation > 0; });
+	if (has_starts && p_offset > 0 && !_reader.is_loaded()) {
 		_reader.adopt(p_offset);
 		_reader.read_in(TOLD_INTERVAL);
 	}
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -60,7 +60,7 @@
 
 	/**
 	 * A peer told what it read. Taken as if this node had read it, when nothing is missing in between; then this node reads
-	 * by itself only if no peer tells in time.
+	 * by itself only if no peer tells in time. That of a peer of a version that does not know starts is not taken.
 	 */
 	void take_reading(const endpoint_reading &p_reading, const std::string &p_peer);
 
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -126,7 +126,8 @@
 }
 
 std::uint64_t endpoint_directory::get_listed_starts() const {
-	std::uint64_t digest = get_listed();
+	// Not 0 for an empty list, which would stand for a reader that does not know incarnations.
+	std::uint64_t digest = hash_bytes("starts", get_listed());
 	for (const auto &[name, entry] : _endpoints) {
 		digest = hash_bytes(name, digest + entry.listing.incarnation);
 	}
@@ -134,7 +135,7 @@
 }
 
 bool endpoint_directory::is_like(const endpoint_reading &p_reading) const {
-	return p_reading.listed_starts == 0 ? p_reading.listed == get_listed() : p_reading.listed_starts == get_listed_starts();
+	return p_reading.listed_starts == get_listed_starts();
 }
 
 void endpoint_directory::put(const endpoint_listing &p_listing) {
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -32,7 +32,7 @@
 	std::vector<endpoint_listing> written;
 	std::vector<std::string> dropped;
 	std::uint64_t listed = 0; ///< Digest of the endpoints that the reader knows afterwards; others that differ read for themselves.
-	std::uint64_t listed_starts = 0; ///< The same with their incarnations; 0 from a reader that does not know them.
+	std::uint64_t listed_starts = 0; ///< The same with their incarnations; 0 from a reader of a version that does not know them.
 };
 
 /**
@@ -94,7 +94,7 @@
 	/** The same with their incarnations. */
 	std::uint64_t get_listed_starts() const;
 
-	/** Whether a reader knew the same endpoints after its reading, as far as it told. */
+	/** Whether a reader knew the same endpoints and starts after its reading. */
 	bool is_like(const endpoint_reading &p_reading) const;
 
 	/** Takes a whole reading of all entries. */
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -91,7 +91,8 @@
 	// In order, so that the starts of one replica stand side by side.
 	for (auto replica = _replicas.begin(); replica != _replicas.end(); ++replica) {
 		const auto next = std::next(replica);
-		if (next != _replicas.end() && is_replaced_by(replica->first, next->first)) {
+		const bool is_news = next != _replicas.end() && is_replaced_by(replica->first, next->first) && !replica->second.replaced;
+		if (is_news) {
 			replica->second.replaced = true;
 			replaced.push_back(replica->first);
 		}
