Read of a new version of the configuration only the routes that are new

Change: configuration_reader finds the routes' texts, takes those it knows from the version before and parses the others one by one; the rest is parsed with an empty list of routes. A part that is refused, and all that cannot be taken apart plainly, is parsed as a whole, so that verdicts and messages stay. A document that is the one in force is not read at all. The follower keeps no second copy of the text.

--- a/main/gateway/configuration_follower.cpp
+++ b/main/gateway/configuration_follower.cpp
@@ -78,18 +78,15 @@
 
 bool configuration_follower::offer(const std::string &p_document, std::string_view p_source) {
 	try {
-		std::shared_ptr<const gateway_configuration> offered = parse_gateway_configuration(p_document);
-		if (offered->version <= get_version()) {
+		if (!_versions.take(p_document)) {
 			return true;
 		}
-		_current = std::move(offered);
-		_document = p_document;
 	} catch (const document_error &error) {
 		_context.metrics.count("configuration_rejected");
 		_context.log.write(log_line("configuration_rejected").add("source", p_source).add("reason", error.what()).add("version_in_force", static_cast<long long>(get_version())));
 		return false;
 	}
-	_context.log.write(log_line("configuration_in_force").add("version", static_cast<long long>(get_version())).add("source", p_source).add("routes", static_cast<long long>(_current->routes.size())));
+	_context.log.write(log_line("configuration_in_force").add("version", static_cast<long long>(get_version())).add("source", p_source).add("routes", static_cast<long long>(get_current()->routes.size())));
 	_changed.emit();
 	return true;
 }
--- a/main/gateway/configuration_follower.h
+++ b/main/gateway/configuration_follower.h
@@ -10,7 +10,7 @@
 #define CONFIGURATION_FOLLOWER_H
 
 #include "main/gateway/topic_reader.h"
-#include "servers/gateway/gateway_configuration.h"
+#include "platform/configuration_reader.h"
 
 #include <sigc++/sigc++.h>
 
@@ -22,8 +22,7 @@
 /** Follows the configuration's topic by waiting reads. Only a higher version replaces the one in force. */
 class configuration_follower {
 	gateway_context &_context;
-	std::shared_ptr<const gateway_configuration> _current;
-	std::string _document; ///< Text of the version in force, for peers.
+	configuration_reader _versions; ///< Holds the version in force.
 	topic_reader _reader;
 	bool _is_covered = false;
 	bool _is_proven = false; ///< The store answered since this node began to follow it.
@@ -48,9 +47,10 @@
 	bool offer(const std::string &p_document, std::string_view p_source);
 
 	/** The version in force; null before the first is known. */
-	const std::shared_ptr<const gateway_configuration> &get_current() const { return _current; }
-	const std::string &get_document() const { return _document; }
-	std::uint64_t get_version() const { return _current ? _current->version : 0; }
+	const std::shared_ptr<const gateway_configuration> &get_current() const { return _versions.get_current(); }
+	/** Its text, for peers. */
+	const std::string &get_document() const { return _versions.get_text(); }
+	std::uint64_t get_version() const { return get_current() ? get_current()->version : 0; }
 
 	/** How long ago the store last answered a read of the configuration; since the start if it has not yet. */
 	duration get_unconfirmed_time(instant p_now) const { return _reader.get_unconfirmed_time(p_now); }
--- a/servers/gateway/gateway_configuration.h
+++ b/servers/gateway/gateway_configuration.h
@@ -33,12 +33,14 @@
 	std::string pool;
 	std::vector<std::size_t> inputs; ///< Stages whose results this one needs.
 	std::size_t result_bytes = 0; ///< Size of one result, roughly.
+	bool operator==(const stage_spec &p_other) const = default;
 };
 
 /** A service and its share of a route's requests. */
 struct service_share {
 	std::string service;
 	double weight = 1.0;
+	bool operator==(const service_share &p_other) const = default;
 };
 
 /** Requests of one host under one path. */
@@ -56,6 +58,7 @@
 	bool is_public = false;
 	bool is_resumable = false;
 	bool has_affinity = false; ///< Requests share parts of their prompts.
+	bool operator==(const gateway_route &p_other) const = default;
 };
 
 /** What is known of the replicas of a stage pool. */
--- a/tests/benchmarks/gateway_benchmark.cpp
+++ b/tests/benchmarks/gateway_benchmark.cpp
@@ -7,6 +7,7 @@
  */
 
 #include "platform/configuration_codec.h"
+#include "platform/configuration_reader.h"
 #include "servers/gateway/endpoint_directory.h"
 #include "servers/gateway/engine_view.h"
 #include "servers/gateway/stage_pool.h"
@@ -132,6 +133,22 @@
 	}
 }
 
+/** Takes versions of which each changes one customer's key and none of the routes. */
+void configuration_change(benchmark::State &p_state) {
+	const std::string text = write_configuration(static_cast<int>(p_state.range(0)));
+	const std::size_t key = text.find("key-a-7");
+	configuration_reader reader;
+	reader.take(text);
+	for (int version = 8; auto _ : p_state) {
+		p_state.PauseTiming();
+		const std::string changed = R"({"version":)" + std::to_string(version++) + text.substr(12, key - 12) + std::to_string(version) + text.substr(key);
+		p_state.ResumeTiming();
+		if (!reader.take(changed)) {
+			p_state.SkipWithError("a higher version was not taken");
+		}
+	}
+}
+
 endpoint_listing make_listing(int p_number, const std::string &p_pool) {
 	endpoint_listing listing;
 	listing.vm = "i-" + std::to_string(p_number);
@@ -225,6 +242,7 @@
 BENCHMARK(engine_choice)->Arg(18)->Arg(160);
 BENCHMARK(engine_candidates);
 BENCHMARK(configuration_reading)->Arg(1400);
+BENCHMARK(configuration_change)->Arg(1400);
 BENCHMARK(endpoint_change_of_routers);
 BENCHMARK(endpoint_change_of_pool);
 BENCHMARK(endpoint_list_digest);
