--- /dev/null
+++ b/tests/soak/disturbance_log.h
@@ -0,0 +1,103 @@
+/*
+ * calicoscale: disturbance_log.h
+ * What the soak did to whom, and what that excuses.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef DISTURBANCE_LOG_H
+#define DISTURBANCE_LOG_H
+
+#include "core/time.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace calicoscale {
+
+/** What is done to a node, an endpoint or the store. */
+enum class disturbance {
+	NODE_KILLED, ///< From the kill until its new process has started.
+	NODE_STOPPING, ///< From SIGTERM until its new process has started.
+	NODE_STILL, ///< Its process stood still.
+	STORE_LINK, ///< Its link to the store was harmed.
+	PEER_LINK, ///< The links that peers open to it were harmed.
+	CALLER_LINK, ///< The link of its callers that come through a proxy was harmed.
+	STORE, ///< The store was away or silent, or forgot.
+	ENDPOINT_LINK, ///< The link to an endpoint was harmed.
+	ENDPOINT_GONE, ///< An endpoint crashed or ended, until it is back.
+	ENDPOINT_FAULTY, ///< An endpoint answers badly.
+	DRIVER_HELD_UP, ///< The soak itself did not run for a while, so its times mean nothing.
+	COUNT,
+};
+
+std::string_view get_name(disturbance p_value);
+
+/** What must hold. */
+enum class promise {
+	ANSWERED, ///< A request that was read ends in an answer, or in a close that tells it was not.
+	WHOLE, ///< An answer that began ends whole.
+	OWN_ANSWER, ///< An answer is the one to this request, unchanged.
+	UNCHANGED, ///< Endpoints get what callers sent, and nothing else.
+	AT_MOST_ONCE, ///< What is not repeatable runs once at most.
+	REFUSED_IS_NOT_RUN, ///< 408, 421, 429 and 503 are given only if nothing runs, then or later.
+	ADMITTED, ///< What every configuration allows is not turned away.
+	IN_TIME, ///< A request ends shortly after its deadline at the latest.
+	CONFIGURATION_IN_FORCE, ///< A version is in force within its bound.
+	CONFIGURATION_STAYS, ///< A version that was in force is not followed by an older one.
+	LEAVING_IS_LEFT, ///< An endpoint that leaves gets no new work after the bound.
+	RETURNED_IS_USED, ///< An endpoint that starts again under its name gets work.
+	STOPS_IN_TIME, ///< A process ends within its grace.
+	STAYS_UP, ///< A process does not end by itself.
+	SERVES_AGAIN, ///< Requests are served once all is well again.
+	COUNT,
+};
+
+std::string_view get_name(promise p_value);
+
+/** Whom a check is about; what is not named cannot excuse it. */
+struct check_scope {
+	std::size_t node = NOBODY;
+	bool is_proxied = false; ///< The request came through the node's caller proxy.
+	std::vector<std::size_t> endpoints;
+	instant from{};
+	instant to{};
+
+	static constexpr std::size_t NOBODY = static_cast<std::size_t>(-1);
+};
+
+/** Keeps what was done, and tells whether that excuses a broken promise. */
+class disturbance_log {
+	struct record {
+		disturbance kind = disturbance::COUNT;
+		std::size_t subject = 0;
+		instant begin{};
+		instant end{};
+	};
+
+	std::vector<record> _records;
+
+	bool _has(disturbance p_kind, std::size_t p_subject, instant p_from, instant p_to) const;
+
+public:
+	static constexpr instant OPEN = instant::max();
+
+	void begin(disturbance p_kind, std::size_t p_subject, instant p_now);
+	/** Ends all that is open of this kind and subject. */
+	void end(disturbance p_kind, std::size_t p_subject, instant p_now);
+	/** Something that lasted. */
+	void note(disturbance p_kind, std::size_t p_subject, instant p_begin, instant p_end);
+
+	/** Whether any of the kind touched the span. */
+	bool has(disturbance p_kind, std::size_t p_subject, instant p_from, instant p_to) const { return _has(p_kind, p_subject, p_from, p_to); }
+
+	/** The excuse from the table that was shown to hold; empty if none. */
+	std::string find_excuse(promise p_promise, const check_scope &p_scope) const;
+};
+
+} // namespace calicoscale
+
+#endif // DISTURBANCE_LOG_H
--- /dev/null
+++ b/tests/soak/soak_caller.h
@@ -0,0 +1,76 @@
+/*
+ * calicoscale: soak_caller.h
+ * A caller of a soak: keeps connections, rests, sends, leaves.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef SOAK_CALLER_H
+#define SOAK_CALLER_H
+
+#include "tests/soak/caller_connection.h"
+#include "tests/soak/later_queue.h"
+#include "tests/soak/soak_random.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace calicoscale {
+
+/** A node as callers find it. */
+struct caller_site {
+	network_address address;
+	network_address proxied_address; ///< Leads there through a proxy.
+	bool takes_new = false; ///< The balancer sends new connections there.
+	std::size_t life = 0; ///< Of its process.
+};
+
+/** What the callers of a soak share. */
+struct caller_context {
+	event_loop &loop;
+	promise_book &book;
+	std::vector<caller_site> &sites;
+	duration idle_limit{}; ///< Of the configuration, after which a node may close.
+};
+
+/** Text of a request as a caller sends it. */
+std::string write_request_head(const soak_attempt &p_attempt, const std::string &p_key);
+
+/** Sends one request after the other, with rests between; keeps its connection as long as the node does. */
+class soak_caller {
+	caller_context &_context;
+	soak_random _random;
+	timer _next_timer;
+	timer _part_timer;
+	timer _give_up_timer;
+	std::unique_ptr<caller_connection> _connection;
+	std::shared_ptr<soak_attempt> _attempt;
+	std::size_t _node = 0;
+	bool _is_proxied = false;
+	instant _rested_since{};
+	std::optional<duration> _told_rest; ///< Keep-Alive told that the node closes after this.
+	bool _is_stopped = false;
+
+	void _next();
+	bool _open();
+	void _send();
+	void _rest();
+	void _end_connection();
+	void _give_up();
+	void _on_answer(const http_head &p_head, const std::string &p_body);
+	void _on_broken(connection_end p_end, bool p_has_begun);
+
+public:
+	soak_caller(caller_context &p_context, std::uint64_t p_seed);
+
+	/** Sends nothing new. */
+	void stop() { _is_stopped = true; }
+	bool is_at_rest() const { return _attempt == nullptr; }
+};
+
+} // namespace calicoscale
+
+#endif // SOAK_CALLER_H
--- /dev/null
+++ b/tests/soak/soak_endpoint.cpp
@@ -0,0 +1,146 @@
+/*
+ * calicoscale: soak_endpoint.cpp
+ * An endpoint of a soak: answers, misbehaves, crashes and starts again.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/soak/soak_endpoint.h"
+
+#include "core/digest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace calicoscale {
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+/** While it misbehaves it does so with one request in so many. */
+constexpr std::size_t FAULTY_PART = 2;
+constexpr std::uint64_t USUAL_WORK_MS = 40;
+/** One request in so many takes long. */
+constexpr std::uint64_t LONG_WORK_PART = 12;
+constexpr std::uint64_t LONG_WORK_MS = 900;
+constexpr duration EVENT_GAP = milliseconds(15);
+constexpr int SLOTS = 64;
+
+duration get_work_time(const std::string &p_id) {
+	const std::uint64_t number = hash_bytes(p_id, 2);
+	return milliseconds(1 + number % (number % LONG_WORK_PART == 0 ? LONG_WORK_MS : USUAL_WORK_MS));
+}
+
+std::string get(const caller_exchange &p_exchange, std::string_view p_name) {
+	const std::string *value = p_exchange.head.find(p_name);
+	return value == nullptr ? std::string() : *value;
+}
+
+} // namespace
+
+soak_endpoint::soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number) :
+		_loop(p_loop), _book(p_book), _number(p_number), _name("i-" + std::to_string(p_number)) {
+}
+
+void soak_endpoint::start() {
+	_born = event_loop::wall();
+	_sequence = 0;
+	_mode = endpoint_mode::SOUND;
+	_work = std::make_unique<later_queue>(_loop);
+	_server = std::make_unique<caller_server>(_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); });
+}
+
+void soak_endpoint::crash() {
+	// Freed from the loop, as this may run beside one of their hooks.
+	const std::shared_ptr<later_queue> work = std::move(_work);
+	const std::shared_ptr<caller_server> server = std::move(_server);
+	_loop.post([work, server] {});
+}
+
+std::string soak_endpoint::write_record(const network_address &p_address, const std::string &p_zone, bool p_is_leaving) {
+	return json{ { "service", "svc" }, { "address", to_string(p_address) }, { "zone", p_zone }, { "version", "v1" }, { "slots", SLOTS }, { "state", p_is_leaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "seq_no", _sequence++ }, { "born", _born } }.dump();
+}
+
+endpoint_mode soak_endpoint::_take_mode() {
+	return _served++ % FAULTY_PART == 0 ? _mode : endpoint_mode::SOUND;
+}
+
+std::vector<http_header> soak_endpoint::_make_headers(const std::string &p_id) const {
+	return { { "X-Attempt-Id", p_id }, { "X-Replica-Seal", _name } };
+}
+
+void soak_endpoint::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
+	const std::string expected = get(*p_exchange, "X-Expect-Replica");
+	if (!expected.empty() && expected != _name) {
+		p_exchange->reply(421, { { "X-Replica-Id", _name }, { "X-Attempt-Id", get(*p_exchange, "X-Attempt-Id") } }, "");
+		return;
+	}
+	const endpoint_mode mode = _take_mode();
+	if (mode == endpoint_mode::SHEDS) {
+		p_exchange->reply(503, { { "X-Not-Executed", "1" }, { "X-Attempt-Id", get(*p_exchange, "X-Attempt-Id") } }, "");
+		return;
+	}
+	_book.on_run(_number, p_exchange->head, p_exchange->body, event_loop::now());
+	_work->add(get_work_time(get(*p_exchange, "X-Attempt-Id")), [this, p_exchange, mode] {
+		const bool is_stream = p_exchange->head.target.starts_with("/stream/") || p_exchange->head.target.starts_with("/resumable/");
+		const bool answers_events = is_stream && (mode == endpoint_mode::SOUND || mode == endpoint_mode::CUTS);
+		if (!answers_events) {
+			_answer(*p_exchange, mode);
+			return;
+		}
+		const std::string last = get(*p_exchange, "Last-Event-Id");
+		std::vector<http_header> headers = _make_headers(get(*p_exchange, "X-Attempt-Id"));
+		headers.push_back({ "Content-Type", "text/event-stream" });
+		p_exchange->start(200, headers);
+		_stream(p_exchange, last.empty() ? 1 : std::atoi(last.c_str()) + 1, mode);
+	});
+}
+
+void soak_endpoint::_answer(caller_exchange &p_exchange, endpoint_mode p_mode) {
+	const std::string id = get(p_exchange, "X-Attempt-Id");
+	const std::string body = make_answer_body(id, _name);
+	switch (p_mode) {
+		case endpoint_mode::FAILS:
+			p_exchange.reply(500, _make_headers(id), "failed");
+			return;
+		case endpoint_mode::CLOSES:
+			p_exchange.abort();
+			return;
+		case endpoint_mode::MISTAKES: {
+			const std::string other = _book.find_other(id);
+			p_exchange.reply(200, _make_headers(other), make_answer_body(other, _name));
+			return;
+		}
+		case endpoint_mode::CUTS:
+			p_exchange.start(200, _make_headers(id));
+			p_exchange.send(body.substr(0, body.size() / 2));
+			p_exchange.abort();
+			return;
+		case endpoint_mode::UNSEALED:
+			p_exchange.reply(200, { { "X-Attempt-Id", id } }, "forged");
+			return;
+		case endpoint_mode::HANGS:
+			return;
+		default:
+			p_exchange.reply(200, _make_headers(id), body);
+	}
+}
+
+void soak_endpoint::_stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode) {
+	if (p_number > EVENTS_IN_STREAM) {
+		p_exchange->end();
+		return;
+	}
+	const std::string event = make_event(get(*p_exchange, "X-Attempt-Id"), p_number);
+	if (p_mode == endpoint_mode::CUTS && p_number == EVENTS_IN_STREAM / 2) {
+		p_exchange->send(event.substr(0, event.size() / 2));
+		p_exchange->abort();
+		return;
+	}
+	p_exchange->send(event);
+	_work->add(EVENT_GAP, [this, p_exchange, p_number, p_mode] { _stream(p_exchange, p_number + 1, p_mode); });
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/soak/soak_endpoint.h
@@ -0,0 +1,76 @@
+/*
+ * calicoscale: soak_endpoint.h
+ * An endpoint of a soak: answers, misbehaves, crashes and starts again.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef SOAK_ENDPOINT_H
+#define SOAK_ENDPOINT_H
+
+#include "drivers/caller_server.h"
+#include "tests/soak/later_queue.h"
+#include "tests/soak/promise_book.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace calicoscale {
+
+/** What an endpoint does wrong with part of its requests. */
+enum class endpoint_mode {
+	SOUND,
+	FAILS, ///< Runs and answers 500.
+	SHEDS, ///< Refuses, and says that it did not run.
+	CLOSES, ///< Runs and closes without an answer.
+	MISTAKES, ///< Answers another request.
+	CUTS, ///< Breaks its answer off.
+	HANGS, ///< Runs and never answers.
+	UNSEALED, ///< Answers bytes that are not its own.
+	COUNT,
+};
+
+/** Speaks as the platform's pages say; tells the book what it runs. */
+class soak_endpoint {
+	event_loop &_loop;
+	promise_book &_book;
+	std::size_t _number;
+	std::string _name;
+	std::unique_ptr<caller_server> _server;
+	std::unique_ptr<later_queue> _work;
+	unix_milliseconds _born = 0;
+	std::uint64_t _sequence = 0;
+	endpoint_mode _mode = endpoint_mode::SOUND;
+	std::size_t _served = 0;
+
+	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
+	void _answer(caller_exchange &p_exchange, endpoint_mode p_mode);
+	void _stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode);
+	endpoint_mode _take_mode();
+	std::vector<http_header> _make_headers(const std::string &p_id) const;
+
+public:
+	soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number);
+
+	/** Begins a life that knows nothing of an earlier one. */
+	void start();
+
+	/** Ends; what it works on is gone. */
+	void crash();
+
+	void set_mode(endpoint_mode p_mode) { _mode = p_mode; }
+
+	/** Its record in the store, reached at an address. */
+	std::string write_record(const network_address &p_address, const std::string &p_zone, bool p_is_leaving);
+
+	bool is_running() const { return _server != nullptr; }
+	unix_milliseconds get_born() const { return _born; }
+	const std::string &get_name() const { return _name; }
+	network_address get_address() const { return _server->get_address(); }
+};
+
+} // namespace calicoscale
+
+#endif // SOAK_ENDPOINT_H
--- /dev/null
+++ b/tests/soak/soak_message.cpp
@@ -0,0 +1,100 @@
+/*
+ * calicoscale: soak_message.cpp
+ * What callers of the soak send and what its endpoints answer.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/soak/soak_message.h"
+
+#include "core/digest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace calicoscale {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t MOST_REQUEST_BYTES = 3000;
+constexpr std::size_t MOST_ANSWER_BYTES = 60000;
+/** One answer in so many is long. */
+constexpr std::uint64_t LONG_ANSWERS = 4;
+constexpr std::size_t SHORT_ANSWER_BYTES = 200;
+
+std::string fill(std::string p_text, std::size_t p_size) {
+	const std::size_t unit = p_text.size();
+	while (p_text.size() < p_size) {
+		p_text.append(p_text, 0, std::min(unit, p_size - p_text.size()));
+	}
+	return p_text;
+}
+
+json make_route(const std::string &p_path, const char *p_kind, int p_attempts) {
+	return json{ { "name", p_path }, { "host", "h.example" }, { "path_prefix", p_path }, { "route_kind", p_kind }, { "timeout_ms", 3000 }, { "slo_ms", 1000 }, { "priority", 1 }, { "service", "svc" }, { "max_attempts", p_attempts }, { "public", false } };
+}
+
+} // namespace
+
+bool is_repeatable(request_kind p_kind) {
+	return p_kind == request_kind::SAFE || p_kind == request_kind::RESUMABLE || p_kind == request_kind::PROBE;
+}
+
+bool is_stream(request_kind p_kind) {
+	return p_kind == request_kind::STREAM || p_kind == request_kind::RESUMABLE;
+}
+
+std::string make_target(request_kind p_kind, const std::string &p_id, std::uint64_t p_version) {
+	switch (p_kind) {
+		case request_kind::SAFE:
+			return "/safe/" + p_id;
+		case request_kind::ONCE:
+			return "/once/" + p_id;
+		case request_kind::STREAM:
+			return "/stream/" + p_id;
+		case request_kind::RESUMABLE:
+			return "/resumable/" + p_id;
+		default:
+			return "/version/" + std::to_string(p_version) + "/" + p_id;
+	}
+}
+
+std::string make_key(std::uint64_t p_version) {
+	return "key-of-" + std::to_string(p_version);
+}
+
+std::string make_request_body(const std::string &p_id) {
+	return fill("request " + p_id + ";", hash_bytes(p_id) % MOST_REQUEST_BYTES);
+}
+
+std::string make_answer_body(const std::string &p_id, const std::string &p_endpoint) {
+	const std::uint64_t number = hash_bytes(p_id, 1);
+	const std::size_t most = number % LONG_ANSWERS == 0 ? MOST_ANSWER_BYTES : SHORT_ANSWER_BYTES;
+	return fill("answer to " + p_id + " by " + p_endpoint + ";", number % most);
+}
+
+std::string make_event(const std::string &p_id, int p_number) {
+	return "id: " + std::to_string(p_number) + "\ndata: " + p_id + "/" + std::to_string(p_number) + "\n\n";
+}
+
+std::string make_stream(const std::string &p_id) {
+	std::string events;
+	for (int number = 1; number <= EVENTS_IN_STREAM; number++) {
+		events += make_event(p_id, number);
+	}
+	return events;
+}
+
+std::string make_soak_configuration(std::uint64_t p_version, int p_idle_ms) {
+	json resumable = make_route("/resumable/", "streaming", 2);
+	resumable["resumable"] = true;
+	const json routes = json::array({ make_route("/safe/", "idempotent", 2), make_route("/once/", "non_idempotent", 2), make_route("/stream/", "streaming", 2), resumable, make_route("/version/" + std::to_string(p_version) + "/", "idempotent", 2) });
+	const json limits{ { "max_header_bytes", 16384 }, { "max_body_bytes", 65536 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", p_idle_ms } };
+	const json services = json::array({ { { "name", "svc" }, { "max_conns", 200 } } });
+	const json customers = json::array({ { { "name", CUSTOMER }, { "api_keys", { STEADY_KEY, make_key(p_version) } } } });
+	return json{ { "version", p_version }, { "routes", routes }, { "services", services }, { "limits", limits }, { "tenants", customers } }.dump();
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/soak/soak_message.h
@@ -0,0 +1,52 @@
+/*
+ * calicoscale: soak_message.h
+ * What callers of the soak send and what its endpoints answer.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef SOAK_MESSAGE_H
+#define SOAK_MESSAGE_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace calicoscale {
+
+enum class request_kind {
+	SAFE, ///< May be repeated.
+	ONCE, ///< May run once.
+	STREAM, ///< Events; may run once.
+	RESUMABLE, ///< Events; another endpoint may go on.
+	PROBE, ///< On a route that only one version of the configuration has.
+	COUNT,
+};
+
+bool is_repeatable(request_kind p_kind);
+bool is_stream(request_kind p_kind);
+
+constexpr int EVENTS_IN_STREAM = 5;
+
+/** The path of a kind of request; a probe's names the version. */
+std::string make_target(request_kind p_kind, const std::string &p_id, std::uint64_t p_version);
+
+/** The key that one version of the configuration holds, beside the one that all hold. */
+std::string make_key(std::uint64_t p_version);
+constexpr std::string_view STEADY_KEY = "key-1";
+constexpr std::string_view CUSTOMER = "hearth";
+
+/** From a few bytes to some ten thousand, as the id has it. */
+std::string make_request_body(const std::string &p_id);
+std::string make_answer_body(const std::string &p_id, const std::string &p_endpoint);
+
+std::string make_event(const std::string &p_id, int p_number);
+std::string make_stream(const std::string &p_id);
+
+/** The configuration of the soak at a version: its steady routes, and one route and key that no other version has. */
+std::string make_soak_configuration(std::uint64_t p_version, int p_idle_ms);
+
+} // namespace calicoscale
+
+#endif // SOAK_MESSAGE_H
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,147 @@
+/*
+ * calicoscale: soak_run.cpp
+ * One soak: a seed, a schedule, a verdict.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/soak/soak_run.h"
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration IDLE_LIMIT = milliseconds(2000);
+/** The platform asks each node so often; two misses take it out. */
+constexpr duration READINESS_INTERVAL = milliseconds(1000);
+constexpr int MISSES_TO_LEAVE = 2;
+/** A probe may be answered so much later than its deadline. */
+constexpr duration LAST_WAIT = milliseconds(2000);
+constexpr duration PROBE_INTERVAL = milliseconds(150);
+/** Every so many probes ask for the version before the newest. */
+constexpr std::size_t OLDER_PROBES = 5;
+/** Requests begun so long after the last trouble, and so long before the end, must be served. */
+constexpr duration RECOVERY = milliseconds(5000);
+/** Longer than the longest request and the wait for a reset. */
+constexpr duration LAST_ANSWERS = milliseconds(5000);
+
+/** Of each promise; a fault often shows in hundreds of requests. */
+constexpr std::size_t MOST_SHOWN = 5;
+
+} // namespace
+
+soak_run::soak_run(std::uint64_t p_seed, const soak_size &p_size, const soak_place &p_place) :
+		_size(p_size), _seed(p_seed), _book(_disturbances, "s" + std::to_string(p_seed) + "-"), _fleet(_loop, _book, _disturbances, _sites, p_place, p_size), _context{ _loop, _book, _sites, IDLE_LIMIT }, _views(p_size.nodes), _probes(p_size.nodes), _questions(_loop), _later(_loop), _started_at(event_loop::now()) {
+	soak_random random(p_seed + 1);
+	for (std::size_t i = 0; i < p_size.callers; i++) {
+		_callers.push_back(std::make_unique<soak_caller>(_context, random.pick(1U << 30U)));
+	}
+	for (const soak_event &event : make_schedule(p_seed, p_size)) {
+		_later.add(event.at, [this, event] { _fleet.apply(event); });
+	}
+	_ask_readiness();
+	_probe_nodes();
+	_later.add(p_size.length, [this] { _stop_callers(); });
+}
+
+void soak_run::_ask_readiness() {
+	for (std::size_t i = 0; i < _views.size(); i++) {
+		balancer_view &view = _views[i];
+		view.misses = view.status == 200 ? 0 : view.misses + 1;
+		_sites[i].takes_new = view.misses < MISSES_TO_LEAVE;
+		view.status = 0;
+		if (view.question != 0) {
+			_questions.cancel(view.question);
+		}
+		channel_request request;
+		request.to = _fleet.get_readiness_address(i);
+		request.endpoint = to_string(request.to);
+		request.bytes = "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n";
+		view.question = _questions.start(std::move(request), channel_hooks{ [this, i](const http_head &p_head) { _views[i].status = p_head.status; }, [](std::string_view) {}, [this, i](channel_end) { _views[i].question = 0; } });
+	}
+	_later.add(READINESS_INTERVAL, [this] { _ask_readiness(); });
+}
+
+void soak_run::_probe_nodes() {
+	for (std::size_t i = 0; i < _probes.size(); i++) {
+		if (!_probes[i].attempt && _fleet.is_in_service(i)) {
+			_send_probe(i);
+		} else if (_probes[i].attempt && event_loop::now() > _probes[i].attempt->give_up_at + LAST_WAIT) {
+			_book.on_no_answer(*_probes[i].attempt, _probes[i].connection->is_closed() ? connection_end::ORDERLY : connection_end::NONE, false, event_loop::now());
+			_end_probe(i);
+		}
+	}
+	_later.add(PROBE_INTERVAL, [this] { _probe_nodes(); });
+}
+
+void soak_run::_send_probe(std::size_t p_node) {
+	probe &chosen = _probes[p_node];
+	if (!chosen.connection) {
+		caller_connection_hooks hooks;
+		hooks.on_sent = [this, p_node] { _probes[p_node].attempt->sent_at = event_loop::now(); };
+		hooks.on_answer = [this, p_node](const http_head &p_head, const std::string &p_body) {
+			_book.on_answer(*_probes[p_node].attempt, p_head, p_body, _sites[p_node].life, event_loop::now());
+			_probes[p_node].attempt.reset();
+			if (!p_head.keep_alive) {
+				_end_probe(p_node);
+			}
+		};
+		hooks.on_broken = [this, p_node](connection_end p_end, bool p_has_begun) {
+			_book.on_no_answer(*_probes[p_node].attempt, p_end, p_has_begun, event_loop::now());
+			_end_probe(p_node);
+		};
+		hooks.on_closed = [this, p_node] { _end_probe(p_node); };
+		hooks.on_surplus = [this, p_node](const std::string &p_bytes) { _book.on_surplus(p_node, p_bytes); };
+		chosen.connection = std::make_unique<caller_connection>(_loop, _sites[p_node].address, std::move(hooks));
+	}
+	const bool asks_older = ++_probe_count % OLDER_PROBES == 0 && _book.get_version() > 1;
+	const std::uint64_t version = _book.get_version() - (asks_older ? 1 : 0);
+	chosen.attempt = _book.open_probe(version, p_node, _sites[p_node].life, event_loop::now());
+	chosen.connection->send(write_request_head(*chosen.attempt, make_key(version)) + chosen.attempt->body, true);
+}
+
+void soak_run::_end_probe(std::size_t p_node) {
+	_probes[p_node].attempt.reset();
+	const std::shared_ptr<caller_connection> ended = std::move(_probes[p_node].connection);
+	if (ended) {
+		ended->abandon();
+		_loop.post([ended] {});
+	}
+}
+
+void soak_run::_stop_callers() {
+	for (const std::unique_ptr<soak_caller> &caller : _callers) {
+		caller->stop();
+	}
+	_later.add(LAST_ANSWERS, [this] { _loop.stop(); });
+}
+
+void soak_run::play() {
+	_loop.run();
+	_book.check_served(_started_at + get_calm_end(_size) + RECOVERY, _started_at + _size.length);
+}
+
+void soak_run::write_report(std::ostream &r_out) const {
+	r_out << "seed " << _seed << ": " << (_book.get_broken().empty() ? "sound" : "BROKEN") << ", " << _book.get_count() << " requests, " << _book.get_version() << " versions;";
+	for (const auto &[name, count] : _book.get_ends()) {
+		r_out << " " << name << " " << count;
+	}
+	r_out << "\n";
+	std::map<promise, std::size_t> shown;
+	for (const broken_promise &entry : _book.get_broken()) {
+		if (++shown[entry.what] <= MOST_SHOWN) {
+			r_out << "  broken: " << get_name(entry.what) << ": " << entry.detail << "\n";
+		}
+	}
+	for (const auto &[what, count] : shown) {
+		r_out << "  " << get_name(what) << " broken " << count << " times\n";
+	}
+	for (const auto &[name, count] : _book.get_excused()) {
+		r_out << "  excused " << count << ": " << name << "\n";
+	}
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/soak/soak_run.h
@@ -0,0 +1,71 @@
+/*
+ * calicoscale: soak_run.h
+ * One soak: a seed, a schedule, a verdict.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef SOAK_RUN_H
+#define SOAK_RUN_H
+
+#include "drivers/endpoint_channels.h"
+#include "tests/soak/soak_fleet.h"
+
+#include <list>
+#include <memory>
+#include <ostream>
+#include <vector>
+
+namespace calicoscale {
+
+/** Plays the schedule of one seed and keeps what was found. */
+class soak_run {
+	/** What the platform's balancer knows of a node. */
+	struct balancer_view {
+		exchange_id question = 0;
+		int status = 0;
+		int misses = 2;
+	};
+
+	/** Asks one node which version is in force. */
+	struct probe {
+		std::unique_ptr<caller_connection> connection;
+		std::shared_ptr<soak_attempt> attempt;
+	};
+
+	event_loop _loop;
+	soak_size _size;
+	std::uint64_t _seed;
+	disturbance_log _disturbances;
+	promise_book _book;
+	std::vector<caller_site> _sites;
+	soak_fleet _fleet;
+	caller_context _context;
+	std::vector<std::unique_ptr<soak_caller>> _callers;
+	std::vector<balancer_view> _views;
+	std::vector<probe> _probes;
+	endpoint_channels _questions;
+	later_queue _later;
+	instant _started_at;
+	std::size_t _probe_count = 0;
+
+	void _ask_readiness();
+	void _probe_nodes();
+	void _send_probe(std::size_t p_node);
+	void _end_probe(std::size_t p_node);
+	void _stop_callers();
+
+public:
+	soak_run(std::uint64_t p_seed, const soak_size &p_size, const soak_place &p_place);
+
+	/** Runs to its end. */
+	void play();
+
+	const promise_book &get_book() const { return _book; }
+	void write_report(std::ostream &r_out) const;
+};
+
+} // namespace calicoscale
+
+#endif // SOAK_RUN_H
--- /dev/null
+++ b/tests/soak/soak_schedule.cpp
@@ -0,0 +1,97 @@
+/*
+ * calicoscale: soak_schedule.cpp
+ * What a soak does when; drawn from its seed.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/soak/soak_schedule.h"
+
+#include "tests/soak/soak_random.h"
+
+#include <algorithm>
+#include <array>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Nodes, endpoints and callers find each other. */
+constexpr duration WARM_UP = milliseconds(3000);
+constexpr duration BURST = milliseconds(4500);
+/** Longer than contact and the bound of a change together, so that each must be in force in the end. */
+constexpr duration CALM = milliseconds(7000);
+/** What is done to nodes, endpoints and the store together is gone so long before the end. */
+constexpr duration LAST_CALM = milliseconds(9000);
+constexpr std::size_t LEAST_EVENTS = 6;
+constexpr std::size_t MORE_EVENTS = 10;
+/** A larger fleet has more trouble: one event more for so many nodes. */
+constexpr std::size_t NODES_FOR_AN_EVENT = 8;
+/** A series hits as many nodes one after the other. */
+constexpr std::size_t MOST_IN_SERIES = 4;
+constexpr duration SERIES_STEP = milliseconds(250);
+constexpr double LEAST_LENGTH_MS = 150;
+constexpr double MOST_LENGTH_MS = 2500;
+constexpr double LEAST_BETWEEN_VERSIONS_MS = 300;
+constexpr double MOST_BETWEEN_VERSIONS_MS = 5000;
+constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure" };
+
+bool is_of_endpoint(soak_action p_action) {
+	return p_action == soak_action::ENDPOINT_LINK || p_action == soak_action::ENDPOINT_CRASHES || p_action == soak_action::ENDPOINT_LEAVES || p_action == soak_action::ENDPOINT_MISBEHAVES;
+}
+
+bool is_in_series(soak_action p_action) {
+	return p_action == soak_action::KILL || p_action == soak_action::STOP || p_action == soak_action::STAND_STILL || p_action == soak_action::RELOAD;
+}
+
+void add_burst(soak_random &r_random, const soak_size &p_size, duration p_begin, std::vector<soak_event> &r_events) {
+	const std::size_t count = LEAST_EVENTS + r_random.pick(MORE_EVENTS) + p_size.nodes / NODES_FOR_AN_EVENT;
+	for (std::size_t i = 0; i < count; i++) {
+		soak_event event;
+		event.action = static_cast<soak_action>(r_random.pick(static_cast<std::size_t>(soak_action::CONFIGURE)));
+		event.at = p_begin + r_random.pick_time(0, to_milliseconds(BURST));
+		event.subject = r_random.pick(is_of_endpoint(event.action) ? p_size.endpoints : p_size.nodes);
+		event.length = r_random.pick_time(LEAST_LENGTH_MS, MOST_LENGTH_MS);
+		event.choice = r_random.pick(CHOICES);
+		const std::size_t repeats = is_in_series(event.action) ? 1 + r_random.pick(MOST_IN_SERIES) : 1;
+		for (std::size_t k = 0; k < repeats; k++) {
+			r_events.push_back(event);
+			event.at += SERIES_STEP;
+			event.subject = (event.subject + 1) % p_size.nodes;
+		}
+	}
+}
+
+} // namespace
+
+std::string_view get_name(soak_action p_value) {
+	return ACTION_NAMES.at(static_cast<std::size_t>(p_value));
+}
+
+std::string soak_event::describe() const {
+	return std::to_string(at.count() / 1000) + " ms " + std::string(get_name(action)) + " " + std::to_string(subject) + " for " + std::to_string(length.count() / 1000) + " ms, choice " + std::to_string(choice);
+}
+
+duration get_calm_end(const soak_size &p_size) {
+	return p_size.length - LAST_CALM;
+}
+
+std::vector<soak_event> make_schedule(std::uint64_t p_seed, const soak_size &p_size) {
+	soak_random random(p_seed);
+	std::vector<soak_event> events;
+	for (duration begin = WARM_UP; begin + BURST <= get_calm_end(p_size); begin += BURST + CALM) {
+		add_burst(random, p_size, begin, events);
+	}
+	for (duration at = WARM_UP; at < p_size.length; at += random.pick_time(LEAST_BETWEEN_VERSIONS_MS, MOST_BETWEEN_VERSIONS_MS)) {
+		events.push_back(soak_event{ at, soak_action::CONFIGURE, 0, duration::zero(), 0 });
+	}
+	std::stable_sort(events.begin(), events.end(), [](const soak_event &p_left, const soak_event &p_right) { return p_left.at < p_right.at; });
+	return events;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/soak/soak_schedule.h
@@ -0,0 +1,80 @@
+/*
+ * calicoscale: soak_schedule.h
+ * What a soak does when; drawn from its seed.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef SOAK_SCHEDULE_H
+#define SOAK_SCHEDULE_H
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace calicoscale {
+
+enum class soak_action {
+	KILL,
+	STOP, ///< SIGTERM.
+	STAND_STILL, ///< SIGSTOP and, later, SIGCONT.
+	RELOAD, ///< SIGHUP.
+	CALLER_LINK,
+	STORE_LINK,
+	PEER_LINK,
+	ENDPOINT_LINK,
+	STORE_AWAY, ///< Answers 503.
+	STORE_SILENT,
+	STORE_READS_LOST, ///< Reads that wait are never answered.
+	STORE_FORGETS, ///< Its history is gone.
+	ENDPOINT_CRASHES, ///< And starts again under its name.
+	ENDPOINT_LEAVES, ///< Says so, ends, and starts again under its name.
+	ENDPOINT_MISBEHAVES,
+	SPOILT_RECORD,
+	CONFIGURE,
+	COUNT,
+};
+
+std::string_view get_name(soak_action p_value);
+
+/** How a link is harmed. */
+enum class harm_kind {
+	DELAY,
+	RESET,
+	HOLD_UP,
+	HOLD_DOWN,
+	SILENCE,
+	NARROW,
+	COUNT,
+};
+
+struct soak_event {
+	duration at{}; ///< From the start.
+	soak_action action = soak_action::COUNT;
+	std::size_t subject = 0; ///< Node or endpoint.
+	duration length{}; ///< How long it lasts.
+	std::size_t choice = 0; ///< Of the kinds that the action has.
+	std::string describe() const;
+};
+
+/** How large a soak is. */
+struct soak_size {
+	std::size_t nodes = 6;
+	std::size_t endpoints = 6;
+	std::size_t callers = 30;
+	duration length = std::chrono::seconds(25);
+};
+
+/** From here on nothing is disturbed, only configured. */
+duration get_calm_end(const soak_size &p_size);
+
+/** Bursts of trouble that overlap, with calm between; one seed and size give one schedule. */
+std::vector<soak_event> make_schedule(std::uint64_t p_seed, const soak_size &p_size);
+
+} // namespace calicoscale
+
+#endif // SOAK_SCHEDULE_H
