--- a/tests/soak/caller_connection.cpp
+++ b/tests/soak/caller_connection.cpp
@@ -115,7 +115,7 @@
 	_hooks.on_answer(head, body);
 }
 
-void caller_connection::_break(connection_end p_end) {
+void caller_connection::_break(unanswered_end p_end) {
 	_is_over = true;
 	_reset_timer.cancel();
 	_hooks.on_broken(p_end, _reader.has_begun());
@@ -138,7 +138,7 @@
 		}
 	}
 	if (p_is_reset || _reader.has_begun()) {
-		_break(p_is_reset ? connection_end::RESET : connection_end::ORDERLY);
+		_break(p_is_reset ? unanswered_end::RESET : unanswered_end::ORDERLY);
 		return;
 	}
 	_closed_at = event_loop::now();
@@ -149,7 +149,7 @@
 	// The peer's end came first; a reset behind it tells that it read no more.
 	const bool is_reset = has_socket_error(bufferevent_getfd(_stream));
 	if (is_reset || event_loop::now() - _closed_at > RESET_WAIT) {
-		_break(is_reset || !_told_sent ? connection_end::RESET : connection_end::ORDERLY);
+		_break(is_reset || !_told_sent ? unanswered_end::RESET : unanswered_end::ORDERLY);
 		return;
 	}
 	_reset_timer.set(RESET_CHECK);
--- a/tests/soak/caller_connection.h
+++ b/tests/soak/caller_connection.h
@@ -28,7 +28,7 @@
 	std::function<void()> on_sent; ///< The request's last byte is with the kernel.
 	std::function<void(const http_head &, const std::string &)> on_answer;
 	/** It ended under a request; whether an answer had begun. */
-	std::function<void(connection_end, bool)> on_broken;
+	std::function<void(unanswered_end, bool)> on_broken;
 	std::function<void()> on_closed; ///< It ended while no request was open.
 	std::function<void(const std::string &)> on_surplus;
 };
@@ -54,7 +54,7 @@
 	void _read();
 	void _take_answer();
 	void _on_end(bool p_is_reset);
-	void _break(connection_end p_end);
+	void _break(unanswered_end p_end);
 	void _watch_for_reset();
 
 public:
--- a/tests/soak/promise_book.cpp
+++ b/tests/soak/promise_book.cpp
@@ -169,11 +169,11 @@
 	}
 }
 
-void promise_book::on_no_answer(soak_attempt &r_attempt, connection_end p_end, bool p_has_begun, instant p_now) {
+void promise_book::on_no_answer(soak_attempt &r_attempt, unanswered_end p_end, bool p_has_begun, instant p_now) {
 	r_attempt.has_ended = true;
 	const check_scope scope = _make_scope(r_attempt, p_now);
 	const std::string at = r_attempt.id + " at node " + std::to_string(r_attempt.node) + (r_attempt.is_proxied ? " through its proxy" : "");
-	if (p_end == connection_end::NONE) {
+	if (p_end == unanswered_end::NONE) {
 		_ends["no answer in time"]++;
 		if (r_attempt.is_sent()) {
 			judge(promise::IN_TIME, scope, at + " had no answer " + std::to_string((p_now - r_attempt.give_up_at).count() / 1000) + " ms after its deadline");
@@ -187,7 +187,7 @@
 		}
 		return;
 	}
-	const bool is_reset = p_end == connection_end::RESET;
+	const bool is_reset = p_end == unanswered_end::RESET;
 	_ends[is_reset ? "reset" : "closed"]++;
 	const bool was_read = r_attempt.is_sent() && (!is_reset || !r_attempt.run_by.empty());
 	if (was_read) {
--- a/tests/soak/promise_book.h
+++ b/tests/soak/promise_book.h
@@ -44,7 +44,7 @@
 };
 
 /** How a connection ended under a request. */
-enum class connection_end {
+enum class unanswered_end {
 	ORDERLY, ///< Closed, and no reset told that the request was not read.
 	RESET,
 	NONE, ///< It still stood when the caller gave the request up.
@@ -98,7 +98,7 @@
 
 	/** @param p_life The node's life as the answer came. */
 	void on_answer(soak_attempt &r_attempt, const http_head &p_head, const std::string &p_body, std::size_t p_life, instant p_now);
-	void on_no_answer(soak_attempt &r_attempt, connection_end p_end, bool p_has_begun, instant p_now);
+	void on_no_answer(soak_attempt &r_attempt, unanswered_end p_end, bool p_has_begun, instant p_now);
 	/** The caller left before the answer. */
 	void on_left(soak_attempt &r_attempt);
 	/** Bytes came where no answer was due. */
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -93,7 +93,7 @@
 	caller_connection_hooks hooks;
 	hooks.on_sent = [this] { _attempt->sent_at = event_loop::now(); };
 	hooks.on_answer = [this](const http_head &p_head, const std::string &p_body) { _on_answer(p_head, p_body); };
-	hooks.on_broken = [this](connection_end p_end, bool p_has_begun) { _on_broken(p_end, p_has_begun); };
+	hooks.on_broken = [this](unanswered_end p_end, bool p_has_begun) { _on_broken(p_end, p_has_begun); };
 	hooks.on_closed = [this] { _end_connection(); };
 	hooks.on_surplus = [this](const std::string &p_bytes) { _context.book.on_surplus(_node, p_bytes); };
 	_connection = std::make_unique<caller_connection>(_context.loop, _is_proxied ? site.proxied_address : site.address, std::move(hooks));
@@ -146,7 +146,7 @@
 	if (has_left) {
 		_context.book.on_left(*_attempt);
 	} else {
-		_context.book.on_no_answer(*_attempt, _connection->is_closed() ? connection_end::ORDERLY : connection_end::NONE, false, event_loop::now());
+		_context.book.on_no_answer(*_attempt, _connection->is_closed() ? unanswered_end::ORDERLY : unanswered_end::NONE, false, event_loop::now());
 	}
 	_end_connection();
 	_rest();
@@ -161,7 +161,7 @@
 	_rest();
 }
 
-void soak_caller::_on_broken(connection_end p_end, bool p_has_begun) {
+void soak_caller::_on_broken(unanswered_end p_end, bool p_has_begun) {
 	_context.book.on_no_answer(*_attempt, p_end, p_has_begun, event_loop::now());
 	_end_connection();
 	_rest();
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -61,7 +61,7 @@
 	void _end_connection();
 	void _give_up();
 	void _on_answer(const http_head &p_head, const std::string &p_body);
-	void _on_broken(connection_end p_end, bool p_has_begun);
+	void _on_broken(unanswered_end p_end, bool p_has_begun);
 
 public:
 	soak_caller(caller_context &p_context, std::uint64_t p_seed);
--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -40,8 +40,8 @@
 
 } // namespace
 
-soak_endpoint::soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number) :
-		_loop(p_loop), _book(p_book), _number(p_number), _name("i-" + std::to_string(p_number)) {
+soak_endpoint::soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number, std::string p_host) :
+		_loop(p_loop), _book(p_book), _number(p_number), _name("i-" + std::to_string(p_number)), _host(std::move(p_host)) {
 }
 
 void soak_endpoint::start() {
@@ -49,7 +49,7 @@
 	_sequence = 0;
 	_mode = endpoint_mode::SOUND;
 	_work = std::make_unique<later_queue>(_loop);
-	_server = std::make_unique<caller_server>(_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); });
+	_server = std::make_unique<caller_server>(_loop, network_address{ _host, 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); });
 }
 
 void soak_endpoint::crash() {
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -38,6 +38,7 @@
 	promise_book &_book;
 	std::size_t _number;
 	std::string _name;
+	std::string _host; ///< Listens there at any port.
 	std::unique_ptr<caller_server> _server;
 	std::unique_ptr<later_queue> _work;
 	unix_milliseconds _born = 0;
@@ -52,7 +53,7 @@
 	std::vector<http_header> _make_headers(const std::string &p_id) const;
 
 public:
-	soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number);
+	soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number, std::string p_host);
 
 	/** Begins a life that knows nothing of an earlier one. */
 	void start();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -26,6 +26,10 @@
 constexpr std::uint16_t CALLER_PORT = 8625;
 constexpr std::uint16_t READINESS_PORT = 8621;
 constexpr std::uint16_t LINK_PORT = 8628;
+/** Of the hosts behind the nodes'. */
+constexpr std::size_t ENDPOINT_HOST = 210;
+/** Nobody listens there. */
+constexpr std::uint16_t DEAD_PORT = 1;
 constexpr std::size_t SEEDS = 3;
 constexpr std::size_t ZONES = 3;
 constexpr duration STOP_GRACE = milliseconds(8000);
@@ -45,10 +49,14 @@
 	return std::string(1, static_cast<char>('a' + p_number % ZONES));
 }
 
-/** An address of its own for each node and soak, so that no port is taken by what another process connects from. */
-network_address get_node_address(std::size_t p_node, std::uint16_t p_port) {
+/** Addresses of this soak alone: no port of a node or endpoint that is gone can pass to another program. */
+std::string get_host(std::size_t p_number) {
 	const int own = getpid();
-	return network_address{ "127." + std::to_string(64 + own % 128) + "." + std::to_string(1 + own / 128 % 250) + "." + std::to_string(1 + p_node), p_port };
+	return "127." + std::to_string(64 + own % 128) + "." + std::to_string(1 + own / 128 % 250) + "." + std::to_string(1 + p_number);
+}
+
+network_address get_node_address(std::size_t p_node, std::uint16_t p_port) {
+	return network_address{ get_host(p_node), p_port };
 }
 
 } // namespace
@@ -62,7 +70,7 @@
 	});
 	configure();
 	for (std::size_t i = 0; i < p_size.endpoints; i++) {
-		_endpoints.push_back(endpoint{ std::make_unique<soak_endpoint>(p_loop, p_book, i), nullptr });
+		_endpoints.push_back(endpoint{ std::make_unique<soak_endpoint>(p_loop, p_book, i, get_host(ENDPOINT_HOST)), nullptr });
 		_endpoints[i].server->start();
 		_endpoints[i].link = std::make_unique<fault_proxy>(p_loop, network_address{ "127.0.0.1", 0 }, _endpoints[i].server->get_address());
 		_put_endpoint(i, false);
@@ -242,6 +250,7 @@
 void soak_fleet::_end_endpoint(std::size_t p_number, duration p_until_start) {
 	endpoint &ended = _endpoints[p_number];
 	ended.server->crash();
+	ended.link->set_target(network_address{ get_host(ENDPOINT_HOST), DEAD_PORT });
 	ended.link->reset_all();
 	_disturbances.begin(disturbance::ENDPOINT_GONE, p_number, event_loop::now());
 	_later.add(p_until_start, [this, p_number] { _start_endpoint(p_number); });
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -70,7 +70,7 @@
 		if (!_probes[i].attempt && _fleet.is_in_service(i)) {
 			_send_probe(i);
 		} else if (_probes[i].attempt && event_loop::now() > _probes[i].attempt->give_up_at + LAST_WAIT) {
-			_book.on_no_answer(*_probes[i].attempt, _probes[i].connection->is_closed() ? connection_end::ORDERLY : connection_end::NONE, false, event_loop::now());
+			_book.on_no_answer(*_probes[i].attempt, _probes[i].connection->is_closed() ? unanswered_end::ORDERLY : unanswered_end::NONE, false, event_loop::now());
 			_end_probe(i);
 		}
 	}
@@ -89,7 +89,7 @@
 				_end_probe(p_node);
 			}
 		};
-		hooks.on_broken = [this, p_node](connection_end p_end, bool p_has_begun) {
+		hooks.on_broken = [this, p_node](unanswered_end p_end, bool p_has_begun) {
 			_book.on_no_answer(*_probes[p_node].attempt, p_end, p_has_begun, event_loop::now());
 			_end_probe(p_node);
 		};
