--- /dev/null
+++ b/misc/scripts/soak_mutations.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Breaks one mechanism at a time in a scratch copy and checks that the soak of real processes notices, by a promise that the
+# unbroken program keeps on the same seeds. Prints a table for docs/FAULTS.md.
+# With an argument, a regular expression, only the mutations of mechanisms that match it are tried.
+set -euo pipefail
+
+root=$(cd "$(dirname "$0")/../.." && pwd)
+only=${1:-.}
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+export TMPDIR=$scratch/runs
+mkdir "$TMPDIR"
+
+# Three bursts each; the seeds together have every action and every misbehaviour of endpoints.
+seeds=(101 102 103 104 105 106)
+seconds=40
+jobs=${CALICOSCALE_JOBS:-4}
+
+git -C "$root" ls-files | grep -v '^journal/' | (cd "$root" && cpio -pdm --quiet "$scratch/tree")
+cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja >/dev/null
+cmake --build "$scratch/build" -j "$jobs" --target soak calicoscale >"$scratch/log" 2>&1
+status=0
+
+# The promises that the program breaks on the seeds, each once.
+play() {
+	printf '%s\n' "${seeds[@]}" | xargs -P "${#seeds[@]}" -I{} "$scratch/build/tests/soak" --program "$scratch/build/calicoscale" --seeds {} 1 --seconds "$seconds" >"$scratch/log" 2>&1 || true
+	sed -n 's/^  \([a-z_]*\) broken [0-9]* times$/\1/p' "$scratch/log" | sort -u
+}
+
+play >"$scratch/unbroken"
+echo "broken without any mutation: $(paste -sd ' ' "$scratch/unbroken")"
+echo
+echo "| mechanism | how it was broken | noticed by |"
+echo "| --- | --- | --- |"
+
+# mutate MECHANISM WHAT FILE FROM TO
+mutate() {
+	local file=$scratch/tree/$3 noticed
+	[[ $1 =~ $only ]] || return 0
+	cp "$file" "$scratch/original"
+	FROM=$4 TO=$5 perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$file"
+	if cmp -s "$file" "$scratch/original"; then
+		noticed="NOT APPLIED"
+		status=1
+	elif ! cmake --build "$scratch/build" -j "$jobs" --target calicoscale >"$scratch/log" 2>&1; then
+		noticed="does not compile"
+		status=1
+	else
+		noticed=$(play | comm -23 - "$scratch/unbroken" | paste -sd, | sed 's/,/, /g')
+		if [ -z "$noticed" ]; then
+			noticed="NOT NOTICED"
+			status=1
+		fi
+	fi
+	echo "| $1 | $2 | $noticed |"
+	cp "$scratch/original" "$file"
+}
+
+request=main/gateway/gateway_request.cpp
+mutate "rested connections" "what crosses their end is read and thrown away" drivers/caller_server.cpp "void end_unread(connection_end p_end) {
+" "void end_unread(connection_end p_end) {
+		linger(p_end);
+		if (_phase == phase::LINGERING) {
+			return;
+		}
+"
+mutate "at most once" "every request may be repeated" $request "const bool is_safe = route.repeats" "const bool is_safe = true || route.repeats"
+mutate "planned stop" "the process ends at once" main/gateway/gateway.cpp '_enter(stop_phase::LISTENING, "listening");' "_has_stopped = true;
+	_context.loop.stop();"
+mutate "configuration" "a new one is not taken once there is one" main/gateway/configuration_follower.cpp "if (offered->version <= get_version())" "if (offered->version <= get_version() || get_version() > 0)"
+mutate "configuration" "an older one replaces a newer one" main/gateway/configuration_follower.cpp "if (offered->version <= get_version())" "if (false)"
+mutate "silent store" "a read without an answer is never repeated" main/gateway/topic_reader.cpp "	_send(*beside);" ""
+mutate "leaving" "the state of an endpoint is ignored" platform/configuration_codec.cpp 'listing.leaving =' 'listing.leaving = false &&'
+mutate "echo" "an answer with another request's id is taken" drivers/endpoint_channels.cpp "_skipping = echo != nullptr && *echo != _request.echo_value;" "_skipping = false;"
+mutate "seal" "a success without one is passed on" $request "if (!_answer.has_seal) {
+			_on_failure" "if (false) {
+			_on_failure"
+mutate "not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _answer_started)" "if (_answer_started)"
+mutate "whole answers" "one that was broken off is passed on as whole" $request "if (p_end != channel_end::COMPLETE) {
+		_on_failure" "if (false) {
+		_on_failure"
+mutate "streams" "half an event stays before another endpoint goes on" $request "_events.drop_partial();" ""
+mutate "deadline" "a request is never given up" $request "_give_up_timer.set_at(_give_up_at);" ""
+exit "$status"
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -30,17 +30,19 @@
 	soak_size size;
 };
 
+void show_schedule(const soak_order &p_order) {
+	std::cout << "seed " << p_order.seed << "\n";
+	for (const soak_event &event : make_schedule(p_order.seed, p_order.size)) {
+		std::cout << "  " << event.describe() << "\n";
+	}
+}
+
 /** Plays one soak in a directory of its own, which stays only if a promise was broken. */
-bool play(const soak_order &p_order, const std::string &p_program, bool p_shows_schedule) {
+bool play(const soak_order &p_order, const std::string &p_program) {
 	std::string directory = (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
 	if (mkdtemp(directory.data()) == nullptr) {
 		throw std::runtime_error("cannot make a directory for " + directory);
 	}
-	if (p_shows_schedule) {
-		for (const soak_event &event : make_schedule(p_order.seed, p_order.size)) {
-			std::cout << "  " << event.describe() << "\n";
-		}
-	}
 	soak_run run(p_order.seed, p_order.size, soak_place{ p_program, directory });
 	run.play();
 	run.write_report(std::cout);
@@ -63,7 +65,7 @@
 	known.add_options()("nodes", options::value<std::size_t>()->default_value(6), "gateway processes, at most 200");
 	known.add_options()("endpoints", options::value<std::size_t>()->default_value(6), "endpoints");
 	known.add_options()("callers", options::value<std::size_t>()->default_value(30), "callers");
-	known.add_options()("schedule", "prints what is done when");
+	known.add_options()("schedule", "prints what is done when, and plays nothing");
 	options::variables_map values;
 	options::store(options::parse_command_line(p_count, p_values, known), values);
 	if (values.contains("help")) {
@@ -79,7 +81,12 @@
 	}
 	std::size_t broken = 0;
 	for (std::uint64_t i = 0; i < count; i++) {
-		broken += play(soak_order{ seeds[0] + i, size }, values["program"].as<std::string>(), values.contains("schedule")) ? 0 : 1;
+		const soak_order order{ seeds[0] + i, size };
+		if (values.contains("schedule")) {
+			show_schedule(order);
+		} else {
+			broken += play(order, values["program"].as<std::string>()) ? 0 : 1;
+		}
 	}
 	std::cout << count << " soaks, " << broken << " with broken promises\n";
 	return broken == 0 ? 0 : 1;
