--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -53,10 +53,10 @@
 }
 
 void soak_endpoint::crash() {
-	// Freed from the loop, as this may run beside one of their hooks.
-	const std::shared_ptr<later_queue> work = std::move(_work);
+	_work.reset();
+	// Freed from the loop, behind the connections that the server has dropped there before.
 	const std::shared_ptr<caller_server> server = std::move(_server);
-	_loop.post([work, server] {});
+	_loop.post([server] {});
 }
 
 std::string soak_endpoint::write_record(const network_address &p_address, const std::string &p_zone, bool p_is_leaving) {
@@ -72,6 +72,9 @@
 }
 
 void soak_endpoint::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
+	if (!is_running()) {
+		return;
+	}
 	const std::string expected = get(*p_exchange, "X-Expect-Replica");
 	if (!expected.empty() && expected != _name) {
 		p_exchange->reply(421, { { "X-Replica-Id", _name }, { "X-Attempt-Id", get(*p_exchange, "X-Attempt-Id") } }, "");
