--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -11,9 +11,9 @@
 export TMPDIR=$scratch/runs
 mkdir "$TMPDIR"
 
-# Three bursts each; the seeds together have every action and every misbehaviour of endpoints.
+# Two bursts each; the seeds together have every action and every misbehaviour of endpoints.
 seeds=(101 102 103 104 105 106)
-seconds=40
+seconds=29
 jobs=${CALICOSCALE_JOBS:-4}
 
 git -C "$root" ls-files | grep -v '^journal/' | (cd "$root" && cpio -pdm --quiet "$scratch/tree")
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -52,6 +52,7 @@
 	bool _is_proxied = false;
 	instant _rested_since{};
 	std::optional<duration> _told_rest; ///< Keep-Alive told that the node closes after this.
+	bool _is_heedless = false;
 	bool _is_stopped = false;
 
 	void _next();
