--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -40,6 +40,7 @@
 	network_address _address;
 	evconnlistener *_listener = nullptr;
 	link_harm _harm;
+	duration _usual_delay{};
 	std::vector<std::unique_ptr<passage>> _passages;
 	timer _pump_timer;
 
@@ -55,6 +56,8 @@
 	fault_proxy &operator=(const fault_proxy &) = delete;
 
 	void set_target(const network_address &p_target) { _target = p_target; }
+	/** Of each way, also while nothing harms the link. */
+	void set_usual_delay(duration p_delay) { _usual_delay = p_delay; }
 	void set_harm(const link_harm &p_harm) { _harm = p_harm; }
 
 	/** Resets the connections that are open. */
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -26,8 +26,12 @@
 constexpr std::uint16_t CALLER_PORT = 8625;
 constexpr std::uint16_t READINESS_PORT = 8621;
 constexpr std::uint16_t LINK_PORT = 8628;
+/** Of callers far away, whose requests cross the end of a connection now and then. */
+constexpr duration CALLER_DELAY = milliseconds(30);
 /** Of the hosts behind the nodes'. */
 constexpr std::size_t ENDPOINT_HOST = 210;
+/** A caller meets the silence of its connection when it has rested, at the latest after this. */
+constexpr duration SILENCE_MET = milliseconds(2500);
 /** Nobody listens there. */
 constexpr std::uint16_t DEAD_PORT = 1;
 constexpr std::size_t SEEDS = 3;
@@ -90,6 +94,7 @@
 	const network_address any{ "127.0.0.1", 0 };
 	node made;
 	made.callers = std::make_unique<fault_proxy>(_loop, any, get_node_address(p_number, CALLER_PORT));
+	made.callers->set_usual_delay(CALLER_DELAY);
 	made.store = std::make_unique<fault_proxy>(_loop, any, _store.get_address());
 	made.peers = std::make_unique<fault_proxy>(_loop, any, get_node_address(p_number, LINK_PORT));
 	const std::string stem = _place.directory + "/node-" + std::to_string(p_number);
@@ -206,6 +211,7 @@
 			break;
 		case harm_kind::SILENCE:
 			r_link.silence_all();
+			_disturbances.note(p_kind, p_subject, now, now + SILENCE_MET);
 			break;
 		default:
 			harm.bytes_per_second = NARROW_BYTES_PER_SECOND;
