--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -93,13 +93,13 @@
 	_node = open[_random.pick(open.size())];
 	_is_proxied = _random.has_luck(SHARE_PROXIED);
 	const caller_site &site = _context.sites[_node];
-	caller_connection_hooks hooks;
+	soak_connection_hooks hooks;
 	hooks.on_sent = [this] { _attempt->sent_at = event_loop::now(); };
 	hooks.on_answer = [this](const http_head &p_head, const std::string &p_body) { _on_answer(p_head, p_body); };
 	hooks.on_broken = [this](unanswered_end p_end, bool p_has_begun) { _on_broken(p_end, p_has_begun); };
 	hooks.on_closed = [this] { _end_connection(); };
 	hooks.on_surplus = [this](const std::string &p_bytes) { _context.book.on_surplus(_node, p_bytes); };
-	_connection = std::make_unique<caller_connection>(_context.loop, _is_proxied ? site.proxied_address : site.address, std::move(hooks));
+	_connection = std::make_unique<soak_connection>(_context.loop, _is_proxied ? site.proxied_address : site.address, std::move(hooks));
 	_told_rest.reset();
 	return true;
 }
@@ -137,7 +137,7 @@
 
 void soak_caller::_end_connection() {
 	// Freed from the loop, as this may run inside one of its hooks.
-	const std::shared_ptr<caller_connection> ended = std::move(_connection);
+	const std::shared_ptr<soak_connection> ended = std::move(_connection);
 	if (ended) {
 		ended->abandon();
 	}
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -9,8 +9,8 @@
 #ifndef SOAK_CALLER_H
 #define SOAK_CALLER_H
 
-#include "tests/soak/caller_connection.h"
 #include "tests/soak/later_queue.h"
+#include "tests/soak/soak_connection.h"
 #include "tests/soak/soak_random.h"
 
 #include <functional>
@@ -46,7 +46,7 @@
 	timer _next_timer;
 	timer _part_timer;
 	timer _give_up_timer;
-	std::unique_ptr<caller_connection> _connection;
+	std::unique_ptr<soak_connection> _connection;
 	std::shared_ptr<soak_attempt> _attempt;
 	std::size_t _node = 0;
 	bool _is_proxied = false;
--- a/tests/soak/caller_connection.cpp
+++ b/tests/soak/soak_connection.cpp
@@ -1,12 +1,12 @@
 /*
- * calicoscale: caller_connection.cpp
+ * calicoscale: soak_connection.cpp
  * A caller's connection to a node, and how it ends.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#include "tests/soak/caller_connection.h"
+#include "tests/soak/soak_connection.h"
 
 #include "drivers/socket_address.h"
 #include "tests/soak/socket_end.h"
@@ -27,13 +27,13 @@
 
 } // namespace
 
-caller_connection::caller_connection(event_loop &p_loop, const network_address &p_to, caller_connection_hooks p_hooks) :
+soak_connection::soak_connection(event_loop &p_loop, const network_address &p_to, soak_connection_hooks p_hooks) :
 		_loop(p_loop),
 		_hooks(std::move(p_hooks)),
 		_stream(bufferevent_socket_new(p_loop.get_base(), -1, 0)),
 		_reader(http_reader::kind::ANSWER, http_reader::hooks{ [](const http_head &) {}, [this](std::string_view p_bytes) { _body.append(p_bytes); } }, MOST_HEADER_BYTES),
 		_reset_timer(p_loop, [this] { _watch_for_reset(); }) {
-	bufferevent_setcb(_stream, &caller_connection::_on_readable, &caller_connection::_on_drained, &caller_connection::_on_event, this);
+	bufferevent_setcb(_stream, &soak_connection::_on_readable, &soak_connection::_on_drained, &soak_connection::_on_event, this);
 	const sockaddr_in address = make_socket_address(p_to);
 	bufferevent_socket_connect(_stream, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
 	const int on = 1;
@@ -41,19 +41,19 @@
 	bufferevent_enable(_stream, EV_READ | EV_WRITE);
 }
 
-caller_connection::~caller_connection() {
+soak_connection::~soak_connection() {
 	const int socket = bufferevent_getfd(_stream);
 	bufferevent_free(_stream);
 	close_socket(socket);
 }
 
-void caller_connection::abandon() {
+void soak_connection::abandon() {
 	_is_over = true;
 	_reset_timer.cancel();
 	bufferevent_setcb(_stream, nullptr, nullptr, nullptr, nullptr);
 }
 
-void caller_connection::send(std::string_view p_bytes, bool p_is_last) {
+void soak_connection::send(std::string_view p_bytes, bool p_is_last) {
 	if (!_is_open_request) {
 		_reader.reset();
 		_body.clear();
@@ -64,8 +64,8 @@
 	bufferevent_write(_stream, p_bytes.data(), p_bytes.size());
 }
 
-void caller_connection::_on_drained(bufferevent *p_stream, void *p_self) {
-	caller_connection &self = *static_cast<caller_connection *>(p_self);
+void soak_connection::_on_drained(bufferevent *p_stream, void *p_self) {
+	soak_connection &self = *static_cast<soak_connection *>(p_self);
 	const bool is_out = self._is_connected && self._is_whole_request && evbuffer_get_length(bufferevent_get_output(p_stream)) == 0;
 	if (self._is_open_request && is_out && !self._told_sent) {
 		self._told_sent = true;
@@ -73,8 +73,8 @@
 	}
 }
 
-void caller_connection::_on_event(bufferevent *p_stream, short p_what, void *p_self) {
-	caller_connection &self = *static_cast<caller_connection *>(p_self);
+void soak_connection::_on_event(bufferevent *p_stream, short p_what, void *p_self) {
+	soak_connection &self = *static_cast<soak_connection *>(p_self);
 	if ((p_what & BEV_EVENT_CONNECTED) != 0) {
 		self._is_connected = true;
 		_on_drained(p_stream, p_self);
@@ -83,11 +83,11 @@
 	}
 }
 
-void caller_connection::_on_readable(bufferevent *, void *p_self) {
-	static_cast<caller_connection *>(p_self)->_read();
+void soak_connection::_on_readable(bufferevent *, void *p_self) {
+	static_cast<soak_connection *>(p_self)->_read();
 }
 
-void caller_connection::_read() {
+void soak_connection::_read() {
 	evbuffer *input = bufferevent_get_input(_stream);
 	std::string bytes(evbuffer_get_length(input), '\0');
 	evbuffer_remove(input, bytes.data(), bytes.size());
@@ -108,20 +108,20 @@
 	}
 }
 
-void caller_connection::_take_answer() {
+void soak_connection::_take_answer() {
 	_is_open_request = false;
 	const http_head head = _reader.get_head();
 	const std::string body = std::move(_body);
 	_hooks.on_answer(head, body);
 }
 
-void caller_connection::_break(unanswered_end p_end) {
+void soak_connection::_break(unanswered_end p_end) {
 	_is_over = true;
 	_reset_timer.cancel();
 	_hooks.on_broken(p_end, _reader.has_begun());
 }
 
-void caller_connection::_on_end(bool p_is_reset) {
+void soak_connection::_on_end(bool p_is_reset) {
 	if (_is_over || _closed_at != instant()) {
 		return;
 	}
@@ -145,7 +145,7 @@
 	_watch_for_reset();
 }
 
-void caller_connection::_watch_for_reset() {
+void soak_connection::_watch_for_reset() {
 	// The peer's end came first; a reset behind it tells that it read no more.
 	const bool is_reset = has_socket_error(bufferevent_getfd(_stream));
 	if (is_reset || event_loop::now() - _closed_at > RESET_WAIT) {
--- a/tests/soak/caller_connection.h
+++ b/tests/soak/soak_connection.h
@@ -1,13 +1,13 @@
 /*
- * calicoscale: caller_connection.h
+ * calicoscale: soak_connection.h
  * A caller's connection to a node, and how it ends.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#ifndef CALLER_CONNECTION_H
-#define CALLER_CONNECTION_H
+#ifndef SOAK_CONNECTION_H
+#define SOAK_CONNECTION_H
 
 #include "drivers/event_loop.h"
 #include "drivers/http_reader.h"
@@ -24,7 +24,7 @@
 namespace calicoscale {
 
 /** What a connection tells its caller. Each is called from the loop; the connection may be destroyed in any but on_sent. */
-struct caller_connection_hooks {
+struct soak_connection_hooks {
 	std::function<void()> on_sent; ///< The request's last byte is with the kernel.
 	std::function<void(const http_head &, const std::string &)> on_answer;
 	/** It ended under a request; whether an answer had begun. */
@@ -34,9 +34,9 @@
 };
 
 /** Carries one request after the other. */
-class caller_connection {
+class soak_connection {
 	event_loop &_loop;
-	caller_connection_hooks _hooks;
+	soak_connection_hooks _hooks;
 	bufferevent *_stream;
 	http_reader _reader;
 	std::string _body;
@@ -58,11 +58,11 @@
 	void _watch_for_reset();
 
 public:
-	caller_connection(event_loop &p_loop, const network_address &p_to, caller_connection_hooks p_hooks);
+	soak_connection(event_loop &p_loop, const network_address &p_to, soak_connection_hooks p_hooks);
 	/** Closes it in good order. */
-	~caller_connection();
-	caller_connection(const caller_connection &) = delete;
-	caller_connection &operator=(const caller_connection &) = delete;
+	~soak_connection();
+	soak_connection(const soak_connection &) = delete;
+	soak_connection &operator=(const soak_connection &) = delete;
 
 	/** Sends part of a request; the first part begins it. */
 	void send(std::string_view p_bytes, bool p_is_last);
@@ -77,4 +77,4 @@
 
 } // namespace calicoscale
 
-#endif // CALLER_CONNECTION_H
+#endif // SOAK_CONNECTION_H
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -80,7 +80,7 @@
 void soak_run::_send_probe(std::size_t p_node) {
 	probe &chosen = _probes[p_node];
 	if (!chosen.connection) {
-		caller_connection_hooks hooks;
+		soak_connection_hooks hooks;
 		hooks.on_sent = [this, p_node] { _probes[p_node].attempt->sent_at = event_loop::now(); };
 		hooks.on_answer = [this, p_node](const http_head &p_head, const std::string &p_body) {
 			_book.on_answer(*_probes[p_node].attempt, p_head, p_body, _sites[p_node].life, event_loop::now());
@@ -95,7 +95,7 @@
 		};
 		hooks.on_closed = [this, p_node] { _end_probe(p_node); };
 		hooks.on_surplus = [this, p_node](const std::string &p_bytes) { _book.on_surplus(p_node, p_bytes); };
-		chosen.connection = std::make_unique<caller_connection>(_loop, _sites[p_node].address, std::move(hooks));
+		chosen.connection = std::make_unique<soak_connection>(_loop, _sites[p_node].address, std::move(hooks));
 	}
 	const bool asks_older = ++_probe_count % OLDER_PROBES == 0 && _book.get_version() > 1;
 	const std::uint64_t version = _book.get_version() - (asks_older ? 1 : 0);
@@ -105,7 +105,7 @@
 
 void soak_run::_end_probe(std::size_t p_node) {
 	_probes[p_node].attempt.reset();
-	const std::shared_ptr<caller_connection> ended = std::move(_probes[p_node].connection);
+	const std::shared_ptr<soak_connection> ended = std::move(_probes[p_node].connection);
 	if (ended) {
 		ended->abandon();
 		_loop.post([ended] {});
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -30,7 +30,7 @@
 
 	/** Asks one node which version is in force. */
 	struct probe {
-		std::unique_ptr<caller_connection> connection;
+		std::unique_ptr<soak_connection> connection;
 		std::shared_ptr<soak_attempt> attempt;
 	};
 
