--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -57,12 +57,12 @@
 }
 
 request=main/gateway/gateway_request.cpp
-mutate "rested connections" "what crosses their end is read and thrown away" drivers/caller_server.cpp "void end_unread(connection_end p_end) {
-" "void end_unread(connection_end p_end) {
-		linger(p_end);
-		if (_phase == phase::LINGERING) {
-			return;
-		}
+mutate "rested connections" "what crosses their end is read and thrown away" drivers/caller_connection.cpp "void caller_connection::end_unread(connection_end p_end) {
+" "void caller_connection::end_unread(connection_end p_end) {
+	linger(p_end);
+	if (_phase == phase::LINGERING) {
+		return;
+	}
 "
 mutate "at most once" "every request may be repeated" $request "const bool is_safe = route.repeats" "const bool is_safe = true || route.repeats"
 mutate "planned stop" "the process ends at once" main/gateway/gateway.cpp '_enter(stop_phase::LISTENING, "listening");' "_has_stopped = true;
