--- a/tests/benchmarks/gateway_benchmark.cpp
+++ b/tests/benchmarks/gateway_benchmark.cpp
@@ -231,7 +231,7 @@
 	for (auto _ : p_state) {
 		std::vector<engine_candidate> candidates;
 		for (const endpoint_state *endpoint : engines.get_usable("llm", {}, NOW)) {
-			candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.vm, endpoint->listing.zone, endpoint->in_flight });
+			candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.get_identity(), endpoint->listing.zone, endpoint->in_flight });
 		}
 		benchmark::DoNotOptimize(candidates);
 	}
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -161,7 +161,7 @@
 	endpoint_listing listing;
 	listing.vm = "llm-1";
 	tell_prompts_message prompts;
-	prompts.prompts.push_back(told_prompt{ 7, "i-1", { prompt_link{ 11, 100 }, prompt_link{ 12, 20 } } });
+	prompts.prompts.push_back(told_prompt{ 7, endpoint_identity{ "i-1", 1 }, { prompt_link{ 11, 100 }, prompt_link{ 12, 20 } } });
 	hand_work_message work;
 	work.inputs = { "10.0.0.1:1/a" };
 	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, tell_endpoints_message{ { listing }, 5 }, tell_reading_message{ endpoint_reading{ 3, 9, { listing }, { "lapsed" }, 77 } }, tell_results_message{ "p", { "h" }, { 5 } }, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" } };
@@ -211,7 +211,9 @@
 	first.dial("b", second.get_address());
 	run_until(loop, [&first] { return first.is_linked("b"); });
 	// The loop does not turn, as if the peer read nothing: what is unsent grows to its bound.
-	const release_results_message large{ "pool", { std::string(500'000, 'x') } };
+	release_results_message large;
+	large.pool = "pool";
+	large.handles = { std::string(500'000, 'x') };
 	int taken = 0;
 	while (taken < 100 && first.send("b", large)) {
 		taken++;
