--- a/servers/gateway/endpoint_record_filter.h
+++ b/servers/gateway/endpoint_record_filter.h
@@ -48,8 +48,11 @@
 	void _end_holds(const endpoint_directory &p_known, instant p_now, std::vector<endpoint_record> &r_records);
 
 public:
-	/** An endpoint that lives writes its entry again within this; the time within which entries return after an outage, too. */
-	static constexpr duration HOLD = std::chrono::milliseconds(2000);
+	/**
+	 * The endpoint's own next record ends it. The topic is read each 0.9 s, so that a hold ends with the reading after the one
+	 * that began it, within the two seconds after which an endpoint that leaves gets no new work.
+	 */
+	static constexpr duration HOLD = std::chrono::milliseconds(800);
 
 	/** Records in the order of the topic, as the directory is to take them. To be called with each answer, also an empty one. */
 	std::vector<endpoint_record> take(const std::vector<read_endpoint_record> &p_records, const endpoint_directory &p_known, instant p_now);
--- a/tests/main/other_writers_test.cpp
+++ b/tests/main/other_writers_test.cpp
@@ -54,6 +54,41 @@
 	expect_served(entry, second);
 }
 
+TEST_F(other_writers_test, an_endpoint_whose_entry_is_overwritten_goes_soon_and_comes_back_with_its_next_one) {
+	configure(1);
+	standin_replica &overwritten = add_replica("llm");
+	standin_replica &other = add_replica("llm");
+	gateway &entry = start_ready();
+	expect_served(entry, overwritten);
+	expect_served(entry, other);
+	_store.put(ENDPOINT_TOPIC, overwritten.get_name(), "{");
+	wait(seconds(2));
+	const std::size_t before = overwritten.runs.size();
+	for (int i = 0; i < 20; i++) {
+		EXPECT_EQ(ask(entry, "/once/")->body, "made by " + other.get_name());
+	}
+	EXPECT_EQ(overwritten.runs.size(), before);
+	_store.put(ENDPOINT_TOPIC, overwritten.get_name(), overwritten.get_entry("llm"));
+	expect_served(entry, overwritten);
+}
+
+TEST_F(other_writers_test, an_endpoint_that_leaves_gets_nothing_more_though_its_entry_was_spoilt_before_and_after) {
+	configure(1);
+	standin_replica &leaving = add_replica("llm");
+	standin_replica &staying = add_replica("llm");
+	gateway &entry = start_ready();
+	expect_served(entry, leaving);
+	for (const std::string &value : { std::string("\xff"), leaving.get_entry("llm", true), std::string("[]") }) {
+		_store.put(ENDPOINT_TOPIC, leaving.get_name(), value);
+	}
+	wait(seconds(2));
+	const std::size_t before = leaving.runs.size();
+	for (int i = 0; i < 20; i++) {
+		EXPECT_EQ(ask(entry, "/once/")->body, "made by " + staying.get_name());
+	}
+	EXPECT_EQ(leaving.runs.size(), before);
+}
+
 TEST_F(other_writers_test, a_record_without_a_whole_key_is_passed_over) {
 	configure(1);
 	standin_replica &first = add_replica("llm");
--- a/tests/servers/gateway/endpoint_record_filter_test.cpp
+++ b/tests/servers/gateway/endpoint_record_filter_test.cpp
@@ -73,29 +73,44 @@
 
 TEST(endpoint_record_filter, an_endpoint_whose_entry_is_spoilt_stays_while_it_may_write_it_again) {
 	filtered_directory list;
-	list.take({ sound("a"), sound("b"), spoilt("b") }, 0);
-	list.take({ spoilt("a") }, 900);
-	list.take({ sound("a") }, 1800);
+	list.take({ sound("a"), sound("b"), spoilt("b"), spoilt("a") }, 0);
+	list.take({ sound("a") }, 700);
 	EXPECT_TRUE(list.directory.contains("b"));
-	list.take({}, 2000);
+	list.take({}, 800);
 	EXPECT_FALSE(list.directory.contains("b")) << "its entry names no endpoint, and it did not write another";
-	list.take({}, 4000);
+	list.take({}, 2000);
 	EXPECT_TRUE(list.directory.contains("a")) << "it wrote its entry again";
-	list.take({ spoilt("a"), gone("a") }, 6000);
+	list.take({ spoilt("a"), gone("a") }, 3000);
 	EXPECT_FALSE(list.directory.contains("a")) << "an entry that went is not held";
 }
 
 TEST(endpoint_record_filter, a_spoilt_record_that_is_repeated_does_not_prolong_the_hold) {
 	filtered_directory list;
 	list.take({ sound("a") }, 0);
-	for (int ms = 1000; ms < 3000; ms += 500) {
+	for (int ms = 1000; ms < 1800; ms += 200) {
 		list.take({ spoilt("a") }, ms);
 		EXPECT_TRUE(list.directory.contains("a")) << ms;
 	}
-	list.take({ spoilt("a") }, 3000);
+	list.take({ spoilt("a") }, 1800);
 	EXPECT_FALSE(list.directory.contains("a"));
 }
 
+TEST(endpoint_record_filter, an_entry_that_is_sound_again_ends_the_hold_however_late_it_is_read) {
+	filtered_directory list;
+	list.take({ sound("a"), spoilt("a") }, 0);
+	list.take({ sound("a") }, 2500);
+	list.take({}, 3500);
+	EXPECT_TRUE(list.directory.contains("a"));
+}
+
+TEST(endpoint_record_filter, what_a_peer_told_since_ends_all_holds) {
+	filtered_directory list;
+	list.take({ sound("a"), spoilt("a") }, 0);
+	list.filter.forget_holds();
+	list.take({}, 1000);
+	EXPECT_TRUE(list.directory.contains("a"));
+}
+
 TEST(endpoint_record_filter, a_state_that_is_not_known_takes_an_endpoint_out_at_once) {
 	filtered_directory list;
 	list.take({ sound("a") }, 0);
@@ -109,9 +124,9 @@
 	list.take_whole({ spoilt("a"), sound("b"), spoilt("c", entry_fault::UNKNOWN_STATE), spoilt("new") }, 1000);
 	EXPECT_TRUE(list.directory.contains("a"));
 	EXPECT_EQ(list.directory.get_size(), 2U);
-	list.take_whole({ spoilt("a"), sound("b") }, 2000);
+	list.take_whole({ spoilt("a"), sound("b") }, 1700);
 	EXPECT_TRUE(list.directory.contains("a"));
-	list.take({}, 3000);
+	list.take({}, 1800);
 	EXPECT_FALSE(list.directory.contains("a"));
 	EXPECT_TRUE(list.directory.contains("b"));
 }
