End the hold of an endpoint only by what a peer told of that endpoint

Read as a newcomer: a node cleared all holds with each reading that a peer told. One that had dropped nothing itself and read the whole list because its list differed would have begun the hold anew each time and kept the endpoint for as long as a peer read for it. Now what was written or dropped ends the hold of its name; the time of the others goes on, and the next whole reading leaves them out. Test: what_a_peer_told_of_an_endpoint_ends_its_hold_and_no_other (the call that it replaces is gone, so it was not run against it).

--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -83,7 +83,7 @@
 	}
 	const instant now = event_loop::now();
 	_reader.skip_to(p_reading.to);
-	_filter.forget_holds();
+	_filter.on_told(p_reading);
 	_directory.on_read(now);
 	_directory.take_reading(p_reading, now);
 	_set_timers();
--- a/servers/gateway/endpoint_record_filter.cpp
+++ b/servers/gateway/endpoint_record_filter.cpp
@@ -82,6 +82,15 @@
 	}
 }
 
+void endpoint_record_filter::on_told(const endpoint_reading &p_reading) {
+	for (const endpoint_listing &listing : p_reading.written) {
+		_held.erase(listing.vm);
+	}
+	for (const std::string &name : p_reading.dropped) {
+		_held.erase(name);
+	}
+}
+
 std::vector<endpoint_record> endpoint_record_filter::take(const std::vector<read_endpoint_record> &p_records, const endpoint_directory &p_known, instant p_now) {
 	const bool needs_start = has_startless(p_records) && is_start_told(p_known.get_listings(), p_records);
 	std::vector<endpoint_record> records;
--- a/servers/gateway/endpoint_record_filter.h
+++ b/servers/gateway/endpoint_record_filter.h
@@ -60,8 +60,8 @@
 	/** Endpoints by the newest record of each key, as the directory is to take them. */
 	std::vector<endpoint_listing> take_whole(const std::vector<read_endpoint_record> &p_records, const endpoint_directory &p_known, instant p_now);
 
-	/** A peer told what came since, spoilt records and their ends included. */
-	void forget_holds() { _held.clear(); }
+	/** A peer told what it read: the entries that were written or went are not held any more. */
+	void on_told(const endpoint_reading &p_reading);
 
 	/** Records that were rejected since the last call. */
 	std::vector<rejected_entry> take_rejected() { return std::exchange(_rejected, {}); }
--- a/tests/servers/gateway/endpoint_record_filter_test.cpp
+++ b/tests/servers/gateway/endpoint_record_filter_test.cpp
@@ -103,12 +103,13 @@
 	EXPECT_TRUE(list.directory.contains("a"));
 }
 
-TEST(endpoint_record_filter, what_a_peer_told_since_ends_all_holds) {
+TEST(endpoint_record_filter, what_a_peer_told_of_an_endpoint_ends_its_hold_and_no_other) {
 	filtered_directory list;
-	list.take({ sound("a"), spoilt("a") }, 0);
-	list.filter.forget_holds();
-	list.take({}, 1000);
+	list.take({ sound("a"), spoilt("a"), sound("b"), spoilt("b") }, 0);
+	list.filter.on_told(endpoint_reading{ 0, 0, { make_listing("a") }, {}, 0 });
+	list.take_whole({ sound("a"), spoilt("b") }, 1000);
 	EXPECT_TRUE(list.directory.contains("a"));
+	EXPECT_FALSE(list.directory.contains("b")) << "its time went on while a peer read for this node";
 }
 
 TEST(endpoint_record_filter, a_state_that_is_not_known_takes_an_endpoint_out_at_once) {
