--- a/servers/gateway/endpoint_record_filter.h
+++ b/servers/gateway/endpoint_record_filter.h
@@ -48,8 +48,11 @@
 	void _end_holds(const endpoint_directory &p_known, instant p_now, std::vector<endpoint_record> &r_records);
 
 public:
-	/** An endpoint that lives writes its entry again within this; the time within which entries return after an outage, too. */
-	static constexpr duration HOLD = std::chrono::milliseconds(2000);
+	/**
+	 * The endpoint's own next record ends it. The topic is read each 0.9 s, so that a hold ends with the reading after the one
+	 * that began it, within the two seconds after which an endpoint that leaves gets no new work.
+	 */
+	static constexpr duration HOLD = std::chrono::milliseconds(800);
 
 	/** Records in the order of the topic, as the directory is to take them. To be called with each answer, also an empty one. */
 	std::vector<endpoint_record> take(const std::vector<read_endpoint_record> &p_records, const endpoint_directory &p_known, instant p_now);
@@ -57,8 +60,8 @@
 	/** Endpoints by the newest record of each key, as the directory is to take them. */
 	std::vector<endpoint_listing> take_whole(const std::vector<read_endpoint_record> &p_records, const endpoint_directory &p_known, instant p_now);
 
-	/** A peer told what came since, spoilt records and their ends included. */
-	void forget_holds() { _held.clear(); }
+	/** A peer told what it read: the entries that were written or went are not held any more. */
+	void on_told(const endpoint_reading &p_reading);
 
 	/** Records that were rejected since the last call. */
 	std::vector<rejected_entry> take_rejected() { return std::exchange(_rejected, {}); }
