A list of endpoints says whether its sender knows starts

Cause: the offset of a list was refused when any endpoint in it had no start, so that one entry without one made each node that starts read all of them by itself.

Failed first, with the field unread: the_offset_of_a_list_counts_only_from_a_node_that_knows_starts (offset 5 taken from a node of the version before).

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -205,7 +205,7 @@
 
 	encoded_body operator()(const tell_endpoints_message &p_message) const {
 		const auto endpoints = write_listings(target, p_message.endpoints);
-		return { wire::message_tell_endpoints, wire::Createtell_endpoints(target, endpoints, p_message.offset).Union() };
+		return { wire::message_tell_endpoints, wire::Createtell_endpoints(target, endpoints, p_message.offset, true).Union() };
 	}
 
 	encoded_body operator()(const tell_reading_message &p_message) const {
@@ -343,6 +343,12 @@
 	return message;
 }
 
+tell_endpoints_message read_endpoints(const wire::tell_endpoints &p_message) {
+	// Only changes are read from the offset on, so the starts would stay unknown; without it the receiver reads them.
+	const std::uint64_t offset = p_message.knows_starts() ? p_message.offset() : 0;
+	return tell_endpoints_message{ read_listings(p_message.endpoints()), offset };
+}
+
 endpoint_reading read_reading(const wire::tell_reading &p_message) {
 	endpoint_reading reading;
 	reading.from = p_message.from();
@@ -446,7 +452,7 @@
 			return cancel_work_message{ cancelled->id(), read(cancelled->pool()) };
 		}
 		case wire::message_tell_endpoints:
-			return tell_endpoints_message{ read_listings(frame->body_as_tell_endpoints()->endpoints()), frame->body_as_tell_endpoints()->offset() };
+			return read_endpoints(*frame->body_as_tell_endpoints());
 		case wire::message_tell_reading:
 			return tell_reading_message{ read_reading(*frame->body_as_tell_reading()) };
 		case wire::message_tell_prompts: {
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -128,7 +128,7 @@
 /** All endpoints the sender knows, for a node that cannot read them. */
 struct tell_endpoints_message {
 	std::vector<endpoint_listing> endpoints;
-	std::uint64_t offset = 0; ///< Up to which the topic was read; zero when the sender has not read it.
+	std::uint64_t offset = 0; ///< Up to which the topic was read; zero when the sender has not read it, or knows no starts.
 };
 
 /** What one read of the endpoints' topic brought, for nodes that do not read it themselves. */
--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -10,8 +10,6 @@
 
 #include "platform/configuration_codec.h"
 
-#include <algorithm>
-
 namespace calicoscale {
 
 namespace {
@@ -159,9 +157,7 @@
 	if (!was_loaded) {
 		_context.log.write(log_line("endpoints_adopted").add("peer", p_peer).add("endpoints", static_cast<long long>(_directory.get_size())).add("offset", static_cast<long long>(p_offset)));
 	}
-	// Without the starts the list is good enough to serve, and the node reads them by itself.
-	const bool has_starts = std::all_of(p_listings.begin(), p_listings.end(), [](const endpoint_listing &p_listing) { return p_listing.incarnation > 0; });
-	if (has_starts && p_offset > 0 && !_reader.is_loaded()) {
+	if (p_offset > 0 && !_reader.is_loaded()) {
 		_reader.adopt(p_offset);
 		_reader.read_in(TOLD_INTERVAL);
 	}
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -298,7 +298,7 @@
 	for (const endpoint_identity &endpoint : _endpoints.get_directory().take_gone()) {
 		_contacts.add_news(endpoint_news{ endpoint, true }, now);
 	}
-	const auto is_back = [this](const endpoint_news &p_news) { return p_news.is_gone && _endpoints.get_directory().contains(p_news.endpoint); };
+	const auto is_back = [this](const endpoint_news &p_news) { return p_news.is_gone && _endpoints.get_directory().contains_start(p_news.endpoint); };
 	_contacts.forget_news(is_back, now);
 }
 
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -212,7 +212,7 @@
 	return dropped;
 }
 
-bool endpoint_directory::contains(const endpoint_identity &p_identity) const {
+bool endpoint_directory::contains_start(const endpoint_identity &p_identity) const {
 	const auto found = _endpoints.find(p_identity.vm);
 	return found != _endpoints.end() && found->second.listing.incarnation == p_identity.incarnation;
 }
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -137,8 +137,11 @@
 	/** Endpoints whose entry went for good since the last call, to tell peers. */
 	std::vector<endpoint_identity> take_gone();
 
+	/** Whether an endpoint's entry is there, of whatever start. */
+	bool contains(const std::string &p_name) const { return _endpoints.contains(p_name); }
+
 	/** Whether the entry of this start of an endpoint is there. */
-	bool contains(const endpoint_identity &p_identity) const;
+	bool contains_start(const endpoint_identity &p_identity) const;
 
 	bool is_loaded() const { return _loaded; }
 	std::size_t get_size() const { return _endpoints.size(); }
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -126,6 +126,17 @@
 	EXPECT_EQ(std::get<heartbeat_message>(*decoded).gone, (std::vector<endpoint_identity>{ { "lapsed", 0 } }));
 }
 
+TEST(link_codec, the_offset_of_a_list_counts_only_from_a_node_that_knows_starts) {
+	flatbuffers::FlatBufferBuilder builder;
+	wire::tell_endpointsBuilder endpoints(builder);
+	endpoints.add_offset(5);
+	const auto body = endpoints.Finish().Union();
+	builder.Finish(wire::Createframe(builder, wire::message_tell_endpoints, body));
+	const std::string_view bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+	EXPECT_EQ(std::get<tell_endpoints_message>(*decode_link_message(bytes)).offset, 0U);
+	EXPECT_EQ(std::get<tell_endpoints_message>(*decode_link_message(encode(link_message(tell_endpoints_message{ {}, 5 })))).offset, 5U);
+}
+
 RC_GTEST_PROP(link_codec_properties, any_bytes_are_read_or_refused_but_never_crash, (const std::vector<std::uint8_t> &p_bytes)) {
 	const std::string bytes(p_bytes.begin(), p_bytes.end());
 	decode_link_message(bytes);
--- a/tests/servers/gateway/endpoint_restart_test.cpp
+++ b/tests/servers/gateway/endpoint_restart_test.cpp
@@ -93,8 +93,8 @@
 	EXPECT_FALSE(directory.mark_gone({ "e", 1 }, at(10))) << "this node reads by itself";
 	directory.put(make_start(2));
 	EXPECT_TRUE(directory.drop_told(at(5000)).empty());
-	EXPECT_TRUE(directory.contains({ "e", 2 }));
-	EXPECT_FALSE(directory.contains({ "e", 1 }));
+	EXPECT_TRUE(directory.contains_start({ "e", 2 }));
+	EXPECT_FALSE(directory.contains_start({ "e", 1 }));
 }
 
 TEST(endpoint_directory_restart, news_of_a_later_start_counts_for_what_is_known) {
