--- a/tests/benchmarks/gateway_benchmark.cpp
+++ b/tests/benchmarks/gateway_benchmark.cpp
@@ -125,7 +125,7 @@
 	return text + "]}";
 }
 
-/** Reads a configuration, as each node does at each version. */
+/** Reads a configuration as a whole. */
 void configuration_reading(benchmark::State &p_state) {
 	const std::string text = write_configuration(static_cast<int>(p_state.range(0)));
 	for (auto _ : p_state) {
@@ -133,6 +133,15 @@
 	}
 }
 
+/** Takes the first version by its parts, as each node does at its start. */
+void configuration_first_version(benchmark::State &p_state) {
+	const std::string text = write_configuration(static_cast<int>(p_state.range(0)));
+	for (auto _ : p_state) {
+		configuration_reader reader;
+		benchmark::DoNotOptimize(reader.take(text));
+	}
+}
+
 /** Takes versions of which each changes one customer's key and none of the routes. */
 void configuration_change(benchmark::State &p_state) {
 	const std::string text = write_configuration(static_cast<int>(p_state.range(0)));
@@ -242,6 +251,7 @@
 BENCHMARK(engine_choice)->Arg(18)->Arg(160);
 BENCHMARK(engine_candidates);
 BENCHMARK(configuration_reading)->Arg(1400);
+BENCHMARK(configuration_first_version)->Arg(1400);
 BENCHMARK(configuration_change)->Arg(1400);
 BENCHMARK(endpoint_change_of_routers);
 BENCHMARK(endpoint_change_of_pool);
