--- a/tests/servers/gateway/read_schedule_test.cpp
+++ b/tests/servers/gateway/read_schedule_test.cpp
@@ -140,9 +140,9 @@
 }
 
 /*
- * A store that was silent for eight seconds was asked 13,460 times by 295 nodes. Each node's reader is silent too then, so
- * each node took to reading, and sent a read beside the silent one each 0.4 s for the endpoints and each 0.7 s for the
- * configuration. Only reads that failed were spaced out.
+ * On a day on which the store was silent for eight seconds 295 nodes asked it 13,460 times. Each node's reader meets silence
+ * too then, so each node took to reading, and sent a read beside the silent one each 0.4 s for the endpoints and each 0.7 s
+ * for the configuration. Only reads that failed were spaced out.
  */
 TEST(read_schedule, nodes_whose_reader_is_silent_too_ask_a_silent_store_less_and_less) {
 	const read_times endpoints{ duration::zero(), milliseconds(400), milliseconds(400), milliseconds(300), milliseconds(1000) };
