--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -59,7 +59,7 @@
 request=main/gateway/gateway_request.cpp
 mutate "rested connections" "what crosses their end is read and thrown away" drivers/caller_connection.cpp "void caller_connection::end_unread(connection_end p_end) {
 " "void caller_connection::end_unread(connection_end p_end) {
-	linger(p_end);
+	_linger(p_end);
 	if (_phase == phase::LINGERING) {
 		return;
 	}
