--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -62,7 +62,7 @@
 		}
 		channel_request request;
 		request.to = _fleet.get_readiness_address(i);
-		request.endpoint = to_string(request.to);
+		request.endpoint = endpoint_identity{ to_string(request.to), 0 };
 		request.bytes = "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n";
 		view.question = _questions.start(std::move(request), channel_hooks{ [this, i](const http_head &p_head) { _views[i].status = p_head.status; }, [](std::string_view) {}, [this, i](channel_end) { _views[i].question = 0; } });
 	}
