--- a/tests/soak/disturbance_log.cpp
+++ b/tests/soak/disturbance_log.cpp
@@ -17,7 +17,7 @@
 
 using std::chrono::milliseconds;
 
-/** A node counts as in touch when nothing was done to it or the store for so long (the rules' contact_ms). */
+/** A node counts as in touch when nothing was done to it or the store for so long. */
 constexpr duration CONTACT = milliseconds(3000);
 /** A process that stood still has as much to catch up as came meanwhile. */
 constexpr duration CATCH_UP = milliseconds(1500);
@@ -103,7 +103,7 @@
 	_records.push_back(record{ p_kind, p_subject, p_begin, p_end });
 }
 
-bool disturbance_log::_has(disturbance p_kind, std::size_t p_subject, instant p_from, instant p_to) const {
+bool disturbance_log::has(disturbance p_kind, std::size_t p_subject, instant p_from, instant p_to) const {
 	return std::any_of(_records.begin(), _records.end(), [&](const record &p_entry) {
 		return p_entry.kind == p_kind && p_entry.subject == p_subject && p_entry.begin <= p_to && p_entry.end >= p_from;
 	});
@@ -121,7 +121,7 @@
 			subjects = p_scope.endpoints;
 		}
 		for (const std::size_t subject : subjects) {
-			if (_has(row.by, subject, p_scope.from - row.before, p_scope.to)) {
+			if (has(row.by, subject, p_scope.from - row.before, p_scope.to)) {
 				return std::string(get_name(row.by)) + ": " + std::string(row.reason);
 			}
 		}
--- a/tests/soak/disturbance_log.h
+++ b/tests/soak/disturbance_log.h
@@ -80,8 +80,6 @@
 
 	std::vector<record> _records;
 
-	bool _has(disturbance p_kind, std::size_t p_subject, instant p_from, instant p_to) const;
-
 public:
 	static constexpr instant OPEN = instant::max();
 
@@ -92,7 +90,7 @@
 	void note(disturbance p_kind, std::size_t p_subject, instant p_begin, instant p_end);
 
 	/** Whether any of the kind touched the span. */
-	bool has(disturbance p_kind, std::size_t p_subject, instant p_from, instant p_to) const { return _has(p_kind, p_subject, p_from, p_to); }
+	bool has(disturbance p_kind, std::size_t p_subject, instant p_from, instant p_to) const;
 
 	/** The excuse from the table that was shown to hold; empty if none. */
 	std::string find_excuse(promise p_promise, const check_scope &p_scope) const;
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -72,7 +72,7 @@
 		}
 	}
 
-	/** Both ways are ended and all is written. */
+	/** Passes an end on once all that came before it is written. */
 	static void _on_drained(bufferevent *, void *p_self) {
 		passage &self = *static_cast<passage *>(p_self);
 		for (const way *each : { &self._up, &self._down }) {
--- a/tests/soak/promise_book.cpp
+++ b/tests/soak/promise_book.cpp
@@ -18,9 +18,11 @@
 
 /** Of every request; ends before the route's time-out of 3 s. */
 constexpr duration DEADLINE = milliseconds(2500);
-/** The bounds of the rules' example (config_apply_ms and drain_ms), with what a busy machine may add to a process's turn. */
+/** What a busy machine may add to a process's turn; assumed. */
 constexpr duration BUSY_MACHINE = milliseconds(700);
+/** As the nodes' settings have it. */
 constexpr duration CONFIGURATION_BOUND = milliseconds(2000) + BUSY_MACHINE;
+/** An endpoint that leaves serves so long at least, and a little longer. */
 constexpr duration LEAVING_BOUND = milliseconds(2000) + BUSY_MACHINE;
 /** A version's effect must have been seen so long before; answers on two connections may overtake each other. */
 constexpr duration REVERT_SLACK = milliseconds(250);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -69,7 +69,6 @@
 
 	/** Sends nothing new. */
 	void stop() { _is_stopped = true; }
-	bool is_at_rest() const { return _attempt == nullptr; }
 };
 
 } // namespace calicoscale
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -67,7 +67,6 @@
 	std::string write_record(const network_address &p_address, const std::string &p_zone, bool p_is_leaving);
 
 	bool is_running() const { return _server != nullptr; }
-	unix_milliseconds get_born() const { return _born; }
 	const std::string &get_name() const { return _name; }
 	network_address get_address() const { return _server->get_address(); }
 };
