--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -143,9 +143,6 @@
 	/** Whether the entry of this start of an endpoint is there. */
 	bool contains_start(const endpoint_identity &p_identity) const;
 
-	/** Whether the entry of any start of an endpoint is there. */
-	bool contains_name(const std::string &p_name) const { return _endpoints.contains(p_name); }
-
 	bool is_loaded() const { return _loaded; }
 	std::size_t get_size() const { return _endpoints.size(); }
 };
