--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -176,10 +176,10 @@
 		if (later == nullptr) {
 			continue;
 		}
-		const std::uint64_t born = later->listing.incarnation;
-		const duration started_ago = std::chrono::milliseconds(event_loop::wall() - static_cast<unix_milliseconds>(born));
+		const unix_milliseconds start = static_cast<unix_milliseconds>(later->listing.incarnation);
+		const duration started_ago = std::chrono::milliseconds(event_loop::wall() - start);
 		const std::size_t ended = _context.channels.end_replaced(earlier, started_ago);
-		_context.log.write(log_line("endpoint_restarted").add("endpoint", earlier.vm).add("earlier", static_cast<long long>(earlier.incarnation)).add("incarnation", static_cast<long long>(born)).add("started_ago_ms", started_ago).add("ended_exchanges", static_cast<long long>(ended)));
+		_context.log.write(log_line("endpoint_restarted").add("endpoint", earlier.vm).add("earlier", static_cast<long long>(earlier.incarnation)).add("incarnation", static_cast<long long>(start)).add("started_ago_ms", started_ago).add("ended_exchanges", static_cast<long long>(ended)));
 	}
 }
 
