--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -67,10 +67,12 @@
 mutate "at most once" "every request may be repeated" $request "const bool is_safe = route.repeats" "const bool is_safe = true || route.repeats"
 mutate "planned stop" "the process ends at once" main/gateway/gateway.cpp '_enter(stop_phase::LISTENING, "listening");' "_has_stopped = true;
 	_context.loop.stop();"
-mutate "configuration" "a new one is not taken once there is one" main/gateway/configuration_follower.cpp "if (offered->version <= get_version())" "if (offered->version <= get_version() || get_version() > 0)"
-mutate "configuration" "an older one replaces a newer one" main/gateway/configuration_follower.cpp "if (offered->version <= get_version())" "if (false)"
+mutate "configuration" "a new one is not taken once there is one" platform/configuration_reader.cpp "if (_current && offered->version <= _current->version)" "if (_current)"
+mutate "configuration" "an older one replaces a newer one" platform/configuration_reader.cpp "if (_current && offered->version <= _current->version)" "if (false)"
 mutate "silent store" "a read without an answer is never repeated" main/gateway/topic_reader.cpp "	_send(*beside);" ""
-mutate "leaving" "the state of an endpoint is ignored" platform/configuration_codec.cpp 'listing.leaving =' 'listing.leaving = false &&'
+mutate "leaving" "the state of an endpoint is ignored" platform/endpoint_codec.cpp "	return r_listing.leaving || *state == SERVING_STATE" "	const bool was_leaving = r_listing.leaving;
+	r_listing.leaving = false;
+	return was_leaving || *state == SERVING_STATE"
 mutate "echo" "an answer with another request's id is taken" drivers/endpoint_channels.cpp "_skipping = echo != nullptr && *echo != _request.echo_value;" "_skipping = false;"
 mutate "seal" "a success without one is passed on" $request "if (!_answer.has_seal) {
 			_on_failure" "if (false) {
