--- a/core/digest.cpp
+++ b/core/digest.cpp
@@ -16,6 +16,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <cstring>
 
 namespace calicoscale {
 
@@ -45,6 +46,30 @@
 	return write_hex(buffer.data(), size);
 }
 
+void field_digest::context_deleter::operator()(evp_md_ctx_st *p_context) const {
+	EVP_MD_CTX_free(p_context);
+}
+
+field_digest::field_digest() :
+		_context(EVP_MD_CTX_new()) {
+	EVP_DigestInit_ex(_context.get(), EVP_sha256(), nullptr);
+}
+
+void field_digest::add(std::string_view p_field) {
+	const std::uint64_t size = p_field.size();
+	EVP_DigestUpdate(_context.get(), &size, sizeof(size));
+	EVP_DigestUpdate(_context.get(), p_field.data(), p_field.size());
+}
+
+half_digest field_digest::finish() {
+	std::array<unsigned char, EVP_MAX_MD_SIZE> buffer{};
+	EVP_DigestFinal_ex(_context.get(), buffer.data(), nullptr);
+	half_digest digest;
+	std::memcpy(&digest.high, buffer.data(), sizeof(digest.high));
+	std::memcpy(&digest.low, buffer.data() + sizeof(digest.high), sizeof(digest.low));
+	return digest;
+}
+
 std::string hmac_hex(std::string_view p_key, std::string_view p_bytes) {
 	std::array<unsigned char, EVP_MAX_MD_SIZE> buffer{};
 	unsigned int size = 0;
--- a/core/digest.h
+++ b/core/digest.h
@@ -9,10 +9,14 @@
 #ifndef DIGEST_H
 #define DIGEST_H
 
+#include <compare>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
+struct evp_md_ctx_st;
+
 namespace calicoscale {
 
 /** Fast hash for tables and placement; not for secrets. */
@@ -21,6 +25,31 @@
 /** SHA-256 as 64 lower-case hexadecimal digits. */
 std::string sha256_hex(std::string_view p_bytes);
 
+/** The first half of a SHA-256. */
+struct half_digest {
+	std::uint64_t high = 0;
+	std::uint64_t low = 0;
+	auto operator<=>(const half_digest &p_other) const = default;
+};
+
+/** SHA-256 over several fields and their borders, without joining them. */
+class field_digest {
+	struct context_deleter {
+		void operator()(evp_md_ctx_st *p_context) const;
+	};
+
+	std::unique_ptr<evp_md_ctx_st, context_deleter> _context;
+
+public:
+	field_digest();
+
+	/** Takes in the next field. */
+	void add(std::string_view p_field);
+
+	/** The digest of all fields so far; ends it. */
+	half_digest finish();
+};
+
 /** HMAC-SHA-256 as 64 lower-case hexadecimal digits. */
 std::string hmac_hex(std::string_view p_key, std::string_view p_bytes);
 
--- /dev/null
+++ b/drivers/endpoint_probe.h
@@ -0,0 +1,43 @@
+/*
+ * calicoscale: endpoint_probe.h
+ * Tells by a new connection whether an endpoint is there.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ENDPOINT_PROBE_H
+#define ENDPOINT_PROBE_H
+
+#include "drivers/event_loop.h"
+#include "servers/gateway/lost_runs.h"
+#include "servers/routing/endpoint_state.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace calicoscale {
+
+/** Opens connections that carry nothing and closes them as soon as they are accepted or refused. */
+class endpoint_probe {
+	class probe;
+
+	event_loop &_loop;
+	std::map<std::uint64_t, std::unique_ptr<probe>> _probes;
+	std::uint64_t _next_id = 1;
+
+public:
+	explicit endpoint_probe(event_loop &p_loop);
+	~endpoint_probe();
+	endpoint_probe(const endpoint_probe &) = delete;
+	endpoint_probe &operator=(const endpoint_probe &) = delete;
+
+	/** Probes an address. The hook is called once, from the loop, never before this returns. */
+	void start(const network_address &p_address, std::function<void(probe_end)> p_hook);
+};
+
+} // namespace calicoscale
+
+#endif // ENDPOINT_PROBE_H
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -37,6 +37,7 @@
 	router _engines;
 	engine_view _engine_caches;
 	prompt_exchange _prompts;
+	crash_guard _crashes;
 	std::map<std::string, retry_window> _repeats;
 	std::map<std::string, duration> _usual_times;
 	std::map<std::string, duration> _first_event_times;
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -94,6 +94,13 @@
 	_advance_stages();
 }
 
+request_content get_content(const admitted_request &p_request) {
+	const http_head &head = p_request.exchange->head;
+	const std::string *host = head.find("Host");
+	const std::string_view customer = p_request.customer == nullptr ? std::string_view() : std::string_view(p_request.customer->name);
+	return request_content{ head.method, host == nullptr ? std::string_view() : std::string_view(*host), head.target, customer, p_request.exchange->body };
+}
+
 int get_priority(const admitted_request &p_request) {
 	const bool has_own = p_request.customer != nullptr && p_request.customer->priority;
 	return has_own ? *p_request.customer->priority : p_request.route->priority;
@@ -399,6 +406,22 @@
 }
 
 void gateway_request::_on_end_of_answer(channel_end p_end) {
+	if (p_end == channel_end::BROKEN) {
+		_note_lost_run();
+	}
+	_judge_end(p_end);
+}
+
+void gateway_request::_note_lost_run() {
+	const endpoint_state *endpoint = _get_router().find(_endpoint);
+	// One that leaves ends on purpose.
+	if (endpoint == nullptr || !endpoint->is_open()) {
+		return;
+	}
+	_services.crashes.on_run_lost(lost_run{ _request.facts.attempt, make_fingerprint(get_content(_request)), _endpoint_identity, endpoint->listing.address });
+}
+
+void gateway_request::_judge_end(channel_end p_end) {
 	_exchange = 0;
 	if (p_end == channel_end::CONNECT_FAILED) {
 		_observe(outcome{ verdict::NOT_RUN, reason::CONNECT_FAILED });
@@ -576,7 +599,7 @@
 		return;
 	}
 	_services.context.channels.cancel(_exchange);
-	_on_end_of_answer(channel_end::BROKEN);
+	_judge_end(channel_end::BROKEN);
 }
 
 void gateway_request::end_for_stop() {
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -11,6 +11,7 @@
 
 #include "core/verdict.h"
 #include "drivers/caller_server.h"
+#include "main/gateway/crash_guard.h"
 #include "main/gateway/gateway_fleet.h"
 #include "main/gateway/prompt_exchange.h"
 #include "main/gateway/stage_dispatcher.h"
@@ -44,6 +45,7 @@
 	commitment_table &commitments;
 	engine_view &engine_caches;
 	prompt_exchange &prompts;
+	crash_guard &crashes;
 	std::map<std::string, duration> &first_event_times; ///< From the send to the first event, by route.
 };
 
@@ -61,6 +63,9 @@
 	duration predicted = duration::zero(); ///< Until the answer begins, as it was when the request was admitted; zero without stages.
 };
 
+/** What comes again with a request. */
+request_content get_content(const admitted_request &p_request);
+
 /** Priority of a request: its customer's, or else its route's. */
 int get_priority(const admitted_request &p_request);
 
@@ -135,6 +140,8 @@
 	void _on_head(const http_head &p_head);
 	void _on_body(std::string_view p_bytes);
 	void _on_end_of_answer(channel_end p_end);
+	void _note_lost_run();
+	void _judge_end(channel_end p_end);
 	void _on_stream_end(channel_end p_end);
 	void _on_whole_answer();
 	void _on_not_run();
