--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -152,11 +152,16 @@
 		return result;
 	}
 
-	std::shared_ptr<caller_result> send(const gateway &p_gateway, const std::string &p_path, const std::string &p_key = "key-1", const std::string &p_headers = "", exchange_id *r_id = nullptr) {
+	/** The bytes of a request with an id of its own. */
+	std::string write_request(const std::string &p_path, const std::string &p_body, const std::string &p_key, const std::string &p_headers) {
 		const std::string attempt = "r" + std::to_string(_next_attempt++);
 		std::string text = "POST " + p_path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 2500\r\n" + p_headers;
 		text += p_key.empty() ? "" : "Authorization: Bearer " + p_key + "\r\n";
-		return send_bytes(p_gateway.get_caller_address(), text + "Content-Length: 4\r\n\r\nbody", r_id);
+		return text + "Content-Length: " + std::to_string(p_body.size()) + "\r\n\r\n" + p_body;
+	}
+
+	std::shared_ptr<caller_result> send(const gateway &p_gateway, const std::string &p_path, const std::string &p_key = "key-1", const std::string &p_headers = "", exchange_id *r_id = nullptr) {
+		return send_bytes(p_gateway.get_caller_address(), write_request(p_path, "body", p_key, p_headers), r_id);
 	}
 
 	/** A request that may take longer than a planned stop. */
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -32,7 +32,18 @@
 		_loop(p_loop),
 		_name(std::move(p_name)),
 		_born(make_start_time()),
-		_server(std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); })) {
+		_server(std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); })),
+		_address(_server->get_address()) {
+}
+
+void standin_replica::end_process() {
+	if (has_ended()) {
+		return;
+	}
+	_server.reset();
+	if (on_ended) {
+		on_ended();
+	}
 }
 
 std::string standin_replica::get_entry(const std::string &p_service, bool p_leaving) const {
@@ -79,6 +90,11 @@
 		return;
 	}
 	runs.push_back(seen_request{ p_exchange->head, p_exchange->body });
+	if (mode == replica_mode::END || (!ending_body.empty() && p_exchange->body == ending_body)) {
+		// From the loop, as this runs inside one of its connections.
+		_loop.post([this] { end_process(); });
+		return;
+	}
 	switch (mode) {
 		case replica_mode::FAIL:
 			p_exchange->reply(500, _make_headers(*p_exchange), "failed");
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -11,6 +11,7 @@
 
 #include "drivers/caller_server.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -28,6 +29,7 @@
 	WITHOUT_SEAL, ///< Answers bytes that are not its own.
 	BREAK_STREAM, ///< Breaks a stream that begins at its start off in the middle of its second event.
 	HOLD, ///< Runs and does not answer.
+	END, ///< Its process ends as the request begins to run.
 };
 
 /** One request as the replica got it. */
@@ -46,7 +48,8 @@
 	event_loop &_loop;
 	std::string _name;
 	const std::uint64_t _born; ///< Unix millisecond of its start; rises with each start, also within one millisecond.
-	std::unique_ptr<caller_server> _server;
+	std::unique_ptr<caller_server> _server; ///< None once its process has ended.
+	network_address _address;
 	std::vector<std::shared_ptr<caller_exchange>> _held;
 	std::vector<std::shared_ptr<caller_exchange>> _held_stages;
 	std::size_t _next_handle = 1;
@@ -66,6 +69,8 @@
 	bool hold_stages = false; ///< Calls wait until run_held_stages().
 	std::size_t most_results = 1000; ///< Pieces that would be more find no room.
 	std::size_t pieces_without_room = 0;
+	std::string ending_body; ///< A request with this body ends its process as it begins to run, whatever the mode; empty for none.
+	std::function<void()> on_ended; ///< Called once, when its process has ended.
 	std::string missing_input; ///< This handle is reported as gone, once.
 
 	standin_replica(event_loop &p_loop, std::string p_name);
@@ -74,7 +79,12 @@
 	std::string get_entry(const std::string &p_service, bool p_leaving = false) const;
 	const std::string &get_name() const { return _name; }
 	std::uint64_t get_born() const { return _born; }
-	const network_address &get_address() const { return _server->get_address(); }
+	const network_address &get_address() const { return _address; }
+
+	/** Its process ends: nobody listens at its address, and all its connections end. */
+	void end_process();
+
+	bool has_ended() const { return _server == nullptr; }
 
 	/** Runs the stage calls that wait and holds no more. */
 	void run_held_stages();
