--- a/tests/main/gateway_crash_test.cpp
+++ b/tests/main/gateway_crash_test.cpp
@@ -18,9 +18,10 @@
  * The story: one request crashed each engine that began to run it. Its caller got 502 and sent it again, under a new id, at
  * another node; within six seconds eight engines of one service had ended, and a tenth of the service's other requests had
  * failed with them. Nodes remembered of a request only what its own exchange needed, and told each other nothing of requests,
- * so to each of them it was new each time. Evidence: of the 14 engines that ended in the recorded minutes from their third
- * on, each had lost exactly one customer's run before its first event, while the other runs lost with it had streamed; no
- * request was lost twice under one id, and the addresses came back under other names, so that no connection alone had ended.
+ * so to each of them it was new each time. Evidence: of the 14 engines that ended under the second such request of the recorded
+ * day, as far as the logs reach, each had lost a run of one customer before its first event; of the other runs lost with them
+ * all but one had streamed. No request was lost twice under one id, and the addresses came back under other names: it was
+ * not the connections alone that ended.
  */
 class gateway_crash_test : public gateway_fixture {
 protected:
