--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -211,7 +211,7 @@
 		const text_offset zone = target.CreateString(p_message.zone);
 		const std::int64_t give_up = p_message.give_up_in.count() / 1000;
 		const std::int64_t due = p_message.due_in.count() / 1000;
-		return { wire::message_hand_work, wire::Createhand_work(target, p_message.id, pool, attempt, p_message.stage, p_message.pieces, key, inputs, give_up, due, p_message.priority, zone, p_message.result_bytes, p_message.transfer_bytes).Union() };
+		return { wire::message_hand_work, wire::Createhand_work(target, p_message.id, pool, attempt, p_message.stage, p_message.pieces, key, inputs, give_up, due, p_message.priority, zone, p_message.result_bytes, p_message.transfer_bytes, p_message.run.place, p_message.run.content.high, p_message.run.content.low, p_message.is_alone).Union() };
 	}
 
 	encoded_body operator()(const work_ended_message &p_message) const {
@@ -445,6 +445,8 @@
 	message.zone = read(p_message.zone());
 	message.result_bytes = p_message.result_bytes();
 	message.transfer_bytes = p_message.transfer_bytes();
+	message.run = request_fingerprint{ p_message.place(), half_digest{ p_message.content_high(), p_message.content_low() } };
+	message.is_alone = p_message.is_alone();
 	return message;
 }
 
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -91,6 +91,8 @@
 	std::string zone;
 	std::uint64_t result_bytes = 0;
 	std::uint64_t transfer_bytes = 0;
+	request_fingerprint run;
+	bool is_alone = false; ///< See stage_work.
 };
 
 /** Work handed over ended. */
--- a/main/gateway/crash_guard.h
+++ b/main/gateway/crash_guard.h
@@ -58,7 +58,7 @@
 	/** How a request stands. Reads its body only if something is known of requests at its place. */
 	crash_verdict judge(const request_content &p_content) const;
 
-	/** A run was lost at an endpoint that was to stay. */
+	/** A run was lost at an endpoint. */
 	void on_run_lost(const lost_run &p_run) { _watch.on_run_lost(p_run); }
 
 	/** A run ended with a whole answer of its endpoint. */
--- a/main/gateway/crash_watch.cpp
+++ b/main/gateway/crash_watch.cpp
@@ -26,6 +26,9 @@
 }
 
 void crash_watch::on_run_lost(const lost_run &p_run) {
+	if (!_endpoints.get_directory().is_staying(p_run.endpoint)) {
+		return;
+	}
 	const instant now = event_loop::now();
 	_context.metrics.count("runs_lost");
 	_context.log.write_request(log_line("run_lost").add("request", p_run.attempt).add("fingerprint", to_string(p_run.fingerprint)).add("endpoint", p_run.endpoint.vm).add("address", to_string(p_run.address)));
--- a/main/gateway/crash_watch.h
+++ b/main/gateway/crash_watch.h
@@ -45,7 +45,7 @@
 	/** @param p_on_ended gets each endpoint that ended with the runs that were lost there. */
 	crash_watch(gateway_context &p_context, endpoint_follower &p_endpoints, std::function<void(const ended_endpoint &)> p_on_ended);
 
-	/** A run was lost at an endpoint that was to stay. */
+	/** A run was lost at an endpoint. One that leaves ends on purpose, and under nobody. */
 	void on_run_lost(const lost_run &p_run);
 };
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -70,6 +70,7 @@
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
 	_callers.set_on_crossed([this](const crossed_end &p_crossed) { _on_crossed(p_crossed); });
+	_dispatcher.set_on_run_lost([this](const lost_run &p_run) { _crashes.on_run_lost(p_run); });
 	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_configuration.changed().connect([this] { _on_configuration(); });
 	_endpoints.changed().connect([this] { _on_endpoints(); });
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -91,6 +91,17 @@
 		_send();
 		return;
 	}
+	_ask_permit([this](send_care p_care) { _begin_stages(p_care); });
+}
+
+void gateway_request::_ask_permit(std::function<void(send_care)> p_on_granted) {
+	_permit.ask(permit_hooks{ std::move(p_on_granted), [this](duration p_retry_after) { _refuse(reason::ENDS_ENDPOINTS, p_retry_after); } });
+}
+
+void gateway_request::_begin_stages(send_care p_care) {
+	_permit.keep();
+	_is_alone = p_care != send_care::NONE;
+	_fingerprint = make_fingerprint(get_content(_request));
 	_commit();
 	_advance_stages();
 }
@@ -244,6 +255,8 @@
 		work.priority = _get_priority();
 		_set_zone(stage, work);
 		work.result_bytes = spec.result_bytes;
+		work.run = _fingerprint;
+		work.is_alone = _is_alone;
 		const std::shared_ptr<std::uint64_t> id = std::make_shared<std::uint64_t>(0);
 		*id = _services.dispatcher.submit(spec.pool, std::move(work), [this, id](const work_result &p_result) { _on_work_ended(*id, p_result); });
 		_works[*id] = asked_stage{ stage, event_loop::now() };
@@ -314,8 +327,7 @@
 		_give_up(reason::DEADLINE_PASSED);
 		return;
 	}
-	const permit_hooks hooks{ [this](send_care p_care) { _send_with(p_care); }, [this](duration p_retry_after) { _refuse(reason::ENDS_ENDPOINTS, p_retry_after); } };
-	_permit.ask(hooks);
+	_ask_permit([this](send_care p_care) { _send_with(p_care); });
 }
 
 void gateway_request::_send_with(send_care p_care) {
@@ -427,8 +439,7 @@
 
 void gateway_request::_note_lost_run() {
 	const endpoint_state *endpoint = _get_router().find(_endpoint);
-	// One that leaves ends on purpose.
-	if (endpoint == nullptr || !endpoint->is_open()) {
+	if (endpoint == nullptr) {
 		return;
 	}
 	_services.crashes.on_run_lost(lost_run{ _request.facts.attempt, make_fingerprint(get_content(_request)), _endpoint_identity, endpoint->listing.address });
@@ -438,7 +449,7 @@
 	_exchange = 0;
 	if (p_end == channel_end::CONNECT_FAILED) {
 		_observe(outcome{ verdict::NOT_RUN, reason::CONNECT_FAILED });
-		_permit.on_not_reached();
+		_permit.keep();
 		_on_not_run();
 		return;
 	}
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -101,6 +101,8 @@
 	instant _sent_at{};
 	std::vector<endpoint_id> _avoid;
 	send_permit _permit;
+	request_fingerprint _fingerprint; ///< Of a request with stages.
+	bool _is_alone = false; ///< Its stage work shares no call with that of others.
 	verdict_tally _tally;
 	int _sends = 0;
 	int _runs = 0; ///< Sends that may have run.
@@ -132,6 +134,8 @@
 	void _set_zone(std::size_t p_stage, stage_work &r_work);
 	/** Counts results that were read. @return bytes that crossed zones. */
 	std::size_t _count_read(const std::vector<result_transfer> &p_transfers);
+	void _ask_permit(std::function<void(send_care)> p_on_granted);
+	void _begin_stages(send_care p_care);
 	void _advance_stages();
 	void _on_work_ended(std::uint64_t p_id, const work_result &p_result);
 	void _cancel_works();
--- a/main/gateway/send_permit.cpp
+++ b/main/gateway/send_permit.cpp
@@ -22,8 +22,8 @@
 }
 
 void send_permit::ask(const permit_hooks &p_hooks) {
-	if (_is_unspent) {
-		_is_unspent = false;
+	if (_is_kept) {
+		_is_kept = false;
 		p_hooks.on_granted(send_care::QUIETEST);
 		return;
 	}
--- a/main/gateway/send_permit.h
+++ b/main/gateway/send_permit.h
@@ -32,7 +32,7 @@
 	crash_guard &_guard;
 	std::function<request_content()> _get_content;
 	std::uint64_t _trial = 0;
-	bool _is_unspent = false; ///< The trial was granted, and its send did not reach an endpoint.
+	bool _is_kept = false; ///< The trial was granted and is not spent.
 
 public:
 	send_permit(crash_guard &p_guard, std::function<request_content()> p_get_content);
@@ -43,8 +43,8 @@
 	/** Asks for the next send. One hook is called: at once, or from the loop where other nodes have to be heard first. */
 	void ask(const permit_hooks &p_hooks);
 
-	/** The last send did not reach its endpoint, so that the next one may be the trial. */
-	void on_not_reached() { _is_unspent = _trial != 0; }
+	/** What was granted was not sent, or did not reach an endpoint: if it was the trial, the next send may be it. */
+	void keep() { _is_kept = _trial != 0; }
 
 	/** The request ended, or is not sent any more. */
 	void end();
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -165,6 +165,8 @@
 	message.zone = p_own.work.zone;
 	message.result_bytes = p_own.work.result_bytes;
 	message.transfer_bytes = p_own.work.transfer_bytes;
+	message.run = p_own.work.run;
+	message.is_alone = p_own.work.is_alone;
 	return message;
 }
 
@@ -252,6 +254,8 @@
 	work.zone = p_message.zone;
 	work.result_bytes = static_cast<std::size_t>(p_message.result_bytes);
 	work.transfer_bytes = static_cast<std::size_t>(p_message.transfer_bytes);
+	work.run = p_message.run;
+	work.is_alone = p_message.is_alone;
 	_accept(p_message.pool, p_vm, p_message.id, std::move(work));
 }
 
@@ -481,6 +485,9 @@
 	pool_entry &entry = _get_pool(p_name);
 	entry.exchanges.erase(p_call.id);
 	const call_end end = get_call_end(p_end, p_status, p_did_not_run);
+	if (p_end == channel_end::BROKEN) {
+		_note_lost_call(entry.pool, p_call);
+	}
 	std::vector<item_result> results;
 	if (end == call_end::ANSWERED) {
 		results = read_stage_answer(p_body, p_call.items.size());
@@ -498,6 +505,16 @@
 	_pump_pool(p_name, entry);
 }
 
+void stage_dispatcher::_note_lost_call(const stage_pool &p_pool, const stage_call &p_call) {
+	std::set<work_id> noted;
+	for (const stage_item &item : p_call.items) {
+		const stage_work *work = p_pool.find_work(item.work);
+		if (work != nullptr && noted.insert(item.work).second) {
+			_on_run_lost(lost_run{ work->attempt, work->run, p_call.replica, p_call.to });
+		}
+	}
+}
+
 void stage_dispatcher::_report_ended(pool_entry &p_entry) {
 	for (const work_result &result : p_entry.pool.take_ended()) {
 		const auto found = p_entry.accepted.find(result.id);
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -9,6 +9,7 @@
 #ifndef STAGE_DISPATCHER_H
 #define STAGE_DISPATCHER_H
 
+#include "main/gateway/crash_watch.h"
 #include "main/gateway/gateway_fleet.h"
 #include "servers/gateway/stage_pool.h"
 
@@ -77,6 +78,7 @@
 	timer _tick_timer;
 	instant _ticked_at{};
 	bool _pump_posted = false;
+	std::function<void(const lost_run &)> _on_run_lost;
 
 	pool_entry &_get_pool(const std::string &p_name);
 	std::string _choose_node(const std::string &p_pool, const std::string &p_except) const;
@@ -101,6 +103,7 @@
 	void _pump_pool(const std::string &p_name, pool_entry &p_entry);
 	void _send_call(const std::string &p_name, pool_entry &p_entry, const stage_call &p_call);
 	void _on_call_ended(const std::string &p_name, const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body);
+	void _note_lost_call(const stage_pool &p_pool, const stage_call &p_call);
 	void _report_ended(pool_entry &p_entry);
 	void _release(pool_entry &p_entry, const std::vector<std::string> &p_handles);
 	void _send_releases(pool_entry &p_entry);
@@ -120,6 +123,9 @@
 
 	void start();
 
+	/** Sets what is told of requests whose pieces were lost at a replica. */
+	void set_on_run_lost(std::function<void(const lost_run &)> p_hook) { _on_run_lost = std::move(p_hook); }
+
 	/** Takes the endpoints of all pools. */
 	void set_endpoints(const std::vector<endpoint_listing> &p_listings);
 
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -217,6 +217,10 @@
 	return found != _endpoints.end() && found->second.listing.incarnation == p_identity.incarnation;
 }
 
+bool endpoint_directory::is_staying(const endpoint_identity &p_identity) const {
+	return contains_start(p_identity) && !_endpoints.at(p_identity.vm).listing.leaving && !_has_left(p_identity);
+}
+
 void endpoint_directory::replace(const std::vector<endpoint_listing> &p_listings, instant p_now) {
 	std::set<std::string> names;
 	for (const endpoint_listing &listing : p_listings) {
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -143,6 +143,9 @@
 	/** Whether the entry of this start of an endpoint is there. */
 	bool contains_start(const endpoint_identity &p_identity) const;
 
+	/** Whether this start of an endpoint is there and has not said that it leaves. */
+	bool is_staying(const endpoint_identity &p_identity) const;
+
 	bool is_loaded() const { return _loaded; }
 	std::size_t get_size() const { return _endpoints.size(); }
 };
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -331,6 +331,9 @@
 	pieces_ahead ahead;
 	for (const work_id id : _order_works(p_now)) {
 		queued_work &entry = _works.at(id);
+		if (entry.work.is_alone && !r_call.items.empty()) {
+			continue;
+		}
 		const bool is_elsewhere = !entry.work.zone.empty() && entry.work.zone != p_replica.listing.zone;
 		const bool is_nearer = is_elsewhere && _choose_replica(entry, expected, ahead, p_now) != &p_replica;
 		ahead[entry.work.zone] += entry.waiting;
@@ -353,6 +356,9 @@
 			_waiting_pieces--;
 			r_call.items.push_back(stage_item{ id, piece });
 		}
+		if (entry.work.is_alone && !r_call.items.empty()) {
+			return;
+		}
 	}
 }
 
@@ -399,7 +405,8 @@
 	}
 	queued_work &entry = found->second;
 	entry.tries[p_item.piece] += p_counts ? 1 : 0;
-	if (entry.tries[p_item.piece] >= MOST_TRIES) {
+	const int most_tries = entry.work.is_alone ? 1 : MOST_TRIES;
+	if (entry.tries[p_item.piece] >= most_tries) {
 		_end(p_item.work, work_end::FAILED);
 		return;
 	}
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -13,6 +13,7 @@
 #include "servers/gateway/mechanism.h"
 #include "servers/gateway/pool_meter.h"
 #include "servers/gateway/result_room.h"
+#include "servers/request/request_fingerprint.h"
 #include "servers/routing/endpoint_state.h"
 
 #include <cstdint>
@@ -41,6 +42,8 @@
 	std::string zone; ///< Where the inputs lie or the results will be used; empty when it does not matter.
 	std::size_t transfer_bytes = 0; ///< What would cross zones elsewhere.
 	std::size_t result_bytes = 0;
+	request_fingerprint run; ///< Of the request; it is known by it where a replica ends under it.
+	bool is_alone = false; ///< A replica may end under it: it shares no call with other requests, and each piece is tried once.
 };
 
 /** One piece in a call. */
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -168,6 +168,21 @@
 	EXPECT_GE(heard.commitments.front().work, duration::zero());
 }
 
+TEST(link_codec, news_of_crashes_keep_their_ages_and_unknown_ones_are_refused) {
+	tell_crashes_message crashes;
+	crashes.is_whole = true;
+	crashes.news.push_back(told_crash{ crash_news::TRIAL_SENT, request_fingerprint{ 1, half_digest{ 2, 3 } }, 4, std::chrono::milliseconds(1500) });
+	const tell_crashes_message read = std::get<tell_crashes_message>(*decode_link_message(encode(link_message(crashes))));
+	EXPECT_TRUE(read.is_whole);
+	ASSERT_EQ(read.news.size(), 1U);
+	EXPECT_EQ(read.news.front().news, crash_news::TRIAL_SENT);
+	EXPECT_EQ(read.news.front().run, crashes.news.front().run);
+	EXPECT_EQ(read.news.front().subject, 4U);
+	EXPECT_EQ(read.news.front().age, duration(std::chrono::milliseconds(1500)));
+	crashes.news.front().news = crash_news::COUNT;
+	EXPECT_FALSE(decode_link_message(encode(link_message(crashes))).has_value());
+}
+
 RC_GTEST_PROP(link_codec_properties, a_damaged_message_is_read_or_refused, ()) {
 	endpoint_listing listing;
 	listing.vm = "llm-1";
@@ -185,7 +200,7 @@
 	results.result_bytes = { 5 };
 	hand_work_message work;
 	work.inputs = { "10.0.0.1:1/a" };
-	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, tell_endpoints_message{ { listing }, 5 }, tell_reading_message{ reading }, results, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" } };
+	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, tell_endpoints_message{ { listing }, 5 }, tell_reading_message{ reading }, results, tell_crashes_message{ { told_crash{} }, false }, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" } };
 	for (const link_message &message : messages) {
 		const std::optional<link_message> read = decode_link_message(mutate(encode(message)));
 		if (read) {
--- a/tests/main/gateway_crash_test.cpp
+++ b/tests/main/gateway_crash_test.cpp
@@ -26,6 +26,7 @@
 class gateway_crash_test : public gateway_fixture {
 protected:
 	const std::string ENDING = "ends what runs it";
+	const std::string ENDING_KEY = "ends-what-makes-its-pieces";
 	/** The aim: three endpoints may end under a request; this long after the third all nodes hold back, but for three sends. */
 	static constexpr duration HOLD_BACK_TIME = seconds(3);
 	static constexpr std::size_t CRASHES = 3;
@@ -34,19 +35,20 @@
 	std::vector<instant> _arrivals; ///< Of the request at endpoints that begin to run it.
 	std::list<timer> _later;
 
-	standin_replica &add_engine(const std::string &p_zone) {
-		standin_replica &engine = add_replica("llm", p_zone);
-		engine.ending_body = ENDING;
-		engine.on_ended = [this, &engine] {
+	standin_replica &add_ending(const std::string &p_service, const std::string &p_zone) {
+		standin_replica &replica = add_replica(p_service, p_zone);
+		replica.ending_body = ENDING;
+		replica.ending_key = ENDING_KEY;
+		replica.on_ended = [this, &replica, p_service] {
 			_arrivals.push_back(event_loop::now());
 			// Its entry runs out, and it is back under another name.
-			_later.emplace_back(_loop, [this, &engine] {
-				_store.drop(ENDPOINT_TOPIC, engine.get_name());
-				add_engine(engine.zone);
+			_later.emplace_back(_loop, [this, &replica, p_service] {
+				_store.drop(ENDPOINT_TOPIC, replica.get_name());
+				add_ending(p_service, replica.zone);
 			});
 			_later.back().set(milliseconds(1200));
 		};
-		return engine;
+		return replica;
 	}
 
 	/** A node in each of three zones, and engines in each. */
@@ -54,7 +56,7 @@
 		configure(1);
 		for (const char *zone : { "a", "b", "c" }) {
 			for (int i = 0; i < p_engines_a_zone; i++) {
-				add_engine(zone);
+				add_ending("llm", zone);
 			}
 		}
 		for (const char *zone : { "a", "b", "c" }) {
@@ -160,6 +162,23 @@
 	EXPECT_EQ(_arrivals.size(), before) << "the memory of all nodes was lost, that of the store was not";
 }
 
+TEST_F(gateway_crash_test, nodes_that_are_linked_to_a_hub_alone_hear_of_each_other) {
+	configure(1);
+	for (int i = 0; i < 8; i++) {
+		add_ending("llm", "a");
+	}
+	_cores = 0.5;
+	start_ready();
+	_cores = 0.12;
+	for (int i = 0; i < 4; i++) {
+		start_ready();
+	}
+	wait(milliseconds(600));
+	send_in_turn("/stream/x", seconds(7));
+	EXPECT_GE(_arrivals.size(), CRASHES);
+	EXPECT_LE(count_late_arrivals(), SENDS_LEFT) << _arrivals.size() << " endpoints ended";
+}
+
 TEST_F(gateway_crash_test, a_refusal_says_that_it_did_not_run_and_when_it_may) {
 	start_fleet();
 	send_in_turn("/stream/x", seconds(3));
@@ -171,6 +190,36 @@
 	EXPECT_LE(after, 600.0);
 }
 
+TEST_F(gateway_crash_test, a_request_whose_pieces_end_replicas_of_a_stage_is_held_back_too) {
+	start_fleet(1);
+	for (const char *zone : { "a", "b", "c", "a", "b", "c" }) {
+		add_ending("encode", zone);
+	}
+	add_replica("search");
+	const auto send_staged = [this](const gateway &p_gateway, const std::string &p_key) {
+		return send_bytes(p_gateway.get_caller_address(), write_request("/stream/staged/x", p_key, "key-1", "X-Segments: 1,1\r\nX-Segment-Key: " + p_key + "\r\n"));
+	};
+	run_until([this, &send_staged] {
+		const std::shared_ptr<caller_result> result = send_staged(*_gateways.front(), "sound");
+		run_until([&result] { return result->end.has_value(); });
+		return result->head.status == 200;
+	});
+	const instant until = event_loop::now() + seconds(8);
+	std::vector<std::shared_ptr<caller_result>> others;
+	for (std::size_t turn = 0; event_loop::now() < until; turn++) {
+		others.push_back(send_staged(*_gateways[turn % _gateways.size()], "sound " + std::to_string(turn)));
+		const std::shared_ptr<caller_result> result = send_staged(*_gateways[turn % _gateways.size()], ENDING_KEY);
+		run_until([&result] { return result->end.has_value(); });
+		wait(milliseconds(150));
+	}
+	EXPECT_GE(_arrivals.size(), CRASHES);
+	EXPECT_LE(count_late_arrivals(), SENDS_LEFT) << _arrivals.size() << " replicas ended";
+	run_until([&others] { return std::all_of(others.begin(), others.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
+	// One neighbour is sent with each of the first three; those that share a call with it are lost with the replica.
+	const auto served = std::count_if(others.begin(), others.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->body == WHOLE_STREAM; });
+	EXPECT_GE(served, static_cast<std::ptrdiff_t>(others.size()) - 3) << "of " << others.size() << " neighbours";
+}
+
 TEST_F(gateway_crash_test, what_may_run_again_does_not_end_one_endpoint_after_the_other) {
 	start_fleet();
 	send_in_turn("/safe/x", seconds(6));
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -70,6 +70,10 @@
 		return;
 	}
 	if (p_exchange->head.target == "/stage-run") {
+		if (!ending_key.empty() && p_exchange->body.find('"' + ending_key + '"') != std::string::npos) {
+			_loop.post([this] { end_process(); });
+			return;
+		}
 		if (hold_stages) {
 			_held_stages.push_back(p_exchange);
 		} else {
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -70,6 +70,7 @@
 	std::size_t most_results = 1000; ///< Pieces that would be more find no room.
 	std::size_t pieces_without_room = 0;
 	std::string ending_body; ///< A request with this body ends its process as it begins to run, whatever the mode; empty for none.
+	std::string ending_key; ///< A stage call with a piece of this caller's key ends its process; empty for none.
 	std::function<void()> on_ended; ///< Called once, when its process has ended.
 	std::string missing_input; ///< This handle is reported as gone, once.
 
