--- /dev/null
+++ b/core/hold_up.cpp
@@ -0,0 +1,41 @@
+/*
+ * calicoscale: hold_up.cpp
+ * How long a process stood still, and whether its VM did.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "core/hold_up.h"
+
+#include "core/enum_names.h"
+
+#include <array>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr std::array<enum_name<hold_up_cause>, 2> CAUSE_NAMES{ {
+		{ hold_up_cause::PAUSE, "pause" },
+		{ hold_up_cause::SUSPENSION, "suspension" },
+} };
+
+} // namespace
+
+std::string_view get_name(hold_up_cause p_cause) {
+	return find_name(CAUSE_NAMES, p_cause);
+}
+
+hold_up hold_up_watch::note(const clock_reading &p_now, duration p_late) {
+	const clock_reading last = _last;
+	_last = p_now;
+	if (p_late < LEAST || last.since_boot == instant{}) {
+		return {};
+	}
+	const duration suspended = (p_now.since_boot - last.since_boot) - (p_now.running - last.running);
+	// A process that wakes with its VM may be paused besides; what the VM did not count is the larger part of a suspension.
+	return hold_up{ p_late, suspended * 2 > p_late ? hold_up_cause::SUSPENSION : hold_up_cause::PAUSE };
+}
+
+} // namespace calicoscale
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -22,6 +24,41 @@
 constexpr int PRIORITY_COUNT_OF_LOOP = 3;
 constexpr int TIMER_PRIORITY = 0;
 constexpr int POSTED_PRIORITY = 0;
+/** Behind sockets, which have the one in between. */
+constexpr int READ_PRIORITY = 2;
+/** Under load something is always left to read; what waited for the process is read within this. */
+constexpr duration LONGEST_READING = std::chrono::milliseconds(20);
+/**
+ * libevent waits by a clock that stands still while the VM is suspended, so what is due at waking is noticed this much later
+ * at most. Loops of entry nodes have timers more often than that anyhow.
+ */
+constexpr duration LONGEST_SLEEP = std::chrono::milliseconds(100);
+
+instant read_clock(clockid_t p_clock) {
+	timespec time{};
+	clock_gettime(p_clock, &time);
+	return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+clock_reading read_clocks() {
+	// The steady clock is read only to tell a suspension from a pause.
+	return clock_reading{ read_clock(CLOCK_BOOTTIME), read_clock(CLOCK_MONOTONIC) };
+}
+
+clock_reader replaced_reader = nullptr;
+
+clock_reading read_clocks_or_replaced() {
+	return replaced_reader == nullptr ? read_clocks() : replaced_reader();
+}
+
+event_base *make_base() {
+	event_base *base = event_base_new();
+	if (base == nullptr) {
+		throw std::runtime_error("cannot create an event loop");
+	}
+	event_base_priority_init(base, PRIORITY_COUNT_OF_LOOP);
+	return base;
+}
 
 timeval to_timeval(duration p_delay) {
 	const duration::rep count = std::max<duration::rep>(0, p_delay.count());
@@ -42,13 +79,16 @@
 }
 
 event_loop::event_loop() :
-		_base(event_base_new()) {
-	if (!_base) {
-		throw std::runtime_error("cannot create an event loop");
-	}
-	event_base_priority_init(_base.get(), PRIORITY_COUNT_OF_LOOP);
+		_base(make_base()),
+		_alarm(_base.get(), TIMER_PRIORITY, [this] { _run_timers(); }) {
 	_posted_event.reset(event_new(_base.get(), -1, 0, &event_loop::_on_posted, this));
 	event_priority_set(_posted_event.get(), POSTED_PRIORITY);
+	_timer_event.reset(evtimer_new(_base.get(), &event_loop::_on_timers, this));
+	event_priority_set(_timer_event.get(), TIMER_PRIORITY);
+	_read_event.reset(event_new(_base.get(), -1, 0, &event_loop::_on_read, this));
+	event_priority_set(_read_event.get(), READ_PRIORITY);
+	_read_limit_event.reset(evtimer_new(_base.get(), &event_loop::_on_read, this));
+	event_priority_set(_read_limit_event.get(), TIMER_PRIORITY);
 	std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -90,40 +130,111 @@
 	static_cast<event_loop *>(p_self)->_signal_received.emit(p_signal);
 }
 
-instant event_loop::now() {
-	const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-	return instant(std::chrono::duration_cast<duration>(since_start));
+void event_loop::_set_timer(timer &p_timer, instant p_due, timer_order p_order) {
+	std::erase(_due, p_timer._id);
+	_timers[p_timer._id] = &p_timer;
+	_queue.set(p_timer._id, p_due, p_order);
+	if (_armed_for == instant{} || p_due < _armed_for) {
+		_arm();
+	}
 }
 
-unix_milliseconds event_loop::wall() {
-	const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-	return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+void event_loop::_cancel_timer(const timer &p_timer) {
+	if (_timers.erase(p_timer._id) > 0) {
+		std::erase(_due, p_timer._id);
+		_queue.cancel(p_timer._id);
+	}
 }
 
-void timer::event_deleter::operator()(event *p_event) const {
-	event_free(p_event);
+void event_loop::_arm() {
+	const std::optional<instant> next = _queue.get_next(_is_reading_first);
+	if (!next) {
+		_armed_for = instant{};
+		evtimer_del(_timer_event.get());
+		return;
+	}
+	const instant now_at = now();
+	_armed_for = std::min(*next, now_at + LONGEST_SLEEP);
+	const timeval delay = to_timeval(_armed_for - now_at);
+	evtimer_add(_timer_event.get(), &delay);
 }
 
-timer::timer(event_loop &p_loop, std::function<void()> p_hook) :
-		_event(evtimer_new(p_loop.get_base(), &timer::_on_time, this)), _hook(std::move(p_hook)) {
-	event_priority_set(_event.get(), TIMER_PRIORITY);
+void event_loop::_on_timers(int, short, void *p_self) {
+	static_cast<event_loop *>(p_self)->_run_timers();
+}
+
+void event_loop::_run_timers() {
+	const clock_reading clocks = read_clocks_or_replaced();
+	_alarm.put_off(clocks.since_boot);
+	const duration late = _armed_for == instant{} ? duration::zero() : clocks.since_boot - _armed_for;
+	const hold_up stood_still = _hold_ups.note(clocks, late);
+	if (stood_still.late > duration::zero() && !_is_reading_first) {
+		_read_first(stood_still);
+	}
+	_run_due(clocks.since_boot);
+	_arm();
+}
+
+void event_loop::_run_due(instant p_now) {
+	for (std::optional<std::uint64_t> due = _queue.take_due(_is_reading_first, p_now); due; due = _queue.take_due(_is_reading_first, p_now)) {
+		_due.push_back(*due);
+	}
+	// What a hook sets anew waits for the next turn, and what it cancels does not run any more.
+	while (!_due.empty()) {
+		const auto found = _timers.find(_due.front());
+		_due.pop_front();
+		timer &ended = *found->second;
+		_timers.erase(found);
+		ended._hook();
+	}
+}
+
+void event_loop::_read_first(const hold_up &p_hold_up) {
+	_is_reading_first = true;
+	_held_up.emit(p_hold_up);
+	event_active(_read_event.get(), 0, 0);
+	const timeval limit = to_timeval(LONGEST_READING);
+	evtimer_add(_read_limit_event.get(), &limit);
+}
+
+void event_loop::_on_read(int, short, void *p_self) {
+	event_loop &self = *static_cast<event_loop *>(p_self);
+	evtimer_del(self._read_limit_event.get());
+	if (!self._is_reading_first) {
+		return;
+	}
+	self._is_reading_first = false;
+	self._run_due(now());
+	self._arm();
+}
+
+instant event_loop::now() {
+	return replaced_reader == nullptr ? read_clock(CLOCK_BOOTTIME) : replaced_reader().since_boot;
+}
+
+void event_loop::set_clock_reader(clock_reader p_reader) {
+	replaced_reader = p_reader;
+}
+
+unix_milliseconds event_loop::wall() {
+	const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+	return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
 }
 
-void timer::_on_time(int, short, void *p_self) {
-	static_cast<timer *>(p_self)->_hook();
+timer::timer(event_loop &p_loop, std::function<void()> p_hook, timer_order p_order) :
+		_loop(p_loop), _id(p_loop._next_timer++), _order(p_order), _hook(std::move(p_hook)) {
 }
 
 void timer::set(duration p_delay) {
-	const timeval delay = to_timeval(p_delay);
-	evtimer_add(_event.get(), &delay);
+	set_at(event_loop::now() + p_delay);
 }
 
 void timer::set_at(instant p_at) {
-	set(p_at - event_loop::now());
+	_loop._set_timer(*this, p_at, _order);
 }
 
 void timer::cancel() {
-	evtimer_del(_event.get());
+	_loop._cancel_timer(*this);
 }
 
 } // namespace calicoscale
--- /dev/null
+++ b/drivers/suspension_alarm.cpp
@@ -0,0 +1,66 @@
+/*
+ * calicoscale: suspension_alarm.cpp
+ * Wakes an event loop first thing when the VM was suspended.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/suspension_alarm.h"
+
+#include <event2/event.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace calicoscale {
+
+namespace {
+
+/** After the loop last ran; twice the longest time it sleeps, so that it goes off only when the loop was kept from running. */
+constexpr duration ALARM_AFTER = std::chrono::milliseconds(200);
+/** It is put off when half of that is over. */
+constexpr duration LEAST_LEFT = ALARM_AFTER / 2;
+
+} // namespace
+
+void suspension_alarm::event_deleter::operator()(event *p_event) const {
+	event_free(p_event);
+}
+
+suspension_alarm::suspension_alarm(event_base *p_base, int p_priority, std::function<void()> p_on_alarm) :
+		_alarm(timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC)), _on_alarm(std::move(p_on_alarm)) {
+	if (_alarm < 0) {
+		return;
+	}
+	_event.reset(event_new(p_base, _alarm, EV_READ | EV_PERSIST, &suspension_alarm::_on_event, this));
+	event_priority_set(_event.get(), p_priority);
+	event_add(_event.get(), nullptr);
+}
+
+suspension_alarm::~suspension_alarm() {
+	_event.reset();
+	if (_alarm >= 0) {
+		close(_alarm);
+	}
+}
+
+void suspension_alarm::put_off(instant p_now) {
+	if (_alarm < 0 || _set_for - p_now > LEAST_LEFT) {
+		return;
+	}
+	_set_for = p_now + ALARM_AFTER;
+	itimerspec time{};
+	time.it_value.tv_nsec = std::chrono::nanoseconds(ALARM_AFTER).count();
+	timerfd_settime(_alarm, 0, &time, nullptr);
+}
+
+void suspension_alarm::_on_event(int p_alarm, short, void *p_self) {
+	std::uint64_t count = 0;
+	if (read(p_alarm, &count, sizeof(count)) > 0) {
+		static_cast<suspension_alarm *>(p_self)->_on_alarm();
+	}
+}
+
+} // namespace calicoscale
--- a/main/gateway/configuration_follower.h
+++ b/main/gateway/configuration_follower.h
@@ -55,6 +55,12 @@
 	/** How long ago the store last answered a read of the configuration; since the start if it has not yet. */
 	duration get_unconfirmed_time(instant p_now) const { return _reader.get_unconfirmed_time(p_now); }
 
+	/** This node was away: asks at once for what changed meanwhile. */
+	void catch_up() { _reader.read_after_absence(); }
+
+	/** Whether the configuration is known as it was at a moment. */
+	bool is_known_since(instant p_moment) const { return _reader.is_answered_since(p_moment); }
+
 	/** Peers that are heard follow the configuration, so that this node need not. Told often; the last time counts as an answer. */
 	void set_covered(bool p_is_covered);
 
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -51,6 +51,12 @@
 	/** Up to where this node knows the topic; zero while it does not. */
 	std::uint64_t get_offset() const { return _reader.is_loaded() ? _reader.get_offset() : 0; }
 
+	/** This node was away: asks at once for what changed meanwhile. */
+	void catch_up() { _reader.read_after_absence(); }
+
+	/** Whether the endpoints are known as they were at a moment. */
+	bool is_known_since(instant p_moment) const { return _reader.is_answered_since(p_moment); }
+
 	/** A peer or an answer told that an endpoint leaves. */
 	void mark_leaving(const endpoint_identity &p_identity);
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -15,8 +15,13 @@
 namespace {
 
 constexpr duration TICK = std::chrono::milliseconds(100);
-/** A tick later than this is told: what waited for this node meanwhile is explained by it, not by what it was sent. */
-constexpr duration HOLD_UP = std::chrono::milliseconds(100);
+/**
+ * A node that was away for this part of the time that a change may take asks what changed before it serves: what it knows is
+ * that much older than it usually is.
+ */
+constexpr int PARTS_OF_APPLY = 2;
+/** Calls to the store take some milliseconds, and 0.2 s when it is slow; a node whose store is away goes on without. */
+constexpr duration LONGEST_CATCH_UP = std::chrono::milliseconds(300);
 /** The balancer asks once a second and needs two misses. */
 constexpr duration STOP_LISTEN = std::chrono::milliseconds(2600);
 /** A connection that the balancer sent just now is given this long for its request. */
@@ -71,6 +76,7 @@
 	}
 	_callers.set_on_crossed([this](const crossed_end &p_crossed) { _on_crossed(p_crossed); });
 	_dispatcher.set_on_run_lost([this](const lost_run &p_run) { _crashes.on_run_lost(p_run); });
+	_held_up = _context.loop.held_up().connect([this](const hold_up &p_hold_up) { _on_held_up(p_hold_up); });
 	_fleet.reach_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_configuration.changed().connect([this] { _on_configuration(); });
 	_endpoints.changed().connect([this] { _on_endpoints(); });
@@ -83,6 +89,10 @@
 	_services.set_settings(routing);
 }
 
+gateway::~gateway() {
+	_held_up.disconnect();
+}
+
 void gateway::start() {
 	_context.log.write(log_line("started").add("vm", _context.settings.vm).add("zone", _context.settings.zone).add("callers", to_string(_callers.get_address())).add("link", to_string(get_link_address())).add("incarnation", static_cast<long long>(_context.incarnation)).add("wall_ms", static_cast<long long>(event_loop::wall())));
 	for (std::size_t i = 0; i < static_cast<std::size_t>(mechanism::COUNT); i++) {
@@ -101,21 +111,35 @@
 }
 
 void gateway::_settle() {
-	// A node that begins alone would take the pools for its own and admit as much as all nodes together may.
 	_update_readiness();
-	_settled = _fleet.knows_fleet() || !_context.settings.without.has(mechanism::HOLD_AT_START) || event_loop::now() - _started_at > SETTLE_TIME;
 	if (!_settled) {
-		_settle_timer.set(SETTLE_INTERVAL);
-		_take_waiting();
-		return;
+		// A node that begins alone would take the pools for its own and admit as much as all nodes together may.
+		_settled = _fleet.knows_fleet() || !_context.settings.without.has(mechanism::HOLD_AT_START) || event_loop::now() - _started_at > SETTLE_TIME;
+		if (_settled) {
+			_context.log.write(log_line("settled").add("live_nodes", static_cast<long long>(_fleet.get_live_count())).add("waiting", static_cast<long long>(_waiting.size())));
+		}
 	}
-	_context.log.write(log_line("settled").add("live_nodes", static_cast<long long>(_fleet.get_live_count())).add("waiting", static_cast<long long>(_waiting_for_peers.size())));
 	_take_waiting();
+	if (!_settled || !_waiting.empty()) {
+		_settle_timer.set(SETTLE_INTERVAL);
+	}
+}
+
+bool gateway::_must_wait(const gateway_route &p_route) const {
+	// A node that did not hear of a request that ends endpoints would send it on.
+	return (!_settled && !p_route.stages.empty()) || !_crashes.is_told();
+}
+
+void gateway::_hold(const std::shared_ptr<caller_exchange> &p_exchange) {
+	if (_waiting.empty()) {
+		_settle_timer.set(SETTLE_INTERVAL);
+	}
+	_waiting.push_back(p_exchange);
 }
 
 void gateway::_take_waiting() {
 	std::vector<std::shared_ptr<caller_exchange>> waiting;
-	waiting.swap(_waiting_for_peers);
+	waiting.swap(_waiting);
 	for (const std::shared_ptr<caller_exchange> &exchange : waiting) {
 		if (!exchange->is_gone()) {
 			_on_exchange(exchange);
@@ -208,6 +232,10 @@
 }
 
 void gateway::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
+	if (_is_catching_up()) {
+		_hold(p_exchange);
+		return;
+	}
 	admitted_request request;
 	request.exchange = p_exchange;
 	request.configuration = _configuration.get_current();
@@ -233,9 +261,8 @@
 		_refuse(*p_exchange, http_status::UNAUTHORIZED, reason::UNAUTHORIZED);
 		return;
 	}
-	// One that did not hear of a request that ends endpoints would send it on.
-	if ((!_settled && !request.route->stages.empty()) || !_crashes.is_told()) {
-		_waiting_for_peers.push_back(p_exchange);
+	if (_must_wait(*request.route)) {
+		_hold(p_exchange);
 		return;
 	}
 	if (_refuse_if_held_back(request)) {
@@ -347,18 +374,26 @@
 	}
 }
 
-void gateway::_note_hold_up() {
-	const instant now = event_loop::now();
-	const duration late = now - _tick_due;
-	if (_tick_due != instant{} && late > HOLD_UP) {
-		_context.metrics.count("loop_held_up");
-		_context.log.write(log_line("loop_held_up").add("late_ms", late).add("open", static_cast<long long>(_requests.size())).add("version", static_cast<long long>(_configuration.get_version())));
+void gateway::_on_held_up(const hold_up &p_hold_up) {
+	_context.metrics.count("loop_held_up");
+	_context.log.write(log_line("loop_held_up").add("late_ms", p_hold_up.late).add("by", get_name(p_hold_up.cause)).add("open", static_cast<long long>(_requests.size())).add("version", static_cast<long long>(_configuration.get_version())));
+	_fleet.on_held_up(p_hold_up.late);
+	if (p_hold_up.late * PARTS_OF_APPLY < _context.settings.configuration_apply || !_configuration.get_current()) {
+		return;
+	}
+	_away_until = event_loop::now();
+	_configuration.catch_up();
+	_endpoints.catch_up();
+}
+
+bool gateway::_is_catching_up() const {
+	if (_away_until == instant{} || event_loop::now() - _away_until > LONGEST_CATCH_UP) {
+		return false;
 	}
-	_tick_due = now + TICK;
+	return !_configuration.is_known_since(_away_until) || !_endpoints.is_known_since(_away_until);
 }
 
 void gateway::_tick() {
-	_note_hold_up();
 	_update_readiness();
 	if (_phase != stop_phase::NONE) {
 		_advance_stop();
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -48,8 +48,8 @@
 	caller_server _readiness;
 	std::unique_ptr<caller_server> _metrics_server;
 	timer _tick_timer;
-	instant _tick_due{};
-	std::vector<std::shared_ptr<caller_exchange>> _waiting_for_peers; ///< Came before this node knew what others do.
+	std::vector<std::shared_ptr<caller_exchange>> _waiting; ///< Came before this node knew what others do, or what changed while it was away.
+	instant _away_until{}; ///< When it was last away for longer than it may serve unasked.
 	timer _settle_timer;
 	instant _started_at{};
 	bool _settled = false;
@@ -57,6 +57,7 @@
 	instant _stop_started{};
 	bool _was_ready = false;
 	bool _has_stopped = false;
+	sigc::connection _held_up; ///< The loop outlives this.
 
 	bool _is_ready() const;
 	void _on_configuration();
@@ -68,6 +69,9 @@
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
 	void _settle();
 	void _take_waiting();
+	bool _must_wait(const gateway_route &p_route) const;
+	/** Keeps a request until this node may decide on it. */
+	void _hold(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _update_readiness();
 	/** Once the balancer has noticed the stop: whether the request might outlast it. */
 	bool _refuse_if_stopping(const admitted_request &p_request);
@@ -76,8 +80,8 @@
 	void _run(admitted_request p_request);
 	void _on_readiness(caller_exchange &p_exchange);
 	void _on_metrics(caller_exchange &p_exchange);
-	/** Tells of a loop that did one thing for long. */
-	void _note_hold_up();
+	void _on_held_up(const hold_up &p_hold_up);
+	bool _is_catching_up() const;
 	duration _get_idle_limit() const;
 	void _on_crossed(const crossed_end &p_crossed);
 	void _tick();
@@ -92,6 +96,9 @@
 	 * @throws std::runtime_error when one cannot be bound.
 	 */
 	gateway(event_loop &p_loop, const gateway_settings &p_settings);
+	~gateway();
+	gateway(const gateway &) = delete;
+	gateway &operator=(const gateway &) = delete;
 
 	/** Begins to work. */
 	void start();
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -144,6 +144,9 @@
 	/** Live nodes of all zones, as far as is known. */
 	std::size_t get_live_count() const;
 
+	/** This node stood still: it does not take its peers for lost by its own absence. */
+	void on_held_up(duration p_absence) { _contacts.forgive(p_absence); }
+
 	/** Keeps a link to a node for some time, and makes one if there is none. */
 	void keep_link(const std::string &p_vm);
 
--- a/main/gateway/topic_reader.cpp
+++ b/main/gateway/topic_reader.cpp
@@ -43,6 +43,11 @@
 	_send(_schedule.begin());
 }
 
+void topic_reader::read_after_absence() {
+	_read_since = event_loop::now();
+	_send(_schedule.begin_after_absence());
+}
+
 void topic_reader::read_whole() {
 	_is_loaded = false;
 	read();
--- a/main/gateway/topic_reader.h
+++ b/main/gateway/topic_reader.h
@@ -52,6 +52,12 @@
 	/** Begins a reading at once. */
 	void read();
 
+	/** This node was away: begins a reading that is answered at once. */
+	void read_after_absence();
+
+	/** Whether the store, or whoever reads for this node, answered since a moment. */
+	bool is_answered_since(instant p_moment) const { return _answered_at >= p_moment; }
+
 	/** Begins a reading of the newest record of each key at once. */
 	void read_whole();
 
--- a/main/serve/request_service.cpp
+++ b/main/serve/request_service.cpp
@@ -130,7 +130,8 @@
 	request.hooks = std::move(p_hooks);
 	request.started = event_loop::now();
 	request.flow = std::make_unique<request_flow>(std::move(p_plan), _make_flow_hooks());
-	request.wake = std::make_unique<timer>(_context.loop, [this, &request] { _apply(request, request.flow->on_wake(event_loop::now())); });
+	request.wake = std::make_unique<timer>(
+			_context.loop, [this, &request] { _apply(request, request.flow->on_wake(event_loop::now())); }, timer_order::BEFORE_SOCKETS);
 	_running.emplace(id, std::move(made));
 	// Started from the loop, so that no hook runs inside begin().
 	_context.loop.post([this, id] {
--- a/servers/gateway/read_schedule.cpp
+++ b/servers/gateway/read_schedule.cpp
@@ -38,6 +38,12 @@
 	return _plan(true);
 }
 
+planned_read read_schedule::begin_after_absence() {
+	_reading++;
+	_open = 0;
+	return _plan(false);
+}
+
 std::optional<planned_read> read_schedule::check() {
 	if (_open == 0) {
 		return begin();
--- a/servers/gateway/read_schedule.h
+++ b/servers/gateway/read_schedule.h
@@ -57,6 +57,9 @@
 	/** Begins a reading, whatever is still open of the one before. */
 	planned_read begin();
 
+	/** Begins a reading that does not wait, on a new connection: this node was away, and what is open may be dead or old. */
+	planned_read begin_after_absence();
+
 	/** The time that the last read named has passed without an answer. Empty while as many are open as may be. */
 	std::optional<planned_read> check();
 
--- a/servers/membership/peer_contacts.cpp
+++ b/servers/membership/peer_contacts.cpp
@@ -56,6 +56,14 @@
 	return found != _contacts.end() && found->second.heard_at != instant{} && p_now - found->second.heard_at < _get_silence(found->second);
 }
 
+void peer_contacts::forgive(duration p_absence) {
+	for (auto &[peer, entry] : _contacts) {
+		for (instant *heard : { &entry.heard_at, &entry.wanted_at, &entry.relied_at }) {
+			*heard += *heard == instant{} ? duration::zero() : p_absence;
+		}
+	}
+}
+
 std::vector<std::string> peer_contacts::get_dead(instant p_now) const {
 	std::vector<std::string> dead;
 	for (const auto &[peer, entry] : _contacts) {
--- a/servers/membership/peer_contacts.h
+++ b/servers/membership/peer_contacts.h
@@ -66,6 +66,9 @@
 	/** Whether a peer was heard just now, given how often it beats. */
 	bool is_heard(const std::string &p_peer, instant p_now) const;
 
+	/** This node stood still: what it did not hear meanwhile is no silence of its peers. */
+	void forgive(duration p_absence);
+
 	/** Peers silent for so long that their links are not worth keeping. */
 	std::vector<std::string> get_dead(instant p_now) const;
 
