--- a/main/gateway/crash_watch.cpp
+++ b/main/gateway/crash_watch.cpp
@@ -50,7 +50,7 @@
 }
 
 void crash_watch::_look() {
-	const auto is_listed = [this](const endpoint_identity &p_endpoint) { return _endpoints.get_directory().contains_start(p_endpoint); };
+	const auto is_listed = [this](const endpoint_identity &p_endpoint) { return _endpoints.get_directory().contains_start(p_endpoint) && !_endpoints.get_directory().is_superseded(p_endpoint); };
 	for (const ended_endpoint &ended : _lost.take_ended(is_listed, event_loop::now())) {
 		_blame(ended, "entry");
 	}
--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -118,14 +118,14 @@
 
 endpoint_reading endpoint_follower::_take_records(const store_answer &p_answer) {
 	const instant now = event_loop::now();
-	const std::vector<endpoint_record> records = _filter.take(read_entries(p_answer), _directory.get_listings(), now);
+	const std::vector<endpoint_record> records = _filter.take(read_entries(p_answer), _directory.get_entries(), now);
 	_note_rejected();
 	return _directory.take_records(records, p_answer.next_offset - p_answer.records.size(), p_answer.next_offset, now);
 }
 
 void endpoint_follower::_take_whole(const store_answer &p_answer) {
 	const instant now = event_loop::now();
-	const std::vector<endpoint_listing> listings = _filter.take_whole(read_entries(p_answer), _directory.get_listings(), now);
+	const std::vector<endpoint_listing> listings = _filter.take_whole(read_entries(p_answer), _directory.get_entries(), now);
 	_note_rejected();
 	_directory.replace(listings, now);
 }
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -184,6 +184,15 @@
 	// Requests that end here go on elsewhere, so all lists must be in force by then.
 	_end_replaced(engines_replaced, _engines);
 	_end_replaced(others_replaced, _services);
+	_end_superseded();
+}
+
+void gateway::_end_superseded() {
+	for (const endpoint_identity &earlier : _endpoints.get_directory().take_superseded()) {
+		const std::size_t ended = _context.channels.end_replaced(earlier, duration::zero());
+		_context.metrics.count("endpoints_superseded");
+		_context.log.write(log_line("endpoint_superseded").add("endpoint", earlier.vm).add("incarnation", static_cast<long long>(earlier.incarnation)).add("ended_exchanges", static_cast<long long>(ended)));
+	}
 }
 
 std::vector<endpoint_identity> gateway::_note_changes(router &r_choices) {
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -64,6 +64,8 @@
 	void _on_endpoints();
 	std::vector<endpoint_identity> _note_changes(router &r_choices);
 	void _end_replaced(const std::vector<endpoint_identity> &p_replaced, const router &p_choices);
+	/** Ends the runs of endpoints at whose addresses others started. */
+	void _end_superseded();
 	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
--- a/main/gateway/newcomer_help.cpp
+++ b/main/gateway/newcomer_help.cpp
@@ -56,7 +56,7 @@
 	instant &told = _told_endpoints_at[p_peer.vm];
 	if (told == instant{} || now - told > TELL_INTERVAL) {
 		told = now;
-		_link.send(p_peer.vm, tell_endpoints_message{ _endpoints.get_directory().get_listings(), _endpoints.get_offset() });
+		_link.send(p_peer.vm, tell_endpoints_message{ _endpoints.get_directory().get_entries(), _endpoints.get_offset() });
 	}
 }
 
--- a/servers/gateway/endpoint_directory.cpp
+++ b/servers/gateway/endpoint_directory.cpp
@@ -112,9 +112,7 @@
 	for (const std::string &name : p_reading.dropped) {
 		drop(name, p_now);
 	}
-	for (const endpoint_listing &listing : p_reading.written) {
-		put(listing);
-	}
+	_put_unordered(p_reading.written);
 }
 
 std::uint64_t endpoint_directory::get_listed() const {
@@ -139,7 +137,7 @@
 }
 
 void endpoint_directory::put(const endpoint_listing &p_listing) {
-	known_endpoint entry{ p_listing, std::nullopt };
+	known_endpoint entry{ p_listing, std::nullopt, 0, false };
 	const auto found = _endpoints.find(p_listing.vm);
 	if (found != _endpoints.end()) {
 		const std::uint64_t known = found->second.listing.incarnation;
@@ -157,8 +155,50 @@
 	if (found != _endpoints.end() && found->second.listing == entry.listing && !found->second.dropped_at) {
 		return;
 	}
+	const bool is_start = found == _endpoints.end() || found->second.listing.address != entry.listing.address || is_replaced_by(found->second.listing.get_identity(), entry.listing.get_identity());
+	_order += _is_order_known ? 1 : 0;
+	entry.order = is_start ? _order : found->second.order;
+	entry.is_superseded = !is_start && found->second.is_superseded;
 	_endpoints[p_listing.vm] = std::move(entry);
 	_changed = true;
+	if (is_start) {
+		_take_address(p_listing.vm);
+	}
+}
+
+void endpoint_directory::_put_unordered(const std::vector<endpoint_listing> &p_listings) {
+	_order++;
+	_is_order_known = false;
+	for (const endpoint_listing &listing : p_listings) {
+		put(listing);
+	}
+	_is_order_known = true;
+}
+
+void endpoint_directory::_take_address(const std::string &p_name) {
+	known_endpoint &started = _endpoints.at(p_name);
+	if (started.listing.address.port == 0) {
+		return;
+	}
+	for (auto &[name, other] : _endpoints) {
+		if (name == p_name || other.listing.address != started.listing.address || other.is_superseded) {
+			continue;
+		}
+		const std::uint64_t start = started.listing.incarnation;
+		const std::uint64_t other_start = other.listing.incarnation;
+		const bool are_starts_known = start != 0 && other_start != 0 && start != other_start;
+		// An older start may be read late; where starts are not told, the one that was learnt later is.
+		if (are_starts_known ? start < other_start : started.order < other.order) {
+			_set_superseded(started);
+		} else if (are_starts_known || started.order > other.order) {
+			_set_superseded(other);
+		}
+	}
+}
+
+void endpoint_directory::_set_superseded(known_endpoint &r_endpoint) {
+	r_endpoint.is_superseded = true;
+	_superseded.push_back(r_endpoint.listing.get_identity());
 }
 
 void endpoint_directory::drop(const std::string &p_name, instant p_now) {
@@ -218,15 +258,25 @@
 }
 
 bool endpoint_directory::is_staying(const endpoint_identity &p_identity) const {
-	return contains_start(p_identity) && !_endpoints.at(p_identity.vm).listing.leaving && !_has_left(p_identity);
+	return contains_start(p_identity) && !_endpoints.at(p_identity.vm).listing.leaving && !_has_left(p_identity) && !is_superseded(p_identity);
+}
+
+bool endpoint_directory::is_superseded(const endpoint_identity &p_identity) const {
+	return contains_start(p_identity) && _endpoints.at(p_identity.vm).is_superseded;
+}
+
+std::vector<endpoint_identity> endpoint_directory::take_superseded() {
+	std::vector<endpoint_identity> superseded;
+	superseded.swap(_superseded);
+	return superseded;
 }
 
 void endpoint_directory::replace(const std::vector<endpoint_listing> &p_listings, instant p_now) {
 	std::set<std::string> names;
 	for (const endpoint_listing &listing : p_listings) {
 		names.insert(listing.vm);
-		put(listing);
 	}
+	_put_unordered(p_listings);
 	std::vector<std::string> missing;
 	for (const auto &[name, entry] : _endpoints) {
 		if (!names.contains(name)) {
@@ -242,9 +292,7 @@
 	if (_read_at != instant{} || p_listings.empty()) {
 		return false;
 	}
-	for (const endpoint_listing &listing : p_listings) {
-		put(listing);
-	}
+	_put_unordered(p_listings);
 	_loaded = true;
 	return true;
 }
@@ -289,18 +337,29 @@
 	return is_waiting ? std::optional<instant>(_returned_at + RETURN_TIME) : std::nullopt;
 }
 
+std::vector<endpoint_listing> endpoint_directory::get_entries() const {
+	std::vector<endpoint_listing> entries;
+	entries.reserve(_endpoints.size());
+	for (const auto &[name, entry] : _endpoints) {
+		entries.push_back(entry.listing);
+	}
+	return entries;
+}
+
 std::vector<endpoint_listing> endpoint_directory::get_listings() const {
 	std::vector<endpoint_listing> listings;
 	listings.reserve(_endpoints.size());
 	for (const auto &[name, entry] : _endpoints) {
-		listings.push_back(entry.listing);
+		if (!entry.is_superseded) {
+			listings.push_back(entry.listing);
+		}
 	}
 	return listings;
 }
 
 std::string endpoint_directory::find_zone(const network_address &p_address) const {
 	for (const auto &[name, entry] : _endpoints) {
-		if (entry.listing.address == p_address) {
+		if (entry.listing.address == p_address && !entry.is_superseded) {
 			return entry.listing.zone;
 		}
 	}
--- a/servers/gateway/endpoint_directory.h
+++ b/servers/gateway/endpoint_directory.h
@@ -41,11 +41,17 @@
  * Entries that went while the log was away may have lapsed only because nobody could renew them: these endpoints stay in
  * use until a short time after the log's return. Incarnation 0, from peers that do not know it, stands for the start that
  * is known here.
+ *
+ * An address belongs to the endpoint that started there last. An entry lapses some seconds after its process ended, and
+ * another one may have the address by then: 7 to 20 in 100 requests to engines met another endpoint than they were for, on
+ * days on which engines came back under new names.
  */
 class endpoint_directory {
 	struct known_endpoint {
 		endpoint_listing listing;
 		std::optional<instant> dropped_at; ///< Went with an outage of the log; kept for a while.
+		std::uint64_t order = 0; ///< In which starts were learnt; alike for those whose order is not known.
+		bool is_superseded = false; ///< Another endpoint started at its address since: its process is gone.
 	};
 
 	std::map<std::string, known_endpoint> _endpoints;
@@ -57,7 +63,15 @@
 	instant _returned_at{}; ///< End of the last outage seen.
 	bool _loaded = false;
 	bool _changed = false;
-
+	std::uint64_t _order = 0;
+	bool _is_order_known = true; ///< Entries are put in the order in which they were written.
+	std::vector<endpoint_identity> _superseded; ///< Since the last call.
+
+	/** Puts entries that were not told in the order in which they were written. */
+	void _put_unordered(const std::vector<endpoint_listing> &p_listings);
+	/** An endpoint started: whoever had its address before has ended. */
+	void _take_address(const std::string &p_name);
+	void _set_superseded(known_endpoint &r_endpoint);
 	/** An endpoint whose entry is there; empty for one that went with an outage and is only kept for a while. */
 	std::optional<endpoint_listing> _find_kept(const std::string &p_name) const;
 	bool _is_after_outage(instant p_now) const;
@@ -122,7 +136,10 @@
 	/** When entries that went with an outage are dropped; empty when none waits for that. */
 	std::optional<instant> get_drop_time() const;
 
-	/** All endpoints, those that leave included. */
+	/** All entries as the log has them. */
+	std::vector<endpoint_listing> get_entries() const;
+
+	/** All endpoints, those that leave included, but not those at whose address another one started. */
 	std::vector<endpoint_listing> get_listings() const;
 
 	/** Zone of the endpoint at an address; empty when there is none. */
@@ -146,6 +163,12 @@
 	/** Whether this start of an endpoint is there and has not said that it leaves. */
 	bool is_staying(const endpoint_identity &p_identity) const;
 
+	/** Whether another endpoint started at the address of this one. */
+	bool is_superseded(const endpoint_identity &p_identity) const;
+
+	/** Endpoints at whose addresses others started since the last call. */
+	std::vector<endpoint_identity> take_superseded();
+
 	bool is_loaded() const { return _loaded; }
 	std::size_t get_size() const { return _endpoints.size(); }
 };
--- a/tests/servers/gateway/endpoint_record_filter_test.cpp
+++ b/tests/servers/gateway/endpoint_record_filter_test.cpp
@@ -7,6 +7,8 @@
  */
 
 #include "servers/gateway/endpoint_record_filter.h"
+
+#include "core/digest.h"
 #include "servers/gateway/rejection_notes.h"
 
 #include <gtest/gtest.h>
@@ -29,7 +31,8 @@
 	listing.vm = p_name;
 	listing.pool = "llm";
 	listing.incarnation = p_start;
-	listing.address = network_address{ "10.0.0.1", 80 };
+	// Each has an address of its own, as one that starts at the address of another ends it.
+	listing.address = network_address{ "10.0.0.1", static_cast<std::uint16_t>(1 + hash_bytes(p_name) % 60000) };
 	return listing;
 }
 
@@ -57,12 +60,12 @@
 
 	void take(const std::vector<read_endpoint_record> &p_records, int p_ms) {
 		directory.on_read(at(p_ms));
-		directory.take_records(filter.take(p_records, directory.get_listings(), at(p_ms)), 0, 0, at(p_ms));
+		directory.take_records(filter.take(p_records, directory.get_entries(), at(p_ms)), 0, 0, at(p_ms));
 	}
 
 	void take_whole(const std::vector<read_endpoint_record> &p_records, int p_ms) {
 		directory.on_read(at(p_ms));
-		directory.replace(filter.take_whole(p_records, directory.get_listings(), at(p_ms)), at(p_ms));
+		directory.replace(filter.take_whole(p_records, directory.get_entries(), at(p_ms)), at(p_ms));
 	}
 };
 
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -6,6 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
+#include "core/digest.h"
 #include "servers/gateway/commitment_table.h"
 #include "servers/gateway/endpoint_directory.h"
 #include "servers/gateway/engine_view.h"
@@ -46,7 +47,8 @@
 	listing.vm = p_name;
 	listing.pool = "letters";
 	listing.zone = "a";
-	listing.address = network_address{ "10.0.0.1", 80 };
+	// Each has an address of its own, as one that starts at the address of another ends it.
+	listing.address = network_address{ "10.0.0.1", static_cast<std::uint16_t>(1 + hash_bytes(p_name) % 60000) };
 	listing.leaving = p_leaving;
 	return listing;
 }
@@ -293,7 +295,7 @@
 	ASSERT_EQ(directory.get_size(), 1U);
 	EXPECT_EQ(directory.get_listings().front().vm, "read");
 	EXPECT_FALSE(directory.adopt({ make_endpoint("told") }));
-	EXPECT_EQ(directory.find_zone(network_address{ "10.0.0.1", 80 }), "a");
+	EXPECT_EQ(directory.find_zone(make_endpoint("read").address), "a");
 	EXPECT_EQ(directory.find_zone(network_address{ "10.0.0.2", 80 }), "");
 }
 
