--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -141,9 +141,9 @@
 	}
 }
 
-void endpoint_follower::mark_leaving(const endpoint_identity &p_identity) {
+void endpoint_follower::mark_leaving(const endpoint_identity &p_identity, std::string_view p_source) {
 	if (_directory.mark_leaving(p_identity)) {
-		_context.log.write(log_line("endpoint_leaving").add("endpoint", p_identity.vm).add("incarnation", static_cast<long long>(p_identity.incarnation)).add("source", "peer"));
+		_context.log.write(log_line("endpoint_leaving").add("endpoint", p_identity.vm).add("incarnation", static_cast<long long>(p_identity.incarnation)).add("source", p_source));
 		_publish();
 	}
 }
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -58,7 +58,7 @@
 	bool is_known_since(instant p_moment) const { return _reader.is_answered_since(p_moment); }
 
 	/** A peer or an answer told that an endpoint leaves. */
-	void mark_leaving(const endpoint_identity &p_identity);
+	void mark_leaving(const endpoint_identity &p_identity, std::string_view p_source);
 
 	/** Drops endpoints that peers told of before and that count as gone by now. */
 	void drop_told();
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -473,7 +473,7 @@
 
 void gateway_fleet::_take_endpoint_news(const std::string &p_vm, const heartbeat_message &p_message) {
 	for (const leaving_mark &mark : p_message.marks) {
-		_endpoints.mark_leaving(endpoint_identity{ mark.vm, mark.incarnation });
+		_endpoints.mark_leaving(endpoint_identity{ mark.vm, mark.incarnation }, "peer/" + p_vm);
 	}
 	for (const endpoint_identity &endpoint : p_message.gone) {
 		_endpoints.mark_gone(endpoint, p_vm);
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -511,6 +511,8 @@
 void gateway_request::_on_whole_answer() {
 	if (_answer.is_other_endpoint) {
 		_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_LEAVING });
+		// Its address is another's, so it has ended; peers need not find out each for itself.
+		_services.endpoints.mark_leaving(_endpoint_identity, "answer");
 		_on_not_run();
 		return;
 	}
--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -372,6 +372,20 @@
 	EXPECT_FALSE(was_alone);
 }
 
+TEST_F(gateway_fleet_test, what_the_endpoint_at_an_address_rejects_is_not_sent_there_by_others) {
+	configure(1);
+	standin_replica &replica = add_replica("llm");
+	_store.put(ENDPOINT_TOPIC, "i-gone", replica.get_entry("llm"));
+	_store.drop(ENDPOINT_TOPIC, replica.get_name());
+	gateway &one = start_ready();
+	gateway &other = start_ready();
+	wait(milliseconds(600));
+	EXPECT_EQ(ask(one, "/once/")->head.status, 503);
+	wait(milliseconds(600));
+	EXPECT_EQ(ask(other, "/once/")->head.status, 503);
+	EXPECT_EQ(replica.meant_for_others, 1U);
+}
+
 TEST_F(gateway_fleet_test, history_that_is_gone_is_read_anew) {
 	configure(1);
 	standin_replica &old = add_replica("llm");
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -66,6 +66,7 @@
 void standin_replica::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
 	const std::string *expected = p_exchange->head.find("X-Expect-Replica");
 	if (expected != nullptr && *expected != _name) {
+		meant_for_others++;
 		p_exchange->reply(421, { { "X-Replica-Id", _name } }, "");
 		return;
 	}
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -63,6 +63,7 @@
 	replica_mode mode = replica_mode::ANSWER;
 	std::string zone = "a";
 	std::vector<seen_request> runs; ///< Requests it began to work on.
+	std::size_t meant_for_others = 0; ///< Requests it rejected as they named another replica.
 	std::size_t stage_calls = 0;
 	std::vector<std::string> stage_items; ///< "attempt.stage.piece" of each piece made.
 	std::set<std::string> results; ///< Handles not released yet.
