--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -68,7 +68,8 @@
 		_stages(_request.route->stages, _request.facts.stage_pieces),
 		_transfers(_stages, [this](const std::string &p_handle) { return _services.endpoints.get_directory().find_zone(get_maker(p_handle)); }),
 		_times_after(get_times_after(*_request.configuration, *_request.route, _request.facts.stage_pieces)),
-		_give_up_timer(p_services.context.loop, [this] { _on_give_up_time(); }, timer_order::BEFORE_SOCKETS),
+		_give_up_timer(
+				p_services.context.loop, [this] { _on_give_up_time(); }, timer_order::BEFORE_SOCKETS),
 		_retry_timer(p_services.context.loop, [this] { _send(); }),
 		_prompt(_make_prompt_links()),
 		_permit(p_services.crashes, [this] { return get_content(_request); }) {
