--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -107,4 +107,16 @@
 	_ticked_at" "}
 	_ticked_at" gateway_fleet_test
 mutate "gateway: lost dispatcher" "its work is not handed to another" main/gateway/stage_dispatcher.cpp "_assign(id, p_vm);" "" gateway_fleet_test
+memory=servers/gateway/crash_memory.cpp
+mutate "requests that end endpoints" "they are never tried" $memory "verdict.crashes < CRASHES_TO_TRY" "verdict.crashes < 100" crash_memory_test
+mutate "requests that end endpoints" "trials have no end" $memory "verdict.trials >= MOST_TRIALS" "verdict.trials >= 100" crash_memory_test
+mutate "requests that end endpoints" "two trials at once" $memory "return p_entry.first != p_trial && (is_under_way || comes_first);" "return false;" crash_memory_test
+mutate "requests that end endpoints" "a connection that ends alone blames its run" servers/gateway/lost_runs.cpp "if (p_end == probe_end::REFUSED) {" "if (p_end != probe_end::SILENT) {" lost_runs_test
+mutate "nodes that stood still" "peers are silent by one's own absence" servers/membership/peer_contacts.cpp "*heard == instant{} ? duration::zero() : p_absence" "duration::zero()" gateway_suspension_test
+mutate "nodes that stood still" "requests are decided on before what changed is known" main/gateway/gateway.cpp "return !_configuration.is_known_since(_away_until) || !_endpoints.is_known_since(_away_until);" "return false;" gateway_suspension_test
+mutate "nodes that stood still" "silence is judged before what came is read" drivers/event_loop.cpp "	_is_reading_first = true;
+" "" event_loop_test
+mutate "one address, one endpoint" "the earlier entry stays" servers/gateway/endpoint_directory.cpp "		_take_address(p_listing.vm);
+" "" endpoint_address_test
+
 exit "$status"
