--- a/main/gateway/crash_exchange.cpp
+++ b/main/gateway/crash_exchange.cpp
@@ -18,8 +18,10 @@
 constexpr std::size_t MOST_RECORDS = 140;
 /** Records told to a node that is linked anew, 20 KB. */
 constexpr std::size_t MOST_WHOLE_RECORDS = 500;
+/** A node that starts alone among others has a link, and was told over it, well within this. */
+constexpr duration FIRST_READ_AFTER = std::chrono::milliseconds(200);
 /** Of the nodes of a fleet that starts the first to read tell the others. */
-constexpr duration FIRST_READ_SPREAD = std::chrono::milliseconds(500);
+constexpr duration FIRST_READ_SPREAD = std::chrono::milliseconds(400);
 constexpr duration READ_RETRY = std::chrono::seconds(2);
 /** At most five writes a second by a node, all news of a request in one. */
 constexpr duration WRITE_PAUSE = std::chrono::milliseconds(200);
@@ -55,8 +57,8 @@
 }
 
 void crash_exchange::start() {
-	const double part = _context.settings.peers.empty() ? 0.0 : _context.random.get_unit();
-	_read_timer.set(from_seconds(part * to_seconds(FIRST_READ_SPREAD)));
+	const bool has_peers = !_context.settings.peers.empty();
+	_read_timer.set(has_peers ? FIRST_READ_AFTER + from_seconds(_context.random.get_unit() * to_seconds(FIRST_READ_SPREAD)) : duration::zero());
 }
 
 void crash_exchange::tell(const crash_record &p_record) {
@@ -101,12 +103,23 @@
 		}
 	}
 	_is_told = true;
-	if (p_message.is_whole && !_knows_store) {
-		_knows_store = true;
-		_read_timer.cancel();
-	}
 	_relay.add_told(p_vm, news);
 	_relay.send_soon();
+	if (p_message.is_whole) {
+		_on_store_known();
+	}
+}
+
+void crash_exchange::_on_store_known() {
+	if (_knows_store) {
+		return;
+	}
+	_knows_store = true;
+	_read_timer.cancel();
+	const std::vector<crash_record> records = _memory.get_records(MOST_WHOLE_RECORDS);
+	for (const std::string &vm : _fleet.get_link().get_linked()) {
+		_send(vm, records, true);
+	}
 }
 
 void crash_exchange::_read() {
@@ -134,8 +147,8 @@
 		}
 	}
 	_is_told = true;
-	_knows_store = true;
 	_relay.send_soon();
+	_on_store_known();
 }
 
 void crash_exchange::_write_next() {
--- a/main/gateway/crash_exchange.h
+++ b/main/gateway/crash_exchange.h
@@ -40,6 +40,8 @@
 	void _on_link_up(const std::string &p_vm);
 	void _on_told(const std::string &p_vm, const tell_crashes_message &p_message);
 	void _send(const std::string &p_vm, const std::vector<crash_record> &p_records, bool p_is_whole);
+	/** What the store holds is known: nobody who is linked need read it. */
+	void _on_store_known();
 	void _read();
 	void _on_read(const store_answer &p_answer);
 	void _write_next();
--- a/tests/main/gateway_crash_test.cpp
+++ b/tests/main/gateway_crash_test.cpp
@@ -162,6 +162,12 @@
 	EXPECT_EQ(_arrivals.size(), before) << "the memory of all nodes was lost, that of the store was not";
 }
 
+TEST_F(gateway_crash_test, one_node_of_those_that_are_linked_reads_the_store_for_the_others) {
+	start_fleet();
+	wait(milliseconds(700));
+	EXPECT_LT(_store.count_reads_of("keyed.calicoscale-crashes"), _gateways.size());
+}
+
 TEST_F(gateway_crash_test, nodes_that_are_linked_to_a_hub_alone_hear_of_each_other) {
 	configure(1);
 	for (int i = 0; i < 8; i++) {
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -113,6 +113,11 @@
 	}
 }
 
+std::size_t standin_store::count_reads_of(const std::string &p_topic) const {
+	const auto found = _newest_reads.find(p_topic);
+	return found == _newest_reads.end() ? 0 : found->second;
+}
+
 std::optional<std::string> standin_store::find(const std::string &p_topic, const std::string &p_key) const {
 	const auto found = _topics.find(p_topic);
 	if (found == _topics.end()) {
@@ -188,6 +193,7 @@
 }
 
 void standin_store::_answer_newest(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query) {
+	_newest_reads[p_query.at("topic")]++;
 	if (!_next_pages.empty() && p_query.at("topic") == "keyed.servers") {
 		p_exchange.reply(200, {}, _next_pages.front());
 		_next_pages.erase(_next_pages.begin());
--- a/tests/standins/standin_store.h
+++ b/tests/standins/standin_store.h
@@ -48,6 +48,7 @@
 	bool _mute = false;
 	std::vector<std::shared_ptr<caller_exchange>> _unanswered; ///< Came while it was mute.
 	std::size_t _calls = 0;
+	std::map<std::string, std::size_t> _newest_reads; ///< By topic.
 	std::size_t _page_size = 3;
 	std::vector<std::string> _next_pages; ///< Answers to the next reads of the newest records of endpoints.
 	std::unique_ptr<caller_server> _server;
@@ -88,6 +89,9 @@
 
 	std::optional<std::string> find(const std::string &p_topic, const std::string &p_key) const;
 	std::size_t get_calls() const { return _calls; }
+
+	/** Reads of the newest records of a topic. */
+	std::size_t count_reads_of(const std::string &p_topic) const;
 	const network_address &get_address() const { return _server->get_address(); }
 };
 
