--- a/drivers/suspension_alarm.h
+++ b/drivers/suspension_alarm.h
@@ -22,7 +22,7 @@
 /**
  * libevent waits by a clock that stands still while the VM is suspended, so that sockets would be read, and written, for up to
  * a timer's length before the loop looks at the time. An alarm by the time since boot goes off at waking; it is put off for
- * as long as the loop runs, about ten system calls a second. Where the system has no such alarm nothing is set.
+ * as long as the loop runs: ten system calls a second, worked out. Where the system has no such alarm nothing is set.
  */
 class suspension_alarm {
 	struct event_deleter {
--- a/main/gateway/crash_exchange.cpp
+++ b/main/gateway/crash_exchange.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t MOST_RECORDS = 140;
 /** Records told to a node that is linked anew, 20 KB. */
 constexpr std::size_t MOST_WHOLE_RECORDS = 500;
-/** A node that starts alone among others has a link, and was told over it, well within this. */
+/** A node that starts alone among others is told over its first link; it leaves this time for that. */
 constexpr duration FIRST_READ_AFTER = std::chrono::milliseconds(200);
 /** Of the nodes of a fleet that starts the first to read tell the others. */
 constexpr duration FIRST_READ_SPREAD = std::chrono::milliseconds(400);
--- a/main/gateway/crash_guard.cpp
+++ b/main/gateway/crash_guard.cpp
@@ -13,11 +13,11 @@
 namespace {
 
 /**
- * News pass two hubs and wait for a turn of three loops. Loops were held up for 0.15 s at most in plays of all disturbances;
- * the third send that the users' rule leaves is for nodes that are slower.
+ * News pass two hubs and wait for a turn of three loops. Chosen, not measured: long against that, short against a request's
+ * time. The third send that the users' rule leaves is for nodes that are slower.
  */
 constexpr duration TRIAL_WAIT = std::chrono::milliseconds(250);
-/** A node that starts has a link, and was told over it, within a tenth of a second; it does not wait for longer than this. */
+/** A node that starts waits no longer than this to be told; its peers were live to it after 0.2 s (three nodes of a test). */
 constexpr duration LONGEST_UNTOLD = std::chrono::milliseconds(300);
 constexpr duration EXPIRY_INTERVAL = std::chrono::seconds(5);
 
