An answer that names its endpoint's limit is read, logged and counted

Sight for the incident of endpoints that get more than their limit: until now no line told which node had been told of a limit, and when. limit_named (request, endpoint, rate, in_flight) and the counter answers_with_limit tell it; nothing is decided by it yet. What is no number of requests a second is neither a limit nor its end; a 421 speaks for another endpoint and is not read.

--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -222,9 +222,13 @@
 void gateway_request::_on_head(const http_head &p_head) {
 	_answer_head = p_head;
 	_answer = read_endpoint_answer(p_head);
-	const endpoint_state *endpoint = _answer.cold_left > duration::zero() ? _get_router().find(_endpoint) : nullptr;
-	if (endpoint != nullptr) {
-		_services.cold.on_told(endpoint->listing, *_request.configuration, _answer.cold_left, event_loop::now());
+	const endpoint_state *endpoint = _get_router().find(_endpoint);
+	if (endpoint != nullptr && _answer.notice.cold_left > duration::zero()) {
+		_services.cold.on_told(endpoint->listing, *_request.configuration, _answer.notice.cold_left, event_loop::now());
+	}
+	if (_answer.notice.limit != limit_statement::NONE) {
+		_services.context.metrics.count("answers_with_limit");
+		_services.context.log.write_request(log_line("limit_named").add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("rate", std::to_string(_answer.notice.rate_limit)).add("in_flight", static_cast<long long>(endpoint == nullptr ? 0 : endpoint->in_flight)));
 	}
 }
 
--- /dev/null
+++ b/servers/routing/endpoint_notice.h
@@ -0,0 +1,34 @@
+/*
+ * calicoscale: endpoint_notice.h
+ * What an endpoint's answer says about the endpoint itself.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ENDPOINT_NOTICE_H
+#define ENDPOINT_NOTICE_H
+
+#include "core/time.h"
+
+#include <optional>
+
+namespace calicoscale {
+
+/** What an answer says of the rate that its endpoint takes from all nodes together. */
+enum class limit_statement {
+	NONE, ///< Names no limit.
+	NAMED,
+	UNREADABLE, ///< Names one that is no number of requests a second; says neither that there is a limit nor that there is none.
+};
+
+/** What an endpoint's answer says about the endpoint itself, whatever became of the request. */
+struct endpoint_notice {
+	duration cold_left = duration::zero(); ///< How much longer the endpoint is cold; zero when it does not say.
+	limit_statement limit = limit_statement::NONE;
+	double rate_limit = 0.0; ///< Requests a second, if one is named; not negative.
+};
+
+} // namespace calicoscale
+
+#endif // ENDPOINT_NOTICE_H
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -131,6 +131,30 @@
 	EXPECT_EQ(make_retry_after(milliseconds(1250)).value, "1.250");
 }
 
+TEST(request_codec, a_limit_that_is_no_number_of_requests_is_neither_a_limit_nor_its_end) {
+	const auto read = [](const std::string &p_text) {
+		http_head head;
+		head.status = 200;
+		head.headers = { { "Server-Limit", p_text } };
+		return read_endpoint_answer(head).notice;
+	};
+	const std::map<std::string, double> numbers{ { "1", 1.0 }, { " 1.2 ", 1.2 }, { "0", 0.0 }, { "0.25", 0.25 }, { "250", 250.0 } };
+	for (const auto &[text, rate] : numbers) {
+		EXPECT_EQ(read(text).limit, limit_statement::NAMED) << text;
+		EXPECT_DOUBLE_EQ(read(text).rate_limit, rate) << text;
+	}
+	for (const char *text : { "", "-1", "many", "1 a second", "1,5", "inf", "nan", "1e400" }) {
+		EXPECT_EQ(read(text).limit, limit_statement::UNREADABLE) << text;
+	}
+	http_head silent;
+	silent.status = 200;
+	EXPECT_EQ(read_endpoint_answer(silent).notice.limit, limit_statement::NONE);
+	http_head of_another;
+	of_another.status = 421;
+	of_another.headers = { { "Server-Limit", "1" } };
+	EXPECT_EQ(read_endpoint_answer(of_another).notice.limit, limit_statement::NONE) << "it speaks for the endpoint that has the address now";
+}
+
 TEST(configuration_codec, reads_a_whole_configuration) {
 	const std::shared_ptr<const gateway_configuration> configuration = parse_gateway_configuration(CONFIGURATION);
 	EXPECT_EQ(configuration->version, 7U);
