Tests that fail: an endpoint and a stage replica that name a limit are overrun

Three nodes send 20 requests a second for 8 s; the endpoint that names 1 a second gets 34 in four seconds of them (allowed 11), the other one 91 in all. A stage replica gets 98 calls and releases in four seconds of one dispatcher.

--- /dev/null
+++ b/tests/main/gateway_limits_test.cpp
@@ -0,0 +1,81 @@
+/*
+ * calicoscale: gateway_limits_test.cpp
+ * Whole gateways before endpoints that say in their answers what they take.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/main/gateway_fixture.h"
+
+namespace calicoscale {
+
+namespace {
+
+/** The span in which requests are counted against a limit. */
+constexpr duration LIMIT_SPAN = seconds(4);
+/** From the first answer that names a limit until all nodes must keep it. */
+constexpr duration LIMIT_GRACE = seconds(3);
+
+/** Most that an endpoint may get in the span. */
+std::size_t get_allowed(double p_rate) {
+	return static_cast<std::size_t>(p_rate * 1.5 * std::chrono::duration<double>(LIMIT_SPAN).count() + 5.0);
+}
+
+class gateway_limits_test : public gateway_fixture {
+protected:
+	std::vector<std::shared_ptr<caller_result>> _sent;
+
+	void start_nodes(int p_number) {
+		for (int i = 0; i < p_number; i++) {
+			start_ready();
+		}
+		wait(milliseconds(800));
+	}
+
+	/** Sends requests at an even pace, to one node after the other. */
+	void press(const std::string &p_path, duration p_time, int p_per_second, const std::string &p_headers = "") {
+		const instant begin = event_loop::now();
+		for (int i = 0; i < p_per_second * static_cast<int>(std::chrono::duration_cast<seconds>(p_time).count()); i++) {
+			run_until([begin, i, p_per_second] { return event_loop::now() >= begin + milliseconds(1000 * i / p_per_second); });
+			_sent.push_back(send(*_gateways[static_cast<std::size_t>(i) % _gateways.size()], p_path, "key-1", p_headers));
+		}
+		run_until([this] { return std::all_of(_sent.begin(), _sent.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
+	}
+
+	std::size_t count_served() const {
+		return static_cast<std::size_t>(std::count_if(_sent.begin(), _sent.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->head.status == 200; }));
+	}
+};
+
+} // namespace
+
+TEST_F(gateway_limits_test, an_endpoint_that_names_a_limit_is_not_overrun_by_all_nodes_together) {
+	configure(1);
+	standin_replica &limited = add_replica("llm");
+	standin_replica &free = add_replica("llm");
+	limited.rate_limit = "1";
+	start_nodes(3);
+	const instant begin = event_loop::now();
+	press("/safe/", seconds(8), 20);
+	EXPECT_LE(limited.get_most_arrivals(LIMIT_SPAN, begin + LIMIT_GRACE), get_allowed(1.0));
+	EXPECT_GE(limited.get_most_arrivals(LIMIT_SPAN, begin + LIMIT_GRACE), 3U) << "what it takes is used";
+	EXPECT_EQ(count_served(), 160U);
+	EXPECT_GE(free.runs.size(), 100U);
+}
+
+TEST_F(gateway_limits_test, a_stage_replica_that_names_a_limit_gets_no_more_calls_than_that) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &limited = add_replica("encode");
+	add_replica("encode");
+	add_replica("search");
+	limited.rate_limit = "1";
+	start_nodes(2);
+	const instant begin = event_loop::now();
+	press("/stream/staged/x", seconds(8), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	EXPECT_LE(limited.get_most_arrivals(LIMIT_SPAN, begin + LIMIT_GRACE), get_allowed(1.0));
+	EXPECT_EQ(count_served(), 96U);
+}
+
+} // namespace calicoscale
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -54,15 +54,33 @@
 	return !_held.empty() && std::all_of(_held.begin(), _held.end(), [](const std::shared_ptr<caller_exchange> &p_entry) { return p_entry->is_gone(); });
 }
 
+std::size_t standin_replica::get_most_arrivals(duration p_span, instant p_since) const {
+	std::size_t most = 0;
+	for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), p_since); first != arrivals.end(); ++first) {
+		const auto behind = std::lower_bound(first, arrivals.end(), *first + p_span);
+		most = std::max(most, static_cast<std::size_t>(behind - first));
+	}
+	return most;
+}
+
+std::vector<http_header> standin_replica::_make_notices() const {
+	std::vector<http_header> headers;
+	if (cold_ms > 0) {
+		headers.push_back({ "X-Cold-Ms", std::to_string(cold_ms) });
+	}
+	if (!rate_limit.empty()) {
+		headers.push_back({ "Server-Limit", rate_limit });
+	}
+	return headers;
+}
+
 std::vector<http_header> standin_replica::_make_headers(const caller_exchange &p_exchange) const {
 	const std::string *attempt = p_exchange.head.find("X-Attempt-Id");
-	std::vector<http_header> headers{ { "X-Replica-Seal", _name } };
+	std::vector<http_header> headers = _make_notices();
+	headers.push_back({ "X-Replica-Seal", _name });
 	if (attempt != nullptr) {
 		headers.push_back({ "X-Attempt-Id", *attempt });
 	}
-	if (cold_ms > 0) {
-		headers.push_back({ "X-Cold-Ms", std::to_string(cold_ms) });
-	}
 	return headers;
 }
 
@@ -73,6 +91,7 @@
 		p_exchange->reply(421, { { "X-Replica-Id", _name } }, "");
 		return;
 	}
+	arrivals.push_back(event_loop::now());
 	if (p_exchange->head.target == "/stage-run") {
 		if (!ending_key.empty() && p_exchange->body.find('"' + ending_key + '"') != std::string::npos) {
 			_loop.post([this] { end_process(); });
@@ -94,7 +113,9 @@
 		return;
 	}
 	if (mode == replica_mode::SHED) {
-		p_exchange->reply(503, { { "X-Not-Executed", "1" } }, "");
+		std::vector<http_header> headers = _make_notices();
+		headers.push_back({ "X-Not-Executed", "1" });
+		p_exchange->reply(503, headers, "");
 		return;
 	}
 	runs.push_back(seen_request{ p_exchange->head, p_exchange->body });
@@ -175,7 +196,9 @@
 		results.insert(handle);
 		items.push_back({ { "handle", handle } });
 	}
-	p_exchange.reply(200, { { "Content-Type", "application/json" } }, json{ { "items", items } }.dump());
+	std::vector<http_header> headers = _make_notices();
+	headers.push_back({ "Content-Type", "application/json" });
+	p_exchange.reply(200, headers, json{ { "items", items } }.dump());
 }
 
 } // namespace calicoscale
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -57,6 +57,8 @@
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _run_stage(caller_exchange &p_exchange);
 	void _stream(caller_exchange &p_exchange);
+	/** What it says about itself in all its answers. */
+	std::vector<http_header> _make_notices() const;
 	std::vector<http_header> _make_headers(const caller_exchange &p_exchange) const;
 
 public:
@@ -74,6 +76,8 @@
 	std::string ending_key; ///< A stage call with a piece of this caller's key ends its process; empty for none.
 	std::function<void()> on_ended; ///< Called once, when its process has ended.
 	int cold_ms = 0; ///< How much longer it is cold, as its answers say.
+	std::string rate_limit; ///< Requests a second that it names in its answers, as it writes them; empty for none.
+	std::vector<instant> arrivals; ///< Of requests and stage calls that were meant for it, refused ones included.
 	std::string missing_input; ///< This handle is reported as gone, once.
 
 	standin_replica(event_loop &p_loop, std::string p_name);
@@ -92,6 +96,9 @@
 	/** Runs the stage calls that wait and holds no more. */
 	void run_held_stages();
 
+	/** Most requests that arrived within any span of a length, from a moment on. */
+	std::size_t get_most_arrivals(duration p_span, instant p_since) const;
+
 	std::size_t get_held_stages() const { return _held_stages.size(); }
 
 	/** Whether the caller of a held request has gone. */
