Places of senders are a class of their own, and the bound of cold endpoints becomes one of a rate within a span

No behaviour changes: endpoint_limits_test (before: cold_limit_test) and gateway_places_test pass unchanged but for the names. A rate is a number of places within a span and get_wait() tells how long until this node may send, so that limits of other origin can share the mechanism. Mutations follow the new lines (not run).

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -56,7 +56,7 @@
 		_endpoints(_context),
 		_evacuations(_context, _configuration),
 		_fleet(_context, _configuration, _endpoints, _evacuations, _commitments),
-		_cold(p_settings.vm, p_settings.zone, p_settings.mechanisms.has(mechanism::COLD_RANKS) ? cold_sharing::RANKS : cold_sharing::EVEN),
+		_cold(p_settings.vm, p_settings.zone, p_settings.mechanisms.has(mechanism::COLD_RANKS) ? limit_sharing::RANKS : limit_sharing::EVEN),
 		_dispatcher(_context, _configuration, _fleet, _commitments, _cold),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
@@ -80,7 +80,7 @@
 	_endpoints.changed().connect([this] { _on_endpoints(); });
 	_evacuations.changed().connect([this](const evacuation_change &p_change) { _on_evacuation(p_change); });
 	for (router *choices : { &_services, &_engines }) {
-		choices->set_limit([this](const endpoint_identity &p_endpoint, instant p_now) { return _cold.may_send(p_endpoint, cold_part::SHARE, p_now); });
+		choices->set_limit([this](const endpoint_identity &p_endpoint, instant p_now) { return _cold.may_send(p_endpoint, sender_part::SHARE, p_now); });
 	}
 	router_settings routing;
 	routing.connect_failures_to_eject = 1;
@@ -205,7 +205,7 @@
 void gateway::_update_cold() {
 	const instant now = event_loop::now();
 	_cold.forget_warm(now);
-	_cold.set_senders(cold_senders{ _fleet.get_zone_nodes(), _fleet.get_live_count(), _settled }, now);
+	_cold.set_senders(known_senders{ _fleet.get_zone_nodes(), _fleet.get_live_count(), _settled }, now);
 }
 
 void gateway::_end_superseded() {
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -34,7 +34,7 @@
 	evacuation_follower _evacuations;
 	commitment_table _commitments;
 	gateway_fleet _fleet;
-	cold_limit _cold;
+	endpoint_limits _cold;
 	stage_dispatcher _dispatcher;
 	router _services;
 	router _engines;
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -58,10 +58,10 @@
 
 } // namespace
 
-pool_caller::pool_caller(gateway_context &p_context, cold_limit &p_cold, std::string p_name, pool_caller_hooks p_hooks) :
+pool_caller::pool_caller(gateway_context &p_context, endpoint_limits &p_cold, std::string p_name, pool_caller_hooks p_hooks) :
 		_context(p_context), _cold(p_cold), _name(std::move(p_name)), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
 	_pool.set_regions(p_context.settings.regions);
-	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) { return _cold.may_send(p_replica, cold_part::WHOLE, p_now); });
+	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) { return _cold.may_send(p_replica, sender_part::WHOLE, p_now); });
 }
 
 bool pool_caller::_try_repeat(instant p_now) {
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -11,7 +11,7 @@
 
 #include "main/gateway/crash_watch.h"
 #include "main/gateway/gateway_context.h"
-#include "servers/gateway/cold_limit.h"
+#include "servers/gateway/endpoint_limits.h"
 #include "servers/gateway/retry_window.h"
 #include "servers/gateway/stage_pool.h"
 
@@ -32,7 +32,7 @@
 /** Sends the calls that a pool's queue decides, takes their answers, and tells makers which results are needed no more. */
 class pool_caller {
 	gateway_context &_context;
-	cold_limit &_cold;
+	endpoint_limits &_cold;
 	const std::string _name;
 	pool_caller_hooks _hooks;
 	stage_pool _pool;
@@ -49,7 +49,7 @@
 	void _send_releases();
 
 public:
-	pool_caller(gateway_context &p_context, cold_limit &p_cold, std::string p_name, pool_caller_hooks p_hooks);
+	pool_caller(gateway_context &p_context, endpoint_limits &p_cold, std::string p_name, pool_caller_hooks p_hooks);
 	pool_caller(const pool_caller &) = delete;
 	pool_caller &operator=(const pool_caller &) = delete;
 
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, cold_limit &p_cold) :
+stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, endpoint_limits &p_cold) :
 		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _commitments(p_commitments), _tick_timer(p_context.loop, [this] { _tick(); }), _cold(p_cold) {
 	_fleet.set_capacity_source([this] { return _get_capacities(); });
 	node_link &link = _fleet.get_link();
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -124,9 +124,9 @@
 mutate "evacuated zones" "they are chosen when nothing else is left" servers/routing/endpoint_state.h "!drained && !evacuated; }" "!drained; }" gateway_evacuation_test
 mutate "evacuated zones" "stage calls go on" main/gateway/stage_dispatcher.cpp "if (!_evacuated_zones.contains(listing.zone)) {" "if (true) {" gateway_evacuation_test
 mutate "evacuated zones" "nothing is refused at once" main/gateway/admission.cpp "if (closed.empty()) {" "if (true) {" gateway_evacuation_test
-mutate "cold endpoints" "each node has all that they bear" servers/gateway/cold_limit.cpp "share = places / nodes.size() + (rank < places % nodes.size() ? 1 : 0);" "share = places + 0 * rank;" cold_limit_test
-mutate "cold endpoints" "a node that knows no others sends" servers/gateway/cold_limit.cpp "if (!_is_settled || p_now - _first_view_at < PLACE_HELD) {" "if (p_now - _first_view_at < PLACE_HELD) {" cold_limit_test
-mutate "cold endpoints" "a place counts at once" servers/gateway/cold_limit.cpp "least = counts ? std::min(least, _get_share(p_endpoint, r_entry, view)) : least;" "least = counts ? _get_share(p_endpoint, r_entry, view) : least;" cold_limit_test
+mutate "cold endpoints" "each node has all that they bear" servers/gateway/sender_places.cpp "return rank ? p_places / nodes.size() + (*rank < p_places % nodes.size() ? 1 : 0) : 0;" "return rank ? p_places : 0;" endpoint_limits_test
+mutate "cold endpoints" "a node that knows no others sends" servers/gateway/sender_places.cpp "if (!_is_settled || !is_of_zone || p_now - _first_view_at < PLACE_HELD) {" "if (!is_of_zone || p_now - _first_view_at < PLACE_HELD) {" endpoint_limits_test
+mutate "cold endpoints" "a place counts at once" servers/gateway/sender_places.cpp "least = counts ? std::min(least, _count_in(view, p_endpoint, p_places)) : least;" "least = counts ? _count_in(view, p_endpoint, p_places) : least;" endpoint_limits_test
 mutate "home regions" "they bind only while something else is left" servers/routing/router.cpp "return p_endpoint.is_open() && is_admitted &&" "return p_endpoint.is_open() &&" gateway_places_test
 mutate "log eras" "an answer of another era is read on from" main/gateway/topic_reader.cpp "(is_other_era && !p_is_whole)" "false" gateway_era_test
 mutate "log eras" "what had gone comes back" servers/gateway/endpoint_directory.cpp "return is_recent && went != _went.end() && went->second <= _era_at;" "return false;" gateway_era_test
--- /dev/null
+++ b/servers/gateway/endpoint_limits.h
@@ -0,0 +1,107 @@
+/*
+ * calicoscale: endpoint_limits.h
+ * What endpoints that take only so much may be sent by all nodes together.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ENDPOINT_LIMITS_H
+#define ENDPOINT_LIMITS_H
+
+#include "servers/gateway/gateway_configuration.h"
+#include "servers/gateway/sender_places.h"
+#include "servers/routing/endpoint_state.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** How the nodes of a fleet share what an endpoint takes. */
+enum class limit_sharing {
+	RANKS, ///< Each such endpoint has a few senders: nodes of its zone, ranked by a hash. No node need hear another.
+	EVEN, ///< Each node of the fleet may send now and then, as rarely as there are nodes.
+};
+
+/** Which part of what an endpoint takes is this node's. */
+enum class sender_part {
+	SHARE, ///< Other nodes send there as well.
+	WHOLE, ///< This node alone does, as the dispatcher of a stage pool.
+};
+
+/**
+ * Bounds what this node sends to endpoints that take only so many requests a second from all nodes together. An endpoint that
+ * says it is cold bears a rate that its service tells, and collapses well above it.
+ *
+ * A rate is a number of places within a span, and each place is one request in it. Endpoints without a bound cost one look-up.
+ */
+class endpoint_limits {
+	/** Requests that an endpoint takes within any span. */
+	struct rate_bound {
+		std::size_t places = 1;
+		duration span = std::chrono::seconds(1);
+		instant since{};
+	};
+
+	struct cold_time {
+		double rate = 0.0; ///< Requests a second.
+		duration told = duration::zero(); ///< As its entry said last.
+		instant since{};
+		instant until{};
+	};
+
+	limit_sharing _sharing;
+	sender_places _places;
+	std::map<endpoint_identity, std::string> _zones; ///< Of all endpoints on the list.
+	std::map<endpoint_identity, cold_time> _cold;
+	std::map<endpoint_identity, std::deque<instant>> _sent; ///< By this node to endpoints with a bound, as long as it counts.
+
+	void _note_cold(const endpoint_listing &p_listing, double p_rate, duration p_left, instant p_now);
+	std::vector<rate_bound> _get_bounds(const endpoint_identity &p_endpoint, instant p_now) const;
+	std::size_t _count_own(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part, instant p_now);
+	std::optional<duration> _get_wait_by_rank(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part, instant p_now);
+	std::optional<duration> _get_wait_evenly(const endpoint_identity &p_endpoint, const rate_bound &p_bound, instant p_now) const;
+	void _forget(const endpoint_identity &p_endpoint);
+
+public:
+	endpoint_limits(std::string p_vm, std::string p_zone, limit_sharing p_sharing) :
+			_sharing(p_sharing), _places(std::move(p_vm), std::move(p_zone)) {}
+
+	/** Takes the list of endpoints. Those whose entry says that they are cold are, from when it was told first. */
+	void set_listings(const std::vector<endpoint_listing> &p_listings, const gateway_configuration &p_configuration, instant p_now);
+
+	/** An answer of an endpoint said how much longer it is cold. */
+	void on_told(const endpoint_listing &p_listing, const gateway_configuration &p_configuration, duration p_left, instant p_now);
+
+	/**
+	 * An evacuated zone was taken back: its endpoints count as cold for as long as after a start, as they may have been restarted
+	 * meanwhile and their entries may be read a moment later than the operator's record.
+	 */
+	void on_taken_back(const std::string &p_zone, const std::vector<endpoint_listing> &p_listings, const gateway_configuration &p_configuration, instant p_now);
+
+	/** Whom this node shares with. To be called often from its start on, as places count from when they are had. */
+	void set_senders(const known_senders &p_senders, instant p_now) { _places.set_senders(p_senders, p_now); }
+
+	/** How long until this node may send an endpoint one request more; empty when it has no place there as things are. */
+	std::optional<duration> get_wait(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now);
+
+	/** Whether this node may send an endpoint one request more now. */
+	bool may_send(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now);
+
+	/** This node sent a request. */
+	void on_sent(const endpoint_identity &p_endpoint, instant p_now);
+
+	/** Forgets endpoints that are warm by now, but for those whose entry still says what it said when it was taken. */
+	void forget_warm(instant p_now);
+
+	/** How many endpoints are cold. */
+	std::size_t get_cold_count(instant p_now) const;
+};
+
+} // namespace calicoscale
+
+#endif // ENDPOINT_LIMITS_H
--- a/tests/servers/gateway/cold_limit_test.cpp
+++ b/tests/servers/gateway/endpoint_limits_test.cpp
@@ -1,12 +1,12 @@
 /*
- * calicoscale: cold_limit_test.cpp
- * What a whole fleet sends to cold endpoints under loads that press on them.
+ * calicoscale: endpoint_limits_test.cpp
+ * What a whole fleet sends to endpoints that take only so much, under loads that press on them.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#include "servers/gateway/cold_limit.h"
+#include "servers/gateway/endpoint_limits.h"
 
 #include "core/random_source.h"
 
@@ -51,12 +51,12 @@
 	gateway_configuration configuration;
 	std::vector<std::string> names;
 	std::vector<std::string> zones;
-	std::vector<cold_limit> nodes;
+	std::vector<endpoint_limits> nodes;
 	std::vector<endpoint_listing> endpoints;
 	std::map<endpoint_identity, std::vector<instant>> arrived;
 	random_source random{ 7 };
 
-	cold_fleet(int p_nodes, int p_zones, int p_endpoints, cold_sharing p_sharing, double p_rate = COLD_RATE) :
+	cold_fleet(int p_nodes, int p_zones, int p_endpoints, limit_sharing p_sharing, double p_rate = COLD_RATE) :
 			configuration(make_configuration(p_rate)) {
 		for (int i = 0; i < p_nodes; i++) {
 			names.push_back("n" + std::to_string(i));
@@ -66,7 +66,7 @@
 		for (int i = 0; i < p_endpoints; i++) {
 			endpoints.push_back(make_endpoint(i, "z" + std::to_string(i % p_zones), std::chrono::seconds(3)));
 		}
-		for (cold_limit &node : nodes) {
+		for (endpoint_limits &node : nodes) {
 			node.set_listings(endpoints, configuration, at_ms(0));
 		}
 	}
@@ -84,7 +84,7 @@
 	/** All nodes have known each other for a while. */
 	void tell_all() {
 		for (std::size_t i = 0; i < nodes.size(); i++) {
-			nodes[i].set_senders(cold_senders{ get_zone_nodes(zones[i]), names.size() }, at_ms(LONG_BEFORE_MS));
+			nodes[i].set_senders(known_senders{ get_zone_nodes(zones[i]), names.size() }, at_ms(LONG_BEFORE_MS));
 		}
 	}
 
@@ -92,7 +92,7 @@
 	bool send(std::size_t p_node, const std::vector<std::size_t> &p_preferred, instant p_now) {
 		for (const std::size_t endpoint : p_preferred) {
 			const endpoint_identity identity = endpoints[endpoint].get_identity();
-			if (nodes[p_node].may_send(identity, cold_part::SHARE, p_now)) {
+			if (nodes[p_node].may_send(identity, sender_part::SHARE, p_now)) {
 				nodes[p_node].on_sent(identity, p_now);
 				arrived[identity].push_back(p_now);
 				return true;
@@ -126,9 +126,9 @@
 
 } // namespace
 
-TEST(cold_limit, a_key_that_is_much_asked_for_does_not_overrun_a_cold_endpoint) {
+TEST(endpoint_limits, a_key_that_is_much_asked_for_does_not_overrun_a_cold_endpoint) {
 	for (const int size : { 1, 3, 9, 89, 410 }) {
-		cold_fleet fleet(size, size < 3 ? 1 : 3, 3, cold_sharing::RANKS);
+		cold_fleet fleet(size, size < 3 ? 1 : 3, 3, limit_sharing::RANKS);
 		fleet.tell_all();
 		const std::size_t served = press_on_one(fleet, 2900);
 		EXPECT_LE(static_cast<double>(fleet.get_most_in_a_second()), COLD_RATE) << size << " nodes";
@@ -136,9 +136,9 @@
 	}
 }
 
-TEST(cold_limit, a_whole_zone_that_comes_back_cold_carries_its_part_of_a_burst) {
+TEST(endpoint_limits, a_whole_zone_that_comes_back_cold_carries_its_part_of_a_burst) {
 	// 89 nodes, 140 engines, 292 requests a second and a burst of 2.6; a third of the engines is cold.
-	cold_fleet fleet(89, 3, 140, cold_sharing::RANKS);
+	cold_fleet fleet(89, 3, 140, limit_sharing::RANKS);
 	fleet.tell_all();
 	int of_zone = 0;
 	int served = 0;
@@ -159,25 +159,25 @@
 	EXPECT_EQ(served, of_zone) << "each node of the zone has places at some of its cold engines";
 }
 
-TEST(cold_limit, the_bound_holds_while_two_halves_of_a_zone_do_not_hear_each_other) {
+TEST(endpoint_limits, the_bound_holds_while_two_halves_of_a_zone_do_not_hear_each_other) {
 	// Members that fell silent stay known for a while; here each half has forgotten the other already.
-	cold_fleet fleet(89, 1, 3, cold_sharing::RANKS);
+	cold_fleet fleet(89, 1, 3, limit_sharing::RANKS);
 	for (std::size_t i = 0; i < fleet.nodes.size(); i++) {
 		std::vector<std::string> half;
 		for (std::size_t other = i % 2; other < fleet.nodes.size(); other += 2) {
 			half.push_back(fleet.names[other]);
 		}
-		fleet.nodes[i].set_senders(cold_senders{ half, half.size() }, at_ms(LONG_BEFORE_MS));
+		fleet.nodes[i].set_senders(known_senders{ half, half.size() }, at_ms(LONG_BEFORE_MS));
 	}
 	press_on_one(fleet, 2900);
 	EXPECT_LE(static_cast<double>(fleet.get_most_in_a_second()), MOST_IN_A_SECOND);
 }
 
-TEST(cold_limit, nodes_that_join_and_are_known_to_others_only_later_keep_the_bound) {
+TEST(endpoint_limits, nodes_that_join_and_are_known_to_others_only_later_keep_the_bound) {
 	constexpr std::size_t FIRST = 15;
 	constexpr std::size_t ALL = 30;
 	constexpr int JOIN_MS = 100;
-	cold_fleet fleet(ALL, 1, 3, cold_sharing::RANKS);
+	cold_fleet fleet(ALL, 1, 3, limit_sharing::RANKS);
 	for (int ms = 0; ms < 2900; ms++) {
 		const std::size_t joined = std::min(ALL, FIRST + static_cast<std::size_t>(ms / JOIN_MS));
 		const std::size_t node = static_cast<std::size_t>(fleet.random.get_unit() * static_cast<double>(joined));
@@ -185,7 +185,7 @@
 		const bool is_newcomer = node + 1 == joined && ms % JOIN_MS == 0;
 		if (ms % 10 == 0 || is_newcomer) {
 			const std::vector<std::string> known(fleet.names.begin(), fleet.names.begin() + static_cast<std::ptrdiff_t>(joined));
-			fleet.nodes[node].set_senders(cold_senders{ known, known.size() }, at_ms(ms));
+			fleet.nodes[node].set_senders(known_senders{ known, known.size() }, at_ms(ms));
 		}
 		fleet.send(node, { 0 }, at_ms(ms));
 	}
@@ -205,14 +205,14 @@
 };
 
 // All of them send from the beginning, also those that no list names yet, their own included.
-TEST(cold_limit, nodes_whose_lists_lack_many_that_send_keep_the_bound) {
-	cold_fleet fleet(widening_views::ALL, 1, 3, cold_sharing::RANKS);
+TEST(endpoint_limits, nodes_whose_lists_lack_many_that_send_keep_the_bound) {
+	cold_fleet fleet(widening_views::ALL, 1, 3, limit_sharing::RANKS);
 	std::size_t served = 0;
 	for (int ms = 0; ms < 2900; ms++) {
 		const std::size_t node = static_cast<std::size_t>(fleet.random.get_unit() * static_cast<double>(widening_views::ALL));
 		if (ms % 10 == 0) {
 			const std::vector<std::string> known = widening_views::get_known(fleet, ms);
-			fleet.nodes[node].set_senders(cold_senders{ known, known.size() }, at_ms(ms));
+			fleet.nodes[node].set_senders(known_senders{ known, known.size() }, at_ms(ms));
 		}
 		served += fleet.send(node, { 0 }, at_ms(ms)) ? 1 : 0;
 	}
@@ -221,11 +221,11 @@
 }
 
 // The first half has sent for long when the others start at one moment, each of which knows the first half and itself.
-TEST(cold_limit, nodes_that_start_at_one_moment_and_do_not_know_each_other_keep_the_bound) {
-	cold_fleet fleet(widening_views::ALL, 1, 3, cold_sharing::RANKS);
+TEST(endpoint_limits, nodes_that_start_at_one_moment_and_do_not_know_each_other_keep_the_bound) {
+	cold_fleet fleet(widening_views::ALL, 1, 3, limit_sharing::RANKS);
 	const std::vector<std::string> first = widening_views::get_known(fleet, 0);
 	for (std::size_t node = 0; node < widening_views::FIRST; node++) {
-		fleet.nodes[node].set_senders(cold_senders{ first, first.size() }, at_ms(LONG_BEFORE_MS));
+		fleet.nodes[node].set_senders(known_senders{ first, first.size() }, at_ms(LONG_BEFORE_MS));
 	}
 	for (int ms = 0; ms < 2900; ms++) {
 		const std::size_t node = static_cast<std::size_t>(fleet.random.get_unit() * static_cast<double>(widening_views::ALL));
@@ -233,18 +233,18 @@
 		if (node >= widening_views::FIRST && ms < 400) {
 			known.push_back(fleet.names[node]);
 		}
-		fleet.nodes[node].set_senders(cold_senders{ known, known.size() }, at_ms(ms));
+		fleet.nodes[node].set_senders(known_senders{ known, known.size() }, at_ms(ms));
 		fleet.send(node, { 0 }, at_ms(ms));
 	}
 	EXPECT_LE(static_cast<double>(fleet.get_most_in_a_second()), COLD_RATE);
 }
 
 // A node that others took the place of a moment ago has sent there; the one that has it now waits until that is over.
-TEST(cold_limit, a_place_that_came_free_is_taken_when_what_was_sent_from_it_counts_no_more) {
-	cold_fleet fleet(12, 1, 1, cold_sharing::RANKS);
+TEST(endpoint_limits, a_place_that_came_free_is_taken_when_what_was_sent_from_it_counts_no_more) {
+	cold_fleet fleet(12, 1, 1, limit_sharing::RANKS);
 	fleet.tell_all();
 	const endpoint_identity identity = fleet.endpoints[0].get_identity();
-	const auto may_send = [&fleet, &identity](std::size_t p_node, int p_ms) { return fleet.nodes[p_node].may_send(identity, cold_part::SHARE, at_ms(p_ms)); };
+	const auto may_send = [&fleet, &identity](std::size_t p_node, int p_ms) { return fleet.nodes[p_node].may_send(identity, sender_part::SHARE, at_ms(p_ms)); };
 	std::vector<std::size_t> without;
 	for (std::size_t node = 0; node < fleet.nodes.size(); node++) {
 		if (!may_send(node, 0)) {
@@ -253,47 +253,47 @@
 	}
 	ASSERT_EQ(without.size(), 3U) << "nine have a place each";
 	for (const std::size_t node : without) {
-		fleet.nodes[node].set_senders(cold_senders{ { fleet.names[node] }, 1 }, at_ms(100));
+		fleet.nodes[node].set_senders(known_senders{ { fleet.names[node] }, 1 }, at_ms(100));
 		EXPECT_FALSE(may_send(node, 100));
 		EXPECT_FALSE(may_send(node, 1100));
 		EXPECT_TRUE(may_send(node, 1700));
-		fleet.nodes[node].set_senders(cold_senders{ fleet.names, fleet.names.size() }, at_ms(1800));
+		fleet.nodes[node].set_senders(known_senders{ fleet.names, fleet.names.size() }, at_ms(1800));
 		EXPECT_FALSE(may_send(node, 1800)) << "a place that is lost is lost at once";
 	}
 }
 
-TEST(cold_limit, a_node_that_has_not_settled_sends_nothing_however_long_it_takes) {
-	cold_limit node("n", "z0", cold_sharing::RANKS);
+TEST(endpoint_limits, a_node_that_has_not_settled_sends_nothing_however_long_it_takes) {
+	endpoint_limits node("n", "z0", limit_sharing::RANKS);
 	const endpoint_listing cold = make_endpoint(0, "z0", std::chrono::seconds(3));
 	node.set_listings({ cold }, make_configuration(COLD_RATE), at_ms(0));
 	for (int ms = 0; ms < 2000; ms += 100) {
-		node.set_senders(cold_senders{ { "n" }, 1, false }, at_ms(ms));
-		EXPECT_FALSE(node.may_send(cold.get_identity(), cold_part::SHARE, at_ms(ms)));
+		node.set_senders(known_senders{ { "n" }, 1, false }, at_ms(ms));
+		EXPECT_FALSE(node.may_send(cold.get_identity(), sender_part::SHARE, at_ms(ms)));
 	}
-	node.set_senders(cold_senders{ { "n" }, 1, true }, at_ms(2000));
-	EXPECT_TRUE(node.may_send(cold.get_identity(), cold_part::SHARE, at_ms(2000))) << "it has been known to others since it started";
+	node.set_senders(known_senders{ { "n" }, 1, true }, at_ms(2000));
+	EXPECT_TRUE(node.may_send(cold.get_identity(), sender_part::SHARE, at_ms(2000))) << "it has been known to others since it started";
 }
 
-TEST(cold_limit, a_node_that_knows_nobody_yet_sends_nothing_to_a_cold_endpoint_and_anything_to_a_warm_one) {
-	cold_limit node("n", "z0", cold_sharing::RANKS);
+TEST(endpoint_limits, a_node_that_knows_nobody_yet_sends_nothing_to_a_cold_endpoint_and_anything_to_a_warm_one) {
+	endpoint_limits node("n", "z0", limit_sharing::RANKS);
 	const endpoint_listing cold = make_endpoint(0, "z0", std::chrono::seconds(3));
 	const endpoint_listing warm = make_endpoint(1, "z0", duration::zero());
 	node.set_listings({ cold, warm }, make_configuration(COLD_RATE), at_ms(0));
-	EXPECT_FALSE(node.may_send(cold.get_identity(), cold_part::SHARE, at_ms(1)));
-	EXPECT_TRUE(node.may_send(warm.get_identity(), cold_part::SHARE, at_ms(1)));
+	EXPECT_FALSE(node.may_send(cold.get_identity(), sender_part::SHARE, at_ms(1)));
+	EXPECT_TRUE(node.may_send(warm.get_identity(), sender_part::SHARE, at_ms(1)));
 }
 
-TEST(cold_limit, an_endpoint_is_cold_as_long_as_its_entry_said_when_it_was_told_first) {
-	cold_limit node("n", "z0", cold_sharing::RANKS);
+TEST(endpoint_limits, an_endpoint_is_cold_as_long_as_its_entry_said_when_it_was_told_first) {
+	endpoint_limits node("n", "z0", limit_sharing::RANKS);
 	const gateway_configuration configuration = make_configuration(1.0);
 	const endpoint_listing cold = make_endpoint(0, "z0", std::chrono::seconds(3));
-	node.set_senders(cold_senders{ { "n" }, 1 }, at_ms(LONG_BEFORE_MS));
+	node.set_senders(known_senders{ { "n" }, 1 }, at_ms(LONG_BEFORE_MS));
 	node.set_listings({ cold }, configuration, at_ms(0));
-	EXPECT_TRUE(node.may_send(cold.get_identity(), cold_part::SHARE, at_ms(0)));
+	EXPECT_TRUE(node.may_send(cold.get_identity(), sender_part::SHARE, at_ms(0)));
 	node.on_sent(cold.get_identity(), at_ms(0));
-	EXPECT_FALSE(node.may_send(cold.get_identity(), cold_part::SHARE, at_ms(500)));
+	EXPECT_FALSE(node.may_send(cold.get_identity(), sender_part::SHARE, at_ms(500)));
 	node.set_listings({ cold }, configuration, at_ms(2500));
-	EXPECT_TRUE(node.may_send(cold.get_identity(), cold_part::SHARE, at_ms(1000)));
+	EXPECT_TRUE(node.may_send(cold.get_identity(), sender_part::SHARE, at_ms(1000)));
 	EXPECT_EQ(node.get_cold_count(at_ms(2999)), 1U);
 	EXPECT_EQ(node.get_cold_count(at_ms(3000)), 0U) << "the same entry read again does not make it cold anew";
 	const endpoint_listing again = make_endpoint(0, "z0", std::chrono::seconds(2));
@@ -301,45 +301,45 @@
 	EXPECT_EQ(node.get_cold_count(at_ms(6999)), 1U);
 }
 
-TEST(cold_limit, answers_and_a_zone_taken_back_make_an_endpoint_cold_whose_entry_says_nothing) {
+TEST(endpoint_limits, answers_and_a_zone_taken_back_make_an_endpoint_cold_whose_entry_says_nothing) {
 	const gateway_configuration configuration = make_configuration(1.0);
 	const endpoint_listing listing = make_endpoint(0, "z0", duration::zero());
-	cold_limit told("n", "z0", cold_sharing::RANKS);
+	endpoint_limits told("n", "z0", limit_sharing::RANKS);
 	told.set_listings({ listing }, configuration, at_ms(0));
 	EXPECT_EQ(told.get_cold_count(at_ms(0)), 0U);
 	told.on_told(listing, configuration, std::chrono::milliseconds(800), at_ms(0));
 	EXPECT_EQ(told.get_cold_count(at_ms(799)), 1U);
 	EXPECT_EQ(told.get_cold_count(at_ms(800)), 0U);
-	cold_limit back("n", "z0", cold_sharing::RANKS);
+	endpoint_limits back("n", "z0", limit_sharing::RANKS);
 	back.on_taken_back("z1", { listing }, configuration, at_ms(0));
 	EXPECT_EQ(back.get_cold_count(at_ms(0)), 0U);
 	back.on_taken_back("z0", { listing }, configuration, at_ms(0));
 	EXPECT_EQ(back.get_cold_count(at_ms(2999)), 1U);
 }
 
-TEST(cold_limit, a_service_without_a_rate_is_not_limited) {
-	cold_limit node("n", "z0", cold_sharing::RANKS);
+TEST(endpoint_limits, a_service_without_a_rate_is_not_limited) {
+	endpoint_limits node("n", "z0", limit_sharing::RANKS);
 	endpoint_listing listing = make_endpoint(0, "z0", std::chrono::seconds(3));
 	listing.pool = "warm";
 	node.set_listings({ listing }, make_configuration(COLD_RATE), at_ms(0));
-	EXPECT_TRUE(node.may_send(listing.get_identity(), cold_part::SHARE, at_ms(0)));
+	EXPECT_TRUE(node.may_send(listing.get_identity(), sender_part::SHARE, at_ms(0)));
 	EXPECT_EQ(node.get_cold_count(at_ms(0)), 0U);
 }
 
-TEST(cold_limit, less_than_one_request_a_second_is_shared_too) {
-	cold_fleet fleet(9, 3, 3, cold_sharing::RANKS, 0.4);
+TEST(endpoint_limits, less_than_one_request_a_second_is_shared_too) {
+	cold_fleet fleet(9, 3, 3, limit_sharing::RANKS, 0.4);
 	fleet.tell_all();
 	EXPECT_EQ(press_on_one(fleet, 2900), 2U) << "one at once, and one when 2.5 s are over";
 }
 
-TEST(cold_limit, the_dispatcher_of_a_pool_has_all_that_a_cold_replica_bears) {
-	cold_limit node("n", "z0", cold_sharing::RANKS);
+TEST(endpoint_limits, the_dispatcher_of_a_pool_has_all_that_a_cold_replica_bears) {
+	endpoint_limits node("n", "z0", limit_sharing::RANKS);
 	const endpoint_listing listing = make_endpoint(0, "z1", std::chrono::seconds(3));
 	node.set_listings({ listing }, make_configuration(COLD_RATE), at_ms(0));
-	node.set_senders(cold_senders{ { "n", "m" }, 2 }, at_ms(LONG_BEFORE_MS));
-	EXPECT_FALSE(node.may_send(listing.get_identity(), cold_part::SHARE, at_ms(0))) << "it is of another zone";
+	node.set_senders(known_senders{ { "n", "m" }, 2 }, at_ms(LONG_BEFORE_MS));
+	EXPECT_FALSE(node.may_send(listing.get_identity(), sender_part::SHARE, at_ms(0))) << "it is of another zone";
 	int sent = 0;
-	while (node.may_send(listing.get_identity(), cold_part::WHOLE, at_ms(10))) {
+	while (node.may_send(listing.get_identity(), sender_part::WHOLE, at_ms(10))) {
 		node.on_sent(listing.get_identity(), at_ms(10));
 		sent++;
 	}
@@ -347,8 +347,8 @@
 }
 
 // The other way that was built: no bound by construction, and in the seconds that an endpoint is cold most nodes never send.
-TEST(cold_limit, even_shares_keep_the_bound_by_their_mean_only) {
-	cold_fleet fleet(89, 3, 3, cold_sharing::EVEN);
+TEST(endpoint_limits, even_shares_keep_the_bound_by_their_mean_only) {
+	cold_fleet fleet(89, 3, 3, limit_sharing::EVEN);
 	fleet.tell_all();
 	const std::size_t served = press_on_one(fleet, 2900);
 	EXPECT_LE(static_cast<double>(fleet.get_most_in_a_second()), MOST_IN_A_SECOND);
