--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -272,6 +272,17 @@
 		return { wire::message_tell_crashes, wire::Createtell_crashes(target, target.CreateVectorOfStructs(entries), p_message.is_whole).Union() };
 	}
 
+	encoded_body operator()(const tell_limits_message &p_message) const {
+		std::vector<flatbuffers::Offset<wire::limit_entry>> entries;
+		entries.reserve(p_message.limits.size());
+		for (const told_limit &told : p_message.limits) {
+			const std::int64_t age_ms = std::clamp<std::int64_t>(told.age.count() / 1000, 0, LONGEST_MS);
+			const text_offset name = target.CreateString(told.endpoint.vm);
+			entries.push_back(wire::Createlimit_entry(target, name, told.endpoint.incarnation, told.rate.value_or(0.0), !told.rate.has_value(), static_cast<std::uint32_t>(age_ms)));
+		}
+		return { wire::message_tell_limits, wire::Createtell_limits(target, target.CreateVector(entries)).Union() };
+	}
+
 	encoded_body operator()(const tell_prompts_message &p_message) const {
 		std::vector<endpoint_identity> engines;
 		std::map<endpoint_identity, std::uint16_t> indices;
@@ -447,6 +458,23 @@
 	return message;
 }
 
+/** Empty when an entry tells a rate that is none. */
+std::optional<tell_limits_message> read_limits(const wire::tell_limits &p_message) {
+	tell_limits_message message;
+	if (p_message.entries() == nullptr) {
+		return message;
+	}
+	message.limits.reserve(p_message.entries()->size());
+	for (const wire::limit_entry *entry : *p_message.entries()) {
+		const double rate = entry->rate();
+		if (!std::isfinite(rate) || rate < 0.0) {
+			return std::nullopt;
+		}
+		message.limits.push_back(told_limit{ endpoint_identity{ read(entry->name()), entry->incarnation() }, entry->is_over() ? std::nullopt : std::optional(rate), read_ms(entry->age_ms()) });
+	}
+	return message;
+}
+
 hand_work_message read_hand_work(const wire::hand_work &p_message) {
 	hand_work_message message;
 	message.id = p_message.id();
@@ -532,6 +560,10 @@
 			std::optional<tell_crashes_message> told = read_crashes(*frame->body_as_tell_crashes());
 			return told ? std::optional<link_message>(std::move(*told)) : std::nullopt;
 		}
+		case wire::message_tell_limits: {
+			std::optional<tell_limits_message> told = read_limits(*frame->body_as_tell_limits());
+			return told ? std::optional<link_message>(std::move(*told)) : std::nullopt;
+		}
 		case wire::message_tell_prompts: {
 			std::optional<tell_prompts_message> told = read_prompts(*frame->body_as_tell_prompts());
 			return told ? std::optional<link_message>(std::move(*told)) : std::nullopt;
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -194,6 +194,8 @@
 			_owner._reading_told.emit(_vm, *reading);
 		} else if (const auto *crashes = std::get_if<tell_crashes_message>(&p_message)) {
 			_owner._crashes_told.emit(_vm, *crashes);
+		} else if (const auto *limits = std::get_if<tell_limits_message>(&p_message)) {
+			_owner._limits_told.emit(_vm, *limits);
 		}
 	}
 
@@ -410,7 +412,7 @@
 
 std::uint32_t node_link::_get_features() const {
 	const std::uint32_t lists = _identity.asks_lists ? static_cast<std::uint32_t>(link_feature::ASKED_LISTS) : 0;
-	return static_cast<std::uint32_t>(link_feature::CRASHES) | lists;
+	return static_cast<std::uint32_t>(link_feature::CRASHES) | static_cast<std::uint32_t>(link_feature::LIMITS) | lists;
 }
 
 bool node_link::asks_lists(const std::string &p_vm) const {
@@ -471,6 +473,10 @@
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.send(p_message); });
 }
 
+bool node_link::send(const std::string &p_vm, const tell_limits_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.knows(link_feature::LIMITS) && r_link.send(p_message); });
+}
+
 bool node_link::send(const std::string &p_vm, const tell_crashes_message &p_message) {
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.knows(link_feature::CRASHES) && r_link.send(p_message); });
 }
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -156,6 +156,18 @@
 	bool is_whole = false; ///< All that the sender knows.
 };
 
+/** What an answer said of its endpoint's limit. */
+struct told_limit {
+	endpoint_identity endpoint;
+	std::optional<double> rate; ///< Requests a second; empty when the limit is over.
+	duration age = duration::zero(); ///< Of the answer when the message is sent.
+};
+
+/** What the sender knows of limits that endpoints named. */
+struct tell_limits_message {
+	std::vector<told_limit> limits;
+};
+
 /** Who a link is made as, and the secret of the fleet. */
 struct link_identity {
 	std::string vm;
@@ -205,6 +217,7 @@
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> _endpoints_told;
 	sigc::signal<void(const std::string &, const tell_reading_message &)> _reading_told;
 	sigc::signal<void(const std::string &, const tell_crashes_message &)> _crashes_told;
+	sigc::signal<void(const std::string &, const tell_limits_message &)> _limits_told;
 
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
@@ -262,6 +275,7 @@
 	bool send(const std::string &p_vm, const tell_reading_message &p_message);
 	/** Not sent to a peer of a version that does not know it. */
 	bool send(const std::string &p_vm, const tell_crashes_message &p_message);
+	bool send(const std::string &p_vm, const tell_limits_message &p_message);
 
 	/** Closes the links of a VM that has fallen silent; they are dialled anew. */
 	void drop(const std::string &p_vm);
@@ -285,6 +299,7 @@
 	sigc::signal<void(const std::string &, const tell_endpoints_message &)> &endpoints_told() { return _endpoints_told; }
 	sigc::signal<void(const std::string &, const tell_reading_message &)> &reading_told() { return _reading_told; }
 	sigc::signal<void(const std::string &, const tell_crashes_message &)> &crashes_told() { return _crashes_told; }
+	sigc::signal<void(const std::string &, const tell_limits_message &)> &limits_told() { return _limits_told; }
 
 	const network_address &get_address() const { return _address; }
 	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
--- a/main/gateway/admission.cpp
+++ b/main/gateway/admission.cpp
@@ -35,9 +35,7 @@
 }
 
 std::string admission::_find_closed_off(const admitted_request &p_request) const {
-	const gateway_service *service = p_request.configuration->find_service(p_request.service);
-	const router &choices = service != nullptr && service->is_engine ? _shared.engines : _shared.services;
-	if (p_request.homes.is_nowhere() || choices.is_closed_off(make_choice(_context, p_request))) {
+	if (p_request.homes.is_nowhere() || get_router(_shared, p_request).is_closed_off(make_choice(_context, p_request))) {
 		return p_request.service;
 	}
 	const std::vector<std::size_t> &pieces = p_request.facts.stage_pieces;
@@ -65,6 +63,14 @@
 				   } };
 }
 
+duration admission::_get_return_time(duration p_late, const admitted_request &p_request) {
+	const duration remaining = p_request.facts.remaining.value_or(p_request.route->timeout);
+	const double spread = 1.0 + _shared.context.random.get_unit() * RETRY_SPREAD;
+	const duration wait = from_seconds(to_seconds(p_late) * spread);
+	const duration honest = _context.settings.mechanisms.has(mechanism::PREDICTED_RETURN) ? wait : RETRY_AFTER;
+	return std::clamp<duration>(honest, SHORTEST_RETRY_AFTER, std::max<duration>(SHORTEST_RETRY_AFTER, remaining / 3));
+}
+
 std::optional<refusal> admission::_judge_time(admitted_request &r_request) {
 	const gateway_route &route = *r_request.route;
 	if (route.stages.empty() || !_context.settings.mechanisms.has(mechanism::ADMISSION)) {
@@ -77,17 +83,33 @@
 	if (stages == duration::zero() || predicted <= allowed) {
 		return std::nullopt;
 	}
-	const duration remaining = r_request.facts.remaining.value_or(route.timeout);
-	const double spread = 1.0 + _shared.context.random.get_unit() * RETRY_SPREAD;
-	const duration wait = duration(static_cast<duration::rep>(static_cast<double>((predicted - allowed).count()) * spread));
-	const duration honest = _context.settings.mechanisms.has(mechanism::PREDICTED_RETURN) ? wait : RETRY_AFTER;
-	const duration retry_after = std::clamp<duration>(honest, SHORTEST_RETRY_AFTER, std::max<duration>(SHORTEST_RETRY_AFTER, remaining / 3));
+	const duration retry_after = _get_return_time(predicted - allowed, r_request);
 	return refusal{ reason::DEADLINE_UNREACHABLE, retry_after, [predicted, allowed](log_line &r_line) { r_line.add("predicted_ms", predicted).add("allowed_ms", allowed); } };
 }
 
+std::optional<refusal> admission::_judge_limits(const admitted_request &p_request) {
+	const std::size_t before = _shared.limits.get_line().count(p_request.service);
+	const std::optional<duration> wait = _shared.limits.predict_wait(get_router(_shared, p_request), make_choice(_context, p_request), before);
+	if (wait && *wait == duration::zero()) {
+		return std::nullopt;
+	}
+	const duration answer = get_answer_time(_shared, p_request);
+	const duration stages = std::max(duration::zero(), p_request.predicted - answer);
+	const duration late = std::max(wait.value_or(duration::zero()), stages) + answer - p_request.route->objective;
+	if (wait && late <= duration::zero()) {
+		return std::nullopt;
+	}
+	return refusal{ reason::NO_ENDPOINT, _get_return_time(late, p_request), [wait, before](log_line &r_line) {
+					   r_line.add("limit_wait_ms", wait.value_or(duration::zero())).add("has_place", wait ? "yes" : "no").add("before", static_cast<long long>(before));
+				   } };
+}
+
 std::optional<refusal> admission::judge(admitted_request &r_request) {
 	std::optional<refusal> refused = _judge_places(r_request);
-	return refused ? refused : _judge_time(r_request);
+	if (!refused) {
+		refused = _judge_time(r_request);
+	}
+	return refused ? refused : _judge_limits(r_request);
 }
 
 } // namespace calicoscale
--- a/main/gateway/admission.h
+++ b/main/gateway/admission.h
@@ -36,6 +36,10 @@
 	std::string _find_closed_off(const admitted_request &p_request) const;
 	/** Whether it is predicted to be late. */
 	std::optional<refusal> _judge_time(admitted_request &r_request);
+	/** Whether all endpoints of its service take only so much, and what is left for it comes too late. */
+	std::optional<refusal> _judge_limits(const admitted_request &p_request);
+	/** When a request that would be late by so much may come back. */
+	duration _get_return_time(duration p_late, const admitted_request &p_request);
 
 public:
 	admission(const gateway_context &p_context, request_services &p_shared, evacuation_follower &p_evacuations) :
--- a/main/gateway/admitted_request.cpp
+++ b/main/gateway/admitted_request.cpp
@@ -24,6 +24,23 @@
 	return known == p_services.first_event_times.end() ? FIRST_EVENT_TIME : known->second;
 }
 
+bool is_engine(const admitted_request &p_request) {
+	const gateway_service *service = p_request.configuration->find_service(p_request.service);
+	return service != nullptr && service->is_engine;
+}
+
+router &get_router(const request_services &p_services, const admitted_request &p_request) {
+	return is_engine(p_request) ? p_services.engines : p_services.services;
+}
+
+duration get_answer_time(const request_services &p_services, const admitted_request &p_request) {
+	if (is_engine(p_request)) {
+		return get_first_event_time(p_services, p_request.route->name);
+	}
+	const auto usual = p_services.usual_times.find(p_request.service);
+	return usual == p_services.usual_times.end() ? duration::zero() : usual->second;
+}
+
 choice_request make_choice(const gateway_context &p_context, const admitted_request &p_request) {
 	choice_request choice;
 	choice.pool = p_request.service;
--- a/main/gateway/admitted_request.h
+++ b/main/gateway/admitted_request.h
@@ -39,7 +39,7 @@
 	prompt_exchange &prompts;
 	crash_guard &crashes;
 	std::map<std::string, duration> &first_event_times; ///< From the send to the first event, by route.
-	endpoint_limits &cold;
+	limit_guard &limits;
 };
 
 /** Usual time from the send to the first event of a route's answers. */
@@ -57,6 +57,15 @@
 	duration predicted = duration::zero(); ///< Until the answer begins, as it was when the request was admitted; zero without stages.
 };
 
+/** Whether a request's service is made of engines. */
+bool is_engine(const admitted_request &p_request);
+
+/** Endpoints of a request's service. */
+router &get_router(const request_services &p_services, const admitted_request &p_request);
+
+/** Usual time from the send until the answer begins, or is there when it is no stream; zero while it is not known. */
+duration get_answer_time(const request_services &p_services, const admitted_request &p_request);
+
 /** Which endpoints of a service a request may go to. */
 choice_request make_choice(const gateway_context &p_context, const admitted_request &p_request);
 
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -34,7 +34,7 @@
 	evacuation_follower _evacuations;
 	commitment_table _commitments;
 	gateway_fleet _fleet;
-	endpoint_limits _cold;
+	limit_guard _limits;
 	stage_dispatcher _dispatcher;
 	router _services;
 	router _engines;
@@ -67,8 +67,6 @@
 	void _on_configuration();
 	void _on_endpoints();
 	void _on_evacuation(const evacuation_change &p_change);
-	/** Tells the limit of cold endpoints who else may send there, once this node knows. */
-	void _update_cold();
 	std::vector<endpoint_identity> _note_changes(router &r_choices);
 	void _end_replaced(const std::vector<endpoint_identity> &p_replaced, const router &p_choices);
 	/** Ends the runs of endpoints at whose addresses others started. */
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -20,8 +20,8 @@
 constexpr int MOST_SENDS = 4;
 constexpr int MOST_RESUMES = 3;
 constexpr duration RETRY_PAUSE = std::chrono::milliseconds(40);
-/** A cold endpoint bears some requests a second. */
-constexpr duration COLD_PAUSE = std::chrono::milliseconds(100);
+/** A place at an endpoint may come free before it was predicted to. */
+constexpr duration LIMIT_PAUSE = std::chrono::milliseconds(100);
 /** Time left below which a send cannot succeed any more. */
 constexpr duration LEAST_REMAINING = std::chrono::milliseconds(20);
 /**
@@ -71,6 +71,7 @@
 void gateway_request::start() {
 	_request.exchange->set_on_gone([this] { _on_caller_gone(); });
 	_give_up_timer.set_at(_give_up_at);
+	_place = _services.limits.get_line().join(_request.service);
 	_services.repeats[_request.service].on_request(_services.context.settings.retries, _started);
 	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(get_priority(_request))).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("rested_ms", _request.exchange->rested).add("earlier", static_cast<long long>(_request.exchange->earlier)).add("version", static_cast<long long>(_request.configuration->version)));
 	if (_stages.is_complete()) {
@@ -89,15 +90,6 @@
 	_stages.begin(p_care != send_care::NONE);
 }
 
-bool gateway_request::_is_engine() const {
-	const gateway_service *service = _request.configuration->find_service(_request.service);
-	return service != nullptr && service->is_engine;
-}
-
-router &gateway_request::_get_router() const {
-	return _is_engine() ? _services.engines : _services.services;
-}
-
 bool gateway_request::_may_repeat_run() const {
 	const gateway_route &route = *_request.route;
 	const bool is_safe = route.repeats == repeat_rule::REPEATABLE || (route.repeats == repeat_rule::STREAM && route.is_resumable);
@@ -130,7 +122,7 @@
 
 std::optional<endpoint_id> gateway_request::_choose_endpoint(const std::string &p_zone) {
 	const instant now = event_loop::now();
-	if (!_is_engine()) {
+	if (!is_engine(_request)) {
 		return _services.services.choose(_make_choice(), now);
 	}
 	std::vector<engine_candidate> candidates;
@@ -145,11 +137,11 @@
 
 std::string gateway_request::_choose_zone() {
 	const std::optional<endpoint_id> chosen = _choose_endpoint("");
-	return chosen ? _get_router().find(*chosen)->listing.zone : "";
+	return chosen ? get_router(_services, _request).find(*chosen)->listing.zone : "";
 }
 
 std::optional<endpoint_id> gateway_request::_choose_quietest() {
-	const std::vector<const endpoint_state *> usable = _get_router().get_usable(_make_choice(), event_loop::now());
+	const std::vector<const endpoint_state *> usable = get_router(_services, _request).get_usable(_make_choice(), event_loop::now());
 	const auto quietest = std::min_element(usable.begin(), usable.end(), [](const endpoint_state *p_left, const endpoint_state *p_right) { return p_left->in_flight < p_right->in_flight; });
 	return quietest == usable.end() ? std::nullopt : std::optional((*quietest)->id);
 }
@@ -164,20 +156,27 @@
 }
 
 void gateway_request::_on_none_to_send_to() {
-	const bool has_time = _give_up_at - event_loop::now() > LEAST_REMAINING + COLD_PAUSE;
-	if (!has_time || !_get_router().has_open(_make_choice())) {
+	const std::size_t before = _services.limits.get_line().count_before(_request.service, _place);
+	const std::optional<duration> wait = _services.limits.predict_wait(get_router(_services, _request), _make_choice(), before);
+	if (!wait || get_router(_services, _request).get_open(_make_choice()).empty()) {
 		_refuse(reason::NO_ENDPOINT, SHORT_RETRY_AFTER);
 		return;
 	}
-	// All that are open are cold and have their share for the moment.
+	// All that are open have had what they take for the moment. Stage work that is done is lost with a refusal.
+	const instant latest = _stages.is_empty() ? std::min(_give_up_at, _started + _request.route->objective) : _give_up_at;
+	const duration late = event_loop::now() + *wait + get_answer_time(_services, _request) + LEAST_REMAINING - latest;
+	if (late > duration::zero()) {
+		_refuse(reason::NO_ENDPOINT, std::max(late, SHORT_RETRY_AFTER));
+		return;
+	}
 	_permit.keep();
-	_services.context.metrics.count("waits_for_cold_endpoints");
-	_retry_timer.set(COLD_PAUSE);
+	_services.context.metrics.count("waits_for_limited_endpoints");
+	_retry_timer.set(std::clamp(*wait, RETRY_PAUSE, LIMIT_PAUSE));
 }
 
 void gateway_request::_send_with(send_care p_care) {
 	const instant now = event_loop::now();
-	router &choices = _get_router();
+	router &choices = get_router(_services, _request);
 	const std::optional<endpoint_id> chosen = p_care == send_care::QUIETEST ? _choose_quietest() : _choose_endpoint(_stages.get_results_zone());
 	if (!chosen) {
 		_on_none_to_send_to();
@@ -192,7 +191,7 @@
 	send.endpoint = endpoint.listing.vm;
 	send.remaining = _give_up_at - now;
 	send.customer = _request.customer == nullptr ? "" : _request.customer->name;
-	if (_is_engine()) {
+	if (is_engine(_request)) {
 		send.priority = get_priority(_request);
 	}
 	send.inputs = _stages.get_final_results();
@@ -210,8 +209,9 @@
 	_answer = endpoint_answer();
 	_answer_body.clear();
 	choices.on_attempt_started(_endpoint, now);
-	_services.cold.on_sent(_endpoint_identity, now);
-	if (_is_engine()) {
+	_services.limits.get_line().leave(_request.service, _place);
+	_services.limits.on_sent(_endpoint_identity, now);
+	if (is_engine(_request)) {
 		_predicted = _services.engine_caches.predict(_endpoint_identity, _prompt, now);
 		_services.prompts.tell(_endpoint_identity, _prompt);
 	}
@@ -222,13 +222,8 @@
 void gateway_request::_on_head(const http_head &p_head) {
 	_answer_head = p_head;
 	_answer = read_endpoint_answer(p_head);
-	const endpoint_state *endpoint = _get_router().find(_endpoint);
-	if (endpoint != nullptr && _answer.notice.cold_left > duration::zero()) {
-		_services.cold.on_told(endpoint->listing, *_request.configuration, _answer.notice.cold_left, event_loop::now());
-	}
-	if (_answer.notice.limit != limit_statement::NONE) {
-		_services.context.metrics.count("answers_with_limit");
-		_services.context.log.write_request(log_line("limit_named").add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("rate", std::to_string(_answer.notice.rate_limit)).add("in_flight", static_cast<long long>(endpoint == nullptr ? 0 : endpoint->in_flight)));
+	if (!_answer.is_other_endpoint) {
+		_services.limits.on_answer(_endpoint_identity, _answer.notice, _answer.has_seal || _answer.did_not_run, _sent_at);
 	}
 }
 
@@ -267,14 +262,14 @@
 	attempt_observation observation;
 	observation.result = p_result;
 	observation.elapsed = now - _sent_at;
-	if (!_is_engine()) {
+	if (!is_engine(_request)) {
 		duration &usual = _services.usual_times[_request.service];
 		observation.usual = usual;
 		if (p_result.what == verdict::COMPLETED) {
 			usual = usual == duration::zero() ? observation.elapsed : usual + duration(static_cast<duration::rep>(static_cast<double>((observation.elapsed - usual).count()) * USUAL_TIME_STEP));
 		}
 	}
-	_get_router().on_attempt_ended(_endpoint, observation, now);
+	get_router(_services, _request).on_attempt_ended(_endpoint, observation, now);
 	_services.context.metrics.on_attempt(_request.service, p_result);
 	if (p_result.what != verdict::COMPLETED) {
 		_services.context.log.write_request(log_line("attempt_failed").add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("reason", get_name(p_result.why)).add("verdict", get_name(p_result.what)).add("status", static_cast<long long>(_answer_head.status)).add("took_ms", observation.elapsed));
@@ -289,7 +284,7 @@
 }
 
 void gateway_request::_note_lost_run() {
-	const endpoint_state *endpoint = _get_router().find(_endpoint);
+	const endpoint_state *endpoint = get_router(_services, _request).find(_endpoint);
 	if (endpoint == nullptr) {
 		return;
 	}
@@ -478,7 +473,7 @@
 }
 
 void gateway_request::on_reach_changed(const std::set<std::string> &p_unreached_zones) {
-	const endpoint_state *endpoint = _exchange == 0 ? nullptr : _get_router().find(_endpoint);
+	const endpoint_state *endpoint = _exchange == 0 ? nullptr : get_router(_services, _request).find(_endpoint);
 	if (endpoint == nullptr || !p_unreached_zones.contains(endpoint->listing.zone) || !_may_go_on_elsewhere()) {
 		return;
 	}
@@ -507,6 +502,7 @@
 	}
 	_ended = true;
 	_permit.end();
+	_services.limits.get_line().leave(_request.service, _place);
 	_give_up_timer.cancel();
 	_retry_timer.cancel();
 	_stages.end();
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -43,6 +43,7 @@
 	instant _sent_at{};
 	std::vector<endpoint_id> _avoid;
 	send_permit _permit;
+	line_place _place = 0; ///< In the line of requests for its service that were not sent yet.
 	verdict_tally _tally;
 	int _sends = 0;
 	int _runs = 0; ///< Sends that may have run.
@@ -55,8 +56,6 @@
 	bool _ended = false;
 	bool _has_looked_again = false; ///< For an answer that waits, at the time to give up.
 
-	bool _is_engine() const;
-	router &_get_router() const;
 	bool _may_repeat_run() const;
 	bool _may_resume() const;
 	/** Whether the request may be sent to another endpoint although its run did not end. */
--- /dev/null
+++ b/main/gateway/limit_guard.cpp
@@ -0,0 +1,122 @@
+/*
+ * calicoscale: limit_guard.cpp
+ * Keeps what this node sends within what endpoints take from all nodes together.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway/limit_guard.h"
+
+namespace calicoscale {
+
+namespace {
+
+/** Limits told in one message; with five messages a second they stay within a node's budget for control. */
+constexpr std::size_t MOST_RECORDS = 60;
+/** Limits told to a node that is linked anew. */
+constexpr std::size_t MOST_KNOWN_RECORDS = 500;
+
+news_digest<limit_record> make_digest() {
+	// The end of a limit is noticed by the next answer anyway; an endpoint that is overrun is not served meanwhile.
+	return news_digest<limit_record>(MOST_RECORDS, [](const limit_record &p_record) { return p_record.rate ? 1.0 : 0.0; });
+}
+
+} // namespace
+
+limit_guard::limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet) :
+		_context(p_context),
+		_configuration(p_configuration),
+		_fleet(p_fleet),
+		_limits(p_context.settings.vm, p_context.settings.zone, p_context.settings.mechanisms.has(mechanism::COLD_RANKS) ? limit_sharing::RANKS : limit_sharing::EVEN),
+		_relay(p_context.loop, p_fleet, make_digest(), [this](const std::string &p_vm, const std::vector<limit_record> &p_records) { _send(p_vm, p_records); }) {
+	_fleet.get_link().link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
+	_fleet.get_link().limits_told().connect([this](const std::string &p_vm, const tell_limits_message &p_message) { _on_told(p_vm, p_message); });
+}
+
+void limit_guard::on_answer(const endpoint_identity &p_endpoint, const endpoint_notice &p_notice, bool p_is_signed, instant p_sent_at) {
+	const instant now = event_loop::now();
+	if (p_notice.cold_left > duration::zero() && _configuration.get_current()) {
+		_limits.on_cold(p_endpoint, *_configuration.get_current(), p_notice.cold_left, now);
+	}
+	if (p_notice.limit != limit_statement::NONE) {
+		_context.metrics.count(p_notice.limit == limit_statement::NAMED ? "answers_with_limit" : "answers_with_unreadable_limit");
+	}
+	_note(_limits.get_named().on_answer(p_endpoint, p_notice, p_is_signed, p_sent_at, now), p_endpoint, "answer");
+	for (const limit_record &record : _limits.get_named().take_news()) {
+		_relay.add_own(record);
+	}
+	_relay.send_soon();
+}
+
+void limit_guard::_note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source) {
+	if (p_change == limit_change::NONE || p_change == limit_change::RENEWED) {
+		return;
+	}
+	_context.metrics.count("endpoint_limit_" + std::string(get_name(p_change)));
+	log_line line("endpoint_limit");
+	line.add("endpoint", p_endpoint.vm).add("incarnation", static_cast<long long>(p_endpoint.incarnation)).add("change", get_name(p_change));
+	const std::optional<double> rate = _limits.get_named().find_rate(p_endpoint);
+	if (rate) {
+		line.add("rate", std::to_string(*rate));
+	}
+	_context.log.write(line.add("source", p_source));
+}
+
+void limit_guard::_on_link_up(const std::string &p_vm) {
+	const std::vector<limit_record> records = _limits.get_named().get_records(MOST_KNOWN_RECORDS);
+	if (!records.empty()) {
+		_send(p_vm, records);
+	}
+}
+
+void limit_guard::_send(const std::string &p_vm, const std::vector<limit_record> &p_records) {
+	const instant now = event_loop::now();
+	tell_limits_message message;
+	message.limits.reserve(p_records.size());
+	for (const limit_record &record : p_records) {
+		message.limits.push_back(told_limit{ record.endpoint, record.rate, now - record.at });
+	}
+	_fleet.get_link().send(p_vm, message);
+	_context.metrics.count("limits_told", static_cast<double>(p_records.size()));
+}
+
+void limit_guard::_on_told(const std::string &p_vm, const tell_limits_message &p_message) {
+	const instant now = event_loop::now();
+	std::vector<limit_record> news;
+	for (const told_limit &told : p_message.limits) {
+		const limit_record record{ told.endpoint, told.rate, now - told.age };
+		const limit_change change = _limits.get_named().take(record, now);
+		if (change != limit_change::NONE) {
+			_note(change, record.endpoint, "peer/" + p_vm);
+			news.push_back(record);
+		}
+	}
+	_relay.add_told(p_vm, news);
+	_relay.send_soon();
+}
+
+std::optional<duration> limit_guard::predict_wait(router &r_choices, const choice_request &p_request, std::size_t p_before) {
+	if (!_limits.is_any_bounded()) {
+		return duration::zero();
+	}
+	const std::vector<endpoint_identity> open = r_choices.get_open(p_request);
+	return open.empty() ? duration::zero() : _limits.predict_wait(open, p_before, event_loop::now());
+}
+
+void limit_guard::tick(bool p_is_settled) {
+	const instant now = event_loop::now();
+	for (const endpoint_identity &endpoint : _limits.forget_old(now)) {
+		_context.log.write(log_line("endpoint_limit").add("endpoint", endpoint.vm).add("incarnation", static_cast<long long>(endpoint.incarnation)).add("change", "forgotten").add("source", "silence"));
+	}
+	_limits.set_senders(known_senders{ _fleet.get_zone_nodes(), _fleet.get_live_count(), p_is_settled }, now);
+}
+
+void limit_guard::report() {
+	_context.metrics.set_gauge("cold_endpoints", static_cast<double>(_limits.get_cold_count(event_loop::now())));
+	_context.metrics.set_gauge("limited_endpoints", static_cast<double>(_limits.get_named().count()));
+	_context.metrics.set_gauge("sends_held_back", static_cast<double>(_limits.get_held_back()));
+	_context.metrics.set_gauge("limits_not_told", static_cast<double>(_relay.get_dropped()));
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/gateway/limit_guard.h
@@ -0,0 +1,79 @@
+/*
+ * calicoscale: limit_guard.h
+ * Keeps what this node sends within what endpoints take from all nodes together.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef LIMIT_GUARD_H
+#define LIMIT_GUARD_H
+
+#include "main/gateway/configuration_follower.h"
+#include "main/gateway/hub_relay.h"
+#include "platform/request_codec.h"
+#include "servers/gateway/endpoint_limits.h"
+#include "servers/gateway/waiting_line.h"
+#include "servers/routing/router.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/**
+ * Asks the limits of endpoints before each send, takes from each answer what it says of its endpoint's limit, logs what changes,
+ * and tells the other nodes and hears from them.
+ */
+class limit_guard {
+	gateway_context &_context;
+	configuration_follower &_configuration;
+	gateway_fleet &_fleet;
+	endpoint_limits _limits;
+	hub_relay<limit_record> _relay;
+	waiting_line _line;
+
+	void _on_link_up(const std::string &p_vm);
+	void _on_told(const std::string &p_vm, const tell_limits_message &p_message);
+	void _send(const std::string &p_vm, const std::vector<limit_record> &p_records);
+	void _note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source);
+
+public:
+	limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet);
+
+	endpoint_limits &get_limits() { return _limits; }
+
+	/** Whether this node may send an endpoint one request more now. */
+	bool may_send(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now) { return _limits.may_send(p_endpoint, p_part, p_now); }
+
+	/** This node sent a request. */
+	void on_sent(const endpoint_identity &p_endpoint, instant p_now) { _limits.on_sent(p_endpoint, p_now); }
+
+	/**
+	 * The head of an answer came.
+	 * @param p_is_signed whether the answer is the endpoint's own beyond doubt.
+	 * @param p_sent_at when its request was sent.
+	 */
+	void on_answer(const endpoint_identity &p_endpoint, const endpoint_notice &p_notice, bool p_is_signed, instant p_sent_at);
+
+	/**
+	 * How long a request waits at this node until one of the endpoints open to it may be sent to; zero when one may be now,
+	 * empty when this node may send to none as things are.
+	 * @param p_before requests that are to be sent before it.
+	 */
+	std::optional<duration> predict_wait(router &r_choices, const choice_request &p_request, std::size_t p_before);
+
+	/** Requests that were admitted and not sent yet. */
+	waiting_line &get_line() { return _line; }
+
+	/** Follows the members of the zone and forgets what is over. To be called often. */
+	void tick(bool p_is_settled);
+
+	/** Writes gauges. */
+	void report();
+};
+
+} // namespace calicoscale
+
+#endif // LIMIT_GUARD_H
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -24,6 +24,8 @@
 /** Requests that a call's line names; a line stays within about a kilobyte so. */
 constexpr std::size_t MOST_LOGGED_REQUESTS = 32;
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
+/** A release goes before calls to a limited replica once it has waited so long; results live for some seconds. */
+constexpr duration RELEASE_PATIENCE = std::chrono::milliseconds(1500);
 
 call_end get_call_end(channel_end p_end, int p_status, bool p_did_not_run) {
 	if (p_end == channel_end::CONNECT_FAILED) {
@@ -58,10 +60,10 @@
 
 } // namespace
 
-pool_caller::pool_caller(gateway_context &p_context, endpoint_limits &p_cold, std::string p_name, pool_caller_hooks p_hooks) :
-		_context(p_context), _cold(p_cold), _name(std::move(p_name)), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
+pool_caller::pool_caller(gateway_context &p_context, limit_guard &p_limits, std::string p_name, pool_caller_hooks p_hooks) :
+		_context(p_context), _limits(p_limits), _name(std::move(p_name)), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
 	_pool.set_regions(p_context.settings.regions);
-	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) { return _cold.may_send(p_replica, sender_part::WHOLE, p_now); });
+	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) { return _limits.may_send(p_replica, sender_part::WHOLE, p_now); });
 }
 
 bool pool_caller::_try_repeat(instant p_now) {
@@ -95,8 +97,9 @@
 	const instant now = event_loop::now();
 	_pool.tick([this, now] { return _try_repeat(now); }, now);
 	_give_up_overdue();
+	_send_releases(RELEASE_PATIENCE);
 	pump();
-	_send_releases();
+	_send_releases(duration::zero());
 }
 
 void pool_caller::_send(const stage_call &p_call) {
@@ -121,15 +124,19 @@
 	};
 	const std::shared_ptr<answer_state> answer = std::make_shared<answer_state>();
 	channel_hooks hooks;
-	hooks.on_head = [answer](const http_head &p_head) {
+	hooks.on_head = [this, answer, replica = p_call.replica, now](const http_head &p_head) {
+		const endpoint_answer head = read_endpoint_answer(p_head);
 		answer->status = p_head.status;
-		answer->did_not_run = read_endpoint_answer(p_head).did_not_run;
+		answer->did_not_run = head.did_not_run;
+		if (!head.is_other_endpoint) {
+			_limits.on_answer(replica, head.notice, head.did_not_run || p_head.status == http_status::OK, now);
+		}
 	};
 	hooks.on_body = [answer](std::string_view p_bytes) { answer->body.append(p_bytes); };
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
 		_on_ended(p_call, p_end, answer->status, answer->did_not_run, answer->body);
 	};
-	_cold.on_sent(p_call.replica, now);
+	_limits.on_sent(p_call.replica, now);
 	_context.metrics.count("stage_calls");
 	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
 	_context.log.write_request(log_line("stage_call").add("pool", _name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("pieces", static_cast<long long>(p_call.items.size())).add("requests", list_attempts(items)).add("waiting", static_cast<long long>(_pool.get_waiting_pieces())));
@@ -189,28 +196,51 @@
 	}
 	_pool.on_released(p_handles);
 	for (const std::string &handle : p_handles) {
-		_to_release[to_string(get_maker(handle))].push_back(handle);
-	}
-}
-
-void pool_caller::_send_releases() {
-	for (const auto &[maker, handles] : _to_release) {
-		channel_request request;
-		request.endpoint.vm = "release/" + maker;
-		request.to = parse_network_address(maker);
-		request.bytes = write_release(request.to, handles);
-		request.longest_idle = REPLICA_IDLE;
-		channel_hooks hooks;
-		hooks.on_end = [this, maker = maker](channel_end p_end) {
-			if (p_end != channel_end::COMPLETE) {
-				// The results expire by themselves; until then their room is taken.
-				_context.metrics.count("releases_failed");
-				_context.log.write_request(log_line("release_failed").add("maker", maker).add("end", get_name(p_end)));
-			}
-		};
-		_context.channels.start(std::move(request), std::move(hooks));
-	}
-	_to_release.clear();
+		pending_release &pending = _to_release[to_string(get_maker(handle))];
+		pending.since = pending.handles.empty() ? event_loop::now() : pending.since;
+		pending.handles.push_back(handle);
+	}
+}
+
+void pool_caller::_send_releases(duration p_patience) {
+	const instant now = event_loop::now();
+	std::erase_if(_to_release, [this, p_patience, now](const auto &p_entry) {
+		const auto &[maker, pending] = p_entry;
+		if (now - pending.since < p_patience || !_may_release(maker, now)) {
+			return false;
+		}
+		_send_release(maker, pending.handles);
+		return true;
+	});
+}
+
+bool pool_caller::_may_release(const std::string &p_maker, instant p_now) {
+	const std::optional<endpoint_identity> bounded = _limits.get_limits().find_bounded_at(parse_network_address(p_maker));
+	if (!bounded) {
+		return true;
+	}
+	if (!_limits.may_send(*bounded, sender_part::WHOLE, p_now)) {
+		return false;
+	}
+	_limits.on_sent(*bounded, p_now);
+	return true;
+}
+
+void pool_caller::_send_release(const std::string &p_maker, const std::vector<std::string> &p_handles) {
+	channel_request request;
+	request.endpoint.vm = "release/" + p_maker;
+	request.to = parse_network_address(p_maker);
+	request.bytes = write_release(request.to, p_handles);
+	request.longest_idle = REPLICA_IDLE;
+	channel_hooks hooks;
+	hooks.on_end = [this, p_maker](channel_end p_end) {
+		if (p_end != channel_end::COMPLETE) {
+			// The results expire by themselves; until then their room is taken.
+			_context.metrics.count("releases_failed");
+			_context.log.write_request(log_line("release_failed").add("maker", p_maker).add("end", get_name(p_end)));
+		}
+	};
+	_context.channels.start(std::move(request), std::move(hooks));
 }
 
 } // namespace calicoscale
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -11,7 +11,7 @@
 
 #include "main/gateway/crash_watch.h"
 #include "main/gateway/gateway_context.h"
-#include "servers/gateway/endpoint_limits.h"
+#include "main/gateway/limit_guard.h"
 #include "servers/gateway/retry_window.h"
 #include "servers/gateway/stage_pool.h"
 
@@ -31,14 +31,20 @@
 
 /** Sends the calls that a pool's queue decides, takes their answers, and tells makers which results are needed no more. */
 class pool_caller {
+	/** Handles of results that are needed no more. */
+	struct pending_release {
+		std::vector<std::string> handles;
+		instant since{};
+	};
+
 	gateway_context &_context;
-	endpoint_limits &_cold;
+	limit_guard &_limits;
 	const std::string _name;
 	pool_caller_hooks _hooks;
 	stage_pool _pool;
 	retry_window _repeats;
 	std::map<std::uint64_t, exchange_id> _exchanges; ///< By call.
-	std::map<std::string, std::vector<std::string>> _to_release; ///< Handles by the address of their maker.
+	std::map<std::string, pending_release> _to_release; ///< By the address of the maker.
 
 	bool _try_repeat(instant p_now);
 	void _send(const stage_call &p_call);
@@ -46,10 +52,13 @@
 	void _note_lost(const stage_call &p_call);
 	void _note_without_room(const stage_call &p_call, const std::vector<item_result> &p_results);
 	void _give_up_overdue();
-	void _send_releases();
+	/** Sends releases that have waited so long, as far as their makers take them now. */
+	void _send_releases(duration p_patience);
+	bool _may_release(const std::string &p_maker, instant p_now);
+	void _send_release(const std::string &p_maker, const std::vector<std::string> &p_handles);
 
 public:
-	pool_caller(gateway_context &p_context, endpoint_limits &p_cold, std::string p_name, pool_caller_hooks p_hooks);
+	pool_caller(gateway_context &p_context, limit_guard &p_limits, std::string p_name, pool_caller_hooks p_hooks);
 	pool_caller(const pool_caller &) = delete;
 	pool_caller &operator=(const pool_caller &) = delete;
 
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -125,7 +125,7 @@
 mutate "evacuated zones" "stage calls go on" main/gateway/stage_dispatcher.cpp "if (!_evacuated_zones.contains(listing.zone)) {" "if (true) {" gateway_evacuation_test
 mutate "evacuated zones" "nothing is refused at once" main/gateway/admission.cpp "if (closed.empty()) {" "if (true) {" gateway_evacuation_test
 mutate "cold endpoints" "each node has all that they bear" servers/gateway/sender_places.cpp "return rank ? p_places / nodes.size() + (*rank < p_places % nodes.size() ? 1 : 0) : 0;" "return rank ? p_places : 0;" endpoint_limits_test
-mutate "cold endpoints" "a node that knows no others sends" servers/gateway/sender_places.cpp "if (!_is_settled || !is_of_zone || p_now - _first_view_at < PLACE_HELD) {" "if (!is_of_zone || p_now - _first_view_at < PLACE_HELD) {" endpoint_limits_test
+mutate "cold endpoints" "a node that knows no others sends" servers/gateway/sender_places.cpp "if (!_is_settled || !_is_own_zone(p_zone) || p_now - _first_view_at < PLACE_HELD) {" "if (!_is_own_zone(p_zone) || p_now - _first_view_at < PLACE_HELD) {" endpoint_limits_test
 mutate "cold endpoints" "a place counts at once" servers/gateway/sender_places.cpp "least = counts ? std::min(least, _count_in(view, p_endpoint, p_places)) : least;" "least = counts ? _count_in(view, p_endpoint, p_places) : least;" endpoint_limits_test
 mutate "home regions" "they bind only while something else is left" servers/routing/router.cpp "return p_endpoint.is_open() && is_admitted &&" "return p_endpoint.is_open() &&" gateway_places_test
 mutate "log eras" "an answer of another era is read on from" main/gateway/topic_reader.cpp "(is_other_era && !p_is_whole)" "false" gateway_era_test
--- a/servers/gateway/endpoint_limits.cpp
+++ b/servers/gateway/endpoint_limits.cpp
@@ -9,6 +9,7 @@
 #include "servers/gateway/endpoint_limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace calicoscale {
 
@@ -16,6 +17,10 @@
 
 /** Within it a cold endpoint's requests are counted. */
 constexpr duration COLD_SPAN = std::chrono::seconds(1);
+/** A node sends this often at most to find out whether a limit still holds that nobody spoke of for long. */
+constexpr duration CHECK_SPAN = std::chrono::seconds(1);
+/** No node sends so much to one endpoint. */
+constexpr double HIGHEST_RATE = 1e6;
 
 const gateway_service *find_limited(const gateway_configuration &p_configuration, const std::string &p_pool) {
 	const gateway_service *service = p_configuration.find_service(p_pool);
@@ -24,42 +29,34 @@
 
 } // namespace
 
-void endpoint_limits::_note_cold(const endpoint_listing &p_listing, double p_rate, duration p_left, instant p_now) {
-	cold_time &entry = _cold[p_listing.get_identity()];
+void endpoint_limits::_note_cold(const endpoint_identity &p_endpoint, double p_rate, duration p_left, instant p_now) {
+	cold_time &entry = _cold[p_endpoint];
 	entry.rate = p_rate;
 	entry.since = entry.since == instant{} ? p_now : entry.since;
 	entry.until = std::max(entry.until, p_now + p_left);
 }
 
 void endpoint_limits::set_listings(const std::vector<endpoint_listing> &p_listings, const gateway_configuration &p_configuration, instant p_now) {
-	_zones.clear();
+	_listed.clear();
 	for (const endpoint_listing &listing : p_listings) {
-		_zones[listing.get_identity()] = listing.zone;
+		_listed.emplace(listing.get_identity(), listed_endpoint{ listing.zone, listing.pool, listing.address });
 		const auto known = _cold.find(listing.get_identity());
 		// The list is taken again for other reasons too; what an entry said before has been running down since.
 		const bool is_news = known == _cold.end() ? listing.cold_left > duration::zero() : known->second.told != listing.cold_left;
 		const gateway_service *service = is_news ? find_limited(p_configuration, listing.pool) : nullptr;
 		if (service != nullptr) {
-			_note_cold(listing, service->cold_rate, listing.cold_left, p_now);
+			_note_cold(listing.get_identity(), service->cold_rate, listing.cold_left, p_now);
 			_cold.at(listing.get_identity()).told = listing.cold_left;
 		}
 	}
-	std::vector<endpoint_identity> unlisted;
-	for (const auto &[endpoint, entry] : _cold) {
-		if (!_zones.contains(endpoint)) {
-			unlisted.push_back(endpoint);
-		}
-	}
-	for (const endpoint_identity &endpoint : unlisted) {
-		_cold.erase(endpoint);
-		_forget(endpoint);
-	}
+	std::erase_if(_cold, [this](const auto &p_entry) { return !_listed.contains(p_entry.first); });
 }
 
-void endpoint_limits::on_told(const endpoint_listing &p_listing, const gateway_configuration &p_configuration, duration p_left, instant p_now) {
-	const gateway_service *service = find_limited(p_configuration, p_listing.pool);
+void endpoint_limits::on_cold(const endpoint_identity &p_endpoint, const gateway_configuration &p_configuration, duration p_left, instant p_now) {
+	const auto listed = _listed.find(p_endpoint);
+	const gateway_service *service = listed == _listed.end() ? nullptr : find_limited(p_configuration, listed->second.pool);
 	if (service != nullptr && p_left > duration::zero()) {
-		_note_cold(p_listing, service->cold_rate, p_left, p_now);
+		_note_cold(p_endpoint, service->cold_rate, p_left, p_now);
 	}
 }
 
@@ -67,7 +64,7 @@
 	for (const endpoint_listing &listing : p_listings) {
 		const gateway_service *service = listing.zone == p_zone ? find_limited(p_configuration, listing.pool) : nullptr;
 		if (service != nullptr) {
-			_note_cold(listing, service->cold_rate, service->cold_time, p_now);
+			_note_cold(listing.get_identity(), service->cold_rate, service->cold_time, p_now);
 		}
 	}
 }
@@ -80,21 +77,46 @@
 		// Less than one a second: the first of the senders sends one, and the next when the endpoint bears it.
 		bounds.push_back(rate >= 1.0 ? rate_bound{ static_cast<std::size_t>(rate), COLD_SPAN, cold->second.since } : rate_bound{ 1, from_seconds(1.0 / rate), cold->second.since });
 	}
+	const std::optional<double> named = _named.find_rate(p_endpoint);
+	if (named && !_named.is_confirmed(p_endpoint, p_now)) {
+		bounds.push_back(rate_bound{ 1, CHECK_SPAN, instant{}, true });
+	} else if (named) {
+		bounds.push_back(_make_named_bound(*named, _named.get_named_at(p_endpoint)));
+	}
 	return bounds;
 }
 
+endpoint_limits::rate_bound endpoint_limits::_make_named_bound(double p_rate, instant p_since) {
+	if (p_rate <= 0.0) {
+		return rate_bound{ 0, std::chrono::seconds(1), p_since };
+	}
+	const double places = std::max(1.0, std::floor(std::min(p_rate, HIGHEST_RATE)));
+	return rate_bound{ static_cast<std::size_t>(places), from_seconds(places / p_rate), p_since };
+}
+
 std::size_t endpoint_limits::_count_own(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part, instant p_now) {
-	if (p_part == sender_part::WHOLE) {
+	if (p_part == sender_part::WHOLE || p_bound.is_own) {
 		return p_bound.places;
 	}
-	const auto zone = _zones.find(p_endpoint);
-	return _places.count_own(p_endpoint, zone == _zones.end() ? "" : zone->second, p_bound.places, p_now);
+	return _places.count_own(p_endpoint, _find_zone(p_endpoint), p_bound.places, p_now);
+}
+
+std::size_t endpoint_limits::_count_soon(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part) {
+	if (p_part == sender_part::WHOLE || p_bound.is_own) {
+		return p_bound.places;
+	}
+	return _places.count_soon(p_endpoint, _find_zone(p_endpoint), p_bound.places);
+}
+
+std::string endpoint_limits::_find_zone(const endpoint_identity &p_endpoint) const {
+	const auto listed = _listed.find(p_endpoint);
+	return listed == _listed.end() ? "" : listed->second.zone;
 }
 
 std::optional<duration> endpoint_limits::_get_wait_by_rank(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part, instant p_now) {
 	const std::size_t own = _count_own(p_endpoint, p_bound, p_part, p_now);
 	if (own == 0) {
-		return std::nullopt;
+		return _count_soon(p_endpoint, p_bound, p_part) > 0 ? std::optional(_places.get_time_to_hold(p_now)) : std::nullopt;
 	}
 	const std::deque<instant> &sent = _sent[p_endpoint];
 	if (sent.size() < own) {
@@ -118,7 +140,7 @@
 std::optional<duration> endpoint_limits::get_wait(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now) {
 	duration longest = duration::zero();
 	for (const rate_bound &bound : _get_bounds(p_endpoint, p_now)) {
-		const bool is_even = _sharing == limit_sharing::EVEN && p_part == sender_part::SHARE;
+		const bool is_even = _sharing == limit_sharing::EVEN && p_part == sender_part::SHARE && bound.places > 0 && !bound.is_own;
 		const std::optional<duration> wait = is_even ? _get_wait_evenly(p_endpoint, bound, p_now) : _get_wait_by_rank(p_endpoint, bound, p_part, p_now);
 		if (!wait) {
 			return std::nullopt;
@@ -130,7 +152,9 @@
 
 bool endpoint_limits::may_send(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now) {
 	const std::optional<duration> wait = get_wait(p_endpoint, p_part, p_now);
-	return wait && *wait == duration::zero();
+	const bool is_allowed = wait && *wait == duration::zero();
+	_held_back += is_allowed ? 0 : 1;
+	return is_allowed;
 }
 
 void endpoint_limits::on_sent(const endpoint_identity &p_endpoint, instant p_now) {
@@ -140,31 +164,78 @@
 	}
 	std::deque<instant> &sent = _sent[p_endpoint];
 	sent.push_back(p_now);
-	std::size_t most = 1;
+	duration longest = duration::zero();
 	for (const rate_bound &bound : bounds) {
-		most = std::max(most, bound.places);
+		longest = std::max(longest, bound.span);
 	}
-	while (sent.size() > most) {
+	while (p_now - sent.front() > longest) {
 		sent.pop_front();
 	}
 }
 
-void endpoint_limits::_forget(const endpoint_identity &p_endpoint) {
-	_sent.erase(p_endpoint);
-	_places.forget(p_endpoint);
+void endpoint_limits::_add_free_places(const endpoint_identity &p_endpoint, const rate_bound &p_bound, std::size_t p_most, instant p_now, std::vector<instant> &r_free_at) {
+	const std::optional<duration> wait = get_wait(p_endpoint, sender_part::SHARE, p_now);
+	if (!wait) {
+		return;
+	}
+	const std::size_t own = _count_soon(p_endpoint, p_bound, sender_part::SHARE);
+	const std::deque<instant> &sent = _sent[p_endpoint];
+	for (std::size_t i = 0; i < std::min(own, p_most); i++) {
+		const bool is_used = sent.size() + i >= own;
+		const instant free_at = is_used ? sent[sent.size() + i - own] + p_bound.span : p_now;
+		r_free_at.push_back(std::max(free_at, p_now + *wait));
+	}
 }
 
-void endpoint_limits::forget_warm(instant p_now) {
-	std::vector<endpoint_identity> warm;
-	for (const auto &[endpoint, entry] : _cold) {
-		if (entry.until <= p_now && entry.told == duration::zero()) {
-			warm.push_back(endpoint);
+std::optional<duration> endpoint_limits::predict_wait(const std::vector<endpoint_identity> &p_endpoints, std::size_t p_before, instant p_now) {
+	std::vector<instant> free_at;
+	duration longest_span = duration::zero();
+	for (const endpoint_identity &endpoint : p_endpoints) {
+		const std::vector<rate_bound> bounds = _get_bounds(endpoint, p_now);
+		if (bounds.empty()) {
+			return duration::zero();
 		}
+		const auto get_rate = [](const rate_bound &p_bound) { return static_cast<double>(p_bound.places) / to_seconds(p_bound.span); };
+		const auto tightest = std::min_element(bounds.begin(), bounds.end(), [&get_rate](const rate_bound &p_left, const rate_bound &p_right) { return get_rate(p_left) < get_rate(p_right); });
+		_add_free_places(endpoint, *tightest, p_before + 1, p_now, free_at);
+		longest_span = std::max(longest_span, tightest->span);
 	}
-	for (const endpoint_identity &endpoint : warm) {
-		_cold.erase(endpoint);
-		_forget(endpoint);
+	if (free_at.empty()) {
+		return std::nullopt;
+	}
+	const auto next = free_at.begin() + static_cast<std::ptrdiff_t>(p_before % free_at.size());
+	std::nth_element(free_at.begin(), next, free_at.end());
+	return *next - p_now + longest_span * static_cast<duration::rep>(p_before / free_at.size());
+}
+
+std::optional<endpoint_identity> endpoint_limits::find_bounded_at(const network_address &p_address) const {
+	const auto is_there = [this, &p_address](const endpoint_identity &p_endpoint) {
+		const auto listed = _listed.find(p_endpoint);
+		return listed != _listed.end() && listed->second.address == p_address;
+	};
+	for (const auto &[endpoint, cold] : _cold) {
+		if (is_there(endpoint)) {
+			return endpoint;
+		}
 	}
+	return _named.find_if(is_there);
+}
+
+void endpoint_limits::_forget_unbounded() {
+	std::erase_if(_sent, [this](const auto &p_entry) {
+		const bool is_bounded = _cold.contains(p_entry.first) || _named.find_rate(p_entry.first);
+		if (!is_bounded) {
+			_places.forget(p_entry.first);
+		}
+		return !is_bounded;
+	});
+}
+
+std::vector<endpoint_identity> endpoint_limits::forget_old(instant p_now) {
+	std::vector<endpoint_identity> lapsed = _named.forget_old(p_now);
+	std::erase_if(_cold, [p_now](const auto &p_entry) { return p_entry.second.until <= p_now && p_entry.second.told == duration::zero(); });
+	_forget_unbounded();
+	return lapsed;
 }
 
 std::size_t endpoint_limits::get_cold_count(instant p_now) const {
--- a/servers/gateway/endpoint_limits.h
+++ b/servers/gateway/endpoint_limits.h
@@ -10,6 +10,7 @@
 #define ENDPOINT_LIMITS_H
 
 #include "servers/gateway/gateway_configuration.h"
+#include "servers/gateway/named_limits.h"
 #include "servers/gateway/sender_places.h"
 #include "servers/routing/endpoint_state.h"
 
@@ -35,7 +36,8 @@
 
 /**
  * Bounds what this node sends to endpoints that take only so many requests a second from all nodes together. An endpoint that
- * says it is cold bears a rate that its service tells, and collapses well above it.
+ * says it is cold bears a rate that its service tells, and collapses well above it; an endpoint in need names its limit in its
+ * answers. Of both, the tighter one counts.
  *
  * A rate is a number of places within a span, and each place is one request in it. Endpoints without a bound cost one look-up.
  */
@@ -45,6 +47,13 @@
 		std::size_t places = 1;
 		duration span = std::chrono::seconds(1);
 		instant since{};
+		bool is_own = false; ///< All places are this node's.
+	};
+
+	struct listed_endpoint {
+		std::string zone;
+		std::string pool;
+		network_address address;
 	};
 
 	struct cold_time {
@@ -56,26 +65,34 @@
 
 	limit_sharing _sharing;
 	sender_places _places;
-	std::map<endpoint_identity, std::string> _zones; ///< Of all endpoints on the list.
+	std::map<endpoint_identity, listed_endpoint> _listed;
 	std::map<endpoint_identity, cold_time> _cold;
+	named_limits _named;
+	std::uint64_t _held_back = 0;
 	std::map<endpoint_identity, std::deque<instant>> _sent; ///< By this node to endpoints with a bound, as long as it counts.
 
-	void _note_cold(const endpoint_listing &p_listing, double p_rate, duration p_left, instant p_now);
+	void _note_cold(const endpoint_identity &p_endpoint, double p_rate, duration p_left, instant p_now);
 	std::vector<rate_bound> _get_bounds(const endpoint_identity &p_endpoint, instant p_now) const;
+	std::string _find_zone(const endpoint_identity &p_endpoint) const;
+	std::size_t _count_soon(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part);
 	std::size_t _count_own(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part, instant p_now);
 	std::optional<duration> _get_wait_by_rank(const endpoint_identity &p_endpoint, const rate_bound &p_bound, sender_part p_part, instant p_now);
 	std::optional<duration> _get_wait_evenly(const endpoint_identity &p_endpoint, const rate_bound &p_bound, instant p_now) const;
-	void _forget(const endpoint_identity &p_endpoint);
+	/** Adds when this node's places at an endpoint come free, the next p_most of them. */
+	void _add_free_places(const endpoint_identity &p_endpoint, const rate_bound &p_bound, std::size_t p_most, instant p_now, std::vector<instant> &r_free_at);
+	static rate_bound _make_named_bound(double p_rate, instant p_since);
+	/** Drops what was kept of sends to endpoints that have no bound any more. */
+	void _forget_unbounded();
 
 public:
 	endpoint_limits(std::string p_vm, std::string p_zone, limit_sharing p_sharing) :
-			_sharing(p_sharing), _places(std::move(p_vm), std::move(p_zone)) {}
+			_sharing(p_sharing), _places(p_vm, std::move(p_zone)), _named(std::move(p_vm)) {}
 
 	/** Takes the list of endpoints. Those whose entry says that they are cold are, from when it was told first. */
 	void set_listings(const std::vector<endpoint_listing> &p_listings, const gateway_configuration &p_configuration, instant p_now);
 
 	/** An answer of an endpoint said how much longer it is cold. */
-	void on_told(const endpoint_listing &p_listing, const gateway_configuration &p_configuration, duration p_left, instant p_now);
+	void on_cold(const endpoint_identity &p_endpoint, const gateway_configuration &p_configuration, duration p_left, instant p_now);
 
 	/**
 	 * An evacuated zone was taken back: its endpoints count as cold for as long as after a start, as they may have been restarted
@@ -95,8 +112,32 @@
 	/** This node sent a request. */
 	void on_sent(const endpoint_identity &p_endpoint, instant p_now);
 
-	/** Forgets endpoints that are warm by now, but for those whose entry still says what it said when it was taken. */
-	void forget_warm(instant p_now);
+	/**
+	 * Forgets endpoints that are warm by now, but for those whose entry still says what it said when it was taken, and limits that
+	 * nobody spoke of for long.
+	 * @return endpoints whose limit is forgotten.
+	 */
+	std::vector<endpoint_identity> forget_old(instant p_now);
+
+	/** Limits that endpoints name. */
+	named_limits &get_named() { return _named; }
+	const named_limits &get_named() const { return _named; }
+
+	/**
+	 * How long a request would wait until one of these endpoints may be sent to, as things are: zero when one may be now, empty
+	 * when this node may send to none.
+	 * @param p_before requests that are to be sent to the same ones before it.
+	 */
+	std::optional<duration> predict_wait(const std::vector<endpoint_identity> &p_endpoints, std::size_t p_before, instant p_now);
+
+	/** The bounded endpoint at an address; empty when there is none. */
+	std::optional<endpoint_identity> find_bounded_at(const network_address &p_address) const;
+
+	/** Whether any endpoint is bounded. */
+	bool is_any_bounded() const { return !_cold.empty() || !_named.is_empty(); }
+
+	/** Sends to endpoints that were held back by what the endpoint takes, once for each time that may_send() said no. */
+	std::uint64_t get_held_back() const { return _held_back; }
 
 	/** How many endpoints are cold. */
 	std::size_t get_cold_count(instant p_now) const;
--- a/servers/gateway/mechanism.h
+++ b/servers/gateway/mechanism.h
@@ -43,7 +43,7 @@
 	ENGINE_RANKS, ///< Nodes agree on engines by a hash.
 	ENGINE_IN_FLIGHT, ///< Engines with fewer requests of this node are preferred.
 	ENGINE_ZONE, ///< Engines in the zone of the results are preferred.
-	COLD_RANKS, ///< Cold endpoints have a few senders each; off: all nodes send to them, rarely.
+	COLD_RANKS, ///< Endpoints that take only so much, as cold ones do, have a few senders each; off: all nodes send to them, rarely.
 	EJECTION, ///< Endpoints that fail are left out for a while.
 	REPEATS, ///< Requests that may run again are sent again.
 	STORE_READERS, ///< One node a zone reads the store for the others.
--- a/servers/gateway/sender_places.cpp
+++ b/servers/gateway/sender_places.cpp
@@ -19,6 +19,8 @@
 
 /** A second in which sends count, and some heartbeats, in which a node becomes known to the others of its zone. */
 constexpr duration PLACE_HELD = std::chrono::milliseconds(1500);
+/** A node that has not settled may do so within this. */
+constexpr duration SETTLE_PAUSE = std::chrono::milliseconds(100);
 
 std::uint64_t get_score(const std::string &p_node, const endpoint_identity &p_endpoint) {
 	return hash_bytes(p_node, hash_bytes(p_endpoint.vm, p_endpoint.incarnation));
@@ -60,8 +62,7 @@
 }
 
 std::size_t sender_places::count_own(const endpoint_identity &p_endpoint, const std::string &p_zone, std::size_t p_places, instant p_now) {
-	const bool is_of_zone = p_zone.empty() || p_zone == _zone;
-	if (!_is_settled || !is_of_zone || p_now - _first_view_at < PLACE_HELD) {
+	if (!_is_settled || !_is_own_zone(p_zone) || p_now - _first_view_at < PLACE_HELD) {
 		return 0;
 	}
 	std::size_t least = std::numeric_limits<std::size_t>::max();
@@ -72,6 +73,18 @@
 	return least;
 }
 
+std::size_t sender_places::count_soon(const endpoint_identity &p_endpoint, const std::string &p_zone, std::size_t p_places) {
+	return _views.empty() || !_is_own_zone(p_zone) ? 0 : _count_in(_views.back(), p_endpoint, p_places);
+}
+
+duration sender_places::get_time_to_hold(instant p_now) const {
+	instant held_at = _first_view_at + PLACE_HELD;
+	if (_views.size() > 1) {
+		held_at = std::max(held_at, _views[_views.size() - 2].replaced_at + PLACE_HELD);
+	}
+	return std::max(held_at - p_now, _is_settled ? duration::zero() : SETTLE_PAUSE);
+}
+
 double sender_places::get_phase(const endpoint_identity &p_endpoint) const {
 	return static_cast<double>(get_score(_vm, p_endpoint)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
--- a/servers/gateway/sender_places.h
+++ b/servers/gateway/sender_places.h
@@ -51,6 +51,7 @@
 	std::size_t _fleet_nodes = 1;
 	bool _is_settled = false;
 
+	bool _is_own_zone(const std::string &p_zone) const { return p_zone.empty() || p_zone == _zone; }
 	std::size_t _count_in(sender_view &r_view, const endpoint_identity &p_endpoint, std::size_t p_places) const;
 
 public:
@@ -63,6 +64,12 @@
 	/** How many of an endpoint's places are this node's. */
 	std::size_t count_own(const endpoint_identity &p_endpoint, const std::string &p_zone, std::size_t p_places, instant p_now);
 
+	/** How many will be this node's when nothing changes until get_time_to_hold() is over. */
+	std::size_t count_soon(const endpoint_identity &p_endpoint, const std::string &p_zone, std::size_t p_places);
+
+	/** How long until the places that this node would have by the nodes it knows now count. */
+	duration get_time_to_hold(instant p_now) const;
+
 	/** Where a node stands among others at an endpoint, from 0 to 1. */
 	double get_phase(const endpoint_identity &p_endpoint) const;
 
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -314,11 +314,14 @@
 	return usable.empty() ? open : usable;
 }
 
-bool router::has_open(const choice_request &p_request) {
-	const endpoint_group &group = _get_group(p_request);
-	return std::any_of(group.get_all().begin(), group.get_all().end(), [&p_request](const endpoint_state *p_endpoint) {
-		return p_endpoint->is_open() && (!p_request.admits || p_request.admits(p_endpoint->listing));
-	});
+std::vector<endpoint_identity> router::get_open(const choice_request &p_request) {
+	std::vector<endpoint_identity> open;
+	for (const endpoint_state *endpoint : _get_group(p_request).get_all()) {
+		if (endpoint->is_open() && (!p_request.admits || p_request.admits(endpoint->listing))) {
+			open.push_back(endpoint->listing.get_identity());
+		}
+	}
+	return open;
 }
 
 bool router::is_closed_off(const choice_request &p_request) const {
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -150,8 +150,8 @@
 	/** Endpoints of a pool that may be tried now, without those to avoid; all that are allowed when none is left. */
 	std::vector<const endpoint_state *> get_usable(const choice_request &p_request, instant p_now);
 
-	/** Whether an endpoint is open, be it that its limit is reached just now. */
-	bool has_open(const choice_request &p_request);
+	/** Endpoints that are open, be it that the limit of some is reached just now. */
+	std::vector<endpoint_identity> get_open(const choice_request &p_request);
 
 	/** Whether the pool has endpoints that stay, and all of them are evacuated or not admitted: nothing can be sent there. */
 	bool is_closed_off(const choice_request &p_request) const;
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -127,7 +127,7 @@
 }
 
 TEST(link_codec, each_kind_of_message_has_the_name_that_the_schema_gives_it) {
-	const std::map<std::string, link_message> messages{ { "hello", hello_message() }, { "heartbeat", make_heartbeat() }, { "tell_configuration", configuration_snapshot() }, { "hand_work", hand_work_message() }, { "tell_prompts", tell_prompts_message() }, { "tell_reading", tell_reading_message() }, { "tell_crashes", tell_crashes_message() } };
+	const std::map<std::string, link_message> messages{ { "hello", hello_message() }, { "heartbeat", make_heartbeat() }, { "tell_configuration", configuration_snapshot() }, { "hand_work", hand_work_message() }, { "tell_prompts", tell_prompts_message() }, { "tell_reading", tell_reading_message() }, { "tell_crashes", tell_crashes_message() }, { "tell_limits", tell_limits_message() } };
 	for (const auto &[name, message] : messages) {
 		EXPECT_EQ(get_kind_name(message.index()), name);
 		const std::string bytes = encode(message);
@@ -187,6 +187,22 @@
 	EXPECT_GE(heard.commitments.front().work, duration::zero());
 }
 
+TEST(link_codec, limits_keep_their_ages_and_ends_and_rates_that_are_none_are_refused) {
+	tell_limits_message limits;
+	limits.limits.push_back(told_limit{ endpoint_identity{ "e1", 7 }, 1.25, std::chrono::milliseconds(1500) });
+	limits.limits.push_back(told_limit{ endpoint_identity{ "e2", 8 }, std::nullopt, std::chrono::milliseconds(20) });
+	const tell_limits_message read = std::get<tell_limits_message>(*decode_link_message(encode(link_message(limits))));
+	ASSERT_EQ(read.limits.size(), 2U);
+	EXPECT_EQ(read.limits[0].endpoint, limits.limits[0].endpoint);
+	EXPECT_EQ(read.limits[0].rate, 1.25);
+	EXPECT_EQ(read.limits[0].age, std::chrono::milliseconds(1500));
+	EXPECT_EQ(read.limits[1].rate, std::nullopt);
+	for (const double rate : { -1.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN() }) {
+		limits.limits[0].rate = rate;
+		EXPECT_FALSE(decode_link_message(encode(link_message(limits))).has_value());
+	}
+}
+
 TEST(link_codec, news_of_crashes_keep_their_ages_and_unknown_ones_are_refused) {
 	tell_crashes_message crashes;
 	crashes.is_whole = true;
--- a/tests/main/gateway_limits_test.cpp
+++ b/tests/main/gateway_limits_test.cpp
@@ -78,4 +78,62 @@
 	EXPECT_EQ(count_served(), 96U);
 }
 
+TEST_F(gateway_limits_test, a_node_that_only_heard_of_a_limit_keeps_it) {
+	configure(1);
+	standin_replica &limited = add_replica("llm");
+	start_nodes(2);
+	wait(milliseconds(800));
+	limited.rate_limit = "0.5";
+	ask(*_gateways[0], "/safe/");
+	wait(milliseconds(300));
+	add_replica("llm");
+	wait(milliseconds(1200));
+	const std::size_t before = limited.runs.size();
+	for (int i = 0; i < 20; i++) {
+		EXPECT_EQ(ask(*_gateways[1], "/safe/")->head.status, 200);
+	}
+	EXPECT_LE(limited.runs.size() - before, 1U);
+}
+
+TEST_F(gateway_limits_test, what_limits_leave_no_room_for_is_refused_at_once_with_a_time_to_come_back) {
+	configure(1);
+	standin_replica &limited = add_replica("llm");
+	start_nodes(1);
+	wait(milliseconds(1000));
+	limited.rate_limit = "1";
+	ask(*_gateways[0], "/safe/");
+	const instant begin = event_loop::now();
+	for (int i = 0; i < 10; i++) {
+		_sent.push_back(send(*_gateways[0], "/safe/"));
+	}
+	wait(milliseconds(400));
+	std::size_t refused = 0;
+	for (const std::shared_ptr<caller_result> &result : _sent) {
+		if (result->end.has_value() && result->head.status == 503) {
+			refused++;
+			EXPECT_GT(std::stod(result->get("Retry-After")), 0.0);
+		}
+	}
+	EXPECT_GE(refused, 7U);
+	run_until([this] { return std::all_of(_sent.begin(), _sent.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); }); });
+	EXPECT_GE(count_served(), 1U) << "what it takes within the objective of two seconds";
+	EXPECT_LE(event_loop::now() - begin, seconds(3)) << "nobody is held for more";
+}
+
+TEST_F(gateway_limits_test, an_endpoint_that_names_no_limit_any_more_is_sent_to_as_before) {
+	configure(1);
+	standin_replica &limited = add_replica("llm");
+	start_nodes(3);
+	wait(milliseconds(800));
+	limited.rate_limit = "1";
+	press("/safe/", seconds(2), 10);
+	limited.rate_limit.clear();
+	wait(milliseconds(1100));
+	press("/safe/", seconds(1), 4);
+	wait(milliseconds(500));
+	_sent.clear();
+	press("/safe/", seconds(2), 30);
+	EXPECT_EQ(count_served(), 60U) << "also at nodes that had no place there";
+}
+
 } // namespace calicoscale
--- a/tests/servers/gateway/endpoint_limits_test.cpp
+++ b/tests/servers/gateway/endpoint_limits_test.cpp
@@ -307,7 +307,7 @@
 	endpoint_limits told("n", "z0", limit_sharing::RANKS);
 	told.set_listings({ listing }, configuration, at_ms(0));
 	EXPECT_EQ(told.get_cold_count(at_ms(0)), 0U);
-	told.on_told(listing, configuration, std::chrono::milliseconds(800), at_ms(0));
+	told.on_cold(listing.get_identity(), configuration, std::chrono::milliseconds(800), at_ms(0));
 	EXPECT_EQ(told.get_cold_count(at_ms(799)), 1U);
 	EXPECT_EQ(told.get_cold_count(at_ms(800)), 0U);
 	endpoint_limits back("n", "z0", limit_sharing::RANKS);
