An answer that says its endpoint leaves, or asks for rest, is read, logged and counted

Sight for the incidents of endpoints that leave or rest: endpoint_says_leaving, endpoint_asks_rest (with how long before the request was sent), counters answers_that_leave, answers_that_ask_for_rest. Nothing is decided by them yet. Rest is read from 503 and 429, in seconds and fractions; dates, negative numbers and other text are no rest, more than ten minutes counts as ten.

--- a/drivers/http_status.h
+++ b/drivers/http_status.h
@@ -21,6 +21,7 @@
 constexpr int CONFLICT = 409;
 constexpr int GONE = 410;
 constexpr int BODY_TOO_LARGE = 413;
+constexpr int TOO_MANY_REQUESTS = 429;
 constexpr int HEADERS_TOO_LARGE = 431;
 constexpr int FIRST_SERVER_ERROR = 500;
 constexpr int BAD_GATEWAY = 502;
--- a/main/gateway/limit_guard.cpp
+++ b/main/gateway/limit_guard.cpp
@@ -42,6 +42,14 @@
 	if (p_notice.limit != limit_statement::NONE) {
 		_context.metrics.count(p_notice.limit == limit_statement::NAMED ? "answers_with_limit" : "answers_with_unreadable_limit");
 	}
+	if (p_notice.is_leaving) {
+		_context.metrics.count("answers_that_leave");
+		_context.log.write_request(log_line("endpoint_says_leaving").add("endpoint", p_endpoint.vm).add("sent_before_ms", now - p_sent_at));
+	}
+	if (p_notice.rest > duration::zero()) {
+		_context.metrics.count("answers_that_ask_for_rest");
+		_context.log.write_request(log_line("endpoint_asks_rest").add("endpoint", p_endpoint.vm).add("rest_ms", p_notice.rest).add("sent_before_ms", now - p_sent_at));
+	}
 	_note(_limits.get_named().on_answer(p_endpoint, p_notice, p_is_signed, p_sent_at, now), p_endpoint, "answer");
 	for (const limit_record &record : _limits.get_named().take_news()) {
 		_relay.add_own(record);
--- a/servers/routing/endpoint_notice.h
+++ b/servers/routing/endpoint_notice.h
@@ -27,6 +27,8 @@
 	duration cold_left = duration::zero(); ///< How much longer the endpoint is cold; zero when it does not say.
 	limit_statement limit = limit_statement::NONE;
 	double rate_limit = 0.0; ///< Requests a second, if one is named; not negative.
+	bool is_leaving = false; ///< This start of the endpoint ends in a while.
+	duration rest = duration::zero(); ///< For so long it wants nothing from the node that it turned away; zero when it does not say.
 };
 
 } // namespace calicoscale
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -155,6 +155,41 @@
 	EXPECT_EQ(read_endpoint_answer(of_another).notice.limit, limit_statement::NONE) << "it speaks for the endpoint that has the address now";
 }
 
+TEST(request_codec, rest_is_read_from_answers_that_turn_away_and_only_if_it_is_a_time) {
+	const auto read = [](int p_status, const std::string &p_text) {
+		http_head head;
+		head.status = p_status;
+		head.headers = { { "Retry-After", p_text }, { "X-Not-Executed", "1" } };
+		return read_endpoint_answer(head).notice.rest;
+	};
+	EXPECT_EQ(read(503, "3"), std::chrono::seconds(3));
+	EXPECT_EQ(read(503, " 0.25 "), milliseconds(250));
+	EXPECT_EQ(read(429, "2"), std::chrono::seconds(2));
+	EXPECT_EQ(read(503, "1000000000000"), std::chrono::seconds(600));
+	for (const char *text : { "", "-3", "0", "soon", "3 s", "nan", "Fri, 31 Dec 2027 23:59:59 GMT" }) {
+		EXPECT_EQ(read(503, text), duration::zero()) << text;
+	}
+	for (const int status : { 200, 400, 421, 500, 502, 504 }) {
+		EXPECT_EQ(read(status, "3"), duration::zero()) << status;
+	}
+}
+
+TEST(request_codec, an_answer_says_that_its_endpoint_leaves) {
+	const auto read = [](int p_status, const std::string &p_text) {
+		http_head head;
+		head.status = p_status;
+		head.headers = { { "Server-Leaving", p_text } };
+		return read_endpoint_answer(head).notice.is_leaving;
+	};
+	for (const int status : { 200, 500, 503 }) {
+		EXPECT_TRUE(read(status, "1")) << status;
+	}
+	EXPECT_FALSE(read(421, "1")) << "it speaks for the endpoint that has the address now";
+	for (const char *text : { "0", "", "no" }) {
+		EXPECT_FALSE(read(200, text)) << text;
+	}
+}
+
 TEST(configuration_codec, reads_a_whole_configuration) {
 	const std::shared_ptr<const gateway_configuration> configuration = parse_gateway_configuration(CONFIGURATION);
 	EXPECT_EQ(configuration->version, 7U);
