--- a/tests/main/gateway_limits_test.cpp
+++ b/tests/main/gateway_limits_test.cpp
@@ -78,6 +78,34 @@
 	EXPECT_EQ(count_served(), 96U);
 }
 
+TEST_F(gateway_limits_test, an_endpoint_that_says_it_leaves_gets_nothing_new_while_the_store_is_silent) {
+	configure(1);
+	standin_replica &leaving = add_replica("llm");
+	add_replica("llm");
+	start_nodes(2);
+	leaving.says_leaving = true;
+	press("/safe/", seconds(2), 20);
+	EXPECT_EQ(count_served(), 40U);
+	EXPECT_FALSE(leaving.arrivals.empty()) << "somebody has to be told";
+	EXPECT_EQ(leaving.get_most_arrivals(seconds(60), leaving.arrivals.front() + milliseconds(500)), 0U);
+}
+
+TEST_F(gateway_limits_test, a_stage_replica_that_says_it_leaves_gets_no_more_calls) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &leaving = add_replica("encode");
+	add_replica("encode");
+	add_replica("search");
+	start_nodes(2);
+	leaving.says_leaving = true;
+	press("/stream/staged/x", seconds(1), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	EXPECT_GT(leaving.stage_calls, 0U) << "somebody has to be told";
+	const std::size_t before = leaving.stage_calls;
+	press("/stream/staged/x", seconds(2), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	EXPECT_EQ(leaving.stage_calls, before);
+	EXPECT_EQ(count_served(), 36U);
+}
+
 TEST_F(gateway_limits_test, a_node_that_only_heard_of_a_limit_keeps_it) {
 	configure(1);
 	standin_replica &limited = add_replica("llm");
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -68,6 +68,9 @@
 	if (cold_ms > 0) {
 		headers.push_back({ "X-Cold-Ms", std::to_string(cold_ms) });
 	}
+	if (says_leaving) {
+		headers.push_back({ "Server-Leaving", "1" });
+	}
 	if (!rate_limit.empty()) {
 		headers.push_back({ "Server-Limit", rate_limit });
 	}
@@ -92,6 +95,16 @@
 		return;
 	}
 	arrivals.push_back(event_loop::now());
+	const bool is_release = p_exchange->head.target == "/stage-free";
+	if (mode == replica_mode::SHED && !is_release) {
+		std::vector<http_header> headers = _make_notices();
+		headers.push_back({ "X-Not-Executed", "1" });
+		if (!retry_after.empty()) {
+			headers.push_back({ "Retry-After", retry_after });
+		}
+		p_exchange->reply(503, headers, "");
+		return;
+	}
 	if (p_exchange->head.target == "/stage-run") {
 		if (!ending_key.empty() && p_exchange->body.find('"' + ending_key + '"') != std::string::npos) {
 			_loop.post([this] { end_process(); });
@@ -112,12 +125,6 @@
 		p_exchange->reply(200, {}, "");
 		return;
 	}
-	if (mode == replica_mode::SHED) {
-		std::vector<http_header> headers = _make_notices();
-		headers.push_back({ "X-Not-Executed", "1" });
-		p_exchange->reply(503, headers, "");
-		return;
-	}
 	runs.push_back(seen_request{ p_exchange->head, p_exchange->body });
 	if (mode == replica_mode::END || (!ending_body.empty() && p_exchange->body == ending_body)) {
 		// From the loop, as this runs inside one of its connections.
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -77,6 +77,8 @@
 	std::function<void()> on_ended; ///< Called once, when its process has ended.
 	int cold_ms = 0; ///< How much longer it is cold, as its answers say.
 	std::string rate_limit; ///< Requests a second that it names in its answers, as it writes them; empty for none.
+	bool says_leaving = false; ///< In its answers; its entry does not change.
+	std::string retry_after; ///< Seconds of rest that it asks for when it sheds, as it writes them; empty for none.
 	std::vector<instant> arrivals; ///< Of requests and stage calls that were meant for it, refused ones included.
 	std::string missing_input; ///< This handle is reported as gone, once.
 
