Tests that fail: an endpoint that asks for rest is sent to within it

Four requests of one node within the rest, allowed two; and where all endpoints rest, callers are told to come back after 0.3 s instead of the shortest rest. The same at a stage replica passes already, as the pool leaves a replica that refused out for a while; its test stands for that.

--- a/tests/main/gateway_limits_test.cpp
+++ b/tests/main/gateway_limits_test.cpp
@@ -106,6 +106,56 @@
 	EXPECT_EQ(count_served(), 36U);
 }
 
+TEST_F(gateway_limits_test, an_endpoint_that_asks_for_rest_gets_none_of_the_nodes_requests_meanwhile) {
+	configure(1);
+	standin_replica &resting = add_replica("llm");
+	add_replica("llm");
+	start_nodes(1);
+	resting.mode = replica_mode::SHED;
+	resting.retry_after = "3";
+	press("/safe/", seconds(2), 20);
+	ASSERT_FALSE(resting.arrivals.empty());
+	const instant asked = resting.arrivals.front();
+	EXPECT_LE(resting.get_most_arrivals(seconds(60), asked + milliseconds(500)), 2U);
+	EXPECT_EQ(count_served(), 40U);
+	resting.mode = replica_mode::ANSWER;
+	run_until([asked] { return event_loop::now() > asked + milliseconds(3100); });
+	press("/safe/", seconds(2), 20);
+	EXPECT_FALSE(resting.runs.empty()) << "it has rested";
+}
+
+TEST_F(gateway_limits_test, a_stage_replica_that_asks_for_rest_gets_no_calls_meanwhile) {
+	configure(1);
+	add_replica("llm");
+	standin_replica &resting = add_replica("encode");
+	add_replica("encode");
+	add_replica("search");
+	start_nodes(1);
+	resting.mode = replica_mode::SHED;
+	resting.retry_after = "3";
+	press("/stream/staged/x", seconds(2), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	ASSERT_FALSE(resting.arrivals.empty());
+	EXPECT_LE(resting.get_most_arrivals(seconds(60), resting.arrivals.front() + milliseconds(500)), 2U);
+}
+
+TEST_F(gateway_limits_test, when_all_endpoints_rest_requests_are_refused_at_once_with_the_shortest_of_the_rests) {
+	configure(1);
+	for (const char *seconds_of_rest : { "8", "5" }) {
+		standin_replica &resting = add_replica("llm");
+		resting.mode = replica_mode::SHED;
+		resting.retry_after = seconds_of_rest;
+	}
+	start_nodes(1);
+	ask(*_gateways[0], "/safe/");
+	const instant begin = event_loop::now();
+	const std::shared_ptr<caller_result> refused = ask(*_gateways[0], "/safe/");
+	EXPECT_EQ(refused->head.status, 503);
+	EXPECT_LT(event_loop::now() - begin, duration(milliseconds(500)));
+	const double come_back = std::stod(refused->get("Retry-After"));
+	EXPECT_GT(come_back, 4.0);
+	EXPECT_LE(come_back, 5.0);
+}
+
 TEST_F(gateway_limits_test, a_node_that_only_heard_of_a_limit_keeps_it) {
 	configure(1);
 	standin_replica &limited = add_replica("llm");
