An endpoint that says in its answers that it leaves gets nothing new

What callers saw: requests went on to an engine 2.6 and 4 s after it had said that it leaves, while the store was silent; it may end under them.

Cause: that an endpoint leaves was known from its entry in the store and from a refusal for another name only. Evidence: 15 requests later than half a second after the first such answer, calls without end at a stage replica.

Now each answer that says so, of a request or of a stage call, marks this start of the endpoint as leaving in the directory, as its entry would: routers and pools leave it out at once, peers hear of it with the next heartbeat, and no entry read later brings it back.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -56,7 +56,7 @@
 		_endpoints(_context),
 		_evacuations(_context, _configuration),
 		_fleet(_context, _configuration, _endpoints, _evacuations, _commitments),
-		_limits(_context, _configuration, _fleet),
+		_limits(_context, _configuration, _fleet, _endpoints),
 		_dispatcher(_context, _configuration, _fleet, _commitments, _limits),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
--- a/main/gateway/limit_guard.cpp
+++ b/main/gateway/limit_guard.cpp
@@ -24,10 +24,11 @@
 
 } // namespace
 
-limit_guard::limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet) :
+limit_guard::limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints) :
 		_context(p_context),
 		_configuration(p_configuration),
 		_fleet(p_fleet),
+		_endpoints(p_endpoints),
 		_limits(p_context.settings.vm, p_context.settings.zone, p_context.settings.mechanisms.has(mechanism::COLD_RANKS) ? limit_sharing::RANKS : limit_sharing::EVEN),
 		_relay(p_context.loop, p_fleet, make_digest(), [this](const std::string &p_vm, const std::vector<limit_record> &p_records) { _send(p_vm, p_records); }) {
 	_fleet.get_link().link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
@@ -44,7 +45,7 @@
 	}
 	if (p_notice.is_leaving) {
 		_context.metrics.count("answers_that_leave");
-		_context.log.write_request(log_line("endpoint_says_leaving").add("endpoint", p_endpoint.vm).add("sent_before_ms", now - p_sent_at));
+		_endpoints.mark_leaving(p_endpoint, "answer");
 	}
 	if (p_notice.rest > duration::zero()) {
 		_context.metrics.count("answers_that_ask_for_rest");
--- a/main/gateway/limit_guard.h
+++ b/main/gateway/limit_guard.h
@@ -10,6 +10,7 @@
 #define LIMIT_GUARD_H
 
 #include "main/gateway/configuration_follower.h"
+#include "main/gateway/endpoint_follower.h"
 #include "main/gateway/hub_relay.h"
 #include "platform/request_codec.h"
 #include "servers/gateway/endpoint_limits.h"
@@ -30,6 +31,7 @@
 	gateway_context &_context;
 	configuration_follower &_configuration;
 	gateway_fleet &_fleet;
+	endpoint_follower &_endpoints;
 	endpoint_limits _limits;
 	hub_relay<limit_record> _relay;
 	waiting_line _line;
@@ -40,7 +42,7 @@
 	void _note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source);
 
 public:
-	limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet);
+	limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints);
 
 	endpoint_limits &get_limits() { return _limits; }
 
