An endpoint that asks a node for rest gets nothing from it meanwhile

What callers saw: an engine in overload answered 503 and asked for three seconds; the node sent it a request each half second, each of which came back as a 503 while other engines had room.

Cause: a time to come back was written for callers and read from no endpoint's answer. Evidence: four requests within the rest with one node and 20 requests a second; where all endpoints rest, callers were told 0.3 s.

Now endpoint_rests keeps until when an endpoint wants nothing from this node, and endpoint_limits, which is asked before each send, says no until then; so do the releases of a stage replica's results. Other nodes are not meant and not told. Where all endpoints of a service rest, requests are refused at once, before their stages run, with what is left of the shortest rest. The two requests that the users allow within a rest are not used.

--- a/main/gateway/admission.cpp
+++ b/main/gateway/admission.cpp
@@ -89,18 +89,20 @@
 
 std::optional<refusal> admission::_judge_limits(const admitted_request &p_request) {
 	const std::size_t before = _shared.limits.get_line().count(p_request.service);
-	const std::optional<duration> wait = _shared.limits.predict_wait(get_router(_shared, p_request), make_choice(_context, p_request), before);
-	if (wait && *wait == duration::zero()) {
+	const send_prospect prospect = _shared.limits.predict(get_router(_shared, p_request), make_choice(_context, p_request), before);
+	if (prospect.wait && *prospect.wait == duration::zero()) {
 		return std::nullopt;
 	}
 	const duration answer = get_answer_time(_shared, p_request);
 	const duration stages = std::max(duration::zero(), p_request.predicted - answer);
-	const duration late = std::max(wait.value_or(duration::zero()), stages) + answer - p_request.route->objective;
-	if (wait && late <= duration::zero()) {
+	const duration late = std::max(prospect.wait.value_or(duration::zero()), stages) + answer - p_request.route->objective;
+	if (prospect.wait && late <= duration::zero()) {
 		return std::nullopt;
 	}
-	return refusal{ reason::NO_ENDPOINT, _get_return_time(late, p_request), [wait, before](log_line &r_line) {
-					   r_line.add("limit_wait_ms", wait.value_or(duration::zero())).add("has_place", wait ? "yes" : "no").add("before", static_cast<long long>(before));
+	const bool is_resting = !prospect.wait && prospect.rest_left;
+	const duration retry_after = is_resting ? *prospect.rest_left : _get_return_time(late, p_request);
+	return refusal{ reason::NO_ENDPOINT, retry_after, [prospect, before](log_line &r_line) {
+					   r_line.add("limit_wait_ms", prospect.wait.value_or(duration::zero())).add("has_place", prospect.wait ? "yes" : "no").add("rest_left_ms", prospect.rest_left.value_or(duration::zero())).add("before", static_cast<long long>(before));
 				   } };
 }
 
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -157,21 +157,22 @@
 
 void gateway_request::_on_none_to_send_to() {
 	const std::size_t before = _services.limits.get_line().count_before(_request.service, _place);
-	const std::optional<duration> wait = _services.limits.predict_wait(get_router(_services, _request), _make_choice(), before);
-	if (!wait || get_router(_services, _request).get_open(_make_choice()).empty()) {
-		_refuse(reason::NO_ENDPOINT, SHORT_RETRY_AFTER);
+	const send_prospect prospect = _services.limits.predict(get_router(_services, _request), _make_choice(), before);
+	if (!prospect.wait || get_router(_services, _request).get_open(_make_choice()).empty()) {
+		_refuse(reason::NO_ENDPOINT, prospect.rest_left.value_or(SHORT_RETRY_AFTER));
 		return;
 	}
+	const duration wait = *prospect.wait;
 	// All that are open have had what they take for the moment. Stage work that is done is lost with a refusal.
 	const instant latest = _stages.is_empty() ? std::min(_give_up_at, _started + _request.route->objective) : _give_up_at;
-	const duration late = event_loop::now() + *wait + get_answer_time(_services, _request) + LEAST_REMAINING - latest;
+	const duration late = event_loop::now() + wait + get_answer_time(_services, _request) + LEAST_REMAINING - latest;
 	if (late > duration::zero()) {
 		_refuse(reason::NO_ENDPOINT, std::max(late, SHORT_RETRY_AFTER));
 		return;
 	}
 	_permit.keep();
 	_services.context.metrics.count("waits_for_limited_endpoints");
-	_retry_timer.set(std::clamp(*wait, RETRY_PAUSE, LIMIT_PAUSE));
+	_retry_timer.set(std::clamp(wait, RETRY_PAUSE, LIMIT_PAUSE));
 }
 
 void gateway_request::_send_with(send_care p_care) {
--- a/main/gateway/limit_guard.cpp
+++ b/main/gateway/limit_guard.cpp
@@ -48,6 +48,7 @@
 		_endpoints.mark_leaving(p_endpoint, "answer");
 	}
 	if (p_notice.rest > duration::zero()) {
+		_limits.get_rests().add(p_endpoint, p_notice.rest, now);
 		_context.metrics.count("answers_that_ask_for_rest");
 		_context.log.write_request(log_line("endpoint_asks_rest").add("endpoint", p_endpoint.vm).add("rest_ms", p_notice.rest).add("sent_before_ms", now - p_sent_at));
 	}
@@ -105,12 +106,13 @@
 	_relay.send_soon();
 }
 
-std::optional<duration> limit_guard::predict_wait(router &r_choices, const choice_request &p_request, std::size_t p_before) {
+send_prospect limit_guard::predict(router &r_choices, const choice_request &p_request, std::size_t p_before) {
+	const send_prospect at_once{ duration::zero(), std::nullopt };
 	if (!_limits.is_any_bounded()) {
-		return duration::zero();
+		return at_once;
 	}
 	const std::vector<endpoint_identity> open = r_choices.get_open(p_request);
-	return open.empty() ? duration::zero() : _limits.predict_wait(open, p_before, event_loop::now());
+	return open.empty() ? at_once : _limits.predict(open, p_before, event_loop::now());
 }
 
 void limit_guard::tick(bool p_is_settled) {
@@ -124,6 +126,7 @@
 void limit_guard::report() {
 	_context.metrics.set_gauge("cold_endpoints", static_cast<double>(_limits.get_cold_count(event_loop::now())));
 	_context.metrics.set_gauge("limited_endpoints", static_cast<double>(_limits.get_named().count()));
+	_context.metrics.set_gauge("resting_endpoints", static_cast<double>(_limits.get_rests().count()));
 	_context.metrics.set_gauge("sends_held_back", static_cast<double>(_limits.get_held_back()));
 	_context.metrics.set_gauge("limits_not_told", static_cast<double>(_relay.get_dropped()));
 }
--- a/main/gateway/limit_guard.h
+++ b/main/gateway/limit_guard.h
@@ -60,11 +60,11 @@
 	void on_answer(const endpoint_identity &p_endpoint, const endpoint_notice &p_notice, bool p_is_signed, instant p_sent_at);
 
 	/**
-	 * How long a request waits at this node until one of the endpoints open to it may be sent to; zero when one may be now,
-	 * empty when this node may send to none as things are.
+	 * When a request may be sent from this node to one of the endpoints open to it; at once when there is none, as that is not
+	 * for limits to judge.
 	 * @param p_before requests that are to be sent before it.
 	 */
-	std::optional<duration> predict_wait(router &r_choices, const choice_request &p_request, std::size_t p_before);
+	send_prospect predict(router &r_choices, const choice_request &p_request, std::size_t p_before);
 
 	/** Requests that were admitted and not sent yet. */
 	waiting_line &get_line() { return _line; }
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -215,14 +215,15 @@
 }
 
 bool pool_caller::_may_release(const std::string &p_maker, instant p_now) {
-	const std::optional<endpoint_identity> bounded = _limits.get_limits().find_bounded_at(parse_network_address(p_maker));
-	if (!bounded) {
+	const endpoint_limits &limits = _limits.get_limits();
+	const std::optional<endpoint_identity> maker = limits.is_any_bounded() ? limits.find_at(parse_network_address(p_maker)) : std::nullopt;
+	if (!maker) {
 		return true;
 	}
-	if (!_limits.may_send(*bounded, sender_part::WHOLE, p_now)) {
+	if (!_limits.may_send(*maker, sender_part::WHOLE, p_now)) {
 		return false;
 	}
-	_limits.on_sent(*bounded, p_now);
+	_limits.on_sent(*maker, p_now);
 	return true;
 }
 
--- a/servers/gateway/endpoint_limits.cpp
+++ b/servers/gateway/endpoint_limits.cpp
@@ -138,6 +138,9 @@
 }
 
 std::optional<duration> endpoint_limits::get_wait(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now) {
+	if (_rests.get_left(p_endpoint, p_now) > duration::zero()) {
+		return std::nullopt;
+	}
 	duration longest = duration::zero();
 	for (const rate_bound &bound : _get_bounds(p_endpoint, p_now)) {
 		const bool is_even = _sharing == limit_sharing::EVEN && p_part == sender_part::SHARE && bound.places > 0 && !bound.is_own;
@@ -187,38 +190,37 @@
 	}
 }
 
-std::optional<duration> endpoint_limits::predict_wait(const std::vector<endpoint_identity> &p_endpoints, std::size_t p_before, instant p_now) {
+send_prospect endpoint_limits::predict(const std::vector<endpoint_identity> &p_endpoints, std::size_t p_before, instant p_now) {
+	send_prospect prospect;
 	std::vector<instant> free_at;
 	duration longest_span = duration::zero();
 	for (const endpoint_identity &endpoint : p_endpoints) {
+		const duration rest = _rests.get_left(endpoint, p_now);
+		if (rest > duration::zero()) {
+			prospect.rest_left = std::min(prospect.rest_left.value_or(rest), rest);
+			continue;
+		}
 		const std::vector<rate_bound> bounds = _get_bounds(endpoint, p_now);
 		if (bounds.empty()) {
-			return duration::zero();
+			prospect.wait = duration::zero();
+			return prospect;
 		}
 		const auto get_rate = [](const rate_bound &p_bound) { return static_cast<double>(p_bound.places) / to_seconds(p_bound.span); };
 		const auto tightest = std::min_element(bounds.begin(), bounds.end(), [&get_rate](const rate_bound &p_left, const rate_bound &p_right) { return get_rate(p_left) < get_rate(p_right); });
 		_add_free_places(endpoint, *tightest, p_before + 1, p_now, free_at);
 		longest_span = std::max(longest_span, tightest->span);
 	}
-	if (free_at.empty()) {
-		return std::nullopt;
+	if (!free_at.empty()) {
+		const auto next = free_at.begin() + static_cast<std::ptrdiff_t>(p_before % free_at.size());
+		std::nth_element(free_at.begin(), next, free_at.end());
+		prospect.wait = *next - p_now + longest_span * static_cast<duration::rep>(p_before / free_at.size());
 	}
-	const auto next = free_at.begin() + static_cast<std::ptrdiff_t>(p_before % free_at.size());
-	std::nth_element(free_at.begin(), next, free_at.end());
-	return *next - p_now + longest_span * static_cast<duration::rep>(p_before / free_at.size());
+	return prospect;
 }
 
-std::optional<endpoint_identity> endpoint_limits::find_bounded_at(const network_address &p_address) const {
-	const auto is_there = [this, &p_address](const endpoint_identity &p_endpoint) {
-		const auto listed = _listed.find(p_endpoint);
-		return listed != _listed.end() && listed->second.address == p_address;
-	};
-	for (const auto &[endpoint, cold] : _cold) {
-		if (is_there(endpoint)) {
-			return endpoint;
-		}
-	}
-	return _named.find_if(is_there);
+std::optional<endpoint_identity> endpoint_limits::find_at(const network_address &p_address) const {
+	const auto found = std::find_if(_listed.begin(), _listed.end(), [&p_address](const auto &p_entry) { return p_entry.second.address == p_address; });
+	return found == _listed.end() ? std::nullopt : std::optional(found->first);
 }
 
 void endpoint_limits::_forget_unbounded() {
@@ -234,6 +236,7 @@
 std::vector<endpoint_identity> endpoint_limits::forget_old(instant p_now) {
 	std::vector<endpoint_identity> lapsed = _named.forget_old(p_now);
 	std::erase_if(_cold, [p_now](const auto &p_entry) { return p_entry.second.until <= p_now && p_entry.second.told == duration::zero(); });
+	_rests.forget_old(p_now);
 	_forget_unbounded();
 	return lapsed;
 }
--- a/servers/gateway/endpoint_limits.h
+++ b/servers/gateway/endpoint_limits.h
@@ -9,6 +9,7 @@
 #ifndef ENDPOINT_LIMITS_H
 #define ENDPOINT_LIMITS_H
 
+#include "servers/gateway/endpoint_rests.h"
 #include "servers/gateway/gateway_configuration.h"
 #include "servers/gateway/named_limits.h"
 #include "servers/gateway/sender_places.h"
@@ -34,10 +35,16 @@
 	WHOLE, ///< This node alone does, as the dispatcher of a stage pool.
 };
 
+/** When a request may be sent to one of some endpoints. */
+struct send_prospect {
+	std::optional<duration> wait; ///< Zero when it may be now; empty when this node may send to none as things are.
+	std::optional<duration> rest_left; ///< Of the endpoint that has rested soonest; empty when none rests.
+};
+
 /**
  * Bounds what this node sends to endpoints that take only so many requests a second from all nodes together. An endpoint that
  * says it is cold bears a rate that its service tells, and collapses well above it; an endpoint in need names its limit in its
- * answers. Of both, the tighter one counts.
+ * answers. Of both, the tighter one counts. An endpoint that asked this node for rest gets nothing from it meanwhile.
  *
  * A rate is a number of places within a span, and each place is one request in it. Endpoints without a bound cost one look-up.
  */
@@ -68,6 +75,7 @@
 	std::map<endpoint_identity, listed_endpoint> _listed;
 	std::map<endpoint_identity, cold_time> _cold;
 	named_limits _named;
+	endpoint_rests _rests;
 	std::uint64_t _held_back = 0;
 	std::map<endpoint_identity, std::deque<instant>> _sent; ///< By this node to endpoints with a bound, as long as it counts.
 
@@ -103,7 +111,7 @@
 	/** Whom this node shares with. To be called often from its start on, as places count from when they are had. */
 	void set_senders(const known_senders &p_senders, instant p_now) { _places.set_senders(p_senders, p_now); }
 
-	/** How long until this node may send an endpoint one request more; empty when it has no place there as things are. */
+	/** How long until this node may send an endpoint one request more; empty when it has no place there as things are, or it rests. */
 	std::optional<duration> get_wait(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now);
 
 	/** Whether this node may send an endpoint one request more now. */
@@ -119,22 +127,25 @@
 	 */
 	std::vector<endpoint_identity> forget_old(instant p_now);
 
+	/** Endpoints that asked this node for rest. */
+	endpoint_rests &get_rests() { return _rests; }
+	const endpoint_rests &get_rests() const { return _rests; }
+
 	/** Limits that endpoints name. */
 	named_limits &get_named() { return _named; }
 	const named_limits &get_named() const { return _named; }
 
 	/**
-	 * How long a request would wait until one of these endpoints may be sent to, as things are: zero when one may be now, empty
-	 * when this node may send to none.
+	 * When a request may be sent to one of these endpoints, as things are.
 	 * @param p_before requests that are to be sent to the same ones before it.
 	 */
-	std::optional<duration> predict_wait(const std::vector<endpoint_identity> &p_endpoints, std::size_t p_before, instant p_now);
+	send_prospect predict(const std::vector<endpoint_identity> &p_endpoints, std::size_t p_before, instant p_now);
 
-	/** The bounded endpoint at an address; empty when there is none. */
-	std::optional<endpoint_identity> find_bounded_at(const network_address &p_address) const;
+	/** The endpoint on the list at an address; empty when there is none. */
+	std::optional<endpoint_identity> find_at(const network_address &p_address) const;
 
-	/** Whether any endpoint is bounded. */
-	bool is_any_bounded() const { return !_cold.empty() || !_named.is_empty(); }
+	/** Whether any endpoint is bounded, or rests. */
+	bool is_any_bounded() const { return !_cold.empty() || !_named.is_empty() || _rests.count() > 0; }
 
 	/** Sends to endpoints that were held back by what the endpoint takes, once for each time that may_send() said no. */
 	std::uint64_t get_held_back() const { return _held_back; }
--- a/servers/gateway/named_limits.cpp
+++ b/servers/gateway/named_limits.cpp
@@ -106,15 +106,6 @@
 	return known == _limits.end() ? std::nullopt : known->second.rate;
 }
 
-std::optional<endpoint_identity> named_limits::find_if(const std::function<bool(const endpoint_identity &)> &p_accepts) const {
-	for (const auto &[endpoint, limit] : _limits) {
-		if (limit.rate && p_accepts(endpoint)) {
-			return endpoint;
-		}
-	}
-	return std::nullopt;
-}
-
 instant named_limits::_get_confirmed_until(const endpoint_identity &p_endpoint, const believed_limit &p_limit) const {
 	const std::uint64_t score = hash_bytes(_vm, hash_bytes(p_endpoint.vm, p_endpoint.incarnation));
 	const double phase = static_cast<double>(score) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
--- a/servers/gateway/named_limits.h
+++ b/servers/gateway/named_limits.h
@@ -12,7 +12,6 @@
 #include "servers/routing/endpoint_identity.h"
 #include "servers/routing/endpoint_notice.h"
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -88,9 +87,6 @@
 	/** When an endpoint named its limit first; only for endpoints that have one. */
 	instant get_named_at(const endpoint_identity &p_endpoint) const { return _limits.at(p_endpoint).first_named_at; }
 
-	/** The first endpoint with a limit that the hook accepts. */
-	std::optional<endpoint_identity> find_if(const std::function<bool(const endpoint_identity &)> &p_accepts) const;
-
 	/** Whether the limit was spoken of lately. */
 	bool is_confirmed(const endpoint_identity &p_endpoint, instant p_now) const;
 
--- a/tests/servers/gateway/named_limits_test.cpp
+++ b/tests/servers/gateway/named_limits_test.cpp
@@ -300,9 +300,9 @@
 	endpoint_limits &node = fleet.nodes.front();
 	node.on_sent(ENDPOINT, at_ms(200));
 	node.on_sent(ENDPOINT, at_ms(200));
-	EXPECT_EQ(node.predict_wait({ ENDPOINT }, 0, at_ms(200)), std::chrono::seconds(1));
-	EXPECT_EQ(node.predict_wait({ ENDPOINT }, 3, at_ms(200)), std::chrono::seconds(2));
-	EXPECT_EQ(node.predict_wait({ ENDPOINT, endpoint_identity{ "free", 1 } }, 3, at_ms(200)), duration::zero());
+	EXPECT_EQ(node.predict({ ENDPOINT }, 0, at_ms(200)).wait, std::chrono::seconds(1));
+	EXPECT_EQ(node.predict({ ENDPOINT }, 3, at_ms(200)).wait, std::chrono::seconds(2));
+	EXPECT_EQ(node.predict({ ENDPOINT, endpoint_identity{ "free", 1 } }, 3, at_ms(200)).wait, duration::zero());
 	waiting_line line;
 	const line_place first = line.join(POOL);
 	const line_place second = line.join(POOL);
