--- a/main/gateway/admission.cpp
+++ b/main/gateway/admission.cpp
@@ -88,8 +88,8 @@
 }
 
 std::optional<refusal> admission::_judge_limits(const admitted_request &p_request) {
-	const std::size_t before = _shared.limits.get_line().count(p_request.service);
-	const send_prospect prospect = _shared.limits.predict(get_router(_shared, p_request), make_choice(_context, p_request), before);
+	const std::size_t before = _shared.guard.get_line().count(p_request.service);
+	const send_prospect prospect = _shared.guard.predict(get_router(_shared, p_request), make_choice(_context, p_request), before);
 	if (prospect.wait && *prospect.wait == duration::zero()) {
 		return std::nullopt;
 	}
--- a/main/gateway/admitted_request.h
+++ b/main/gateway/admitted_request.h
@@ -39,7 +39,7 @@
 	prompt_exchange &prompts;
 	crash_guard &crashes;
 	std::map<std::string, duration> &first_event_times; ///< From the send to the first event, by route.
-	limit_guard &limits;
+	send_guard &guard;
 };
 
 /** Usual time from the send to the first event of a route's answers. */
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -56,14 +56,14 @@
 		_endpoints(_context),
 		_evacuations(_context, _configuration),
 		_fleet(_context, _configuration, _endpoints, _evacuations, _commitments),
-		_limits(_context, _configuration, _fleet, _endpoints),
-		_dispatcher(_context, _configuration, _fleet, _commitments, _limits),
+		_guard(_context, _configuration, _fleet, _endpoints),
+		_dispatcher(_context, _configuration, _fleet, _commitments, _guard),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
 		_engine_caches(p_settings.mechanisms),
 		_prompts(_context, _fleet, _engine_caches),
 		_crashes(_context, _fleet, _endpoints),
-		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _engine_caches, _prompts, _crashes, _first_event_times, _limits },
+		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _usual_times, _commitments, _engine_caches, _prompts, _crashes, _first_event_times, _guard },
 		_admission(_context, _shared, _evacuations),
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
@@ -80,7 +80,7 @@
 	_endpoints.changed().connect([this] { _on_endpoints(); });
 	_evacuations.changed().connect([this](const evacuation_change &p_change) { _on_evacuation(p_change); });
 	for (router *choices : { &_services, &_engines }) {
-		choices->set_limit([this](const endpoint_identity &p_endpoint, instant p_now) { return _limits.may_send(p_endpoint, sender_part::SHARE, p_now); });
+		choices->set_limit([this](const endpoint_identity &p_endpoint, instant p_now) { return _guard.may_send(p_endpoint, sender_part::SHARE, p_now); });
 	}
 	router_settings routing;
 	routing.connect_failures_to_eject = 1;
@@ -178,8 +178,8 @@
 			_engine_caches.set_start(listing.get_identity());
 		}
 	}
-	_limits.get_limits().set_listings(listings, *configuration, event_loop::now());
-	_limits.tick(_settled);
+	_guard.get_limits().set_listings(listings, *configuration, event_loop::now());
+	_guard.tick(_settled);
 	_engines.set_listings(engines);
 	_services.set_listings(others);
 	_dispatcher.set_endpoints(listings);
@@ -197,7 +197,7 @@
 	_services.set_evacuated_zones(zones);
 	_dispatcher.set_evacuated_zones(zones);
 	if (!p_change.is_evacuated && _configuration.get_current()) {
-		_limits.get_limits().on_taken_back(p_change.zone, _endpoints.get_directory().get_listings(), *_configuration.get_current(), event_loop::now());
+		_guard.get_limits().on_taken_back(p_change.zone, _endpoints.get_directory().get_listings(), *_configuration.get_current(), event_loop::now());
 	}
 	_on_endpoints();
 }
@@ -364,7 +364,7 @@
 	_context.metrics.set_gauge("skipped_answers", static_cast<double>(_context.channels.get_skipped_answers()));
 	_context.metrics.set_gauge("configuration_version", static_cast<double>(_configuration.get_version()));
 	_context.metrics.set_gauge("configuration_unconfirmed_seconds", to_seconds(_configuration.get_unconfirmed_time(event_loop::now())));
-	_limits.report();
+	_guard.report();
 	_context.metrics.set_gauge("evacuated_zones", static_cast<double>(_evacuations.get_zones().size()));
 	const log_position evacuations_known = _evacuations.get_state().known;
 	_context.metrics.set_gauge("evacuations_known_era", static_cast<double>(evacuations_known.era));
@@ -411,7 +411,7 @@
 
 void gateway::_tick() {
 	_update_readiness();
-	_limits.tick(_settled);
+	_guard.tick(_settled);
 	if (_phase != stop_phase::NONE) {
 		_advance_stop();
 	}
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -34,7 +34,7 @@
 	evacuation_follower _evacuations;
 	commitment_table _commitments;
 	gateway_fleet _fleet;
-	limit_guard _limits;
+	send_guard _guard;
 	stage_dispatcher _dispatcher;
 	router _services;
 	router _engines;
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -71,7 +71,7 @@
 void gateway_request::start() {
 	_request.exchange->set_on_gone([this] { _on_caller_gone(); });
 	_give_up_timer.set_at(_give_up_at);
-	_place = _services.limits.get_line().join(_request.service);
+	_place = _services.guard.get_line().join(_request.service);
 	_services.repeats[_request.service].on_request(_services.context.settings.retries, _started);
 	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(get_priority(_request))).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("rested_ms", _request.exchange->rested).add("earlier", static_cast<long long>(_request.exchange->earlier)).add("version", static_cast<long long>(_request.configuration->version)));
 	if (_stages.is_complete()) {
@@ -156,8 +156,8 @@
 }
 
 void gateway_request::_on_none_to_send_to() {
-	const std::size_t before = _services.limits.get_line().count_before(_request.service, _place);
-	const send_prospect prospect = _services.limits.predict(get_router(_services, _request), _make_choice(), before);
+	const std::size_t before = _services.guard.get_line().count_before(_request.service, _place);
+	const send_prospect prospect = _services.guard.predict(get_router(_services, _request), _make_choice(), before);
 	if (!prospect.wait || get_router(_services, _request).get_open(_make_choice()).empty()) {
 		_refuse(reason::NO_ENDPOINT, prospect.rest_left.value_or(SHORT_RETRY_AFTER));
 		return;
@@ -210,8 +210,8 @@
 	_answer = endpoint_answer();
 	_answer_body.clear();
 	choices.on_attempt_started(_endpoint, now);
-	_services.limits.get_line().leave(_request.service, _place);
-	_services.limits.on_sent(_endpoint_identity, now);
+	_services.guard.get_line().leave(_request.service, _place);
+	_services.guard.on_sent(_endpoint_identity, now);
 	if (is_engine(_request)) {
 		_predicted = _services.engine_caches.predict(_endpoint_identity, _prompt, now);
 		_services.prompts.tell(_endpoint_identity, _prompt);
@@ -224,7 +224,7 @@
 	_answer_head = p_head;
 	_answer = read_endpoint_answer(p_head);
 	if (!_answer.is_other_endpoint) {
-		_services.limits.on_answer(_endpoint_identity, _answer.notice, _answer.has_seal || _answer.did_not_run, _sent_at);
+		_services.guard.on_answer(_endpoint_identity, _answer.notice, _answer.has_seal || _answer.did_not_run, _sent_at);
 	}
 }
 
@@ -503,7 +503,7 @@
 	}
 	_ended = true;
 	_permit.end();
-	_services.limits.get_line().leave(_request.service, _place);
+	_services.guard.get_line().leave(_request.service, _place);
 	_give_up_timer.cancel();
 	_retry_timer.cancel();
 	_stages.end();
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -60,10 +60,10 @@
 
 } // namespace
 
-pool_caller::pool_caller(gateway_context &p_context, limit_guard &p_limits, std::string p_name, pool_caller_hooks p_hooks) :
-		_context(p_context), _limits(p_limits), _name(std::move(p_name)), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
+pool_caller::pool_caller(gateway_context &p_context, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks) :
+		_context(p_context), _guard(p_guard), _name(std::move(p_name)), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
 	_pool.set_regions(p_context.settings.regions);
-	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) { return _limits.may_send(p_replica, sender_part::WHOLE, p_now); });
+	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) { return _guard.may_send(p_replica, sender_part::WHOLE, p_now); });
 }
 
 bool pool_caller::_try_repeat(instant p_now) {
@@ -129,14 +129,14 @@
 		answer->status = p_head.status;
 		answer->did_not_run = head.did_not_run;
 		if (!head.is_other_endpoint) {
-			_limits.on_answer(replica, head.notice, head.did_not_run || p_head.status == http_status::OK, now);
+			_guard.on_answer(replica, head.notice, head.did_not_run || p_head.status == http_status::OK, now);
 		}
 	};
 	hooks.on_body = [answer](std::string_view p_bytes) { answer->body.append(p_bytes); };
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
 		_on_ended(p_call, p_end, answer->status, answer->did_not_run, answer->body);
 	};
-	_limits.on_sent(p_call.replica, now);
+	_guard.on_sent(p_call.replica, now);
 	_context.metrics.count("stage_calls");
 	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
 	_context.log.write_request(log_line("stage_call").add("pool", _name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("pieces", static_cast<long long>(p_call.items.size())).add("requests", list_attempts(items)).add("waiting", static_cast<long long>(_pool.get_waiting_pieces())));
@@ -215,15 +215,15 @@
 }
 
 bool pool_caller::_may_release(const std::string &p_maker, instant p_now) {
-	const endpoint_limits &limits = _limits.get_limits();
+	const endpoint_limits &limits = _guard.get_limits();
 	const std::optional<endpoint_identity> maker = limits.is_any_bounded() ? limits.find_at(parse_network_address(p_maker)) : std::nullopt;
 	if (!maker) {
 		return true;
 	}
-	if (!_limits.may_send(*maker, sender_part::WHOLE, p_now)) {
+	if (!_guard.may_send(*maker, sender_part::WHOLE, p_now)) {
 		return false;
 	}
-	_limits.on_sent(*maker, p_now);
+	_guard.on_sent(*maker, p_now);
 	return true;
 }
 
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -11,7 +11,7 @@
 
 #include "main/gateway/crash_watch.h"
 #include "main/gateway/gateway_context.h"
-#include "main/gateway/limit_guard.h"
+#include "main/gateway/send_guard.h"
 #include "servers/gateway/retry_window.h"
 #include "servers/gateway/stage_pool.h"
 
@@ -38,7 +38,7 @@
 	};
 
 	gateway_context &_context;
-	limit_guard &_limits;
+	send_guard &_guard;
 	const std::string _name;
 	pool_caller_hooks _hooks;
 	stage_pool _pool;
@@ -58,7 +58,7 @@
 	void _send_release(const std::string &p_maker, const std::vector<std::string> &p_handles);
 
 public:
-	pool_caller(gateway_context &p_context, limit_guard &p_limits, std::string p_name, pool_caller_hooks p_hooks);
+	pool_caller(gateway_context &p_context, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks);
 	pool_caller(const pool_caller &) = delete;
 	pool_caller &operator=(const pool_caller &) = delete;
 
--- a/main/gateway/limit_guard.cpp
+++ b/main/gateway/send_guard.cpp
@@ -1,12 +1,12 @@
 /*
- * calicoscale: limit_guard.cpp
- * Keeps what this node sends within what endpoints take from all nodes together.
+ * calicoscale: send_guard.cpp
+ * Keeps what this node sends within what endpoints say that they take.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/gateway/limit_guard.h"
+#include "main/gateway/send_guard.h"
 
 namespace calicoscale {
 
@@ -24,7 +24,7 @@
 
 } // namespace
 
-limit_guard::limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints) :
+send_guard::send_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints) :
 		_context(p_context),
 		_configuration(p_configuration),
 		_fleet(p_fleet),
@@ -35,7 +35,7 @@
 	_fleet.get_link().limits_told().connect([this](const std::string &p_vm, const tell_limits_message &p_message) { _on_told(p_vm, p_message); });
 }
 
-void limit_guard::on_answer(const endpoint_identity &p_endpoint, const endpoint_notice &p_notice, bool p_is_signed, instant p_sent_at) {
+void send_guard::on_answer(const endpoint_identity &p_endpoint, const endpoint_notice &p_notice, bool p_is_signed, instant p_sent_at) {
 	const instant now = event_loop::now();
 	if (p_notice.cold_left > duration::zero() && _configuration.get_current()) {
 		_limits.on_cold(p_endpoint, *_configuration.get_current(), p_notice.cold_left, now);
@@ -59,7 +59,7 @@
 	_relay.send_soon();
 }
 
-void limit_guard::_note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source) {
+void send_guard::_note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source) {
 	if (p_change == limit_change::NONE || p_change == limit_change::RENEWED) {
 		return;
 	}
@@ -73,14 +73,14 @@
 	_context.log.write(line.add("source", p_source));
 }
 
-void limit_guard::_on_link_up(const std::string &p_vm) {
+void send_guard::_on_link_up(const std::string &p_vm) {
 	const std::vector<limit_record> records = _limits.get_named().get_records(MOST_KNOWN_RECORDS);
 	if (!records.empty()) {
 		_send(p_vm, records);
 	}
 }
 
-void limit_guard::_send(const std::string &p_vm, const std::vector<limit_record> &p_records) {
+void send_guard::_send(const std::string &p_vm, const std::vector<limit_record> &p_records) {
 	const instant now = event_loop::now();
 	tell_limits_message message;
 	message.limits.reserve(p_records.size());
@@ -91,7 +91,7 @@
 	_context.metrics.count("limits_told", static_cast<double>(p_records.size()));
 }
 
-void limit_guard::_on_told(const std::string &p_vm, const tell_limits_message &p_message) {
+void send_guard::_on_told(const std::string &p_vm, const tell_limits_message &p_message) {
 	const instant now = event_loop::now();
 	std::vector<limit_record> news;
 	for (const told_limit &told : p_message.limits) {
@@ -106,7 +106,7 @@
 	_relay.send_soon();
 }
 
-send_prospect limit_guard::predict(router &r_choices, const choice_request &p_request, std::size_t p_before) {
+send_prospect send_guard::predict(router &r_choices, const choice_request &p_request, std::size_t p_before) {
 	const send_prospect at_once{ duration::zero(), std::nullopt };
 	if (!_limits.is_any_bounded()) {
 		return at_once;
@@ -115,7 +115,7 @@
 	return open.empty() ? at_once : _limits.predict(open, p_before, event_loop::now());
 }
 
-void limit_guard::tick(bool p_is_settled) {
+void send_guard::tick(bool p_is_settled) {
 	const instant now = event_loop::now();
 	for (const endpoint_identity &endpoint : _limits.forget_old(now)) {
 		_context.log.write(log_line("endpoint_limit").add("endpoint", endpoint.vm).add("incarnation", static_cast<long long>(endpoint.incarnation)).add("change", "forgotten").add("source", "silence"));
@@ -123,7 +123,7 @@
 	_limits.set_senders(known_senders{ _fleet.get_zone_nodes(), _fleet.get_live_count(), p_is_settled }, now);
 }
 
-void limit_guard::report() {
+void send_guard::report() {
 	_context.metrics.set_gauge("cold_endpoints", static_cast<double>(_limits.get_cold_count(event_loop::now())));
 	_context.metrics.set_gauge("limited_endpoints", static_cast<double>(_limits.get_named().count()));
 	_context.metrics.set_gauge("resting_endpoints", static_cast<double>(_limits.get_rests().count()));
--- a/main/gateway/limit_guard.h
+++ b/main/gateway/send_guard.h
@@ -1,13 +1,13 @@
 /*
- * calicoscale: limit_guard.h
- * Keeps what this node sends within what endpoints take from all nodes together.
+ * calicoscale: send_guard.h
+ * Keeps what this node sends within what endpoints say that they take.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#ifndef LIMIT_GUARD_H
-#define LIMIT_GUARD_H
+#ifndef SEND_GUARD_H
+#define SEND_GUARD_H
 
 #include "main/gateway/configuration_follower.h"
 #include "main/gateway/endpoint_follower.h"
@@ -24,10 +24,10 @@
 namespace calicoscale {
 
 /**
- * Asks the limits of endpoints before each send, takes from each answer what it says of its endpoint's limit, logs what changes,
- * and tells the other nodes and hears from them.
+ * Asks before each send whether the endpoint takes it, and takes from each answer what it says of its endpoint: a limit, of which
+ * it tells the other nodes and hears from them, that it leaves, and that it wants rest.
  */
-class limit_guard {
+class send_guard {
 	gateway_context &_context;
 	configuration_follower &_configuration;
 	gateway_fleet &_fleet;
@@ -42,7 +42,7 @@
 	void _note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source);
 
 public:
-	limit_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints);
+	send_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints);
 
 	endpoint_limits &get_limits() { return _limits; }
 
@@ -78,4 +78,4 @@
 
 } // namespace calicoscale
 
-#endif // LIMIT_GUARD_H
+#endif // SEND_GUARD_H
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -41,8 +41,8 @@
 
 } // namespace
 
-stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, limit_guard &p_limits) :
-		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _commitments(p_commitments), _tick_timer(p_context.loop, [this] { _tick(); }), _limits(p_limits) {
+stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, send_guard &p_guard) :
+		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _commitments(p_commitments), _tick_timer(p_context.loop, [this] { _tick(); }), _guard(p_guard) {
 	_fleet.set_capacity_source([this] { return _get_capacities(); });
 	node_link &link = _fleet.get_link();
 	link.work_handed().connect([this](const std::string &p_vm, const hand_work_message &p_message) { _on_work_handed(p_vm, p_message); });
@@ -143,7 +143,7 @@
 	pool_caller_hooks hooks;
 	hooks.on_run_lost = [this](const lost_run &p_run) { _on_run_lost(p_run); };
 	hooks.on_ended = [this, p_name](const work_result &p_result) { _on_ended(_pools.at(p_name), p_result); };
-	pool_entry &made = _pools.try_emplace(p_name, _context, _limits, p_name, std::move(hooks)).first->second;
+	pool_entry &made = _pools.try_emplace(p_name, _context, _guard, p_name, std::move(hooks)).first->second;
 	_take_replicas(p_name, made);
 	return made;
 }
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -47,8 +47,8 @@
 	};
 
 	struct pool_entry {
-		pool_entry(gateway_context &p_context, limit_guard &p_limits, const std::string &p_name, pool_caller_hooks p_hooks) :
-				calls(p_context, p_limits, p_name, std::move(p_hooks)) {}
+		pool_entry(gateway_context &p_context, send_guard &p_guard, const std::string &p_name, pool_caller_hooks p_hooks) :
+				calls(p_context, p_guard, p_name, std::move(p_hooks)) {}
 
 		pool_caller calls;
 		std::unordered_map<work_id, accepted_work> accepted;
@@ -73,7 +73,7 @@
 	std::uint64_t _next_own = 1;
 	work_id _next_accepted = 1;
 	timer _tick_timer;
-	limit_guard &_limits;
+	send_guard &_guard;
 	instant _ticked_at{};
 	bool _pump_posted = false;
 	std::function<void(const lost_run &)> _on_run_lost;
@@ -121,7 +121,7 @@
 	void _on_work_handed(const std::string &p_vm, const hand_work_message &p_message);
 
 public:
-	stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, limit_guard &p_limits);
+	stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, send_guard &p_guard);
 
 	void start();
 
