--- a/tests/soak/disturbance_log.cpp
+++ b/tests/soak/disturbance_log.cpp
@@ -23,9 +23,9 @@
 constexpr duration CATCH_UP = milliseconds(1500);
 constexpr duration AT_THE_TIME = duration::zero();
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(disturbance::COUNT)> DISTURBANCE_NAMES{ "node killed", "node stopping", "node still", "store link", "peer link", "caller link", "store", "endpoint link", "endpoint gone", "endpoint faulty", "driver held up" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(disturbance::COUNT)> DISTURBANCE_NAMES{ "node killed", "node stopping", "node still", "store link", "peer link", "caller link", "store", "endpoint link", "endpoint gone", "endpoint faulty", "endpoint holds back", "driver held up" };
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(promise::COUNT)> PROMISE_NAMES{ "answered", "whole", "own_answer", "unchanged", "at_most_once", "refused_is_not_run", "admitted", "in_time", "configuration_in_force", "configuration_stays", "leaving_is_left", "returned_is_used", "stops_in_time", "stays_up", "serves_again" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(promise::COUNT)> PROMISE_NAMES{ "answered", "whole", "own_answer", "unchanged", "at_most_once", "refused_is_not_run", "admitted", "in_time", "configuration_in_force", "configuration_stays", "leaving_is_left", "returned_is_used", "limit_is_kept", "word_of_leaving_is_kept", "rest_is_given", "stops_in_time", "stays_up", "serves_again" };
 
 struct excuse {
 	promise what;
@@ -35,7 +35,7 @@
 };
 
 /** All there is. What has no row here is never excused. */
-constexpr std::array<excuse, 31> EXCUSES{ {
+constexpr std::array<excuse, 46> EXCUSES{ {
 		{ promise::ANSWERED, disturbance::NODE_KILLED, AT_THE_TIME, "the kernel closes what a killed process had read" },
 		{ promise::ANSWERED, disturbance::CALLER_LINK, AT_THE_TIME, "the proxy itself lost or held what was sent" },
 		{ promise::WHOLE, disturbance::NODE_KILLED, AT_THE_TIME, "a killed process sends no more" },
@@ -62,10 +62,25 @@
 		{ promise::LEAVING_IS_LEFT, disturbance::STORE, CONTACT, "the store is not stable" },
 		{ promise::LEAVING_IS_LEFT, disturbance::ENDPOINT_LINK, CONTACT, "the link held what was sent in time" },
 		{ promise::LEAVING_IS_LEFT, disturbance::DRIVER_HELD_UP, CONTACT, "the soak is the store and the endpoint" },
+		{ promise::LIMIT_IS_KEPT, disturbance::NODE_KILLED, CONTACT, "another process than the one that was told" },
+		{ promise::LIMIT_IS_KEPT, disturbance::NODE_STILL, CONTACT, "it sends what came meanwhile" },
+		{ promise::LIMIT_IS_KEPT, disturbance::PEER_LINK, CONTACT, "it does not hear the others" },
+		{ promise::LIMIT_IS_KEPT, disturbance::NODE_STOPPING, CONTACT, "its places pass to others" },
+		{ promise::LIMIT_IS_KEPT, disturbance::ENDPOINT_LINK, CONTACT, "the link held what was sent in time" },
+		{ promise::LIMIT_IS_KEPT, disturbance::DRIVER_HELD_UP, CATCH_UP, "the soak is the endpoint" },
+		{ promise::WORD_OF_LEAVING_IS_KEPT, disturbance::NODE_KILLED, CONTACT, "another process than the one that was told" },
+		{ promise::WORD_OF_LEAVING_IS_KEPT, disturbance::NODE_STILL, CONTACT, "it sends what came meanwhile" },
+		{ promise::WORD_OF_LEAVING_IS_KEPT, disturbance::ENDPOINT_LINK, CONTACT, "the link held what was sent in time" },
+		{ promise::WORD_OF_LEAVING_IS_KEPT, disturbance::DRIVER_HELD_UP, CATCH_UP, "the soak is the endpoint" },
+		{ promise::REST_IS_GIVEN, disturbance::NODE_KILLED, CONTACT, "another process than the one that was told" },
+		{ promise::REST_IS_GIVEN, disturbance::NODE_STILL, CONTACT, "it sends what came meanwhile" },
+		{ promise::REST_IS_GIVEN, disturbance::ENDPOINT_LINK, CONTACT, "the link held what was sent in time" },
+		{ promise::REST_IS_GIVEN, disturbance::DRIVER_HELD_UP, CATCH_UP, "the soak is the endpoint" },
 		{ promise::RETURNED_IS_USED, disturbance::STORE, CONTACT, "the store is not stable" },
 		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_LINK, AT_THE_TIME, "nodes cannot reach it" },
 		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_GONE, AT_THE_TIME, "it is gone again" },
 		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_FAULTY, AT_THE_TIME, "nodes avoid what answers badly" },
+		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_HOLDS_BACK, AT_THE_TIME, "it takes little or nothing" },
 		{ promise::RETURNED_IS_USED, disturbance::DRIVER_HELD_UP, AT_THE_TIME, "the soak is the endpoint" },
 } };
 
@@ -74,7 +89,7 @@
 }
 
 bool is_of_endpoint(disturbance p_kind) {
-	return p_kind == disturbance::ENDPOINT_LINK || p_kind == disturbance::ENDPOINT_GONE || p_kind == disturbance::ENDPOINT_FAULTY;
+	return p_kind == disturbance::ENDPOINT_LINK || p_kind == disturbance::ENDPOINT_GONE || p_kind == disturbance::ENDPOINT_FAULTY || p_kind == disturbance::ENDPOINT_HOLDS_BACK;
 }
 
 } // namespace
--- a/tests/soak/disturbance_log.h
+++ b/tests/soak/disturbance_log.h
@@ -30,6 +30,7 @@
 	ENDPOINT_LINK, ///< The link to an endpoint was harmed.
 	ENDPOINT_GONE, ///< An endpoint crashed or ended, until it is back.
 	ENDPOINT_FAULTY, ///< An endpoint answers badly.
+	ENDPOINT_HOLDS_BACK, ///< An endpoint names a limit or asks for rest.
 	DRIVER_HELD_UP, ///< The soak itself did not run for a while, so its times mean nothing.
 	COUNT,
 };
@@ -50,6 +51,9 @@
 	CONFIGURATION_STAYS, ///< A version that was in force is not followed by an older one.
 	LEAVING_IS_LEFT, ///< An endpoint that leaves gets no new work after the bound.
 	RETURNED_IS_USED, ///< An endpoint that starts again under its name gets work.
+	LIMIT_IS_KEPT, ///< An endpoint gets what it names, and half as much again and five, from all nodes that it told.
+	WORD_OF_LEAVING_IS_KEPT, ///< An endpoint that says in its answers that it leaves gets no new work from those it told.
+	REST_IS_GIVEN, ///< An endpoint that asks a node for rest gets two requests of it at most meanwhile.
 	STOPS_IN_TIME, ///< A process ends within its grace.
 	STAYS_UP, ///< A process does not end by itself.
 	SERVES_AGAIN, ///< Requests are served once all is well again.
--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -40,8 +40,8 @@
 
 } // namespace
 
-soak_endpoint::soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number, std::string p_host) :
-		_loop(p_loop), _book(p_book), _number(p_number), _name("i-" + std::to_string(p_number)), _host(std::move(p_host)) {
+soak_endpoint::soak_endpoint(event_loop &p_loop, promise_book &p_book, notice_book &p_notices, std::size_t p_number, std::string p_host) :
+		_loop(p_loop), _book(p_book), _notices(p_notices), _number(p_number), _name("i-" + std::to_string(p_number)), _host(std::move(p_host)) {
 }
 
 void soak_endpoint::start() {
@@ -68,7 +68,15 @@
 }
 
 std::vector<http_header> soak_endpoint::_make_headers(const std::string &p_id) const {
-	return { { "X-Attempt-Id", p_id }, { "X-Replica-Seal", _name } };
+	std::vector<http_header> headers{ { "X-Attempt-Id", p_id }, { "X-Replica-Seal", _name } };
+	const soak_notice &says = _notices.get(_number);
+	if (says.limit) {
+		headers.push_back({ "Server-Limit", std::to_string(*says.limit) });
+	}
+	if (says.is_leaving) {
+		headers.push_back({ "Server-Leaving", "1" });
+	}
+	return headers;
 }
 
 void soak_endpoint::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
@@ -80,6 +88,16 @@
 		p_exchange->reply(421, { { "X-Replica-Id", _name }, { "X-Attempt-Id", get(*p_exchange, "X-Attempt-Id") } }, "");
 		return;
 	}
+	_notices.on_arrival(_number, get(*p_exchange, "X-Attempt-Id"), event_loop::now());
+	const duration rest = _notices.get(_number).rest;
+	if (rest > duration::zero()) {
+		std::vector<http_header> headers = _make_headers(get(*p_exchange, "X-Attempt-Id"));
+		headers.push_back({ "X-Not-Executed", "1" });
+		headers.push_back({ "Retry-After", std::to_string(to_seconds(rest)) });
+		_notices.on_told(_number, get(*p_exchange, "X-Attempt-Id"), event_loop::now());
+		p_exchange->reply(503, headers, "");
+		return;
+	}
 	const endpoint_mode mode = _take_mode();
 	if (mode == endpoint_mode::SHEDS) {
 		p_exchange->reply(503, { { "X-Not-Executed", "1" }, { "X-Attempt-Id", get(*p_exchange, "X-Attempt-Id") } }, "");
@@ -97,6 +115,9 @@
 		std::vector<http_header> headers = _make_headers(get(*p_exchange, "X-Attempt-Id"));
 		headers.push_back({ "Content-Type", "text/event-stream" });
 		p_exchange->start(200, headers);
+		if (mode == endpoint_mode::SOUND) {
+			_notices.on_told(_number, get(*p_exchange, "X-Attempt-Id"), event_loop::now());
+		}
 		_stream(p_exchange, last.empty() ? 1 : std::atoi(last.c_str()) + 1, mode);
 	});
 }
@@ -106,6 +127,7 @@
 	const std::string body = make_answer_body(id, _name);
 	switch (p_mode) {
 		case endpoint_mode::FAILS:
+			_notices.on_told(_number, id, event_loop::now());
 			p_exchange.reply(500, _make_headers(id), "failed");
 			return;
 		case endpoint_mode::CLOSES:
@@ -127,6 +149,7 @@
 		case endpoint_mode::HANGS:
 			return;
 		default:
+			_notices.on_told(_number, id, event_loop::now());
 			p_exchange.reply(200, _make_headers(id), body);
 	}
 }
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -11,7 +11,7 @@
 
 #include "drivers/caller_server.h"
 #include "tests/soak/later_queue.h"
-#include "tests/soak/promise_book.h"
+#include "tests/soak/notice_book.h"
 
 #include <memory>
 #include <optional>
@@ -36,6 +36,7 @@
 class soak_endpoint {
 	event_loop &_loop;
 	promise_book &_book;
+	notice_book &_notices;
 	std::size_t _number;
 	std::string _name;
 	std::string _host; ///< Listens there at any port.
@@ -53,7 +54,7 @@
 	std::vector<http_header> _make_headers(const std::string &p_id) const;
 
 public:
-	soak_endpoint(event_loop &p_loop, promise_book &p_book, std::size_t p_number, std::string p_host);
+	soak_endpoint(event_loop &p_loop, promise_book &p_book, notice_book &p_notices, std::size_t p_number, std::string p_host);
 
 	/** Begins a life that knows nothing of an earlier one. */
 	void start();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -8,6 +8,7 @@
 
 #include "tests/soak/soak_fleet.h"
 
+#include <array>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -43,6 +44,10 @@
 /** The soak did not run for so long: its times cannot be trusted. */
 constexpr duration HELD_UP = milliseconds(250);
 constexpr duration DRAIN_TIME = milliseconds(4500);
+/** From the end of an endpoint that left by word to its next start. */
+constexpr duration AWAY_TIME = milliseconds(500);
+constexpr std::array<double, 5> NAMED_LIMITS{ 0.0, 0.5, 1.0, 2.0, 4.0 };
+constexpr std::array<duration, 3> ASKED_RESTS{ milliseconds(800), milliseconds(2000), milliseconds(3500) };
 /** An endpoint that is back must have got work after this. */
 constexpr duration RETURN_TIME = milliseconds(6000);
 /** Operators and endpoints write theirs again within this after the store came back from a copy. */
@@ -68,7 +73,7 @@
 } // namespace
 
 soak_fleet::soak_fleet(event_loop &p_loop, promise_book &p_book, disturbance_log &p_disturbances, std::vector<caller_site> &r_sites, soak_place p_place, const soak_size &p_size) :
-		_loop(p_loop), _book(p_book), _disturbances(p_disturbances), _sites(r_sites), _place(std::move(p_place)), _size(p_size), _later(p_loop), _store(p_loop), _watch_timer(p_loop, [this] { _watch(); }) {
+		_loop(p_loop), _book(p_book), _disturbances(p_disturbances), _notices(p_book, p_disturbances), _sites(r_sites), _place(std::move(p_place)), _size(p_size), _later(p_loop), _store(p_loop), _watch_timer(p_loop, [this] { _watch(); }) {
 	_trap = std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) {
 		const std::string *id = p_exchange->head.find("X-Attempt-Id");
 		_book.on_trapped(id == nullptr ? p_exchange->head.target : *id);
@@ -81,7 +86,7 @@
 	}
 	configure();
 	for (std::size_t i = 0; i < p_size.endpoints; i++) {
-		_endpoints.push_back(endpoint{ std::make_unique<soak_endpoint>(p_loop, p_book, i, get_host(ENDPOINT_HOST)), nullptr });
+		_endpoints.push_back(endpoint{ std::make_unique<soak_endpoint>(p_loop, p_book, _notices, i, get_host(ENDPOINT_HOST)), nullptr });
 		_endpoints[i].server->start();
 		_endpoints[i].link = std::make_unique<fault_proxy>(p_loop, network_address{ "127.0.0.1", 0 }, _endpoints[i].server->get_address());
 		_put_endpoint(i, false);
@@ -300,6 +305,7 @@
 	started.link->set_target(started.server->get_address());
 	started.is_in_use = true;
 	started.returns++;
+	_notices.on_started_again(p_number);
 	_book.on_started_again(p_number);
 	_put_endpoint(p_number, false);
 	const instant now = event_loop::now();
@@ -347,6 +353,33 @@
 	});
 }
 
+void soak_fleet::_say(const soak_event &p_event) {
+	const std::size_t number = p_event.subject;
+	soak_notice says;
+	if (p_event.action == soak_action::ENDPOINT_LIMITS) {
+		says.limit = NAMED_LIMITS.at(p_event.choice % NAMED_LIMITS.size());
+	} else {
+		says.rest = ASKED_RESTS.at(p_event.choice % ASKED_RESTS.size());
+	}
+	_notices.set(number, says, event_loop::now());
+	_disturbances.begin(disturbance::ENDPOINT_HOLDS_BACK, number, event_loop::now());
+	_later.add(p_event.length, [this, number, returns = _endpoints[number].returns] {
+		_disturbances.end(disturbance::ENDPOINT_HOLDS_BACK, number, event_loop::now());
+		if (_endpoints[number].returns == returns && _endpoints[number].is_in_use) {
+			_notices.set(number, soak_notice(), event_loop::now());
+		}
+	});
+}
+
+void soak_fleet::_leave_by_word(std::size_t p_number, duration p_until_end) {
+	_endpoints[p_number].is_in_use = false;
+	_notices.set(p_number, soak_notice{ std::nullopt, true, duration::zero() }, event_loop::now());
+	_later.add(p_until_end, [this, p_number] {
+		_store.drop(ENDPOINT_TOPIC, _endpoints[p_number].server->get_name());
+		_end_endpoint(p_number, AWAY_TIME);
+	});
+}
+
 void soak_fleet::_put_spoilt(std::size_t p_choice) {
 	const json sound{ { "service", "svc" }, { "address", to_string(_trap->get_address()) }, { "zone", get_zone(p_choice) }, { "version", "v1" }, { "slots", 4 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq_no", 1 }, { "born", event_loop::wall() } };
 	json spoilt = sound;
@@ -421,6 +454,17 @@
 		case soak_action::ENDPOINT_MISBEHAVES:
 			_misbehave(p_event);
 			return;
+		case soak_action::ENDPOINT_LIMITS:
+		case soak_action::ENDPOINT_RESTS:
+			if (_endpoints[subject].is_in_use) {
+				_say(p_event);
+			}
+			return;
+		case soak_action::ENDPOINT_LEAVES_BY_WORD:
+			if (_endpoints[subject].is_in_use) {
+				_leave_by_word(subject, p_event.length);
+			}
+			return;
 		case soak_action::SPOILT_RECORD:
 			_put_spoilt(p_event.choice);
 			return;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -51,6 +51,7 @@
 	event_loop &_loop;
 	promise_book &_book;
 	disturbance_log &_disturbances;
+	notice_book _notices;
 	std::vector<caller_site> &_sites;
 	soak_place _place;
 	soak_size _size;
@@ -82,6 +83,9 @@
 	void _check_returned(std::size_t p_number, instant p_since);
 	void _leave(std::size_t p_number, duration p_until_start);
 	void _misbehave(const soak_event &p_event);
+	/** An endpoint says something in its answers for a while. */
+	void _say(const soak_event &p_event);
+	void _leave_by_word(std::size_t p_number, duration p_until_end);
 	void _put_spoilt(std::size_t p_choice);
 	std::vector<std::size_t> _find_zone_mates(std::size_t p_endpoint) const;
 
--- a/tests/soak/soak_schedule.cpp
+++ b/tests/soak/soak_schedule.cpp
@@ -42,9 +42,15 @@
 constexpr std::size_t MOST_COPIES = 2;
 constexpr double LEAST_COPY_AGE_MS = 300;
 constexpr double MOST_COPY_AGE_MS = 5000;
+/** So are what endpoints say in their answers. */
+constexpr std::uint64_t NOTICE_SEED_STEP = 2'000'003;
+constexpr std::size_t LEAST_NOTICES = 2;
+constexpr std::size_t MORE_NOTICES = 4;
+constexpr double LEAST_NOTICE_MS = 2800;
+constexpr double MOST_NOTICE_MS = 8000;
 constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "store_from_copy" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy" };
 
 bool is_of_endpoint(soak_action p_action) {
 	return p_action == soak_action::ENDPOINT_LINK || p_action == soak_action::ENDPOINT_CRASHES || p_action == soak_action::ENDPOINT_LEAVES || p_action == soak_action::ENDPOINT_MISBEHAVES;
@@ -72,6 +78,20 @@
 	}
 }
 
+void add_notices(soak_random &r_random, const soak_size &p_size, duration p_begin, std::vector<soak_event> &r_events) {
+	constexpr std::size_t KINDS = static_cast<std::size_t>(soak_action::STORE_FROM_COPY) - static_cast<std::size_t>(soak_action::ENDPOINT_LIMITS);
+	const std::size_t count = LEAST_NOTICES + r_random.pick(MORE_NOTICES);
+	for (std::size_t i = 0; i < count; i++) {
+		soak_event event;
+		event.action = static_cast<soak_action>(static_cast<std::size_t>(soak_action::ENDPOINT_LIMITS) + r_random.pick(KINDS));
+		event.at = p_begin + r_random.pick_time(0, to_milliseconds(BURST));
+		event.subject = r_random.pick(p_size.endpoints);
+		event.length = r_random.pick_time(LEAST_NOTICE_MS, MOST_NOTICE_MS);
+		event.choice = r_random.pick(CHOICES);
+		r_events.push_back(event);
+	}
+}
+
 void add_copies(soak_random &r_random, duration p_begin, std::vector<soak_event> &r_events) {
 	const std::size_t count = 1 + r_random.pick(MOST_COPIES);
 	for (std::size_t i = 0; i < count; i++) {
@@ -97,9 +117,13 @@
 std::vector<soak_event> make_schedule(std::uint64_t p_seed, const soak_size &p_size) {
 	soak_random random(p_seed);
 	soak_random copies(p_seed + COPY_SEED_STEP);
+	soak_random notices(p_seed + NOTICE_SEED_STEP);
 	std::vector<soak_event> events;
 	for (duration begin = WARM_UP; begin + BURST <= get_calm_end(p_size); begin += BURST + CALM) {
 		add_burst(random, p_size, begin, events);
+		if (p_size.has_notices) {
+			add_notices(notices, p_size, begin, events);
+		}
 		if (p_size.has_copies) {
 			add_copies(copies, begin, events);
 		}
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -36,6 +36,9 @@
 	ENDPOINT_MISBEHAVES,
 	SPOILT_RECORD,
 	CONFIGURE,
+	ENDPOINT_LIMITS, ///< Names in its answers what it takes.
+	ENDPOINT_LEAVES_BY_WORD, ///< Says in its answers that it leaves, its record does not; ends, and starts again under its name.
+	ENDPOINT_RESTS, ///< Turns requests away and asks for rest.
 	STORE_FROM_COPY, ///< It is copied, and comes back from that copy when the length is over; those who write there do so again.
 	COUNT,
 };
@@ -68,6 +71,7 @@
 	std::size_t endpoints = 6;
 	std::size_t callers = 30;
 	duration length = std::chrono::seconds(25);
+	bool has_notices = false; ///< Endpoints say things about themselves in their answers besides, some in each burst.
 	bool has_copies = false; ///< The store comes back from older copies besides, once or twice in each burst.
 };
 
