An answer without news of limits looks for nobody to tell

on_answer asked for the receivers of news with each answer, though there were none. One name in the tests of limits for what stood there four times.

--- a/main/gateway/send_guard.cpp
+++ b/main/gateway/send_guard.cpp
@@ -53,10 +53,13 @@
 		_context.log.write_request(log_line("endpoint_asks_rest").add("endpoint", p_endpoint.vm).add("rest_ms", p_notice.rest).add("sent_before_ms", now - p_sent_at));
 	}
 	_note(_limits.get_named().on_answer(p_endpoint, p_notice, p_is_signed, p_sent_at, now), p_endpoint, "answer");
-	for (const limit_record &record : _limits.get_named().take_news()) {
+	const std::vector<limit_record> news = _limits.get_named().take_news();
+	for (const limit_record &record : news) {
 		_relay.add_own(record);
 	}
-	_relay.send_soon();
+	if (!news.empty()) {
+		_relay.send_soon();
+	}
 }
 
 void send_guard::_note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source) {
--- a/tests/main/gateway_limits_test.cpp
+++ b/tests/main/gateway_limits_test.cpp
@@ -17,6 +17,9 @@
 /** From the first answer that names a limit until all nodes must keep it. */
 constexpr duration LIMIT_GRACE = seconds(3);
 
+/** Of a request with a piece in each of its two stages. */
+const char *const STAGED = "X-Segments: 1,1\r\nX-Segment-Key: k\r\n";
+
 /** Most that an endpoint may get in the span. */
 std::size_t get_allowed(double p_rate) {
 	return static_cast<std::size_t>(p_rate * 1.5 * std::chrono::duration<double>(LIMIT_SPAN).count() + 5.0);
@@ -83,7 +86,7 @@
 	limited.rate_limit = "1";
 	start_nodes(2);
 	const instant begin = event_loop::now();
-	press("/stream/staged/x", seconds(8), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	press("/stream/staged/x", seconds(8), 12, STAGED);
 	EXPECT_LE(limited.get_most_arrivals(LIMIT_SPAN, begin + LIMIT_GRACE), get_allowed(1.0));
 	EXPECT_EQ(count_served(), 96U);
 }
@@ -108,10 +111,10 @@
 	add_replica("search");
 	start_nodes(2);
 	leaving.says_leaving = true;
-	press("/stream/staged/x", seconds(1), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	press("/stream/staged/x", seconds(1), 12, STAGED);
 	EXPECT_GT(leaving.stage_calls, 0U) << "somebody has to be told";
 	const std::size_t before = leaving.stage_calls;
-	press("/stream/staged/x", seconds(2), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	press("/stream/staged/x", seconds(2), 12, STAGED);
 	EXPECT_EQ(leaving.stage_calls, before);
 	EXPECT_EQ(count_served(), 36U);
 }
@@ -143,7 +146,7 @@
 	start_nodes(1);
 	resting.mode = replica_mode::SHED;
 	resting.retry_after = "3";
-	press("/stream/staged/x", seconds(2), 12, "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	press("/stream/staged/x", seconds(2), 12, STAGED);
 	ASSERT_FALSE(resting.arrivals.empty());
 	EXPECT_LE(resting.get_most_arrivals(seconds(60), resting.arrivals.front() + milliseconds(500)), 2U);
 }
