--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -127,6 +127,15 @@
 mutate "cold endpoints" "each node has all that they bear" servers/gateway/sender_places.cpp "return rank ? p_places / nodes.size() + (*rank < p_places % nodes.size() ? 1 : 0) : 0;" "return rank ? p_places : 0;" endpoint_limits_test
 mutate "cold endpoints" "a node that knows no others sends" servers/gateway/sender_places.cpp "if (!_is_settled || !_is_own_zone(p_zone) || p_now - _first_view_at < PLACE_HELD) {" "if (!_is_own_zone(p_zone) || p_now - _first_view_at < PLACE_HELD) {" endpoint_limits_test
 mutate "cold endpoints" "a place counts at once" servers/gateway/sender_places.cpp "least = counts ? std::min(least, _count_in(view, p_endpoint, p_places)) : least;" "least = counts ? _count_in(view, p_endpoint, p_places) : least;" endpoint_limits_test
+mutate "named limits" "they are not asked for" servers/gateway/endpoint_limits.cpp "} else if (named) {" "} else if (false) {" named_limits_test
+mutate "named limits" "an answer without one never ends it" servers/gateway/named_limits.cpp "p_is_signed && p_sent_at > known->second.at" "false" named_limits_test
+mutate "named limits" "a late answer without one ends it" servers/gateway/named_limits.cpp "p_is_signed && p_sent_at > known->second.at" "p_is_signed" named_limits_test
+mutate "named limits" "older news counts" servers/gateway/named_limits.cpp "if (p_record.at <= known->second.at +" "if (false && p_record.at <= known->second.at +" named_limits_test
+mutate "named limits" "other nodes are not told" main/gateway/send_guard.cpp "_relay.add_own(record);" "" gateway_limits_test
+mutate "named limits" "stage calls are not asked for" main/gateway/pool_caller.cpp "return _guard.may_send(p_replica, sender_part::WHOLE, p_now);" "return p_now > instant{};" gateway_limits_test
+mutate "leaving by word" "it is not heeded" main/gateway/send_guard.cpp "_endpoints.mark_leaving(p_endpoint, \"answer\");" "" gateway_limits_test
+mutate "rest" "it is not heeded" servers/gateway/endpoint_limits.cpp "if (_rests.get_left(p_endpoint, p_now) > duration::zero()) {" "if (false) {" endpoint_rests_test
+mutate "rest" "callers are told another time" main/gateway/admission.cpp "const bool is_resting = !prospect.wait && prospect.rest_left;" "const bool is_resting = false;" gateway_limits_test
 mutate "home regions" "they bind only while something else is left" servers/routing/router.cpp "return p_endpoint.is_open() && is_admitted &&" "return p_endpoint.is_open() &&" gateway_places_test
 mutate "log eras" "an answer of another era is read on from" main/gateway/topic_reader.cpp "(is_other_era && !p_is_whole)" "false" gateway_era_test
 mutate "log eras" "what had gone comes back" servers/gateway/endpoint_directory.cpp "return is_recent && went != _went.end() && went->second <= _era_at;" "return false;" gateway_era_test
