A reload signal in the first moments of a gateway does not end it

Other commands still end with their terminal.

What remains is the time of the dynamic linker before the first instruction of the program.

--- a/main/commands/gateway_command.cpp
+++ b/main/commands/gateway_command.cpp
@@ -7,6 +7,7 @@
  */
 
 #include "main/commands/command_options.h"
+#include "main/early_signals.h"
 #include "main/gateway/gateway.h"
 
 #include <glog/logging.h>
@@ -53,6 +54,7 @@
 		}
 		entry.stop();
 	});
+	unblock_reload_signal();
 	entry.start();
 	loop.run();
 	return exit_code::SUCCESS;
