Roll-outs: what one node decides, and tests of fleets in virtual time

What callers would see without it: endpoints of a version that an operator rolls out get traffic like all others, however bad it is.

--- /dev/null
+++ b/servers/rollout/rollout.cpp
@@ -0,0 +1,262 @@
+/*
+ * calicoscale: rollout.cpp
+ * One service's roll-out, as one node knows it.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/rollout/rollout.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+/** Answers of the target before its share rises, unless the time presses. */
+constexpr std::uint32_t LEAST_ANSWERS = 20;
+/** Nodes that are away for a moment only are counted again by then. */
+constexpr duration LEAST_QUIET = std::chrono::seconds(1);
+
+} // namespace
+
+rollout::rollout(const rollout_bounds &p_bounds, const rollout_order &p_order, instant p_now) :
+		_bounds(p_bounds) {
+	_begin(p_order, p_now);
+}
+
+void rollout::_begin(const rollout_order &p_order, instant p_learnt_at) {
+	// What the order before it was about gets nothing, unless that version serves by now.
+	if (!_order.target_version.empty() && _state != rollout_state::COMPLETED) {
+		_barred.insert(_order.target_version);
+	}
+	if (!p_order.is_withdrawn) {
+		_barred.erase(p_order.target_version);
+	}
+	_order = p_order;
+	_learnt_at = p_learnt_at;
+	_state = rollout_state::IN_PROGRESS;
+	_is_confirmed = false;
+	_is_written = false;
+	_moving_since.reset();
+	_is_quiet = false;
+	_verdict = version_verdict();
+	_tally = version_tally();
+}
+
+void rollout::_set_state(rollout_state p_state) {
+	if (_state == p_state) {
+		return;
+	}
+	_state = p_state;
+	if (p_state == rollout_state::ROLLED_BACK) {
+		_barred.insert(_order.target_version);
+	}
+	if (p_state == rollout_state::COMPLETED) {
+		_barred.insert(_versions.begin(), _versions.end());
+		_barred.erase(_order.target_version);
+	}
+}
+
+bool rollout::take_order(const rollout_order &p_order, instant p_now) {
+	if (p_order.at <= _order.at) {
+		return false;
+	}
+	// Written again after the log came back from an older copy.
+	const bool is_same = p_order.at.era != _order.at.era && !p_order.is_withdrawn && !_order.is_withdrawn && p_order.target_version == _order.target_version && p_order.time == _order.time;
+	if (is_same) {
+		_order.at = p_order.at;
+		_is_written = false;
+		return true;
+	}
+	_begin(p_order, p_now);
+	return true;
+}
+
+bool rollout::take_told(const told_rollout &p_told, instant p_now) {
+	bool is_news = take_order(p_told.order, p_now);
+	if (p_told.order.at != _order.at) {
+		return is_news;
+	}
+	_learnt_at = std::min(_learnt_at, p_now - p_told.age);
+	is_news = is_news || (p_told.is_confirmed && !_is_confirmed) || (p_told.is_written && !_is_written);
+	_is_confirmed = _is_confirmed || p_told.is_confirmed;
+	for (const std::string &version : p_told.barred) {
+		if (_order.is_withdrawn || version != _order.target_version) {
+			_barred.insert(version);
+		}
+	}
+	const bool is_final = p_told.state != rollout_state::IN_PROGRESS;
+	if (is_final && !_is_written && (p_told.is_written || _state == rollout_state::IN_PROGRESS)) {
+		is_news = is_news || _state != p_told.state;
+		_set_state(p_told.state);
+		_is_written = p_told.is_written;
+	}
+	if (p_told.is_moving && !_moving_since) {
+		_moving_since = p_now;
+		is_news = true;
+	}
+	return is_news;
+}
+
+bool rollout::take_status(const rollout_status &p_status) {
+	const bool is_of_order = p_status.order == _order.at && p_status.target_version == _order.target_version;
+	if (!is_of_order || _order.is_withdrawn) {
+		return false;
+	}
+	_is_confirmed = true;
+	if (p_status.state != rollout_state::IN_PROGRESS) {
+		_set_state(p_status.state);
+		_is_written = true;
+	}
+	return true;
+}
+
+void rollout::on_written(rollout_state p_state) {
+	_is_confirmed = true;
+	if (p_state != rollout_state::IN_PROGRESS) {
+		_set_state(p_state);
+		_is_written = true;
+	}
+}
+
+void rollout::set_endpoints(const std::vector<std::pair<std::string, std::string>> &p_endpoints) {
+	_versions.clear();
+	_target_endpoints.clear();
+	_present_endpoints = 0;
+	for (const auto &[name, version] : p_endpoints) {
+		_versions.insert(version);
+		const version_side side = get_side(version);
+		if (side == version_side::TARGET) {
+			_target_endpoints.push_back(name);
+		} else if (side == version_side::PRESENT) {
+			_present_endpoints++;
+		}
+	}
+}
+
+double rollout::_get_share(instant p_now) const {
+	// Where the store's word is not known, the order may have ended long ago; where the fleet is not heard, the version may be bad.
+	if (!_is_confirmed || !_is_fresh) {
+		return 0.0;
+	}
+	const rollout_course course(_bounds, _order.time);
+	return _moving_since ? course.get_share(p_now - *_moving_since) : course.get_trial_share();
+}
+
+version_side rollout::get_side(std::string_view p_version) const {
+	if (_barred.contains(std::string(p_version))) {
+		return version_side::BARRED;
+	}
+	const bool is_target = !_is_ended() && p_version == _order.target_version;
+	return is_target ? version_side::TARGET : version_side::PRESENT;
+}
+
+bool rollout::is_for_target(std::string_view p_request, instant p_now) const {
+	if (_is_ended() || _target_endpoints.empty()) {
+		return false;
+	}
+	// A service without endpoints of another version was moved before this node knew of it.
+	if (_present_endpoints == 0 && !(_is_confirmed && _is_fresh)) {
+		return true;
+	}
+	return rollout_course::is_chosen(p_request, _get_share(p_now));
+}
+
+bool rollout::is_on_trial(std::string_view p_endpoint, instant p_now) const {
+	const double share = _get_share(p_now);
+	const rollout_course course(_bounds, _order.time);
+	const bool is_any = std::any_of(_target_endpoints.begin(), _target_endpoints.end(), [this, &course, share](const std::string &p_name) { return course.is_on_trial(p_name, _target_endpoints.size(), share); });
+	return !is_any || course.is_on_trial(p_endpoint, _target_endpoints.size(), share);
+}
+
+void rollout::_consider_moving(const rollout_view &p_view, instant p_now) {
+	const duration elapsed = p_now - _learnt_at;
+	const duration move_time = rollout_course(_bounds, _order.time).get_move_time();
+	const bool is_due = elapsed >= move_time && (_verdict.answers >= LEAST_ANSWERS || elapsed >= (move_time + _order.time) / 2);
+	if (!_moving_since && _is_confirmed && p_view.is_fresh && !_target_endpoints.empty() && is_due) {
+		_moving_since = p_now;
+	}
+}
+
+void rollout::_consider_end(const rollout_view &p_view, instant p_now) {
+	if (_verdict.is_bad) {
+		_set_state(rollout_state::ROLLED_BACK);
+		return;
+	}
+	// Nobody was moved, so nothing is known for the version.
+	if (!_moving_since && _is_confirmed && p_view.is_fresh && p_now - _learnt_at >= _order.time) {
+		_set_state(rollout_state::ROLLED_BACK);
+		return;
+	}
+	const rollout_report &total = p_view.total;
+	const bool all_moved = p_view.is_fresh && _is_moved(p_now) && total.order == _order.at && total.moved == total.nodes && total.nodes >= p_view.live_nodes;
+	const bool is_quiet = all_moved && total.open_at_present == 0;
+	if (!is_quiet || !_is_quiet) {
+		_is_quiet = is_quiet;
+		_quiet_since = p_now;
+		return;
+	}
+	if (p_now - _quiet_since >= std::max(LEAST_QUIET, p_view.quiet_time)) {
+		_set_state(rollout_state::COMPLETED);
+	}
+}
+
+void rollout::consider(const rollout_view &p_view, instant p_now) {
+	_is_fresh = p_view.is_fresh;
+	if (_is_ended()) {
+		return;
+	}
+	if (p_view.total.order == _order.at) {
+		_verdict = p_view.total.tally.judge();
+	}
+	_consider_end(p_view, p_now);
+	if (!_is_ended()) {
+		_consider_moving(p_view, p_now);
+	}
+}
+
+void rollout::add_open_at_present(int p_change) {
+	const std::int64_t open = static_cast<std::int64_t>(_open_at_present) + p_change;
+	_open_at_present = static_cast<std::uint32_t>(std::max<std::int64_t>(0, open));
+}
+
+void rollout::add_answer(std::string_view p_endpoint, std::string_view p_version, std::string_view p_route, bool p_is_bad) {
+	const version_side side = get_side(p_version);
+	if (!_is_ended() && side != version_side::BARRED) {
+		_tally.add(p_route, side == version_side::TARGET ? version_tally::get_group(p_endpoint) : 0, p_is_bad);
+	}
+}
+
+rollout_report rollout::get_report(instant p_now) const {
+	rollout_report report;
+	report.order = _order.at;
+	report.nodes = 1;
+	report.moved = has_moved(p_now) ? 1 : 0;
+	report.open_at_present = _open_at_present;
+	report.tally = _tally;
+	return report;
+}
+
+told_rollout rollout::get_told(instant p_now) const {
+	told_rollout told;
+	told.order = _order;
+	told.age = p_now - _learnt_at;
+	told.state = _state;
+	told.is_confirmed = _is_confirmed;
+	told.is_written = _is_written;
+	told.is_moving = _moving_since.has_value();
+	told.barred.assign(_barred.begin(), _barred.end());
+	return told;
+}
+
+std::optional<rollout_status> rollout::get_unwritten() const {
+	const bool is_known = _state == rollout_state::IN_PROGRESS ? _is_confirmed : _is_written;
+	if (_order.is_withdrawn || is_known) {
+		return std::nullopt;
+	}
+	return rollout_status{ _order.service, _order.target_version, _state, _order.at };
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/rollout/rollout_table.cpp
@@ -0,0 +1,158 @@
+/*
+ * calicoscale: rollout_table.cpp
+ * All roll-outs, as one node knows them.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/rollout/rollout_table.h"
+
+#include <algorithm>
+#include <array>
+
+namespace calicoscale {
+
+namespace {
+
+rollout_change::kind get_kind(const rollout &p_rollout) {
+	if (p_rollout.get_order().is_withdrawn) {
+		return rollout_change::kind::WITHDRAWN;
+	}
+	switch (p_rollout.get_state()) {
+		case rollout_state::COMPLETED:
+			return rollout_change::kind::COMPLETED;
+		case rollout_state::ROLLED_BACK:
+			return rollout_change::kind::ROLLED_BACK;
+		default:
+			break;
+	}
+	if (p_rollout.is_moving()) {
+		return rollout_change::kind::MOVING;
+	}
+	return p_rollout.is_confirmed() ? rollout_change::kind::CONFIRMED : rollout_change::kind::ORDERED;
+}
+
+} // namespace
+
+std::string_view get_name(rollout_change::kind p_kind) {
+	static constexpr std::array<std::string_view, static_cast<std::size_t>(rollout_change::kind::COUNT)> NAMES{ "ordered", "withdrawn", "confirmed", "moving", "completed", "rolled_back" };
+	return NAMES.at(static_cast<std::size_t>(p_kind));
+}
+
+rollout *rollout_table::_find(const std::string &p_service) {
+	const auto found = _rollouts.find(p_service);
+	return found == _rollouts.end() ? nullptr : &found->second;
+}
+
+const rollout *rollout_table::find(const std::string &p_service) const {
+	const auto found = _rollouts.find(p_service);
+	return found == _rollouts.end() ? nullptr : &found->second;
+}
+
+void rollout_table::_take(const rollout_order &p_order, instant p_now) {
+	rollout *known = _find(p_order.service);
+	if (known != nullptr) {
+		known->take_order(p_order, p_now);
+	} else if (!p_order.is_withdrawn && _rollouts.size() < MOST_SERVICES) {
+		rollout &made = _rollouts.emplace(p_order.service, rollout(_bounds, p_order, p_now)).first->second;
+		made.set_endpoints(_endpoints[p_order.service]);
+	}
+}
+
+void rollout_table::take_records(const std::vector<rollout_order> &p_orders, instant p_now) {
+	for (const rollout_order &order : p_orders) {
+		_take(order, p_now);
+		_known = std::max(_known, log_position{ order.at.era, order.at.offset + 1 });
+	}
+}
+
+void rollout_table::take_whole(const std::vector<rollout_order> &p_orders, const log_position &p_known, instant p_now) {
+	if (p_known < _known) {
+		return;
+	}
+	const bool is_new_era = p_known.era != _known.era;
+	_known = p_known;
+	for (const rollout_order &order : p_orders) {
+		_take(order, p_now);
+	}
+	// An older copy may lack an order that stands; the operator writes it again.
+	if (is_new_era) {
+		return;
+	}
+	for (auto &[service, entry] : _rollouts) {
+		const bool is_listed = std::any_of(p_orders.begin(), p_orders.end(), [&service](const rollout_order &p_order) { return p_order.service == service; });
+		if (!is_listed && !entry.get_order().is_withdrawn && entry.get_order().at < p_known) {
+			rollout_order withdrawn = entry.get_order();
+			withdrawn.is_withdrawn = true;
+			withdrawn.at = p_known;
+			entry.take_order(withdrawn, p_now);
+		}
+	}
+}
+
+bool rollout_table::take_told(const std::vector<told_rollout> &p_told, instant p_now) {
+	bool is_news = false;
+	for (const told_rollout &told : p_told) {
+		if (_find(told.order.service) == nullptr) {
+			_take(told.order, p_now);
+			is_news = is_news || _find(told.order.service) != nullptr;
+		}
+		rollout *known = _find(told.order.service);
+		is_news = (known != nullptr && known->take_told(told, p_now)) || is_news;
+	}
+	return is_news;
+}
+
+void rollout_table::set_endpoints(std::map<std::string, std::vector<std::pair<std::string, std::string>>> p_endpoints) {
+	_endpoints = std::move(p_endpoints);
+	for (auto &[service, entry] : _rollouts) {
+		entry.set_endpoints(_endpoints[service]);
+	}
+}
+
+void rollout_table::consider(const std::function<rollout_view(const rollout &)> &p_get_view, instant p_now) {
+	for (auto &[service, entry] : _rollouts) {
+		entry.consider(p_get_view(entry), p_now);
+	}
+}
+
+rollout_reports rollout_table::get_reports(instant p_now) const {
+	rollout_reports reports;
+	for (const auto &[service, entry] : _rollouts) {
+		if (!entry.is_over()) {
+			reports[service] = entry.get_report(p_now);
+		}
+	}
+	return reports;
+}
+
+std::vector<told_rollout> rollout_table::get_told(const rollout_reports &p_reports, instant p_now) const {
+	std::vector<told_rollout> told;
+	for (const auto &[service, entry] : _rollouts) {
+		told.push_back(entry.get_told(p_now));
+		const auto report = p_reports.find(service);
+		if (report != p_reports.end() && report->second.order == entry.get_order().at) {
+			told.back().report = report->second;
+		}
+	}
+	return told;
+}
+
+std::vector<rollout_change> rollout_table::take_changes() {
+	std::vector<rollout_change> changes;
+	for (auto &[service, entry] : _rollouts) {
+		const rollout_change::kind kind = get_kind(entry);
+		const auto noted = _noted.find(service);
+		const bool is_same_order = _noted_orders[service] == entry.get_order().at;
+		if (noted != _noted.end() && noted->second == kind && is_same_order) {
+			continue;
+		}
+		_noted[service] = kind;
+		_noted_orders[service] = entry.get_order().at;
+		changes.push_back(rollout_change{ kind, service, entry.get_order().target_version, entry.get_verdict() });
+	}
+	return changes;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/servers/rollout/version_tally.cpp
@@ -0,0 +1,130 @@
+/*
+ * calicoscale: version_tally.cpp
+ * Answers of a service's versions, and whether the newer one is bad.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/rollout/version_tally.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <set>
+
+namespace calicoscale {
+
+namespace {
+
+/** Stands for routes beyond those that are told apart. */
+constexpr std::uint32_t OTHER_ROUTES = 0;
+/** Bad answers below which nothing is said, and standard deviations beyond what is usual that condemn a version. */
+constexpr std::uint32_t LEAST_BAD = 4;
+constexpr double DEVIATIONS = 4.0;
+/** A share of bad answers that no service stays below, however few were seen of the present version. */
+constexpr double LEAST_USUAL_SHARE = 0.005;
+/** A bad version has at least so many times the usual share. */
+constexpr double LEAST_RATIO = 2.0;
+/** So many bad answers count whichever endpoints they came from. */
+constexpr std::uint32_t MANY_BAD = 25;
+
+std::uint32_t sum(std::uint32_t p_left, std::uint32_t p_right) {
+	const std::uint64_t total = static_cast<std::uint64_t>(p_left) + p_right;
+	return static_cast<std::uint32_t>(std::min<std::uint64_t>(total, UINT32_MAX));
+}
+
+bool is_beyond(std::uint32_t p_answers, std::uint32_t p_bad, double p_usual_share) {
+	const double expected = static_cast<double>(p_answers) * p_usual_share;
+	return p_bad >= LEAST_BAD && p_bad > LEAST_RATIO * expected && p_bad > expected + DEVIATIONS * std::sqrt(expected) + 1.0;
+}
+
+} // namespace
+
+std::uint8_t version_tally::get_group(std::string_view p_endpoint) {
+	return static_cast<std::uint8_t>(1 + hash_bytes(p_endpoint) % TARGET_GROUPS);
+}
+
+void version_tally::add(std::string_view p_route, std::uint8_t p_group, bool p_is_bad) {
+	const std::uint32_t route = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(hash_bytes(p_route)));
+	add({ version_cell{ route, p_group, 1, p_is_bad ? 1U : 0U } });
+}
+
+void version_tally::add(const std::vector<version_cell> &p_cells) {
+	std::set<std::uint32_t> routes;
+	for (const auto &[key, counted] : _cells) {
+		routes.insert(key.first);
+	}
+	for (const version_cell &cell : p_cells) {
+		if (cell.group > TARGET_GROUPS) {
+			continue;
+		}
+		const bool is_apart = routes.contains(cell.route) || routes.size() < MOST_ROUTES;
+		const std::uint32_t route = is_apart ? cell.route : OTHER_ROUTES;
+		routes.insert(route);
+		counts &counted = _cells[{ route, cell.group }];
+		counted.answers = sum(counted.answers, cell.answers);
+		counted.bad = sum(counted.bad, std::min(cell.bad, cell.answers));
+	}
+}
+
+std::vector<version_cell> version_tally::get_cells() const {
+	std::vector<version_cell> cells;
+	cells.reserve(_cells.size());
+	for (const auto &[key, counted] : _cells) {
+		cells.push_back(version_cell{ key.first, key.second, counted.answers, counted.bad });
+	}
+	return cells;
+}
+
+version_verdict version_tally::_judge_route(std::uint32_t p_route, bool p_all) const {
+	std::array<counts, TARGET_GROUPS + 1> groups{};
+	for (const auto &[key, counted] : _cells) {
+		if (p_all || key.first == p_route) {
+			groups.at(key.second).answers = sum(groups.at(key.second).answers, counted.answers);
+			groups.at(key.second).bad = sum(groups.at(key.second).bad, counted.bad);
+		}
+	}
+	const counts &present = groups.front();
+	version_verdict verdict;
+	verdict.route = p_all ? OTHER_ROUTES : p_route;
+	verdict.usual_share = std::max(LEAST_USUAL_SHARE, (present.bad + 0.5) / (present.answers + 1.0));
+	counts worst;
+	int used_groups = 0;
+	for (std::size_t group = 1; group < groups.size(); group++) {
+		verdict.answers = sum(verdict.answers, groups.at(group).answers);
+		verdict.bad = sum(verdict.bad, groups.at(group).bad);
+		used_groups += groups.at(group).answers > 0 ? 1 : 0;
+		worst = groups.at(group).bad > worst.bad ? groups.at(group) : worst;
+	}
+	// Before the present version answered on a route nothing is known to compare with.
+	if (present.answers == 0) {
+		return verdict;
+	}
+	const bool is_bad_without_worst = used_groups > 1 && is_beyond(verdict.answers - worst.answers, verdict.bad - worst.bad, verdict.usual_share);
+	const bool is_bad_at_large = verdict.bad >= MANY_BAD && is_beyond(verdict.answers, verdict.bad, verdict.usual_share);
+	verdict.is_bad = is_bad_without_worst || is_bad_at_large;
+	return verdict;
+}
+
+version_verdict version_tally::judge() const {
+	const version_verdict all = _judge_route(OTHER_ROUTES, true);
+	if (all.is_bad) {
+		return all;
+	}
+	std::set<std::uint32_t> routes;
+	for (const auto &[key, counted] : _cells) {
+		routes.insert(key.first);
+	}
+	for (const std::uint32_t route : routes) {
+		const version_verdict verdict = _judge_route(route, false);
+		if (verdict.is_bad) {
+			return verdict;
+		}
+	}
+	return all;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/tests/servers/rollout/rollout_fleet.h
@@ -0,0 +1,268 @@
+/*
+ * calicoscale: rollout_fleet.h
+ * A fleet in virtual time that serves one service while it is moved to another version.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef ROLLOUT_FLEET_H
+#define ROLLOUT_FLEET_H
+
+#include "core/random_source.h"
+#include "servers/rollout/rollout_table.h"
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+/** How the endpoints of the target answer. */
+struct version_traits {
+	double bad_share = 0.0; ///< Of answers that fail or are several times slower than usual.
+	duration bad_after = duration::zero(); ///< Since the order.
+	std::string bad_route; ///< Empty for all.
+	double bad_above = 0.0; ///< Requests a second at one endpoint above which it is bad.
+	std::string bad_endpoint; ///< Empty for all.
+};
+
+/** What endpoints saw. */
+struct seen_load {
+	std::size_t at_target = 0;
+	std::size_t at_present = 0;
+	std::size_t bad_at_target = 0;
+	instant fiftieth_bad{}; ///< When the target gave its 50th bad answer.
+	instant last_at_target{};
+	std::size_t at_barred = 0; ///< Requests that reached a version after it was taken out of service for the node in touch.
+};
+
+/**
+ * Nodes tell each other with the delay of some heartbeats what they count and decide; a node that is cut off neither tells nor
+ * hears. Requests arrive at nodes unevenly and endpoints answer at once or after a while.
+ */
+class rollout_fleet {
+	struct node {
+		rollout_table table;
+		bool is_cut_off = false;
+		double weight = 1.0;
+		explicit node(const rollout_bounds &p_bounds) :
+				table(p_bounds) {}
+	};
+
+	struct open_request {
+		std::size_t at = 0; ///< Node.
+		std::string endpoint;
+		std::string version;
+		std::string route;
+		instant ends_at{};
+	};
+
+	struct told_at {
+		instant at{};
+		std::vector<told_rollout> told;
+		rollout_reports total;
+		std::size_t live = 0;
+	};
+
+	std::vector<node> _nodes;
+	std::vector<std::pair<std::string, std::string>> _endpoints;
+	std::deque<open_request> _open;
+	std::deque<told_at> _news;
+	random_source _random{ 7 };
+	std::size_t _next_request = 0;
+	instant _ordered_at{};
+	std::map<std::string, std::deque<instant>> _arrivals;
+
+public:
+	static constexpr const char *SERVICE = "search";
+	const rollout_bounds bounds;
+	version_traits target;
+	double usual_bad_share = 0.01; ///< Of answers of any version.
+	double rate = 200.0; ///< Requests a second at all nodes together.
+	duration answer_time = std::chrono::milliseconds(50);
+	duration telling_time = std::chrono::milliseconds(450); ///< From one node to all by way of hubs.
+	bool is_store_up = true;
+	seen_load seen;
+	instant now{ std::chrono::hours(1) };
+	std::vector<rollout_state> written; ///< States as the store got them.
+	std::size_t refused = 0; ///< Requests for which there was no endpoint.
+
+	rollout_fleet(std::size_t p_nodes, std::size_t p_target_endpoints, std::size_t p_present_endpoints) {
+		for (std::size_t i = 0; i < p_nodes; i++) {
+			_nodes.emplace_back(bounds);
+			_nodes.back().weight = i % 5 == 0 ? 6.0 : 1.0;
+		}
+		for (std::size_t i = 0; i < p_present_endpoints; i++) {
+			_endpoints.emplace_back("old-" + std::to_string(i), "1");
+		}
+		for (std::size_t i = 0; i < p_target_endpoints; i++) {
+			_endpoints.emplace_back("new-" + std::to_string(i), "2");
+		}
+	}
+
+	rollout_order make_order(duration p_time, std::uint64_t p_offset = 5, const std::string &p_version = "2") const {
+		return rollout_order{ SERVICE, p_version, p_time, log_position{ 0, p_offset }, false };
+	}
+
+	void order(const rollout_order &p_order) {
+		_ordered_at = now;
+		for (node &entry : _nodes) {
+			entry.table.take_records({ p_order }, now);
+			entry.table.set_endpoints({ { SERVICE, _endpoints } });
+		}
+	}
+
+	void set_cut_off(std::size_t p_node, bool p_is_cut_off) { _nodes.at(p_node).is_cut_off = p_is_cut_off; }
+	rollout &get(std::size_t p_node) { return *_nodes.at(p_node).table.find(SERVICE); }
+	std::size_t size() const { return _nodes.size(); }
+
+	/** Runs for a while, in steps of 10 ms. */
+	void run(duration p_time) {
+		constexpr duration STEP = std::chrono::milliseconds(10);
+		constexpr duration BEAT = std::chrono::milliseconds(200);
+		double owed = 0.0;
+		for (const instant until = now + p_time; now < until; now += STEP) {
+			if ((now - instant{}) % BEAT < STEP) {
+				_exchange();
+			}
+			_end_requests();
+			for (owed += rate * to_seconds(STEP); owed >= 1.0; owed -= 1.0) {
+				_send(_pick_node());
+			}
+		}
+	}
+
+	bool is_all(rollout_state p_state) {
+		for (std::size_t i = 0; i < _nodes.size(); i++) {
+			if (get(i).get_state() != p_state) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/** What a bad version may get in all. */
+	double get_exposure_bound() const { return bounds.exposure_share * static_cast<double>(seen.at_target + seen.at_present) + 50.0; }
+
+private:
+	std::size_t _pick_node() {
+		while (true) {
+			const std::size_t index = static_cast<std::size_t>(_random.get_unit() * static_cast<double>(_nodes.size()));
+			if (_random.get_unit() * 6.0 < _nodes.at(index).weight) {
+				return index;
+			}
+		}
+	}
+
+	bool _is_bad(const std::string &p_endpoint, const std::string &p_version, const std::string &p_route) {
+		if (_random.get_unit() < usual_bad_share) {
+			return true;
+		}
+		std::deque<instant> &arrivals = _arrivals[p_endpoint];
+		arrivals.push_back(now);
+		while (now - arrivals.front() > std::chrono::seconds(2)) {
+			arrivals.pop_front();
+		}
+		const bool is_meant = p_version == "2" && now - _ordered_at >= target.bad_after && (target.bad_route.empty() || target.bad_route == p_route) && (target.bad_endpoint.empty() || target.bad_endpoint == p_endpoint);
+		return is_meant && static_cast<double>(arrivals.size()) / 2.0 >= target.bad_above && _random.get_unit() < target.bad_share;
+	}
+
+	void _send(std::size_t p_node) {
+		node &entry = _nodes.at(p_node);
+		rollout &known = *entry.table.find(SERVICE);
+		const std::string request = "r" + std::to_string(_next_request++);
+		const std::string route = "route-" + std::to_string(_next_request % 4);
+		const bool for_target = known.is_for_target(request, now);
+		std::vector<const std::pair<std::string, std::string> *> usable;
+		for (const auto &endpoint : _endpoints) {
+			const version_side side = known.get_side(endpoint.second);
+			const bool may_get = for_target ? side == version_side::TARGET && known.is_on_trial(endpoint.first, now) : side == version_side::PRESENT;
+			if (may_get) {
+				usable.push_back(&endpoint);
+			}
+		}
+		if (usable.empty()) {
+			refused++;
+			return;
+		}
+		const auto &chosen = *usable.at(static_cast<std::size_t>(_random.get_unit() * static_cast<double>(usable.size())));
+		if (chosen.second == "2") {
+			seen.at_target++;
+			seen.last_at_target = now;
+		} else {
+			seen.at_present++;
+			known.add_open_at_present(1);
+		}
+		_open.push_back(open_request{ p_node, chosen.first, chosen.second, route, now + answer_time });
+	}
+
+	void _end_requests() {
+		while (!_open.empty() && _open.front().ends_at <= now) {
+			const open_request request = _open.front();
+			_open.pop_front();
+			rollout &known = get(request.at);
+			const bool is_bad = _is_bad(request.endpoint, request.version, request.route);
+			known.add_answer(request.endpoint, request.version, request.route, is_bad);
+			if (request.version != "2") {
+				known.add_open_at_present(-1);
+			} else if (is_bad && ++seen.bad_at_target == 50) {
+				seen.fiftieth_bad = now;
+			}
+		}
+	}
+
+	void _exchange() {
+		told_at news;
+		news.at = now;
+		for (node &entry : _nodes) {
+			if (!entry.is_cut_off) {
+				add_reports(news.total, entry.table.get_reports(now));
+				const std::vector<told_rollout> told = entry.table.get_told({}, now);
+				news.told.insert(news.told.end(), told.begin(), told.end());
+				news.live++;
+			}
+		}
+		_news.push_back(std::move(news));
+		while (_news.size() > 1 && now - _news.at(1).at >= telling_time) {
+			_news.pop_front();
+		}
+		if (now - _news.front().at < telling_time) {
+			return;
+		}
+		const told_at &heard = _news.front();
+		for (node &entry : _nodes) {
+			if (!entry.is_cut_off) {
+				entry.table.take_told(heard.told, now);
+			}
+			entry.table.consider(
+					[&heard, &entry](const rollout &p_rollout) {
+						const auto total = heard.total.find(p_rollout.get_order().service);
+						return rollout_view{ heard.live, !entry.is_cut_off, duration::zero(), total == heard.total.end() ? rollout_report() : total->second };
+					},
+					now);
+		}
+		_write();
+	}
+
+	/** Any node that hears may write; the store takes the first final state and holds it. */
+	void _write() {
+		for (node &entry : _nodes) {
+			rollout &known = *entry.table.find(SERVICE);
+			const std::optional<rollout_status> status = entry.is_cut_off || !is_store_up ? std::nullopt : known.get_unwritten();
+			if (!status) {
+				continue;
+			}
+			const bool is_final = !written.empty() && written.back() != rollout_state::IN_PROGRESS;
+			if (!is_final && (written.empty() || written.back() != status->state)) {
+				written.push_back(status->state);
+			}
+			known.on_written(written.back());
+		}
+	}
+};
+
+} // namespace calicoscale
+
+#endif // ROLLOUT_FLEET_H
