Roll-outs: orders are read, carried out by all nodes and their outcome written once

What callers saw before: nothing held a version to its share. Now orders are read with the configuration's topic and told with heartbeats; requests are chosen for the target by a hash of their id, calls of a stage pool by count; answers are summed up through the hubs; any node writes the state under a condition on the topic's end.

What heartbeats tell is a list of parts now, and commitments are one of them, so that gateway_fleet loses their code. gateway_rollout_test plays whole gateways: a good version is completed, a bad one rolled back, an order that cannot be carried out changes nothing, a restarted fleet knows the outcome from the store.

--- a/drivers/http_status.h
+++ b/drivers/http_status.h
@@ -20,6 +20,7 @@
 constexpr int REQUEST_TIMEOUT = 408;
 constexpr int CONFLICT = 409;
 constexpr int GONE = 410;
+constexpr int PRECONDITION_FAILED = 412;
 constexpr int BODY_TOO_LARGE = 413;
 constexpr int TOO_MANY_REQUESTS = 429;
 constexpr int HEADERS_TOO_LARGE = 431;
--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -9,6 +9,7 @@
 #include "drivers/link_codec.h"
 
 #include "drivers/generated/node_link_generated.h"
+#include "drivers/rollout_wire.h"
 
 #include <algorithm>
 #include <cmath>
@@ -111,7 +112,8 @@
 		const text_offset pool = r_builder.CreateSharedString(listing.pool);
 		const text_offset zone = r_builder.CreateSharedString(listing.zone);
 		const text_offset address = r_builder.CreateString(to_string(listing.address));
-		entries.push_back(wire::Createendpoint_entry(r_builder, name, pool, zone, address, listing.leaving, listing.incarnation, static_cast<std::uint32_t>(listing.cold_left.count() / 1000)));
+		const text_offset version = listing.version.empty() ? 0 : r_builder.CreateSharedString(listing.version);
+		entries.push_back(wire::Createendpoint_entry(r_builder, name, pool, zone, address, listing.leaving, listing.incarnation, static_cast<std::uint32_t>(listing.cold_left.count() / 1000), version));
 	}
 	return r_builder.CreateVector(entries);
 }
@@ -130,6 +132,7 @@
 		listing.leaving = entry->leaving();
 		listing.incarnation = entry->incarnation();
 		listing.cold_left = read_ms(entry->cold_ms());
+		listing.version = read(entry->version());
 		listings.push_back(std::move(listing));
 	}
 	return listings;
@@ -180,7 +183,7 @@
 		const auto unreached_zones = target.CreateVectorOfStrings(p_message.unreached_zones);
 		const auto evacuated_zones = target.CreateVectorOfStrings(p_message.evacuations.zones);
 		const std::uint32_t next_in = static_cast<std::uint32_t>(p_message.next_in.count() / 1000);
-		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, next_in, p_message.follows, p_message.wants_link, p_message.relies_on_you, p_message.is_total, p_message.zone_nodes, p_message.fleet_nodes, dispatchers, unreached_zones, gone_incarnations, p_message.evacuations.known.era, p_message.evacuations.known.offset, evacuated_zones).Union() };
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, next_in, p_message.follows, p_message.wants_link, p_message.relies_on_you, p_message.is_total, p_message.zone_nodes, p_message.fleet_nodes, dispatchers, unreached_zones, gone_incarnations, p_message.evacuations.known.era, p_message.evacuations.known.offset, evacuated_zones, write_rollouts(target, p_message.rollouts)).Union() };
 	}
 
 	encoded_body operator()(const ask_configuration_message &p_message) const {
@@ -370,6 +373,7 @@
 	message.unreached_zones = read_texts(p_message.unreached_zones());
 	message.evacuations.known = log_position{ p_message.evacuation_era(), p_message.evacuation_offset() };
 	message.evacuations.zones = read_texts(p_message.evacuated_zones());
+	message.rollouts = read_rollouts(p_message.rollouts());
 	message.next_in = std::chrono::milliseconds(p_message.next_in_ms());
 	return message;
 }
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -18,6 +18,7 @@
 #include "servers/gateway/evacuation_table.h"
 #include "servers/gateway/told_prompt.h"
 #include "servers/membership/member_table.h"
+#include "servers/rollout/rollout.h"
 
 #include <sigc++/sigc++.h>
 
@@ -59,6 +60,7 @@
 	std::vector<std::string> dispatchers; ///< Nodes that may dispatch pools; told by hubs.
 	std::vector<std::string> unreached_zones; ///< Zones that are cut off from the sender; told by hubs.
 	evacuation_state evacuations; ///< As the sender knows them; position zero from a version that does not.
+	std::vector<told_rollout> rollouts; ///< All that the sender knows.
 };
 
 /** A submission under a key that the receiver owns. */
--- /dev/null
+++ b/drivers/rollout_wire.cpp
@@ -0,0 +1,103 @@
+/*
+ * calicoscale: rollout_wire.cpp
+ * FlatBuffers form of what nodes tell each other of roll-outs.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/rollout_wire.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+/** Longer times are none, and would overflow when added to the clock. */
+constexpr std::int64_t LONGEST_MS = 30LL * 24 * 3600 * 1000;
+constexpr std::size_t MOST_CELLS = version_tally::MOST_ROUTES * (version_tally::TARGET_GROUPS + 1U) * 2;
+
+std::string read(const flatbuffers::String *p_text) {
+	return p_text == nullptr ? std::string() : p_text->str();
+}
+
+duration read_ms(std::int64_t p_ms) {
+	return std::chrono::milliseconds(std::clamp<std::int64_t>(p_ms, 0, LONGEST_MS));
+}
+
+std::int64_t write_ms(duration p_time) {
+	return std::chrono::duration_cast<std::chrono::milliseconds>(p_time).count();
+}
+
+rollout_report read_report(const wire::rollout_entry &p_entry) {
+	rollout_report report;
+	report.order = log_position{ p_entry.era(), p_entry.offset() };
+	report.nodes = p_entry.nodes();
+	report.moved = p_entry.moved();
+	report.open_at_present = p_entry.open_at_present();
+	std::vector<version_cell> cells;
+	if (p_entry.cells() != nullptr) {
+		for (const wire::rollout_cell *cell : *p_entry.cells()) {
+			if (cell->group() <= version_tally::TARGET_GROUPS && cells.size() < MOST_CELLS) {
+				cells.push_back(version_cell{ cell->route(), static_cast<std::uint8_t>(cell->group()), cell->answers(), cell->bad() });
+			}
+		}
+	}
+	report.tally.add(cells);
+	return report;
+}
+
+} // namespace
+
+flatbuffers::Offset<rollout_offsets> write_rollouts(flatbuffers::FlatBufferBuilder &r_builder, const std::vector<told_rollout> &p_rollouts) {
+	if (p_rollouts.empty()) {
+		return 0;
+	}
+	std::vector<flatbuffers::Offset<wire::rollout_entry>> entries;
+	for (const told_rollout &told : p_rollouts) {
+		const auto service = r_builder.CreateString(told.order.service);
+		const auto version = r_builder.CreateString(told.order.target_version);
+		const auto barred = r_builder.CreateVectorOfStrings(told.barred);
+		std::vector<wire::rollout_cell> cells;
+		for (const version_cell &cell : told.report.tally.get_cells()) {
+			cells.emplace_back(cell.route, cell.group, cell.answers, cell.bad);
+		}
+		const auto cell_vector = r_builder.CreateVectorOfStructs(cells);
+		entries.push_back(wire::Createrollout_entry(r_builder, service, version, write_ms(told.order.time), told.order.at.era, told.order.at.offset, told.order.is_withdrawn, write_ms(told.age), static_cast<std::uint8_t>(told.state), told.is_confirmed, told.is_written, told.is_moving, barred, told.report.nodes, told.report.moved, told.report.open_at_present, cell_vector));
+	}
+	return r_builder.CreateVector(entries);
+}
+
+std::vector<told_rollout> read_rollouts(const rollout_offsets *p_entries) {
+	std::vector<told_rollout> rollouts;
+	if (p_entries == nullptr) {
+		return rollouts;
+	}
+	for (const wire::rollout_entry *entry : *p_entries) {
+		told_rollout told;
+		told.order.service = read(entry->service());
+		if (told.order.service.empty() || entry->state() >= static_cast<std::uint8_t>(rollout_state::COUNT)) {
+			continue;
+		}
+		told.order.target_version = read(entry->target_version());
+		told.order.time = read_ms(entry->time_ms());
+		told.order.at = log_position{ entry->era(), entry->offset() };
+		told.order.is_withdrawn = entry->is_withdrawn();
+		told.age = read_ms(entry->age_ms());
+		told.state = static_cast<rollout_state>(entry->state());
+		told.is_confirmed = entry->is_confirmed();
+		told.is_written = entry->is_written();
+		told.is_moving = entry->is_moving();
+		if (entry->barred() != nullptr) {
+			for (const flatbuffers::String *version : *entry->barred()) {
+				told.barred.push_back(read(version));
+			}
+		}
+		told.report = read_report(*entry);
+		rollouts.push_back(std::move(told));
+	}
+	return rollouts;
+}
+
+} // namespace calicoscale
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -55,8 +55,10 @@
 		_configuration(_context),
 		_endpoints(_context),
 		_evacuations(_context, _configuration),
-		_fleet(_context, _configuration, _endpoints, _evacuations, _commitments),
-		_guard(_context, _configuration, _fleet, _endpoints),
+		_commitments_told(_commitments),
+		_fleet(_context, _configuration, _endpoints, _evacuations),
+		_rollouts(_context, _configuration, _fleet),
+		_guard(_context, _configuration, _fleet, _endpoints, _rollouts),
 		_dispatcher(_context, _configuration, _fleet, _commitments, _guard),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
@@ -72,6 +74,8 @@
 	if (p_settings.metrics_address) {
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
+	_fleet.add_part(_commitments_told.make_part());
+	_commitments_told.set_capacity_source([this] { return _dispatcher.get_capacities(); });
 	_callers.set_on_crossed([this](const crossed_end &p_crossed) { _on_crossed(p_crossed); });
 	_dispatcher.set_on_run_lost([this](const lost_run &p_run) { _crashes.on_run_lost(p_run); });
 	_held_up = _context.loop.held_up().connect([this](const hold_up &p_hold_up) { _on_held_up(p_hold_up); });
@@ -178,6 +182,7 @@
 			_engine_caches.set_start(listing.get_identity());
 		}
 	}
+	_rollouts.set_endpoints(listings);
 	_guard.get_limits().set_listings(listings, *configuration, event_loop::now());
 	_guard.tick(_settled);
 	_engines.set_listings(engines);
@@ -365,6 +370,7 @@
 	_context.metrics.set_gauge("configuration_version", static_cast<double>(_configuration.get_version()));
 	_context.metrics.set_gauge("configuration_unconfirmed_seconds", to_seconds(_configuration.get_unconfirmed_time(event_loop::now())));
 	_guard.report();
+	_rollouts.report();
 	_context.metrics.set_gauge("evacuated_zones", static_cast<double>(_evacuations.get_zones().size()));
 	const log_position evacuations_known = _evacuations.get_state().known;
 	_context.metrics.set_gauge("evacuations_known_era", static_cast<double>(evacuations_known.era));
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -10,6 +10,7 @@
 #define GATEWAY_H
 
 #include "main/gateway/admission.h"
+#include "main/gateway/commitment_exchange.h"
 #include "main/gateway/gateway_request.h"
 
 #include <functional>
@@ -33,7 +34,9 @@
 	endpoint_follower _endpoints;
 	evacuation_follower _evacuations;
 	commitment_table _commitments;
+	commitment_exchange _commitments_told;
 	gateway_fleet _fleet;
+	rollout_service _rollouts;
 	send_guard _guard;
 	stage_dispatcher _dispatcher;
 	router _services;
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -31,12 +31,11 @@
 
 } // namespace
 
-gateway_fleet::gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, evacuation_follower &p_evacuations, commitment_table &p_commitments) :
+gateway_fleet::gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, evacuation_follower &p_evacuations) :
 		_context(p_context),
 		_configuration(p_configuration),
 		_endpoints(p_endpoints),
 		_evacuations(p_evacuations),
-		_commitments(p_commitments),
 		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, LONGEST_BACK_OFF, p_context.settings.mechanisms.has(mechanism::ASKED_LISTS) }),
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {}, p_context.settings.cores }),
 		_overlay(p_context.settings.vm, p_context.settings.zone),
@@ -278,7 +277,9 @@
 	}
 	if (_plan.is_hub && !_knows_hubs && _plan.is_settled && now - _hub_since >= MEETING_TIME) {
 		_knows_hubs = true;
-		_commitments.forget_total();
+		for (const beat_part &part : _parts) {
+			part.on_hubs_known();
+		}
 	}
 	_is_starting = get_dispatch_nodes().empty();
 	std::vector<std::string> zone_hubs = _plan.hubs;
@@ -357,19 +358,21 @@
 	texts.rumours.assign(digests.begin() + 1, digests.end());
 	texts.plain.follows = _configuration.is_following();
 	texts.plain.evacuations = _evacuations.get_state();
-	if (_get_capacities) {
-		texts.plain.capacities = _get_capacities();
+	const beat_sender sender{ _plan.is_hub, _knows_hubs };
+	for (const beat_part &part : _parts) {
+		part.write(beat_peer::OTHER, sender, texts.plain);
 	}
 	texts.to_hub = texts.plain;
-	texts.to_hub.commitments = _plan.is_hub ? _commitments.get_subtree() : _commitments.get_own();
 	texts.to_hub.zone_nodes = _plan.is_hub ? _count_zone() : 0;
 	texts.to_follower = texts.plain;
-	texts.to_follower.capacities = _commitments.get_capacities();
+	for (const beat_part &part : _parts) {
+		part.write(beat_peer::HUB, sender, texts.to_hub);
+		part.write(beat_peer::FOLLOWER, sender, texts.to_follower);
+	}
 	// A hub that has just started hears some of the others only; told of these, its followers took the rest for lost.
 	if (!_knows_hubs) {
 		return texts;
 	}
-	texts.to_follower.commitments = _commitments.get_total();
 	texts.to_follower.is_total = true;
 	texts.to_follower.fleet_nodes = _count_fleet();
 	texts.to_follower.dispatchers = _find_dispatchers();
@@ -401,7 +404,9 @@
 		message = p_texts.to_follower;
 	}
 	if (p_role.is_relied_on) {
-		_own_told = message.commitments;
+		for (const beat_part &part : _parts) {
+			part.on_told_hub(message);
+		}
 	}
 	message.relies_on_you = p_role.is_relied_on;
 	// Until a hub is heard, any link may be the one that tells of it.
@@ -459,7 +464,9 @@
 	const bool is_leaving = peer != nullptr && peer->digest.leaving;
 	_context.log.write(log_line(p_live ? "peer_live" : "peer_lost").add("vm", p_vm).add("leaving", is_leaving ? "yes" : "no"));
 	if (!p_live) {
-		_commitments.forget_peer(p_vm);
+		for (const beat_part &part : _parts) {
+			part.on_lost(p_vm);
+		}
 		_zone_nodes.erase(p_vm);
 		_peer_lost.emit(p_vm);
 	}
@@ -512,24 +519,6 @@
 	}
 }
 
-void gateway_fleet::_take_commitments(const std::string &p_vm, const heartbeat_message &p_message) {
-	const member *peer = _members.find(p_vm);
-	for (const pool_capacity &entry : p_message.capacities) {
-		_commitments.set_capacity(entry.pool, entry.replicas);
-	}
-	if (p_message.relies_on_you) {
-		_commitments.take_follower(p_vm, p_message.commitments);
-	} else if (p_message.is_total) {
-		if (p_vm == get_relied_on()) {
-			_commitments.take_total(p_message.commitments, _own_told);
-		}
-	} else if (_plan.is_hub && peer != nullptr && peer->digest.hub) {
-		_commitments.take_peer(p_vm, p_message.commitments);
-	} else {
-		_commitments.forget_peer(p_vm);
-	}
-}
-
 void gateway_fleet::_take_fleet_state(const std::string &p_vm, const heartbeat_message &p_message) {
 	if (p_message.zone_nodes > 0) {
 		_zone_nodes[p_vm] = p_message.zone_nodes;
@@ -559,7 +548,10 @@
 	}
 	_evacuations.offer(p_message.evacuations, p_vm);
 	_take_endpoint_news(p_vm, p_message);
-	_take_commitments(p_vm, p_message);
+	const member *known = _members.find(p_vm);
+	for (const beat_part &part : _parts) {
+		part.read(beat_source{ p_vm, _plan.is_hub && known != nullptr && known->digest.hub, p_vm == get_relied_on() }, p_message);
+	}
 	_take_fleet_state(p_vm, p_message);
 	const member *peer = _members.find(p_vm);
 	_store.on_heartbeat(p_vm, p_message, peer == nullptr ? 0 : peer->digest.configuration_version);
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -10,6 +10,7 @@
 #define GATEWAY_FLEET_H
 
 #include "drivers/node_link.h"
+#include "main/gateway/beat_part.h"
 #include "main/gateway/evacuation_follower.h"
 #include "main/gateway/newcomer_help.h"
 #include "main/gateway/store_sharing.h"
@@ -61,7 +62,7 @@
 	configuration_follower &_configuration;
 	endpoint_follower &_endpoints;
 	evacuation_follower &_evacuations;
-	commitment_table &_commitments;
+	std::vector<beat_part> _parts;
 	node_link _link;
 	member_table _members;
 	peer_contacts _contacts;
@@ -74,7 +75,6 @@
 	std::map<std::string, bool> _was_live;
 	std::map<std::string, std::uint32_t> _zone_nodes; ///< Live nodes of a hub's zone, by hub.
 	std::map<std::string, instant> _kept_until; ///< Nodes to keep a link to, for work.
-	std::vector<pool_commitment> _own_told; ///< What the reader was told of this node's commitments.
 	timer _beat_timer;
 	timer _watch_timer;
 	instant _hub_since{};
@@ -85,7 +85,6 @@
 	std::size_t _next_seed = 0;
 	bool _ready = false;
 	bool _leaving = false;
-	std::function<std::vector<pool_capacity>()> _get_capacities;
 	sigc::signal<void(const std::string &)> _peer_lost;
 	sigc::signal<void(const std::set<std::string> &)> _reach_changed;
 	std::set<std::string> _unreached_zones;
@@ -112,19 +111,21 @@
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
 	void _take_members(const heartbeat_message &p_message);
 	void _take_endpoint_news(const std::string &p_vm, const heartbeat_message &p_message);
-	void _take_commitments(const std::string &p_vm, const heartbeat_message &p_message);
 	void _take_fleet_state(const std::string &p_vm, const heartbeat_message &p_message);
 	bool _is_heard(const std::string &p_vm, instant p_now) const;
 	std::vector<std::string> _find_dispatchers() const;
 
 public:
-	gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, evacuation_follower &p_evacuations, commitment_table &p_commitments);
+	gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, evacuation_follower &p_evacuations);
 
 	/** Begins to beat. */
 	void start();
 
-	/** Sets what tells the capacities of the pools this node dispatches. */
-	void set_capacity_source(std::function<std::vector<pool_capacity>()> p_hook) { _get_capacities = std::move(p_hook); }
+	/** Adds something to be told with heartbeats; what its hooks use must outlive this. */
+	void add_part(beat_part p_part) { _parts.push_back(std::move(p_part)); }
+
+	/** Tells those that rely on this node, and those on which it relies, at once. */
+	void beat_now() { _send_heartbeats(beat_scope::CLOSE); }
 
 	/** Whether this node takes requests; told to peers. */
 	void set_ready(bool p_ready);
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -65,6 +65,9 @@
 	if (_exchange != 0) {
 		_services.context.channels.cancel(_exchange);
 	}
+	if (_run) {
+		_services.guard.get_rollouts().on_ended(*_run);
+	}
 	_request.exchange->set_on_gone(nullptr);
 }
 
@@ -114,19 +117,35 @@
 	return _services.repeats[_request.service].try_repeat(_services.context.settings.retries, _services.fleet.get_live_count(), event_loop::now());
 }
 
-choice_request gateway_request::_make_choice() const {
+choice_request gateway_request::_make_choice(bool p_for_target) const {
 	choice_request choice = make_choice(_services.context, _request);
 	choice.avoid = _avoid;
+	if (_services.guard.get_rollouts().is_rolled_out(_request.service)) {
+		choice.admits = [this, is_home = choice.admits, p_for_target](const endpoint_listing &p_listing) {
+			return (!is_home || is_home(p_listing)) && _services.guard.get_rollouts().admits(p_listing, p_for_target);
+		};
+	}
 	return choice;
 }
 
 std::optional<endpoint_id> gateway_request::_choose_endpoint(const std::string &p_zone) {
+	const rollout_service &rollouts = _services.guard.get_rollouts();
+	// A repeat is no further trial.
+	const bool is_for_target = _sends == 0 && rollouts.is_for_target(_request.service, _request.facts.attempt);
+	if (!is_for_target || rollouts.has_moved(_request.service)) {
+		return _choose_among(_make_choice(), p_zone);
+	}
+	const std::optional<endpoint_id> chosen = _choose_among(_make_choice(true), p_zone);
+	return chosen ? chosen : _choose_among(_make_choice(false), p_zone);
+}
+
+std::optional<endpoint_id> gateway_request::_choose_among(const choice_request &p_choice, const std::string &p_zone) {
 	const instant now = event_loop::now();
 	if (!is_engine(_request)) {
-		return _services.services.choose(_make_choice(), now);
+		return _services.services.choose(p_choice, now);
 	}
 	std::vector<engine_candidate> candidates;
-	for (const endpoint_state *endpoint : _services.engines.get_usable(_make_choice(), now)) {
+	for (const endpoint_state *endpoint : _services.engines.get_usable(p_choice, now)) {
 		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.get_identity(), endpoint->listing.zone, endpoint->in_flight });
 	}
 	if (candidates.empty()) {
@@ -212,6 +231,8 @@
 	choices.on_attempt_started(_endpoint, now);
 	_services.guard.get_line().leave(_request.service, _place);
 	_services.guard.on_sent(_endpoint_identity, now);
+	_run = version_run{ _request.service, endpoint.listing.vm, endpoint.listing.version };
+	_services.guard.get_rollouts().on_started(*_run);
 	if (is_engine(_request)) {
 		_predicted = _services.engine_caches.predict(_endpoint_identity, _prompt, now);
 		_services.prompts.tell(_endpoint_identity, _prompt);
@@ -271,12 +292,28 @@
 		}
 	}
 	get_router(_services, _request).on_attempt_ended(_endpoint, observation, now);
+	_end_run(p_result, observation.elapsed);
 	_services.context.metrics.on_attempt(_request.service, p_result);
 	if (p_result.what != verdict::COMPLETED) {
 		_services.context.log.write_request(log_line("attempt_failed").add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("reason", get_name(p_result.why)).add("verdict", get_name(p_result.what)).add("status", static_cast<long long>(_answer_head.status)).add("took_ms", observation.elapsed));
 	}
 }
 
+void gateway_request::_end_run(const outcome &p_result, duration p_elapsed) {
+	if (!_run) {
+		return;
+	}
+	rollout_service &rollouts = _services.guard.get_rollouts();
+	const bool is_answered = p_result.what != verdict::NOT_RUN && p_result.why != reason::CALLER_GONE;
+	// An endpoint that finds a request wrong has not failed.
+	const bool has_failed = p_result.what != verdict::COMPLETED && (p_result.why != reason::ENDPOINT_ERROR || _answer_head.status >= http_status::FIRST_SERVER_ERROR);
+	if (is_answered) {
+		rollouts.on_answer(*_run, _request.route->name, has_failed, p_elapsed);
+	}
+	rollouts.on_ended(*_run);
+	_run.reset();
+}
+
 void gateway_request::_on_end_of_answer(channel_end p_end) {
 	if (p_end == channel_end::BROKEN) {
 		_note_lost_run();
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -53,6 +53,7 @@
 	std::string _answer_body;
 	event_splitter _events;
 	bool _answer_started = false; ///< Its head went to the caller.
+	std::optional<version_run> _run; ///< At work at an endpoint.
 	bool _ended = false;
 	bool _has_looked_again = false; ///< For an answer that waits, at the time to give up.
 
@@ -61,7 +62,12 @@
 	/** Whether the request may be sent to another endpoint although its run did not end. */
 	bool _may_go_on_elsewhere() const;
 	bool _try_repeat_budget();
-	choice_request _make_choice() const;
+	/** @param p_for_target endpoints of a version that the service is moved to, else those of the others. */
+	choice_request _make_choice(bool p_for_target) const;
+	choice_request _make_choice() const { return _make_choice(_services.guard.get_rollouts().has_moved(_request.service)); }
+	std::optional<endpoint_id> _choose_among(const choice_request &p_choice, const std::string &p_zone);
+	/** The run at the endpoint of the newest send ended. */
+	void _end_run(const outcome &p_result, duration p_elapsed);
 	std::optional<endpoint_id> _choose_endpoint(const std::string &p_zone);
 	/** Zone of the endpoint that would be chosen now; empty when there is none. */
 	std::string _choose_zone();
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -57,6 +57,9 @@
 	settings.link_bytes = document.value("link_mbps", settings.link_bytes / BYTES_PER_MBIT) * BYTES_PER_MBIT;
 	settings.configuration_apply = std::chrono::milliseconds(document.value("configuration_apply_ms", static_cast<long long>(to_milliseconds(settings.configuration_apply))));
 	settings.evacuation_apply = std::chrono::milliseconds(document.value("evacuation_apply_ms", static_cast<long long>(to_milliseconds(settings.evacuation_apply))));
+	const json rollouts = document.value("rollouts", json::object());
+	settings.rollouts.exposure_share = rollouts.value("exposure_share", settings.rollouts.exposure_share);
+	settings.rollouts.rollback = std::chrono::milliseconds(rollouts.value("rollback_ms", static_cast<long long>(to_milliseconds(settings.rollouts.rollback))));
 	settings.regions = document.value("regions", settings.regions);
 	settings.stop_grace = from_seconds(document.value("stop_grace_seconds", to_seconds(settings.stop_grace)));
 	for (const json &name : document.value("ablation", json::array())) {
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -12,6 +12,7 @@
 #include "core/document_problem.h"
 #include "servers/gateway/mechanism.h"
 #include "servers/gateway/retry_window.h"
+#include "servers/rollout/rollout_course.h"
 #include "servers/routing/endpoint_state.h"
 
 #include <map>
@@ -39,6 +40,7 @@
 	double link_bytes = 125e6; ///< Bytes a second that this VM's link carries.
 	duration configuration_apply = std::chrono::seconds(2); ///< A confirmed change of the configuration is in force within this.
 	duration evacuation_apply = std::chrono::seconds(5); ///< Endpoints of a zone get nothing new this long after its evacuation was confirmed.
+	rollout_bounds rollouts; ///< What a version that is rolled out may get before it is known to be good.
 	std::map<std::string, std::string> regions; ///< Of each availability zone, by its name.
 	mechanism_set mechanisms; ///< Some may be switched off, for measuring what they are worth.
 	duration stop_grace = std::chrono::seconds(8); ///< From the stop signal until the process is killed.
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -11,6 +11,7 @@
 #include "drivers/http_status.h"
 #include "platform/request_codec.h"
 #include "platform/stage_codec.h"
+#include "servers/gateway/pool_shards.h"
 
 #include <algorithm>
 #include <memory>
@@ -61,9 +62,11 @@
 } // namespace
 
 pool_caller::pool_caller(gateway_context &p_context, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks) :
-		_context(p_context), _guard(p_guard), _name(std::move(p_name)), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
+		_context(p_context), _guard(p_guard), _name(std::move(p_name)), _service(parse_shard_name(_name).pool), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
 	_pool.set_regions(p_context.settings.regions);
-	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) { return _guard.may_send(p_replica, sender_part::WHOLE, p_now); });
+	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) {
+		return _guard.get_rollouts().may_call(_service, p_replica.vm, _pool.get_batch()) && _guard.may_send(p_replica, sender_part::WHOLE, p_now);
+	});
 }
 
 bool pool_caller::_try_repeat(instant p_now) {
@@ -136,6 +139,7 @@
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
 		_on_ended(p_call, p_end, answer->status, answer->did_not_run, answer->body);
 	};
+	_runs[p_call.id] = sent_run{ _guard.get_rollouts().on_call(_service, p_call.replica.vm, p_call.items.size()), now };
 	_guard.on_sent(p_call.replica, now);
 	_context.metrics.count("stage_calls");
 	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
@@ -147,6 +151,7 @@
 	for (const std::uint64_t call : _pool.get_overdue(event_loop::now())) {
 		_context.channels.cancel(_exchanges[call]);
 		_exchanges.erase(call);
+		_end_run(call, call_end::BROKEN, {});
 		_context.metrics.count("stage_calls_overdue");
 		_context.log.write_request(log_line("stage_call_overdue").add("pool", _name).add("call", static_cast<long long>(call)));
 		_pool.on_call_ended(call, call_end::BROKEN, {}, event_loop::now());
@@ -167,11 +172,26 @@
 		_context.metrics.count("stage_calls_failed");
 		_context.log.write_request(log_line("stage_call_failed").add("pool", _name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("end", get_name(p_end)).add("status", static_cast<long long>(p_status)));
 	}
+	_end_run(p_call.id, end, results);
 	_note_without_room(p_call, results);
 	_pool.on_call_ended(p_call.id, end, results, event_loop::now());
 	pump();
 }
 
+void pool_caller::_end_run(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_results) {
+	const auto found = _runs.find(p_call);
+	if (found == _runs.end()) {
+		return;
+	}
+	const sent_run sent = found->second;
+	_runs.erase(found);
+	const bool has_failed_piece = std::any_of(p_results.begin(), p_results.end(), [](const item_result &p_result) { return p_result.end == item_end::FAILED; });
+	if (p_end == call_end::ANSWERED || p_end == call_end::BROKEN) {
+		_guard.get_rollouts().on_answer(sent.run, _service, p_end == call_end::BROKEN || has_failed_piece, event_loop::now() - sent.at);
+	}
+	_guard.get_rollouts().on_ended(sent.run);
+}
+
 void pool_caller::_note_lost(const stage_call &p_call) {
 	std::set<work_id> noted;
 	for (const stage_item &item : p_call.items) {
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -37,18 +37,27 @@
 		instant since{};
 	};
 
+	/** A call at work, as far as versions are concerned. */
+	struct sent_run {
+		version_run run;
+		instant at{};
+	};
+
 	gateway_context &_context;
 	send_guard &_guard;
 	const std::string _name;
+	const std::string _service; ///< Of which this is a shard.
 	pool_caller_hooks _hooks;
 	stage_pool _pool;
 	retry_window _repeats;
 	std::map<std::uint64_t, exchange_id> _exchanges; ///< By call.
+	std::map<std::uint64_t, sent_run> _runs; ///< By call.
 	std::map<std::string, pending_release> _to_release; ///< By the address of the maker.
 
 	bool _try_repeat(instant p_now);
 	void _send(const stage_call &p_call);
 	void _on_ended(const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body);
+	void _end_run(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_results);
 	void _note_lost(const stage_call &p_call);
 	void _note_without_room(const stage_call &p_call, const std::vector<item_result> &p_results);
 	void _give_up_overdue();
--- a/main/gateway/send_guard.cpp
+++ b/main/gateway/send_guard.cpp
@@ -24,11 +24,12 @@
 
 } // namespace
 
-send_guard::send_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints) :
+send_guard::send_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints, rollout_service &p_rollouts) :
 		_context(p_context),
 		_configuration(p_configuration),
 		_fleet(p_fleet),
 		_endpoints(p_endpoints),
+		_rollouts(p_rollouts),
 		_limits(p_context.settings.vm, p_context.settings.zone, p_context.settings.mechanisms.has(mechanism::COLD_RANKS) ? limit_sharing::RANKS : limit_sharing::EVEN),
 		_relay(p_context.loop, p_fleet, make_digest(), [this](const std::string &p_vm, const std::vector<limit_record> &p_records) { _send(p_vm, p_records); }) {
 	_fleet.get_link().link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
--- a/main/gateway/send_guard.h
+++ b/main/gateway/send_guard.h
@@ -12,6 +12,7 @@
 #include "main/gateway/configuration_follower.h"
 #include "main/gateway/endpoint_follower.h"
 #include "main/gateway/hub_relay.h"
+#include "main/gateway/rollout_service.h"
 #include "platform/request_codec.h"
 #include "servers/gateway/endpoint_limits.h"
 #include "servers/gateway/waiting_line.h"
@@ -32,6 +33,7 @@
 	configuration_follower &_configuration;
 	gateway_fleet &_fleet;
 	endpoint_follower &_endpoints;
+	rollout_service &_rollouts;
 	endpoint_limits _limits;
 	hub_relay<limit_record> _relay;
 	waiting_line _line;
@@ -42,10 +44,13 @@
 	void _note(limit_change p_change, const endpoint_identity &p_endpoint, std::string_view p_source);
 
 public:
-	send_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints);
+	send_guard(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_follower &p_endpoints, rollout_service &p_rollouts);
 
 	endpoint_limits &get_limits() { return _limits; }
 
+	/** What versions of a service may get. */
+	rollout_service &get_rollouts() { return _rollouts; }
+
 	/** Whether this node may send an endpoint one request more now. */
 	bool may_send(const endpoint_identity &p_endpoint, sender_part p_part, instant p_now) { return _limits.may_send(p_endpoint, p_part, p_now); }
 
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -43,7 +43,6 @@
 
 stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, send_guard &p_guard) :
 		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _commitments(p_commitments), _tick_timer(p_context.loop, [this] { _tick(); }), _guard(p_guard) {
-	_fleet.set_capacity_source([this] { return _get_capacities(); });
 	node_link &link = _fleet.get_link();
 	link.work_handed().connect([this](const std::string &p_vm, const hand_work_message &p_message) { _on_work_handed(p_vm, p_message); });
 	link.work_ended().connect([this](const std::string &p_vm, const work_ended_message &p_message) { _on_handed_work_ended(p_vm, p_message); });
@@ -504,7 +503,7 @@
 	}
 }
 
-std::vector<pool_capacity> stage_dispatcher::_get_capacities() {
+std::vector<pool_capacity> stage_dispatcher::get_capacities() {
 	std::vector<pool_capacity> capacities;
 	for (const auto &[name, entry] : _pools) {
 		const pool_shard shard = parse_shard_name(name);
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -111,7 +111,6 @@
 	/** Work in a pool of this node ended: tells its owner. */
 	void _on_ended(pool_entry &p_entry, const work_result &p_result);
 	void _tick();
-	std::vector<pool_capacity> _get_capacities();
 	void _forget_after_pause();
 	void _tell_held(const std::string &p_pool, std::map<std::string, own_result> &r_held);
 	void _on_results_told(const std::string &p_owner, const tell_results_message &p_message);
@@ -146,6 +145,9 @@
 	/** Tells the makers that these results are needed no more. */
 	void release(const std::string &p_pool, const std::vector<std::string> &p_handles);
 
+	/** Capacities of the pools that this node dispatches. */
+	std::vector<pool_capacity> get_capacities();
+
 	/** This node stops: its pools pass to others as their work ends. */
 	std::size_t get_accepted_count() const;
 };
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -273,6 +273,8 @@
 	 */
 	double get_capacity(instant p_now) const;
 
+	/** Pieces that a call may carry. */
+	std::size_t get_batch() const { return _spec.batch; }
 	const stage_work *find_work(work_id p_id) const;
 	std::size_t get_waiting_pieces() const { return _waiting_pieces; }
 	std::size_t get_work_count() const { return _works.size(); }
--- a/servers/rollout/rollout.cpp
+++ b/servers/rollout/rollout.cpp
@@ -27,12 +27,14 @@
 }
 
 void rollout::_begin(const rollout_order &p_order, instant p_learnt_at) {
-	// What the order before it was about gets nothing, unless that version serves by now.
-	if (!_order.target_version.empty() && _state != rollout_state::COMPLETED) {
+	const bool serves_by_now = _state == rollout_state::COMPLETED;
+	if (!_order.target_version.empty() && !serves_by_now) {
 		_barred.insert(_order.target_version);
 	}
 	if (!p_order.is_withdrawn) {
 		_barred.erase(p_order.target_version);
+	} else if (!p_order.target_version.empty() && !(serves_by_now && p_order.target_version == _order.target_version)) {
+		_barred.insert(p_order.target_version);
 	}
 	_order = p_order;
 	_learnt_at = p_learnt_at;
@@ -101,8 +103,9 @@
 }
 
 bool rollout::take_status(const rollout_status &p_status) {
-	const bool is_of_order = p_status.order == _order.at && p_status.target_version == _order.target_version;
-	if (!is_of_order || _order.is_withdrawn) {
+	// After the log came back from an older copy the order stands at another position.
+	const bool is_same_order = p_status.order == _order.at || p_status.order.era != _order.at.era;
+	if (!is_same_order || p_status.target_version != _order.target_version || _order.is_withdrawn) {
 		return false;
 	}
 	_is_confirmed = true;
@@ -157,8 +160,8 @@
 	if (_is_ended() || _target_endpoints.empty()) {
 		return false;
 	}
-	// A service without endpoints of another version was moved before this node knew of it.
-	if (_present_endpoints == 0 && !(_is_confirmed && _is_fresh)) {
+	// Without endpoints of another version the target alone can serve, and may have done so before the order.
+	if (_present_endpoints == 0) {
 		return true;
 	}
 	return rollout_course::is_chosen(p_request, _get_share(p_now));
@@ -217,11 +220,6 @@
 	}
 }
 
-void rollout::add_open_at_present(int p_change) {
-	const std::int64_t open = static_cast<std::int64_t>(_open_at_present) + p_change;
-	_open_at_present = static_cast<std::uint32_t>(std::max<std::int64_t>(0, open));
-}
-
 void rollout::add_answer(std::string_view p_endpoint, std::string_view p_version, std::string_view p_route, bool p_is_bad) {
 	const version_side side = get_side(p_version);
 	if (!_is_ended() && side != version_side::BARRED) {
--- a/servers/rollout/rollout.h
+++ b/servers/rollout/rollout.h
@@ -114,8 +114,8 @@
 	/** Whether nothing goes to the present version any more. */
 	bool has_moved(instant p_now) const { return !_is_ended() && _is_moved(p_now); }
 
-	/** Work at an endpoint of the present version began or ended. */
-	void add_open_at_present(int p_change);
+	/** Sets how much of this node's work is at endpoints of other versions. */
+	void set_open_at_present(std::uint32_t p_count) { _open_at_present = p_count; }
 
 	/** An endpoint answered. */
 	void add_answer(std::string_view p_endpoint, std::string_view p_version, std::string_view p_route, bool p_is_bad);
--- a/servers/rollout/rollout_table.cpp
+++ b/servers/rollout/rollout_table.cpp
@@ -54,7 +54,7 @@
 	rollout *known = _find(p_order.service);
 	if (known != nullptr) {
 		known->take_order(p_order, p_now);
-	} else if (!p_order.is_withdrawn && _rollouts.size() < MOST_SERVICES) {
+	} else if (!p_order.target_version.empty() && _rollouts.size() < MOST_SERVICES) {
 		rollout &made = _rollouts.emplace(p_order.service, rollout(_bounds, p_order, p_now)).first->second;
 		made.set_endpoints(_endpoints[p_order.service]);
 	}
--- a/servers/routing/endpoint_state.h
+++ b/servers/routing/endpoint_state.h
@@ -41,6 +41,7 @@
 	std::string pool;
 	network_address address;
 	label_set labels;
+	std::string version; ///< Of its software; empty when it is not told.
 	bool leaving = false;
 	duration cold_left = duration::zero(); ///< How much longer it is cold, as of when it was told.
 	bool operator==(const endpoint_listing &p_other) const = default;
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -80,7 +80,7 @@
 	std::vector<store_record> expected;
 	for (const auto &[key, value] : pairs) {
 		records.push_back(write_record(key.substr(0, 255), value));
-		expected.push_back(store_record{ key.substr(0, 255), value });
+		expected.push_back(store_record{ key.substr(0, 255), value, expected.size() });
 	}
 	RC_ASSERT(read_log_answer(200, write_log(records), 0).records == expected);
 	const store_answer answer = read_log_answer(200, mutate(write_log(records)), 0);
--- a/tests/servers/rollout/rollout_fleet.h
+++ b/tests/servers/rollout/rollout_fleet.h
@@ -11,6 +11,7 @@
 
 #include "core/random_source.h"
 #include "servers/rollout/rollout_table.h"
+#include "servers/rollout/version_runs.h"
 
 #include <deque>
 #include <functional>
@@ -45,6 +46,7 @@
 class rollout_fleet {
 	struct node {
 		rollout_table table;
+		version_runs runs;
 		bool is_cut_off = false;
 		double weight = 1.0;
 		explicit node(const rollout_bounds &p_bounds) :
@@ -193,7 +195,7 @@
 			seen.last_at_target = now;
 		} else {
 			seen.at_present++;
-			known.add_open_at_present(1);
+			entry.runs.on_started(SERVICE, "1");
 		}
 		_open.push_back(open_request{ p_node, chosen.first, chosen.second, route, now + answer_time });
 	}
@@ -206,7 +208,7 @@
 			const bool is_bad = _is_bad(request.endpoint, request.version, request.route);
 			known.add_answer(request.endpoint, request.version, request.route, is_bad);
 			if (request.version != "2") {
-				known.add_open_at_present(-1);
+				_nodes.at(request.at).runs.on_ended(SERVICE, "1");
 			} else if (is_bad && ++seen.bad_at_target == 50) {
 				seen.fiftieth_bad = now;
 			}
@@ -217,6 +219,7 @@
 		told_at news;
 		news.at = now;
 		for (node &entry : _nodes) {
+			entry.table.find(SERVICE)->set_open_at_present(entry.runs.count_others(SERVICE, "2"));
 			if (!entry.is_cut_off) {
 				add_reports(news.total, entry.table.get_reports(now));
 				const std::vector<told_rollout> told = entry.table.get_told({}, now);
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -47,7 +47,7 @@
 }
 
 std::string standin_replica::get_entry(const std::string &p_service, bool p_leaving) const {
-	return json{ { "service", p_service }, { "address", to_string(get_address()) }, { "zone", zone }, { "version", "v1" }, { "slots", 4 }, { "state", p_leaving ? "draining" : "ready" }, { "seq_no", 1 }, { "born", _born } }.dump();
+	return json{ { "service", p_service }, { "address", to_string(get_address()) }, { "zone", zone }, { "version", version }, { "slots", 4 }, { "state", p_leaving ? "draining" : "ready" }, { "seq_no", 1 }, { "born", _born } }.dump();
 }
 
 bool standin_replica::is_held_gone() const {
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -204,7 +204,7 @@
 			}
 		}
 	} else if (path == "/log-append") {
-		_append(*p_exchange, query.at("topic"));
+		_append(*p_exchange, query);
 	} else {
 		p_exchange->reply(404, {}, "");
 	}
@@ -218,15 +218,16 @@
 		return;
 	}
 	const topic &entry = _topics[p_query.at("topic")];
-	std::map<std::string, std::string> newest;
-	for (const record &kept : entry.records) {
+	std::map<std::string, std::pair<std::string, std::size_t>> newest; ///< By key, the value and its offset.
+	for (std::size_t offset = 0; offset < entry.records.size(); offset++) {
+		const record &kept = entry.records[offset];
 		if (kept.raw) {
 			continue;
 		}
 		if (kept.value.empty()) {
 			newest.erase(kept.key);
 		} else {
-			newest[kept.key] = kept.value;
+			newest[kept.key] = { kept.value, offset };
 		}
 	}
 	json items = json::array();
@@ -237,7 +238,7 @@
 			has_more = true;
 			break;
 		}
-		items.push_back({ { "private_key", kept->first }, { "value", encode_base64(kept->second) }, { "offset", 0 } });
+		items.push_back({ { "private_key", kept->first }, { "value", encode_base64(kept->second.first) }, { "offset", kept->second.second } });
 	}
 	p_exchange.reply(200, _get_headers(), json{ { "items", items }, { "has_more", has_more }, { "end_offset", entry.records.size() } }.dump());
 }
@@ -261,11 +262,17 @@
 	return true;
 }
 
-void standin_store::_append(caller_exchange &p_exchange, const std::string &p_topic) {
+void standin_store::_append(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query) {
+	const std::string &topic_name = p_query.at("topic");
+	const std::size_t end = _topics[topic_name].records.size();
+	if (p_query.contains("timestamp") && std::stoul(p_query.at("timestamp")) != end) {
+		p_exchange.reply(412, _get_headers(), json{ { "end_offset", end } }.dump());
+		return;
+	}
 	const std::string &body = p_exchange.body;
 	const std::size_t key_length = static_cast<unsigned char>(body.at(4));
-	put(p_topic, body.substr(5, key_length), body.substr(5 + key_length));
-	p_exchange.reply(200, _get_headers(), json{ { "offset", 0 }, { "end_offset", _topics[p_topic].records.size() } }.dump());
+	put(topic_name, body.substr(5, key_length), body.substr(5 + key_length));
+	p_exchange.reply(200, _get_headers(), json{ { "offset", 0 }, { "end_offset", _topics[topic_name].records.size() } }.dump());
 }
 
 } // namespace calicoscale
--- a/tests/standins/standin_store.h
+++ b/tests/standins/standin_store.h
@@ -59,7 +59,7 @@
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _answer_newest(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query);
 	bool _answer_read(caller_exchange &p_exchange, const std::string &p_topic, std::size_t p_offset);
-	void _append(caller_exchange &p_exchange, const std::string &p_topic);
+	void _append(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query);
 	void _wake();
 	void _end_waits();
 
