What replicas tell of their machines counts for the next calls of a pool

The dispatcher reads it with each answer; it holds for some tenths of a second, and what it explains of a call's time is not learnt as slowness. A header of another form costs nothing.

--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -132,6 +132,9 @@
 		answer->status = p_head.status;
 		answer->did_not_run = head.did_not_run;
 		if (!head.is_other_endpoint) {
+			if (head.notice.load) {
+				_pool.on_pace_told(replica, head.notice.load->pace, event_loop::now());
+			}
 			_guard.on_answer(replica, head.notice, head.did_not_run || p_head.status == http_status::OK, now);
 		}
 	};
--- a/servers/gateway/mechanism.cpp
+++ b/servers/gateway/mechanism.cpp
@@ -32,6 +32,7 @@
 		{ mechanism::LATE_LAST, "late_last" },
 		{ mechanism::REPLICA_ZONE, "replica_zone" },
 		{ mechanism::REPLICA_SLOWNESS, "replica_slowness" },
+		{ mechanism::TOLD_PACE, "told_pace" },
 		{ mechanism::ROOM, "room" },
 		{ mechanism::REPEATED_CALLS, "repeated_calls" },
 		{ mechanism::OVERDUE_CALLS, "overdue_calls" },
--- a/servers/gateway/mechanism.h
+++ b/servers/gateway/mechanism.h
@@ -32,6 +32,7 @@
 	LATE_LAST, ///< Work that cannot be in time goes behind.
 	REPLICA_ZONE, ///< Replicas in the zone of large inputs are preferred.
 	REPLICA_SLOWNESS, ///< Slow replicas are avoided.
+	TOLD_PACE, ///< What replicas tell of their machines counts for the calls of the next moments.
 	ROOM, ///< Calls are cut to the room for results.
 	REPEATED_CALLS, ///< Calls over their time are made elsewhere.
 	OVERDUE_CALLS, ///< Calls far over their time are given up.
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -44,10 +44,6 @@
 constexpr duration ROOM_BLOCK = std::chrono::milliseconds(150);
 constexpr duration FIRST_FAILURE_BLOCK = std::chrono::milliseconds(300);
 constexpr int MOST_BLOCK_DOUBLINGS = 4;
-constexpr double SLOWNESS_STEP = 0.4;
-constexpr double SLOWNESS_HIGHEST = 20.0;
-/** A replica that was slow is tried again as this passes; slow ones get no calls that would tell. */
-constexpr duration SLOWNESS_MEMORY = std::chrono::seconds(3);
 
 constexpr std::array<enum_name<work_end>, 5> END_NAMES{ {
 		{ work_end::DONE, "done" },
@@ -263,11 +259,7 @@
 }
 
 double stage_pool::_get_slowness(const replica_state &p_replica, instant p_now) const {
-	if (!_mechanisms.has(mechanism::REPLICA_SLOWNESS)) {
-		return 1.0;
-	}
-	const double age = to_seconds(p_now - p_replica.slowness_at) / to_seconds(SLOWNESS_MEMORY);
-	return 1.0 + (p_replica.slowness - 1.0) * std::exp(-std::max(0.0, age));
+	return _mechanisms.has(mechanism::REPLICA_SLOWNESS) ? p_replica.pace.get(p_now) : 1.0;
 }
 
 duration stage_pool::_get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const {
@@ -397,7 +389,7 @@
 		if (call.items.empty()) {
 			continue;
 		}
-		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false, _room.get_used(call.replica) };
+		running_call running{ call.replica, call.items, p_now, _get_expected(call.items.size()), false, _room.get_used(call.replica), replica->pace.get_told(p_now) };
 		replica->calls++;
 		replica->free_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(running.expected.count()) * _get_slowness(*replica, p_now)));
 		_calls.emplace(call.id, std::move(running));
@@ -432,10 +424,14 @@
 	if (expected <= 0.0) {
 		return;
 	}
-	const double sample = std::clamp(static_cast<double>((p_now - p_call.started_at).count()) / expected, 0.3, SLOWNESS_HIGHEST);
-	const double current = _get_slowness(p_replica, p_now);
-	p_replica.slowness = current + (sample - current) * SLOWNESS_STEP;
-	p_replica.slowness_at = p_now;
+	p_replica.pace.learn(static_cast<double>((p_now - p_call.started_at).count()) / expected, p_call.told_pace, p_now);
+}
+
+void stage_pool::on_pace_told(const endpoint_identity &p_replica, double p_factor, instant p_now) {
+	const auto replica = _replicas.find(p_replica);
+	if (replica != _replicas.end() && _mechanisms.has(mechanism::TOLD_PACE)) {
+		replica->second.pace.tell(p_factor, p_now);
+	}
 }
 
 void stage_pool::_take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now) {
@@ -543,8 +539,7 @@
 			continue;
 		}
 		if (replica != _replicas.end()) {
-			replica->second.slowness = std::max(_get_slowness(replica->second, p_now), OVERRUN_FACTOR + 1.0);
-			replica->second.slowness_at = p_now;
+			replica->second.pace.note_overrun(OVERRUN_FACTOR + 1.0, p_now);
 			replica->second.free_at = p_now + call.expected;
 		}
 		_make_again(call, p_may_repeat);
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -13,6 +13,7 @@
 #include "servers/gateway/mechanism.h"
 #include "servers/gateway/pool_meter.h"
 #include "servers/gateway/result_room.h"
+#include "servers/load/replica_pace.h"
 #include "servers/request/request_fingerprint.h"
 #include "servers/routing/endpoint_state.h"
 #include "servers/routing/home_regions.h"
@@ -144,6 +145,7 @@
 		duration expected = duration::zero();
 		bool repeated = false;
 		double room_used = 0.0; ///< At its replica, when it was sent.
+		double told_pace = 1.0; ///< What its replica had told by then.
 	};
 
 	struct replica_state {
@@ -154,8 +156,7 @@
 		instant free_at{}; ///< When the call at work is expected to end.
 		instant blocked_until{};
 		int failures = 0;
-		double slowness = 1.0;
-		instant slowness_at{};
+		replica_pace pace;
 	};
 
 	using pieces_ahead = std::map<std::string, std::size_t>; ///< Pieces before a work in the queue, by zone; all under "".
@@ -239,6 +240,9 @@
 	/** A call ended. @param p_items one for each piece when it was answered. */
 	void on_call_ended(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_items, instant p_now);
 
+	/** A replica told how much longer than usual work takes there right now. */
+	void on_pace_told(const endpoint_identity &p_replica, double p_factor, instant p_now);
+
 	/** Results were handed to a node, which releases them or is lost with them. */
 	void set_owner(const std::vector<std::string> &p_handles, const std::string &p_owner) { _room.set_owner(p_handles, p_owner); }
 
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -340,4 +340,18 @@
 	write_endpoint_request(head, p_value, endpoint_send());
 }
 
+TEST(request_codec, an_endpoint_tells_its_load_and_another_form_of_it_costs_nothing) {
+	const auto read = [](const std::string &p_text) {
+		http_head head;
+		head.status = 200;
+		head.headers = { http_header{ "X-Replica-Load", p_text } };
+		return read_endpoint_answer(head).notice.load;
+	};
+	EXPECT_EQ(read("3,1,8"), (told_load{ 3, 1, 8, 1.0 }));
+	EXPECT_EQ(read("1, 0, 1, 250"), (told_load{ 1, 0, 1, 2.5 }));
+	for (const char *text : { "", "3", "3,1", "a,b,c", "-1,0,1", "1,0,1,x", "1,0,1,0", "1,0,1,-5", "99999999999999999999,0,1" }) {
+		EXPECT_FALSE(read(text)) << text;
+	}
+}
+
 } // namespace calicoscale
