A fleet that starts reads the list of endpoints by a few nodes, whatever its size

A whole list of 10,003 endpoints is 21 pages of 200 KB and takes its reader longer than the 1.5 s after which every node that was not told by then read it too: some 20,000 calls and 4 GB at once, beyond the store's 16,000 calls a second; a page that failed threw away those before it, and all began again, so that changes of the configuration got no answers either.

--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -35,6 +35,8 @@
 constexpr duration ERA_SPREAD = std::chrono::milliseconds(600);
 /** One node of a zone reads the whole list when a fleet starts together; whoever is not told within this reads too. */
 constexpr duration TOLD_AT_START = std::chrono::milliseconds(1500);
+/** Between nodes of a zone that read the list one after the other while nobody tells them. */
+constexpr duration PLACE_STEP = std::chrono::milliseconds(500);
 /** While entries that went with an outage are waited for. */
 constexpr duration RETURN_INTERVAL = std::chrono::milliseconds(400);
 
@@ -55,7 +57,7 @@
 endpoint_follower::endpoint_follower(gateway_context &p_context) :
 		_context(p_context),
 		_rejections(event_loop::now()),
-		_reader(p_context, get_endpoint_topic(), "store_endpoints", read_times{ duration::zero(), NEXT_READ, NEXT_READ, RETRY_INTERVAL, LONGEST_RETRY, TOLD_AT_START },
+		_reader(p_context, get_endpoint_topic(), "store_endpoints", read_times{ duration::zero(), NEXT_READ, NEXT_READ, RETRY_INTERVAL, LONGEST_RETRY, TOLD_AT_START, PLACE_STEP },
 				topic_reader_hooks{
 						[this](const store_answer &p_answer, bool p_is_whole) { _on_answer(p_answer, p_is_whole); },
 						[this] { _on_failure(); },
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -282,6 +282,10 @@
 		}
 	}
 	_is_starting = get_dispatch_nodes().empty();
+	if (_help.needs_list()) {
+		std::erase_if(nodes, [this](const overlay_node &p_node) { return p_node.zone != _context.settings.zone; });
+		_store.set_zone_nodes(nodes);
+	}
 	std::vector<std::string> zone_hubs = _plan.hubs;
 	std::erase_if(zone_hubs, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
 	_store.set_hubs(zone_hubs);
--- a/main/gateway/store_sharing.h
+++ b/main/gateway/store_sharing.h
@@ -12,6 +12,7 @@
 #include "drivers/node_link.h"
 #include "main/gateway/configuration_follower.h"
 #include "main/gateway/endpoint_follower.h"
+#include "servers/membership/reading_order.h"
 #include "servers/membership/store_cover.h"
 
 #include <functional>
@@ -49,6 +50,9 @@
 public:
 	store_sharing(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, node_link &p_link, store_sharing_hooks p_hooks);
 
+	/** Sets the nodes of this zone, for the order in which they read the endpoints while nobody tells them. */
+	void set_zone_nodes(const std::vector<overlay_node> &p_nodes) { _endpoints.set_place(find_reading_place(_context.settings.vm, p_nodes)); }
+
 	/** Chooses the reader among the hubs of the zone; this node reads by itself when there are none. */
 	void set_hubs(const std::vector<std::string> &p_hubs);
 
--- a/main/gateway/topic_reader.cpp
+++ b/main/gateway/topic_reader.cpp
@@ -70,6 +70,7 @@
 
 void topic_reader::adopt(const log_position &p_known) {
 	_is_loaded = true;
+	_was_loaded = true;
 	_known = p_known;
 	skip_to(p_known.offset);
 }
@@ -81,7 +82,7 @@
 
 void topic_reader::_check() {
 	if (!_schedule.is_reading()) {
-		const duration wait = _is_loaded ? duration::zero() : _schedule.get_first_wait(event_loop::now() - _started_at);
+		const duration wait = _was_loaded ? duration::zero() : _schedule.get_first_wait(event_loop::now() - _started_at);
 		if (wait > duration::zero()) {
 			_timer.set(std::min(wait, FIRST_WAIT_STEP));
 			return;
@@ -144,6 +145,7 @@
 		return;
 	}
 	_is_loaded = true;
+	_was_loaded = true;
 	_known.offset = p_answer.next_offset;
 	_hooks.on_answer(p_answer, p_is_whole);
 }
--- a/main/gateway/topic_reader.h
+++ b/main/gateway/topic_reader.h
@@ -38,6 +38,7 @@
 	read_schedule _schedule;
 	log_position _known;
 	bool _is_loaded = false; ///< Read as a whole, so that it is read on from the offset.
+	bool _was_loaded = false; ///< Once; what is read as a whole again is waited for by nobody.
 	bool _is_reachable = true;
 	const instant _started_at;
 	instant _read_since; ///< When this reading began.
@@ -85,6 +86,9 @@
 	/** A peer reads for this node as soon as the store answers it; see read_schedule. */
 	void set_patient(bool p_is_patient) { _schedule.set_patient(p_is_patient); }
 
+	/** Place of this node in the order in which nodes read for the first time; see read_schedule. */
+	void set_place(std::size_t p_place) { _schedule.set_place(p_place); }
+
 	/** What is known is known to be the newest by other means. */
 	void note_answered() { _answered_at = event_loop::now(); }
 
--- a/servers/gateway/read_schedule.cpp
+++ b/servers/gateway/read_schedule.cpp
@@ -77,7 +77,8 @@
 }
 
 duration read_schedule::get_first_wait(duration p_since_start) const {
-	return _is_patient ? std::max(duration::zero(), _times.first_wait - p_since_start) : duration::zero();
+	const duration wait = _times.first_wait + _times.place_step * static_cast<duration::rep>(_place);
+	return _is_patient ? std::max(duration::zero(), wait - p_since_start) : duration::zero();
 }
 
 duration read_schedule::get_retry() const {
--- a/servers/gateway/read_schedule.h
+++ b/servers/gateway/read_schedule.h
@@ -24,6 +24,7 @@
 	duration retry{}; ///< From the failure of the last open read to the next one.
 	duration longest_retry{}; ///< Both of them after a while, for nodes that leave the reading to a peer; zero is no longer than at first.
 	duration first_wait{}; ///< From the start, in which a node for which a peer reads is told by it rather than reading the whole topic too; zero for none.
+	duration place_step{}; ///< Longer for each place in the order in which nodes read while nobody tells them.
 };
 
 /** One read to be sent. */
@@ -41,6 +42,7 @@
  */
 class read_schedule {
 	const read_times _times;
+	std::size_t _place = 0;
 	std::uint64_t _reading = 0;
 	int _open = 0; ///< Reads of this reading without an answer.
 	int _failures = 0; ///< Without an answer between them.
@@ -82,6 +84,9 @@
 	/** Whether an answer to this reading may still come. */
 	bool is_open(std::uint64_t p_reading) const { return _open > 0 && p_reading == _reading; }
 
+	/** Place of this node in the order in which nodes read for the first time. */
+	void set_place(std::size_t p_place) { _place = p_place; }
+
 	/** How long the first reading is left to a peer. @param p_since_start how long ago this node started. */
 	duration get_first_wait(duration p_since_start) const;
 
