What waits for callers that read slowly is bounded, and an endpoint's answer is not read meanwhile

Nothing bounded what waited to be written to a caller: an endpoint was read as fast as it sent, and a caller that took nothing made the node hold the rest. Each connection has a share now that shrinks as the whole (a quarter of the VM's memory) fills; a full one stops the reading from its endpoint until half is taken. A caller that takes nothing for ten seconds is ended with a line in the log, after one second while the whole is over.

--- a/drivers/caller_connection.cpp
+++ b/drivers/caller_connection.cpp
@@ -37,6 +37,10 @@
 constexpr double REST_TOLD = 0.8;
 /** A limit that is lowered later binds for no longer than this, however long the one before was. */
 constexpr duration LONGEST_PROMISE = std::chrono::minutes(5);
+/** A caller that takes nothing of its answer for so long is ended, also when its system still answers. */
+constexpr duration LONGEST_STALL = std::chrono::seconds(10);
+/** The same while more waits for all callers than the node may hold. */
+constexpr duration LONGEST_STALL_WHEN_OVER = std::chrono::seconds(1);
 /** A caller that takes no bytes for so long is gone. */
 constexpr unsigned int USER_TIMEOUT_MS = 5000;
 
@@ -56,6 +60,39 @@
 	}
 }
 
+void caller_connection::_on_output(evbuffer *, const evbuffer_cb_info *p_info, void *p_self) {
+	caller_connection &self = *static_cast<caller_connection *>(p_self);
+	self._shared.writes.add(p_info->n_added);
+	self._shared.writes.remove(p_info->n_deleted);
+	if (p_info->n_deleted > 0 || p_info->orig_size == 0) {
+		self._taken_at = event_loop::now();
+	}
+	if (p_info->n_deleted > 0) {
+		self._tell_flow();
+	}
+}
+
+void caller_connection::_tell_flow() {
+	const std::size_t untaken = _get_untaken();
+	const bool is_full = _is_full ? !_shared.writes.has_room(untaken) : _shared.writes.is_full(untaken);
+	if (is_full == _is_full) {
+		return;
+	}
+	_is_full = is_full;
+	if (_exchange && !_exchange->_ended && _exchange->_on_flow) {
+		_exchange->_on_flow(!is_full);
+	}
+}
+
+std::size_t caller_connection::_get_untaken() const {
+	return evbuffer_get_length(bufferevent_get_output(_stream));
+}
+
+bool caller_connection::_is_stalled(instant p_now) const {
+	const duration longest = _shared.writes.is_over() ? LONGEST_STALL_WHEN_OVER : LONGEST_STALL;
+	return !_is_all_written() && p_now - _taken_at > longest;
+}
+
 void caller_connection::_on_event(bufferevent *, short p_what, void *p_self) {
 	if ((p_what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
 		static_cast<caller_connection *>(p_self)->close();
@@ -180,7 +217,7 @@
 }
 
 bool caller_connection::_is_all_written() const {
-	return evbuffer_get_length(bufferevent_get_output(_stream)) == 0;
+	return _get_untaken() == 0;
 }
 
 bool caller_connection::_is_all_taken() const {
@@ -217,6 +254,7 @@
 		_shared(p_shared), _stream(p_stream), _reader(http_reader::kind::REQUEST, http_reader::hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); } }, p_shared.limits.header_bytes), _idle_since(event_loop::now()), _promised_rest(p_shared.limits.idle_timeout) {
 	bufferevent_setcb(_stream, &caller_connection::_on_readable, &caller_connection::_on_drained, &caller_connection::_on_event, this);
 	bufferevent_setwatermark(_stream, EV_READ, 0, MOST_READ_AHEAD);
+	evbuffer_add_cb(bufferevent_get_output(_stream), &caller_connection::_on_output, this);
 	bufferevent_enable(_stream, EV_READ | EV_WRITE);
 	const int on = 1;
 	const int socket = bufferevent_getfd(_stream);
@@ -226,6 +264,8 @@
 
 caller_connection::~caller_connection() {
 	_forget_request();
+	evbuffer_remove_cb(bufferevent_get_output(_stream), &caller_connection::_on_output, this);
+	_shared.writes.remove(_get_untaken());
 	bufferevent_free(_stream);
 }
 
@@ -278,6 +318,7 @@
 
 void caller_connection::write(std::string_view p_bytes) {
 	bufferevent_write(_stream, p_bytes.data(), p_bytes.size());
+	_tell_flow();
 }
 
 bool caller_connection::is_idle() const {
@@ -294,6 +335,14 @@
 }
 
 void caller_connection::sweep(instant p_now) {
+	if (_is_stalled(p_now)) {
+		if (_shared.on_slow_reader) {
+			_shared.on_slow_reader(slow_reader{ _get_untaken(), p_now - _taken_at, _shared.writes.get_held() });
+		}
+		_shared.ended[connection_end::STALLED]++;
+		reset();
+		return;
+	}
 	if (_has_ended()) {
 		if (_may_close(p_now)) {
 			close();
--- a/drivers/caller_connection.h
+++ b/drivers/caller_connection.h
@@ -13,6 +13,7 @@
 #include "drivers/caller_exchange.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_reader.h"
+#include "servers/load/write_budget.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,8 @@
 #include <string_view>
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace calicoscale {
 
@@ -36,12 +39,21 @@
 
 class caller_connection;
 
+/** A caller that did not take its answer. */
+struct slow_reader {
+	std::size_t untaken = 0; ///< Bytes that wait for it.
+	duration since = duration::zero(); ///< Since it took some.
+	std::size_t held = 0; ///< Bytes that wait for all callers.
+};
+
 /** What all connections of a server share: what holds for them, whom they tell, and what is counted. */
 struct caller_connection_shared {
 	caller_server_limits limits;
 	bool is_closing = false; ///< Answers from now on end their connections.
 	std::function<void(const std::shared_ptr<caller_exchange> &)> on_request;
 	std::function<void(const crossed_end &)> on_crossed; ///< May be empty.
+	std::function<void(const slow_reader &)> on_slow_reader; ///< A connection is ended as its caller takes nothing. May be empty.
+	write_budget writes; ///< Of all connections.
 	std::function<void(caller_connection &)> on_closed; ///< The connection must not be freed inside it.
 	std::size_t open_requests = 0;
 	std::size_t rejected = 0; ///< Requests refused as malformed or over a limit.
@@ -78,12 +90,15 @@
 	instant _ended_at{};
 	instant _written_at{}; ///< When all was written, after the end.
 	std::size_t _handed_over = 0;
+	instant _taken_at{}; ///< When the caller's side last took some of what waits for it.
+	bool _is_full = false; ///< Its source was told to wait.
 	bool _too_large = false;
 	bool _is_open_request = false;
 
 	static void _on_readable(bufferevent *p_stream, void *p_self);
 	static void _on_drained(bufferevent *p_stream, void *p_self);
 	static void _on_event(bufferevent *p_stream, short p_what, void *p_self);
+	static void _on_output(evbuffer *p_output, const evbuffer_cb_info *p_info, void *p_self);
 	void _on_head(const http_head &p_head);
 	void _on_body(std::string_view p_bytes);
 
@@ -108,6 +123,12 @@
 	/** Whether an ended connection can be closed without destroying an answer. A caller that takes nothing ends by itself. */
 	bool _may_close(instant p_now) const;
 	bool _is_all_written() const;
+	std::size_t _get_untaken() const;
+
+	/** Whether the caller has taken nothing for so long that what waits for it is not kept any longer. */
+	bool _is_stalled(instant p_now) const;
+	/** Tells the source to wait or to go on. */
+	void _tell_flow();
 
 	/** Whether the caller's system has all that was answered, so that a reset cannot destroy it. */
 	bool _is_all_taken() const;
@@ -145,6 +166,9 @@
 
 	void write(std::string_view p_bytes);
 
+	/** Whether more waits for the caller than its share. */
+	bool is_full() const { return _is_full; }
+
 	/** Ends what takes too long. */
 	void sweep(instant p_now);
 
--- a/drivers/caller_connection_end.h
+++ b/drivers/caller_connection_end.h
@@ -23,6 +23,7 @@
 	LAST_ANSWER, ///< Behind an answer that said so.
 	REJECTED, ///< Behind the refusal of what is malformed, too large or too slow.
 	BROKEN_OFF, ///< An answer that cannot become whole.
+	STALLED, ///< The caller did not take its answer.
 };
 
 /** Name of an end, e.g. "rested". */
--- a/drivers/caller_exchange.cpp
+++ b/drivers/caller_exchange.cpp
@@ -49,6 +49,10 @@
 	_connection->finish(end);
 }
 
+bool caller_exchange::is_full() const {
+	return _connection != nullptr && _connection->is_full();
+}
+
 void caller_exchange::reply(int p_status, const std::vector<http_header> &p_headers, std::string_view p_body) {
 	if (is_gone() || _ended) {
 		return;
--- a/drivers/caller_exchange.h
+++ b/drivers/caller_exchange.h
@@ -29,6 +29,7 @@
 
 	caller_connection *_connection = nullptr; ///< Set while the connection stands.
 	std::function<void()> _on_gone;
+	std::function<void(bool)> _on_flow;
 	bool _started = false;
 	bool _ended = false;
 	bool _chunked = false;
@@ -47,6 +48,12 @@
 	/** Calls the hook when the caller goes away before the answer is complete. */
 	void set_on_gone(std::function<void()> p_hook) { _on_gone = std::move(p_hook); }
 
+	/** Calls the hook with false when the caller takes less than is sent, and with true when it may get more. */
+	void set_on_flow(std::function<void(bool)> p_hook) { _on_flow = std::move(p_hook); }
+
+	/** Whether the caller takes less than is sent. */
+	bool is_full() const;
+
 	/** Answers at once. */
 	void reply(int p_status, const std::vector<http_header> &p_headers, std::string_view p_body);
 
--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -43,7 +43,9 @@
  * within this may be one with the later start, whatever the time of day says, and is left to break by itself.
  */
 constexpr duration LEARNING_TIME = std::chrono::milliseconds(2000);
-constexpr std::size_t READ_HIGH_WATERMARK = 1024 * 1024;
+/** Bytes of an answer that are passed on before it is asked whether more are wanted. */
+constexpr std::size_t MOST_FED = 4UL * 1024;
+constexpr std::size_t READ_HIGH_WATERMARK = 64 * 1024;
 
 constexpr std::array<enum_name<channel_end>, 4> END_NAMES{ {
 		{ channel_end::COMPLETE, "complete" },
@@ -108,6 +110,7 @@
 	bool _connected = false;
 	bool _skipping = false;
 	bool _ended = false;
+	bool _is_paused = false; ///< Whoever takes the answer asked to wait.
 	duration _kept_for = LONGEST_KEPT;
 	instant _idle_since{};
 	instant _opened_at{};
@@ -147,6 +150,7 @@
 
 	/** Only an orderly close can complete an answer without a length. */
 	void _on_closed(bool p_orderly) {
+		_is_paused = false;
 		_read();
 		if (_ended) {
 			return;
@@ -196,8 +200,9 @@
 		if (evbuffer_get_length(input) > 0) {
 			_tell_heard();
 		}
-		while (!_ended && evbuffer_get_length(input) > 0) {
-			const std::size_t size = evbuffer_get_contiguous_space(input);
+		while (!_ended && !_is_paused && evbuffer_get_length(input) > 0) {
+			// In parts, so that a pause takes effect within an answer that came at once.
+			const std::size_t size = std::min(evbuffer_get_contiguous_space(input), MOST_FED);
 			const char *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
 			const std::size_t taken = _reader.feed(std::string_view(bytes, size));
 			if (_ended) {
@@ -265,7 +270,22 @@
 		_reader.reset();
 		_reader.set_without_body(_request.is_head);
 		bufferevent_write(_stream, _request.bytes.data(), _request.bytes.size());
-		_request.bytes.clear();
+		_request.bytes = std::string();
+	}
+
+	void set_paused(bool p_paused) {
+		if (p_paused == _is_paused) {
+			return;
+		}
+		_is_paused = p_paused;
+		if (p_paused) {
+			bufferevent_disable(_stream, EV_READ);
+			return;
+		}
+		bufferevent_enable(_stream, EV_READ);
+		if (evbuffer_get_length(bufferevent_get_input(_stream)) > 0) {
+			bufferevent_trigger(_stream, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+		}
 	}
 
 	void silence() {
@@ -340,6 +360,7 @@
 	const std::function<void(channel_end)> hook = std::move(owned->_hooks.on_end);
 	owned->_hooks = channel_hooks();
 	if (p_keep) {
+		owned->set_paused(false);
 		owned->_idle_since = event_loop::now();
 		_idle[owned->_endpoint].push_back(std::move(owned));
 	} else {
@@ -353,6 +374,13 @@
 	return found != _busy.end() && found->second->_connected && get_unread_bytes(bufferevent_getfd(found->second->_stream)) > 0;
 }
 
+void endpoint_channels::set_reading(exchange_id p_id, bool p_reads) {
+	const auto found = _busy.find(p_id);
+	if (found != _busy.end()) {
+		found->second->set_paused(!p_reads);
+	}
+}
+
 void endpoint_channels::cancel(exchange_id p_id) {
 	const auto found = _busy.find(p_id);
 	if (found == _busy.end()) {
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -94,6 +94,9 @@
 	/** Ends an exchange by closing its connection; its hooks are not called any more. */
 	void cancel(exchange_id p_id);
 
+	/** Stops reading an answer, or goes on; what arrives meanwhile holds its endpoint up. */
+	void set_reading(exchange_id p_id, bool p_reads);
+
 	/** Whether bytes of an answer have arrived that were not read yet. */
 	bool has_unread(exchange_id p_id) const;
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -35,6 +35,8 @@
 constexpr duration SETTLE_INTERVAL = std::chrono::milliseconds(20);
 /** All nodes may start within a third of a second of each other, and a link that failed is tried again after a quarter. */
 constexpr duration SETTLE_TIME = std::chrono::milliseconds(700);
+/** Of the VM's memory, for what callers have not taken yet. */
+constexpr double PART_FOR_SLOW_READERS = 0.25;
 constexpr duration RETRY_AFTER = std::chrono::milliseconds(500);
 /** The balancer knows by then that this node stops, so a caller that returns meets another one. */
 constexpr duration STOP_RETRY_AFTER = std::chrono::milliseconds(100);
@@ -76,6 +78,8 @@
 	}
 	_fleet.add_part(_commitments_told.make_part());
 	_commitments_told.set_capacity_source([this] { return _dispatcher.get_capacities(); });
+	_callers.set_write_budget(static_cast<std::size_t>(p_settings.memory_bytes * PART_FOR_SLOW_READERS));
+	_callers.set_on_slow_reader([this](const slow_reader &p_reader) { _on_slow_reader(p_reader); });
 	_callers.set_on_crossed([this](const crossed_end &p_crossed) { _on_crossed(p_crossed); });
 	_dispatcher.set_on_run_lost([this](const lost_run &p_run) { _crashes.on_run_lost(p_run); });
 	_held_up = _context.loop.held_up().connect([this](const hold_up &p_hold_up) { _on_held_up(p_hold_up); });
@@ -349,6 +353,11 @@
 	request.start();
 }
 
+void gateway::_on_slow_reader(const slow_reader &p_reader) {
+	_context.metrics.count("slow_readers_ended");
+	_context.log.write(log_line("slow_reader_ended").add("untaken_bytes", static_cast<long long>(p_reader.untaken)).add("since_ms", p_reader.since).add("held_bytes", static_cast<long long>(p_reader.held)));
+}
+
 void gateway::_on_crossed(const crossed_end &p_crossed) {
 	_context.metrics.count("bytes_crossed_end");
 	_context.log.write_request(log_line("bytes_crossed_end").add("end", get_name(p_crossed.end)).add("since_end_ms", p_crossed.since_end).add("rested_ms", p_crossed.rested).add("bytes", static_cast<long long>(p_crossed.bytes)).add("read", p_crossed.was_read ? "yes" : "no").add("idle_limit_ms", _get_idle_limit()).add("version", static_cast<long long>(_configuration.get_version())));
@@ -360,6 +369,7 @@
 
 void gateway::_on_metrics(caller_exchange &p_exchange) {
 	_context.metrics.set_gauge("open_requests", static_cast<double>(_requests.size()));
+	_context.metrics.set_gauge("bytes_held_for_callers", static_cast<double>(_callers.get_held_bytes()));
 	_context.metrics.set_gauge("caller_connections", static_cast<double>(_callers.get_connection_count()));
 	_context.metrics.set_gauge("rejected_requests", static_cast<double>(_callers.get_rejected()));
 	for (const auto &[end, number] : _callers.get_ended()) {
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -93,6 +93,7 @@
 	void _on_held_up(const hold_up &p_hold_up);
 	bool _is_catching_up() const;
 	duration _get_idle_limit() const;
+	void _on_slow_reader(const slow_reader &p_reader);
 	void _on_crossed(const crossed_end &p_crossed);
 	void _tick();
 	void _enter(stop_phase p_phase, const char *p_name);
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -69,10 +69,12 @@
 		_services.guard.get_rollouts().on_ended(*_run);
 	}
 	_request.exchange->set_on_gone(nullptr);
+	_request.exchange->set_on_flow(nullptr);
 }
 
 void gateway_request::start() {
 	_request.exchange->set_on_gone([this] { _on_caller_gone(); });
+	_request.exchange->set_on_flow([this](bool p_may_send) { _services.context.channels.set_reading(_exchange, p_may_send); });
 	_give_up_timer.set_at(_give_up_at);
 	_place = _services.guard.get_line().join(_request.service);
 	_services.repeats[_request.service].on_request(_services.context.settings.retries, _started);
@@ -239,6 +241,7 @@
 	}
 	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_stages.count_final_read(endpoint.listing.zone))).add("version", static_cast<long long>(_request.configuration->version)));
 	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
+	_services.context.channels.set_reading(_exchange, !_request.exchange->is_full());
 }
 
 void gateway_request::_on_head(const http_head &p_head) {
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -18,6 +18,7 @@
 
 using json = nlohmann::json;
 
+constexpr double BYTES_PER_MB = 1e6;
 constexpr double BYTES_PER_MBIT = 1e6 / 8.0;
 
 network_address read_address(const json &p_document, const char *p_name, std::vector<document_problem> &r_problems) {
@@ -54,6 +55,7 @@
 	settings.retries.slack = retries.value("slack", settings.retries.slack);
 	settings.retries.window = from_seconds(retries.value("window_seconds", to_seconds(settings.retries.window)));
 	settings.cores = document.value("cores", settings.cores);
+	settings.memory_bytes = document.value("memory_mb", settings.memory_bytes / BYTES_PER_MB) * BYTES_PER_MB;
 	settings.link_bytes = document.value("link_mbps", settings.link_bytes / BYTES_PER_MBIT) * BYTES_PER_MBIT;
 	settings.configuration_apply = std::chrono::milliseconds(document.value("configuration_apply_ms", static_cast<long long>(to_milliseconds(settings.configuration_apply))));
 	settings.evacuation_apply = std::chrono::milliseconds(document.value("evacuation_apply_ms", static_cast<long long>(to_milliseconds(settings.evacuation_apply))));
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -37,6 +37,7 @@
 	std::string fleet_key; ///< Shared by the nodes; empty admits every peer.
 	retry_bounds retries;
 	double cores = 1.0; ///< Share of a core, or cores, this process may use; the larger nodes dispatch stage pools.
+	double memory_bytes = 256e6; ///< That this process may use.
 	double link_bytes = 125e6; ///< Bytes a second that this VM's link carries.
 	duration configuration_apply = std::chrono::seconds(2); ///< A confirmed change of the configuration is in force within this.
 	duration evacuation_apply = std::chrono::seconds(5); ///< Endpoints of a zone get nothing new this long after its evacuation was confirmed.
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -22,6 +22,8 @@
 
 /** Pieces wait for it, so that a replica behind a cut must not hold them for long. */
 constexpr duration CONNECT_TIMEOUT = std::chrono::milliseconds(120);
+/** A result takes some hundred bytes of an answer. */
+constexpr std::size_t LARGEST_ANSWER = 4UL * 1024 * 1024;
 /** Requests that a call's line names; a line stays within about a kilobyte so. */
 constexpr std::size_t MOST_LOGGED_REQUESTS = 32;
 constexpr duration REPLICA_IDLE = std::chrono::milliseconds(3000);
@@ -138,7 +140,12 @@
 			_guard.on_answer(replica, head.notice, head.did_not_run || p_head.status == http_status::OK, now);
 		}
 	};
-	hooks.on_body = [answer](std::string_view p_bytes) { answer->body.append(p_bytes); };
+	hooks.on_body = [answer](std::string_view p_bytes) {
+		// What is cut here cannot be read, and the call counts as broken.
+		if (answer->body.size() + p_bytes.size() <= LARGEST_ANSWER) {
+			answer->body.append(p_bytes);
+		}
+	};
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
 		_on_ended(p_call, p_end, answer->status, answer->did_not_run, answer->body);
 	};
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -30,7 +30,7 @@
 TEST(store_codec, reads_a_page_and_where_the_next_begins) {
 	const std::optional<store_page> page = read_store_page(PAGE, "");
 	ASSERT_TRUE(page);
-	EXPECT_EQ(page->records, (std::vector<store_record>{ { "i-1", "abc" }, { "i-2", "a" } }));
+	EXPECT_EQ(page->records, (std::vector<store_record>{ { "i-1", "abc", 4 }, { "i-2", "a", 5 } }));
 	EXPECT_EQ(page->next_after, "i-2");
 	EXPECT_EQ(page->end_offset, 6U);
 	EXPECT_FALSE(read_store_page(PAGE, "i-2")->next_after) << "a page that leads to itself ends the reading";
@@ -54,7 +54,7 @@
 	const store_answer answer = read_log_answer(200, write_log({ write_record("a", "1"), none, torn, write_record("b", ""), write_record("", "2") }), 10);
 	EXPECT_EQ(answer.status, store_status::OK);
 	EXPECT_EQ(answer.next_offset, 15U);
-	EXPECT_EQ(answer.records, (std::vector<store_record>{ { "a", "1" }, { "", "" }, { "", "" }, { "b", std::nullopt }, { "", "2" } }));
+	EXPECT_EQ(answer.records, (std::vector<store_record>{ { "a", "1", 10 }, { "", "", 11 }, { "", "", 12 }, { "b", std::nullopt, 13 }, { "", "2", 14 } }));
 	EXPECT_EQ(read_log_answer(410, "", 10).status, store_status::HISTORY_GONE);
 	for (const std::string &body : { std::string(), std::string(15, '\0'), std::string(17, '\0'), write_log({ write_record("a", "1").substr(0, 6) }) }) {
 		EXPECT_EQ(read_log_answer(200, body, 10).status, store_status::UNAVAILABLE);
