Work and results stay in their region while it has capacity

With two regions (8 ms and 60 Mbit/s between them for all traffic) a stage's replica and an engine across regions cost what one across zones does. Three times that counts now; zones whose region is not known are taken for one.

--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -146,9 +146,12 @@
 	if (!is_engine(_request)) {
 		return _services.services.choose(p_choice, now);
 	}
+	const gateway_settings &settings = _services.context.settings;
+	const std::string &near_zone = p_zone.empty() ? settings.zone : p_zone;
 	std::vector<engine_candidate> candidates;
 	for (const endpoint_state *endpoint : _services.engines.get_usable(p_choice, now)) {
-		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.get_identity(), endpoint->listing.zone, endpoint->in_flight });
+		const bool is_in_other_region = !is_same_region(endpoint->listing.zone, near_zone, settings.regions);
+		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.get_identity(), endpoint->listing.zone, endpoint->in_flight, is_in_other_region });
 	}
 	if (candidates.empty()) {
 		return std::nullopt;
--- a/servers/gateway/engine_view.cpp
+++ b/servers/gateway/engine_view.cpp
@@ -36,6 +36,8 @@
 constexpr double SHARED_TOKENS_PER_MS = 33.0;
 /** What a large transfer between zones is worth in time. */
 constexpr duration ZONE_PENALTY = std::chrono::milliseconds(60);
+/** Regions are further apart, and all their traffic shares one link. */
+constexpr duration REGION_PENALTY = std::chrono::milliseconds(180);
 /**
  * A prompt is drawn to engines in the order of a hash, so that nodes that meet it at the same time, or that have just
  * started and know nothing of what was read where, agree: each rank down costs this, to a bound.
@@ -172,6 +174,7 @@
 	const double shared_price = _mechanisms.has(mechanism::SHARED_PART_PRICE) ? 1.0 / SHARED_TOKENS_PER_MS : 0.0;
 	const double rank_price = _mechanisms.has(mechanism::ENGINE_RANKS) ? to_milliseconds(RANK_PENALTY) : 0.0;
 	const double zone_price = _mechanisms.has(mechanism::ENGINE_ZONE) ? to_milliseconds(ZONE_PENALTY) : 0.0;
+	const double region_price = _mechanisms.has(mechanism::REGIONS) ? to_milliseconds(REGION_PENALTY) : 0.0;
 	const duration in_flight_price = _mechanisms.has(mechanism::ENGINE_IN_FLIGHT) ? IN_FLIGHT_PENALTY : duration::zero();
 	std::size_t best = 0;
 	double best_score = 0.0;
@@ -182,6 +185,7 @@
 		score += static_cast<double>(prediction.unread_shared) * shared_price;
 		score += rank_price * static_cast<double>(std::min(rank, MOST_PENALIZED_RANKS));
 		score += p_zone.empty() || p_zone == candidate.zone ? 0.0 : zone_price;
+		score += candidate.is_in_other_region ? region_price : 0.0;
 		if (rank == 0 || score < best_score) {
 			best = order[rank].second;
 			best_score = score;
--- a/servers/gateway/engine_view.h
+++ b/servers/gateway/engine_view.h
@@ -33,6 +33,7 @@
 	endpoint_identity engine;
 	std::string zone;
 	int in_flight = 0; ///< Requests of this node.
+	bool is_in_other_region = false; ///< Than what the request needs there.
 };
 
 /** What a prompt would meet at an engine. */
--- a/servers/gateway/mechanism.cpp
+++ b/servers/gateway/mechanism.cpp
@@ -43,6 +43,7 @@
 		{ mechanism::PROMPTS_TOLD, "prompts_told" },
 		{ mechanism::ENGINE_RANKS, "engine_ranks" },
 		{ mechanism::ENGINE_IN_FLIGHT, "engine_in_flight" },
+		{ mechanism::REGIONS, "regions" },
 		{ mechanism::ENGINE_ZONE, "engine_zone" },
 		{ mechanism::COLD_RANKS, "cold_ranks" },
 		{ mechanism::EJECTION, "ejection" },
--- a/servers/gateway/mechanism.h
+++ b/servers/gateway/mechanism.h
@@ -43,6 +43,7 @@
 	PROMPTS_TOLD, ///< Nodes tell each other what they sent to engines.
 	ENGINE_RANKS, ///< Nodes agree on engines by a hash.
 	ENGINE_IN_FLIGHT, ///< Engines with fewer requests of this node are preferred.
+	REGIONS, ///< Work and results stay in their region while it has capacity.
 	ENGINE_ZONE, ///< Engines in the zone of the results are preferred.
 	COLD_RANKS, ///< Endpoints that take only so much, as cold ones do, have a few senders each; off: all nodes send to them, rarely.
 	EJECTION, ///< Endpoints that fail are left out for a while.
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -31,6 +31,8 @@
 constexpr double ZONE_MICROSECONDS_PER_BYTE = 0.04;
 constexpr duration ZONE_PENALTY_MOST = std::chrono::milliseconds(350);
 constexpr double ZONE_PART_OF_SLACK = 0.4;
+/** The same between regions, whose traffic shares one link. */
+constexpr int REGION_FACTOR = 3;
 /** A replica that is busy may be free a little later than expected. */
 constexpr duration BUSY_MARGIN = std::chrono::milliseconds(10);
 /** A call is made anew when it takes this many times what it should, and the margin. */
@@ -266,10 +268,12 @@
 	if (p_work.work.zone.empty() || p_work.work.zone == p_replica.listing.zone || !_mechanisms.has(mechanism::REPLICA_ZONE)) {
 		return duration::zero();
 	}
-	const duration wanted = duration(static_cast<duration::rep>(static_cast<double>(p_work.work.transfer_bytes) * ZONE_MICROSECONDS_PER_BYTE));
+	const bool is_other_region = _mechanisms.has(mechanism::REGIONS) && !is_same_region(p_work.work.zone, p_replica.listing.zone, _regions);
+	const int factor = is_other_region ? REGION_FACTOR : 1;
+	const duration wanted = duration(static_cast<duration::rep>(static_cast<double>(p_work.work.transfer_bytes) * ZONE_MICROSECONDS_PER_BYTE)) * factor;
 	const duration slack = std::max(duration::zero(), p_work.work.due_at - p_now - _get_expected(p_work.missing));
 	const duration affordable = duration(static_cast<duration::rep>(static_cast<double>(slack.count()) * ZONE_PART_OF_SLACK));
-	return std::min({ wanted, ZONE_PENALTY_MOST, affordable });
+	return std::min({ wanted, ZONE_PENALTY_MOST * factor, affordable });
 }
 
 bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes, instant p_now) const {
--- a/servers/routing/home_regions.cpp
+++ b/servers/routing/home_regions.cpp
@@ -12,6 +12,12 @@
 
 namespace calicoscale {
 
+bool is_same_region(const std::string &p_left, const std::string &p_right, const std::map<std::string, std::string> &p_regions) {
+	const auto left = p_regions.find(p_left);
+	const auto right = p_regions.find(p_right);
+	return left == p_regions.end() || right == p_regions.end() || left->second == right->second;
+}
+
 home_regions::home_regions(const std::vector<std::string> &p_of_route, const std::vector<std::string> &p_of_customer) :
 		_is_bound(!p_of_route.empty() || !p_of_customer.empty()) {
 	if (p_of_route.empty() || p_of_customer.empty()) {
--- a/servers/routing/home_regions.h
+++ b/servers/routing/home_regions.h
@@ -15,6 +15,9 @@
 
 namespace calicoscale {
 
+/** Whether two availability zones lie in one region; so do those whose region is not known. @param p_regions by zone. */
+bool is_same_region(const std::string &p_left, const std::string &p_right, const std::map<std::string, std::string> &p_regions);
+
 /** Homes of a request, from those of its route and of its customer. Without either it may go anywhere. */
 class home_regions {
 	bool _is_bound = false;
