--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -59,7 +59,7 @@
 		_evacuations(_context, _configuration),
 		_commitments_told(_commitments),
 		_fleet(_context, _configuration, _endpoints, _evacuations),
-		_rollouts(_context, _configuration, _fleet),
+		_rollouts(_context, _configuration, _endpoints, _fleet),
 		_guard(_context, _configuration, _fleet, _endpoints, _rollouts),
 		_dispatcher(_context, _configuration, _fleet, _commitments, _guard),
 		_services(p_settings.zone, _context.random.get_bits()),
--- a/main/gateway/rollout_service.cpp
+++ b/main/gateway/rollout_service.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-rollout_service::rollout_service(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet) :
+rollout_service::rollout_service(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, gateway_fleet &p_fleet) :
 		_context(p_context),
 		_configuration(p_configuration),
+		_endpoints(p_endpoints),
 		_fleet(p_fleet),
 		_table(p_context.settings.rollouts),
 		_writer(p_context, p_fleet, _table),
@@ -121,16 +122,19 @@
 		_context.metrics.count("rollout_" + std::string(get_name(change.what)));
 	}
 	if (!changes.empty()) {
-		_take_listings();
+		set_endpoints(_endpoints.get_directory().get_listings());
 		_fleet.beat_now();
 		_tick_timer.set(TICK);
 	}
 }
 
-void rollout_service::_take_listings() {
+void rollout_service::set_endpoints(const std::vector<endpoint_listing> &p_listings) {
+	if (_table.is_empty()) {
+		return;
+	}
 	std::map<std::string, std::vector<std::pair<std::string, std::string>>> endpoints;
 	_versions.clear();
-	for (const endpoint_listing &listing : _listings) {
+	for (const endpoint_listing &listing : p_listings) {
 		if (_table.find(listing.pool) == nullptr) {
 			continue;
 		}
@@ -142,13 +146,6 @@
 	_table.set_endpoints(std::move(endpoints));
 }
 
-void rollout_service::set_endpoints(const std::vector<endpoint_listing> &p_listings) {
-	_listings = p_listings;
-	if (!_table.is_empty()) {
-		_take_listings();
-	}
-}
-
 void rollout_service::_tick() {
 	const instant now = event_loop::now();
 	for (const auto &[service, entry] : _table.get_all()) {
--- a/main/gateway/rollout_service.h
+++ b/main/gateway/rollout_service.h
@@ -10,6 +10,7 @@
 #define ROLLOUT_SERVICE_H
 
 #include "main/gateway/configuration_follower.h"
+#include "main/gateway/endpoint_follower.h"
 #include "main/gateway/rollout_writer.h"
 #include "servers/membership/hub_sums.h"
 #include "servers/rollout/call_share.h"
@@ -39,6 +40,7 @@
 class rollout_service {
 	gateway_context &_context;
 	configuration_follower &_configuration;
+	endpoint_follower &_endpoints;
 	gateway_fleet &_fleet;
 	rollout_table _table;
 	rollout_writer _writer;
@@ -49,7 +51,6 @@
 	version_times _times;
 	std::map<std::string, call_share> _call_shares; ///< By service, for calls that this node dispatches.
 	std::unordered_map<std::string, std::string> _versions; ///< Of endpoints of services that are rolled out, by name.
-	std::vector<endpoint_listing> _listings;
 	timer _tick_timer;
 
 	void _take_answer(const store_answer &p_answer, bool p_is_whole);
@@ -57,13 +58,12 @@
 	void _read_beat(const beat_source &p_source, const heartbeat_message &p_message);
 	rollout_view _get_view(const rollout &p_rollout, instant p_now) const;
 	void _tell_changes();
-	void _take_listings();
 	void _tick();
 
 public:
-	rollout_service(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet);
+	rollout_service(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, gateway_fleet &p_fleet);
 
-	/** Takes the endpoints of all services. */
+	/** Takes the endpoints of the services that are rolled out, from the list of all. */
 	void set_endpoints(const std::vector<endpoint_listing> &p_listings);
 
 	/** Whether there is, or was, an order to move a service. */
