Starting nodes leave the first reading of the configuration, and of a list that grows, to a reader

Each node read the configuration of 259 routes for itself before it had heard any peer, as alone it takes itself for the reader of its zone; then all polled the empty list of endpoints each 0.3 s while its 10,003 entries were being written.

A node that has peers to ask waits for them for a moment before it reads, the configuration in the same order of places as the list of endpoints; and where another node reads, the own reading of endpoints is due only when nothing is told.

--- a/main/gateway/configuration_follower.cpp
+++ b/main/gateway/configuration_follower.cpp
@@ -31,8 +31,13 @@
 constexpr int RETRIES_IN_TIME = 3;
 constexpr duration RETRY_INTERVAL = std::chrono::milliseconds(300);
 
+/** A node whose zone has a reader is told the configuration by its peers; a document of hundreds of routes is not read by each. */
+constexpr duration TOLD_AT_START = std::chrono::milliseconds(1000);
+/** Between nodes of a zone that read it one after the other while nobody tells them. */
+constexpr duration PLACE_STEP = std::chrono::milliseconds(500);
+
 read_times get_times(duration p_apply) {
-	return read_times{ std::max(SHORTEST_WAIT, p_apply - AFTER_WAIT), OVERDUE, REPEAT, RETRY_INTERVAL, p_apply / RETRIES_IN_TIME };
+	return read_times{ std::max(SHORTEST_WAIT, p_apply - AFTER_WAIT), OVERDUE, REPEAT, RETRY_INTERVAL, p_apply / RETRIES_IN_TIME, TOLD_AT_START, PLACE_STEP };
 }
 
 /** What the operator writes there is in force within the shorter of the times for each. */
--- a/main/gateway/configuration_follower.h
+++ b/main/gateway/configuration_follower.h
@@ -37,6 +37,9 @@
 	/** Begins to read, in a moment if peers may tell before. */
 	void start() { _reader.read_first(); }
 
+	/** Place of this node in the order in which nodes of its zone read for the first time. */
+	void set_place(std::size_t p_place) { _reader.set_place(p_place); }
+
 	/** A peer reads for this node as soon as the store answers it. */
 	void set_patient(bool p_is_patient) { _reader.set_patient(p_is_patient); }
 
--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -137,6 +137,17 @@
 	_reader.read_whole();
 }
 
+duration endpoint_follower::_get_read_interval(bool p_awaits_entries) const {
+	if (p_awaits_entries) {
+		return RETURN_INTERVAL;
+	}
+	// A list that all nodes read for themselves while it is written keeps the store from the few that read for the others.
+	if (_reader.is_patient()) {
+		return TOLD_INTERVAL;
+	}
+	return _directory.get_size() == 0 ? RETRY_INTERVAL : READ_INTERVAL;
+}
+
 void endpoint_follower::_set_timers() {
 	const instant now = event_loop::now();
 	_directory.tick(now);
@@ -145,8 +156,7 @@
 	if (drop_at) {
 		_drop_timer.set_at(*drop_at);
 	}
-	const duration usual = drop_at ? RETURN_INTERVAL : READ_INTERVAL;
-	_reader.read_in(_directory.get_size() == 0 ? RETRY_INTERVAL : usual);
+	_reader.read_in(_get_read_interval(drop_at.has_value()));
 }
 
 endpoint_reading endpoint_follower::_take_records(const store_answer &p_answer) {
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -35,6 +35,8 @@
 	void _on_answer(const store_answer &p_answer, bool p_is_whole);
 	void _on_failure();
 	void _on_new_era();
+	/** Until the next own read. @param p_awaits_entries some went with an outage of the store and may come back. */
+	duration _get_read_interval(bool p_awaits_entries) const;
 	void _set_timers();
 	endpoint_reading _take_records(const store_answer &p_answer);
 	void _compare(const endpoint_reading &p_reading, const std::string &p_peer);
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -282,7 +282,7 @@
 		}
 	}
 	_is_starting = get_dispatch_nodes().empty();
-	if (_help.needs_list()) {
+	if (_help.needs_list() || !_configuration.get_current()) {
 		std::erase_if(nodes, [this](const overlay_node &p_node) { return p_node.zone != _context.settings.zone; });
 		_store.set_zone_nodes(nodes);
 	}
--- a/main/gateway/store_sharing.cpp
+++ b/main/gateway/store_sharing.cpp
@@ -28,14 +28,25 @@
 	_endpoints.era_entered().connect([this] { _is_named = false; });
 }
 
+void store_sharing::set_zone_nodes(const std::vector<overlay_node> &p_nodes) {
+	const std::size_t place = find_reading_place(_context.settings.vm, p_nodes);
+	_configuration.set_place(place);
+	_endpoints.set_place(place);
+}
+
+bool store_sharing::_is_meeting_peers() const {
+	return !_context.settings.peers.empty() && _link.get_linked().empty() && event_loop::now() - _started_at < NAMES_AFTER;
+}
+
 void store_sharing::set_hubs(const std::vector<std::string> &p_hubs) {
 	const bool was_reader = is_reader();
 	_reader = p_hubs.empty() ? _context.settings.vm : choose_reader(_context.settings.zone, p_hubs);
 	if (!_context.settings.mechanisms.has(mechanism::STORE_READERS)) {
 		return;
 	}
-	_configuration.set_patient(!is_reader());
-	_endpoints.set_patient(!is_reader());
+	const bool is_patient = !is_reader() || _is_meeting_peers();
+	_configuration.set_patient(is_patient);
+	_endpoints.set_patient(is_patient);
 	if (is_reader() != was_reader) {
 		_context.log.write(log_line("store_reader").add("zone", _context.settings.zone).add("reads", is_reader() ? "yes" : "no").add("reader", _reader).add("candidates", static_cast<long long>(p_hubs.size())));
 	}
--- a/main/gateway/store_sharing.h
+++ b/main/gateway/store_sharing.h
@@ -44,6 +44,8 @@
 
 	void _tell_reading(const endpoint_reading &p_reading);
 	void _on_reading_told(const std::string &p_vm, const endpoint_reading &p_reading);
+	/** Whether this node has just started and may still find those that read for it: alone, it takes itself for the reader. */
+	bool _is_meeting_peers() const;
 	void _write_name();
 	void _read_names();
 
@@ -51,7 +53,7 @@
 	store_sharing(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, node_link &p_link, store_sharing_hooks p_hooks);
 
 	/** Sets the nodes of this zone, for the order in which they read the endpoints while nobody tells them. */
-	void set_zone_nodes(const std::vector<overlay_node> &p_nodes) { _endpoints.set_place(find_reading_place(_context.settings.vm, p_nodes)); }
+	void set_zone_nodes(const std::vector<overlay_node> &p_nodes);
 
 	/** Chooses the reader among the hubs of the zone; this node reads by itself when there are none. */
 	void set_hubs(const std::vector<std::string> &p_hubs);
--- a/main/gateway/topic_reader.cpp
+++ b/main/gateway/topic_reader.cpp
@@ -122,7 +122,7 @@
 		if (!_schedule.on_failed(p_reading)) {
 			return;
 		}
-		_set_reachable(false);
+		_set_reachable(false, p_answer.http_status);
 		_hooks.on_failure();
 		read_in(_schedule.get_retry());
 		return;
@@ -130,7 +130,7 @@
 	if (!_schedule.on_answered(p_reading)) {
 		return;
 	}
-	_set_reachable(true);
+	_set_reachable(true, 0);
 	if (p_answer.era < _known.era) {
 		_context.metrics.count("store_answers_of_older_era");
 		read_in(_schedule.get_retry());
@@ -162,7 +162,7 @@
 	}
 }
 
-void topic_reader::_set_reachable(bool p_reachable) {
+void topic_reader::_set_reachable(bool p_reachable, int p_status) {
 	if (p_reachable == _is_reachable) {
 		return;
 	}
@@ -170,6 +170,9 @@
 	const instant now = event_loop::now();
 	log_line line(p_reachable ? "dependency_regained" : "dependency_lost");
 	line.add("dependency", _dependency);
+	if (!p_reachable) {
+		line.add("status", static_cast<long long>(p_status));
+	}
 	_hooks.describe(line);
 	line.add("read_ms", now - _read_since).add("unconfirmed_ms", get_unconfirmed_time(now));
 	_context.log.write(line);
--- a/main/gateway/topic_reader.h
+++ b/main/gateway/topic_reader.h
@@ -51,7 +51,8 @@
 	void _on_page(const planned_read &p_read);
 	void _on_answer(const store_answer &p_answer, std::uint64_t p_reading, bool p_is_whole);
 	void _enter_era(std::uint64_t p_era);
-	void _set_reachable(bool p_reachable);
+	/** @param p_status that the store answered a read with that failed; 0 when it gave no answer. */
+	void _set_reachable(bool p_reachable, int p_status);
 
 public:
 	topic_reader(gateway_context &p_context, std::string_view p_topic, const std::string &p_dependency, const read_times &p_times, topic_reader_hooks p_hooks);
@@ -89,6 +90,9 @@
 	/** Place of this node in the order in which nodes read for the first time; see read_schedule. */
 	void set_place(std::size_t p_place) { _schedule.set_place(p_place); }
 
+	/** Whether another node reads for this one. */
+	bool is_patient() const { return _schedule.is_patient(); }
+
 	/** What is known is known to be the newest by other means. */
 	void note_answered() { _answered_at = event_loop::now(); }
 
--- a/servers/gateway/read_schedule.h
+++ b/servers/gateway/read_schedule.h
@@ -84,6 +84,9 @@
 	/** Whether an answer to this reading may still come. */
 	bool is_open(std::uint64_t p_reading) const { return _open > 0 && p_reading == _reading; }
 
+	/** Whether another node reads for this one. */
+	bool is_patient() const { return _is_patient; }
+
 	/** Place of this node in the order in which nodes read for the first time. */
 	void set_place(std::size_t p_place) { _place = p_place; }
 
