--- a/servers/rollout/rollout_table.cpp
+++ b/servers/rollout/rollout_table.cpp
@@ -81,9 +81,10 @@
 		return;
 	}
 	for (auto &[service, entry] : _rollouts) {
-		const bool is_listed = std::any_of(p_orders.begin(), p_orders.end(), [&service](const rollout_order &p_order) { return p_order.service == service; });
-		if (!is_listed && !entry.get_order().is_withdrawn && entry.get_order().at < p_known) {
-			rollout_order withdrawn = entry.get_order();
+		const rollout_order &order = entry.get_order();
+		const bool is_listed = std::any_of(p_orders.begin(), p_orders.end(), [&order](const rollout_order &p_order) { return p_order.service == order.service; });
+		if (!is_listed && !order.is_withdrawn && order.at < p_known) {
+			rollout_order withdrawn = order;
 			withdrawn.is_withdrawn = true;
 			withdrawn.at = p_known;
 			entry.take_order(withdrawn, p_now);
