A gateway's signals are blocked from the end of its service until the process is gone

Callers and operators saw: a supervisor that sends SIGHUP while a node stops sees a crash (status 129) where a planned stop was; a second SIGTERM in that moment gives 143. Cause: libevent gives the default actions back when the event loop is destroyed, while the process still tears down. Why it works: process_signals is made last and destroyed first; it blocks SIGTERM, SIGINT and SIGHUP before the node and the loop go, and a blocked signal is never delivered to a process that ends.

The test of the first moments keeps what it checked, as a function of the kind of node. The soak's starter returns once exec has succeeded: a signal before that met a copy of the soak, not the program.

--- a/main/commands/command_options.cpp
+++ b/main/commands/command_options.cpp
@@ -64,4 +64,13 @@
 	return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
 }
 
+std::string describe_reload(const std::string &p_path, const std::function<void(const std::string &)> &p_parse) {
+	try {
+		p_parse(read_file(p_path));
+		return "sound, in force from the next start";
+	} catch (const std::exception &error) {
+		return std::string("rejected: ") + error.what();
+	}
+}
+
 } // namespace calicoscale
--- a/main/commands/command_options.h
+++ b/main/commands/command_options.h
@@ -14,6 +14,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <functional>
 #include <stdexcept>
 #include <string>
 
@@ -43,6 +44,12 @@
 /** Reads a whole file, "-" for standard input. @throws usage_error when it cannot be read. */
 std::string read_file(const std::string &p_path);
 
+/**
+ * Reads a node's settings again for its log. Addresses and names hold for a process's life, so a change of them waits for a
+ * restart. The parser throws for settings that are not sound.
+ */
+std::string describe_reload(const std::string &p_path, const std::function<void(const std::string &)> &p_parse);
+
 } // namespace calicoscale
 
 #endif // COMMAND_OPTIONS_H
--- /dev/null
+++ b/main/process_signals.cpp
@@ -0,0 +1,74 @@
+/*
+ * calicoscale: process_signals.cpp
+ * The signals that a supervisor sends to an entry node.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/process_signals.h"
+
+#include <array>
+#include <csignal>
+#include <cstring>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr std::array<int, 3> HANDLED{ SIGTERM, SIGINT, SIGHUP };
+
+sigset_t get_reload_signal() {
+	sigset_t signals;
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGHUP);
+	return signals;
+}
+
+/** Runs before the constructors of any library. Other commands do not reload, and end with their terminal. */
+void block_reload_signal(int p_count, char **p_values, char **) {
+	if (p_count > 1 && std::strcmp(p_values[1], "gateway") == 0) {
+		const sigset_t signals = get_reload_signal();
+		sigprocmask(SIG_BLOCK, &signals, nullptr);
+	}
+}
+
+} // namespace
+
+__attribute__((section(".preinit_array"), used)) void (*const BLOCK_RELOAD_SIGNAL)(int, char **, char **) = &block_reload_signal;
+
+process_signals::process_signals(event_loop &p_loop, process_signal_hooks p_hooks) :
+		_loop(p_loop), _hooks(std::move(p_hooks)) {
+	_loop.signal_received().connect([this](int p_signal) { _on_signal(p_signal); });
+	for (const int handled : HANDLED) {
+		_loop.watch_signal(handled);
+	}
+	const sigset_t signals = get_reload_signal();
+	sigprocmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+process_signals::~process_signals() {
+	sigset_t signals;
+	sigemptyset(&signals);
+	for (const int handled : HANDLED) {
+		sigaddset(&signals, handled);
+	}
+	sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void process_signals::_on_signal(int p_signal) {
+	if (p_signal != SIGHUP) {
+		_hooks.stop();
+		return;
+	}
+	if (_is_reload_posted) {
+		return;
+	}
+	_is_reload_posted = true;
+	_loop.post([this] {
+		_is_reload_posted = false;
+		_hooks.reload();
+	});
+}
+
+} // namespace calicoscale
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -15,24 +15,31 @@
 
 namespace calicoscale {
 
-/** Starts the program, sends it signals and notices its end. It is killed with the soak, however that ends. */
+/** Starts the program as a node, sends it signals and notices its end. It is killed with the soak, however that ends. */
 class gateway_process {
 	std::string _program;
 	std::string _settings_file;
 	std::string _log_file;
+	std::string _command;
+	int _end_status = 0;
 	pid_t _pid = 0;
 	std::size_t _starts = 0;
 
 public:
-	gateway_process(std::string p_program, std::string p_settings_file, std::string p_log_file);
+	/** The command is that of the kind of node. */
+	gateway_process(std::string p_program, std::string p_settings_file, std::string p_log_file, std::string p_command = "gateway");
 	~gateway_process();
 	gateway_process(const gateway_process &) = delete;
 	gateway_process &operator=(const gateway_process &) = delete;
 	gateway_process(gateway_process &&r_other) = delete;
 	gateway_process &operator=(gateway_process &&r_other) = delete;
 
-	/** @throws std::runtime_error when no process can be made. */
-	void start();
+	/**
+	 * Returns once the program runs. A supervisor may start a node with SIGHUP ignored, which holds until the node takes the
+	 * signal itself.
+	 * @throws std::runtime_error when no process can be made.
+	 */
+	void start(bool p_ignores_reload = false);
 
 	/** Nothing when it does not run. */
 	void send_signal(int p_signal) const;
@@ -40,6 +47,9 @@
 	/** True once after it ended. */
 	bool has_ended();
 
+	/** How it ended, as waitpid() tells it; valid after has_ended(). */
+	int get_end_status() const { return _end_status; }
+
 	bool is_running() const { return _pid != 0; }
 	/** Counts its lives. */
 	std::size_t get_starts() const { return _starts; }
--- a/tests/soak/gateway_process_test.cpp
+++ b/tests/soak/gateway_process_test.cpp
@@ -18,18 +18,53 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <sstream>
+#include <stdexcept>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace calicoscale {
 
 namespace {
 
-const std::string SETTINGS = R"({
+const std::string GATEWAY_SETTINGS = R"({
 	"vm": "n0", "zone": "a", "region": "r", "caller_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0",
 	"link_address": "127.0.0.1:0", "store_address": "127.0.0.1:1", "peers": []
 })";
 
+const std::string SERVE_SETTINGS = R"({
+	"vm": "n0", "zone": "a", "region": "r", "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
+	"link_address": "127.0.0.1:0", "fleet_key": "a key for a test of processes",
+	"platform": { "log": "127.0.0.1:1", "vm_list": "127.0.0.1:1" }, "drain": { "listen_seconds": 0.3, "longest_seconds": 2 }
+})";
+
+/** A kind of node and how it starts. */
+struct node_kind {
+	std::string command;
+	std::string settings;
+	std::string started; ///< In its log once it serves.
+};
+
+const std::vector<node_kind> KINDS{ { "gateway", GATEWAY_SETTINGS, "event=started" }, { "serve", SERVE_SETTINGS, "\"callers\":" } };
+
+class temporary_folder {
+	std::string _path = std::filesystem::temp_directory_path() / "gateway_process_XXXXXX";
+
+public:
+	temporary_folder() {
+		if (mkdtemp(_path.data()) == nullptr) {
+			throw std::runtime_error("cannot make " + _path);
+		}
+	}
+	~temporary_folder() { std::filesystem::remove_all(_path); }
+	temporary_folder(const temporary_folder &) = delete;
+	temporary_folder &operator=(const temporary_folder &) = delete;
+
+	std::string get(const std::string &p_name) const { return _path + "/" + p_name; }
+};
+
 std::string read_text(const std::filesystem::path &p_file) {
 	std::ifstream file(p_file);
 	std::stringstream text;
@@ -37,31 +72,71 @@
 	return text.str();
 }
 
-} // namespace
+/** False when the process ended before. */
+bool wait_for_line(gateway_process &r_process, const std::string &p_log, const std::string &p_line) {
+	while (read_text(p_log).find(p_line) == std::string::npos) {
+		if (r_process.has_ended()) {
+			return false;
+		}
+		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+	}
+	return true;
+}
 
-TEST(gateway_process, a_reload_signal_that_comes_before_its_handler_does_not_end_the_process) {
-	std::string folder = std::filesystem::temp_directory_path() / "gateway_process_XXXXXX";
-	ASSERT_NE(mkdtemp(folder.data()), nullptr);
-	const std::string settings = folder + "/settings.json";
-	const std::string log = folder + "/log";
-	ASSERT_EQ(mkfifo(settings.c_str(), 0600), 0);
-	gateway_process process(CALICOSCALE_PROGRAM, settings, log);
+/** Signals the process while its settings are read, which is before it has handlers; true if it reloaded. */
+bool reloads_by_early_signal(const node_kind &p_kind) {
+	const temporary_folder folder;
+	const std::string settings = folder.get("settings.json");
+	if (mkfifo(settings.c_str(), 0600) != 0) {
+		return false;
+	}
+	gateway_process process(CALICOSCALE_PROGRAM, settings, folder.get("log"), p_kind.command);
 	process.start();
-	// Returns when the process reads its settings, which is before it has handlers.
+	// Returns when the process opens its settings.
 	const int pipe = open(settings.c_str(), O_WRONLY);
 	process.send_signal(SIGHUP);
-	ASSERT_EQ(write(pipe, SETTINGS.data(), SETTINGS.size()), static_cast<ssize_t>(SETTINGS.size()));
+	const ssize_t written = write(pipe, p_kind.settings.data(), p_kind.settings.size());
 	// The reload reads a plain file of the same name; it stands there before the first reading can end.
-	std::ofstream(folder + "/plain.json") << SETTINGS;
-	std::filesystem::rename(folder + "/plain.json", settings);
+	std::ofstream(folder.get("plain.json")) << p_kind.settings;
+	std::filesystem::rename(folder.get("plain.json"), settings);
 	close(pipe);
-	bool has_ended = false;
-	while (!has_ended && read_text(log).find("settings_reloaded") == std::string::npos) {
-		has_ended = process.has_ended();
-		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+	return written == static_cast<ssize_t>(p_kind.settings.size()) && wait_for_line(process, folder.get("log"), "settings_reloaded");
+}
+
+/** Asks for a planned stop, then sends the signal over and over until the process is gone. */
+int stop_under_signals(const node_kind &p_kind, int p_signal) {
+	const temporary_folder folder;
+	std::ofstream(folder.get("settings.json")) << p_kind.settings;
+	gateway_process process(CALICOSCALE_PROGRAM, folder.get("settings.json"), folder.get("log"), p_kind.command);
+	process.start();
+	if (!wait_for_line(process, folder.get("log"), p_kind.started)) {
+		return process.get_end_status();
+	}
+	process.send_signal(SIGTERM);
+	while (!process.has_ended()) {
+		process.send_signal(p_signal);
+		std::this_thread::sleep_for(std::chrono::microseconds(200));
+	}
+	return process.get_end_status();
+}
+
+} // namespace
+
+TEST(gateway_process, a_reload_signal_that_comes_before_its_handler_does_not_end_the_process) {
+	EXPECT_TRUE(reloads_by_early_signal(KINDS.front()));
+}
+
+// Guards against signals that meet a process whose handlers are gone, and against reloads that keep it from stopping.
+TEST(gateway_process, signals_that_come_until_the_process_is_gone_do_not_change_how_it_ends) {
+	std::vector<std::future<int>> ends;
+	for (int i = 0; i < 4; i++) {
+		for (const int signal : { SIGHUP, SIGTERM }) {
+			ends.push_back(std::async(std::launch::async, [signal] { return stop_under_signals(KINDS.front(), signal); }));
+		}
+	}
+	for (std::future<int> &end : ends) {
+		EXPECT_EQ(end.get(), 0);
 	}
-	EXPECT_FALSE(has_ended);
-	std::filesystem::remove_all(folder);
 }
 
 } // namespace calicoscale
