A hang-up does not end a node of the kind serve

Callers saw: a SIGHUP, as a supervisor sends it for changed settings or a terminal at its end, ended a serve node at any moment, with its requests. Cause: serve watched SIGTERM and SIGINT only. Why it works: serve takes its signals by the class that the gateway uses, and reads its settings again at SIGHUP as the gateway does: the outcome is logged and holds from the next start. Stand-ins, the load tool and the reports end with their terminal, as commands do.

--- a/main/commands/serve_command.cpp
+++ b/main/commands/serve_command.cpp
@@ -7,13 +7,13 @@
  */
 
 #include "main/commands/command_options.h"
+#include "main/process_signals.h"
 #include "main/serve/node.h"
 #include "servers/configuration/configuration_parser.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-#include <csignal>
 #include <iostream>
 
 namespace calicoscale {
@@ -42,13 +42,12 @@
 	if (!parse_options(p_arguments, known, {}, values)) {
 		return exit_code::SUCCESS;
 	}
-	const node_settings settings = parse_settings(read_file(values["settings"].as<std::string>()));
+	const std::string file = values["settings"].as<std::string>();
+	const node_settings settings = parse_settings(read_file(file));
 	start_log(settings);
 	event_loop loop;
 	node entry(loop, settings);
-	loop.watch_signal(SIGTERM);
-	loop.watch_signal(SIGINT);
-	loop.signal_received().connect([&entry](int) { entry.drain(); });
+	const process_signals signals(loop, process_signal_hooks{ [&entry] { entry.drain(); }, [&file] { LOG(INFO) << "event=settings_reloaded outcome=\"" << describe_reload(file, [](const std::string &p_text) { parse_settings(p_text); }) << "\""; } });
 	entry.start();
 	const nlohmann::json addresses{ { "vm", settings.vm }, { "callers", to_string(entry.get_caller_address()) }, { "admin", to_string(entry.get_admin_address()) }, { "link", to_string(entry.get_link_address()) } };
 	std::cout << addresses.dump() << std::endl;
--- a/main/process_signals.cpp
+++ b/main/process_signals.cpp
@@ -27,7 +27,7 @@
 
 /** Runs before the constructors of any library. Other commands do not reload, and end with their terminal. */
 void block_reload_signal(int p_count, char **p_values, char **) {
-	if (p_count > 1 && std::strcmp(p_values[1], "gateway") == 0) {
+	if (p_count > 1 && (std::strcmp(p_values[1], "gateway") == 0 || std::strcmp(p_values[1], "serve") == 0)) {
 		const sigset_t signals = get_reload_signal();
 		sigprocmask(SIG_BLOCK, &signals, nullptr);
 	}
--- a/misc/scripts/demo.sh
+++ b/misc/scripts/demo.sh
@@ -20,7 +20,7 @@
 # shellcheck source=misc/scripts/fleet.sh
 . "$root/misc/scripts/fleet.sh"
 trap stop_all EXIT
-trap 'exit 130' INT TERM
+trap 'exit 130' INT TERM HUP
 
 deployment=$root/misc/deployments/aspen-hearth
 cli=$build/calicoscale
--- a/tests/soak/gateway_process_test.cpp
+++ b/tests/soak/gateway_process_test.cpp
@@ -126,6 +126,25 @@
 	EXPECT_TRUE(reloads_by_early_signal(KINDS.front()));
 }
 
+TEST(serve_process, a_reload_signal_that_comes_before_its_handler_does_not_end_the_process) {
+	EXPECT_TRUE(reloads_by_early_signal(KINDS.back()));
+}
+
+// Guards what operators are told to do about signals that come before the program's first instruction.
+TEST(gateway_process, reload_signals_from_its_first_moment_on_do_not_end_a_process_started_with_them_ignored) {
+	const temporary_folder folder;
+	std::ofstream(folder.get("settings.json")) << KINDS.front().settings;
+	gateway_process process(CALICOSCALE_PROGRAM, folder.get("settings.json"), folder.get("log"));
+	process.start(true);
+	bool has_ended = false;
+	while (!has_ended && read_text(folder.get("log")).find("settings_reloaded") == std::string::npos) {
+		process.send_signal(SIGHUP);
+		has_ended = process.has_ended();
+		std::this_thread::sleep_for(std::chrono::microseconds(100));
+	}
+	EXPECT_FALSE(has_ended);
+}
+
 // Guards against signals that meet a process whose handlers are gone, and against reloads that keep it from stopping.
 TEST(gateway_process, signals_that_come_until_the_process_is_gone_do_not_change_how_it_ends) {
 	std::vector<std::future<int>> ends;
@@ -139,4 +158,10 @@
 	}
 }
 
+TEST(serve_process, signals_that_come_until_the_process_is_gone_do_not_change_how_it_ends) {
+	for (const int signal : { SIGHUP, SIGTERM, SIGHUP, SIGTERM }) {
+		EXPECT_EQ(stop_under_signals(KINDS.back(), signal), 0);
+	}
+}
+
 } // namespace calicoscale
