What is freed from the loop is freed before its owners, also in the turn that stops the loop

Operators would see: undefined behaviour at the end of a planned stop, at worst a crash in place of status 0. Cause: connections, requests and other objects are freed by a hook posted to the loop. Where the loop was stopped in the same turn, the hook was destroyed with the loop, after what the object refers to. Evidence: http_exchange_test with sanitizers reports the same read without the change of caller_connection; the new test of the loop fails without the change of run(). Why it works: run() runs what was posted before it returns, while all owners live. A closed connection counts for nothing at its server any more, so that it may be freed after it (a server may end while its loop goes on). The same elsewhere, by reading: gateway_request, asked trials and links are freed in the same way; the first change is for them.

--- a/drivers/caller_connection.cpp
+++ b/drivers/caller_connection.cpp
@@ -263,10 +263,18 @@
 }
 
 caller_connection::~caller_connection() {
+	_leave_server();
+	bufferevent_free(_stream);
+}
+
+void caller_connection::_leave_server() {
+	if (_has_left_server) {
+		return;
+	}
+	_has_left_server = true;
 	_forget_request();
 	evbuffer_remove_cb(bufferevent_get_output(_stream), &caller_connection::_on_output, this);
 	_shared.writes.remove(_get_untaken());
-	bufferevent_free(_stream);
 }
 
 void caller_connection::close() {
@@ -280,6 +288,7 @@
 	if (exchange && !exchange->_ended && exchange->_on_gone) {
 		exchange->_on_gone();
 	}
+	_leave_server();
 	_shared.on_closed(*this);
 }
 
--- a/drivers/caller_connection.h
+++ b/drivers/caller_connection.h
@@ -92,6 +92,7 @@
 	std::size_t _handed_over = 0;
 	instant _taken_at{}; ///< When the caller's side last took some of what waits for it.
 	bool _is_full = false; ///< Its source was told to wait.
+	bool _has_left_server = false;
 	bool _too_large = false;
 	bool _is_open_request = false;
 
@@ -108,6 +109,8 @@
 	void _hand_over();
 	void _reject(int p_status);
 	void _forget_request();
+	/** Ends what the server counts of it; nothing of the server is used from then on. */
+	void _leave_server();
 
 	/** Tells of bytes that came behind this side's end. */
 	void _note_crossed(std::size_t p_bytes, bool p_was_read);
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -96,6 +96,8 @@
 
 void event_loop::run() {
 	event_base_loop(_base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+	// A posted hook may hold an object whose owner is gone by the time the loop is.
+	_run_posted();
 }
 
 void event_loop::run_pending() {
@@ -112,9 +114,12 @@
 }
 
 void event_loop::_on_posted(int, short, void *p_self) {
-	event_loop &self = *static_cast<event_loop *>(p_self);
+	static_cast<event_loop *>(p_self)->_run_posted();
+}
+
+void event_loop::_run_posted() {
 	std::vector<std::function<void()>> hooks;
-	hooks.swap(self._posted);
+	hooks.swap(_posted);
 	for (const std::function<void()> &hook : hooks) {
 		hook();
 	}
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -71,6 +71,7 @@
 	static void _on_signal(int p_signal, short p_what, void *p_self);
 	static void _on_timers(int p_socket, short p_what, void *p_self);
 	static void _on_read(int p_socket, short p_what, void *p_self);
+	void _run_posted();
 	void _set_timer(timer &p_timer, instant p_due, timer_order p_order);
 	void _cancel_timer(const timer &p_timer);
 	void _arm();
@@ -84,7 +85,7 @@
 	event_loop(const event_loop &) = delete;
 	event_loop &operator=(const event_loop &) = delete;
 
-	/** Runs until stop(). */
+	/** Runs until stop(), and what was posted until then. */
 	void run();
 
 	/** Handles what is due now and returns without waiting. */
--- a/tests/drivers/event_loop_test.cpp
+++ b/tests/drivers/event_loop_test.cpp
@@ -61,6 +61,18 @@
 
 } // namespace
 
+// Guards objects that are freed from the loop against the end of their owners, which comes before that of the loop.
+TEST_F(event_loop_test, what_is_posted_in_the_turn_that_stops_the_loop_runs_before_it_returns) {
+	bool has_run = false;
+	timer stop(_loop, [this, &has_run] {
+		_loop.post([&has_run] { has_run = true; });
+		_loop.stop();
+	});
+	stop.set(milliseconds(1));
+	_loop.run();
+	EXPECT_TRUE(has_run);
+}
+
 TEST_F(event_loop_test, what_was_due_while_the_vm_was_suspended_runs_at_waking_in_the_order_of_its_times) {
 	std::string order;
 	timer late(_loop, [&order] { order += "c"; });
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -14,6 +14,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <optional>
 #include <thread>
 
 namespace calicoscale {
@@ -138,6 +139,20 @@
 	EXPECT_EQ(_server->get_open_requests(), 0U);
 }
 
+// Guards the memory of a server that ends in the turn in which one of its connections was closed.
+TEST_F(caller_server_test, a_connection_that_is_freed_after_its_server_does_not_touch_it) {
+	std::optional<raw_connection> connection(_server->get_address());
+	connection->send_bytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_until(*connection, [this] { return !_exchanges.empty(); });
+	_exchanges.front()->set_on_gone([this] { _loop.stop(); });
+	connection.reset();
+	while (!_exchanges.front()->is_gone()) {
+		_loop.run_pending();
+	}
+	_server.reset();
+	_loop.run_pending();
+}
+
 TEST_F(caller_server_test, refuses_what_is_malformed_or_too_large) {
 	EXPECT_TRUE(exchange_bytes("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n").starts_with("HTTP/1.1 400 "));
 	EXPECT_TRUE(exchange_bytes("GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n").starts_with("HTTP/1.1 400 "));
