The loss of a peer is logged with what told of it, and whether its link was needed

Now the line has cause (link_broken, silent, told_by_hub) and needed; a silent peer whose link was not needed is no lost node. Nothing that is decided changes.

--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -452,35 +452,49 @@
 
 void gateway_fleet::_on_link_down(const std::string &p_vm) {
 	_told.on_link_down(p_vm, event_loop::now());
-	_set_live(p_vm, false);
+	_set_lost(p_vm, peer_loss::LINK_BROKEN);
 	if (p_vm == get_relied_on() || _plan.is_hub) {
 		_plan_links();
 	}
 }
 
-void gateway_fleet::_set_live(const std::string &p_vm, bool p_live) {
+void gateway_fleet::_set_live(const std::string &p_vm) {
 	bool &was_live = _was_live[p_vm];
-	if (p_live == was_live) {
+	if (!was_live) {
+		was_live = true;
+		_context.log.write(log_line("peer_live").add("vm", p_vm).add("leaving", _is_leaving(p_vm) ? "yes" : "no"));
+	}
+}
+
+void gateway_fleet::_set_lost(const std::string &p_vm, peer_loss p_cause) {
+	bool &was_live = _was_live[p_vm];
+	if (!was_live) {
 		return;
 	}
-	was_live = p_live;
-	const member *peer = _members.find(p_vm);
-	const bool is_leaving = peer != nullptr && peer->digest.leaving;
-	_context.log.write(log_line(p_live ? "peer_live" : "peer_lost").add("vm", p_vm).add("leaving", is_leaving ? "yes" : "no"));
-	if (!p_live) {
-		for (const beat_part &part : _parts) {
-			part.on_lost(p_vm);
-		}
-		_zone_nodes.erase(p_vm);
-		_peer_lost.emit(p_vm);
+	was_live = false;
+	const bool is_needed = _get_role(p_vm, event_loop::now()).is_needed;
+	_context.log.write(log_line("peer_lost").add("vm", p_vm).add("leaving", _is_leaving(p_vm) ? "yes" : "no").add("cause", get_name(p_cause)).add("needed", is_needed ? "yes" : "no"));
+	for (const beat_part &part : _parts) {
+		part.on_lost(p_vm);
 	}
+	_zone_nodes.erase(p_vm);
+	_peer_lost.emit(p_vm);
+}
+
+bool gateway_fleet::_is_leaving(const std::string &p_vm) const {
+	const member *peer = _members.find(p_vm);
+	return peer != nullptr && peer->digest.leaving;
 }
 
 void gateway_fleet::_note_changes() {
 	const instant now = event_loop::now();
 	for (const auto &[vm, entry] : _members.get_members()) {
 		// A node that stops still ends what was handed to it, and waits for what it handed over: it is lost when it is silent.
-		_set_live(vm, _is_heard(vm, now));
+		if (_is_heard(vm, now)) {
+			_set_live(vm);
+		} else {
+			_set_lost(vm, peer_loss::SILENT);
+		}
 	}
 	for (const std::string &vm : _contacts.get_dead(now)) {
 		if (_link.is_linked(vm)) {
@@ -531,11 +545,9 @@
 		return;
 	}
 	for (const std::string &vm : _told.take(p_message.dispatchers, p_message.fleet_nodes)) {
-		const member *peer = _members.find(vm);
-		const bool is_stopping = peer != nullptr && peer->digest.leaving;
-		if (vm != get_vm() && !is_stopping && !p_message.dispatchers.empty()) {
+		if (vm != get_vm() && !_is_leaving(vm) && !p_message.dispatchers.empty()) {
 			_told.set_lost(vm);
-			_set_live(vm, false);
+			_set_lost(vm, peer_loss::TOLD_BY_HUB);
 		}
 	}
 	_set_unreached_zones(std::set<std::string>(p_message.unreached_zones.begin(), p_message.unreached_zones.end()));
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -18,6 +18,7 @@
 #include "servers/membership/fleet_overlay.h"
 #include "servers/membership/member_table.h"
 #include "servers/membership/peer_contacts.h"
+#include "servers/membership/peer_loss.h"
 #include "servers/membership/told_fleet.h"
 
 #include <map>
@@ -101,7 +102,9 @@
 	void _dial();
 	void _ask_for_list();
 	void _note_changes();
-	void _set_live(const std::string &p_vm, bool p_live);
+	void _set_live(const std::string &p_vm);
+	void _set_lost(const std::string &p_vm, peer_loss p_cause);
+	bool _is_leaving(const std::string &p_vm) const;
 	bool _is_in_own_zone(const std::string &p_vm) const;
 	std::uint32_t _count_zone() const;
 	std::uint32_t _count_fleet() const;
--- /dev/null
+++ b/servers/membership/peer_loss.h
@@ -0,0 +1,33 @@
+/*
+ * calicoscale: peer_loss.h
+ * Why a node takes another one for lost.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef PEER_LOSS_H
+#define PEER_LOSS_H
+
+#include <array>
+#include <string_view>
+
+namespace calicoscale {
+
+/** What told of a loss. Between nodes that need no link, silence says nothing: heartbeats end, then the link is closed. */
+enum class peer_loss {
+	LINK_BROKEN,
+	SILENT,
+	TOLD_BY_HUB,
+	COUNT,
+};
+
+/** Name for logs. */
+constexpr std::string_view get_name(peer_loss p_value) {
+	constexpr std::array<std::string_view, static_cast<std::size_t>(peer_loss::COUNT)> NAMES{ "link_broken", "silent", "told_by_hub" };
+	return NAMES[static_cast<std::size_t>(p_value)];
+}
+
+} // namespace calicoscale
+
+#endif // PEER_LOSS_H
