Roll-outs ordered beyond the sixteenth wait until another one is over

Operators saw: with sixteen services in the table, whether their roll-outs were over or not, a further order was dropped without a word and carried out only after a restart of every node; the duty to complete or roll back was missed. Cause: the bound, which keeps heartbeats small, counted all services that were ever rolled out, and an order beyond it was not kept. Evidence: the new test fails on the code as it was (the seventeenth order never begins, also once another is taken back). Why it works: the bound counts open roll-outs. An order beyond it is kept, the newest of each service, and begins in the order of the log when another is over; one that is taken back while it waits bars its version at once. Its time runs from its beginning.

--- a/servers/rollout/rollout_table.cpp
+++ b/servers/rollout/rollout_table.cpp
@@ -50,16 +50,43 @@
 	return found == _rollouts.end() ? nullptr : &found->second;
 }
 
+bool rollout_table::_must_wait(const rollout_order &p_order) const {
+	const rollout *known = find(p_order.service);
+	const bool opens = !p_order.is_withdrawn && !p_order.target_version.empty() && (known == nullptr || (known->is_over() && known->get_order().at < p_order.at));
+	const auto open = std::count_if(_rollouts.begin(), _rollouts.end(), [](const auto &p_entry) { return !p_entry.second.is_over(); });
+	return opens && static_cast<std::size_t>(open) >= MOST_SERVICES;
+}
+
 void rollout_table::_take(const rollout_order &p_order, instant p_now) {
+	const auto waiting = _waiting.find(p_order.service);
+	if (waiting != _waiting.end() && p_order.at < waiting->second.at) {
+		return;
+	}
+	if (_must_wait(p_order)) {
+		_waiting[p_order.service] = p_order;
+		return;
+	}
+	_waiting.erase(p_order.service);
 	rollout *known = _find(p_order.service);
 	if (known != nullptr) {
 		known->take_order(p_order, p_now);
-	} else if (!p_order.target_version.empty() && _rollouts.size() < MOST_SERVICES) {
+	} else if (!p_order.target_version.empty()) {
 		rollout &made = _rollouts.emplace(p_order.service, rollout(_bounds, p_order, p_now)).first->second;
 		made.set_endpoints(_endpoints[p_order.service]);
 	}
 }
 
+void rollout_table::_begin_waiting(instant p_now) {
+	while (!_waiting.empty()) {
+		const auto oldest = std::min_element(_waiting.begin(), _waiting.end(), [](const auto &p_left, const auto &p_right) { return p_left.second.at < p_right.second.at; });
+		const rollout_order order = oldest->second;
+		if (_must_wait(order)) {
+			return;
+		}
+		_take(order, p_now);
+	}
+}
+
 void rollout_table::take_records(const std::vector<rollout_order> &p_orders, instant p_now) {
 	for (const rollout_order &order : p_orders) {
 		_take(order, p_now);
@@ -80,10 +107,13 @@
 	if (is_new_era) {
 		return;
 	}
+	const auto is_listed = [&p_orders](const std::string &p_service) {
+		return std::any_of(p_orders.begin(), p_orders.end(), [&p_service](const rollout_order &p_order) { return p_order.service == p_service; });
+	};
+	std::erase_if(_waiting, [&is_listed, &p_known](const auto &p_entry) { return !is_listed(p_entry.first) && p_entry.second.at < p_known; });
 	for (auto &[service, entry] : _rollouts) {
 		const rollout_order &order = entry.get_order();
-		const bool is_listed = std::any_of(p_orders.begin(), p_orders.end(), [&order](const rollout_order &p_order) { return p_order.service == order.service; });
-		if (!is_listed && !order.is_withdrawn && order.at < p_known) {
+		if (!is_listed(service) && !order.is_withdrawn && order.at < p_known) {
 			rollout_order withdrawn = order;
 			withdrawn.is_withdrawn = true;
 			withdrawn.at = p_known;
@@ -95,10 +125,13 @@
 bool rollout_table::take_told(const std::vector<told_rollout> &p_told, instant p_now) {
 	bool is_news = false;
 	for (const told_rollout &told : p_told) {
-		if (_find(told.order.service) == nullptr) {
+		if (_find(told.order.service) == nullptr || _must_wait(told.order)) {
 			_take(told.order, p_now);
 			is_news = is_news || _find(told.order.service) != nullptr;
 		}
+		if (_waiting.contains(told.order.service)) {
+			continue;
+		}
 		rollout *known = _find(told.order.service);
 		is_news = (known != nullptr && known->take_told(told, p_now)) || is_news;
 	}
@@ -116,6 +149,7 @@
 	for (auto &[service, entry] : _rollouts) {
 		entry.consider(p_get_view(entry), p_now);
 	}
+	_begin_waiting(p_now);
 }
 
 rollout_reports rollout_table::get_reports(instant p_now) const {
--- a/servers/rollout/rollout_table.h
+++ b/servers/rollout/rollout_table.h
@@ -42,16 +42,19 @@
 class rollout_table {
 	rollout_bounds _bounds;
 	std::map<std::string, rollout> _rollouts;
+	std::map<std::string, rollout_order> _waiting; ///< Newest orders of services for which there is no place yet.
 	std::map<std::string, rollout_change::kind> _noted; ///< Last change of each order that was handed out.
 	std::map<std::string, log_position> _noted_orders;
 	std::map<std::string, std::vector<std::pair<std::string, std::string>>> _endpoints; ///< By service: name and version.
 	log_position _known;
 
+	bool _must_wait(const rollout_order &p_order) const;
 	void _take(const rollout_order &p_order, instant p_now);
+	void _begin_waiting(instant p_now);
 	rollout *_find(const std::string &p_service);
 
 public:
-	/** Services beyond these are not rolled out; bounds what heartbeats tell. */
+	/** Orders beyond these wait until one is over; bounds the counts in heartbeats. */
 	static constexpr std::size_t MOST_SERVICES = 16;
 
 	explicit rollout_table(const rollout_bounds &p_bounds) :
--- a/tests/servers/rollout/rollout_test.cpp
+++ b/tests/servers/rollout/rollout_test.cpp
@@ -217,6 +217,29 @@
 	EXPECT_EQ(fleet.refused, 0U);
 }
 
+// Guards orders that arrive while as many are open as are told at a time.
+TEST(rollout, an_order_beyond_the_most_at_a_time_begins_when_another_is_over_in_the_order_of_the_log) {
+	rollout_table table{ rollout_bounds() };
+	const auto make_order = [](std::uint64_t p_number, bool p_is_withdrawn = false) {
+		return rollout_order{ "s" + std::to_string(p_number), "2", ORDER_TIME, log_position{ 0, p_number + (p_is_withdrawn ? 100 : 0) }, p_is_withdrawn };
+	};
+	const auto consider = [&table](int p_second) { table.consider([](const rollout &) { return rollout_view(); }, instant(seconds(p_second))); };
+	const std::uint64_t most = rollout_table::MOST_SERVICES;
+	for (std::uint64_t i = 0; i < most + 2; i++) {
+		table.take_records({ make_order(i) }, instant(seconds(1)));
+	}
+	consider(2);
+	EXPECT_EQ(table.get_all().size(), most);
+	table.take_records({ make_order(3, true) }, instant(seconds(3)));
+	consider(4);
+	EXPECT_NE(table.find("s" + std::to_string(most)), nullptr);
+	EXPECT_EQ(table.find("s" + std::to_string(most + 1)), nullptr);
+	table.take_records({ make_order(most + 1, true) }, instant(seconds(5)));
+	table.take_records({ make_order(5, true) }, instant(seconds(5)));
+	consider(6);
+	EXPECT_EQ(table.find("s" + std::to_string(most + 1))->get_side("2"), version_side::BARRED) << "taken back while it waited";
+}
+
 TEST(rollout, an_order_that_is_written_again_after_the_log_lost_it_goes_on) {
 	rollout entry(rollout_bounds(), rollout_order{ "s", "2", ORDER_TIME, log_position{ 1, 90 }, false }, instant(seconds(1)));
 	entry.on_written(rollout_state::IN_PROGRESS);
