--- a/tests/soak/gateway_process_test.cpp
+++ b/tests/soak/gateway_process_test.cpp
@@ -130,6 +130,16 @@
 	EXPECT_TRUE(reloads_by_early_signal(KINDS.back()));
 }
 
+// Guards the time of the dynamic linker, before the program can block the signal.
+TEST(gateway_process, a_reload_signal_right_after_exec_does_not_end_the_process) {
+	const temporary_folder folder;
+	std::ofstream(folder.get("settings.json")) << KINDS.front().settings;
+	gateway_process process(CALICOSCALE_PROGRAM, folder.get("settings.json"), folder.get("log"));
+	process.start();
+	process.send_signal(SIGHUP);
+	EXPECT_TRUE(wait_for_line(process, folder.get("log"), KINDS.front().started)) << "ended by " << process.describe_end();
+}
+
 // Guards what operators are told to do about signals that come before the program's first instruction.
 TEST(gateway_process, reload_signals_from_its_first_moment_on_do_not_end_a_process_started_with_them_ignored) {
 	const temporary_folder folder;
