--- a/tests/servers/rollout/rollout_test.cpp
+++ b/tests/servers/rollout/rollout_test.cpp
@@ -237,7 +237,9 @@
 	table.take_records({ make_order(most + 1, true) }, instant(seconds(5)));
 	table.take_records({ make_order(5, true) }, instant(seconds(5)));
 	consider(6);
-	EXPECT_EQ(table.find("s" + std::to_string(most + 1))->get_side("2"), version_side::BARRED) << "taken back while it waited";
+	const rollout *taken_back = table.find("s" + std::to_string(most + 1));
+	ASSERT_NE(taken_back, nullptr);
+	EXPECT_EQ(taken_back->get_side("2"), version_side::BARRED) << "taken back while it waited";
 }
 
 TEST(rollout, an_order_that_is_written_again_after_the_log_lost_it_goes_on) {
