--- a/main/commands/gateway_command.cpp
+++ b/main/commands/gateway_command.cpp
@@ -12,6 +12,8 @@
 
 #include <glog/logging.h>
 
+#include <utility>
+
 namespace calicoscale {
 
 namespace options = boost::program_options;
@@ -28,7 +30,12 @@
 	const gateway_settings settings = parse_gateway_settings(read_file(file));
 	event_loop loop;
 	gateway entry(loop, settings);
-	const process_signals signals(loop, process_signal_hooks{ [&entry] { entry.stop(); }, [&entry, &file] { entry.note_reload(describe_reload(file, [](const std::string &p_text) { parse_gateway_settings(p_text); })); } });
+	process_signal_hooks hooks;
+	hooks.stop = [&entry] { entry.stop(); };
+	hooks.reload = [&entry, &file] {
+		entry.note_reload(describe_reload(file, [](const std::string &p_text) { parse_gateway_settings(p_text); }));
+	};
+	const process_signals signals(loop, std::move(hooks));
 	entry.start();
 	loop.run();
 	return exit_code::SUCCESS;
--- a/main/commands/serve_command.cpp
+++ b/main/commands/serve_command.cpp
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include <iostream>
+#include <utility>
 
 namespace calicoscale {
 
@@ -47,7 +48,13 @@
 	start_log(settings);
 	event_loop loop;
 	node entry(loop, settings);
-	const process_signals signals(loop, process_signal_hooks{ [&entry] { entry.drain(); }, [&file] { LOG(INFO) << "event=settings_reloaded outcome=\"" << describe_reload(file, [](const std::string &p_text) { parse_settings(p_text); }) << "\""; } });
+	process_signal_hooks hooks;
+	hooks.stop = [&entry] { entry.drain(); };
+	hooks.reload = [&file] {
+		const std::string outcome = describe_reload(file, [](const std::string &p_text) { parse_settings(p_text); });
+		LOG(INFO) << "event=settings_reloaded outcome=\"" << outcome << "\"";
+	};
+	const process_signals signals(loop, std::move(hooks));
 	entry.start();
 	const nlohmann::json addresses{ { "vm", settings.vm }, { "callers", to_string(entry.get_caller_address()) }, { "admin", to_string(entry.get_admin_address()) }, { "link", to_string(entry.get_link_address()) } };
 	std::cout << addresses.dump() << std::endl;
--- a/main/process_signals.cpp
+++ b/main/process_signals.cpp
@@ -11,25 +11,29 @@
 #include <array>
 #include <csignal>
 #include <cstring>
+#include <span>
+#include <utility>
 
 namespace calicoscale {
 
 namespace {
 
+constexpr std::array<int, 1> RELOADING{ SIGHUP };
 constexpr std::array<int, 3> HANDLED{ SIGTERM, SIGINT, SIGHUP };
 
-sigset_t get_reload_signal() {
+void change_mask(int p_how, std::span<const int> p_signals) {
 	sigset_t signals;
 	sigemptyset(&signals);
-	sigaddset(&signals, SIGHUP);
-	return signals;
+	for (const int signal : p_signals) {
+		sigaddset(&signals, signal);
+	}
+	sigprocmask(p_how, &signals, nullptr);
 }
 
 /** Runs before the constructors of any library. Other commands do not reload, and end with their terminal. */
 void block_reload_signal(int p_count, char **p_values, char **) {
 	if (p_count > 1 && (std::strcmp(p_values[1], "gateway") == 0 || std::strcmp(p_values[1], "serve") == 0)) {
-		const sigset_t signals = get_reload_signal();
-		sigprocmask(SIG_BLOCK, &signals, nullptr);
+		change_mask(SIG_BLOCK, RELOADING);
 	}
 }
 
@@ -43,17 +47,11 @@
 	for (const int handled : HANDLED) {
 		_loop.watch_signal(handled);
 	}
-	const sigset_t signals = get_reload_signal();
-	sigprocmask(SIG_UNBLOCK, &signals, nullptr);
+	change_mask(SIG_UNBLOCK, RELOADING);
 }
 
 process_signals::~process_signals() {
-	sigset_t signals;
-	sigemptyset(&signals);
-	for (const int handled : HANDLED) {
-		sigaddset(&signals, handled);
-	}
-	sigprocmask(SIG_BLOCK, &signals, nullptr);
+	change_mask(SIG_BLOCK, HANDLED);
 }
 
 void process_signals::_on_signal(int p_signal) {
--- a/main/process_signals.h
+++ b/main/process_signals.h
@@ -22,9 +22,9 @@
 };
 
 /**
- * Takes SIGTERM, SIGINT and SIGHUP for a node. Made last and destroyed first among what the node consists of, as a signal
- * that meets no handler ends the process: SIGHUP is blocked from before the libraries are initialised until then, and all
- * three from its end until the process is gone.
+ * Takes SIGTERM, SIGINT and SIGHUP for a node. A signal that meets no handler ends the process, so SIGHUP is blocked from
+ * before the libraries are initialised until this is made, and all three from its end until the process is gone. To be made
+ * after the node and destroyed before it.
  */
 class process_signals {
 	event_loop &_loop;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -45,7 +45,7 @@
 constexpr duration WATCH_INTERVAL = milliseconds(20);
 /** The soak did not run for so long: its times cannot be trusted. */
 constexpr duration HELD_UP = milliseconds(250);
-/** A request crosses the soak seven times from its caller over proxies and endpoint back; this leaves it half of its 2.5 s. */
+/** A request crosses the soak seven times, from its caller over proxies and endpoint back; half of its deadline stays for its node. */
 constexpr duration LONGEST_TURN = milliseconds(2500) / 14;
 constexpr duration DRAIN_TIME = milliseconds(4500);
 /** From the end of an endpoint that left by word to its next start. */
