--- a/servers/rollout/rollout_table.cpp
+++ b/servers/rollout/rollout_table.cpp
@@ -125,15 +125,16 @@
 bool rollout_table::take_told(const std::vector<told_rollout> &p_told, instant p_now) {
 	bool is_news = false;
 	for (const told_rollout &told : p_told) {
-		if (_find(told.order.service) == nullptr || _must_wait(told.order)) {
+		rollout *known = _find(told.order.service);
+		if (known == nullptr || known->get_order().at < told.order.at) {
 			_take(told.order, p_now);
-			is_news = is_news || _find(told.order.service) != nullptr;
-		}
-		if (_waiting.contains(told.order.service)) {
-			continue;
+			known = _find(told.order.service);
+			if (known == nullptr || known->get_order().at != told.order.at) {
+				continue;
+			}
+			is_news = true;
 		}
-		rollout *known = _find(told.order.service);
-		is_news = (known != nullptr && known->take_told(told, p_now)) || is_news;
+		is_news = known->take_told(told, p_now) || is_news;
 	}
 	return is_news;
 }
