--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -9,6 +9,7 @@
 #include "drivers/endpoint_channels.h"
 
 #include "core/enum_names.h"
+#include "drivers/activity_scope.h"
 #include "drivers/socket_address.h"
 #include "drivers/socket_queues.h"
 
@@ -192,6 +193,7 @@
 	}
 
 	void _read() {
+		const activity_scope scope(_owner._loop, activity::ENDPOINT_ANSWERS);
 		if (_id == 0) {
 			_owner._on_idle_event(this);
 			return;
--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -8,6 +8,8 @@
 
 #include "drivers/event_log.h"
 
+#include "drivers/activity_scope.h"
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -49,7 +51,7 @@
 }
 
 event_log::event_log(event_loop &p_loop) :
-		_request_lines(REQUEST_LINES_PER_SECOND, REQUEST_LINES_BURST, event_loop::now()), _flush_timer(p_loop, [this] { _flush(); }) {
+		_loop(p_loop), _request_lines(REQUEST_LINES_PER_SECOND, REQUEST_LINES_BURST, event_loop::now()), _flush_timer(p_loop, [this] { _flush(); }) {
 	const int flags = fcntl(STDOUT_FILENO, F_GETFL);
 	if (flags >= 0) {
 		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
@@ -93,6 +95,7 @@
 }
 
 void event_log::_flush() {
+	const activity_scope scope(_loop, activity::LOG);
 	if (_dropped > _dropped_told) {
 		_append(log_line("log_lines_dropped").add("count", static_cast<long long>(_dropped - _dropped_told)));
 		_dropped_told = _dropped;
--- a/drivers/event_log.h
+++ b/drivers/event_log.h
@@ -36,6 +36,7 @@
  * nobody reads them: writing a log must never hold a request up.
  */
 class event_log {
+	event_loop &_loop;
 	std::string _buffer;
 	token_bucket _request_lines;
 	timer _flush_timer;
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -8,6 +8,8 @@
 
 #include "drivers/event_loop.h"
 
+#include "drivers/activity_scope.h"
+
 #include <event2/event.h>
 
 #include <algorithm>
@@ -121,6 +123,7 @@
 	std::vector<std::function<void()>> hooks;
 	hooks.swap(_posted);
 	for (const std::function<void()> &hook : hooks) {
+		const activity_scope scope(*this, activity::POSTED);
 		hook();
 	}
 }
@@ -190,6 +193,7 @@
 		_due.pop_front();
 		timer &ended = *found->second;
 		_timers.erase(found);
+		const activity_scope scope(*this, activity::TIMERS);
 		ended._hook();
 	}
 }
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -12,6 +12,7 @@
 #include "core/hold_up.h"
 #include "core/time.h"
 #include "core/timer_queue.h"
+#include "core/work_meter.h"
 #include "drivers/suspension_alarm.h"
 
 #include <sigc++/sigc++.h>
@@ -62,6 +63,7 @@
 	instant _armed_for{}; ///< When the event of the timers is to come; zero for never.
 	bool _is_reading_first = false; ///< The process stood still, and what came meanwhile is read now.
 	hold_up_watch _hold_ups;
+	work_meter _meter;
 	sigc::signal<void(const hold_up &)> _held_up;
 	std::vector<std::unique_ptr<event, event_deleter>> _signal_events;
 	std::vector<std::function<void()>> _posted;
@@ -118,6 +120,9 @@
 	/** Wall time now. */
 	static unix_milliseconds wall();
 
+	/** What the loop spends its time on; activity_scope books to it. */
+	work_meter &get_meter() { return _meter; }
+
 	event_base *get_base() const { return _base.get(); }
 };
 
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -10,6 +10,7 @@
 
 #include "core/digest.h"
 #include "core/ids.h"
+#include "drivers/activity_scope.h"
 #include "drivers/link_codec.h"
 #include "drivers/socket_address.h"
 
@@ -53,6 +54,19 @@
 	return sha256_hex(std::string_view(reinterpret_cast<const char *>(bytes.data()), bytes.size()));
 }
 
+activity get_activity(const link_message &p_message) {
+	if (std::holds_alternative<heartbeat_message>(p_message)) {
+		return activity::HEARTBEATS_RECEIVED;
+	}
+	if (std::holds_alternative<hand_work_message>(p_message) || std::holds_alternative<work_ended_message>(p_message) || std::holds_alternative<cancel_work_message>(p_message)) {
+		return activity::WORK_MESSAGES;
+	}
+	if (std::holds_alternative<release_results_message>(p_message) || std::holds_alternative<tell_results_message>(p_message)) {
+		return activity::RESULT_MESSAGES;
+	}
+	return std::holds_alternative<tell_prompts_message>(p_message) ? activity::PROMPT_MESSAGES : activity::OTHER_MESSAGES;
+}
+
 } // namespace
 
 /** One TCP connection to a peer. */
@@ -93,6 +107,7 @@
 
 	/** Reads as many whole frames as are there. */
 	void _read() {
+		const activity_scope scope(_owner._loop, activity::LINK_READ);
 		// The owner may drop this link while a frame is handled; the handle keeps it alive until the end.
 		const std::shared_ptr<link> keep = _owner._hold(this);
 		_read_at = event_loop::now();
@@ -162,6 +177,7 @@
 	}
 
 	void _hand_out(const link_message &p_message) {
+		const activity_scope scope(_owner._loop, get_activity(p_message));
 		if (const auto *heartbeat = std::get_if<heartbeat_message>(&p_message)) {
 			_owner._heartbeat_received.emit(_vm, *heartbeat);
 		} else if (const auto *ask = std::get_if<ask_configuration_message>(&p_message)) {
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -8,6 +8,8 @@
 
 #include "main/gateway/gateway_fleet.h"
 
+#include "drivers/activity_scope.h"
+
 #include <algorithm>
 
 namespace calicoscale {
@@ -243,6 +245,7 @@
 }
 
 void gateway_fleet::_beat() {
+	const activity_scope scope(_context.loop, activity::HEARTBEATS_SENT);
 	const instant now = event_loop::now();
 	_members.tick(now);
 	std::erase_if(_kept_until, [now](const auto &p_entry) { return p_entry.second < now; });
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -8,6 +8,7 @@
 
 #include "main/gateway/pool_caller.h"
 
+#include "drivers/activity_scope.h"
 #include "drivers/http_status.h"
 #include "platform/request_codec.h"
 #include "platform/stage_codec.h"
@@ -82,11 +83,17 @@
 	_pool.add(p_id, std::move(p_work), now);
 }
 
+std::optional<stage_call> pool_caller::_choose_call(instant p_now) {
+	const activity_scope scope(_context.loop, activity::STAGE_SEARCH);
+	return _pool.next_call(p_now);
+}
+
 void pool_caller::pump() {
 	const instant now = event_loop::now();
-	for (std::optional<stage_call> call = _pool.next_call(now); call; call = _pool.next_call(now)) {
+	for (std::optional<stage_call> call = _choose_call(now); call; call = _choose_call(now)) {
 		_send(*call);
 	}
+	const activity_scope scope(_context.loop, activity::STAGE_ENDS);
 	for (const work_result &result : _pool.take_ended()) {
 		_hooks.on_ended(result);
 	}
@@ -108,6 +115,7 @@
 }
 
 void pool_caller::_send(const stage_call &p_call) {
+	const activity_scope scope(_context.loop, activity::STAGE_SEND);
 	const instant now = event_loop::now();
 	std::vector<stage_call_item> items;
 	items.reserve(p_call.items.size());
@@ -169,6 +177,7 @@
 }
 
 void pool_caller::_on_ended(const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body) {
+	const activity_scope scope(_context.loop, activity::STAGE_ENDS);
 	_exchanges.erase(p_call.id);
 	const call_end end = get_call_end(p_end, p_status, p_did_not_run);
 	if (p_end == channel_end::BROKEN) {
@@ -233,6 +242,7 @@
 }
 
 void pool_caller::_send_releases(duration p_patience) {
+	const activity_scope scope(_context.loop, activity::STAGE_RELEASES);
 	const instant now = event_loop::now();
 	std::erase_if(_to_release, [this, p_patience, now](const auto &p_entry) {
 		const auto &[maker, pending] = p_entry;
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -55,6 +55,7 @@
 	std::map<std::string, pending_release> _to_release; ///< By the address of the maker.
 
 	bool _try_repeat(instant p_now);
+	std::optional<stage_call> _choose_call(instant p_now);
 	void _send(const stage_call &p_call);
 	void _on_ended(const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body);
 	void _end_run(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_results);
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -9,6 +9,7 @@
 #include "main/gateway/stage_dispatcher.h"
 
 #include "core/digest.h"
+#include "drivers/activity_scope.h"
 #include "platform/stage_codec.h"
 
 #include <algorithm>
@@ -518,6 +519,7 @@
 }
 
 void stage_dispatcher::_tick() {
+	const activity_scope scope(_context.loop, activity::STAGE_TICK);
 	const instant now = event_loop::now();
 	if (now - _ticked_at > PAUSE) {
 		_forget_after_pause();
