--- /dev/null
+++ b/tests/servers/gateway/stage_pool_search_test.cpp
@@ -0,0 +1,126 @@
+/*
+ * calicoscale: stage_pool_search_test.cpp
+ * What a dispatcher spends on the search for a call while many works wait.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/stage_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int REPLICAS = 41;
+constexpr int ZONES = 5;
+const instant NOW{ seconds(1000) };
+/** When calls of eight pieces are over. */
+const instant LATER = NOW + milliseconds(150 + 8 * 16);
+
+/** The pool of a fleet of hundreds of nodes in five zones. Counts how often a replica is asked whether it may be sent to. */
+class busy_pool {
+	stage_pool _pool;
+	std::uint64_t _asked = 0;
+	work_id _next_work = 1;
+
+public:
+	std::map<std::string, std::vector<stage_call>> calls; ///< At work, by zone.
+
+	busy_pool() {
+		stage_pool_spec spec;
+		spec.slots = 1;
+		spec.batch = 8;
+		spec.call_time = milliseconds(150);
+		spec.piece_time = milliseconds(16);
+		spec.room_bytes = 42e6;
+		spec.result_ttl = seconds(4);
+		_pool.set_spec(spec);
+		_pool.set_limit([this](const endpoint_identity &, instant) {
+			_asked++;
+			return true;
+		});
+		std::vector<endpoint_listing> replicas;
+		for (int i = 0; i < REPLICAS; i++) {
+			endpoint_listing listing;
+			listing.vm = "i-" + std::to_string(i);
+			listing.zone = "z" + std::to_string(i % ZONES);
+			replicas.push_back(listing);
+		}
+		_pool.set_replicas(replicas);
+		// One call at each replica.
+		for (int i = 0; i < REPLICAS; i++) {
+			add("z" + std::to_string(i % ZONES), 8);
+			const std::optional<stage_call> call = _pool.next_call(NOW);
+			if (call) {
+				calls[call->zone].push_back(*call);
+			}
+		}
+	}
+
+	stage_pool &get() { return _pool; }
+	std::uint64_t take_asked() { return std::exchange(_asked, 0); }
+
+	/** Work whose results cross zones slowly, and that has the time to wait for a replica of its zone. */
+	void add(const std::string &p_zone, std::size_t p_pieces) {
+		stage_work work;
+		work.attempt = std::to_string(_next_work);
+		work.pieces = p_pieces;
+		work.due_at = NOW + seconds(10);
+		work.give_up_at = NOW + seconds(12);
+		work.zone = p_zone;
+		work.transfer_bytes = 20'000'000;
+		work.result_bytes = 1000;
+		_pool.add(_next_work++, std::move(work), NOW);
+	}
+
+	void free_one(const std::string &p_zone) {
+		const stage_call call = calls.at(p_zone).back();
+		calls.at(p_zone).pop_back();
+		std::vector<item_result> results;
+		for (const stage_item &item : call.items) {
+			results.push_back(item_result{ item_end::DONE, std::to_string(call.id) + "." + std::to_string(item.piece) });
+		}
+		_pool.on_call_ended(call.id, call_end::ANSWERED, results, LATER);
+	}
+};
+
+} // namespace
+
+// Guards against a dispatcher that has no processor time left under a burst: too little was served (SHORT).
+TEST(stage_pool_search, a_search_asks_each_replica_once_however_many_works_wait) {
+	busy_pool pool;
+	// Less than one round of calls for each zone.
+	for (int i = 0; i < 240; i++) {
+		pool.add("z" + std::to_string(1 + i % (ZONES - 1)), 1);
+	}
+	pool.free_one("z0");
+	pool.take_asked();
+	EXPECT_FALSE(pool.get().next_call(LATER)) << "all works wait for replicas of their zone";
+	// Whether any replica is free, and which are the best ones.
+	EXPECT_LE(pool.take_asked(), 2U * REPLICAS);
+}
+
+TEST(stage_pool_search, a_call_that_is_filled_asks_each_replica_once_however_many_works_wait) {
+	busy_pool pool;
+	for (int i = 0; i < 500; i++) {
+		pool.add("z" + std::to_string(i % ZONES), 1);
+	}
+	pool.free_one("z0");
+	pool.take_asked();
+	const std::optional<stage_call> call = pool.get().next_call(LATER);
+	ASSERT_TRUE(call);
+	EXPECT_EQ(call->items.size(), 8U);
+	EXPECT_LE(pool.take_asked(), 2U * REPLICAS);
+}
+
+} // namespace calicoscale
