--- a/servers/gateway/result_room.cpp
+++ b/servers/gateway/result_room.cpp
@@ -9,6 +9,7 @@
 #include "servers/gateway/result_room.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace calicoscale {
 
@@ -77,19 +78,19 @@
 	return found == _replicas.end() ? 0.0 : found->second.used;
 }
 
-bool result_room::has_room(const endpoint_identity &p_replica, double p_bytes, instant p_now) const {
+double result_room::get_left(const endpoint_identity &p_replica, instant p_now) const {
 	if (_room_bytes <= 0.0) {
-		return true;
+		return std::numeric_limits<double>::infinity();
 	}
 	const auto found = _replicas.find(p_replica);
 	if (found == _replicas.end()) {
-		return p_bytes <= _room_bytes;
+		return _room_bytes;
 	}
 	const replica_room &replica = found->second;
 	// What is not known goes by its time to live, or earlier when somebody releases it.
 	const double age = _time_to_live > duration::zero() ? to_seconds(p_now - replica.lost_at) / to_seconds(_time_to_live) : 1.0;
 	const double lost = replica.lost * std::max(0.0, 1.0 - age);
-	return replica.used + lost + p_bytes <= _room_bytes;
+	return _room_bytes - replica.used - lost;
 }
 
 void result_room::forget_replica(const endpoint_identity &p_replica) {
--- a/servers/gateway/result_room.h
+++ b/servers/gateway/result_room.h
@@ -66,8 +66,11 @@
 	/** What the known results of a replica take. */
 	double get_used(const endpoint_identity &p_replica) const;
 
+	/** Bytes that a replica has room for; infinite without a bound. */
+	double get_left(const endpoint_identity &p_replica, instant p_now) const;
+
 	/** Whether a replica has room for so much more. */
-	bool has_room(const endpoint_identity &p_replica, double p_bytes, instant p_now) const;
+	bool has_room(const endpoint_identity &p_replica, double p_bytes, instant p_now) const { return p_bytes <= get_left(p_replica, p_now); }
 
 	/** Forgets a replica that is gone, and with it its results. */
 	void forget_replica(const endpoint_identity &p_replica);
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace calicoscale {
 
@@ -147,8 +148,8 @@
 	return !_limit || _limit(p_replica.listing.get_identity(), p_now);
 }
 
-bool stage_pool::_is_home(const queued_work &p_work, const replica_state &p_replica) const {
-	return p_work.work.homes.admits(p_replica.listing.zone, _regions);
+bool stage_pool::_is_home(const queued_work &p_work, const std::string &p_zone) const {
+	return p_work.work.homes.admits(p_zone, _regions);
 }
 
 void stage_pool::_make_again(running_call &r_call, const std::function<bool()> &p_may_repeat) {
@@ -247,28 +248,27 @@
 	return ids;
 }
 
-duration stage_pool::_get_wait(const queued_work &p_work, const replica_state &p_replica, const pieces_ahead &p_ahead, instant p_now) const {
-	if (p_replica.calls < _spec.slots) {
-		return duration::zero();
-	}
-	const std::string &zone = p_work.work.zone.empty() ? p_work.work.zone : p_replica.listing.zone;
-	const auto counted = _replica_counts.find(zone);
-	const std::size_t replicas = counted == _replica_counts.end() ? 0 : counted->second;
-	const auto ahead = p_ahead.find(zone);
+std::size_t stage_pool::_count_replicas(const std::string &p_zone) const {
+	const auto counted = _replica_counts.find(p_zone);
+	return counted == _replica_counts.end() ? 0 : counted->second;
+}
+
+duration stage_pool::_get_time_ahead(const pieces_ahead &p_ahead, const std::string &p_zone, std::size_t p_replicas) const {
+	const auto ahead = p_ahead.find(p_zone);
 	const std::size_t pieces = ahead == p_ahead.end() ? 0 : ahead->second;
-	const std::size_t calls = pieces / (_spec.batch * std::max<std::size_t>(1, replicas));
-	return std::max(duration::zero(), p_replica.free_at - p_now) + BUSY_MARGIN + _get_expected(_spec.batch) * static_cast<duration::rep>(calls);
+	const std::size_t calls = pieces / (_spec.batch * std::max<std::size_t>(1, p_replicas));
+	return _get_expected(_spec.batch) * static_cast<duration::rep>(calls);
 }
 
 double stage_pool::_get_slowness(const replica_state &p_replica, instant p_now) const {
 	return _mechanisms.has(mechanism::REPLICA_SLOWNESS) ? p_replica.pace.get(p_now) : 1.0;
 }
 
-duration stage_pool::_get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const {
-	if (p_work.work.zone.empty() || p_work.work.zone == p_replica.listing.zone || !_mechanisms.has(mechanism::REPLICA_ZONE)) {
+duration stage_pool::_get_zone_penalty(const queued_work &p_work, const std::string &p_zone, instant p_now) const {
+	if (p_work.work.zone.empty() || p_work.work.zone == p_zone || !_mechanisms.has(mechanism::REPLICA_ZONE)) {
 		return duration::zero();
 	}
-	const bool is_other_region = _mechanisms.has(mechanism::REGIONS) && !is_same_region(p_work.work.zone, p_replica.listing.zone, _regions);
+	const bool is_other_region = _mechanisms.has(mechanism::REGIONS) && !is_same_region(p_work.work.zone, p_zone, _regions);
 	const int factor = is_other_region ? REGION_FACTOR : 1;
 	const duration wanted = duration(static_cast<duration::rep>(static_cast<double>(p_work.work.transfer_bytes) * ZONE_MICROSECONDS_PER_BYTE)) * factor;
 	const duration slack = std::max(duration::zero(), p_work.work.due_at - p_now - _get_expected(p_work.missing));
@@ -276,8 +276,8 @@
 	return std::min({ wanted, ZONE_PENALTY_MOST * factor, affordable });
 }
 
-bool stage_pool::_has_room(const replica_state &p_replica, double p_bytes, instant p_now) const {
-	return !_mechanisms.has(mechanism::ROOM) || _room.has_room(p_replica.listing.get_identity(), p_bytes, p_now);
+double stage_pool::_get_room(const replica_state &p_replica, instant p_now) const {
+	return _mechanisms.has(mechanism::ROOM) ? _room.get_left(p_replica.listing.get_identity(), p_now) : std::numeric_limits<double>::infinity();
 }
 
 void stage_pool::_learn_room(const running_call &p_call, const std::vector<item_result> &p_items, instant p_now) {
@@ -309,37 +309,73 @@
 	}
 }
 
-stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now) {
-	replica_state *best = nullptr;
-	duration best_finish = duration::max();
-	const double bytes = static_cast<double>(p_work.work.result_bytes);
+stage_pool::candidate_table stage_pool::_get_candidates(duration p_expected, instant p_now) {
+	candidate_table table;
+	std::size_t rank = 0;
 	for (auto &[id, replica] : _replicas) {
-		const bool is_usable = replica.listed && _is_reached(replica) && p_now >= replica.blocked_until && _is_home(p_work, replica);
-		if (!is_usable || !_has_room(replica, bytes, p_now) || !_may_send(replica, p_now)) {
+		rank++;
+		if (!replica.listed || !_is_reached(replica) || p_now < replica.blocked_until || !_may_send(replica, p_now)) {
 			continue;
 		}
+		const bool is_busy = replica.calls >= _spec.slots;
 		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * _get_slowness(replica, p_now)));
-		const duration finish = own + _get_zone_penalty(p_work, replica, p_now) + _get_wait(p_work, replica, p_ahead, p_now);
-		if (finish < best_finish) {
-			best = &replica;
-			best_finish = finish;
+		const duration wait = is_busy ? std::max(duration::zero(), replica.free_at - p_now) + BUSY_MARGIN : duration::zero();
+		auto zone = std::find_if(table.begin(), table.end(), [&replica](const zone_candidates &p_zone) { return p_zone.zone == replica.listing.zone; });
+		if (zone == table.end()) {
+			zone = table.insert(zone, zone_candidates{ replica.listing.zone, _count_replicas(replica.listing.zone), {}, {} });
+		}
+		(is_busy ? zone->busy : zone->free).push_back(candidate{ &replica, rank, own + wait, _get_room(replica, p_now), is_busy });
+	}
+	for (zone_candidates &zone : table) {
+		for (std::vector<candidate> *candidates : { &zone.free, &zone.busy }) {
+			std::stable_sort(candidates->begin(), candidates->end(), [](const candidate &p_left, const candidate &p_right) { return p_left.finish < p_right.finish; });
+		}
+	}
+	return table;
+}
+
+const stage_pool::candidate *stage_pool::_find_first_with_room(const std::vector<candidate> &p_candidates, double p_bytes) {
+	const auto found = std::find_if(p_candidates.begin(), p_candidates.end(), [p_bytes](const candidate &p_candidate) { return p_bytes <= p_candidate.room; });
+	return found == p_candidates.end() ? nullptr : &*found;
+}
+
+stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, const candidate_table &p_candidates, const pieces_ahead &p_ahead, instant p_now) const {
+	const candidate *best = nullptr;
+	duration best_finish = duration::max();
+	const double bytes = static_cast<double>(p_work.work.result_bytes);
+	const bool has_zone = !p_work.work.zone.empty();
+	const duration ahead_of_all = has_zone ? duration::zero() : _get_time_ahead(p_ahead, "", _count_replicas(""));
+	for (const zone_candidates &zone : p_candidates) {
+		if (!_is_home(p_work, zone.zone)) {
+			continue;
+		}
+		const duration penalty = _get_zone_penalty(p_work, zone.zone, p_now);
+		const duration ahead = has_zone ? _get_time_ahead(p_ahead, zone.zone, zone.replicas) : ahead_of_all;
+		for (const candidate *first : { _find_first_with_room(zone.free, bytes), _find_first_with_room(zone.busy, bytes) }) {
+			if (first == nullptr) {
+				continue;
+			}
+			const duration finish = first->finish + penalty + (first->is_busy ? ahead : duration::zero());
+			if (finish < best_finish || (finish == best_finish && first->rank < best->rank)) {
+				best = first;
+				best_finish = finish;
+			}
 		}
 	}
 	// A replica that is busy now may still be the best one; then waiting for it beats a slow one or one far away.
-	return best;
+	return best == nullptr ? nullptr : best->replica;
 }
 
-void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, instant p_now) {
-	double bytes = 0.0;
-	const duration expected = _get_expected(_spec.batch);
+void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, const candidate_table &p_candidates, instant p_now) {
+	double room = _get_room(p_replica, p_now);
 	pieces_ahead ahead;
 	for (const work_id id : _order_works(p_now)) {
 		queued_work &entry = _works.at(id);
-		if ((entry.work.is_alone && !r_call.items.empty()) || !_is_home(entry, p_replica)) {
+		if ((entry.work.is_alone && !r_call.items.empty()) || !_is_home(entry, p_replica.listing.zone)) {
 			continue;
 		}
 		const bool is_elsewhere = !entry.work.zone.empty() && entry.work.zone != p_replica.listing.zone;
-		const bool is_nearer = is_elsewhere && _choose_replica(entry, expected, ahead, p_now) != &p_replica;
+		const bool is_nearer = is_elsewhere && _choose_replica(entry, p_candidates, ahead, p_now) != &p_replica;
 		ahead[entry.work.zone] += entry.waiting;
 		if (is_nearer) {
 			continue;
@@ -351,10 +387,11 @@
 			if (entry.states[piece] != piece_state::WAITING) {
 				continue;
 			}
-			if (!_has_room(p_replica, bytes + static_cast<double>(entry.work.result_bytes), p_now)) {
+			const double bytes = static_cast<double>(entry.work.result_bytes);
+			if (bytes > room) {
 				break;
 			}
-			bytes += static_cast<double>(entry.work.result_bytes);
+			room -= bytes;
 			entry.states[piece] = piece_state::RUNNING;
 			entry.waiting--;
 			_waiting_pieces--;
@@ -372,11 +409,12 @@
 	if (_waiting_pieces == 0 || !_is_any_free(p_now)) {
 		return std::nullopt;
 	}
-	const duration expected = _get_expected(std::min(_waiting_pieces, _spec.batch));
+	const candidate_table candidates = _get_candidates(_get_expected(std::min(_waiting_pieces, _spec.batch)), p_now);
+	const candidate_table for_full_calls = _waiting_pieces < _spec.batch ? _get_candidates(_get_expected(_spec.batch), p_now) : candidates;
 	pieces_ahead ahead;
 	for (const work_id id : _order_works(p_now)) {
 		const queued_work &entry = _works.at(id);
-		replica_state *replica = _choose_replica(entry, expected, ahead, p_now);
+		replica_state *replica = _choose_replica(entry, candidates, ahead, p_now);
 		ahead[""] += entry.waiting;
 		if (!entry.work.zone.empty()) {
 			ahead[entry.work.zone] += entry.waiting;
@@ -389,7 +427,7 @@
 		call.replica = replica->listing.get_identity();
 		call.to = replica->listing.address;
 		call.zone = replica->listing.zone;
-		_fill(call, *replica, p_now);
+		_fill(call, *replica, for_full_calls, p_now);
 		if (call.items.empty()) {
 			continue;
 		}
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -161,6 +161,26 @@
 
 	using pieces_ahead = std::map<std::string, std::size_t>; ///< Pieces before a work in the queue, by zone; all under "".
 
+	/** A replica that may get work now, as all works see it. */
+	struct candidate {
+		replica_state *replica = nullptr;
+		std::size_t rank = 0; ///< In the order of replicas, for equal ones.
+		duration finish = duration::zero(); ///< Of a call to it: until it is free, and at work.
+		double room = 0.0; ///< Bytes.
+		bool is_busy = false;
+	};
+
+	/** Replicas of one zone that may get work now, those that finish first in front. */
+	struct zone_candidates {
+		std::string zone;
+		std::size_t replicas = 0; ///< All of the zone that are listed.
+		std::vector<candidate> free;
+		std::vector<candidate> busy;
+	};
+
+	/** What the search for a call knows of the replicas at one moment, so that it asks each of them once and not once for each work. */
+	using candidate_table = std::vector<zone_candidates>;
+
 	mechanism_set _mechanisms;
 	stage_pool_spec _spec;
 	std::map<endpoint_identity, replica_state> _replicas;
@@ -179,10 +199,13 @@
 
 	duration _get_urgency(const queued_work &p_work, instant p_now) const;
 	std::vector<work_id> _order_works(instant p_now) const;
-	duration _get_wait(const queued_work &p_work, const replica_state &p_replica, const pieces_ahead &p_ahead, instant p_now) const;
+	duration _get_time_ahead(const pieces_ahead &p_ahead, const std::string &p_zone, std::size_t p_replicas) const;
+	std::size_t _count_replicas(const std::string &p_zone) const;
 	double _get_slowness(const replica_state &p_replica, instant p_now) const;
-	duration _get_zone_penalty(const queued_work &p_work, const replica_state &p_replica, instant p_now) const;
-	replica_state *_choose_replica(const queued_work &p_work, duration p_expected, const pieces_ahead &p_ahead, instant p_now);
+	duration _get_zone_penalty(const queued_work &p_work, const std::string &p_zone, instant p_now) const;
+	candidate_table _get_candidates(duration p_expected, instant p_now);
+	static const candidate *_find_first_with_room(const std::vector<candidate> &p_candidates, double p_bytes);
+	replica_state *_choose_replica(const queued_work &p_work, const candidate_table &p_candidates, const pieces_ahead &p_ahead, instant p_now) const;
 	duration _get_expected(std::size_t p_items) const;
 	void _forget_unlisted();
 	void _forget_replaced();
@@ -190,11 +213,11 @@
 	bool _is_any_free(instant p_now) const;
 	bool _is_reached(const replica_state &p_replica) const;
 	bool _may_send(const replica_state &p_replica, instant p_now) const;
-	bool _is_home(const queued_work &p_work, const replica_state &p_replica) const;
+	bool _is_home(const queued_work &p_work, const std::string &p_zone) const;
 	void _make_again(running_call &r_call, const std::function<bool()> &p_may_repeat);
-	bool _has_room(const replica_state &p_replica, double p_bytes, instant p_now) const;
+	double _get_room(const replica_state &p_replica, instant p_now) const;
 	void _learn_room(const running_call &p_call, const std::vector<item_result> &p_items, instant p_now);
-	void _fill(stage_call &r_call, replica_state &p_replica, instant p_now);
+	void _fill(stage_call &r_call, replica_state &p_replica, const candidate_table &p_candidates, instant p_now);
 	void _end(work_id p_id, work_end p_end);
 	void _put_back(const stage_item &p_item, bool p_counts);
 	void _take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now);
--- a/tests/benchmarks/gateway_benchmark.cpp
+++ b/tests/benchmarks/gateway_benchmark.cpp
@@ -91,6 +91,39 @@
 	}
 }
 
+/** Looks for a call in vain: one replica of z0 is free, and each work waits for one of its own zone. */
+void pool_whose_works_wait_for_their_zone(benchmark::State &p_state) {
+	stage_pool pool = make_pool(41);
+	const auto add_work = [&pool](work_id p_id, int p_zone, std::size_t p_pieces) {
+		stage_work work;
+		work.pieces = p_pieces;
+		work.give_up_at = NOW + std::chrono::seconds(12);
+		work.due_at = NOW + std::chrono::seconds(10);
+		work.zone = "z" + std::to_string(p_zone);
+		work.transfer_bytes = 20'000'000;
+		work.result_bytes = 1000;
+		pool.add(p_id, std::move(work), NOW);
+	};
+	std::optional<stage_call> of_first_zone;
+	for (int i = 0; i < 41; i++) {
+		add_work(static_cast<work_id>(i + 1), i % 5, 8);
+		const std::optional<stage_call> call = pool.next_call(NOW);
+		of_first_zone = call && call->zone == "z0" ? call : of_first_zone;
+	}
+	pool.cancel(of_first_zone->items.front().work);
+	pool.on_call_ended(of_first_zone->id, call_end::REFUSED, {}, NOW - std::chrono::seconds(1));
+	for (int i = 0; i < p_state.range(0); i++) {
+		add_work(1000 + static_cast<work_id>(i), 1 + i % 4, 1);
+	}
+	const instant soon = NOW + milliseconds(270);
+	if (pool.next_call(soon)) {
+		p_state.SkipWithError("a work did not wait");
+	}
+	for (auto _ : p_state) {
+		benchmark::DoNotOptimize(pool.next_call(soon));
+	}
+}
+
 /** Chooses an engine for a prompt of which some engines have read a part. */
 void engine_choice(benchmark::State &p_state) {
 	engine_view engines;
@@ -248,6 +281,7 @@
 
 BENCHMARK(pool_whose_replicas_are_busy)->Arg(100)->Arg(1000);
 BENCHMARK(pool_with_one_free_replica)->Arg(100)->Arg(1000);
+BENCHMARK(pool_whose_works_wait_for_their_zone)->Arg(30)->Arg(240);
 BENCHMARK(engine_choice)->Arg(18)->Arg(160);
 BENCHMARK(engine_candidates);
 BENCHMARK(configuration_reading)->Arg(1400);
