--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -109,11 +109,18 @@
 	const instant now = event_loop::now();
 	_pool.tick([this, now] { return _try_repeat(now); }, now);
 	_give_up_overdue();
+	_count_examined();
 	_send_releases(RELEASE_PATIENCE);
 	pump();
 	_send_releases(duration::zero());
 }
 
+void pool_caller::_count_examined() {
+	const std::uint64_t examined = _pool.get_examined();
+	_context.metrics.count("stage_works_examined", static_cast<double>(examined - _examined_told));
+	_examined_told = examined;
+}
+
 void pool_caller::_send(const stage_call &p_call) {
 	const activity_scope scope(_context.loop, activity::STAGE_SEND);
 	const instant now = event_loop::now();
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -50,11 +50,13 @@
 	pool_caller_hooks _hooks;
 	stage_pool _pool;
 	retry_window _repeats;
+	std::uint64_t _examined_told = 0; ///< Works, in metrics.
 	std::map<std::uint64_t, exchange_id> _exchanges; ///< By call.
 	std::map<std::uint64_t, sent_run> _runs; ///< By call.
 	std::map<std::string, pending_release> _to_release; ///< By the address of the maker.
 
 	bool _try_repeat(instant p_now);
+	void _count_examined();
 	std::optional<stage_call> _choose_call(instant p_now);
 	void _send(const stage_call &p_call);
 	void _on_ended(const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body);
--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -43,6 +43,8 @@
 constexpr int OVERDUE_FACTOR = 6;
 constexpr duration OVERDUE_MARGIN = std::chrono::milliseconds(500);
 constexpr int MOST_TRIES = 3;
+/** A search that found no call is repeated for the same works after this: limits, blocks and the time left change with time alone. */
+constexpr duration VAIN_FOR = std::chrono::milliseconds(30);
 constexpr duration FULL_BLOCK = std::chrono::milliseconds(60);
 constexpr duration ROOM_BLOCK = std::chrono::milliseconds(150);
 constexpr duration FIRST_FAILURE_BLOCK = std::chrono::milliseconds(300);
@@ -56,6 +58,16 @@
 		{ work_end::DROPPED, "dropped" },
 } };
 
+std::vector<work_id> sort_by_urgency(std::vector<std::pair<duration, work_id>> p_works) {
+	std::sort(p_works.begin(), p_works.end());
+	std::vector<work_id> ids;
+	ids.reserve(p_works.size());
+	for (const auto &[urgency, id] : p_works) {
+		ids.push_back(id);
+	}
+	return ids;
+}
+
 } // namespace
 
 std::string_view get_name(work_end p_end) {
@@ -65,9 +77,11 @@
 void stage_pool::set_spec(const stage_pool_spec &p_spec) {
 	_spec = p_spec;
 	_room.set_bounds(p_spec.room_bytes, p_spec.result_ttl);
+	_search_all_again();
 }
 
 void stage_pool::set_replicas(const std::vector<endpoint_listing> &p_replicas) {
+	_search_all_again();
 	for (auto &[id, replica] : _replicas) {
 		replica.listed = false;
 	}
@@ -163,6 +177,7 @@
 }
 
 void stage_pool::set_unreached_zones(const std::set<std::string> &p_zones, const std::function<bool()> &p_may_repeat) {
+	_search_all_again();
 	_unreached_zones = p_zones;
 	const bool is_any_left = std::any_of(_replicas.begin(), _replicas.end(), [this](const auto &p_entry) { return p_entry.second.listed && _is_reached(p_entry.second); });
 	if (!is_any_left) {
@@ -188,6 +203,9 @@
 	entry.work = std::move(p_work);
 	_waiting_pieces += entry.waiting;
 	_works.emplace(p_id, std::move(entry));
+	if (_vain_since) {
+		_new_works.push_back(p_id);
+	}
 }
 
 void stage_pool::cancel(work_id p_id) {
@@ -239,13 +257,31 @@
 			order.emplace_back(_get_urgency(entry, p_now), id);
 		}
 	}
-	std::sort(order.begin(), order.end());
-	std::vector<work_id> ids;
-	ids.reserve(order.size());
-	for (const auto &[urgency, id] : order) {
-		ids.push_back(id);
+	return sort_by_urgency(std::move(order));
+}
+
+std::vector<work_id> stage_pool::_get_works_to_search(instant p_now) const {
+	if (!_vain_since) {
+		return _order_works(p_now);
 	}
-	return ids;
+	std::vector<std::pair<duration, work_id>> order;
+	for (const work_id id : _new_works) {
+		const auto found = _works.find(id);
+		if (found != _works.end() && found->second.waiting > 0) {
+			order.emplace_back(_get_urgency(found->second, p_now), id);
+		}
+	}
+	return sort_by_urgency(std::move(order));
+}
+
+void stage_pool::_search_all_again() {
+	_vain_since.reset();
+	_new_works.clear();
+}
+
+void stage_pool::on_released(const std::vector<std::string> &p_handles) {
+	_room.release(p_handles);
+	_search_all_again();
 }
 
 std::size_t stage_pool::_count_replicas(const std::string &p_zone) const {
@@ -404,16 +440,21 @@
 }
 
 std::optional<stage_call> stage_pool::next_call(instant p_now) {
+	if (_vain_since && p_now - *_vain_since >= VAIN_FOR) {
+		_search_all_again();
+	}
 	// Under overload this runs for each work that comes, and most often no replica is free: ordering all works first would keep a
 	// dispatcher from everything else.
-	if (_waiting_pieces == 0 || !_is_any_free(p_now)) {
+	const bool has_work = _waiting_pieces > 0 && (!_vain_since || !_new_works.empty());
+	if (!has_work || !_is_any_free(p_now)) {
 		return std::nullopt;
 	}
 	const candidate_table candidates = _get_candidates(_get_expected(std::min(_waiting_pieces, _spec.batch)), p_now);
 	const candidate_table for_full_calls = _waiting_pieces < _spec.batch ? _get_candidates(_get_expected(_spec.batch), p_now) : candidates;
 	pieces_ahead ahead;
-	for (const work_id id : _order_works(p_now)) {
+	for (const work_id id : _get_works_to_search(p_now)) {
 		const queued_work &entry = _works.at(id);
+		_examined++;
 		replica_state *replica = _choose_replica(entry, candidates, ahead, p_now);
 		ahead[""] += entry.waiting;
 		if (!entry.work.zone.empty()) {
@@ -435,8 +476,11 @@
 		replica->calls++;
 		replica->free_at = p_now + duration(static_cast<duration::rep>(static_cast<double>(running.expected.count()) * _get_slowness(*replica, p_now)));
 		_calls.emplace(call.id, std::move(running));
+		_search_all_again();
 		return call;
 	}
+	_vain_since = _vain_since.value_or(p_now);
+	_new_works.clear();
 	return std::nullopt;
 }
 
@@ -452,6 +496,7 @@
 		_end(p_item.work, work_end::FAILED);
 		return;
 	}
+	_search_all_again();
 	entry.states[p_item.piece] = piece_state::WAITING;
 	entry.waiting++;
 	_waiting_pieces++;
@@ -530,6 +575,7 @@
 	if (found == _calls.end()) {
 		return;
 	}
+	_search_all_again();
 	const running_call call = std::move(found->second);
 	_calls.erase(found);
 	const auto place = _replicas.find(call.replica);
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -195,10 +195,18 @@
 	std::set<std::string> _unwanted; ///< Results nobody waits for.
 	std::uint64_t _next_call = 1;
 	std::size_t _waiting_pieces = 0;
+	std::optional<instant> _vain_since; ///< A search of all works found no call, and nothing but new work came since.
+	std::vector<work_id> _new_works; ///< Since that search.
+	std::uint64_t _examined = 0;
 	pool_meter _meter;
 
 	duration _get_urgency(const queued_work &p_work, instant p_now) const;
+	/** Works with waiting pieces, the most urgent first. */
 	std::vector<work_id> _order_works(instant p_now) const;
+	/** Those for which a call may be found now. */
+	std::vector<work_id> _get_works_to_search(instant p_now) const;
+	/** What a search depends on has changed for all works. */
+	void _search_all_again();
 	duration _get_time_ahead(const pieces_ahead &p_ahead, const std::string &p_zone, std::size_t p_replicas) const;
 	std::size_t _count_replicas(const std::string &p_zone) const;
 	double _get_slowness(const replica_state &p_replica, instant p_now) const;
@@ -276,7 +284,7 @@
 	std::vector<std::string> get_results_of(const std::string &p_owner) const { return _room.get_results_of(p_owner); }
 
 	/** Results were released, or their makers told to. */
-	void on_released(const std::vector<std::string> &p_handles) { _room.release(p_handles); }
+	void on_released(const std::vector<std::string> &p_handles);
 
 	/**
 	 * Lets time pass: ends work that is late and makes pieces anew whose call is far over its time or at a replica that
@@ -300,6 +308,9 @@
 	 */
 	double get_capacity(instant p_now) const;
 
+	/** Works that searches for a call have looked at so far. */
+	std::uint64_t get_examined() const { return _examined; }
+
 	/** Pieces that a call may carry. */
 	std::size_t get_batch() const { return _spec.batch; }
 	const stage_work *find_work(work_id p_id) const;
--- a/tests/servers/gateway/stage_pool_search_test.cpp
+++ b/tests/servers/gateway/stage_pool_search_test.cpp
@@ -83,6 +83,11 @@
 		_pool.add(_next_work++, std::move(work), NOW);
 	}
 
+	void refuse_one(const std::string &p_zone) {
+		_pool.on_call_ended(calls.at(p_zone).back().id, call_end::REFUSED, {}, LATER);
+		calls.at(p_zone).pop_back();
+	}
+
 	void free_one(const std::string &p_zone) {
 		const stage_call call = calls.at(p_zone).back();
 		calls.at(p_zone).pop_back();
@@ -123,4 +128,44 @@
 	EXPECT_LE(pool.take_asked(), 2U * REPLICAS);
 }
 
+// Guards against searches whose time grows with the square of what waits.
+TEST(stage_pool_search, work_that_comes_after_a_vain_search_is_looked_at_alone) {
+	busy_pool pool;
+	pool.free_one("z0");
+	constexpr int WORKS = 240;
+	const std::uint64_t before = pool.get().get_examined();
+	for (int i = 0; i < WORKS; i++) {
+		pool.add("z" + std::to_string(1 + i % (ZONES - 1)), 1);
+		EXPECT_FALSE(pool.get().next_call(LATER));
+	}
+	EXPECT_LE(pool.get().get_examined() - before, static_cast<std::uint64_t>(WORKS));
+}
+
+TEST(stage_pool_search, work_that_may_go_anywhere_takes_the_free_replica_after_a_vain_search) {
+	busy_pool pool;
+	pool.free_one("z0");
+	pool.add("z1", 1);
+	ASSERT_FALSE(pool.get().next_call(LATER));
+	pool.add("", 1);
+	const std::optional<stage_call> call = pool.get().next_call(LATER);
+	ASSERT_TRUE(call);
+	EXPECT_EQ(call->zone, "z0");
+}
+
+TEST(stage_pool_search, all_works_are_looked_at_again_when_a_call_ends_or_time_passes) {
+	busy_pool pool;
+	pool.free_one("z0");
+	pool.add("z1", 1);
+	ASSERT_FALSE(pool.get().next_call(LATER));
+	pool.free_one("z1");
+	const std::optional<stage_call> call = pool.get().next_call(LATER);
+	ASSERT_TRUE(call);
+	EXPECT_EQ(call->zone, "z1");
+
+	// A replica that turns a call away is left alone for a moment.
+	pool.refuse_one("z2");
+	ASSERT_FALSE(pool.get().next_call(LATER));
+	EXPECT_TRUE(pool.get().next_call(LATER + milliseconds(70)));
+}
+
 } // namespace calicoscale
