--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -158,6 +158,14 @@
 	_rest();
 }
 
+void soak_caller::end() {
+	if (_attempt) {
+		_context.book.on_no_answer(*_attempt, unanswered_end::NONE, false, event_loop::now());
+		_end_connection();
+		_rest();
+	}
+}
+
 void soak_caller::_on_answer(const http_head &p_head, const std::string &p_body) {
 	_context.book.on_answer(*_attempt, p_head, p_body, _context.sites[_node].life, event_loop::now());
 	_told_rest = read_keep_alive(p_head);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -69,6 +69,12 @@
 
 	/** Sends nothing new. */
 	void stop() { _is_stopped = true; }
+
+	/** Its last request is not judged yet. */
+	bool is_waiting() const { return _attempt != nullptr; }
+
+	/** Nobody waits any longer: a request that is still open goes without an answer. */
+	void end();
 };
 
 } // namespace calicoscale
--- /dev/null
+++ b/tests/soak/soak_caller_test.cpp
@@ -0,0 +1,84 @@
+/*
+ * calicoscale: soak_caller_test.cpp
+ * The last request of a caller is judged.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "tests/main/raw_server.h"
+#include "tests/soak/promise_book.h"
+#include "tests/soak/soak_caller.h"
+
+#include <gtest/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Its first request is sent in one part, by a caller that waits for the answer. */
+constexpr std::uint64_t SEED = 1;
+
+class soak_caller_test : public ::testing::Test {
+protected:
+	event_loop _loop;
+	raw_server _server{ _loop };
+	disturbance_log _disturbances;
+	promise_book _book{ _disturbances, "t-" };
+	std::vector<caller_site> _sites;
+	caller_context _context{ _loop, _book, _sites, seconds(5) };
+
+	void SetUp() override {
+		_sites.push_back(caller_site{ _server.get_address(), _server.get_address(), true, 0 });
+	}
+
+	bool is_first_sent() const {
+		const std::shared_ptr<soak_attempt> first = _book.find("t-0");
+		return first && first->is_sent();
+	}
+
+	/** Runs the loop until the condition holds, for the longest time that a soak waits for its last requests. */
+	template <typename condition>
+	void run_until(condition p_condition) {
+		const instant latest = event_loop::now() + seconds(20);
+		timer poll(_loop, [this, &poll, &p_condition, latest] {
+			if (p_condition() || event_loop::now() > latest) {
+				_loop.stop();
+				return;
+			}
+			poll.set(milliseconds(20));
+		});
+		poll.set(milliseconds(0));
+		_loop.run();
+	}
+};
+
+} // namespace
+
+TEST_F(soak_caller_test, the_last_request_whose_connection_is_closed_without_an_answer_is_judged_after_the_callers_stop) {
+	_server.set_answer("", raw_server::after::CLOSE);
+	soak_caller caller(_context, SEED);
+	run_until([this] { return is_first_sent(); });
+	caller.stop();
+	ASSERT_TRUE(caller.is_waiting());
+	run_until([&caller] { return !caller.is_waiting(); });
+	EXPECT_FALSE(caller.is_waiting());
+	ASSERT_EQ(_book.get_broken().size(), 1U);
+	EXPECT_EQ(_book.get_broken().front().what, promise::ANSWERED);
+}
+
+TEST_F(soak_caller_test, a_request_that_is_open_at_the_end_of_a_soak_is_judged) {
+	_server.set_answer("", raw_server::after::KEEP);
+	soak_caller caller(_context, SEED);
+	run_until([this] { return is_first_sent(); });
+	caller.stop();
+	caller.end();
+	EXPECT_FALSE(caller.is_waiting());
+	ASSERT_EQ(_book.get_broken().size(), 1U);
+	EXPECT_EQ(_book.get_broken().front().what, promise::IN_TIME);
+}
+
+} // namespace calicoscale
--- a/tests/soak/soak_connection.cpp
+++ b/tests/soak/soak_connection.cpp
@@ -21,8 +21,6 @@
 namespace {
 
 constexpr std::size_t MOST_HEADER_BYTES = 16384;
-/** A request that crossed the end of its connection unread is reset at the latest when the node closes for good; far longer than any node waits. */
-constexpr duration RESET_WAIT = std::chrono::seconds(8);
 constexpr duration RESET_CHECK = std::chrono::milliseconds(20);
 
 } // namespace
--- a/tests/soak/soak_connection.h
+++ b/tests/soak/soak_connection.h
@@ -58,6 +58,9 @@
 	void _watch_for_reset();
 
 public:
+	/** A request that crossed the end of its connection unread is reset at the latest when the node closes for good; far longer than any node waits. */
+	static constexpr duration RESET_WAIT = std::chrono::seconds(8);
+
 	soak_connection(event_loop &p_loop, const network_address &p_to, soak_connection_hooks p_hooks);
 	/** Closes it in good order. */
 	~soak_connection();
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -32,8 +32,11 @@
 /** A soak that was slow to its end goes on, so that there is something to judge by. */
 constexpr duration EXTENSION = milliseconds(5000);
 constexpr int MOST_EXTENSIONS = 12;
-/** Longer than the longest request and the wait for a reset. */
+/** Longer than the longest request. */
 constexpr duration LAST_ANSWERS = milliseconds(5000);
+/** From then on until a connection that was closed at last has been judged. */
+constexpr duration LAST_JUDGEMENTS = soak_connection::RESET_WAIT + milliseconds(2000);
+constexpr duration JUDGEMENT_INTERVAL = milliseconds(100);
 
 /** Of each promise; a fault often shows in hundreds of requests. */
 constexpr std::size_t MOST_SHOWN = 5;
@@ -74,7 +77,7 @@
 
 void soak_run::_probe_nodes() {
 	for (std::size_t i = 0; i < _probes.size(); i++) {
-		if (!_probes[i].attempt && _fleet.is_in_service(i)) {
+		if (!_probes[i].attempt && !_is_ending && _fleet.is_in_service(i)) {
 			_send_probe(i);
 		} else if (_probes[i].attempt && event_loop::now() > _probes[i].attempt->give_up_at + LAST_WAIT && !_probes[i].connection->is_closed()) {
 			_book.on_no_answer(*_probes[i].attempt, unanswered_end::NONE, false, event_loop::now());
@@ -137,7 +140,32 @@
 	for (const std::unique_ptr<soak_caller> &caller : _callers) {
 		caller->stop();
 	}
-	_later.add(LAST_ANSWERS, [this] { _loop.stop(); });
+	_later.add(LAST_ANSWERS, [this] {
+		_is_ending = true;
+		_stop_once_judged(event_loop::now() + LAST_JUDGEMENTS);
+	});
+}
+
+bool soak_run::_is_anybody_waiting() const {
+	return std::any_of(_callers.begin(), _callers.end(), [](const std::unique_ptr<soak_caller> &p_caller) { return p_caller->is_waiting(); }) ||
+			std::any_of(_probes.begin(), _probes.end(), [](const probe &p_probe) { return p_probe.attempt != nullptr; });
+}
+
+void soak_run::_stop_once_judged(instant p_latest) {
+	if (_is_anybody_waiting() && event_loop::now() < p_latest) {
+		_later.add(JUDGEMENT_INTERVAL, [this, p_latest] { _stop_once_judged(p_latest); });
+		return;
+	}
+	for (const std::unique_ptr<soak_caller> &caller : _callers) {
+		caller->end();
+	}
+	for (std::size_t i = 0; i < _probes.size(); i++) {
+		if (_probes[i].attempt) {
+			_book.on_no_answer(*_probes[i].attempt, unanswered_end::NONE, false, event_loop::now());
+			_end_probe(i);
+		}
+	}
+	_loop.stop();
 }
 
 void soak_run::play() {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -45,6 +45,7 @@
 	std::vector<std::unique_ptr<soak_caller>> _callers;
 	std::vector<balancer_view> _views;
 	std::vector<probe> _probes;
+	bool _is_ending = false; ///< No probe is sent any more.
 	endpoint_channels _questions;
 	later_queue _later;
 	instant _started_at;
@@ -57,6 +58,9 @@
 	void _end_probe(std::size_t p_node);
 	void _stop_callers_once_judged(int p_extensions);
 	void _stop_callers();
+	bool _is_anybody_waiting() const;
+	/** Stops the loop when the last requests are judged; what is open at the latest time goes without an answer. */
+	void _stop_once_judged(instant p_latest);
 	/** Requests begun from then on must be served. */
 	instant _get_served_from() const;
 
