--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -356,9 +356,10 @@
 		const bool is_busy = replica.calls >= _spec.slots;
 		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * _get_slowness(replica, p_now)));
 		const duration wait = is_busy ? std::max(duration::zero(), replica.free_at - p_now) + BUSY_MARGIN : duration::zero();
-		auto zone = std::find_if(table.begin(), table.end(), [&replica](const zone_candidates &p_zone) { return p_zone.zone == replica.listing.zone; });
+		const std::string &zone_name = replica.listing.zone;
+		auto zone = std::find_if(table.begin(), table.end(), [&zone_name](const zone_candidates &p_zone) { return p_zone.zone == zone_name; });
 		if (zone == table.end()) {
-			zone = table.insert(zone, zone_candidates{ replica.listing.zone, _count_replicas(replica.listing.zone), {}, {} });
+			zone = table.insert(zone, zone_candidates{ zone_name, _count_replicas(zone_name), {}, {} });
 		}
 		(is_busy ? zone->busy : zone->free).push_back(candidate{ &replica, rank, own + wait, _get_room(replica, p_now), is_busy });
 	}
