--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -132,7 +132,7 @@
 mutate "named limits" "a late answer without one ends it" servers/gateway/named_limits.cpp "p_is_signed && p_sent_at > known->second.at" "p_is_signed" named_limits_test
 mutate "named limits" "older news counts" servers/gateway/named_limits.cpp "if (p_record.at <= known->second.at +" "if (false && p_record.at <= known->second.at +" named_limits_test
 mutate "named limits" "other nodes are not told" main/gateway/send_guard.cpp "_relay.add_own(record);" "" gateway_limits_test
-mutate "named limits" "stage calls are not asked for" main/gateway/pool_caller.cpp "return _guard.may_send(p_replica, sender_part::WHOLE, p_now);" "return p_now > instant{};" gateway_limits_test
+mutate "named limits" "stage calls are not asked for" main/gateway/pool_caller.cpp " && _guard.may_send(p_replica, sender_part::WHOLE, p_now);" " && p_now > instant{};" gateway_limits_test
 mutate "leaving by word" "it is not heeded" main/gateway/send_guard.cpp "_endpoints.mark_leaving(p_endpoint, \"answer\");" "" gateway_limits_test
 mutate "rest" "it is not heeded" servers/gateway/endpoint_limits.cpp "if (_rests.get_left(p_endpoint, p_now) > duration::zero()) {" "if (false) {" endpoint_rests_test
 mutate "rest" "callers are told another time" main/gateway/admission.cpp "const bool is_resting = !prospect.wait && prospect.rest_left;" "const bool is_resting = false;" gateway_limits_test
@@ -140,5 +140,9 @@
 mutate "log eras" "an answer of another era is read on from" main/gateway/topic_reader.cpp "(is_other_era && !p_is_whole)" "false" gateway_era_test
 mutate "log eras" "what had gone comes back" servers/gateway/endpoint_directory.cpp "return is_recent && went != _went.end() && went->second <= _era_at;" "return false;" gateway_era_test
 mutate "lists told" "there is no budget" servers/membership/list_budget.cpp "if (_left <= 0.0) {" "if (false) {" list_budget_test
+mutate "stage search" "all works are looked at again after a vain search" servers/gateway/stage_pool.cpp "_vain_since = _vain_since.value_or(p_now);" "" stage_pool_search_test
+mutate "stage search" "a vain search holds for good" servers/gateway/stage_pool.cpp "p_now - *_vain_since >= VAIN_FOR" "false" stage_pool_search_test
+mutate "stage search" "a call that ends leaves a vain search in force" servers/gateway/stage_pool.cpp $'\t_search_all_again();\n\tconst running_call call' $'\tconst running_call call' stage_pool_search_test
+mutate "stage search" "a busy replica counts as a free one" servers/gateway/stage_pool.cpp "const bool is_busy = replica.calls >= _spec.slots;" "const bool is_busy = false;" stage_pool_test
 
 exit "$status"
