--- a/main/gateway/load_report.cpp
+++ b/main/gateway/activity_report.cpp
@@ -1,12 +1,12 @@
 /*
- * calicoscale: load_report.cpp
+ * calicoscale: activity_report.cpp
  * Tells what a node spends its time on.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#include "main/gateway/load_report.h"
+#include "main/gateway/activity_report.h"
 
 namespace calicoscale {
 
@@ -20,16 +20,16 @@
 
 } // namespace
 
-load_report::load_report(gateway_context &p_context) :
+activity_report::activity_report(gateway_context &p_context) :
 		_context(p_context), _timer(p_context.loop, [this] { _report(); }) {
 }
 
-void load_report::start() {
+void activity_report::start() {
 	_since = event_loop::now();
 	_timer.set(WINDOW);
 }
 
-void load_report::_report() {
+void activity_report::_report() {
 	const instant now = event_loop::now();
 	const work_sum sum = _context.loop.get_meter().take();
 	const duration window = now - _since;
@@ -44,7 +44,7 @@
 	_timer.set(WINDOW);
 }
 
-void load_report::_log(const work_sum &p_sum, duration p_window) {
+void activity_report::_log(const work_sum &p_sum, duration p_window) {
 	log_line line("node_busy");
 	line.add("window_ms", p_window).add("busy_ms", p_sum.busy).add("longest_ms", p_sum.longest).add("longest_by", get_name(p_sum.longest_by));
 	for (std::size_t i = 0; i < ACTIVITY_COUNT; i++) {
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -72,7 +72,7 @@
 		_admission(_context, _shared, _evacuations),
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
-		_load(_context),
+		_activities(_context),
 		_tick_timer(p_loop, [this] { _tick(); }),
 		_settle_timer(p_loop, [this] { _settle(); }) {
 	if (p_settings.metrics_address) {
@@ -117,7 +117,7 @@
 	_fleet.start();
 	_dispatcher.start();
 	_crashes.start();
-	_load.start();
+	_activities.start();
 	_tick_timer.set(TICK);
 	_started_at = event_loop::now();
 	_settle_timer.set(SETTLE_INTERVAL);
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -9,10 +9,10 @@
 #ifndef GATEWAY_H
 #define GATEWAY_H
 
+#include "main/gateway/activity_report.h"
 #include "main/gateway/admission.h"
 #include "main/gateway/commitment_exchange.h"
 #include "main/gateway/gateway_request.h"
-#include "main/gateway/load_report.h"
 
 #include <functional>
 #include <map>
@@ -55,7 +55,7 @@
 	caller_server _callers;
 	caller_server _readiness;
 	std::unique_ptr<caller_server> _metrics_server;
-	load_report _load;
+	activity_report _activities;
 	timer _tick_timer;
 	std::vector<std::shared_ptr<caller_exchange>> _waiting; ///< Came before this node knew what others do, or what changed while it was away.
 	instant _away_until{}; ///< When it was last away for longer than it may serve unasked.
