--- a/misc/scripts/check_layers.sh
+++ b/misc/scripts/check_layers.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks that lower layers know nothing of higher ones and that decisions touch nothing outside.
+# Checks that lower layers know nothing of higher ones, that decisions touch nothing outside, and that no name of a class stands twice.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
@@ -22,4 +22,9 @@
 forbid "core servers drivers main" 'since_rev|X-Replica|X-Attempt-Id|route_kind|slo_ms|itl_target|stage-run|stage-free|log-newest|log-read|log-append|X-Segment|X-Token-Usage|X-Prefix-Hash|kv_capacity|X-Not-Executed|X-Expect' "a name of the platform outside platform/"
 forbid "main" '#include "tests/' "main includes tests"
 forbid "core servers" '#include <event2|(steady|system)_clock::now|\bLOG\(|std::random_device|\brand\(' "a decision touches the outside"
+# The linker keeps one destructor for two classes of one name, without a word.
+if twice=$(grep -rhE '^(class|struct) [a-z_]+( :| \{)' core servers drivers platform main --include='*.h' --exclude-dir=generated | sed -E 's/^(class|struct) ([a-z_]+).*/\2/' | sort | uniq -d | grep .); then
+	echo "classes of one name in two headers: $twice"
+	status=1
+fi
 exit "$status"
--- a/servers/timeline/log_entry.cpp
+++ b/servers/timeline/logged_event.cpp
@@ -1,12 +1,12 @@
 /*
- * calicoscale: log_entry.cpp
+ * calicoscale: logged_event.cpp
  * One line of a gateway's log, read back.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#include "servers/timeline/log_entry.h"
+#include "servers/timeline/logged_event.h"
 
 #include <charconv>
 
@@ -25,7 +25,7 @@
 
 } // namespace
 
-std::string_view log_entry::find(std::string_view p_key) const {
+std::string_view logged_event::find(std::string_view p_key) const {
 	for (const auto &[key, value] : fields) {
 		if (key == p_key) {
 			return value;
@@ -34,12 +34,12 @@
 	return "";
 }
 
-std::optional<std::int64_t> log_entry::find_number(std::string_view p_key) const {
+std::optional<std::int64_t> logged_event::find_number(std::string_view p_key) const {
 	return parse_number(find(p_key));
 }
 
-std::optional<log_entry> parse_log_entry(std::string_view p_line) {
-	log_entry entry;
+std::optional<logged_event> parse_logged_event(std::string_view p_line) {
+	logged_event entry;
 	bool has_time = false;
 	while (!p_line.empty()) {
 		const std::size_t blank = p_line.find_first_of(" \r\n");
--- a/servers/timeline/log_entry.h
+++ b/servers/timeline/logged_event.h
@@ -1,13 +1,13 @@
 /*
- * calicoscale: log_entry.h
+ * calicoscale: logged_event.h
  * One line of a gateway's log, read back.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
-#ifndef LOG_ENTRY_H
-#define LOG_ENTRY_H
+#ifndef LOGGED_EVENT_H
+#define LOGGED_EVENT_H
 
 #include <cstdint>
 #include <optional>
@@ -19,7 +19,7 @@
 namespace calicoscale {
 
 /** A line `ms=N event=NAME key=value ...`. */
-struct log_entry {
+struct logged_event {
 	std::int64_t steady_ms = 0; ///< The machine's steady clock.
 	std::string event;
 	std::vector<std::pair<std::string, std::string>> fields; ///< In the order of the line, the two above left out.
@@ -32,8 +32,8 @@
 };
 
 /** Reads a line; empty when it is not one of a gateway's log, e.g. a message of a library. */
-std::optional<log_entry> parse_log_entry(std::string_view p_line);
+std::optional<logged_event> parse_logged_event(std::string_view p_line);
 
 } // namespace calicoscale
 
-#endif // LOG_ENTRY_H
+#endif // LOGGED_EVENT_H
--- a/servers/timeline/request_story.cpp
+++ b/servers/timeline/request_story.cpp
@@ -66,11 +66,11 @@
 		_request(std::move(p_request)) {
 }
 
-bool request_story::_is_about_request(const log_entry &p_entry) const {
+bool request_story::_is_about_request(const logged_event &p_entry) const {
 	return p_entry.find("request") == _request || is_in_list(p_entry.find("requests"), _request);
 }
 
-bool request_story::_is_context(const std::string &p_node, const log_entry &p_entry) const {
+bool request_story::_is_context(const std::string &p_node, const logged_event &p_entry) const {
 	const std::string endpoint(p_entry.find("endpoint"));
 	const std::string replica(p_entry.find("replica"));
 	if (p_entry.event == "endpoint_changed" || p_entry.event == "endpoint_leaving") {
@@ -87,7 +87,7 @@
 	return (is_life || is_dependency || p_entry.event == "log_lines_dropped") && _nodes.contains(p_node);
 }
 
-std::int64_t request_story::_note_clock(node_log &r_log, const log_entry &p_entry) {
+std::int64_t request_story::_note_clock(node_log &r_log, const logged_event &p_entry) {
 	const std::optional<std::int64_t> wall = p_entry.find_number("wall_ms");
 	if (wall) {
 		r_log.wall_offset = *wall - p_entry.steady_ms;
@@ -98,12 +98,12 @@
 	return p_entry.steady_ms + r_log.wall_offset.value_or(0);
 }
 
-void request_story::_add(const std::string &p_node, std::int64_t p_wall_ms, const log_entry &p_entry, bool p_is_own) {
+void request_story::_add(const std::string &p_node, std::int64_t p_wall_ms, const logged_event &p_entry, bool p_is_own) {
 	_lines.push_back(told_line{ p_wall_ms, p_node, p_entry, p_is_own });
 }
 
 void request_story::read(const std::string &p_log, std::string_view p_line) {
-	const std::optional<log_entry> entry = parse_log_entry(p_line);
+	const std::optional<logged_event> entry = parse_logged_event(p_line);
 	if (!entry) {
 		return;
 	}
@@ -131,7 +131,7 @@
 }
 
 void request_story::read_context(const std::string &p_log, std::string_view p_line) {
-	const std::optional<log_entry> entry = parse_log_entry(p_line);
+	const std::optional<logged_event> entry = parse_logged_event(p_line);
 	if (!entry || _lines.empty()) {
 		return;
 	}
@@ -143,8 +143,8 @@
 	}
 }
 
-const log_entry *request_story::_find_last(std::string_view p_event) const {
-	const log_entry *last = nullptr;
+const logged_event *request_story::_find_last(std::string_view p_event) const {
+	const logged_event *last = nullptr;
 	for (const told_line &line : _lines) {
 		if (line.is_own && line.entry.event == p_event) {
 			last = &line.entry;
@@ -153,7 +153,7 @@
 	return last;
 }
 
-std::string request_story::_explain_refusal(const log_entry &p_entry) const {
+std::string request_story::_explain_refusal(const logged_event &p_entry) const {
 	std::string text = "Refused as not run with " + std::string(p_entry.find("status")) + ": " + describe_reason(p_entry.find("reason")) + ".";
 	if (!p_entry.find("predicted_ms").empty()) {
 		text += " Predicted " + std::string(p_entry.find("predicted_ms")) + " ms, allowed " + std::string(p_entry.find("allowed_ms")) + " ms.";
@@ -186,18 +186,18 @@
 	return longest.empty() ? "" : " The longest wait was " + std::to_string(longest_ms) + " ms, for " + longest + ".";
 }
 
-std::string request_story::_explain_finish(const log_entry &p_finish) const {
+std::string request_story::_explain_finish(const logged_event &p_finish) const {
 	const std::string took = std::string(p_finish.find("took_ms")) + " ms";
 	if (p_finish.find("verdict") == "completed") {
 		return "Answered in full after " + took + " and " + std::string(p_finish.find("sends")) + " sends." + _find_longest_part();
 	}
 	std::string text = p_finish.find("verdict") == "not_run" ? "Refused as not run after " : "Failed after ";
 	text += took + ": " + describe_reason(p_finish.find("reason")) + ".";
-	const log_entry *attempt = _find_last("attempt_failed");
+	const logged_event *attempt = _find_last("attempt_failed");
 	if (attempt != nullptr) {
 		text += " The last attempt, at endpoint " + std::string(attempt->find("endpoint")) + ", ended by " + std::string(attempt->find("reason")) + ".";
 	}
-	const log_entry *stage = _find_last("stage_failed");
+	const logged_event *stage = _find_last("stage_failed");
 	if (stage != nullptr) {
 		text += " Stage " + std::string(stage->find("stage")) + " at pool " + std::string(stage->find("pool")) + " ended by " + std::string(stage->find("end")) + ".";
 	}
@@ -208,11 +208,11 @@
 	if (!is_known()) {
 		return "No line names the request: it reached none of these nodes, or its lines were dropped (see log_lines_dropped).";
 	}
-	const log_entry *refused = _find_last("request_refused");
+	const logged_event *refused = _find_last("request_refused");
 	if (refused != nullptr) {
 		return _explain_refusal(*refused);
 	}
-	const log_entry *finished = _find_last("request_finished");
+	const logged_event *finished = _find_last("request_finished");
 	if (finished != nullptr) {
 		return _explain_finish(*finished);
 	}
--- a/servers/timeline/request_story.h
+++ b/servers/timeline/request_story.h
@@ -9,7 +9,7 @@
 #ifndef REQUEST_STORY_H
 #define REQUEST_STORY_H
 
-#include "servers/timeline/log_entry.h"
+#include "servers/timeline/logged_event.h"
 
 #include <map>
 #include <set>
@@ -28,7 +28,7 @@
 	struct told_line {
 		std::int64_t wall_ms = 0;
 		std::string node;
-		log_entry entry;
+		logged_event entry;
 		bool is_own = false; ///< About the request itself.
 	};
 
@@ -47,13 +47,13 @@
 	std::int64_t _last_ms = 0;
 	bool _has_finish = false;
 
-	bool _is_about_request(const log_entry &p_entry) const;
-	bool _is_context(const std::string &p_node, const log_entry &p_entry) const;
-	std::int64_t _note_clock(node_log &r_log, const log_entry &p_entry);
-	void _add(const std::string &p_node, std::int64_t p_wall_ms, const log_entry &p_entry, bool p_is_own);
-	const log_entry *_find_last(std::string_view p_event) const;
-	std::string _explain_refusal(const log_entry &p_entry) const;
-	std::string _explain_finish(const log_entry &p_finish) const;
+	bool _is_about_request(const logged_event &p_entry) const;
+	bool _is_context(const std::string &p_node, const logged_event &p_entry) const;
+	std::int64_t _note_clock(node_log &r_log, const logged_event &p_entry);
+	void _add(const std::string &p_node, std::int64_t p_wall_ms, const logged_event &p_entry, bool p_is_own);
+	const logged_event *_find_last(std::string_view p_event) const;
+	std::string _explain_refusal(const logged_event &p_entry) const;
+	std::string _explain_finish(const logged_event &p_finish) const;
 	std::string _find_longest_part() const;
 
 public:
--- a/tests/servers/timeline/request_story_test.cpp
+++ b/tests/servers/timeline/request_story_test.cpp
@@ -46,8 +46,8 @@
 
 } // namespace
 
-TEST(log_entry, reads_what_is_a_line_and_nothing_else) {
-	const std::optional<log_entry> entry = parse_log_entry("ms=12 event=send request=r1 left_ms=900 note=");
+TEST(logged_event, reads_what_is_a_line_and_nothing_else) {
+	const std::optional<logged_event> entry = parse_logged_event("ms=12 event=send request=r1 left_ms=900 note=");
 	ASSERT_TRUE(entry.has_value());
 	EXPECT_EQ(entry->steady_ms, 12);
 	EXPECT_EQ(entry->event, "send");
@@ -55,7 +55,7 @@
 	EXPECT_EQ(entry->find("note"), "");
 	EXPECT_EQ(entry->find_number("request"), std::nullopt);
 	for (const char *line : { "", "event=send", "ms=1", "ms=x event=send", "W1202 something happened", "ms=99999999999999999999 event=send" }) {
-		EXPECT_FALSE(parse_log_entry(line).has_value()) << line;
+		EXPECT_FALSE(parse_logged_event(line).has_value()) << line;
 	}
 }
 
