--- a/servers/gateway/stage_pool.cpp
+++ b/servers/gateway/stage_pool.cpp
@@ -8,10 +8,7 @@
 
 #include "servers/gateway/stage_pool.h"
 
-#include "core/enum_names.h"
-
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 
@@ -50,14 +47,6 @@
 constexpr duration FIRST_FAILURE_BLOCK = std::chrono::milliseconds(300);
 constexpr int MOST_BLOCK_DOUBLINGS = 4;
 
-constexpr std::array<enum_name<work_end>, 5> END_NAMES{ {
-		{ work_end::DONE, "done" },
-		{ work_end::INPUT_GONE, "input_gone" },
-		{ work_end::LATE, "late" },
-		{ work_end::FAILED, "failed" },
-		{ work_end::DROPPED, "dropped" },
-} };
-
 std::vector<work_id> sort_by_urgency(std::vector<std::pair<duration, work_id>> p_works) {
 	std::sort(p_works.begin(), p_works.end());
 	std::vector<work_id> ids;
@@ -70,10 +59,6 @@
 
 } // namespace
 
-std::string_view get_name(work_end p_end) {
-	return find_name(END_NAMES, p_end);
-}
-
 void stage_pool::set_spec(const stage_pool_spec &p_spec) {
 	_spec = p_spec;
 	_room.set_bounds(p_spec.room_bytes, p_spec.result_ttl);
@@ -86,7 +71,7 @@
 		replica.listed = false;
 	}
 	for (const endpoint_listing &listing : p_replicas) {
-		replica_state &replica = _replicas[listing.get_identity()];
+		stage_replica &replica = _replicas[listing.get_identity()];
 		replica.listing = listing;
 		replica.listed = true;
 	}
@@ -149,16 +134,16 @@
 
 bool stage_pool::_is_any_free(instant p_now) const {
 	return std::any_of(_replicas.begin(), _replicas.end(), [this, p_now](const auto &p_entry) {
-		const replica_state &replica = p_entry.second;
+		const stage_replica &replica = p_entry.second;
 		return replica.listed && replica.calls < _spec.slots && p_now >= replica.blocked_until && _is_reached(replica) && _may_send(replica, p_now);
 	});
 }
 
-bool stage_pool::_is_reached(const replica_state &p_replica) const {
+bool stage_pool::_is_reached(const stage_replica &p_replica) const {
 	return !_unreached_zones.contains(p_replica.listing.zone);
 }
 
-bool stage_pool::_may_send(const replica_state &p_replica, instant p_now) const {
+bool stage_pool::_may_send(const stage_replica &p_replica, instant p_now) const {
 	return !_limit || _limit(p_replica.listing.get_identity(), p_now);
 }
 
@@ -296,7 +281,7 @@
 	return _get_expected(_spec.batch) * static_cast<duration::rep>(calls);
 }
 
-double stage_pool::_get_slowness(const replica_state &p_replica, instant p_now) const {
+double stage_pool::_get_slowness(const stage_replica &p_replica, instant p_now) const {
 	return _mechanisms.has(mechanism::REPLICA_SLOWNESS) ? p_replica.pace.get(p_now) : 1.0;
 }
 
@@ -312,7 +297,7 @@
 	return std::min({ wanted, ZONE_PENALTY_MOST * factor, affordable });
 }
 
-double stage_pool::_get_room(const replica_state &p_replica, instant p_now) const {
+double stage_pool::_get_room(const stage_replica &p_replica, instant p_now) const {
 	return _mechanisms.has(mechanism::ROOM) ? _room.get_left(p_replica.listing.get_identity(), p_now) : std::numeric_limits<double>::infinity();
 }
 
@@ -345,8 +330,8 @@
 	}
 }
 
-stage_pool::candidate_table stage_pool::_get_candidates(duration p_expected, instant p_now) {
-	candidate_table table;
+call_candidates stage_pool::_get_candidates(duration p_expected, instant p_now) {
+	call_candidates table;
 	std::size_t rank = 0;
 	for (auto &[id, replica] : _replicas) {
 		rank++;
@@ -356,39 +341,25 @@
 		const bool is_busy = replica.calls >= _spec.slots;
 		const duration own = duration(static_cast<duration::rep>(static_cast<double>(p_expected.count()) * _get_slowness(replica, p_now)));
 		const duration wait = is_busy ? std::max(duration::zero(), replica.free_at - p_now) + BUSY_MARGIN : duration::zero();
-		const std::string &zone_name = replica.listing.zone;
-		auto zone = std::find_if(table.begin(), table.end(), [&zone_name](const zone_candidates &p_zone) { return p_zone.zone == zone_name; });
-		if (zone == table.end()) {
-			zone = table.insert(zone, zone_candidates{ zone_name, _count_replicas(zone_name), {}, {} });
-		}
-		(is_busy ? zone->busy : zone->free).push_back(candidate{ &replica, rank, own + wait, _get_room(replica, p_now), is_busy });
-	}
-	for (zone_candidates &zone : table) {
-		for (std::vector<candidate> *candidates : { &zone.free, &zone.busy }) {
-			std::stable_sort(candidates->begin(), candidates->end(), [](const candidate &p_left, const candidate &p_right) { return p_left.finish < p_right.finish; });
-		}
+		table.add(replica.listing.zone, _count_replicas(replica.listing.zone), call_candidate{ &replica, rank, own + wait, _get_room(replica, p_now), is_busy });
 	}
+	table.sort();
 	return table;
 }
 
-const stage_pool::candidate *stage_pool::_find_first_with_room(const std::vector<candidate> &p_candidates, double p_bytes) {
-	const auto found = std::find_if(p_candidates.begin(), p_candidates.end(), [p_bytes](const candidate &p_candidate) { return p_bytes <= p_candidate.room; });
-	return found == p_candidates.end() ? nullptr : &*found;
-}
-
-stage_pool::replica_state *stage_pool::_choose_replica(const queued_work &p_work, const candidate_table &p_candidates, const pieces_ahead &p_ahead, instant p_now) const {
-	const candidate *best = nullptr;
+stage_replica *stage_pool::_choose_replica(const queued_work &p_work, const call_candidates &p_candidates, const pieces_ahead &p_ahead, instant p_now) const {
+	const call_candidate *best = nullptr;
 	duration best_finish = duration::max();
 	const double bytes = static_cast<double>(p_work.work.result_bytes);
 	const bool has_zone = !p_work.work.zone.empty();
 	const duration ahead_of_all = has_zone ? duration::zero() : _get_time_ahead(p_ahead, "", _count_replicas(""));
-	for (const zone_candidates &zone : p_candidates) {
+	for (const call_candidates::zone_candidates &zone : p_candidates.get_zones()) {
 		if (!_is_home(p_work, zone.zone)) {
 			continue;
 		}
 		const duration penalty = _get_zone_penalty(p_work, zone.zone, p_now);
 		const duration ahead = has_zone ? _get_time_ahead(p_ahead, zone.zone, zone.replicas) : ahead_of_all;
-		for (const candidate *first : { _find_first_with_room(zone.free, bytes), _find_first_with_room(zone.busy, bytes) }) {
+		for (const call_candidate *first : { call_candidates::find_first_with_room(zone.free, bytes), call_candidates::find_first_with_room(zone.busy, bytes) }) {
 			if (first == nullptr) {
 				continue;
 			}
@@ -403,7 +374,7 @@
 	return best == nullptr ? nullptr : best->replica;
 }
 
-void stage_pool::_fill(stage_call &r_call, replica_state &p_replica, const candidate_table &p_candidates, instant p_now) {
+void stage_pool::_fill(stage_call &r_call, stage_replica &p_replica, const call_candidates &p_candidates, instant p_now) {
 	double room = _get_room(p_replica, p_now);
 	pieces_ahead ahead;
 	for (const work_id id : _order_works(p_now)) {
@@ -450,13 +421,13 @@
 	if (!has_work || !_is_any_free(p_now)) {
 		return std::nullopt;
 	}
-	const candidate_table candidates = _get_candidates(_get_expected(std::min(_waiting_pieces, _spec.batch)), p_now);
-	const candidate_table for_full_calls = _waiting_pieces < _spec.batch ? _get_candidates(_get_expected(_spec.batch), p_now) : candidates;
+	const call_candidates candidates = _get_candidates(_get_expected(std::min(_waiting_pieces, _spec.batch)), p_now);
+	const call_candidates for_full_calls = _waiting_pieces < _spec.batch ? _get_candidates(_get_expected(_spec.batch), p_now) : candidates;
 	pieces_ahead ahead;
 	for (const work_id id : _get_works_to_search(p_now)) {
 		const queued_work &entry = _works.at(id);
 		_examined++;
-		replica_state *replica = _choose_replica(entry, candidates, ahead, p_now);
+		stage_replica *replica = _choose_replica(entry, candidates, ahead, p_now);
 		ahead[""] += entry.waiting;
 		if (!entry.work.zone.empty()) {
 			ahead[entry.work.zone] += entry.waiting;
@@ -503,11 +474,11 @@
 	_waiting_pieces++;
 }
 
-void stage_pool::_block(replica_state &p_replica, duration p_time, instant p_now) {
+void stage_pool::_block(stage_replica &p_replica, duration p_time, instant p_now) {
 	p_replica.blocked_until = std::max(p_replica.blocked_until, p_now + p_time);
 }
 
-void stage_pool::_learn_time(replica_state &p_replica, const running_call &p_call, instant p_now) {
+void stage_pool::_learn_time(stage_replica &p_replica, const running_call &p_call, instant p_now) {
 	const double expected = static_cast<double>(p_call.expected.count());
 	if (expected <= 0.0) {
 		return;
@@ -522,7 +493,7 @@
 	}
 }
 
-void stage_pool::_take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now) {
+void stage_pool::_take_item(const stage_item &p_item, const item_result &p_result, stage_replica *p_replica, instant p_now) {
 	const auto found = _works.find(p_item.work);
 	if (p_result.end == item_end::DONE) {
 		_meter.on_made();
@@ -580,7 +551,7 @@
 	const running_call call = std::move(found->second);
 	_calls.erase(found);
 	const auto place = _replicas.find(call.replica);
-	replica_state *replica = place == _replicas.end() ? nullptr : &place->second;
+	stage_replica *replica = place == _replicas.end() ? nullptr : &place->second;
 	if (replica != nullptr) {
 		replica->calls--;
 		replica->free_at = p_now;
--- a/servers/gateway/stage_pool.h
+++ b/servers/gateway/stage_pool.h
@@ -9,14 +9,13 @@
 #ifndef STAGE_POOL_H
 #define STAGE_POOL_H
 
+#include "servers/gateway/call_candidates.h"
 #include "servers/gateway/gateway_configuration.h"
 #include "servers/gateway/mechanism.h"
 #include "servers/gateway/pool_meter.h"
 #include "servers/gateway/result_room.h"
-#include "servers/load/replica_pace.h"
-#include "servers/request/request_fingerprint.h"
-#include "servers/routing/endpoint_state.h"
-#include "servers/routing/home_regions.h"
+#include "servers/gateway/stage_call.h"
+#include "servers/gateway/stage_replica.h"
 
 #include <cstdint>
 #include <functional>
@@ -28,93 +27,6 @@
 
 namespace calicoscale {
 
-/** Names a piece of work inside one dispatcher. */
-using work_id = std::uint64_t;
-
-/** One stage of one request: some pieces that need the same inputs. */
-struct stage_work {
-	std::string attempt; ///< The caller's id of the request.
-	std::size_t stage = 0;
-	std::size_t pieces = 0;
-	std::string caller_key; ///< What the caller gave for stages without inputs.
-	std::vector<std::string> inputs;
-	instant give_up_at{}; ///< Nobody waits any longer.
-	instant due_at{}; ///< The stage must be done by then for the answer to begin within its objective.
-	int priority = 0; ///< 0 is the most urgent.
-	std::string zone; ///< Where the inputs lie or the results will be used; empty when it does not matter.
-	std::size_t transfer_bytes = 0; ///< What would cross zones elsewhere.
-	std::size_t result_bytes = 0;
-	request_fingerprint run; ///< Of the request; it is known by it where a replica ends under it.
-	bool is_alone = false; ///< A replica may end under it: it shares no call with other requests, and each piece is tried once.
-	home_regions homes; ///< Only replicas there make its pieces.
-};
-
-/** One piece in a call. */
-struct stage_item {
-	work_id work = 0;
-	std::size_t piece = 0;
-};
-
-/** A call to send. */
-struct stage_call {
-	std::uint64_t id = 0;
-	endpoint_identity replica;
-	network_address to;
-	std::string zone; ///< Of the replica.
-	std::vector<stage_item> items;
-};
-
-/** How one piece of an answered call ended. */
-enum class item_end {
-	DONE,
-	LATE,
-	INPUT_GONE,
-	NO_ROOM,
-	FAILED,
-};
-
-/** One piece of an answer. */
-struct item_result {
-	item_end end = item_end::FAILED;
-	std::string handle; ///< Of the result, when done.
-};
-
-/** How a call ended. */
-enum class call_end {
-	ANSWERED,
-	REFUSED, ///< The replica says that nothing ran.
-	UNREACHABLE, ///< Nothing was sent.
-	BROKEN, ///< Whether anything ran is not known.
-};
-
-/** How the work of one stage ended. */
-enum class work_end {
-	DONE,
-	INPUT_GONE, ///< A result it needs is lost.
-	LATE, ///< Nobody waits any more.
-	FAILED,
-	DROPPED, ///< By the node that it was handed to; its owner may ask again.
-};
-
-/** Name of an end, e.g. "input_gone". */
-std::string_view get_name(work_end p_end);
-
-/** Work that ended. */
-struct work_result {
-	work_id id = 0;
-	work_end end = work_end::FAILED;
-	std::vector<std::string> handles; ///< One for each piece, when done.
-	std::vector<std::uint64_t> incarnations; ///< Of the replicas that made them.
-};
-
-/** A result that somebody holds, as told to the pool. */
-struct held_result {
-	std::string handle;
-	network_address maker; ///< The replica that made it.
-	std::uint64_t incarnation = 0; ///< Of that replica; 0 when it is not known.
-	double bytes = 0.0;
-};
-
 /**
  * Queue of one stage pool and the standing of its replicas. A call goes out the moment a replica is free, so that work
  * that waits fills the next call. Orders by time left until the stage is due, corrected by priority; work that cannot be
@@ -148,42 +60,11 @@
 		double told_pace = 1.0; ///< What its replica had told by then.
 	};
 
-	struct replica_state {
-		endpoint_listing listing;
-		bool listed = true;
-		bool replaced = false; ///< It started again, which is another replica here.
-		int calls = 0;
-		instant free_at{}; ///< When the call at work is expected to end.
-		instant blocked_until{};
-		int failures = 0;
-		replica_pace pace;
-	};
-
 	using pieces_ahead = std::map<std::string, std::size_t>; ///< Pieces before a work in the queue, by zone; all under "".
 
-	/** A replica that may get work now, as all works see it. */
-	struct candidate {
-		replica_state *replica = nullptr;
-		std::size_t rank = 0; ///< In the order of replicas, for equal ones.
-		duration finish = duration::zero(); ///< Of a call to it: until it is free, and at work.
-		double room = 0.0; ///< Bytes.
-		bool is_busy = false;
-	};
-
-	/** Replicas of one zone that may get work now, those that finish first in front. */
-	struct zone_candidates {
-		std::string zone;
-		std::size_t replicas = 0; ///< All of the zone that are listed.
-		std::vector<candidate> free;
-		std::vector<candidate> busy;
-	};
-
-	/** What the search for a call knows of the replicas at one moment, so that it asks each of them once and not once for each work. */
-	using candidate_table = std::vector<zone_candidates>;
-
 	mechanism_set _mechanisms;
 	stage_pool_spec _spec;
-	std::map<endpoint_identity, replica_state> _replicas;
+	std::map<endpoint_identity, stage_replica> _replicas;
 	std::map<std::string, std::size_t> _replica_counts; ///< Replicas that may get work, by zone; all under "".
 	std::set<std::string> _unreached_zones;
 	std::map<std::string, std::string> _regions; ///< Of each availability zone.
@@ -209,29 +90,28 @@
 	void _search_all_again();
 	duration _get_time_ahead(const pieces_ahead &p_ahead, const std::string &p_zone, std::size_t p_replicas) const;
 	std::size_t _count_replicas(const std::string &p_zone) const;
-	double _get_slowness(const replica_state &p_replica, instant p_now) const;
+	double _get_slowness(const stage_replica &p_replica, instant p_now) const;
 	duration _get_zone_penalty(const queued_work &p_work, const std::string &p_zone, instant p_now) const;
-	candidate_table _get_candidates(duration p_expected, instant p_now);
-	static const candidate *_find_first_with_room(const std::vector<candidate> &p_candidates, double p_bytes);
-	replica_state *_choose_replica(const queued_work &p_work, const candidate_table &p_candidates, const pieces_ahead &p_ahead, instant p_now) const;
+	call_candidates _get_candidates(duration p_expected, instant p_now);
+	stage_replica *_choose_replica(const queued_work &p_work, const call_candidates &p_candidates, const pieces_ahead &p_ahead, instant p_now) const;
 	duration _get_expected(std::size_t p_items) const;
 	void _forget_unlisted();
 	void _forget_replaced();
 	void _make_lost_again(const endpoint_identity &p_maker);
 	bool _is_any_free(instant p_now) const;
-	bool _is_reached(const replica_state &p_replica) const;
-	bool _may_send(const replica_state &p_replica, instant p_now) const;
+	bool _is_reached(const stage_replica &p_replica) const;
+	bool _may_send(const stage_replica &p_replica, instant p_now) const;
 	bool _is_home(const queued_work &p_work, const std::string &p_zone) const;
 	void _make_again(running_call &r_call, const std::function<bool()> &p_may_repeat);
-	double _get_room(const replica_state &p_replica, instant p_now) const;
+	double _get_room(const stage_replica &p_replica, instant p_now) const;
 	void _learn_room(const running_call &p_call, const std::vector<item_result> &p_items, instant p_now);
-	void _fill(stage_call &r_call, replica_state &p_replica, const candidate_table &p_candidates, instant p_now);
+	void _fill(stage_call &r_call, stage_replica &p_replica, const call_candidates &p_candidates, instant p_now);
 	void _end(work_id p_id, work_end p_end);
 	void _put_back(const stage_item &p_item, bool p_counts);
-	void _take_item(const stage_item &p_item, const item_result &p_result, replica_state *p_replica, instant p_now);
-	void _block(replica_state &p_replica, duration p_time, instant p_now);
+	void _take_item(const stage_item &p_item, const item_result &p_result, stage_replica *p_replica, instant p_now);
+	void _block(stage_replica &p_replica, duration p_time, instant p_now);
 	double _get_nominal_capacity(instant p_now) const;
-	void _learn_time(replica_state &p_replica, const running_call &p_call, instant p_now);
+	void _learn_time(stage_replica &p_replica, const running_call &p_call, instant p_now);
 
 public:
 	explicit stage_pool(const mechanism_set &p_mechanisms = {}) :
