A fleet that is killed as a whole goes on with the time that an order has left

Callers and operators saw: when all nodes were killed during a roll-out and started again, the order's time began anew. A good version was completed after its deadline or not within the test's time, an order past its deadline went on, and the target kept getting requests.

Cause: the order's age was known to nodes only. rollout::_learnt_at was the moment of the new reading; peers tell their age, but no peer was left, and the state record in the store named the order without its time.

Fix: the state record holds the time of day at which the order was learnt (learnt_at_ms); it is written with the state that is written anyway. A node that reads the state takes the order's age from it unless it knows it already. Weighed against elapsed time written at steps of the course: that is independent of clocks, but needs a write for each step, loses up to a step with each kill and all of the time in which no node runs. The time of day is wrong by what two clocks differ; so an age from it gives way to that of a node that went on, and the first one that is acted on stands, so that one node with a wrong clock moves nobody. A state of another era tells no age beyond the order's time. Unreadable, missing or impossible times tell no age: the state stands, and the time runs from the reading, as before. The beginning of the rise is not kept: a share that starts at the trial's again exposes less. A rise that could not end by the deadline does not begin.

--- a/drivers/rollout_wire.cpp
+++ b/drivers/rollout_wire.cpp
@@ -64,7 +64,7 @@
 			cells.emplace_back(cell.route, cell.group, cell.answers, cell.bad);
 		}
 		const auto cell_vector = r_builder.CreateVectorOfStructs(cells);
-		entries.push_back(wire::Createrollout_entry(r_builder, service, version, write_ms(told.order.time), told.order.at.era, told.order.at.offset, told.order.is_withdrawn, write_ms(told.age), static_cast<std::uint8_t>(told.state), told.is_confirmed, told.is_written, told.is_moving, barred, told.report.nodes, told.report.moved, told.report.open_at_present, cell_vector));
+		entries.push_back(wire::Createrollout_entry(r_builder, service, version, write_ms(told.order.time), told.order.at.era, told.order.at.offset, told.order.is_withdrawn, write_ms(told.age), static_cast<std::uint8_t>(told.state), told.is_confirmed, told.is_written, told.is_moving, barred, told.report.nodes, told.report.moved, told.report.open_at_present, cell_vector, told.is_age_estimated));
 	}
 	return r_builder.CreateVector(entries);
 }
@@ -85,6 +85,7 @@
 		told.order.at = log_position{ entry->era(), entry->offset() };
 		told.order.is_withdrawn = entry->is_withdrawn();
 		told.age = read_ms(entry->age_ms());
+		told.is_age_estimated = entry->is_age_estimated();
 		told.state = static_cast<rollout_state>(entry->state());
 		told.is_confirmed = entry->is_confirmed();
 		told.is_written = entry->is_written();
--- a/main/gateway/rollout_writer.cpp
+++ b/main/gateway/rollout_writer.cpp
@@ -72,13 +72,17 @@
 		_retry(p_status.service, PAUSE_AFTER_FAILURE);
 		return;
 	}
-	const std::optional<rollout_status> stored = find_rollout_status(p_answer.records, p_status.service);
-	const bool is_of_order = stored && known->take_status(*stored);
+	const instant now = event_loop::now();
+	const unix_milliseconds wall = event_loop::wall();
+	const std::optional<rollout_status> stored = find_rollout_status(p_answer.records, p_status.service, wall);
+	const bool is_of_order = stored && known->take_status(*stored, now);
 	if (is_of_order && (stored->state == p_status.state || stored->state != rollout_state::IN_PROGRESS)) {
 		_retry(p_status.service, duration::zero());
 		return;
 	}
-	_context.store.put_at(std::string(get_status_topic()), get_rollout_status_key(p_status.service), write_rollout_status(p_status), p_answer.next_offset, [this, p_status](put_end p_end) { _on_put(p_status, p_end); });
+	rollout_status status = p_status;
+	status.age = known->get_age(now);
+	_context.store.put_at(std::string(get_status_topic()), get_rollout_status_key(p_status.service), write_rollout_status(status, wall), p_answer.next_offset, [this, p_status](put_end p_end) { _on_put(p_status, p_end); });
 }
 
 void rollout_writer::_on_put(const rollout_status &p_status, put_end p_end) {
--- a/servers/rollout/rollout.cpp
+++ b/servers/rollout/rollout.cpp
@@ -38,6 +38,7 @@
 	}
 	_order = p_order;
 	_learnt_at = p_learnt_at;
+	_is_age_estimated = false;
 	_state = rollout_state::IN_PROGRESS;
 	_is_confirmed = false;
 	_is_written = false;
@@ -76,12 +77,42 @@
 	return true;
 }
 
+void rollout::_take_told_age(const told_rollout &p_told, instant p_now) {
+	// A node that starts where others went on must not move them by a time of day that was set.
+	const bool is_known = _is_confirmed && !_is_age_estimated;
+	if (is_known && p_told.is_age_estimated) {
+		return;
+	}
+	const instant learnt_at = p_now - p_told.age;
+	const bool is_better_known = _is_age_estimated && p_told.is_confirmed && !p_told.is_age_estimated;
+	if (is_better_known || learnt_at < _learnt_at) {
+		_learnt_at = learnt_at;
+		_is_age_estimated = p_told.is_age_estimated;
+	}
+}
+
+void rollout::_take_stored_age(const rollout_status &p_status, instant p_now) {
+	const bool is_known = _is_confirmed && !_is_age_estimated;
+	if (is_known || !p_status.age) {
+		return;
+	}
+	// Beyond the order's time a state of another era may be that of an earlier order to the same version.
+	if (p_status.order.era != _order.at.era && *p_status.age >= _order.time) {
+		return;
+	}
+	const instant learnt_at = p_now - std::min(*p_status.age, _order.time);
+	if (learnt_at < _learnt_at) {
+		_learnt_at = learnt_at;
+		_is_age_estimated = true;
+	}
+}
+
 bool rollout::take_told(const told_rollout &p_told, instant p_now) {
 	bool is_news = take_order(p_told.order, p_now);
 	if (p_told.order.at != _order.at) {
 		return is_news;
 	}
-	_learnt_at = std::min(_learnt_at, p_now - p_told.age);
+	_take_told_age(p_told, p_now);
 	is_news = is_news || (p_told.is_confirmed && !_is_confirmed) || (p_told.is_written && !_is_written);
 	_is_confirmed = _is_confirmed || p_told.is_confirmed;
 	for (const std::string &version : p_told.barred) {
@@ -102,12 +133,13 @@
 	return is_news;
 }
 
-bool rollout::take_status(const rollout_status &p_status) {
+bool rollout::take_status(const rollout_status &p_status, instant p_now) {
 	// After the log came back from an older copy the order stands at another position.
 	const bool is_same_order = p_status.order == _order.at || p_status.order.era != _order.at.era;
 	if (!is_same_order || p_status.target_version != _order.target_version || _order.is_withdrawn) {
 		return false;
 	}
+	_take_stored_age(p_status, p_now);
 	_is_confirmed = true;
 	if (p_status.state != rollout_state::IN_PROGRESS) {
 		_set_state(p_status.state);
@@ -175,10 +207,12 @@
 }
 
 void rollout::_consider_moving(const rollout_view &p_view, instant p_now) {
-	const duration elapsed = p_now - _learnt_at;
-	const duration move_time = rollout_course(_bounds, _order.time).get_move_time();
-	const bool is_due = elapsed >= move_time && (_verdict.answers >= LEAST_ANSWERS || elapsed >= (move_time + _order.time) / 2);
-	if (!_moving_since && _is_confirmed && p_view.is_fresh && !_target_endpoints.empty() && is_due) {
+	const duration elapsed = get_age(p_now);
+	const rollout_course course(_bounds, _order.time);
+	const duration late_time = (course.get_move_time() + _order.time) / 2;
+	const bool is_due = elapsed >= course.get_move_time() && (_verdict.answers >= LEAST_ANSWERS || elapsed >= late_time);
+	const bool is_too_late = elapsed > std::max(late_time, _order.time - course.get_rise_time());
+	if (!_moving_since && _is_confirmed && p_view.is_fresh && !_target_endpoints.empty() && is_due && !is_too_late) {
 		_moving_since = p_now;
 	}
 }
@@ -189,7 +223,7 @@
 		return;
 	}
 	// Nobody was moved, so nothing is known for the version.
-	if (!_moving_since && _is_confirmed && p_view.is_fresh && p_now - _learnt_at >= _order.time) {
+	if (!_moving_since && _is_confirmed && p_view.is_fresh && get_age(p_now) >= _order.time) {
 		_set_state(rollout_state::ROLLED_BACK);
 		return;
 	}
@@ -211,6 +245,7 @@
 	if (_is_ended()) {
 		return;
 	}
+	_is_age_estimated = _is_age_estimated && !(_is_confirmed && _is_fresh);
 	if (p_view.total.order == _order.at) {
 		_verdict = p_view.total.tally.judge();
 	}
@@ -240,7 +275,8 @@
 told_rollout rollout::get_told(instant p_now) const {
 	told_rollout told;
 	told.order = _order;
-	told.age = p_now - _learnt_at;
+	told.age = get_age(p_now);
+	told.is_age_estimated = _is_age_estimated;
 	told.state = _state;
 	told.is_confirmed = _is_confirmed;
 	told.is_written = _is_written;
@@ -254,7 +290,7 @@
 	if (_order.is_withdrawn || is_known) {
 		return std::nullopt;
 	}
-	return rollout_status{ _order.service, _order.target_version, _state, _order.at };
+	return rollout_status{ _order.service, _order.target_version, _state, _order.at, {} };
 }
 
 } // namespace calicoscale
--- a/servers/rollout/rollout.h
+++ b/servers/rollout/rollout.h
@@ -25,6 +25,7 @@
 struct told_rollout {
 	rollout_order order;
 	duration age = duration::zero(); ///< Since the order was learnt by the first of the nodes it was told through.
+	bool is_age_estimated = false; ///< It follows from times of day, which may be set, and no node has acted on it yet.
 	rollout_state state = rollout_state::IN_PROGRESS;
 	bool is_confirmed = false; ///< The store holds a state of this order, or held one.
 	bool is_written = false; ///< The store holds this final state.
@@ -56,6 +57,7 @@
 	rollout_bounds _bounds;
 	rollout_order _order;
 	instant _learnt_at{};
+	bool _is_age_estimated = false;
 	rollout_state _state = rollout_state::IN_PROGRESS;
 	bool _is_confirmed = false;
 	bool _is_written = false;
@@ -72,6 +74,8 @@
 	std::uint32_t _open_at_present = 0;
 
 	void _begin(const rollout_order &p_order, instant p_learnt_at);
+	void _take_told_age(const told_rollout &p_told, instant p_now);
+	void _take_stored_age(const rollout_status &p_status, instant p_now);
 	void _set_state(rollout_state p_state);
 	bool _is_ended() const { return _state != rollout_state::IN_PROGRESS || _order.is_withdrawn; }
 	double _get_share(instant p_now) const;
@@ -89,7 +93,7 @@
 	bool take_told(const told_rollout &p_told, instant p_now);
 
 	/** Takes the state that the store holds. Returns whether it is of this order. */
-	bool take_status(const rollout_status &p_status);
+	bool take_status(const rollout_status &p_status, instant p_now);
 
 	/** The store was read and holds no state of this order. */
 	void on_written(rollout_state p_state);
@@ -129,6 +133,9 @@
 	/** The state to be written to the store; empty when the store holds it. */
 	std::optional<rollout_status> get_unwritten() const;
 
+	/** Since the order was learnt. */
+	duration get_age(instant p_now) const { return p_now - _learnt_at; }
+
 	const rollout_order &get_order() const { return _order; }
 	rollout_state get_state() const { return _state; }
 	bool is_confirmed() const { return _is_confirmed; }
--- a/servers/rollout/rollout_order.h
+++ b/servers/rollout/rollout_order.h
@@ -12,6 +12,7 @@
 #include "core/log_position.h"
 #include "core/time.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,7 @@
 	std::string target_version;
 	rollout_state state = rollout_state::IN_PROGRESS;
 	log_position order; ///< The order it answers; zero when its writer told none.
+	std::optional<duration> age; ///< Since the order was learnt; empty when its writer told none that can be read.
 };
 
 } // namespace calicoscale
--- a/tests/main/gateway_rollout_test.cpp
+++ b/tests/main/gateway_rollout_test.cpp
@@ -111,6 +111,36 @@
 	EXPECT_EQ(get_state("llm"), "rolled_back");
 }
 
+// Guards the order's time: it began anew when all nodes were killed and started again.
+TEST_F(gateway_rollout_test, an_order_whose_deadline_passed_while_no_node_ran_is_rolled_back_at_once) {
+	start_two_versions("llm");
+	ask_until([this] { return get_state("llm") == "in_progress"; });
+	_gateways.clear();
+	const std::size_t before = count_runs("v2");
+	json state = json::parse(*_store.find(STATUS_TOPIC, "rollout/llm"));
+	state["learnt_at_ms"] = state.value("learnt_at_ms", event_loop::wall()) - 60000;
+	_store.put(STATUS_TOPIC, "rollout/llm", state.dump());
+	for (int i = 0; i < 2; i++) {
+		start_ready();
+	}
+	ask_until([this] { return get_state("llm") != "in_progress"; });
+	EXPECT_EQ(get_state("llm"), "rolled_back");
+	EXPECT_EQ(count_runs("v2"), before);
+}
+
+// Guards states that earlier versions of the program wrote.
+TEST_F(gateway_rollout_test, an_order_goes_on_from_a_state_without_a_readable_time) {
+	start_two_versions("llm");
+	ask_until([this] { return get_state("llm") == "in_progress"; });
+	_gateways.clear();
+	json state = json::parse(*_store.find(STATUS_TOPIC, "rollout/llm"));
+	state["learnt_at_ms"] = "yesterday";
+	_store.put(STATUS_TOPIC, "rollout/llm", state.dump());
+	start_ready();
+	ask_until([this] { return get_state("llm") != "in_progress"; });
+	EXPECT_EQ(get_state("llm"), "completed");
+}
+
 TEST_F(gateway_rollout_test, an_order_that_cannot_be_carried_out_changes_nothing) {
 	configure(1);
 	standin_replica &present = add_replica("llm");
--- a/tests/servers/rollout/rollout_fleet.h
+++ b/tests/servers/rollout/rollout_fleet.h
@@ -10,6 +10,7 @@
 #define ROLLOUT_FLEET_H
 
 #include "core/random_source.h"
+#include "platform/rollout_codec.h"
 #include "servers/rollout/rollout_table.h"
 #include "servers/rollout/version_runs.h"
 
@@ -48,6 +49,8 @@
 		rollout_table table;
 		version_runs runs;
 		bool is_cut_off = false;
+		bool is_running = true;
+		duration clock_step = duration::zero(); ///< Of its time of day.
 		double weight = 1.0;
 		explicit node(const rollout_bounds &p_bounds) :
 				table(p_bounds) {}
@@ -69,6 +72,7 @@
 	};
 
 	std::vector<node> _nodes;
+	std::optional<rollout_order> _order; ///< Newest in the operator's log.
 	std::vector<std::pair<std::string, std::string>> _endpoints;
 	std::deque<open_request> _open;
 	std::deque<told_at> _news;
@@ -89,7 +93,9 @@
 	seen_load seen;
 	instant now{ std::chrono::hours(1) };
 	std::vector<rollout_state> written; ///< States as the store got them.
+	std::optional<std::string> stored; ///< State record of the service in the store.
 	std::size_t refused = 0; ///< Requests for which there was no endpoint.
+	std::size_t unserved = 0; ///< Requests that arrived while no node was running.
 
 	rollout_fleet(std::size_t p_nodes, std::size_t p_target_endpoints, std::size_t p_present_endpoints) {
 		for (std::size_t i = 0; i < p_nodes; i++) {
@@ -110,12 +116,67 @@
 
 	void order(const rollout_order &p_order) {
 		_ordered_at = now;
+		_order = p_order;
 		for (node &entry : _nodes) {
-			entry.table.take_records({ p_order }, now);
-			entry.table.set_endpoints({ { SERVICE, _endpoints } });
+			if (entry.is_running) {
+				entry.table.take_records({ p_order }, now);
+				entry.table.set_endpoints({ { SERVICE, _endpoints } });
+			}
+		}
+	}
+
+	/** A node is lost with all it knows. */
+	void kill(std::size_t p_node) {
+		node &killed = _nodes.at(p_node);
+		killed.is_running = false;
+		killed.table = rollout_table(bounds);
+		killed.runs = version_runs();
+		std::erase_if(_open, [p_node](const open_request &p_request) { return p_request.at == p_node; });
+	}
+
+	/** A node starts with nothing and reads the newest order. */
+	void start(std::size_t p_node) {
+		node &started = _nodes.at(p_node);
+		started.is_running = true;
+		if (_order) {
+			started.table.take_whole({ *_order }, log_position{ _order->at.era, _order->at.offset + 1 }, now);
+			started.table.set_endpoints({ { SERVICE, _endpoints } });
+		}
+	}
+
+	/** Bad answers are counted anew, as the bound after the 50th runs from then. */
+	void kill_all() {
+		for (std::size_t i = 0; i < _nodes.size(); i++) {
+			kill(i);
+		}
+		_news.clear();
+		seen.bad_at_target = 0;
+	}
+
+	void start_all() {
+		for (std::size_t i = 0; i < _nodes.size(); i++) {
+			start(i);
 		}
 	}
 
+	/** All nodes are killed and start again after a while. */
+	void restart_all(duration p_pause) {
+		kill_all();
+		run(p_pause);
+		start_all();
+	}
+
+	void set_clock_step(std::size_t p_node, duration p_step) { _nodes.at(p_node).clock_step = p_step; }
+
+	/** The log comes back from an older copy, and the operator writes its order again. */
+	void order_again(const rollout_order &p_order) { _order = p_order; }
+
+	/** State record as the operator reads it. */
+	rollout_state get_stored_state() const {
+		const std::optional<rollout_status> status = stored ? _read_status(_nodes.front()) : std::nullopt;
+		return status ? status->state : rollout_state::COUNT;
+	}
+
 	void set_cut_off(std::size_t p_node, bool p_is_cut_off) { _nodes.at(p_node).is_cut_off = p_is_cut_off; }
 	rollout &get(std::size_t p_node) { return *_nodes.at(p_node).table.find(SERVICE); }
 	std::size_t size() const { return _nodes.size(); }
@@ -130,7 +191,12 @@
 				_exchange();
 			}
 			_end_requests();
+			const bool is_any_running = std::any_of(_nodes.begin(), _nodes.end(), [](const node &p_node) { return p_node.is_running; });
 			for (owed += rate * to_seconds(STEP); owed >= 1.0; owed -= 1.0) {
+				if (!is_any_running) {
+					unserved++;
+					continue;
+				}
 				_send(_pick_node());
 			}
 		}
@@ -138,7 +204,7 @@
 
 	bool is_all(rollout_state p_state) {
 		for (std::size_t i = 0; i < _nodes.size(); i++) {
-			if (get(i).get_state() != p_state) {
+			if (_nodes.at(i).is_running && get(i).get_state() != p_state) {
 				return false;
 			}
 		}
@@ -149,10 +215,19 @@
 	double get_exposure_bound() const { return bounds.exposure_share * static_cast<double>(seen.at_target + seen.at_present) + 50.0; }
 
 private:
+	unix_milliseconds _get_wall(const node &p_node) const {
+		constexpr unix_milliseconds START = 1800000000000;
+		return START + std::chrono::duration_cast<std::chrono::milliseconds>(now - instant{} + p_node.clock_step).count();
+	}
+
+	std::optional<rollout_status> _read_status(const node &p_node) const {
+		return find_rollout_status({ store_record{ get_rollout_status_key(SERVICE), stored, 0 } }, SERVICE, _get_wall(p_node));
+	}
+
 	std::size_t _pick_node() {
 		while (true) {
 			const std::size_t index = static_cast<std::size_t>(_random.get_unit() * static_cast<double>(_nodes.size()));
-			if (_random.get_unit() * 6.0 < _nodes.at(index).weight) {
+			if (_nodes.at(index).is_running && _random.get_unit() * 6.0 < _nodes.at(index).weight) {
 				return index;
 			}
 		}
@@ -219,6 +294,9 @@
 		told_at news;
 		news.at = now;
 		for (node &entry : _nodes) {
+			if (!entry.is_running) {
+				continue;
+			}
 			entry.table.find(SERVICE)->set_open_at_present(entry.runs.count_others(SERVICE, "2"));
 			if (!entry.is_cut_off) {
 				add_reports(news.total, entry.table.get_reports(now));
@@ -236,6 +314,9 @@
 		}
 		const told_at &heard = _news.front();
 		for (node &entry : _nodes) {
+			if (!entry.is_running) {
+				continue;
+			}
 			if (!entry.is_cut_off) {
 				entry.table.take_told(heard.told, now);
 			}
@@ -249,19 +330,26 @@
 		_write();
 	}
 
-	/** Any node that hears may write; the store takes the first final state and holds it. */
+	/** Any node that hears may write; the first final state of an order stands. */
 	void _write() {
 		for (node &entry : _nodes) {
+			if (!entry.is_running || entry.is_cut_off || !is_store_up) {
+				continue;
+			}
 			rollout &known = *entry.table.find(SERVICE);
-			const std::optional<rollout_status> status = entry.is_cut_off || !is_store_up ? std::nullopt : known.get_unwritten();
+			std::optional<rollout_status> status = known.get_unwritten();
 			if (!status) {
 				continue;
 			}
-			const bool is_final = !written.empty() && written.back() != rollout_state::IN_PROGRESS;
-			if (!is_final && (written.empty() || written.back() != status->state)) {
-				written.push_back(status->state);
+			const std::optional<rollout_status> read = stored ? _read_status(entry) : std::nullopt;
+			const bool is_of_order = read && known.take_status(*read, now);
+			if (is_of_order && (read->state == status->state || read->state != rollout_state::IN_PROGRESS)) {
+				continue;
 			}
-			known.on_written(written.back());
+			status->age = known.get_age(now);
+			stored = write_rollout_status(*status, _get_wall(entry));
+			written.push_back(status->state);
+			known.on_written(status->state);
 		}
 	}
 };
--- a/tests/servers/rollout/rollout_test.cpp
+++ b/tests/servers/rollout/rollout_test.cpp
@@ -174,7 +174,7 @@
 
 TEST(rollout, the_first_final_state_in_the_store_stands) {
 	rollout entry(rollout_bounds(), rollout_order{ "s", "2", ORDER_TIME, log_position{ 0, 5 }, false }, instant(seconds(1)));
-	EXPECT_TRUE(entry.take_status(rollout_status{ "s", "2", rollout_state::COMPLETED, log_position{ 0, 5 } }));
+	EXPECT_TRUE(entry.take_status(rollout_status{ "s", "2", rollout_state::COMPLETED, log_position{ 0, 5 }, {} }, instant(seconds(1))));
 	told_rollout told = entry.get_told(instant(seconds(2)));
 	told.state = rollout_state::ROLLED_BACK;
 	told.is_written = false;
@@ -187,7 +187,7 @@
 	rollout entry(rollout_bounds(), rollout_order{ "s", "2", ORDER_TIME, log_position{ 0, 5 }, false }, instant(seconds(1)));
 	EXPECT_TRUE(entry.take_order(rollout_order{ "s", "3", ORDER_TIME, log_position{ 0, 8 }, false }, instant(seconds(2))));
 	EXPECT_EQ(entry.get_side("2"), version_side::BARRED) << "it was never completed";
-	EXPECT_FALSE(entry.take_status(rollout_status{ "s", "2", rollout_state::COMPLETED, log_position{ 0, 5 } }));
+	EXPECT_FALSE(entry.take_status(rollout_status{ "s", "2", rollout_state::COMPLETED, log_position{ 0, 5 }, {} }, instant(seconds(2))));
 	EXPECT_EQ(entry.get_state(), rollout_state::IN_PROGRESS);
 	EXPECT_FALSE(entry.take_order(rollout_order{ "s", "2", ORDER_TIME, log_position{ 0, 5 }, false }, instant(seconds(3))));
 	EXPECT_EQ(entry.get_order().target_version, "3");
