Stage work of a node that was not told who dispatches waits for that

What callers saw: after all nodes of a larger fleet were without power 14 to 44 nodes dispatched one stage pool, and replicas answered hundreds to thousands of calls with 503.

Cause: a node that is no hub hears from its hub who dispatches; until then it took itself.

Fix: choose_work_node lets such work wait for a second at most; a hub still takes itself at once, so that a node that is alone, cut off with its zone or the last one to stop serves on. The decision is a function of what the node knows, told the time.

dispatch_choice_test.one_node_dispatches_a_pool_... failed with the wait taken out (3, 55, 404 and 980 dispatchers where 1 may be) and passes.

--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -8,7 +8,6 @@
 
 #include "main/gateway/stage_dispatcher.h"
 
-#include "core/digest.h"
 #include "drivers/activity_scope.h"
 #include "platform/stage_codec.h"
 
@@ -23,22 +22,6 @@
 constexpr duration PAUSE = std::chrono::milliseconds(600);
 /** A node that fell silent may still come back with its requests; after this its results go, before they expire by themselves. */
 constexpr duration LOST_RESULTS_KEPT = std::chrono::milliseconds(600);
-/** A link to the dispatcher of a pool is made in milliseconds; after this another node that is linked gets the work. */
-constexpr duration LINK_WAIT = std::chrono::milliseconds(400);
-
-/** Of some nodes the one that dispatches a pool, the same for all that know the same nodes. */
-std::string choose_dispatcher(const std::string &p_pool, const std::vector<std::string> &p_nodes, const std::function<bool(const std::string &)> &p_may_be, const std::string &p_otherwise) {
-	std::string best = p_otherwise;
-	std::uint64_t best_score = 0;
-	for (const std::string &vm : p_nodes) {
-		const std::uint64_t score = hash_bytes(p_pool + "/" + vm);
-		if (score > best_score && p_may_be(vm)) {
-			best = vm;
-			best_score = score;
-		}
-	}
-	return best;
-}
 
 } // namespace
 
@@ -148,17 +131,15 @@
 	return made;
 }
 
-std::string stage_dispatcher::_choose_node(const std::string &p_pool, const std::string &p_except) const {
+dispatch_view stage_dispatcher::_get_view() const {
 	if (!_context.settings.mechanisms.has(mechanism::SHARED_DISPATCH)) {
-		return _fleet.get_vm();
+		return dispatch_view{ _fleet.get_vm(), {}, false, {} };
 	}
-	return choose_dispatcher(
-			p_pool, _fleet.get_dispatch_nodes(), [&p_except](const std::string &p_vm) { return p_vm != p_except; }, _fleet.get_vm());
+	return dispatch_view{ _fleet.get_vm(), _fleet.get_dispatch_nodes(), !_fleet.is_hub(), [this](const std::string &p_vm) { return _fleet.get_link().is_linked(p_vm); } };
 }
 
-std::string stage_dispatcher::_choose_linked_node(const std::string &p_pool) const {
-	return choose_dispatcher(
-			p_pool, _fleet.get_dispatch_nodes(), [this](const std::string &p_vm) { return _fleet.get_link().is_linked(p_vm); }, _fleet.get_vm());
+std::string stage_dispatcher::_choose_node(const std::string &p_pool) const {
+	return choose_dispatcher(p_pool, _get_view(), [](const std::string &) { return true; });
 }
 
 std::uint64_t stage_dispatcher::submit(const std::string &p_pool, stage_work p_work, end_hook p_hook) {
@@ -194,22 +175,22 @@
 void stage_dispatcher::_assign(std::uint64_t p_id, const std::string &p_except) {
 	own_work &own = _own.at(p_id);
 	const instant now = event_loop::now();
-	std::string node = _choose_node(own.pool, p_except);
-	if (own.waits_since != instant{} && now - own.waits_since > LINK_WAIT) {
-		node = _choose_linked_node(own.pool);
-	}
+	const duration waited = own.waits_since == instant{} ? duration::zero() : now - own.waits_since;
+	const std::optional<std::string> node = choose_work_node(own.pool, p_except, _get_view(), waited);
 	if (node == _fleet.get_vm()) {
-		own.node = node;
+		own.node = *node;
 		_log_asked(own);
 		_accept(own.pool, "", p_id, own.work);
 		return;
 	}
-	if (_fleet.get_link().send(node, _make_hand_over(p_id, own))) {
-		own.node = node;
+	if (node && _fleet.get_link().send(*node, _make_hand_over(p_id, own))) {
+		own.node = *node;
 		_log_asked(own);
 		return;
 	}
-	_fleet.keep_link(node);
+	if (node) {
+		_fleet.keep_link(*node);
+	}
 	own.node.clear();
 	own.waits_since = own.waits_since == instant{} ? now : own.waits_since;
 }
@@ -234,7 +215,7 @@
 	}
 	for (const auto &[name, service] : _configuration.get_current()->services) {
 		for (const std::string &shard : service.stage_pool ? _get_shard_names(name) : std::vector<std::string>()) {
-			const std::string node = _choose_node(shard, "");
+			const std::string node = _choose_node(shard);
 			if (node != _fleet.get_vm()) {
 				_fleet.keep_link(node);
 			}
@@ -343,7 +324,7 @@
 	if (r_held.empty() || !_context.settings.mechanisms.has(mechanism::TOLD_RESULTS)) {
 		return;
 	}
-	const std::string node = _choose_node(p_pool, "");
+	const std::string node = _choose_node(p_pool);
 	tell_results_message message;
 	message.pool = p_pool;
 	for (const auto &[handle, result] : r_held) {
@@ -480,7 +461,7 @@
 		by_shard[_take_held(p_pool, handle)].push_back(handle);
 	}
 	for (const auto &[shard, handles] : by_shard) {
-		const std::string node = _choose_node(shard, "");
+		const std::string node = _choose_node(shard);
 		if (node == _fleet.get_vm() || !_fleet.get_link().send(node, release_results_message{ shard, handles })) {
 			_get_pool(shard).calls.release(handles);
 		}
@@ -508,7 +489,7 @@
 	std::vector<pool_capacity> capacities;
 	for (const auto &[name, entry] : _pools) {
 		const pool_shard shard = parse_shard_name(name);
-		if (shard.count != _count_shards(shard.pool) || _choose_node(name, "") != _fleet.get_vm()) {
+		if (shard.count != _count_shards(shard.pool) || _choose_node(name) != _fleet.get_vm()) {
 			continue;
 		}
 		const double replicas = entry.calls.get_pool().get_capacity(event_loop::now());
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "main/gateway/gateway_fleet.h"
 #include "main/gateway/pool_caller.h"
+#include "servers/gateway/dispatch_choice.h"
 #include "servers/gateway/pool_shards.h"
 
 #include <functional>
@@ -89,8 +90,8 @@
 	void _take_replicas(const std::string &p_name, pool_entry &r_entry);
 	/** Shard whose dispatcher knows a result that this node holds. */
 	std::string _take_held(const std::string &p_pool, const std::string &p_handle);
-	std::string _choose_node(const std::string &p_pool, const std::string &p_except) const;
-	std::string _choose_linked_node(const std::string &p_pool) const;
+	dispatch_view _get_view() const;
+	std::string _choose_node(const std::string &p_pool) const;
 	void _assign(std::uint64_t p_id, const std::string &p_except);
 	hand_work_message _make_hand_over(std::uint64_t p_id, const own_work &p_own) const;
 	void _assign_waiting();
