--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -50,14 +50,21 @@
 	start_ready();
 	start_ready();
 	wait(milliseconds(900));
+	std::size_t dispatching = 0;
+	const auto count_dispatching = [this, &dispatching] {
+		const auto is_dispatching = [](const std::unique_ptr<gateway> &p_node) { return p_node->get_handed_work() > 0; };
+		dispatching = std::max(dispatching, static_cast<std::size_t>(std::count_if(_gateways.begin(), _gateways.end(), is_dispatching)));
+	};
+	// Between two turns of a busy loop all work may come and end.
+	for (standin_replica &replica : _replicas) {
+		replica.on_stage_call = count_dispatching;
+	}
 	std::vector<std::shared_ptr<caller_result>> results;
 	for (std::size_t i = 0; i < 60; i++) {
 		results.push_back(send(*_gateways[i % 3], "/stream/staged/x", "key-1", "X-Segments: 2,1\r\nX-Segment-Key: k\r\n"));
 	}
-	std::size_t dispatching = 0;
-	run_until([this, &results, &dispatching] {
-		const auto is_dispatching = [](const std::unique_ptr<gateway> &p_node) { return p_node->get_handed_work() > 0; };
-		dispatching = std::max(dispatching, static_cast<std::size_t>(std::count_if(_gateways.begin(), _gateways.end(), is_dispatching)));
+	run_until([&results, &count_dispatching] {
+		count_dispatching();
 		return std::all_of(results.begin(), results.end(), [](const std::shared_ptr<caller_result> &p_result) { return p_result->end.has_value(); });
 	});
 	for (const std::shared_ptr<caller_result> &result : results) {
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -106,6 +106,9 @@
 		return;
 	}
 	if (p_exchange->head.target == "/stage-run") {
+		if (on_stage_call) {
+			on_stage_call();
+		}
 		if (!ending_key.empty() && p_exchange->body.find('"' + ending_key + '"') != std::string::npos) {
 			_loop.post([this] { end_process(); });
 			return;
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -76,6 +76,7 @@
 	std::string ending_body; ///< A request with this body ends its process as it begins to run, whatever the mode; empty for none.
 	std::string ending_key; ///< A stage call with a piece of this caller's key ends its process; empty for none.
 	std::function<void()> on_ended; ///< Called once, when its process has ended.
+	std::function<void()> on_stage_call; ///< Called as a stage call arrives, before it runs.
 	int cold_ms = 0; ///< How much longer it is cold, as its answers say.
 	std::string rate_limit; ///< Requests a second that it names in its answers, as it writes them; empty for none.
 	bool says_leaving = false; ///< In its answers; its entry does not change.
