A signal at each system call of a node's start and stop, placed by the order of events

What callers saw: nothing so far; a reload signal that meets a node without a handler ends it with its requests. The tests there were sent signals at times, so that a window between two of them could be missed.

The test of the signal right after exec is as it was and stays listed.

--- a/tests/soak/gateway_process_test.cpp
+++ b/tests/soak/gateway_process_test.cpp
@@ -7,17 +7,20 @@
  */
 
 #include "tests/soak/gateway_process.h"
+#include "tests/soak/traced_process.h"
 
 #include <gtest/gtest.h>
 
 #include <fcntl.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <future>
 #include <sstream>
 #include <stdexcept>
@@ -120,6 +123,94 @@
 	return process.get_end_status();
 }
 
+/** A node that runs from one system call to the next. */
+struct traced_node {
+	temporary_folder folder;
+	std::string log = folder.get("log");
+	std::string started;
+	traced_process process;
+
+	explicit traced_node(const node_kind &p_kind) :
+			started(p_kind.started), process({ CALICOSCALE_PROGRAM, p_kind.command, "--settings", _write_settings(p_kind) }, log) {}
+
+	bool serves() const { return read_text(log).find(started) != std::string::npos; }
+
+	std::string describe() const {
+		return "ended by " + process.describe_end() + " after system call " + std::to_string(process.get_last_call()) + ", its " + std::to_string(process.get_calls()) + ".";
+	}
+
+private:
+	std::string _write_settings(const node_kind &p_kind) const {
+		std::ofstream(folder.get("settings.json")) << p_kind.settings;
+		return folder.get("settings.json");
+	}
+};
+
+/**
+ * Calls the hook with the number of each stop from where the node takes SIGHUP itself, its entry point at the latest, until
+ * it serves. Gives the count of these stops.
+ */
+std::size_t start_by_calls(traced_node &r_node, const std::function<void(std::size_t)> &p_hook) {
+	std::size_t stops = 0;
+	bool is_own = false;
+	while (!r_node.process.has_ended() && !r_node.serves()) {
+		is_own = is_own || r_node.process.get_stop() == process_stop::ENTRY_POINT || r_node.process.get_effect(SIGHUP) != signal_effect::DEFAULT;
+		if (is_own) {
+			p_hook(stops++);
+		}
+		r_node.process.resume();
+	}
+	return stops;
+}
+
+/** A signal at each stop of its handler would keep the process in it. */
+bool is_due(const traced_process &p_process, int p_signal, std::size_t p_stop) {
+	constexpr std::size_t STOPS_OF_HANDLER = 16;
+	return !p_process.has_handler(p_signal) || p_stop % STOPS_OF_HANDLER == 0;
+}
+
+/** Starts afresh for each of some stops that lie evenly between the first and the last one, and signals there alone. */
+void expect_start_survives_one_signal(const node_kind &p_kind) {
+	constexpr std::size_t SAMPLES = 16;
+	traced_node undisturbed(p_kind);
+	const std::size_t stops = start_by_calls(undisturbed, [](std::size_t) {});
+	ASSERT_GE(stops, SAMPLES);
+	for (std::size_t sample = 0; sample < SAMPLES; sample++) {
+		const std::size_t chosen = sample * stops / SAMPLES;
+		traced_node node(p_kind);
+		start_by_calls(node, [&node, chosen](std::size_t p_stop) {
+			if (p_stop == chosen) {
+				node.process.send_signal(SIGHUP);
+			}
+		});
+		EXPECT_FALSE(node.process.has_ended()) << "signalled at stop " << chosen << " of " << stops << ", " << node.describe();
+	}
+}
+
+void expect_start_survives_signals_at_each_call(const node_kind &p_kind) {
+	traced_node node(p_kind);
+	start_by_calls(node, [&node](std::size_t p_stop) {
+		if (is_due(node.process, SIGHUP, p_stop)) {
+			node.process.send_signal(SIGHUP);
+		}
+	});
+	EXPECT_FALSE(node.process.has_ended()) << node.describe();
+}
+
+void expect_stop_survives_signals_at_each_call(const node_kind &p_kind, int p_signal) {
+	traced_node node(p_kind);
+	start_by_calls(node, [](std::size_t) {});
+	ASSERT_FALSE(node.process.has_ended()) << node.describe();
+	node.process.send_signal(SIGTERM);
+	for (std::size_t stop = 0; !node.process.has_ended(); stop++) {
+		if (is_due(node.process, p_signal, stop)) {
+			node.process.send_signal(p_signal);
+		}
+		node.process.resume();
+	}
+	EXPECT_EQ(node.process.get_end_status(), 0) << node.describe();
+}
+
 } // namespace
 
 TEST(gateway_process, a_reload_signal_that_comes_before_its_handler_does_not_end_the_process) {
@@ -174,4 +265,57 @@
 	}
 }
 
+// Guards against a reload signal that ends a node between its entry point and its handler, wherever it comes.
+TEST(gateway_process, a_reload_signal_at_any_system_call_of_its_own_start_does_not_end_the_process) {
+	expect_start_survives_signals_at_each_call(KINDS.front());
+	expect_start_survives_one_signal(KINDS.front());
+}
+
+TEST(serve_process, a_reload_signal_at_any_system_call_of_its_own_start_does_not_end_the_process) {
+	expect_start_survives_signals_at_each_call(KINDS.back());
+	expect_start_survives_one_signal(KINDS.back());
+}
+
+// Guards against signals that meet a stopping process between two system calls, where a stream of signals may miss it.
+TEST(gateway_process, signals_at_each_system_call_of_its_stop_do_not_change_how_it_ends) {
+	expect_stop_survives_signals_at_each_call(KINDS.front(), SIGHUP);
+	expect_stop_survives_signals_at_each_call(KINDS.front(), SIGTERM);
+}
+
+TEST(serve_process, signals_at_each_system_call_of_its_stop_do_not_change_how_it_ends) {
+	expect_stop_survives_signals_at_each_call(KINDS.back(), SIGHUP);
+	expect_stop_survives_signals_at_each_call(KINDS.back(), SIGTERM);
+}
+
+#ifdef BLOCKING_PROGRAM
+
+// Shows what is left to whoever starts a program: a signal inside exec ends even one that blocks it with its first call.
+TEST(blocking_program, a_reload_signal_inside_exec_ends_it_before_its_first_system_call) {
+	const temporary_folder folder;
+	traced_process process({ BLOCKING_PROGRAM }, folder.get("log"));
+	ASSERT_EQ(process.get_stop(), process_stop::EXEC);
+	process.send_signal(SIGHUP);
+	while (!process.has_ended()) {
+		process.resume();
+	}
+	EXPECT_TRUE(WIFSIGNALED(process.get_end_status()) && WTERMSIG(process.get_end_status()) == SIGHUP) << process.describe_end();
+	EXPECT_EQ(process.get_calls(), 0U);
+}
+
+TEST(blocking_program, a_reload_signal_from_its_first_system_call_on_does_not_end_it) {
+	const temporary_folder folder;
+	traced_process process({ BLOCKING_PROGRAM }, folder.get("log"));
+	while (!process.has_ended() && process.get_effect(SIGHUP) == signal_effect::DEFAULT) {
+		process.resume();
+	}
+	EXPECT_EQ(process.get_calls(), 1U);
+	while (!process.has_ended() && read_text(folder.get("log")).find("event=started") == std::string::npos) {
+		process.send_signal(SIGHUP);
+		process.resume();
+	}
+	EXPECT_FALSE(process.has_ended()) << process.describe_end();
+}
+
+#endif // BLOCKING_PROGRAM
+
 } // namespace calicoscale
