A node that stood still sends no stage call before it has dropped what others do by then

What callers saw: nothing; pieces were made a second time, and their results stayed at their makers for nobody.

Cause: after a pause what has arrived is read before timers run, and the answer of a call that was out made the dispatcher send the next one from its queue. The tick that drops work handed over before the pause came after that. Evidence: with three gateways on a second loop that stands still until the fourth has taken them for lost, the log of one tells loop_held_up, stage_call with requests that the owner has had done, then work_forgotten_after_pause. Fix: a pool sends no call while the dispatcher's last tick lies further back than a pause; answers are still taken. The tick drops the work and sends what is left.

--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -84,6 +84,9 @@
 }
 
 std::optional<stage_call> pool_caller::_choose_call(instant p_now) {
+	if (!_hooks.may_call()) {
+		return std::nullopt;
+	}
 	const activity_scope scope(_context.loop, activity::STAGE_SEARCH);
 	return _pool.next_call(p_now);
 }
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -23,10 +23,11 @@
 
 namespace calicoscale {
 
-/** What the calls of a pool tell its dispatcher. */
+/** What the calls of a pool tell and ask their dispatcher. */
 struct pool_caller_hooks {
 	std::function<void(const lost_run &)> on_run_lost; ///< A replica ended while it made a request's pieces.
 	std::function<void(const work_result &)> on_ended; ///< Work has all its results, or will not have them.
+	std::function<bool()> may_call; ///< False while queued work has to wait.
 };
 
 /** Sends the calls that a pool's queue decides, takes their answers, and tells makers which results are needed no more. */
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -142,6 +142,8 @@
 	}
 	pool_caller_hooks hooks;
 	hooks.on_run_lost = [this](const lost_run &p_run) { _on_run_lost(p_run); };
+	// After a pause answers are read before the tick drops the work that others do by then.
+	hooks.may_call = [this] { return event_loop::now() - _ticked_at <= PAUSE; };
 	hooks.on_ended = [this, p_name](const work_result &p_result) { _on_ended(_pools.at(p_name), p_result); };
 	pool_entry &made = _pools.try_emplace(p_name, _context, _guard, p_name, std::move(hooks)).first->second;
 	_take_replicas(p_name, made);
--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -79,6 +79,8 @@
 	std::string _zone = "a"; ///< Of the gateways started from now on.
 	std::size_t _most_seeds = 100; ///< Peers that the gateways started from now on are told of.
 	std::map<std::string, std::string> _regions; ///< Of each zone, for the gateways started from now on.
+	event_loop *_gateway_loop = &_loop; ///< Of the gateways started from now on.
+	event_loop *_other_loop = nullptr; ///< Runs beside; none while its gateways stand still.
 
 	void SetUp() override { _callers = std::make_unique<endpoint_channels>(_loop); }
 
@@ -89,6 +91,9 @@
 			timer stop(_loop, [this] { _loop.stop(); });
 			stop.set(milliseconds(1));
 			_loop.run();
+			if (_other_loop != nullptr) {
+				_other_loop->run_pending();
+			}
 		}
 	}
 
@@ -124,7 +129,7 @@
 				settings.peers.push_back(other->get_link_address());
 			}
 		}
-		_gateways.push_back(std::make_unique<gateway>(_loop, settings));
+		_gateways.push_back(std::make_unique<gateway>(*_gateway_loop, settings));
 		_gateways.back()->start();
 		return *_gateways.back();
 	}
