Soak: requests whose deadline is ahead do not count as enough to judge by

The nodes had no part in it.

Only requests whose deadline had passed when slow turns were last noted now count; with fewer of them the soak goes on, as before. The bound and the number of requests stay. The new test failed before (can_check_served was true before the deadlines) and passes after.

--- a/tests/soak/promise_book.cpp
+++ b/tests/soak/promise_book.cpp
@@ -247,8 +247,10 @@
 	return found;
 }
 
-bool promise_book::can_check_served(instant p_from, instant p_to) const {
-	return _find_calm(p_from, p_to).size() >= REQUESTS_TO_JUDGE;
+bool promise_book::can_check_served(instant p_from, instant p_known_to) const {
+	const std::vector<const soak_attempt *> calm = _find_calm(p_from, p_known_to);
+	const auto is_past = [p_known_to](const soak_attempt *p_attempt) { return p_attempt->give_up_at <= p_known_to; };
+	return static_cast<std::size_t>(std::count_if(calm.begin(), calm.end(), is_past)) >= REQUESTS_TO_JUDGE;
 }
 
 void promise_book::check_served(instant p_from, instant p_to) {
--- a/tests/soak/promise_book.h
+++ b/tests/soak/promise_book.h
@@ -112,8 +112,12 @@
 	/** Checks an endpoint that came back at a time, from the nodes of its zone. */
 	void check_returned(std::size_t p_endpoint, const std::vector<std::size_t> &p_nodes, instant p_since, instant p_now);
 
-	/** Whether enough requests were begun in a span, and not while the soak was slow, to check that they were served. */
-	bool can_check_served(instant p_from, instant p_to) const;
+	/**
+	 * Whether enough requests were begun from a moment on, and not while the soak was slow, to check that they were served. Counts
+	 * those whose deadline is over, as a slow turn may still meet the others.
+	 * @param p_known_to Up to when slow turns are noted.
+	 */
+	bool can_check_served(instant p_from, instant p_known_to) const;
 	/** Checks that requests begun in a span without trouble were served; those met by a slow soak say nothing. */
 	void check_served(instant p_from, instant p_to);
 
--- a/tests/soak/soak_caller_test.cpp
+++ b/tests/soak/soak_caller_test.cpp
@@ -81,4 +81,22 @@
 	EXPECT_EQ(_book.get_broken().front().what, promise::IN_TIME);
 }
 
+// Guards against a soak that ends its callers by requests that a slow turn meets later, and has none left to judge by.
+TEST(promise_book, a_request_whose_deadline_is_ahead_does_not_count_as_one_to_judge_by) {
+	constexpr std::size_t ENOUGH = 20;
+	disturbance_log disturbances;
+	promise_book book(disturbances, "t-");
+	const instant begun{ seconds(100) };
+	instant last_deadline{};
+	for (std::size_t i = 0; i < ENOUGH; i++) {
+		const std::shared_ptr<soak_attempt> made = book.open(request_kind::SAFE, 0, 0, false, begun);
+		made->sent_at = begun;
+		last_deadline = made->give_up_at;
+	}
+	EXPECT_FALSE(book.can_check_served(begun, last_deadline - milliseconds(1)));
+	EXPECT_TRUE(book.can_check_served(begun, last_deadline));
+	disturbances.note(disturbance::DRIVER_SLOW, 0, last_deadline - milliseconds(1), last_deadline);
+	EXPECT_FALSE(book.can_check_served(begun, last_deadline));
+}
+
 } // namespace calicoscale
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -103,6 +103,9 @@
 	/** Whether the node's process runs and was not told to stop. */
 	bool is_in_service(std::size_t p_node) const;
 	network_address get_readiness_address(std::size_t p_node) const;
+
+	/** Up to when turns that held the soak up are noted. */
+	instant get_watched_at() const { return _watched_at; }
 };
 
 } // namespace calicoscale
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -124,7 +124,7 @@
 
 void soak_run::_stop_callers_once_judged(int p_extensions) {
 	const instant now = event_loop::now();
-	if (p_extensions > 0 && !_book.can_check_served(_get_served_from(), now)) {
+	if (p_extensions > 0 && !_book.can_check_served(_get_served_from(), _fleet.get_watched_at())) {
 		_later.add(EXTENSION, [this, p_extensions] { _stop_callers_once_judged(p_extensions - 1); });
 		return;
 	}
