Soak: older configurations and silent stores reach every node, and their mutations are noticed

soak_mutations.sh did not notice "an older one replaces a newer one" and "a read without an answer is never repeated".

Cause, older configuration: the script plays no store that comes back from an older copy, the one case in which nodes are offered a lower version. configuration_stays, which nothing excuses, judged each probe all along.

Cause, silent store: on the script's seeds the store is silent for 712 ms at most (--schedule), and a node that reads no more is told by peers that do. It is drawn by a seed of its own, so the schedules without it stay as they were. No bound and no excuse is changed.

"A new one is not taken once there is one" is noticed as before (configuration_in_force). The other mutations of the script were not played again.

--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -21,21 +21,23 @@
 cmake --build "$scratch/build" -j "$jobs" --target soak calicoscale >"$scratch/log" 2>&1
 status=0
 
-# The promises that the program breaks on the seeds, each once.
+# play [OPTION]: the promises that the program breaks on the seeds, each once.
 play() {
-	printf '%s\n' "${seeds[@]}" | xargs -P "${#seeds[@]}" -I{} "$scratch/build/tests/soak" --program "$scratch/build/calicoscale" --seeds {} 1 --seconds "$seconds" >"$scratch/log" 2>&1 || true
+	printf '%s\n' "${seeds[@]}" | xargs -P "${#seeds[@]}" -I{} "$scratch/build/tests/soak" --program "$scratch/build/calicoscale" --seeds {} 1 --seconds "$seconds" "$@" >"$scratch/log" 2>&1 || true
 	sed -n 's/^  \([a-z_]*\) broken [0-9]* times$/\1/p' "$scratch/log" | sort -u
 }
 
-play >"$scratch/unbroken"
-echo "broken without any mutation: $(paste -sd ' ' "$scratch/unbroken")"
+for option in "" --copies --silences; do
+	play ${option:+"$option"} >"$scratch/unbroken$option"
+	echo "broken without any mutation${option:+, $option}: $(paste -sd ' ' "$scratch/unbroken$option")"
+done
 echo
 echo "| mechanism | how it was broken | noticed by |"
 echo "| --- | --- | --- |"
 
-# mutate MECHANISM WHAT FILE FROM TO
+# mutate MECHANISM WHAT FILE FROM TO [OPTION]: the option of the soak adds the trouble that reaches the mechanism.
 mutate() {
-	local file=$scratch/tree/$3 noticed
+	local file=$scratch/tree/$3 option=${6:-} noticed
 	[[ $1 =~ $only ]] || return 0
 	cp "$file" "$scratch/original"
 	FROM=$4 TO=$5 perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$file"
@@ -46,13 +48,13 @@
 		noticed="does not compile"
 		status=1
 	else
-		noticed=$(play | comm -23 - "$scratch/unbroken" | paste -sd, | sed 's/,/, /g')
+		noticed=$(play ${option:+"$option"} | comm -23 - "$scratch/unbroken$option" | paste -sd, | sed 's/,/, /g')
 		if [ -z "$noticed" ]; then
 			noticed="NOT NOTICED"
 			status=1
 		fi
 	fi
-	echo "| $1 | $2 | $noticed |"
+	echo "| $1 | $2${option:+ (\`$option\`)} | $noticed |"
 	cp "$scratch/original" "$file"
 }
 
@@ -68,8 +70,8 @@
 mutate "planned stop" "the process ends at once" main/gateway/gateway.cpp '_enter(stop_phase::LISTENING, "listening");' "_has_stopped = true;
 	_context.loop.stop();"
 mutate "configuration" "a new one is not taken once there is one" platform/configuration_reader.cpp "if (_current && offered->version <= _current->version)" "if (_current)"
-mutate "configuration" "an older one replaces a newer one" platform/configuration_reader.cpp "if (_current && offered->version <= _current->version)" "if (false)"
-mutate "silent store" "a read without an answer is never repeated" main/gateway/topic_reader.cpp "	_send(*beside);" ""
+mutate "configuration" "an older one replaces a newer one" platform/configuration_reader.cpp "if (_current && offered->version <= _current->version)" "if (false)" --copies
+mutate "silent store" "a read without an answer is never repeated" main/gateway/topic_reader.cpp "	_send(*beside);" "" --silences
 mutate "leaving" "the state of an endpoint is ignored" platform/endpoint_codec.cpp "	return r_listing.leaving || *state == SERVING_STATE" "	const bool was_leaving = r_listing.leaving;
 	r_listing.leaving = false;
 	return was_leaving || *state == SERVING_STATE"
--- a/tests/soak/soak_schedule.cpp
+++ b/tests/soak/soak_schedule.cpp
@@ -48,6 +48,10 @@
 constexpr std::size_t MORE_NOTICES = 4;
 constexpr double LEAST_NOTICE_MS = 2800;
 constexpr double MOST_NOTICE_MS = 8000;
+/** And silences of the store. Each outlasts the first read that every node of a zone sends once its reader falls silent. */
+constexpr std::uint64_t SILENCE_SEED_STEP = 3'000'003;
+constexpr double LEAST_SILENCE_MS = 3000;
+constexpr double MOST_SILENCE_MS = 4500;
 constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy" };
@@ -100,6 +104,13 @@
 	}
 }
 
+/** One in each burst, over as soon as the longest other trouble may be. */
+void add_silence(soak_random &r_random, duration p_begin, std::vector<soak_event> &r_events) {
+	const duration length = r_random.pick_time(LEAST_SILENCE_MS, MOST_SILENCE_MS);
+	const duration latest = BURST + from_seconds(MOST_LENGTH_MS / 1000) - length;
+	r_events.push_back(soak_event{ p_begin + r_random.pick_time(0, to_milliseconds(latest)), soak_action::STORE_SILENT, 0, length, 0 });
+}
+
 } // namespace
 
 std::string_view get_name(soak_action p_value) {
@@ -118,6 +129,7 @@
 	soak_random random(p_seed);
 	soak_random copies(p_seed + COPY_SEED_STEP);
 	soak_random notices(p_seed + NOTICE_SEED_STEP);
+	soak_random silences(p_seed + SILENCE_SEED_STEP);
 	std::vector<soak_event> events;
 	for (duration begin = WARM_UP; begin + BURST <= get_calm_end(p_size); begin += BURST + CALM) {
 		add_burst(random, p_size, begin, events);
@@ -127,6 +139,9 @@
 		if (p_size.has_copies) {
 			add_copies(copies, begin, events);
 		}
+		if (p_size.has_silences) {
+			add_silence(silences, begin, events);
+		}
 	}
 	for (duration at = WARM_UP; at < p_size.length; at += random.pick_time(LEAST_BETWEEN_VERSIONS_MS, MOST_BETWEEN_VERSIONS_MS)) {
 		events.push_back(soak_event{ at, soak_action::CONFIGURE, 0, duration::zero(), 0 });
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -73,14 +73,15 @@
 	duration length = std::chrono::seconds(25);
 	bool has_notices = false; ///< Endpoints say things about themselves in their answers besides, some in each burst.
 	bool has_copies = false; ///< The store comes back from older copies besides, once or twice in each burst.
+	bool has_silences = false; ///< The store is silent besides, once in each burst, for longer than any node leaves a read to others.
 };
 
 /** From here on nothing is disturbed, only configured. */
 duration get_calm_end(const soak_size &p_size);
 
 /**
- * Bursts of trouble that overlap, with calm between; one seed and size give one schedule. Copies of the store are drawn apart, so
- * that a seed's other trouble is the same with and without them.
+ * Bursts of trouble that overlap, with calm between; one seed and size give one schedule. Copies and silences of the store are drawn
+ * apart, so that a seed's other trouble is the same with and without them.
  */
 std::vector<soak_event> make_schedule(std::uint64_t p_seed, const soak_size &p_size);
 
