Answers that lost nodes counted stay in the sums of a roll-out

Callers saw: a bad version kept its share while nodes were lost one after the other.

Cause: each node told all that it had counted since the order, and a hub left out what a lost node had told, so that the sums held the answers of the last seconds only.

Fix: answers are counted by windows of 2 s. Reports hold the open window and the one before; what was heard of closed windows is added up at each node and told beside the sums, so that a node that starts or becomes a hub has it. In a window that is not closed a sum does not fall once it has lasted for 0.6 s. Closed windows need no names: two nodes' sums of them are merged by the greater count, so that nothing counts twice after a cut, a change of the hub or a new start. Nodes, moved nodes and open work of a lost node leave the sums as before. Memory and messages grow with routes and groups only, by three sets of counts in place of one. Keeping a lost node's last report at its hub was weighed: it needs an entry by node and counts twice when the node is with another hub.

What stays: in the window in which a node is lost its counts hide as many of others; a fleet killed as a whole has no counts left.

--- a/drivers/rollout_wire.cpp
+++ b/drivers/rollout_wire.cpp
@@ -30,21 +30,37 @@
 	return std::chrono::duration_cast<std::chrono::milliseconds>(p_time).count();
 }
 
-rollout_report read_report(const wire::rollout_entry &p_entry) {
-	rollout_report report;
-	report.order = log_position{ p_entry.era(), p_entry.offset() };
-	report.nodes = p_entry.nodes();
-	report.moved = p_entry.moved();
-	report.open_at_present = p_entry.open_at_present();
+using cell_vector = flatbuffers::Vector<const wire::rollout_cell *>;
+
+version_tally read_tally(const cell_vector *p_cells) {
 	std::vector<version_cell> cells;
-	if (p_entry.cells() != nullptr) {
-		for (const wire::rollout_cell *cell : *p_entry.cells()) {
+	if (p_cells != nullptr) {
+		for (const wire::rollout_cell *cell : *p_cells) {
 			if (cell->group() <= version_tally::TARGET_GROUPS && cells.size() < MOST_CELLS) {
 				cells.push_back(version_cell{ cell->route(), static_cast<std::uint8_t>(cell->group()), cell->answers(), cell->bad() });
 			}
 		}
 	}
-	report.tally.add(cells);
+	version_tally tally;
+	tally.add(cells);
+	return tally;
+}
+
+flatbuffers::Offset<cell_vector> write_tally(flatbuffers::FlatBufferBuilder &r_builder, const version_tally &p_tally) {
+	std::vector<wire::rollout_cell> cells;
+	for (const version_cell &cell : p_tally.get_cells()) {
+		cells.emplace_back(cell.route, cell.group, cell.answers, cell.bad);
+	}
+	return cells.empty() ? flatbuffers::Offset<cell_vector>() : r_builder.CreateVectorOfStructs(cells);
+}
+
+rollout_report read_report(const wire::rollout_entry &p_entry) {
+	rollout_report report;
+	report.order = log_position{ p_entry.era(), p_entry.offset() };
+	report.nodes = p_entry.nodes();
+	report.moved = p_entry.moved();
+	report.open_at_present = p_entry.open_at_present();
+	report.answers = version_windows(p_entry.window(), read_tally(p_entry.cells()), read_tally(p_entry.previous_cells()));
 	return report;
 }
 
@@ -59,12 +75,11 @@
 		const auto service = r_builder.CreateString(told.order.service);
 		const auto version = r_builder.CreateString(told.order.target_version);
 		const auto barred = r_builder.CreateVectorOfStrings(told.barred);
-		std::vector<wire::rollout_cell> cells;
-		for (const version_cell &cell : told.report.tally.get_cells()) {
-			cells.emplace_back(cell.route, cell.group, cell.answers, cell.bad);
-		}
-		const auto cell_vector = r_builder.CreateVectorOfStructs(cells);
-		entries.push_back(wire::Createrollout_entry(r_builder, service, version, write_ms(told.order.time), told.order.at.era, told.order.at.offset, told.order.is_withdrawn, write_ms(told.age), static_cast<std::uint8_t>(told.state), told.is_confirmed, told.is_written, told.is_moving, barred, told.report.nodes, told.report.moved, told.report.open_at_present, cell_vector, told.is_age_estimated));
+		const version_windows &answers = told.report.answers;
+		const auto current = write_tally(r_builder, answers.get_current());
+		const auto previous = write_tally(r_builder, answers.get_previous());
+		const auto past = write_tally(r_builder, told.past);
+		entries.push_back(wire::Createrollout_entry(r_builder, service, version, write_ms(told.order.time), told.order.at.era, told.order.at.offset, told.order.is_withdrawn, write_ms(told.age), static_cast<std::uint8_t>(told.state), told.is_confirmed, told.is_written, told.is_moving, barred, told.report.nodes, told.report.moved, told.report.open_at_present, current, told.is_age_estimated, answers.get_index(), previous, past));
 	}
 	return r_builder.CreateVector(entries);
 }
@@ -96,6 +111,7 @@
 			}
 		}
 		told.report = read_report(*entry);
+		told.past = read_tally(entry->past_cells());
 		rollouts.push_back(std::move(told));
 	}
 	return rollouts;
--- a/servers/rollout/rollout.cpp
+++ b/servers/rollout/rollout.cpp
@@ -45,7 +45,8 @@
 	_moving_since.reset();
 	_is_quiet = false;
 	_verdict = version_verdict();
-	_tally = version_tally();
+	_answers = version_windows();
+	_record = version_record();
 }
 
 void rollout::_set_state(rollout_state p_state) {
@@ -115,6 +116,9 @@
 	_take_told_age(p_told, p_now);
 	is_news = is_news || (p_told.is_confirmed && !_is_confirmed) || (p_told.is_written && !_is_written);
 	_is_confirmed = _is_confirmed || p_told.is_confirmed;
+	if (p_told.report.order == _order.at) {
+		_record.take_past(p_told.past, p_told.report.answers.get_index());
+	}
 	for (const std::string &version : p_told.barred) {
 		if (_order.is_withdrawn || version != _order.target_version) {
 			_barred.insert(version);
@@ -246,9 +250,12 @@
 		return;
 	}
 	_is_age_estimated = _is_age_estimated && !(_is_confirmed && _is_fresh);
+	_record.advance_to(get_age(p_now));
 	if (p_view.total.order == _order.at) {
-		_verdict = p_view.total.tally.judge();
+		_record.take_total(p_view.total.answers, p_now);
+		_verdict = _record.get_all().judge();
 	}
+	_answers.advance_to(_record.get_index());
 	_consider_end(p_view, p_now);
 	if (!_is_ended()) {
 		_consider_moving(p_view, p_now);
@@ -258,7 +265,7 @@
 void rollout::add_answer(std::string_view p_endpoint, std::string_view p_version, std::string_view p_route, bool p_is_bad) {
 	const version_side side = get_side(p_version);
 	if (!_is_ended() && side != version_side::BARRED) {
-		_tally.add(p_route, side == version_side::TARGET ? version_tally::get_group(p_endpoint) : 0, p_is_bad);
+		_answers.add(p_route, side == version_side::TARGET ? version_tally::get_group(p_endpoint) : 0, p_is_bad);
 	}
 }
 
@@ -268,7 +275,7 @@
 	report.nodes = 1;
 	report.moved = has_moved(p_now) ? 1 : 0;
 	report.open_at_present = _open_at_present;
-	report.tally = _tally;
+	report.answers = _answers;
 	return report;
 }
 
--- a/servers/rollout/rollout.h
+++ b/servers/rollout/rollout.h
@@ -12,6 +12,7 @@
 #include "servers/rollout/rollout_course.h"
 #include "servers/rollout/rollout_order.h"
 #include "servers/rollout/rollout_report.h"
+#include "servers/rollout/version_record.h"
 
 #include <optional>
 #include <set>
@@ -32,6 +33,7 @@
 	bool is_moving = false; ///< The share has begun to rise.
 	std::vector<std::string> barred; ///< Versions that get nothing.
 	rollout_report report; ///< A sum, as the receiver's role asks for it.
+	version_tally past; ///< Answers of closed windows; told with a report.
 };
 
 /** Which part of a service's work an endpoint may get. */
@@ -70,7 +72,8 @@
 	instant _quiet_since{}; ///< When nothing was at work any more at the present version, all nodes having moved.
 	bool _is_quiet = false;
 	version_verdict _verdict;
-	version_tally _tally; ///< Of this node.
+	version_windows _answers; ///< Of this node.
+	version_record _record; ///< Of the fleet.
 	std::uint32_t _open_at_present = 0;
 
 	void _begin(const rollout_order &p_order, instant p_learnt_at);
@@ -124,6 +127,9 @@
 	/** An endpoint answered. */
 	void add_answer(std::string_view p_endpoint, std::string_view p_version, std::string_view p_route, bool p_is_bad);
 
+	/** Answers of the fleet in windows that are closed, to be told with sums. */
+	const version_tally &get_past() const { return _record.get_past(); }
+
 	/** What this node counts. */
 	rollout_report get_report(instant p_now) const;
 
--- a/servers/rollout/rollout_report.cpp
+++ b/servers/rollout/rollout_report.cpp
@@ -21,7 +21,7 @@
 	nodes += p_other.nodes;
 	moved += p_other.moved;
 	open_at_present += p_other.open_at_present;
-	tally.add(p_other.tally.get_cells());
+	answers.add(p_other.answers);
 }
 
 void add_reports(rollout_reports &r_sum, const rollout_reports &p_reports) {
--- a/servers/rollout/rollout_report.h
+++ b/servers/rollout/rollout_report.h
@@ -10,7 +10,7 @@
 #define ROLLOUT_REPORT_H
 
 #include "core/log_position.h"
-#include "servers/rollout/version_tally.h"
+#include "servers/rollout/version_windows.h"
 
 #include <cstdint>
 #include <map>
@@ -24,7 +24,7 @@
 	std::uint32_t nodes = 0;
 	std::uint32_t moved = 0; ///< Nodes that send to the target alone.
 	std::uint32_t open_at_present = 0; ///< Requests and calls at work at endpoints of the present version.
-	version_tally tally;
+	version_windows answers;
 
 	/** Adds a report of the same order; one of a later order replaces this one. */
 	void add(const rollout_report &p_other);
--- a/servers/rollout/rollout_table.cpp
+++ b/servers/rollout/rollout_table.cpp
@@ -170,6 +170,7 @@
 		const auto report = p_reports.find(service);
 		if (report != p_reports.end() && report->second.order == entry.get_order().at) {
 			told.back().report = report->second;
+			told.back().past = entry.get_past();
 		}
 	}
 	return told;
--- a/servers/rollout/version_tally.cpp
+++ b/servers/rollout/version_tally.cpp
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <set>
 
 namespace calicoscale {
 
@@ -52,11 +51,16 @@
 	add({ version_cell{ route, p_group, 1, p_is_bad ? 1U : 0U } });
 }
 
-void version_tally::add(const std::vector<version_cell> &p_cells) {
+std::set<std::uint32_t> version_tally::_get_routes() const {
 	std::set<std::uint32_t> routes;
 	for (const auto &[key, counted] : _cells) {
 		routes.insert(key.first);
 	}
+	return routes;
+}
+
+void version_tally::add(const std::vector<version_cell> &p_cells) {
+	std::set<std::uint32_t> routes = _get_routes();
 	for (const version_cell &cell : p_cells) {
 		if (cell.group > TARGET_GROUPS) {
 			continue;
@@ -70,6 +74,28 @@
 	}
 }
 
+void version_tally::raise_to(const version_tally &p_other) {
+	std::set<std::uint32_t> routes = _get_routes();
+	for (const auto &[key, counted] : p_other._cells) {
+		if (!routes.contains(key.first) && routes.size() >= MOST_ROUTES) {
+			continue;
+		}
+		routes.insert(key.first);
+		counts &own = _cells[key];
+		own.answers = std::max(own.answers, counted.answers);
+		own.bad = std::max(own.bad, counted.bad);
+	}
+}
+
+void version_tally::lower_to(const version_tally &p_other) {
+	std::erase_if(_cells, [&p_other](const auto &p_cell) { return !p_other._cells.contains(p_cell.first); });
+	for (auto &[key, counted] : _cells) {
+		const counts &other = p_other._cells.at(key);
+		counted.answers = std::min(counted.answers, other.answers);
+		counted.bad = std::min(counted.bad, other.bad);
+	}
+}
+
 std::vector<version_cell> version_tally::get_cells() const {
 	std::vector<version_cell> cells;
 	cells.reserve(_cells.size());
@@ -114,11 +140,7 @@
 	if (all.is_bad) {
 		return all;
 	}
-	std::set<std::uint32_t> routes;
-	for (const auto &[key, counted] : _cells) {
-		routes.insert(key.first);
-	}
-	for (const std::uint32_t route : routes) {
+	for (const std::uint32_t route : _get_routes()) {
 		const version_verdict verdict = _judge_route(route, false);
 		if (verdict.is_bad) {
 			return verdict;
--- a/servers/rollout/version_tally.h
+++ b/servers/rollout/version_tally.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,7 @@
 
 	std::map<std::pair<std::uint32_t, std::uint8_t>, counts> _cells; ///< By route and group.
 
+	std::set<std::uint32_t> _get_routes() const;
 	version_verdict _judge_route(std::uint32_t p_route, bool p_all) const;
 
 public:
@@ -65,6 +67,12 @@
 	/** Adds what others counted. */
 	void add(const std::vector<version_cell> &p_cells);
 
+	/** Raises each count to that of another. */
+	void raise_to(const version_tally &p_other);
+
+	/** Lowers each count to that of another. */
+	void lower_to(const version_tally &p_other);
+
 	std::vector<version_cell> get_cells() const;
 
 	version_verdict judge() const;
--- /dev/null
+++ b/tests/drivers/rollout_wire_test.cpp
@@ -0,0 +1,48 @@
+/*
+ * calicoscale: rollout_wire_test.cpp
+ * What nodes tell each other of roll-outs, written and read again.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "drivers/rollout_wire.h"
+
+#include <gtest/gtest.h>
+
+namespace calicoscale {
+
+namespace {
+
+version_tally make_tally(std::uint32_t p_answers) {
+	version_tally tally;
+	tally.add({ version_cell{ 7, 2, p_answers, 1 } });
+	return tally;
+}
+
+} // namespace
+
+// Guards what a node that starts takes from others: the order's age, and the answers of windows that are closed.
+TEST(rollout_wire, ages_and_windows_come_through) {
+	told_rollout told;
+	told.order = rollout_order{ "llm", "v2", std::chrono::seconds(40), log_position{ 1, 5 }, false };
+	told.age = std::chrono::seconds(12);
+	told.is_age_estimated = true;
+	told.report.order = told.order.at;
+	told.report.nodes = 3;
+	told.report.answers = version_windows(6, make_tally(30), make_tally(20));
+	told.past = make_tally(100);
+	flatbuffers::FlatBufferBuilder builder;
+	builder.Finish(write_rollouts(builder, { told }));
+	const std::vector<told_rollout> read = read_rollouts(flatbuffers::GetRoot<rollout_offsets>(builder.GetBufferPointer()));
+	ASSERT_EQ(read.size(), 1U);
+	EXPECT_EQ(read.front().age, told.age);
+	EXPECT_TRUE(read.front().is_age_estimated);
+	EXPECT_EQ(read.front().report.nodes, 3U);
+	EXPECT_EQ(read.front().report.answers.get_index(), 6U);
+	EXPECT_EQ(read.front().report.answers.get_current().get_cells(), make_tally(30).get_cells());
+	EXPECT_EQ(read.front().report.answers.get_previous().get_cells(), make_tally(20).get_cells());
+	EXPECT_EQ(read.front().past.get_cells(), make_tally(100).get_cells());
+}
+
+} // namespace calicoscale
--- a/tests/servers/rollout/rollout_fleet.h
+++ b/tests/servers/rollout/rollout_fleet.h
@@ -291,6 +291,7 @@
 	}
 
 	void _exchange() {
+		constexpr std::size_t HUBS = 3;
 		told_at news;
 		news.at = now;
 		for (node &entry : _nodes) {
@@ -300,7 +301,7 @@
 			entry.table.find(SERVICE)->set_open_at_present(entry.runs.count_others(SERVICE, "2"));
 			if (!entry.is_cut_off) {
 				add_reports(news.total, entry.table.get_reports(now));
-				const std::vector<told_rollout> told = entry.table.get_told({}, now);
+				const std::vector<told_rollout> told = entry.table.get_told(news.live < HUBS ? entry.table.get_reports(now) : rollout_reports(), now);
 				news.told.insert(news.told.end(), told.begin(), told.end());
 				news.live++;
 			}
