Log who dispatches as each node sees it, when a hub tells its zone, and why a node settled

After all nodes of a fleet were killed the log did not tell apart a node that dispatches for itself because it knows no dispatcher, one whose dispatcher was not linked, and one that was told of a part of the fleet. No decision changes.

Not run: the tests.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -127,9 +127,10 @@
 	_update_readiness();
 	if (!_settled) {
 		// A node that begins alone would take the pools for its own and admit as much as all nodes together may.
-		_settled = _fleet.knows_fleet() || !_context.settings.mechanisms.has(mechanism::HOLD_AT_START) || event_loop::now() - _started_at > SETTLE_TIME;
+		const bool knows_fleet = _fleet.knows_fleet();
+		_settled = knows_fleet || !_context.settings.mechanisms.has(mechanism::HOLD_AT_START) || event_loop::now() - _started_at > SETTLE_TIME;
 		if (_settled) {
-			_context.log.write(log_line("settled").add("live_nodes", static_cast<long long>(_fleet.get_live_count())).add("waiting", static_cast<long long>(_waiting.size())));
+			_context.log.write(log_line("settled").add("by", knows_fleet ? "knowledge" : "time").add("is_hub", _fleet.is_hub() ? "yes" : "no").add("live_nodes", static_cast<long long>(_fleet.get_live_count())).add("waiting", static_cast<long long>(_waiting.size())));
 		}
 	}
 	_take_waiting();
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -26,11 +26,21 @@
 constexpr duration MEETING_TIME = std::chrono::milliseconds(300);
 /** A link that work needed is kept longer than results live, as the release of a node's results goes over it. */
 constexpr duration KEPT_TIME = std::chrono::seconds(15);
+/** Names in a line of the log. */
+constexpr std::size_t MOST_LOGGED_NODES = 24;
 
 bool contains(const std::vector<std::string> &p_names, const std::string &p_name) {
 	return std::find(p_names.begin(), p_names.end(), p_name) != p_names.end();
 }
 
+std::string join(const std::vector<std::string> &p_names) {
+	std::string text;
+	for (std::size_t i = 0; i < std::min(p_names.size(), MOST_LOGGED_NODES); i++) {
+		text += (text.empty() ? "" : ",") + p_names[i];
+	}
+	return text;
+}
+
 } // namespace
 
 gateway_fleet::gateway_fleet(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, evacuation_follower &p_evacuations) :
@@ -58,7 +68,19 @@
 	_watch();
 }
 
+void gateway_fleet::_log_dispatchers() {
+	std::vector<std::string> nodes = get_dispatch_nodes();
+	if (nodes == _dispatchers_logged) {
+		return;
+	}
+	_dispatchers_logged = std::move(nodes);
+	const std::size_t heard = get_live_nodes().size() - (_leaving ? 0 : 1);
+	_context.log.write(log_line("dispatchers").add("count", static_cast<long long>(_dispatchers_logged.size())).add("self", contains(_dispatchers_logged, get_vm()) ? "yes" : "no").add("is_hub", _plan.is_hub ? "yes" : "no").add("known", static_cast<long long>(_members.get_members().size())).add("heard", static_cast<long long>(heard)).add("links", static_cast<long long>(_link.get_linked().size())).add("relies_on", get_relied_on()).add("nodes", join(_dispatchers_logged)));
+}
+
 void gateway_fleet::_watch() {
+	_watch_timer.set(WATCH_INTERVAL);
+	_log_dispatchers();
 	if (!_context.settings.mechanisms.has(mechanism::ZONE_SILENCE)) {
 		return;
 	}
@@ -66,7 +88,6 @@
 	if (_knows_hubs) {
 		_set_unreached_zones(_context.zones.get_unreached());
 	}
-	_watch_timer.set(WATCH_INTERVAL);
 }
 
 void gateway_fleet::_set_unreached_zones(std::set<std::string> p_zones) {
@@ -280,6 +301,7 @@
 	}
 	if (_plan.is_hub && !_knows_hubs && _plan.is_settled && now - _hub_since >= MEETING_TIME) {
 		_knows_hubs = true;
+		_context.log.write(log_line("hubs_known").add("zone", _context.settings.zone).add("known", static_cast<long long>(nodes.size())).add("links", static_cast<long long>(_link.get_linked().size())).add("hubs", join(_plan.hubs)));
 		for (const beat_part &part : _parts) {
 			part.on_hubs_known();
 		}
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -89,9 +89,12 @@
 	sigc::signal<void(const std::string &)> _peer_lost;
 	sigc::signal<void(const std::set<std::string> &)> _reach_changed;
 	std::set<std::string> _unreached_zones;
+	std::vector<std::string> _dispatchers_logged;
 
 	void _beat();
 	void _watch();
+	/** Writes a line when the nodes that dispatch, as this node sees it, are others than before. */
+	void _log_dispatchers();
 	void _set_unreached_zones(std::set<std::string> p_zones);
 	peer_role _get_role(const std::string &p_vm, instant p_now) const;
 	beat_texts _make_texts(bool p_with_rumours);
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -243,7 +243,9 @@
 }
 
 void stage_dispatcher::_log_asked(const own_work &p_own) {
-	_context.log.write_request(log_line("stage_asked").add("request", p_own.work.attempt).add("stage", static_cast<long long>(p_own.work.stage)).add("pool", p_own.pool).add("pieces", static_cast<long long>(p_own.work.pieces)).add("node", p_own.node).add("left_ms", p_own.work.give_up_at - event_loop::now()));
+	const instant now = event_loop::now();
+	const duration waited = p_own.waits_since == instant{} ? duration::zero() : now - p_own.waits_since;
+	_context.log.write_request(log_line("stage_asked").add("request", p_own.work.attempt).add("stage", static_cast<long long>(p_own.work.stage)).add("pool", p_own.pool).add("pieces", static_cast<long long>(p_own.work.pieces)).add("node", p_own.node).add("left_ms", p_own.work.give_up_at - now).add("waited_ms", waited));
 }
 
 void stage_dispatcher::_accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work) {
