Log which seeds a starting node asks, and its first link

After all nodes started anew some linked to the others up to 1.2 s after their start. The log did not tell whether a seed had not answered yet or was not asked. A line is written for each seed that is dialled, at most one a heartbeat while there is no link, and for the first link. dial_unnamed() says whether it dialled. No decision changes.

--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -311,17 +311,17 @@
 	}
 }
 
-void node_link::dial_unnamed(const network_address &p_address) {
-	_dial("", to_string(p_address), p_address);
+bool node_link::dial_unnamed(const network_address &p_address) {
+	return _dial("", to_string(p_address), p_address);
 }
 
-void node_link::_dial(const std::string &p_vm, const std::string &p_dial_key, const network_address &p_address) {
+bool node_link::_dial(const std::string &p_vm, const std::string &p_dial_key, const network_address &p_address) {
 	const bool is_pending = std::any_of(_links.begin(), _links.end(), [&p_dial_key](const std::shared_ptr<link> &p_link) { return p_link->get_dial_key() == p_dial_key; });
 	const instant now = event_loop::now();
 	const auto wait = _dial_after.find(p_dial_key);
 	const bool must_wait = wait != _dial_after.end() && now < wait->second;
 	if (is_pending || must_wait || p_address.port == 0) {
-		return;
+		return false;
 	}
 	duration &back_off = _back_off[p_dial_key];
 	back_off = back_off == duration::zero() ? FIRST_BACK_OFF : std::min(_identity.longest_back_off, back_off * 2);
@@ -333,6 +333,7 @@
 	if (bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
 		_remove(made.get());
 	}
+	return true;
 }
 
 void node_link::_remove(link *p_link) {
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -223,7 +223,7 @@
 
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
-	void _dial(const std::string &p_vm, const std::string &p_dial_key, const network_address &p_address);
+	bool _dial(const std::string &p_vm, const std::string &p_dial_key, const network_address &p_address);
 	void _remove(link *p_link);
 	std::shared_ptr<link> _hold(link *p_link) const;
 	void _on_proven(link *p_link);
@@ -245,8 +245,8 @@
 	/** Makes a link to a node unless there is one or its back-off lasts. */
 	void dial(const std::string &p_vm, const network_address &p_address);
 
-	/** Makes a link to whoever answers at an address. */
-	void dial_unnamed(const network_address &p_address);
+	/** Makes a link to whoever answers at an address. @return false when a link is being made or the back-off lasts. */
+	bool dial_unnamed(const network_address &p_address);
 
 	/** VMs with a proven link. */
 	std::vector<std::string> get_linked() const;
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -321,8 +321,8 @@
 	if (_link.get_linked().empty() && !_context.settings.peers.empty()) {
 		// One at a time, so that a fleet that starts does not ask all of its seeds at once.
 		const network_address &seed = _context.settings.peers[_next_seed++ % _context.settings.peers.size()];
-		if (!(seed == _link.get_address())) {
-			_link.dial_unnamed(seed);
+		if (!(seed == _link.get_address()) && _link.dial_unnamed(seed)) {
+			_context.log.write(log_line("seed_dialled").add("seed", to_string(seed)));
 		}
 	}
 	for (const std::string &vm : _plan.wanted) {
@@ -469,6 +469,9 @@
 
 void gateway_fleet::_on_link_up(const std::string &p_vm) {
 	_contacts.on_linked(p_vm);
+	if (_link.get_linked().size() == 1) {
+		_context.log.write(log_line("first_link").add("vm", p_vm));
+	}
 	_feed.restart(p_vm);
 	_greeted.erase(p_vm);
 	_told.on_heard(p_vm);
