The wait for a dispatcher's link begins when it is known, and the wait to be told is the node's

Callers would have seen: a node that was told after 0.4 s who dispatches handed its work to whoever was linked, and with nobody known each piece of work waited for a second.

Cause: one time stood for both waits, and it was the work's.

--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -23,6 +23,11 @@
 /** A node that fell silent may still come back with its requests; after this its results go, before they expire by themselves. */
 constexpr duration LOST_RESULTS_KEPT = std::chrono::milliseconds(600);
 
+/** Zero while it has not begun. */
+duration get_time_since(instant p_begin, instant p_now) {
+	return p_begin == instant{} ? duration::zero() : p_now - p_begin;
+}
+
 } // namespace
 
 stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, send_guard &p_guard) :
@@ -140,6 +145,14 @@
 	return dispatch_view{ _fleet.get_vm(), _fleet.get_dispatch_nodes(), !_fleet.is_hub(), [this](const std::string &p_vm) { return _fleet.get_link().is_linked(p_vm); } };
 }
 
+void stage_dispatcher::_note_told(const dispatch_view &p_view, instant p_now) {
+	if (!p_view.nodes.empty() || !p_view.is_told) {
+		_untold_since = instant{};
+	} else if (_untold_since == instant{}) {
+		_untold_since = p_now;
+	}
+}
+
 std::string stage_dispatcher::_choose_node(const std::string &p_pool) const {
 	return choose_dispatcher(p_pool, _get_view(), [](const std::string &) { return true; });
 }
@@ -177,22 +190,26 @@
 void stage_dispatcher::_assign(std::uint64_t p_id, const std::string &p_except) {
 	own_work &own = _own.at(p_id);
 	const instant now = event_loop::now();
-	const duration waited = own.waits_since == instant{} ? duration::zero() : now - own.waits_since;
-	const std::optional<std::string> node = choose_work_node(own.pool, p_except, _get_view(), waited);
-	if (node == _fleet.get_vm()) {
+	const dispatch_view view = _get_view();
+	_note_told(view, now);
+	const dispatch_wait wait{ get_time_since(_untold_since, now), get_time_since(own.waits_since, now) };
+	const std::optional<std::string> node = choose_work_node(own.pool, p_except, view, wait);
+	if (!node) {
+		own.node.clear();
+		return;
+	}
+	if (*node == _fleet.get_vm()) {
 		own.node = *node;
 		_log_asked(own);
 		_accept(own.pool, "", p_id, own.work);
 		return;
 	}
-	if (node && _fleet.get_link().send(*node, _make_hand_over(p_id, own))) {
+	if (_fleet.get_link().send(*node, _make_hand_over(p_id, own))) {
 		own.node = *node;
 		_log_asked(own);
 		return;
 	}
-	if (node) {
-		_fleet.keep_link(*node);
-	}
+	_fleet.keep_link(*node);
 	own.node.clear();
 	own.waits_since = own.waits_since == instant{} ? now : own.waits_since;
 }
@@ -227,8 +244,7 @@
 
 void stage_dispatcher::_log_asked(const own_work &p_own) {
 	const instant now = event_loop::now();
-	const duration waited = p_own.waits_since == instant{} ? duration::zero() : now - p_own.waits_since;
-	_context.log.write_request(log_line("stage_asked").add("request", p_own.work.attempt).add("stage", static_cast<long long>(p_own.work.stage)).add("pool", p_own.pool).add("pieces", static_cast<long long>(p_own.work.pieces)).add("node", p_own.node).add("left_ms", p_own.work.give_up_at - now).add("waited_ms", waited));
+	_context.log.write_request(log_line("stage_asked").add("request", p_own.work.attempt).add("stage", static_cast<long long>(p_own.work.stage)).add("pool", p_own.pool).add("pieces", static_cast<long long>(p_own.work.pieces)).add("node", p_own.node).add("left_ms", p_own.work.give_up_at - now).add("link_wait_ms", get_time_since(p_own.waits_since, now)));
 }
 
 void stage_dispatcher::_accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work) {
@@ -510,6 +526,7 @@
 		_forget_after_pause();
 	}
 	_ticked_at = now;
+	_note_told(_get_view(), now);
 	_keep_links();
 	_assign_waiting();
 	for (auto &[name, held] : _held) {
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -76,6 +76,7 @@
 	timer _tick_timer;
 	send_guard &_guard;
 	instant _ticked_at{};
+	instant _untold_since{}; ///< Since when this node waits to be told who dispatches.
 	bool _pump_posted = false;
 	std::function<void(const lost_run &)> _on_run_lost;
 	std::set<std::string> _evacuated_zones;
@@ -91,6 +92,8 @@
 	/** Shard whose dispatcher knows a result that this node holds. */
 	std::string _take_held(const std::string &p_pool, const std::string &p_handle);
 	dispatch_view _get_view() const;
+	/** Notes since when this node knows nobody that dispatches. */
+	void _note_told(const dispatch_view &p_view, instant p_now);
 	std::string _choose_node(const std::string &p_pool) const;
 	void _assign(std::uint64_t p_id, const std::string &p_except);
 	hand_work_message _make_hand_over(std::uint64_t p_id, const own_work &p_own) const;
--- a/servers/gateway/dispatch_choice.cpp
+++ b/servers/gateway/dispatch_choice.cpp
@@ -36,11 +36,11 @@
 	return best;
 }
 
-std::optional<std::string> choose_work_node(const std::string &p_pool, const std::string &p_except, const dispatch_view &p_view, duration p_waited) {
-	if (p_view.nodes.empty() && p_view.is_told && p_waited < TOLD_WAIT) {
+std::optional<std::string> choose_work_node(const std::string &p_pool, const std::string &p_except, const dispatch_view &p_view, const dispatch_wait &p_wait) {
+	if (p_view.nodes.empty() && p_view.is_told && p_wait.untold < TOLD_WAIT) {
 		return std::nullopt;
 	}
-	if (p_waited > LINK_WAIT) {
+	if (p_wait.for_link > LINK_WAIT) {
 		return choose_dispatcher(p_pool, p_view, p_view.is_linked);
 	}
 	return choose_dispatcher(p_pool, p_view, [&p_except](const std::string &p_vm) { return p_vm != p_except; });
--- a/servers/gateway/dispatch_choice.h
+++ b/servers/gateway/dispatch_choice.h
@@ -29,12 +29,17 @@
 /** Of the nodes that dispatch the one that dispatches a pool, the same for all that know the same nodes; this node when none may be. */
 std::string choose_dispatcher(const std::string &p_pool, const dispatch_view &p_view, const std::function<bool(const std::string &)> &p_may_be);
 
+/** How long work could not be handed over so far. */
+struct dispatch_wait {
+	duration untold = duration::zero(); ///< Since when this node knows nobody that dispatches, whatever the work.
+	duration for_link = duration::zero(); ///< Since when the work waits for the link to its node.
+};
+
 /**
- * Node that gets work of a pool, or none while the work has to wait.
+ * Node that gets work of a pool, or none while nobody that dispatches is known.
  * @param p_except a node that does not get it, as it was lost with it; empty for none.
- * @param p_waited how long the work has waited for a node so far.
  */
-std::optional<std::string> choose_work_node(const std::string &p_pool, const std::string &p_except, const dispatch_view &p_view, duration p_waited);
+std::optional<std::string> choose_work_node(const std::string &p_pool, const std::string &p_except, const dispatch_view &p_view, const dispatch_wait &p_wait);
 
 } // namespace calicoscale
 
