--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -87,7 +87,7 @@
 			_on_failure" "if (false) {
 			_on_failure" gateway_test
 mutate "gateway: at most once" "every request may be repeated" $request "const bool is_safe = route.repeats" "const bool is_safe = true || route.repeats" gateway_test
-mutate "gateway: not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _answer_started)" "if (_answer_started)" gateway_fleet_test
+mutate "gateway: not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _stages.may_have_run() || _answer_started)" "if (_answer_started)" gateway_fleet_test
 mutate "gateway: deadline" "an endpoint gets the route's time-out in place of what is left" $request "send.remaining = _give_up_at - now;" "send.remaining = _request.route->timeout;" gateway_test
 mutate "gateway: cancellation" "a caller that goes leaves its request running" $request "if (_exchange != 0) {
 		_services.context.channels.cancel(_exchange);
@@ -123,7 +123,11 @@
 mutate "evacuations" "what an older copy lacks is not kept" servers/gateway/evacuation_table.cpp "if (is_new_era) {" "if (false) {" evacuation_table_test
 mutate "evacuations" "an own reading that lags behind counts" servers/gateway/evacuation_table.cpp "if (record.offset < _known.offset) {" "if (false) {" evacuation_table_test
 mutate "evacuated zones" "they are chosen when nothing else is left" servers/routing/endpoint_state.h "!drained && !evacuated; }" "!drained; }" gateway_evacuation_test
-mutate "evacuated zones" "stage calls go on" main/gateway/stage_dispatcher.cpp "if (!_evacuated_zones.contains(listing.zone)) {" "if (true) {" gateway_evacuation_test
+mutate "evacuated zones" "stage calls go on" main/gateway/stage_dispatcher.cpp "return shard.has(p_listing.vm) && !_evacuated_zones.contains(p_listing.zone);" "return shard.has(p_listing.vm);" gateway_evacuation_test
+mutate "work of a node that is not told" "it is done by itself at once" servers/gateway/dispatch_choice.cpp "p_wait.untold < TOLD_WAIT" "p_wait.untold < duration::zero()" dispatch_choice_test
+mutate "work of a node that is not told" "it waits for good" servers/gateway/dispatch_choice.cpp "&& p_wait.untold < TOLD_WAIT" "" dispatch_choice_test
+mutate "roll-out" "a report is of an earlier window than what is told beside it" servers/rollout/rollout.cpp "	report.answers.advance_to(_record.get_index());
+" "" rollout_test
 mutate "evacuated zones" "nothing is refused at once" main/gateway/admission.cpp "if (closed.empty()) {" "if (true) {" gateway_evacuation_test
 mutate "cold endpoints" "each node has all that they bear" servers/gateway/sender_places.cpp "return rank ? p_places / nodes.size() + (*rank < p_places % nodes.size() ? 1 : 0) : 0;" "return rank ? p_places : 0;" endpoint_limits_test
 mutate "cold endpoints" "a node that knows no others sends" servers/gateway/sender_places.cpp "if (!_is_settled || !_is_own_zone(p_zone) || p_now - _first_view_at < PLACE_HELD) {" "if (!_is_own_zone(p_zone) || p_now - _first_view_at < PLACE_HELD) {" endpoint_limits_test
--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -79,7 +79,7 @@
 mutate "seal" "a success without one is passed on" $request "if (!_answer.has_seal) {
 			_on_failure" "if (false) {
 			_on_failure"
-mutate "not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _answer_started)" "if (_answer_started)"
+mutate "not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _stages.may_have_run() || _answer_started)" "if (_answer_started)"
 mutate "whole answers" "one that was broken off is passed on as whole" $request "if (p_end != channel_end::COMPLETE) {
 		_on_failure" "if (false) {
 		_on_failure"
