--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -227,7 +227,7 @@
 		}
 		const bool has_surplus = evbuffer_get_length(bufferevent_get_input(_stream)) > 0;
 		const bool is_request_out = evbuffer_get_length(bufferevent_get_output(_stream)) == 0;
-		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length && !has_surplus && is_request_out;
+		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length() && !has_surplus && is_request_out;
 		_kept_for = read_keep_alive(_reader.get_head());
 		_owner._finish(*this, channel_end::COMPLETE, keep);
 	}
--- a/drivers/http_reader.cpp
+++ b/drivers/http_reader.cpp
@@ -8,10 +8,13 @@
 
 #include "drivers/http_reader.h"
 
+#include "core/enum_names.h"
+
 #include <http_parser.h>
 #include <strings.h>
 
 #include <algorithm>
+#include <array>
 #include <climits>
 
 namespace calicoscale {
@@ -112,14 +115,26 @@
 	return (code < 0x20 && code != '\t') || code == 0x7f;
 }
 
-/** Whether an answer's end is known without the connection's end. */
-bool is_end_told(const http_parser &p_parser) {
+constexpr std::array<enum_name<body_framing>, 3> FRAMING_NAMES{ {
+		{ body_framing::LENGTH, "length" },
+		{ body_framing::CHUNKS, "chunks" },
+		{ body_framing::CONNECTION, "connection" },
+} };
+
+body_framing get_answer_framing(const http_parser &p_parser) {
 	const bool has_no_body = p_parser.status_code / 100 == 1 || p_parser.status_code == 204 || p_parser.status_code == 304;
-	return has_no_body || (p_parser.flags & F_CHUNKED) != 0 || p_parser.content_length != ULLONG_MAX;
+	if (!has_no_body && (p_parser.flags & F_CHUNKED) != 0) {
+		return body_framing::CHUNKS;
+	}
+	return has_no_body || p_parser.content_length != ULLONG_MAX ? body_framing::LENGTH : body_framing::CONNECTION;
 }
 
 } // namespace
 
+std::string_view get_name(body_framing p_framing) {
+	return find_name(FRAMING_NAMES, p_framing);
+}
+
 void http_reader::parser_deleter::operator()(http_parser *p_parser) const {
 	delete p_parser;
 }
@@ -193,7 +208,7 @@
 	_head.status = static_cast<int>(_parser->status_code);
 	_head.minor_version = _parser->http_minor;
 	_head.keep_alive = http_should_keep_alive(_parser.get()) != 0;
-	_head.has_length = _kind == kind::REQUEST || _without_body || is_end_told(*_parser);
+	_head.framing = _kind == kind::REQUEST || _without_body ? body_framing::LENGTH : get_answer_framing(*_parser);
 	if (_parser->http_major != 1 || !_are_headers_sound() || !_is_framing_sound() || (_kind == kind::REQUEST && _parser->upgrade != 0)) {
 		return -1;
 	}
@@ -217,7 +232,7 @@
 }
 
 void http_reader::finish_at_close() {
-	if (_state != state::READING || !_has_head || _head.has_length) {
+	if (_state != state::READING || !_has_head || _head.has_length()) {
 		return;
 	}
 	http_parser_execute(_parser.get(), &get_parser_settings(), nullptr, 0);
--- a/drivers/http_reader.h
+++ b/drivers/http_reader.h
@@ -21,6 +21,16 @@
 
 namespace calicoscale {
 
+/** What tells where the body of a message ends. */
+enum class body_framing {
+	LENGTH, ///< A length, or a kind of message that has no body.
+	CHUNKS,
+	CONNECTION, ///< Nothing but the end of the connection.
+};
+
+/** Name of a framing, e.g. "chunks". */
+std::string_view get_name(body_framing p_framing);
+
 /** Start line and headers of a message, headers in the order they came. */
 struct http_head {
 	std::string method; ///< Of a request.
@@ -29,11 +39,14 @@
 	int minor_version = 1;
 	std::vector<http_header> headers;
 	bool keep_alive = false;
-	bool has_length = false; ///< Its body's end is told by a length or by chunks, not by the close.
+	body_framing framing = body_framing::CONNECTION;
 
 	/** First value of a header, compared without case; nullptr when absent. */
 	const std::string *find(std::string_view p_name) const;
 	std::size_t count(std::string_view p_name) const;
+
+	/** Whether its body's end is told by more than the close. */
+	bool has_length() const { return framing != body_framing::CONNECTION; }
 };
 
 /** Whether two header names are the same. */
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -142,6 +142,8 @@
 
 	const network_address &get_caller_address() const { return _callers.get_address(); }
 	const network_address &get_readiness_address() const { return _readiness.get_address(); }
+	/** Only with an address for metrics in its settings. */
+	const network_address &get_metrics_address() const { return _metrics_server->get_address(); }
 	const network_address &get_link_address() { return _fleet.get_link().get_address(); }
 };
 
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -233,6 +233,7 @@
 	_answer_head = http_head();
 	_answer = endpoint_answer();
 	_answer_body.clear();
+	_answer_bytes = 0;
 	choices.on_attempt_started(_endpoint, now);
 	_services.guard.get_line().leave(_request.service, _place);
 	_services.guard.on_sent(_endpoint_identity, now);
@@ -256,6 +257,7 @@
 }
 
 void gateway_request::_on_body(std::string_view p_bytes) {
+	_answer_bytes += p_bytes.size();
 	const bool is_stream = _request.route->repeats == repeat_rule::STREAM && is_success(_answer_head.status) && _answer.has_seal;
 	if (!is_stream) {
 		if (_answer_body.size() + p_bytes.size() <= LARGEST_ANSWER) {
@@ -320,7 +322,22 @@
 	_run.reset();
 }
 
+void gateway_request::_log_end_of_answer(channel_end p_end) {
+	log_line line("answer_ended");
+	line.add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("end", get_name(p_end)).add("status", static_cast<long long>(_answer_head.status));
+	if (_answer_head.status != 0) {
+		line.add("framing", get_name(_answer_head.framing)).add("bytes", static_cast<long long>(_answer_bytes));
+		line.add("last_event", _events.get_last_id()).add("held_bytes", static_cast<long long>(_events.get_held_bytes()));
+	}
+	line.add("took_ms", event_loop::now() - _sent_at);
+	_services.context.log.write_request(line);
+}
+
 void gateway_request::_on_end_of_answer(channel_end p_end) {
+	_log_end_of_answer(p_end);
+	if (_answer_head.status != 0) {
+		_services.context.metrics.count("answers_framed_by_" + std::string(get_name(_answer_head.framing)));
+	}
 	if (p_end == channel_end::BROKEN) {
 		_note_lost_run();
 	}
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -51,6 +51,7 @@
 	http_head _answer_head;
 	endpoint_answer _answer;
 	std::string _answer_body;
+	std::size_t _answer_bytes = 0; ///< Of the newest send's body, as far as it came.
 	event_splitter _events;
 	bool _answer_started = false; ///< Its head went to the caller.
 	std::optional<version_run> _run; ///< At work at an endpoint.
@@ -81,6 +82,7 @@
 	void _on_head(const http_head &p_head);
 	void _on_body(std::string_view p_bytes);
 	void _on_end_of_answer(channel_end p_end);
+	void _log_end_of_answer(channel_end p_end);
 	void _note_lost_run();
 	void _judge_end(channel_end p_end);
 	void _on_stream_end(channel_end p_end);
--- a/servers/gateway/event_splitter.h
+++ b/servers/gateway/event_splitter.h
@@ -34,6 +34,7 @@
 	/** Id of the last whole event; empty before the first. */
 	const std::string &get_last_id() const { return _last_id; }
 	bool has_partial() const { return !_pending.empty(); }
+	std::size_t get_held_bytes() const { return _pending.size(); }
 };
 
 } // namespace calicoscale
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -80,7 +80,7 @@
 	const std::string text = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nsome bytes";
 	EXPECT_EQ(read(http_reader::kind::ANSWER, text).state, http_reader::state::READING);
 	EXPECT_EQ(read(http_reader::kind::ANSWER, text, true).state, http_reader::state::COMPLETE);
-	EXPECT_FALSE(read(http_reader::kind::ANSWER, text).head.has_length);
+	EXPECT_FALSE(read(http_reader::kind::ANSWER, text).head.has_length());
 	const std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nsome bytes";
 	EXPECT_EQ(read(http_reader::kind::ANSWER, cut, true).state, http_reader::state::READING);
 }
--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -79,6 +79,7 @@
 	std::string _zone = "a"; ///< Of the gateways started from now on.
 	std::size_t _most_seeds = 100; ///< Peers that the gateways started from now on are told of.
 	std::map<std::string, std::string> _regions; ///< Of each zone, for the gateways started from now on.
+	bool _has_metrics = false; ///< Of the gateways started from now on.
 	event_loop *_gateway_loop = &_loop; ///< Of the gateways started from now on.
 	event_loop *_other_loop = nullptr; ///< Runs beside; none while its gateways stand still.
 
@@ -121,6 +122,9 @@
 		for (network_address *address : { &settings.caller_address, &settings.readiness_address, &settings.link_address }) {
 			*address = network_address{ "127.0.0.1", 0 };
 		}
+		if (_has_metrics) {
+			settings.metrics_address = network_address{ "127.0.0.1", 0 };
+		}
 		settings.store_address = p_store.get_address();
 		settings.cores = _cores;
 		settings.regions = _regions;
