A plain answer too large to hold is no success: it reached its caller shortened

What callers saw: of a plain answer above 32 MiB a 200 with the endpoint's signature, parts missing, and a length that fitted what was left. What did not fit was dropped without a word, so that the length of what was held stood for the whole. Calls of stages did the same with 4 MiB, where the missing part would have made the answer unreadable in most cases only; the store's client kept a word of it, in a way of its own. The caller gets 502, as it may have run.

--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -8,6 +8,7 @@
 
 #include "main/gateway/pool_caller.h"
 
+#include "core/bounded_body.h"
 #include "drivers/activity_scope.h"
 #include "drivers/http_status.h"
 #include "platform/request_codec.h"
@@ -143,7 +144,7 @@
 	struct answer_state {
 		int status = 0;
 		bool did_not_run = false;
-		std::string body;
+		bounded_body body{ LARGEST_ANSWER };
 	};
 	const std::shared_ptr<answer_state> answer = std::make_shared<answer_state>();
 	channel_hooks hooks;
@@ -159,13 +160,10 @@
 		}
 	};
 	hooks.on_body = [answer](std::string_view p_bytes) {
-		// What is cut here cannot be read, and the call counts as broken.
-		if (answer->body.size() + p_bytes.size() <= LARGEST_ANSWER) {
-			answer->body.append(p_bytes);
-		}
+		answer->body.append(p_bytes);
 	};
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
-		_on_ended(p_call, p_end, answer->status, answer->did_not_run, answer->body);
+		_on_ended(p_call, p_end, answer->status, answer->did_not_run, answer->body.get());
 	};
 	_runs[p_call.id] = sent_run{ _guard.get_rollouts().on_call(_service, p_call.replica.vm, p_call.items.size()), now };
 	_guard.on_sent(p_call.replica, now);
--- a/main/gateway/received_answer.cpp
+++ b/main/gateway/received_answer.cpp
@@ -53,9 +53,7 @@
 	if (is_stream()) {
 		return _notes.has_seal ? _events.take(p_bytes) : "";
 	}
-	if (_body.size() + p_bytes.size() <= LARGEST_BODY) {
-		_body.append(p_bytes);
-	}
+	_body.append(p_bytes);
 	return "";
 }
 
@@ -71,7 +69,7 @@
 			break;
 	}
 	if (!is_stream()) {
-		return answer_end::WHOLE;
+		return _body.is_whole() ? answer_end::WHOLE : answer_end::CUT;
 	}
 	const bool lacks_events = _expected == expected_answer::STREAM && !_head.has_length() && _events.get_event_count() == 0;
 	return _events.is_inside_event() || lacks_events ? answer_end::CUT : answer_end::WHOLE;
--- a/main/gateway/received_answer.h
+++ b/main/gateway/received_answer.h
@@ -9,6 +9,7 @@
 #ifndef RECEIVED_ANSWER_H
 #define RECEIVED_ANSWER_H
 
+#include "core/bounded_body.h"
 #include "drivers/endpoint_channels.h"
 #include "platform/request_codec.h"
 #include "servers/gateway/event_splitter.h"
@@ -44,7 +45,7 @@
 	expected_answer _expected;
 	http_head _head;
 	endpoint_answer _notes;
-	std::string _body;
+	bounded_body _body{ LARGEST_BODY };
 	std::size_t _bytes = 0;
 	event_splitter _events;
 
@@ -70,7 +71,7 @@
 	const http_head &get_head() const { return _head; }
 	const endpoint_answer &get_notes() const { return _notes; }
 	/** Of a plain answer. */
-	const std::string &get_body() const { return _body; }
+	const std::string &get_body() const { return _body.get(); }
 	std::size_t get_byte_count() const { return _bytes; }
 	const event_splitter &get_events() const { return _events; }
 
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -6,6 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
+#include "core/bounded_body.h"
 #include "core/digest.h"
 #include "core/hybrid_clock.h"
 #include "core/ids.h"
@@ -38,6 +39,23 @@
 	RC_ASSERT((tally.get_verdict() == verdict::NOT_RUN) == all_not_run);
 }
 
+// Guards against a message that was too large to hold and passed for a shorter whole one.
+TEST(bounded_body, what_is_too_large_is_not_whole_whatever_comes_after) {
+	bounded_body body(10);
+	body.append("0123456789");
+	EXPECT_TRUE(body.is_whole());
+	EXPECT_EQ(body.get(), "0123456789");
+	body.append("a");
+	body.append("");
+	EXPECT_FALSE(body.is_whole());
+	EXPECT_EQ(body.get(), "");
+	body.append("bc");
+	EXPECT_FALSE(body.is_whole());
+	EXPECT_EQ(body.get(), "");
+	body.clear();
+	EXPECT_TRUE(body.is_whole());
+}
+
 TEST(verdict, every_reason_has_a_name_that_leads_back_and_a_status) {
 	for (int value = 0; value <= static_cast<int>(reason::NOT_READY); value++) {
 		const reason why = static_cast<reason>(value);
