An answer that ends with its connection is reset unless it ended: also when the node goes in the middle of it

Cause: the kernel closes the sockets of a process that ends in good order, and only abort() reset the connection. Why this works: such a connection is set to be reset on close when its answer begins, and set back when the answer is complete, so that nothing has to run for it to break visibly. Test: an_answer_that_ends_with_its_connection_is_reset_when_the_server_goes, failed before.

--- a/drivers/caller_connection.cpp
+++ b/drivers/caller_connection.cpp
@@ -292,9 +292,13 @@
 	_shared.on_closed(*this);
 }
 
-void caller_connection::reset() {
-	const linger at_once{ 1, 0 };
+void caller_connection::set_reset_on_close(bool p_resets) {
+	const linger at_once{ p_resets ? 1 : 0, 0 };
 	setsockopt(bufferevent_getfd(_stream), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
+void caller_connection::reset() {
+	set_reset_on_close(true);
 	close();
 }
 
--- a/drivers/caller_connection.h
+++ b/drivers/caller_connection.h
@@ -155,6 +155,9 @@
 	/** Drops the connection; a request at work is told that its caller is gone. */
 	void close();
 
+	/** Whether the connection is reset however it is closed, with the process too. Bytes that were not taken are lost then. */
+	void set_reset_on_close(bool p_resets);
+
 	/** Drops the connection so that the caller cannot take what came for whole. */
 	void reset();
 
--- a/drivers/caller_exchange.cpp
+++ b/drivers/caller_exchange.cpp
@@ -29,6 +29,10 @@
 	} else if (_chunked) {
 		text += "Transfer-Encoding: chunked\r\n";
 	}
+	_ends_with_connection = !p_length && !_chunked;
+	if (_ends_with_connection) {
+		_connection->set_reset_on_close(true);
+	}
 	const bool is_last = _connection->is_closing() || !head.keep_alive || (!p_length && is_plain_old);
 	if (is_last) {
 		head.keep_alive = false;
@@ -45,6 +49,9 @@
 
 void caller_exchange::_finish_answer() {
 	_ended = true;
+	if (_ends_with_connection) {
+		_connection->set_reset_on_close(false);
+	}
 	const std::optional<connection_end> end = head.keep_alive ? std::nullopt : std::optional<connection_end>(connection_end::LAST_ANSWER);
 	_connection->finish(end);
 }
@@ -102,7 +109,7 @@
 	}
 	_ended = true;
 	// A body that ends with the connection would look whole after an orderly close, so this one is reset.
-	if (_started && !_chunked) {
+	if (_ends_with_connection) {
 		_connection->reset();
 		return;
 	}
--- a/drivers/caller_exchange.h
+++ b/drivers/caller_exchange.h
@@ -33,6 +33,7 @@
 	bool _started = false;
 	bool _ended = false;
 	bool _chunked = false;
+	bool _ends_with_connection = false; ///< Nothing else tells where the answer ends.
 	bool _without_body = false;
 
 	void _write_head(int p_status, const std::vector<http_header> &p_headers, std::optional<std::size_t> p_length);
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -126,6 +126,31 @@
 	EXPECT_TRUE(connection.get_received().ends_with("4\r\npart\r\n"));
 }
 
+TEST_F(caller_server_test, an_answer_that_ends_with_its_connection_is_whole_at_an_orderly_close) {
+	raw_connection connection(_server->get_address());
+	connection.send_bytes("GET /1 HTTP/1.0\r\nHost: h\r\n\r\n");
+	run_until(connection, [this] { return _exchanges.size() == 1; });
+	_exchanges[0]->start(200, {});
+	_exchanges[0]->send("whole");
+	_exchanges[0]->end();
+	run_until(connection, [&connection] { return connection.is_closed(); });
+	EXPECT_FALSE(connection.is_reset());
+	EXPECT_TRUE(connection.get_received().ends_with("\r\n\r\nwhole"));
+}
+
+// Guards a caller without chunks against a node that ends in the middle of its answer: the orderly close of its sockets looked like the end.
+TEST_F(caller_server_test, an_answer_that_ends_with_its_connection_is_reset_when_the_server_goes) {
+	raw_connection connection(_server->get_address());
+	connection.send_bytes("GET /1 HTTP/1.0\r\nHost: h\r\n\r\n");
+	run_until(connection, [this] { return _exchanges.size() == 1; });
+	_exchanges[0]->start(200, {});
+	_exchanges[0]->send("part");
+	run_until(connection, [&connection] { return connection.get_received().ends_with("part"); });
+	_server.reset();
+	run_until(connection, [&connection] { return connection.is_closed(); });
+	EXPECT_TRUE(connection.is_reset());
+}
+
 TEST_F(caller_server_test, tells_when_the_caller_goes) {
 	bool gone = false;
 	std::unique_ptr<raw_connection> connection = std::make_unique<raw_connection>(_server->get_address());
