The soak ends answers in any way: without framing, and streams inside an event in good order

The promise is own_answer, which has no excuse: a caller never takes a cut stream for whole. A new disturbance of its own excuses only that the stream breaks visibly, and that nodes pass such an endpoint over. Mutations of the gateway's part are in the scripts; two older ones follow names that changed.

--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -27,7 +27,7 @@
 	sed -n 's/^  \([a-z_]*\) broken [0-9]* times$/\1/p' "$scratch/log" | sort -u
 }
 
-for option in "" --copies --silences; do
+for option in "" --copies --silences --ends; do
 	play ${option:+"$option"} >"$scratch/unbroken$option"
 	echo "broken without any mutation${option:+, $option}: $(paste -sd ' ' "$scratch/unbroken$option")"
 done
@@ -76,13 +76,14 @@
 	r_listing.leaving = false;
 	return was_leaving || *state == SERVING_STATE"
 mutate "echo" "an answer with another request's id is taken" drivers/endpoint_channels.cpp "_skipping = echo != nullptr && *echo != _request.echo_value;" "_skipping = false;"
-mutate "seal" "a success without one is passed on" $request "if (!_answer.has_seal) {
+mutate "seal" "a success without one is passed on" $request "if (!_answer.get_notes().has_seal) {
 			_on_failure" "if (false) {
 			_on_failure"
 mutate "not run" "a refusal is given though something may have run" $request "if (_tally.get_verdict() != verdict::NOT_RUN || _stages.may_have_run() || _answer_started)" "if (_answer_started)"
-mutate "whole answers" "one that was broken off is passed on as whole" $request "if (p_end != channel_end::COMPLETE) {
+mutate "whole answers" "one that was broken off is passed on as whole" $request "if (p_end != answer_end::WHOLE) {
 		_on_failure" "if (false) {
 		_on_failure"
-mutate "streams" "half an event stays before another endpoint goes on" $request "_events.drop_partial();" ""
+mutate "streams" "half an event stays before another endpoint goes on" main/gateway/received_answer.cpp "	_events.restart();" ""
+mutate "streams" "one that ends inside an event is passed on as whole" main/gateway/received_answer.cpp "return _events.is_inside_event() || lacks_events" "return lacks_events" --ends
 mutate "deadline" "a request is never given up" $request "_give_up_timer.set_at(_give_up_at);" ""
 exit "$status"
--- a/tests/soak/disturbance_log.cpp
+++ b/tests/soak/disturbance_log.cpp
@@ -23,7 +23,7 @@
 constexpr duration CATCH_UP = milliseconds(1500);
 constexpr duration AT_THE_TIME = duration::zero();
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(disturbance::COUNT)> DISTURBANCE_NAMES{ "node killed", "node stopping", "node still", "store link", "peer link", "caller link", "store", "endpoint link", "endpoint gone", "endpoint faulty", "endpoint holds back", "driver held up", "driver slow" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(disturbance::COUNT)> DISTURBANCE_NAMES{ "node killed", "node stopping", "node still", "store link", "peer link", "caller link", "store", "endpoint link", "endpoint gone", "endpoint faulty", "endpoint holds back", "endpoint varies ends", "driver held up", "driver slow" };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(promise::COUNT)> PROMISE_NAMES{ "answered", "whole", "own_answer", "unchanged", "at_most_once", "refused_is_not_run", "admitted", "in_time", "configuration_in_force", "configuration_stays", "leaving_is_left", "returned_is_used", "limit_is_kept", "word_of_leaving_is_kept", "rest_is_given", "stops_in_time", "stays_up", "serves_again" };
 
@@ -35,7 +35,7 @@
 };
 
 /** All there is. What has no row here is never excused. */
-constexpr std::array<excuse, 46> EXCUSES{ {
+constexpr std::array<excuse, 48> EXCUSES{ {
 		{ promise::ANSWERED, disturbance::NODE_KILLED, AT_THE_TIME, "the kernel closes what a killed process had read" },
 		{ promise::ANSWERED, disturbance::CALLER_LINK, AT_THE_TIME, "the proxy itself lost or held what was sent" },
 		{ promise::WHOLE, disturbance::NODE_KILLED, AT_THE_TIME, "a killed process sends no more" },
@@ -43,6 +43,7 @@
 		{ promise::WHOLE, disturbance::ENDPOINT_GONE, AT_THE_TIME, "the endpoint broke its answer off" },
 		{ promise::WHOLE, disturbance::ENDPOINT_LINK, AT_THE_TIME, "the link broke the endpoint's answer off" },
 		{ promise::WHOLE, disturbance::ENDPOINT_FAULTY, AT_THE_TIME, "the endpoint breaks answers off" },
+		{ promise::WHOLE, disturbance::ENDPOINT_VARIES_ENDS, AT_THE_TIME, "the endpoint breaks streams off" },
 		{ promise::IN_TIME, disturbance::NODE_KILLED, AT_THE_TIME, "a caller may not hear of the kill" },
 		{ promise::IN_TIME, disturbance::NODE_STILL, CATCH_UP, "a process that stands still answers nothing" },
 		{ promise::IN_TIME, disturbance::CALLER_LINK, AT_THE_TIME, "the proxy held the answer" },
@@ -80,6 +81,7 @@
 		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_LINK, AT_THE_TIME, "nodes cannot reach it" },
 		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_GONE, AT_THE_TIME, "it is gone again" },
 		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_FAULTY, AT_THE_TIME, "nodes avoid what answers badly" },
+		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_VARIES_ENDS, AT_THE_TIME, "nodes avoid what breaks off" },
 		{ promise::RETURNED_IS_USED, disturbance::ENDPOINT_HOLDS_BACK, AT_THE_TIME, "it takes little or nothing" },
 		{ promise::RETURNED_IS_USED, disturbance::DRIVER_HELD_UP, AT_THE_TIME, "the soak is the endpoint" },
 } };
@@ -89,7 +91,7 @@
 }
 
 bool is_of_endpoint(disturbance p_kind) {
-	return p_kind == disturbance::ENDPOINT_LINK || p_kind == disturbance::ENDPOINT_GONE || p_kind == disturbance::ENDPOINT_FAULTY || p_kind == disturbance::ENDPOINT_HOLDS_BACK;
+	return p_kind == disturbance::ENDPOINT_LINK || p_kind == disturbance::ENDPOINT_GONE || p_kind == disturbance::ENDPOINT_FAULTY || p_kind == disturbance::ENDPOINT_HOLDS_BACK || p_kind == disturbance::ENDPOINT_VARIES_ENDS;
 }
 
 } // namespace
--- a/tests/soak/disturbance_log.h
+++ b/tests/soak/disturbance_log.h
@@ -32,6 +32,7 @@
 	ENDPOINT_GONE, ///< An endpoint crashed or ended, until it is back.
 	ENDPOINT_FAULTY, ///< An endpoint answers badly.
 	ENDPOINT_HOLDS_BACK, ///< An endpoint names a limit or asks for rest.
+	ENDPOINT_VARIES_ENDS, ///< An endpoint ends some of its streams inside an event.
 	DRIVER_HELD_UP, ///< The soak itself did not run for a while, so its times mean nothing.
 	DRIVER_SLOW, ///< A turn of the soak took so long that a request may miss its deadline in the soak alone.
 	COUNT,
--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -38,6 +38,21 @@
 	return value == nullptr ? std::string() : *value;
 }
 
+/** The event inside which a stream ends. */
+int get_cut_event(const std::string &p_id) {
+	return 1 + static_cast<int>(hash_bytes(p_id, 4) % EVENTS_IN_STREAM);
+}
+
+/** Bytes of an event that a stream ends inside. A carriage return may end it, so that the last two may be one more end. */
+std::size_t get_cut(const std::string &p_id, std::size_t p_size) {
+	return 1 + hash_bytes(p_id, 5) % (p_size - 2);
+}
+
+/** Nothing but the end of the connection tells a caller of the protocol's first version where an answer ends. */
+void write_without_framing(caller_exchange &p_exchange) {
+	p_exchange.head.minor_version = 0;
+}
+
 } // namespace
 
 soak_endpoint::soak_endpoint(event_loop &p_loop, promise_book &p_book, notice_book &p_notices, std::size_t p_number, std::string p_host) :
@@ -48,6 +63,7 @@
 	_born = event_loop::wall();
 	_sequence = 0;
 	_mode = endpoint_mode::SOUND;
+	_varies_ends = false;
 	_work = std::make_unique<later_queue>(_loop);
 	_server = std::make_unique<caller_server>(_loop, network_address{ _host, 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); });
 }
@@ -67,6 +83,11 @@
 	return _served++ % FAULTY_PART == 0 ? _mode : endpoint_mode::SOUND;
 }
 
+answer_ending soak_endpoint::_choose_ending(const std::string &p_id) const {
+	constexpr std::uint64_t ENDINGS = static_cast<std::uint64_t>(answer_ending::COUNT);
+	return _varies_ends ? static_cast<answer_ending>(hash_bytes(p_id, 3) % ENDINGS) : answer_ending::USUAL;
+}
+
 std::vector<http_header> soak_endpoint::_make_headers(const std::string &p_id) const {
 	std::vector<http_header> headers{ { "X-Attempt-Id", p_id }, { "X-Replica-Seal", _name } };
 	const soak_notice &says = _notices.get(_number);
@@ -111,17 +132,26 @@
 			_answer(*p_exchange, mode);
 			return;
 		}
-		const std::string last = get(*p_exchange, "Last-Event-Id");
-		std::vector<http_header> headers = _make_headers(get(*p_exchange, "X-Attempt-Id"));
-		headers.push_back({ "Content-Type", "text/event-stream" });
-		p_exchange->start(200, headers);
-		if (mode == endpoint_mode::SOUND) {
-			_notices.on_told(_number, get(*p_exchange, "X-Attempt-Id"), event_loop::now());
-		}
-		_stream(p_exchange, last.empty() ? 1 : std::atoi(last.c_str()) + 1, mode);
+		_begin_stream(p_exchange, mode);
 	});
 }
 
+void soak_endpoint::_begin_stream(const std::shared_ptr<caller_exchange> &p_exchange, endpoint_mode p_mode) {
+	const std::string id = get(*p_exchange, "X-Attempt-Id");
+	const std::string last = get(*p_exchange, "Last-Event-Id");
+	const answer_ending ending = p_mode == endpoint_mode::SOUND ? _choose_ending(id) : answer_ending::USUAL;
+	if (ending == answer_ending::WITH_CONNECTION || ending == answer_ending::CUT_WITH_CONNECTION) {
+		write_without_framing(*p_exchange);
+	}
+	std::vector<http_header> headers = _make_headers(id);
+	headers.push_back({ "Content-Type", "text/event-stream" });
+	p_exchange->start(200, headers);
+	if (p_mode == endpoint_mode::SOUND) {
+		_notices.on_told(_number, id, event_loop::now());
+	}
+	_stream(p_exchange, last.empty() ? 1 : std::atoi(last.c_str()) + 1, p_mode, ending);
+}
+
 void soak_endpoint::_answer(caller_exchange &p_exchange, endpoint_mode p_mode) {
 	const std::string id = get(p_exchange, "X-Attempt-Id");
 	const std::string body = make_answer_body(id, _name);
@@ -150,23 +180,37 @@
 			return;
 		default:
 			_notices.on_told(_number, id, event_loop::now());
-			p_exchange.reply(200, _make_headers(id), body);
+			if (_choose_ending(id) == answer_ending::USUAL) {
+				p_exchange.reply(200, _make_headers(id), body);
+				return;
+			}
+			write_without_framing(p_exchange);
+			p_exchange.start(200, _make_headers(id));
+			p_exchange.send(body);
+			p_exchange.end();
 	}
 }
 
-void soak_endpoint::_stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode) {
+void soak_endpoint::_stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode, answer_ending p_ending) {
 	if (p_number > EVENTS_IN_STREAM) {
 		p_exchange->end();
 		return;
 	}
-	const std::string event = make_event(get(*p_exchange, "X-Attempt-Id"), p_number);
+	const std::string id = get(*p_exchange, "X-Attempt-Id");
+	const std::string event = make_event(id, p_number);
 	if (p_mode == endpoint_mode::CUTS && p_number == EVENTS_IN_STREAM / 2) {
 		p_exchange->send(event.substr(0, event.size() / 2));
 		p_exchange->abort();
 		return;
 	}
+	const bool is_cut = p_ending == answer_ending::CUT_WITH_CONNECTION || p_ending == answer_ending::CUT_IN_CHUNKS;
+	if (is_cut && p_number == get_cut_event(id)) {
+		p_exchange->send(event.substr(0, get_cut(id, event.size())));
+		p_exchange->end();
+		return;
+	}
 	p_exchange->send(event);
-	_work->add(EVENT_GAP, [this, p_exchange, p_number, p_mode] { _stream(p_exchange, p_number + 1, p_mode); });
+	_work->add(EVENT_GAP, [this, p_exchange, p_number, p_mode, p_ending] { _stream(p_exchange, p_number + 1, p_mode, p_ending); });
 }
 
 } // namespace calicoscale
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -32,6 +32,15 @@
 	COUNT,
 };
 
+/** How an answer ends that is not spoilt otherwise. */
+enum class answer_ending {
+	USUAL,
+	WITH_CONNECTION, ///< Whole, with neither a length nor chunks.
+	CUT_WITH_CONNECTION, ///< The same, but a stream ends inside an event, in good order.
+	CUT_IN_CHUNKS, ///< A stream ends inside an event, with its last chunk.
+	COUNT,
+};
+
 /** Speaks as the platform's pages say; tells the book what it runs. */
 class soak_endpoint {
 	event_loop &_loop;
@@ -45,11 +54,14 @@
 	unix_milliseconds _born = 0;
 	std::uint64_t _sequence = 0;
 	endpoint_mode _mode = endpoint_mode::SOUND;
+	bool _varies_ends = false;
 	std::size_t _served = 0;
 
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _answer(caller_exchange &p_exchange, endpoint_mode p_mode);
-	void _stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode);
+	void _begin_stream(const std::shared_ptr<caller_exchange> &p_exchange, endpoint_mode p_mode);
+	void _stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode, answer_ending p_ending);
+	answer_ending _choose_ending(const std::string &p_id) const;
 	endpoint_mode _take_mode();
 	std::vector<http_header> _make_headers(const std::string &p_id) const;
 
@@ -64,6 +76,9 @@
 
 	void set_mode(endpoint_mode p_mode) { _mode = p_mode; }
 
+	/** Whether each answer ends in one of the ways of answer_ending, told by its request's id. */
+	void set_varies_ends(bool p_varies) { _varies_ends = p_varies; }
+
 	/** Its record in the store, reached at an address. */
 	std::string write_record(const network_address &p_address, const std::string &p_zone, bool p_is_leaving);
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -361,6 +361,16 @@
 	});
 }
 
+void soak_fleet::_vary_ends(const soak_event &p_event) {
+	const std::size_t number = p_event.subject;
+	_endpoints[number].server->set_varies_ends(true);
+	_disturbances.begin(disturbance::ENDPOINT_VARIES_ENDS, number, event_loop::now());
+	_later.add(p_event.length, [this, number] {
+		_endpoints[number].server->set_varies_ends(false);
+		_disturbances.end(disturbance::ENDPOINT_VARIES_ENDS, number, event_loop::now());
+	});
+}
+
 void soak_fleet::_say(const soak_event &p_event) {
 	const std::size_t number = p_event.subject;
 	soak_notice says;
@@ -462,6 +472,9 @@
 		case soak_action::ENDPOINT_MISBEHAVES:
 			_misbehave(p_event);
 			return;
+		case soak_action::ENDPOINT_VARIES_ENDS:
+			_vary_ends(p_event);
+			return;
 		case soak_action::ENDPOINT_LIMITS:
 		case soak_action::ENDPOINT_RESTS:
 			if (_endpoints[subject].is_in_use) {
--- a/tests/soak/soak_message.cpp
+++ b/tests/soak/soak_message.cpp
@@ -12,6 +12,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 namespace calicoscale {
 
 namespace {
@@ -76,7 +78,9 @@
 }
 
 std::string make_event(const std::string &p_id, int p_number) {
-	return "id: " + std::to_string(p_number) + "\ndata: " + p_id + "/" + std::to_string(p_number) + "\n\n";
+	static constexpr std::array<std::string_view, 3> LINE_ENDS{ "\n", "\r\n", "\r" };
+	const std::string end(LINE_ENDS.at(hash_bytes(p_id, 6) % LINE_ENDS.size()));
+	return "id: " + std::to_string(p_number) + end + "data: " + p_id + "/" + std::to_string(p_number) + end + end;
 }
 
 std::string make_stream(const std::string &p_id) {
--- a/tests/soak/soak_schedule.cpp
+++ b/tests/soak/soak_schedule.cpp
@@ -52,9 +52,13 @@
 constexpr std::uint64_t SILENCE_SEED_STEP = 3'000'003;
 constexpr double LEAST_SILENCE_MS = 3000;
 constexpr double MOST_SILENCE_MS = 4500;
+/** And how endpoints end their answers. */
+constexpr std::uint64_t ENDS_SEED_STEP = 4'000'003;
+constexpr std::size_t LEAST_VARIED_ENDS = 2;
+constexpr std::size_t MORE_VARIED_ENDS = 3;
 constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends" };
 
 bool is_of_endpoint(soak_action p_action) {
 	return p_action == soak_action::ENDPOINT_LINK || p_action == soak_action::ENDPOINT_CRASHES || p_action == soak_action::ENDPOINT_LEAVES || p_action == soak_action::ENDPOINT_MISBEHAVES;
@@ -111,6 +115,15 @@
 	r_events.push_back(soak_event{ p_begin + r_random.pick_time(0, to_milliseconds(latest)), soak_action::STORE_SILENT, 0, length, 0 });
 }
 
+void add_varied_ends(soak_random &r_random, const soak_size &p_size, duration p_begin, std::vector<soak_event> &r_events) {
+	const std::size_t count = LEAST_VARIED_ENDS + r_random.pick(MORE_VARIED_ENDS);
+	for (std::size_t i = 0; i < count; i++) {
+		const duration at = p_begin + r_random.pick_time(0, to_milliseconds(BURST));
+		const std::size_t endpoint = r_random.pick(p_size.endpoints);
+		r_events.push_back(soak_event{ at, soak_action::ENDPOINT_VARIES_ENDS, endpoint, r_random.pick_time(LEAST_NOTICE_MS, MOST_NOTICE_MS), 0 });
+	}
+}
+
 } // namespace
 
 std::string_view get_name(soak_action p_value) {
@@ -130,6 +143,7 @@
 	soak_random copies(p_seed + COPY_SEED_STEP);
 	soak_random notices(p_seed + NOTICE_SEED_STEP);
 	soak_random silences(p_seed + SILENCE_SEED_STEP);
+	soak_random ends(p_seed + ENDS_SEED_STEP);
 	std::vector<soak_event> events;
 	for (duration begin = WARM_UP; begin + BURST <= get_calm_end(p_size); begin += BURST + CALM) {
 		add_burst(random, p_size, begin, events);
@@ -142,6 +156,9 @@
 		if (p_size.has_silences) {
 			add_silence(silences, begin, events);
 		}
+		if (p_size.has_varied_ends) {
+			add_varied_ends(ends, p_size, begin, events);
+		}
 	}
 	for (duration at = WARM_UP; at < p_size.length; at += random.pick_time(LEAST_BETWEEN_VERSIONS_MS, MOST_BETWEEN_VERSIONS_MS)) {
 		events.push_back(soak_event{ at, soak_action::CONFIGURE, 0, duration::zero(), 0 });
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -40,6 +40,7 @@
 	ENDPOINT_LEAVES_BY_WORD, ///< Says in its answers that it leaves, its record does not; ends, and starts again under its name.
 	ENDPOINT_RESTS, ///< Turns requests away and asks for rest.
 	STORE_FROM_COPY, ///< It is copied, and comes back from that copy when the length is over; those who write there do so again.
+	ENDPOINT_VARIES_ENDS, ///< Frames its answers in any way, and ends streams inside an event in good order.
 	COUNT,
 };
 
@@ -74,13 +75,14 @@
 	bool has_notices = false; ///< Endpoints say things about themselves in their answers besides, some in each burst.
 	bool has_copies = false; ///< The store comes back from older copies besides, once or twice in each burst.
 	bool has_silences = false; ///< The store is silent besides, once in each burst, for longer than any node leaves a read to others.
+	bool has_varied_ends = false; ///< Endpoints end answers in any way besides, some in each burst.
 };
 
 /** From here on nothing is disturbed, only configured. */
 duration get_calm_end(const soak_size &p_size);
 
 /**
- * Bursts of trouble that overlap, with calm between; one seed and size give one schedule. Copies and silences of the store are drawn
+ * Bursts of trouble that overlap, with calm between; one seed and size give one schedule. Copies and silences of the store, and ends of answers, are drawn
  * apart, so that a seed's other trouble is the same with and without them.
  */
 std::vector<soak_event> make_schedule(std::uint64_t p_seed, const soak_size &p_size);
