A stage answer that is cut in good order is a lost run, for roll-outs and for the memory of requests that end endpoints

Cause: the call's end by framing was kept as 'answered' when its contents could not be read. Evidence: a_stage_answer_that_is_cut_in_good_order_is_a_lost_run failed before. With it: tests of streams without any event.

--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -187,17 +187,22 @@
 void pool_caller::_on_ended(const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body) {
 	const activity_scope scope(_context.loop, activity::STAGE_ENDS);
 	_exchanges.erase(p_call.id);
-	const call_end end = get_call_end(p_end, p_status, p_did_not_run);
-	if (p_end == channel_end::BROKEN) {
-		_note_lost(p_call);
-	}
+	call_end end = get_call_end(p_end, p_status, p_did_not_run);
 	std::vector<item_result> results;
 	if (end == call_end::ANSWERED) {
 		results = read_stage_answer(p_body, p_call.items.size());
 	}
-	if (end != call_end::ANSWERED || results.empty()) {
+	// An answer that was broken off in good order cannot be read.
+	const bool is_cut = end == call_end::ANSWERED && results.empty();
+	if (is_cut) {
+		end = call_end::BROKEN;
+	}
+	if (is_cut || p_end == channel_end::BROKEN) {
+		_note_lost(p_call);
+	}
+	if (end != call_end::ANSWERED) {
 		_context.metrics.count("stage_calls_failed");
-		_context.log.write_request(log_line("stage_call_failed").add("pool", _name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("end", get_name(p_end)).add("status", static_cast<long long>(p_status)));
+		_context.log.write_request(log_line("stage_call_failed").add("pool", _name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("end", is_cut ? "cut" : get_name(p_end)).add("status", static_cast<long long>(p_status)));
 	}
 	_end_run(p_call.id, end, results);
 	_note_without_room(p_call, results);
--- a/tests/main/gateway_broken_answer_test.cpp
+++ b/tests/main/gateway_broken_answer_test.cpp
@@ -45,11 +45,15 @@
 protected:
 	raw_server _raw{ _loop };
 
+	std::string write_raw_entry(const std::string &p_service) const {
+		return json{ { "service", p_service }, { "address", to_string(_raw.get_address()) }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", "ready" }, { "seq_no", 1 }, { "born", 1 } }.dump();
+	}
+
 	/** A gateway whose only endpoint sends these bytes and closes its connection in good order. */
 	gateway &start_with(const std::string &p_bytes, raw_server::after p_after = raw_server::after::CLOSE) {
 		configure(1);
 		_raw.set_answer(p_bytes, p_after);
-		_store.put(ENDPOINT_TOPIC, "i-raw", json{ { "service", "llm" }, { "address", to_string(_raw.get_address()) }, { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", "ready" }, { "seq_no", 1 }, { "born", 1 } }.dump());
+		_store.put(ENDPOINT_TOPIC, "i-raw", write_raw_entry("llm"));
 		return start_ready();
 	}
 
@@ -101,6 +105,21 @@
 	EXPECT_EQ(result->body, "");
 }
 
+TEST_F(gateway_broken_answer_test, a_stream_without_a_length_and_without_an_event_is_no_success) {
+	EXPECT_EQ(ask(start_with(write_answer(framing::NONE, ": waiting\n\n")), "/stream/x")->end, channel_end::BROKEN);
+	EXPECT_EQ(ask(start_with(write_answer(framing::NONE, "")), "/stream/x")->head.status, 502);
+}
+
+TEST_F(gateway_broken_answer_test, a_stream_with_a_length_and_without_an_event_is_whole) {
+	EXPECT_EQ(ask(start_with(write_answer(framing::LENGTH, "")), "/stream/x")->head.status, 200);
+}
+
+TEST_F(gateway_broken_answer_test, nothing_may_be_left_of_a_stream_behind_the_event_that_its_caller_has) {
+	const std::shared_ptr<caller_result> result = ask(start_with(write_answer(framing::NONE, "")), "/stream/x", "key-1", "Last-Event-Id: 4\r\n");
+	EXPECT_EQ(result->head.status, 200);
+	EXPECT_EQ(result->end, channel_end::COMPLETE);
+}
+
 TEST_F(gateway_broken_answer_test, a_caller_without_chunks_sees_a_reset_when_its_stream_ends_inside_an_event) {
 	const gateway &entry = start_with(write_answer(framing::NONE, FIRST_EVENTS + "id: 3\ndata: tok"));
 	raw_connection caller(entry.get_caller_address());
@@ -146,6 +165,19 @@
 	EXPECT_NE(metrics.find("runs_lost\"} 1"), std::string::npos);
 }
 
+// Guards against a replica whose calls all break off in good order and which counted as sound, for roll-outs too.
+TEST_F(gateway_broken_answer_test, a_stage_answer_that_is_cut_in_good_order_is_a_lost_run) {
+	_has_metrics = true;
+	add_replica("llm");
+	add_replica("search");
+	_raw.set_answer("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"items\": [{\"hand", raw_server::after::CLOSE);
+	_store.put(ENDPOINT_TOPIC, "i-raw", write_raw_entry("encode"));
+	configure(1);
+	const gateway &entry = start_ready();
+	EXPECT_NE(ask(entry, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n")->head.status, 200);
+	EXPECT_NE(read_metrics().find("runs_lost\"} "), std::string::npos);
+}
+
 // Guards against an endpoint that crashes between two events: nothing in its bytes tells, but it listens no more.
 TEST_F(gateway_broken_answer_test, a_stream_without_a_length_whose_endpoint_ended_with_it_is_broken_off) {
 	const std::shared_ptr<caller_result> result = ask(start_with(write_answer(framing::NONE, FIRST_EVENTS), raw_server::after::END), "/stream/x");
