--- /dev/null
+++ b/main/gateway/endpoint_choice.cpp
@@ -0,0 +1,74 @@
+/*
+ * calicoscale: endpoint_choice.cpp
+ * Which endpoint a request is sent to.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway/endpoint_choice.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+endpoint_choice::endpoint_choice(request_services &p_services, const admitted_request &p_request) :
+		_services(p_services), _request(p_request), _prompt(make_prompt_links(p_request)) {
+}
+
+choice_request endpoint_choice::make() const {
+	return _make(_services.guard.get_rollouts().has_moved(_request.service));
+}
+
+choice_request endpoint_choice::_make(bool p_for_target) const {
+	choice_request choice = make_choice(_services.context, _request);
+	choice.avoid = _avoid;
+	if (_services.guard.get_rollouts().is_rolled_out(_request.service)) {
+		choice.admits = [this, is_home = choice.admits, p_for_target](const endpoint_listing &p_listing) {
+			return (!is_home || is_home(p_listing)) && _services.guard.get_rollouts().admits(p_listing, p_for_target);
+		};
+	}
+	return choice;
+}
+
+std::optional<endpoint_id> endpoint_choice::choose(const std::string &p_zone) {
+	const rollout_service &rollouts = _services.guard.get_rollouts();
+	// A repeat is no further trial.
+	const bool is_for_target = !_is_repeat && rollouts.is_for_target(_request.service, _request.facts.attempt);
+	if (!is_for_target || rollouts.has_moved(_request.service)) {
+		return _choose_among(make(), p_zone);
+	}
+	const std::optional<endpoint_id> chosen = _choose_among(_make(true), p_zone);
+	return chosen ? chosen : _choose_among(_make(false), p_zone);
+}
+
+std::optional<endpoint_id> endpoint_choice::_choose_among(const choice_request &p_choice, const std::string &p_zone) {
+	const instant now = event_loop::now();
+	if (!is_engine(_request)) {
+		return _services.services.choose(p_choice, now);
+	}
+	const gateway_settings &settings = _services.context.settings;
+	const std::string &near_zone = p_zone.empty() ? settings.zone : p_zone;
+	std::vector<engine_candidate> candidates;
+	for (const endpoint_state *endpoint : _services.engines.get_usable(p_choice, now)) {
+		const bool is_in_other_region = !is_same_region(endpoint->listing.zone, near_zone, settings.regions);
+		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.get_identity(), endpoint->listing.zone, endpoint->in_flight, is_in_other_region });
+	}
+	if (candidates.empty()) {
+		return std::nullopt;
+	}
+	return candidates[_services.engine_caches.choose(candidates, _prompt, p_zone, now)].id;
+}
+
+std::string endpoint_choice::choose_zone() {
+	const std::optional<endpoint_id> chosen = choose("");
+	return chosen ? get_router(_services, _request).find(*chosen)->listing.zone : "";
+}
+
+std::optional<endpoint_id> endpoint_choice::choose_quietest() const {
+	const std::vector<const endpoint_state *> usable = get_router(_services, _request).get_usable(make(), event_loop::now());
+	const auto quietest = std::min_element(usable.begin(), usable.end(), [](const endpoint_state *p_left, const endpoint_state *p_right) { return p_left->in_flight < p_right->in_flight; });
+	return quietest == usable.end() ? std::nullopt : std::optional((*quietest)->id);
+}
+
+} // namespace calicoscale
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -59,12 +59,12 @@
 		_started(_request.exchange->received_at),
 		_deadline(_started + find_remaining(_request)),
 		_give_up_at(std::min(_deadline, _started + _request.route->timeout)),
-		_stages(p_services, _request, _started, _give_up_at, request_stages_hooks{ [this] { return _choose_zone(); }, [this] { _send(); }, [this](reason p_reason) { _fail(p_reason); } }),
+		_choice(p_services, _request),
+		_stages(p_services, _request, _started, _give_up_at, request_stages_hooks{ [this] { return _choice.choose_zone(); }, [this] { _send(); }, [this](reason p_reason) { _fail(p_reason); } }),
 		_give_up_timer(
 				p_services.context.loop, [this] { _on_give_up_time(); }, timer_order::BEFORE_SOCKETS),
 		_retry_timer(p_services.context.loop, [this] { _send(); }),
 		_end_probe(p_services.context.loop),
-		_prompt(make_prompt_links(_request)),
 		_permit(p_services.crashes, [this] { return get_content(_request); }),
 		_answer(get_expected_answer(_request)) {
 }
@@ -128,57 +128,6 @@
 	return _services.repeats[_request.service].try_repeat(_services.context.settings.retries, _services.fleet.get_live_count(), event_loop::now());
 }
 
-choice_request gateway_request::_make_choice(bool p_for_target) const {
-	choice_request choice = make_choice(_services.context, _request);
-	choice.avoid = _avoid;
-	if (_services.guard.get_rollouts().is_rolled_out(_request.service)) {
-		choice.admits = [this, is_home = choice.admits, p_for_target](const endpoint_listing &p_listing) {
-			return (!is_home || is_home(p_listing)) && _services.guard.get_rollouts().admits(p_listing, p_for_target);
-		};
-	}
-	return choice;
-}
-
-std::optional<endpoint_id> gateway_request::_choose_endpoint(const std::string &p_zone) {
-	const rollout_service &rollouts = _services.guard.get_rollouts();
-	// A repeat is no further trial.
-	const bool is_for_target = _sends == 0 && rollouts.is_for_target(_request.service, _request.facts.attempt);
-	if (!is_for_target || rollouts.has_moved(_request.service)) {
-		return _choose_among(_make_choice(), p_zone);
-	}
-	const std::optional<endpoint_id> chosen = _choose_among(_make_choice(true), p_zone);
-	return chosen ? chosen : _choose_among(_make_choice(false), p_zone);
-}
-
-std::optional<endpoint_id> gateway_request::_choose_among(const choice_request &p_choice, const std::string &p_zone) {
-	const instant now = event_loop::now();
-	if (!is_engine(_request)) {
-		return _services.services.choose(p_choice, now);
-	}
-	const gateway_settings &settings = _services.context.settings;
-	const std::string &near_zone = p_zone.empty() ? settings.zone : p_zone;
-	std::vector<engine_candidate> candidates;
-	for (const endpoint_state *endpoint : _services.engines.get_usable(p_choice, now)) {
-		const bool is_in_other_region = !is_same_region(endpoint->listing.zone, near_zone, settings.regions);
-		candidates.push_back(engine_candidate{ endpoint->id, endpoint->listing.get_identity(), endpoint->listing.zone, endpoint->in_flight, is_in_other_region });
-	}
-	if (candidates.empty()) {
-		return std::nullopt;
-	}
-	return candidates[_services.engine_caches.choose(candidates, _prompt, p_zone, now)].id;
-}
-
-std::string gateway_request::_choose_zone() {
-	const std::optional<endpoint_id> chosen = _choose_endpoint("");
-	return chosen ? get_router(_services, _request).find(*chosen)->listing.zone : "";
-}
-
-std::optional<endpoint_id> gateway_request::_choose_quietest() {
-	const std::vector<const endpoint_state *> usable = get_router(_services, _request).get_usable(_make_choice(), event_loop::now());
-	const auto quietest = std::min_element(usable.begin(), usable.end(), [](const endpoint_state *p_left, const endpoint_state *p_right) { return p_left->in_flight < p_right->in_flight; });
-	return quietest == usable.end() ? std::nullopt : std::optional((*quietest)->id);
-}
-
 void gateway_request::_send() {
 	const instant now = event_loop::now();
 	if (_give_up_at - now < LEAST_REMAINING) {
@@ -190,8 +139,8 @@
 
 void gateway_request::_on_none_to_send_to() {
 	const std::size_t before = _services.guard.get_line().count_before(_request.service, _place);
-	const send_prospect prospect = _services.guard.predict(get_router(_services, _request), _make_choice(), before);
-	if (!prospect.wait || get_router(_services, _request).get_open(_make_choice()).empty()) {
+	const send_prospect prospect = _services.guard.predict(get_router(_services, _request), _choice.make(), before);
+	if (!prospect.wait || get_router(_services, _request).get_open(_choice.make()).empty()) {
 		_refuse(reason::NO_ENDPOINT, prospect.rest_left.value_or(SHORT_RETRY_AFTER));
 		return;
 	}
@@ -211,7 +160,7 @@
 void gateway_request::_send_with(send_care p_care) {
 	const instant now = event_loop::now();
 	router &choices = get_router(_services, _request);
-	const std::optional<endpoint_id> chosen = p_care == send_care::QUIETEST ? _choose_quietest() : _choose_endpoint(_stages.get_results_zone());
+	const std::optional<endpoint_id> chosen = p_care == send_care::QUIETEST ? _choice.choose_quietest() : _choice.choose(_stages.get_results_zone());
 	if (!chosen) {
 		_on_none_to_send_to();
 		return;
@@ -221,6 +170,7 @@
 	_endpoint_identity = endpoint.listing.get_identity();
 	_endpoint_address = endpoint.listing.address;
 	_sends++;
+	_choice.set_repeat();
 	_sent_at = now;
 	endpoint_send send;
 	send.endpoint = endpoint.listing.vm;
@@ -247,8 +197,8 @@
 	_run = version_run{ _request.service, endpoint.listing.vm, endpoint.listing.version };
 	_services.guard.get_rollouts().on_started(*_run);
 	if (is_engine(_request)) {
-		_predicted = _services.engine_caches.predict(_endpoint_identity, _prompt, now);
-		_services.prompts.tell(_endpoint_identity, _prompt);
+		_predicted = _services.engine_caches.predict(_endpoint_identity, _choice.get_prompt(), now);
+		_services.prompts.tell(_endpoint_identity, _choice.get_prompt());
 	}
 	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_stages.count_final_read(endpoint.listing.zone))).add("version", static_cast<long long>(_request.configuration->version)));
 	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
@@ -429,7 +379,7 @@
 		return false;
 	}
 	_resumes++;
-	_avoid.push_back(_endpoint);
+	_choice.avoid(_endpoint);
 	_services.context.log.write_request(log_line("resume").add("request", _request.facts.attempt).add("from", _endpoint_identity.vm).add("event", _answer.get_events().get_last_id()));
 	if (_stages.is_empty()) {
 		_send();
@@ -476,7 +426,7 @@
 	_runs++;
 	_tally.add(verdict::MAY_HAVE_RUN);
 	if (_answer.get_head().status >= http_status::FIRST_SERVER_ERROR && _may_repeat_run() && _try_repeat_budget()) {
-		_avoid.push_back(_endpoint);
+		_choice.avoid(_endpoint);
 		_send();
 		return;
 	}
@@ -495,7 +445,7 @@
 
 void gateway_request::_on_not_run() {
 	const bool was_connected = _answer.get_head().status != 0;
-	_avoid.push_back(_endpoint);
+	_choice.avoid(_endpoint);
 	const bool has_time = _give_up_at - event_loop::now() > LEAST_REMAINING + RETRY_PAUSE;
 	// A send that reached an endpoint counts against the budget even when it was rejected there.
 	if (!has_time || _sends >= MOST_SENDS || (was_connected && !_try_repeat_budget())) {
@@ -511,7 +461,7 @@
 	_tally.add(verdict::MAY_HAVE_RUN);
 	const bool has_time = _give_up_at - event_loop::now() > LEAST_REMAINING;
 	if (has_time && !_answer_started && _may_repeat_run() && _try_repeat_budget()) {
-		_avoid.push_back(_endpoint);
+		_choice.avoid(_endpoint);
 		_send();
 		return;
 	}
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -11,6 +11,7 @@
 
 #include "core/verdict.h"
 #include "drivers/endpoint_probe.h"
+#include "main/gateway/endpoint_choice.h"
 #include "main/gateway/received_answer.h"
 #include "main/gateway/request_stages.h"
 
@@ -33,6 +34,7 @@
 	instant _started;
 	instant _deadline; ///< The caller's.
 	instant _give_up_at; ///< The caller's deadline or the route's time-out.
+	endpoint_choice _choice;
 	request_stages _stages;
 	timer _give_up_timer;
 	timer _retry_timer;
@@ -41,10 +43,8 @@
 	endpoint_identity _endpoint_identity;
 	network_address _endpoint_address;
 	endpoint_probe _end_probe; ///< Of the endpoint whose answer ended with its connection.
-	std::vector<prompt_link> _prompt;
 	engine_prediction _predicted;
 	instant _sent_at{};
-	std::vector<endpoint_id> _avoid;
 	send_permit _permit;
 	line_place _place = 0; ///< In the line of requests for its service that were not sent yet.
 	verdict_tally _tally;
@@ -62,16 +62,8 @@
 	/** Whether the request may be sent to another endpoint although its run did not end. */
 	bool _may_go_on_elsewhere() const;
 	bool _try_repeat_budget();
-	/** @param p_for_target endpoints of a version that the service is moved to, else those of the others. */
-	choice_request _make_choice(bool p_for_target) const;
-	choice_request _make_choice() const { return _make_choice(_services.guard.get_rollouts().has_moved(_request.service)); }
-	std::optional<endpoint_id> _choose_among(const choice_request &p_choice, const std::string &p_zone);
 	/** The run at the endpoint of the newest send ended. */
 	void _end_run(const outcome &p_result, duration p_elapsed);
-	std::optional<endpoint_id> _choose_endpoint(const std::string &p_zone);
-	/** Zone of the endpoint that would be chosen now; empty when there is none. */
-	std::string _choose_zone();
-	std::optional<endpoint_id> _choose_quietest();
 	void _ask_permit(std::function<void(send_care)> p_on_granted);
 	void _begin_stages(send_care p_care);
 	void _send();
