--- a/main/gateway/configuration_follower.cpp
+++ b/main/gateway/configuration_follower.cpp
@@ -87,7 +87,7 @@
 	if (p_is_covered) {
 		_reader.pause();
 	} else {
-		_reader.read();
+		_reader.read(read_reason::NOT_COVERED);
 	}
 }
 
--- a/main/gateway/configuration_follower.h
+++ b/main/gateway/configuration_follower.h
@@ -43,6 +43,9 @@
 	/** Sets whether a peer reads for this node as soon as the store answers that peer. */
 	void set_has_peer_reader(bool p_is_patient) { _reader.set_has_peer_reader(p_is_patient); }
 
+	/** Sets whether this node has a link to a peer. */
+	void set_linked(bool p_is_linked) { _reader.set_linked(p_is_linked); }
+
 	/**
 	 * Puts a document in force if its version is higher.
 	 * @param p_source sender of the document, for the log.
--- a/main/gateway/crash_sync.cpp
+++ b/main/gateway/crash_sync.cpp
@@ -140,7 +140,7 @@
 }
 
 void crash_sync::_read() {
-	_context.store.read_newest(std::string(get_crash_topic()), true, [this](const store_answer &p_answer) { _on_read(p_answer); });
+	_context.store.read_newest(std::string(get_crash_topic()), read_reason::CRASHES, true, [this](const store_answer &p_answer) { _on_read(p_answer); });
 }
 
 void crash_sync::_on_read(const store_answer &p_answer) {
@@ -160,7 +160,7 @@
 			}
 		}
 		if (is_expired && entry.value && dropped++ < MAX_DROPPED_RECORDS) {
-			_context.store.put(std::string(get_crash_topic()), entry.key, "", [](bool) {});
+			_context.store.put(std::string(get_crash_topic()), read_reason::CRASHES, entry.key, "", [](bool) {});
 		}
 	}
 	_is_synchronized = true;
@@ -176,7 +176,7 @@
 	_to_write.erase(_to_write.begin());
 	_is_write_open = true;
 	const std::string value = write_crash_value(_memory.get_records_of(run), get_moment());
-	_context.store.put(std::string(get_crash_topic()), write_crash_key(run), value, [this, run](bool p_written) { _on_written(run, p_written); });
+	_context.store.put(std::string(get_crash_topic()), read_reason::CRASHES, write_crash_key(run), value, [this, run](bool p_written) { _on_written(run, p_written); });
 }
 
 void crash_sync::_on_written(const request_fingerprint &p_run, bool p_written) {
--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -108,7 +108,7 @@
 		return;
 	}
 	if (p_reading.era > known.era && !p_reading.is_whole) {
-		_reader.read_in(from_seconds(_context.random.get_unit() * to_seconds(ERA_SPREAD)));
+		_reader.read_in(from_seconds(_context.random.get_unit() * to_seconds(ERA_SPREAD)), read_reason::NEW_ERA);
 		return;
 	}
 	const bool follows_on = p_reading.from <= known.offset && p_reading.to >= known.offset;
@@ -140,7 +140,7 @@
 	_difference_found_at = now;
 	_context.metrics.count("endpoint_lists_differed");
 	_context.log.write(log_line("endpoint_lists_differ").add("peer", p_peer).add("endpoints", static_cast<long long>(_directory.get_size())).add("offset", static_cast<long long>(_reader.get_known().offset)));
-	_reader.load_snapshot();
+	_reader.load_snapshot(read_reason::LISTS_DIFFER);
 }
 
 duration endpoint_follower::_get_read_interval(bool p_awaits_entries) const {
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -59,6 +59,9 @@
 	/** Sets whether a peer reads for this node as soon as the store answers that peer. */
 	void set_has_peer_reader(bool p_is_patient) { _reader.set_has_peer_reader(p_is_patient); }
 
+	/** Sets whether this node has a link to a peer. */
+	void set_linked(bool p_is_linked) { _reader.set_linked(p_is_linked); }
+
 	/** Returns the position up to which this node knows the topic, or zero if it has no snapshot. */
 	log_position get_known() const { return _reader.is_loaded() ? _reader.get_known() : log_position(); }
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -75,6 +75,7 @@
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
 		_activities(_context),
+		_store_report(_context),
 		_tick_timer(p_loop, [this] { _tick(); }),
 		_settle_timer(p_loop, [this] { _settle(); }) {
 	if (p_settings.metrics_address) {
@@ -120,6 +121,7 @@
 	_dispatcher.start();
 	_crashes.start();
 	_activities.start();
+	_store_report.start();
 	_tick_timer.set(TICK);
 	_started_at = event_loop::now();
 	_settle_timer.set(SETTLE_INTERVAL);
@@ -266,7 +268,7 @@
 		headers.push_back(make_retry_after(p_reason == reason::DRAINING ? STOP_RETRY_AFTER : RETRY_AFTER));
 	}
 	_context.metrics.on_request("", outcome{ verdict::NOT_RUN, p_reason }, event_loop::now() - p_exchange.received_at);
-	_context.log.write_request(log_line("request_refused").add("request", read_caller_request(p_exchange.head).attempt).add("reason", get_name(p_reason)).add("status", static_cast<long long>(p_status)).add("version", static_cast<long long>(_configuration.get_version())));
+	_context.log.write_request(log_line("request_refused").add("request", read_caller_request(p_exchange.head).attempt).add("reason", get_name(p_reason)).add("status", static_cast<long long>(p_status)).add("version", static_cast<long long>(_configuration.get_version())).add("unconfirmed_ms", _configuration.get_unconfirmed_time(event_loop::now())));
 	p_exchange.reply(p_status, headers, "");
 }
 
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "main/gateway/admission.h"
 #include "main/gateway/commitment_sync.h"
 #include "main/gateway/gateway_request.h"
+#include "main/gateway/store_report.h"
 
 #include <functional>
 #include <map>
@@ -56,6 +57,7 @@
 	caller_server _readiness;
 	std::unique_ptr<caller_server> _metrics_server;
 	activity_report _activities;
+	store_report _store_report;
 	timer _tick_timer;
 	std::vector<std::shared_ptr<caller_exchange>> _waiting; ///< Requests that arrived before this node knew the fleet, or before it knew what changed during a process stall.
 	instant _stalled_until{}; ///< End of the last process stall that was so long that changes must be requested before serving.
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -16,6 +16,7 @@
 #include "main/gateway/gateway_settings.h"
 #include "main/node_metrics.h"
 #include "platform/store_client.h"
+#include "servers/gateway/store_traffic.h"
 #include "servers/gateway/zone_reachability.h"
 
 namespace calicoscale {
@@ -30,6 +31,7 @@
 	zone_reachability zones;
 	event_log log;
 	store_client store;
+	store_traffic traffic;
 	node_metrics metrics;
 
 	gateway_context(event_loop &p_loop, gateway_settings p_settings);
--- a/main/gateway/rollout_writer.cpp
+++ b/main/gateway/rollout_writer.cpp
@@ -63,7 +63,7 @@
 }
 
 void rollout_writer::_read(const rollout_status &p_status) {
-	_context.store.read_newest(std::string(get_status_topic()), false, [this, p_status](const store_answer &p_answer) { _on_read(p_status, p_answer); });
+	_context.store.read_newest(std::string(get_status_topic()), read_reason::ROLLOUTS, false, [this, p_status](const store_answer &p_answer) { _on_read(p_status, p_answer); });
 }
 
 void rollout_writer::_on_read(const rollout_status &p_status, const store_answer &p_answer) {
@@ -82,7 +82,7 @@
 	}
 	rollout_status status = p_status;
 	status.age = known->get_age(now);
-	_context.store.put_at(std::string(get_status_topic()), get_rollout_status_key(p_status.service), write_rollout_status(status, wall), p_answer.next_offset, [this, p_status](put_end p_end) { _on_put(p_status, p_end); });
+	_context.store.put_at(std::string(get_status_topic()), read_reason::ROLLOUTS, get_rollout_status_key(p_status.service), write_rollout_status(status, wall), p_answer.next_offset, [this, p_status](put_end p_end) { _on_put(p_status, p_end); });
 }
 
 void rollout_writer::_on_put(const rollout_status &p_status, put_end p_end) {
--- a/main/gateway/store_sharing.cpp
+++ b/main/gateway/store_sharing.cpp
@@ -48,6 +48,9 @@
 		return;
 	}
 	const bool has_peer_reader = !is_reader() || _is_discovering_peers();
+	const bool is_linked = !_link.get_linked().empty();
+	_configuration.set_linked(is_linked);
+	_endpoints.set_linked(is_linked);
 	_configuration.set_has_peer_reader(has_peer_reader);
 	_endpoints.set_has_peer_reader(has_peer_reader);
 	if (is_reader() != was_reader) {
@@ -113,11 +116,11 @@
 
 void store_sharing::_write_name() {
 	const std::string value = to_string(_link.get_address()) + " " + _context.settings.zone;
-	_context.store.put(std::string(get_node_topic()), _context.settings.vm, value, [this](bool p_written) { _is_name_written = _is_name_written || p_written; });
+	_context.store.put(std::string(get_node_topic()), read_reason::NODE_NAMES, _context.settings.vm, value, [this](bool p_written) { _is_name_written = _is_name_written || p_written; });
 }
 
 void store_sharing::_read_names() {
-	_context.store.read_newest(std::string(get_node_topic()), true, [this](const store_answer &p_answer) {
+	_context.store.read_newest(std::string(get_node_topic()), read_reason::NODE_NAMES, true, [this](const store_answer &p_answer) {
 		for (const store_record &record : p_answer.records) {
 			const network_address address = record.value ? parse_network_address(record.value->substr(0, record.value->find(' '))) : network_address();
 			if (record.key != _context.settings.vm && address.port != 0) {
--- a/main/gateway/topic_reader.cpp
+++ b/main/gateway/topic_reader.cpp
@@ -9,6 +9,7 @@
 #include "main/gateway/topic_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace calicoscale {
 
@@ -42,23 +43,39 @@
 	read_in(from_seconds(fraction * to_seconds(FIRST_READ_SPREAD)));
 }
 
-void topic_reader::read() {
+read_reason topic_reader::_find_reason() {
+	if (_next_reason) {
+		return *std::exchange(_next_reason, std::nullopt);
+	}
+	if (_has_failed) {
+		return read_reason::RETRY;
+	}
+	if (_schedule.has_peer_reader()) {
+		return read_reason::READER_SILENT;
+	}
+	return _is_linked ? read_reason::READER : read_reason::NO_LINK;
+}
+
+void topic_reader::read(std::optional<read_reason> p_reason) {
 	_read_began_at = event_loop::now();
-	_send(_schedule.begin());
+	_reason = p_reason ? *p_reason : _find_reason();
+	_send(_schedule.begin(), _reason);
 }
 
 void topic_reader::read_after_stall() {
 	_read_began_at = event_loop::now();
-	_send(_schedule.begin_after_stall());
+	_reason = read_reason::STALL;
+	_send(_schedule.begin_after_stall(), _reason);
 }
 
-void topic_reader::load_snapshot() {
+void topic_reader::load_snapshot(read_reason p_reason) {
 	_is_loaded = false;
-	read();
+	read(p_reason);
 }
 
-void topic_reader::read_in(duration p_time) {
+void topic_reader::read_in(duration p_time, std::optional<read_reason> p_reason) {
 	if (!_schedule.is_reading()) {
+		_next_reason = p_reason;
 		_timer.set(p_time);
 	}
 }
@@ -98,17 +115,17 @@
 		return;
 	}
 	_context.metrics.count("store_reads_repeated");
-	_send(*repeated_read);
+	_send(*repeated_read, read_reason::REPEAT);
 }
 
-void topic_reader::_send(const planned_read &p_read) {
+void topic_reader::_send(const planned_read &p_read, read_reason p_reason) {
 	const bool is_whole = !_is_loaded;
 	const auto handle_answer = [this, reading = p_read.reading, is_whole](const store_answer &p_answer) { _on_answer(p_answer, reading, is_whole); };
 	_timer.set(p_read.check_in);
 	if (is_whole) {
-		_context.store.read_newest(_topic, p_read.on_new_connection, handle_answer, [this, p_read] { _on_page(p_read); });
+		_context.store.read_newest(_topic, p_reason, p_read.on_new_connection, handle_answer, [this, p_read] { _on_page(p_read); });
 	} else {
-		_context.store.follow(_topic, _known.offset, p_read.wait, p_read.on_new_connection, handle_answer);
+		_context.store.follow(_topic, p_reason, _known.offset, p_read.wait, p_read.on_new_connection, handle_answer);
 	}
 }
 
@@ -120,17 +137,21 @@
 
 void topic_reader::_on_answer(const store_answer &p_answer, std::uint64_t p_read_id, bool p_is_whole) {
 	if (p_answer.status == store_status::UNAVAILABLE) {
+		_context.traffic.add_unused(_topic, _reason, p_answer.bytes);
 		if (!_schedule.on_failed(p_read_id)) {
 			return;
 		}
+		_has_failed = true;
 		_set_reachable(false, p_answer.http_status);
 		_hooks.on_failure();
 		read_in(_schedule.get_retry());
 		return;
 	}
 	if (!_schedule.on_answered(p_read_id)) {
+		_context.traffic.add_unused(_topic, _reason, p_answer.bytes);
 		return;
 	}
+	_has_failed = false;
 	_set_reachable(true, 0);
 	if (p_answer.era < _known.era) {
 		_context.metrics.count("store_answers_of_older_era");
@@ -142,7 +163,7 @@
 	_enter_era(p_answer.era);
 	if (p_answer.status == store_status::HISTORY_COMPACTED || (is_other_era && !p_is_whole)) {
 		_context.log.write(log_line("history_gone").add("topic", _topic).add("offset", static_cast<long long>(_known.offset)).add("era", static_cast<long long>(_known.era)));
-		load_snapshot();
+		load_snapshot(p_answer.status == store_status::HISTORY_COMPACTED ? read_reason::HISTORY_GONE : read_reason::NEW_ERA);
 		return;
 	}
 	_is_loaded = true;
--- a/main/gateway/topic_reader.h
+++ b/main/gateway/topic_reader.h
@@ -11,9 +11,11 @@
 
 #include "core/log_position.h"
 #include "main/gateway/gateway_context.h"
+#include "servers/gateway/read_reason.h"
 #include "servers/gateway/read_schedule.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace calicoscale {
@@ -41,12 +43,17 @@
 	bool _is_loaded = false; ///< A snapshot is known, so that reads continue from the offset.
 	bool _was_loaded = false; ///< A snapshot was known at least once. The delay of the first read does not apply to later snapshots.
 	bool _is_reachable = true;
+	bool _is_linked = false; ///< This node has a link to a peer.
+	bool _has_failed = false; ///< The last read failed.
+	std::optional<read_reason> _next_reason; ///< Reason of the next read, if the state of this reader does not imply it.
+	read_reason _reason = read_reason::READER; ///< Reason of the current read.
 	const instant _started_at;
 	instant _read_began_at; ///< When the current read began.
 	instant _answered_at; ///< When the store last answered.
 	timer _timer;
 
-	void _send(const planned_read &p_read);
+	read_reason _find_reason();
+	void _send(const planned_read &p_read, read_reason p_reason);
 	void _check();
 	/** Restarts the check for an overdue answer, as a page of the snapshot arrived. */
 	void _on_page(const planned_read &p_read);
@@ -62,7 +69,7 @@
 	void read_first();
 
 	/** Begins a read immediately. */
-	void read();
+	void read(std::optional<read_reason> p_reason = std::nullopt);
 
 	/** Begins, after a stall of this process, a read that the store answers immediately. */
 	void read_after_stall();
@@ -71,10 +78,10 @@
 	bool is_answered_since(instant p_moment) const { return _answered_at >= p_moment; }
 
 	/** Begins to read a snapshot, the newest record of each key, immediately. */
-	void load_snapshot();
+	void load_snapshot(read_reason p_reason);
 
 	/** Schedules a read after this time. Does nothing if a read is in progress. */
-	void read_in(duration p_time);
+	void read_in(duration p_time, std::optional<read_reason> p_reason = std::nullopt);
 
 	/** Advances to this offset of the known era, whose records were received by other means, and abandons the read in progress. */
 	void skip_to(std::uint64_t p_offset);
@@ -88,6 +95,9 @@
 	/** Sets whether a peer reads for this node as soon as the store answers that peer; see read_schedule. */
 	void set_has_peer_reader(bool p_is_patient) { _schedule.set_has_peer_reader(p_is_patient); }
 
+	/** Sets whether this node has a link to a peer. */
+	void set_linked(bool p_is_linked) { _is_linked = p_is_linked; }
+
 	/** Sets the rank of this node in the order in which nodes read for the first time; see read_schedule. */
 	void set_read_rank(std::size_t p_rank) { _schedule.set_read_rank(p_rank); }
 
