Reads of the store by the nodes of a zone in turns

Callers of a fleet of 986 nodes got 404 for routes that had been in force for longer than config_apply_ms, and requests reached endpoints that were leaving: nobody could read the store from the third second after the start on.

Cause: each node fell back to own reads 1.35 s after it was last told, retried by itself, repeated a read each 0.4 s while the first stayed open, and read the whole list where lists differed. What the nodes asked for grew as nodes times bytes; the store's queue became longer than the nodes' time-out of 1.5 s, so that it spent its bytes on answers for which nobody waited any more (no call answered in 30 s, 1,250 calls a second), the readers' calls included: a metastable failure. The start was the trigger. A reader that adopted the list from a peer waited for 1.35 s as its followers did, and all of them read in the moment in which it did; that is why the readers of all zones fell silent together.

Change: - find_read_position() orders the nodes of a zone: reader, other hubs, the rest. The wait doubles with each failed or repeated read.

--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -242,6 +242,10 @@
 	_loop._set_timer(*this, p_at, _order);
 }
 
+bool timer::is_set() const {
+	return _loop._timers.contains(_id);
+}
+
 void timer::cancel() {
 	_loop._cancel_timer(*this);
 }
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -149,6 +149,9 @@
 	void set_at(instant p_at);
 
 	void cancel();
+
+	/** Whether a time is set at which the hook has not run yet. */
+	bool is_set() const;
 };
 
 } // namespace calicoscale
--- a/main/gateway/configuration_follower.cpp
+++ b/main/gateway/configuration_follower.cpp
@@ -39,6 +39,11 @@
 /** Interval between the first reads of nodes of a zone, which read one after the other while no peer sends the configuration. */
 constexpr duration FIRST_READ_STEP = std::chrono::milliseconds(500);
 
+/** Size of the newest records before they were read. */
+constexpr double FIRST_WHOLE_BYTES = 65536.0;
+/** Size of a document in a read of the newest records, as a multiple of its own: values are encoded as base64. */
+constexpr double SNAPSHOT_FACTOR = 4.0 / 3.0;
+
 read_times get_times(duration p_apply) {
 	return read_times{ std::max(MIN_WAIT, p_apply - AFTER_WAIT), OVERDUE, REPEAT, RETRY_INTERVAL, p_apply / RETRIES_PER_APPLY_TIME, FIRST_READ_DELAY, FIRST_READ_STEP };
 }
@@ -57,10 +62,21 @@
 						[this](const store_answer &p_answer, bool p_is_whole) { _apply_records(p_answer, p_is_whole); },
 						[] {},
 						[] {},
-						[this](log_line &r_line) { r_line.add("version", static_cast<long long>(get_version())); } }) {
+						[this](bool p_is_whole) { return _estimate_bytes(p_is_whole); },
+						[this](log_line &r_line) { r_line.add("version", static_cast<long long>(get_version())); } }),
+		_whole_bytes(FIRST_WHOLE_BYTES) {
+}
+
+double configuration_follower::_estimate_bytes(bool p_is_whole) const {
+	// Each record of the configuration is a whole document.
+	const double document_bytes = static_cast<double>(get_document().size());
+	return p_is_whole ? std::max(_whole_bytes, document_bytes * SNAPSHOT_FACTOR) : document_bytes;
 }
 
 void configuration_follower::_apply_records(const store_answer &p_answer, bool p_is_whole) {
+	if (p_is_whole) {
+		_whole_bytes = static_cast<double>(p_answer.bytes);
+	}
 	_topic_read.emit(p_answer, p_is_whole);
 	// Versions increase with the offset, and parsing one takes milliseconds: begins with the newest and stops at the first valid one.
 	for (auto record = p_answer.records.rbegin(); record != p_answer.records.rend(); ++record) {
@@ -87,7 +103,7 @@
 	if (p_is_covered) {
 		_reader.pause();
 	} else {
-		_reader.read(read_reason::NOT_COVERED);
+		_reader.read_in(duration::zero(), read_reason::NOT_COVERED);
 	}
 }
 
@@ -102,6 +118,7 @@
 		return false;
 	}
 	_context.log.write(log_line("configuration_in_force").add("version", static_cast<long long>(get_version())).add("source", p_source).add("routes", static_cast<long long>(get_current()->routes.size())).add("idle_limit_ms", get_current()->limits.idle_timeout));
+	_reader.note_told();
 	_changed.emit();
 	return true;
 }
--- a/main/gateway/configuration_follower.h
+++ b/main/gateway/configuration_follower.h
@@ -24,11 +24,13 @@
 	gateway_context &_context;
 	configuration_reader _versions; ///< Holds the version in force.
 	topic_reader _reader;
+	double _whole_bytes; ///< Size of a read of the newest records.
 	bool _is_covered = false; ///< Peers follow the configuration for this node.
 	bool _is_proven = false; ///< The store has answered since this node began to follow it.
 	sigc::signal<void()> _changed;
 	sigc::signal<void(const store_answer &, bool)> _topic_read;
 
+	double _estimate_bytes(bool p_is_whole) const;
 	void _apply_records(const store_answer &p_answer, bool p_is_whole);
 
 public:
@@ -43,8 +45,11 @@
 	/** Sets whether a peer reads for this node as soon as the store answers that peer. */
 	void set_has_peer_reader(bool p_is_patient) { _reader.set_has_peer_reader(p_is_patient); }
 
-	/** Sets whether this node has a link to a peer. */
-	void set_linked(bool p_is_linked) { _reader.set_linked(p_is_linked); }
+	/** Sets whether this node has a link to a peer, or has none and may still get one soon. */
+	void set_linked(bool p_is_linked, bool p_is_linking) { _reader.set_linked(p_is_linked, p_is_linking); }
+
+	/** Sets the position of this node in the order in which nodes read while no peer follows the configuration for them. */
+	void set_turn(std::size_t p_position) { _reader.set_turn(p_position); }
 
 	/**
 	 * Puts a document in force if its version is higher.
--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -10,6 +10,8 @@
 
 #include "platform/endpoint_codec.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
@@ -34,8 +36,18 @@
 constexpr duration MAX_RETRY_INTERVAL = std::chrono::milliseconds(1000);
 /** Shortest interval between snapshots that are read because lists differ, as two nodes may differ for a while after an outage. */
 constexpr duration MIN_SNAPSHOT_INTERVAL = std::chrono::seconds(4);
-/** Nodes that learn of a new era of the store from a peer spread their reads over this time. */
-constexpr duration ERA_SPREAD = std::chrono::milliseconds(600);
+/** Time in which a peer sends a requested list, or its reader sends a snapshot of a new era. */
+constexpr duration LIST_TIMEOUT = std::chrono::milliseconds(600);
+/** Interval at which a due read of a snapshot is checked again while another read is in progress. */
+constexpr duration READ_CHECK_INTERVAL = std::chrono::milliseconds(100);
+/** Size of an answer while the rate of the topic is unknown: the most that the store sends at once. */
+constexpr double MAX_ANSWER_BYTES = 1024.0 * 1024.0;
+/** Size of a record before one was read. */
+constexpr double FIRST_RECORD_BYTES = 300.0;
+/** Size of an entry in a snapshot, as a multiple of its record's: values are encoded as base64. */
+constexpr double SNAPSHOT_FACTOR = 4.0 / 3.0;
+/** Weight of the newest observation in the estimates of the topic's rate and of a record's size. */
+constexpr double OBSERVATION_WEIGHT = 0.2;
 /**
  * When a fleet starts together, one node of each zone reads the snapshot. A node that has not received it within this time reads
  * it too.
@@ -68,8 +80,11 @@
 						[this](const store_answer &p_answer, bool p_is_whole) { _on_answer(p_answer, p_is_whole); },
 						[this] { _on_failure(); },
 						[this] { _on_new_era(); },
+						[this](bool p_is_whole) { return _estimate_bytes(p_is_whole); },
 						[this](log_line &r_line) { r_line.add("endpoints", static_cast<long long>(_directory.get_size())); } }),
-		_drop_timer(p_context.loop, [this] { _set_timers(); }) {
+		_drop_timer(p_context.loop, [this] { _on_drop_timer(); }),
+		_list_timer(p_context.loop, [this] { _on_list_timer(); }),
+		_record_bytes(FIRST_RECORD_BYTES) {
 }
 
 void endpoint_follower::_on_failure() {
@@ -84,7 +99,14 @@
 }
 
 void endpoint_follower::_on_answer(const store_answer &p_answer, bool p_is_whole) {
-	_directory.on_read(event_loop::now());
+	const instant now = event_loop::now();
+	_directory.on_read(now);
+	_is_substitute = _reader.has_peer_reader();
+	if (!p_answer.records.empty()) {
+		const double bytes = static_cast<double>(p_answer.bytes) / static_cast<double>(p_answer.records.size()) / (p_is_whole ? SNAPSHOT_FACTOR : 1.0);
+		_record_bytes += (bytes - _record_bytes) * OBSERVATION_WEIGHT;
+	}
+	_on_list_read(p_is_whole);
 	if (p_is_whole) {
 		_apply_snapshot(p_answer);
 		_set_timers();
@@ -95,25 +117,30 @@
 		}
 		return;
 	}
+	_on_advance(p_answer.records.size(), now);
 	const endpoint_delta reading = _apply_records(p_answer);
 	_set_timers();
 	_delta_published.emit(reading);
 }
 
-void endpoint_follower::apply_delta(const endpoint_delta &p_reading, const std::string &p_peer) {
+bool endpoint_follower::apply_delta(const endpoint_delta &p_reading, const std::string &p_peer) {
 	const log_position known = _reader.get_known();
 	// A delta of a reader that does not count starts lacks them, and later deltas would not add them.
 	const bool has_starts = p_reading.listed_starts != 0;
-	if (!has_starts || !_reader.is_loaded() || p_reading.era < known.era) {
-		return;
+	const bool is_usable = _reader.is_loaded() || (p_reading.is_whole && _list_need);
+	if (!has_starts || !is_usable || p_reading.era < known.era) {
+		return false;
 	}
 	if (p_reading.era > known.era && !p_reading.is_whole) {
-		_reader.read_in(from_seconds(_context.random.get_unit() * to_seconds(ERA_SPREAD)), read_reason::NEW_ERA);
-		return;
+		_need_list(read_reason::NEW_ERA, p_peer);
+		return false;
 	}
-	const bool follows_on = p_reading.from <= known.offset && p_reading.to >= known.offset;
-	if (p_reading.era == known.era && !follows_on) {
-		return;
+	if (p_reading.era == known.era && p_reading.from > known.offset) {
+		_need_list(read_reason::MISSED_DELTA, p_peer);
+		return false;
+	}
+	if (p_reading.era == known.era && p_reading.to < known.offset) {
+		return false;
 	}
 	const instant now = event_loop::now();
 	if (p_reading.era > known.era) {
@@ -122,14 +149,71 @@
 		_context.log.write(log_line("log_era").add("topic", "endpoints").add("era", static_cast<long long>(p_reading.era)).add("earlier", static_cast<long long>(known.era)).add("peer", p_peer));
 		_era_entered.emit();
 	} else {
+		_on_advance(p_reading.to - known.offset, now);
 		_reader.skip_to(p_reading.to);
 	}
+	if (p_reading.is_whole) {
+		_reader.adopt(log_position{ p_reading.era, p_reading.to });
+	}
+	_on_list_read(p_reading.is_whole);
+	_is_substitute = false;
 	_filter.on_told(p_reading);
 	_directory.on_read(now);
 	_directory.apply_delta(p_reading, now);
 	_set_timers();
 	_reader.read_in(PEER_READ_TIMEOUT);
 	_compare(p_reading, p_peer);
+	return true;
+}
+
+void endpoint_follower::_on_advance(std::uint64_t p_records, instant p_now) {
+	const double seconds = to_seconds(p_now - _advanced_at);
+	if (_advanced_at != instant{} && seconds > 0.0) {
+		const double rate = static_cast<double>(p_records) / seconds;
+		_records_per_second = _records_per_second ? *_records_per_second + (rate - *_records_per_second) * OBSERVATION_WEIGHT : rate;
+	}
+	_advanced_at = p_now;
+}
+
+double endpoint_follower::_estimate_bytes(bool p_is_whole) const {
+	if (p_is_whole) {
+		return static_cast<double>(_directory.get_size()) * _record_bytes * SNAPSHOT_FACTOR;
+	}
+	const double seconds = to_seconds(_reader.get_unconfirmed_time(event_loop::now()));
+	return _records_per_second ? std::min(MAX_ANSWER_BYTES, *_records_per_second * _record_bytes * seconds) : MAX_ANSWER_BYTES;
+}
+
+void endpoint_follower::_need_list(read_reason p_reason, const std::string &p_peer) {
+	_list_source = p_peer;
+	if (_list_need) {
+		return;
+	}
+	_list_need = p_reason;
+	_list_needed_at = event_loop::now();
+	_context.metrics.count("endpoint_lists_needed");
+	_context.log.write(log_line("endpoint_list_needed").add("reason", get_name(p_reason)).add("offset", static_cast<long long>(_reader.get_known().offset)).add("unconfirmed_ms", _reader.get_unconfirmed_time(event_loop::now())));
+	_list_timer.set(LIST_TIMEOUT);
+}
+
+void endpoint_follower::_on_list_read(bool p_is_whole) {
+	// Records that continue at the known position make up for a missed delta, but not for a difference.
+	if (p_is_whole || _list_need == read_reason::MISSED_DELTA) {
+		_list_need.reset();
+		_list_source.clear();
+		_list_timer.cancel();
+	}
+}
+
+void endpoint_follower::_on_list_timer() {
+	if (!_list_need) {
+		return;
+	}
+	const duration wait = _reader.get_turn_wait(true) + LIST_TIMEOUT - (event_loop::now() - _list_needed_at);
+	if (wait > duration::zero() || _reader.is_reading()) {
+		_list_timer.set(std::clamp(wait, READ_CHECK_INTERVAL, LIST_TIMEOUT));
+		return;
+	}
+	_reader.load_snapshot(*_list_need);
 }
 
 void endpoint_follower::_compare(const endpoint_delta &p_reading, const std::string &p_peer) {
@@ -140,20 +224,29 @@
 	_difference_found_at = now;
 	_context.metrics.count("endpoint_lists_differed");
 	_context.log.write(log_line("endpoint_lists_differ").add("peer", p_peer).add("endpoints", static_cast<long long>(_directory.get_size())).add("offset", static_cast<long long>(_reader.get_known().offset)));
-	_reader.load_snapshot(read_reason::LISTS_DIFFER);
+	_need_list(read_reason::LISTS_DIFFER, p_peer);
 }
 
 duration endpoint_follower::_get_read_interval(bool p_awaits_entries) const {
+	// If all nodes read while endpoints register or return, their load delays the few nodes that read for the others.
+	if (_reader.has_peer_reader()) {
+		return _is_substitute ? READ_INTERVAL : PEER_READ_TIMEOUT;
+	}
 	if (p_awaits_entries) {
 		return RETURN_INTERVAL;
 	}
-	// If all nodes read the list while endpoints register, their load delays the few nodes that read for the others.
-	if (_reader.has_peer_reader()) {
-		return PEER_READ_TIMEOUT;
-	}
 	return _directory.get_size() == 0 ? RETRY_INTERVAL : READ_INTERVAL;
 }
 
+void endpoint_follower::_on_drop_timer() {
+	if (!_reader.has_peer_reader()) {
+		_set_timers();
+		return;
+	}
+	_directory.tick(event_loop::now());
+	_publish();
+}
+
 void endpoint_follower::_set_timers() {
 	const instant now = event_loop::now();
 	_directory.tick(now);
@@ -223,7 +316,8 @@
 	}
 	if (p_known.offset > 0 && !_reader.is_loaded()) {
 		_reader.adopt(p_known);
-		_reader.read_in(PEER_READ_TIMEOUT);
+		_advanced_at = event_loop::now();
+		_reader.read_in(_reader.has_peer_reader() ? PEER_READ_TIMEOUT : duration::zero());
 	}
 	_publish();
 }
--- a/main/gateway/endpoint_follower.h
+++ b/main/gateway/endpoint_follower.h
@@ -16,6 +16,8 @@
 
 #include <sigc++/sigc++.h>
 
+#include <optional>
+
 namespace calicoscale {
 
 /** Reads the endpoints' topic about once a second and merges its records into a directory. */
@@ -30,7 +32,15 @@
 	sigc::signal<void(const endpoint_delta &)> _delta_published;
 	sigc::signal<void()> _era_entered;
 	bool _is_era_unreported = false; ///< The first snapshot of the current era is still to be published to peers.
-	instant _difference_found_at{}; ///< When this node last read a snapshot because its list differed from a peer's.
+	instant _difference_found_at{}; ///< When this node's list last was found to differ from a peer's.
+	bool _is_substitute = false; ///< The last read of this node was made in place of its silent reader.
+	std::optional<read_reason> _list_need; ///< Why this node needs a snapshot from a peer, or from the store when its turn comes.
+	std::string _list_source; ///< Peer whose delta showed the need.
+	instant _list_needed_at{};
+	timer _list_timer; ///< Reads the snapshot from the store if no peer has sent it.
+	std::optional<double> _records_per_second; ///< Observed rate of the topic; empty before two positions were known.
+	double _record_bytes; ///< Observed size of a record.
+	instant _advanced_at{}; ///< When the known position last advanced.
 
 	void _on_answer(const store_answer &p_answer, bool p_is_whole);
 	void _on_failure();
@@ -41,6 +51,15 @@
 	 */
 	duration _get_read_interval(bool p_awaits_entries) const;
 	void _set_timers();
+	void _on_drop_timer();
+	/** Notes that the known position advances, for the estimate of the topic's rate. */
+	void _on_advance(std::uint64_t p_records, instant p_now);
+	double _estimate_bytes(bool p_is_whole) const;
+	/** Requests a snapshot from the peer that sent the newer delta, or from another, and reads it from the store if none has sent it when this node's turn comes. */
+	void _need_list(read_reason p_reason, const std::string &p_peer);
+	void _on_list_timer();
+	/** Notes that the list was read, or received from a peer, up to the known position. */
+	void _on_list_read(bool p_is_whole);
 	endpoint_delta _apply_records(const store_answer &p_answer);
 	void _compare(const endpoint_delta &p_reading, const std::string &p_peer);
 	void _apply_snapshot(const store_answer &p_answer);
@@ -59,8 +78,8 @@
 	/** Sets whether a peer reads for this node as soon as the store answers that peer. */
 	void set_has_peer_reader(bool p_is_patient) { _reader.set_has_peer_reader(p_is_patient); }
 
-	/** Sets whether this node has a link to a peer. */
-	void set_linked(bool p_is_linked) { _reader.set_linked(p_is_linked); }
+	/** Sets whether this node has a link to a peer, or has none and may still get one soon. */
+	void set_linked(bool p_is_linked, bool p_is_linking) { _reader.set_linked(p_is_linked, p_is_linking); }
 
 	/** Returns the position up to which this node knows the topic, or zero if it has no snapshot. */
 	log_position get_known() const { return _reader.is_loaded() ? _reader.get_known() : log_position(); }
@@ -86,10 +105,20 @@
 	/**
 	 * Applies a delta received from a peer as if this node had read it, provided that it continues at the known position. This
 	 * node then reads by itself only if no further delta arrives in time. A delta from a peer whose version does not count the
-	 * starts of endpoints is ignored. A delta of a later era of the store is applied if it is a snapshot; otherwise this node
-	 * reads the store itself after a short random delay.
+	 * starts of endpoints is ignored. A delta of a later era of the store, or one that does not continue at the known position,
+	 * is applied if it is a snapshot; otherwise this node needs one.
+	 * @return whether the delta was applied.
 	 */
-	void apply_delta(const endpoint_delta &p_reading, const std::string &p_peer);
+	bool apply_delta(const endpoint_delta &p_reading, const std::string &p_peer);
+
+	/** Whether this node has a list and needs a newer snapshot from a peer. */
+	bool needs_list() const { return _list_need.has_value(); }
+
+	/** Returns the peer that is known to have that snapshot; empty if this node needs none. */
+	const std::string &get_list_source() const { return _list_source; }
+
+	/** Sets the position of this node in the order in which nodes read while their reader reports nothing. */
+	void set_turn(std::size_t p_position) { _reader.set_turn(p_position); }
 
 	/** Emitted with the delta of each read by this node, for peers that do not read the store. */
 	sigc::signal<void(const endpoint_delta &)> &delta_published() { return _delta_published; }
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -51,8 +51,8 @@
 		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, MAX_BACK_OFF, p_context.settings.mechanisms.has(mechanism::REQUESTED_LISTS) }),
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {}, p_context.settings.cores }),
 		_overlay(p_context.settings.vm, p_context.settings.zone),
-		_store(p_context, p_configuration, p_endpoints, _link, store_sharing_hooks{ [this](const std::string &p_vm) { return is_responsive(p_vm); }, [this](const std::string &p_vm) { return _is_in_own_zone(p_vm); }, [this] { _collect_updates(); } }),
-		_bootstrap(p_configuration, p_endpoints, _link, p_context.settings.link_bytes),
+		_store(p_context, p_configuration, p_endpoints, _link, store_sharing_hooks{ [this](const std::string &p_vm) { return is_responsive(p_vm); }, [this](const std::string &p_vm) { return _is_in_own_zone(p_vm); }, [this] { return get_followers(); }, [this] { _collect_updates(); } }),
+		_bootstrap(p_configuration, p_endpoints, _link, p_context.settings.link_bytes, [this](const std::string &p_vm) { return _is_ready(p_vm); }),
 		_heartbeat_timer(p_context.loop, [this] { _send_due_heartbeats(); }),
 		_watch_timer(p_context.loop, [this] { _watch(); }) {
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
@@ -307,13 +307,11 @@
 		}
 	}
 	_is_starting = get_dispatch_nodes().empty();
-	if (_bootstrap.needs_list() || !_configuration.get_current()) {
-		std::erase_if(nodes, [this](const overlay_node &p_node) { return p_node.zone != _context.settings.zone; });
-		_store.set_zone_nodes(nodes);
-	}
 	std::vector<std::string> zone_hubs = _plan.hubs;
 	std::erase_if(zone_hubs, [this](const std::string &p_vm) { return !_is_in_own_zone(p_vm); });
-	_store.set_hubs(zone_hubs);
+	std::erase_if(nodes, [this](const overlay_node &p_node) { return p_node.zone != _context.settings.zone; });
+	_store.set_zone_nodes(nodes, zone_hubs);
+	_store.set_hubs(zone_hubs, _plan.is_settled);
 	_dial();
 }
 
@@ -343,9 +341,19 @@
 			list_sources.push_back(list_source{ vm, peer->digest.zone == _context.settings.zone, peer->digest.cores });
 		}
 	}
+	const std::string &known_source = _endpoints.get_list_source();
+	const bool has_source = std::any_of(list_sources.begin(), list_sources.end(), [&known_source](const list_source &p_source) { return p_source.vm == known_source; });
+	if (has_source) {
+		std::erase_if(list_sources, [&known_source](const list_source &p_source) { return p_source.vm != known_source; });
+	}
 	_bootstrap.request_list(list_sources, _context.random.get_unit());
 }
 
+bool gateway_fleet::_is_ready(const std::string &p_vm) const {
+	const member *peer = _members.find(p_vm);
+	return peer != nullptr && peer->digest.ready;
+}
+
 bool gateway_fleet::_is_in_own_zone(const std::string &p_vm) const {
 	const member *peer = _members.find(p_vm);
 	return peer == nullptr ? p_vm == get_vm() : peer->digest.zone == _context.settings.zone;
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -108,6 +108,7 @@
 	void _set_live(const std::string &p_vm);
 	void _set_failed(const std::string &p_vm, peer_loss p_cause);
 	bool _is_leaving(const std::string &p_vm) const;
+	bool _is_ready(const std::string &p_vm) const;
 	bool _is_in_own_zone(const std::string &p_vm) const;
 	std::uint32_t _count_zone() const;
 	std::uint32_t _count_fleet() const;
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -12,6 +12,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
@@ -49,6 +51,11 @@
 	for (const json &peer : document.value("peers", json::array())) {
 		settings.peers.push_back(parse_network_address(peer.get<std::string>()));
 	}
+	const json store = document.value("store", json::object());
+	settings.store.reads_per_second = store.value("reads_per_second", settings.store.reads_per_second);
+	const double read_bytes = store.value("read_mb_per_second", settings.store.bytes_per_second / BYTES_PER_MB) * BYTES_PER_MB;
+	const double topic_bytes = store.value("topic_mb_per_second", settings.store.bytes_per_second / BYTES_PER_MB) * BYTES_PER_MB;
+	settings.store.bytes_per_second = std::min(read_bytes, topic_bytes);
 	settings.fleet_key = document.value("fleet_key", "");
 	const json retries = document.value("retries", json::object());
 	settings.retries.ratio = retries.value("ratio", settings.retries.ratio);
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -12,6 +12,7 @@
 #include "core/document_problem.h"
 #include "servers/gateway/mechanism.h"
 #include "servers/gateway/retry_window.h"
+#include "servers/membership/read_order.h"
 #include "servers/rollout/rollout_schedule.h"
 #include "servers/routing/endpoint_state.h"
 
@@ -33,6 +34,7 @@
 	network_address link_address;
 	std::optional<network_address> metrics_address;
 	network_address store_address;
+	store_rates store; ///< Rates at which the store serves all nodes together.
 	std::vector<network_address> peers; ///< Link addresses to try before members are known. Any of them may be stale.
 	std::string fleet_key; ///< Secret shared by the nodes. If empty, every peer is admitted.
 	retry_bounds retries;
--- a/main/gateway/peer_bootstrap.cpp
+++ b/main/gateway/peer_bootstrap.cpp
@@ -21,10 +21,16 @@
 
 } // namespace
 
-peer_bootstrap::peer_bootstrap(configuration_follower &p_configuration, endpoint_follower &p_endpoints, node_link &p_link, double p_link_bytes) :
-		_configuration(p_configuration), _endpoints(p_endpoints), _link(p_link), _lists(p_link_bytes) {
+peer_bootstrap::peer_bootstrap(configuration_follower &p_configuration, endpoint_follower &p_endpoints, node_link &p_link, double p_link_bytes, std::function<bool(const std::string &)> p_has_list) :
+		_configuration(p_configuration), _endpoints(p_endpoints), _link(p_link), _lists(p_link_bytes), _has_list(std::move(p_has_list)) {
 	_link.configuration_requested().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_requested(p_vm, p_have); });
-	_link.endpoints_requested().connect([this](const std::string &p_vm) { _on_endpoints_requested(p_vm); });
+	_link.endpoints_requested().connect([this](const std::string &p_vm) { _on_endpoints_requested(p_vm, _has_list(p_vm)); });
+	_link.endpoints_reported().connect([this](const std::string &p_vm, const report_endpoints_message &) { _request.on_answered(p_vm); });
+	_link.delta_reported().connect([this](const std::string &p_vm, const report_delta_message &p_message) {
+		if (p_message.reading.is_whole) {
+			_request.on_answered(p_vm);
+		}
+	});
 	_link.endpoints_declined().connect([this](const std::string &p_vm) { _request.on_declined(p_vm, event_loop::now()); });
 	_link.configuration_reported().connect([this](const std::string &p_vm, const configuration_snapshot &p_snapshot) { _configuration.offer(p_snapshot.document, "peer/" + p_vm); });
 }
@@ -58,6 +64,12 @@
 	return _link.send(p_vm, report_endpoints_message{ _endpoints.get_directory().get_entries(), _endpoints.get_known() });
 }
 
+bool peer_bootstrap::_send_snapshot(const std::string &p_vm) {
+	// A node that has a list would add the entries that this node keeps only because the store was unavailable, and keep them longer.
+	const log_position known = _endpoints.get_known();
+	return known.offset > 0 && _link.send(p_vm, report_delta_message{ _endpoints.get_directory().make_snapshot_delta(known) });
+}
+
 void peer_bootstrap::send_if_unready(const member_digest &p_peer) {
 	if (p_peer.ready || p_peer.leaving || _link.asks_lists(p_peer.vm) || !_endpoints.is_loaded()) {
 		return;
@@ -67,15 +79,17 @@
 	}
 }
 
-void peer_bootstrap::_on_endpoints_requested(const std::string &p_vm) {
-	const bool is_sent = _endpoints.is_loaded() && _lists.try_spend(_get_list_bytes(), event_loop::now()) && _send_list(p_vm);
+void peer_bootstrap::_on_endpoints_requested(const std::string &p_vm, bool p_has_list) {
+	// A node whose list may be wrong would pass it on.
+	const bool may_send = _endpoints.is_loaded() && !_endpoints.needs_list() && _lists.try_spend(_get_list_bytes(), event_loop::now());
+	const bool is_sent = may_send && (p_has_list ? _send_snapshot(p_vm) : _send_list(p_vm));
 	if (!is_sent) {
 		_link.decline_endpoints(p_vm);
 	}
 }
 
 bool peer_bootstrap::needs_list() const {
-	return !_endpoints.is_loaded();
+	return !_endpoints.is_loaded() || _endpoints.needs_list();
 }
 
 void peer_bootstrap::request_list(const std::vector<list_source> &p_sources, double p_chance) {
--- a/main/gateway/peer_bootstrap.h
+++ b/main/gateway/peer_bootstrap.h
@@ -15,6 +15,7 @@
 #include "servers/membership/list_budget.h"
 #include "servers/membership/list_request.h"
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -28,15 +29,20 @@
 	std::map<std::uint64_t, instant> _requested_at; ///< When the configuration was last requested, by version.
 	list_budget _lists;
 	list_request _request;
+	const std::function<bool(const std::string &)> _has_list;
 
 	void _on_configuration_requested(const std::string &p_vm, std::uint64_t p_have);
-	void _on_endpoints_requested(const std::string &p_vm);
+	void _on_endpoints_requested(const std::string &p_vm, bool p_has_list);
 	std::size_t _get_list_bytes() const;
 	bool _send_list(const std::string &p_vm);
+	bool _send_snapshot(const std::string &p_vm);
 
 public:
-	/** @param p_link_bytes bytes a second that this node's link carries. */
-	peer_bootstrap(configuration_follower &p_configuration, endpoint_follower &p_endpoints, node_link &p_link, double p_link_bytes);
+	/**
+	 * @param p_link_bytes bytes a second that this node's link carries.
+	 * @param p_has_list whether a peer has a list of endpoints, as far as this node knows.
+	 */
+	peer_bootstrap(configuration_follower &p_configuration, endpoint_follower &p_endpoints, node_link &p_link, double p_link_bytes, std::function<bool(const std::string &)> p_has_list);
 
 	/** Requests the configuration from a peer that has a higher version, at a limited rate. */
 	void request_if_newer(const member_digest &p_peer);
@@ -44,7 +50,7 @@
 	/** Sends all endpoints, at a limited rate, to a peer that is not ready and whose version does not request them. */
 	void send_if_unready(const member_digest &p_peer);
 
-	/** Whether this node has to request the endpoints from its peers, as it knows none. */
+	/** Whether this node has to request the endpoints from its peers, as it knows none or its list is incomplete. */
 	bool needs_list() const;
 
 	/** Requests the endpoints from one of these nodes, unless a request is open. @param p_chance see list_request. */
--- a/main/gateway/topic_reader.cpp
+++ b/main/gateway/topic_reader.cpp
@@ -21,8 +21,8 @@
  * the data within a tenth of that.
  */
 constexpr duration FIRST_READ_SPREAD = std::chrono::milliseconds(500);
-/** Interval at which the first wait is checked again, as the node that reads for this one may change while nodes connect. */
-constexpr duration FIRST_WAIT_CHECK_INTERVAL = std::chrono::milliseconds(100);
+/** Interval at which a wait for other nodes is checked again, as the order in which nodes read may change meanwhile. */
+constexpr duration WAIT_CHECK_INTERVAL = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -68,6 +68,14 @@
 	_send(_schedule.begin_after_stall(), _reason);
 }
 
+void topic_reader::set_has_peer_reader(bool p_has_peer_reader) {
+	const bool has_become_reader = _schedule.has_peer_reader() && !p_has_peer_reader;
+	_schedule.set_has_peer_reader(p_has_peer_reader);
+	if (has_become_reader && _was_loaded && !_schedule.is_reading() && _timer.is_set()) {
+		read_in(std::max(duration::zero(), _schedule.get_repeat() - get_unconfirmed_time(event_loop::now())));
+	}
+}
+
 void topic_reader::load_snapshot(read_reason p_reason) {
 	_is_loaded = false;
 	read(p_reason);
@@ -76,6 +84,7 @@
 void topic_reader::read_in(duration p_time, std::optional<read_reason> p_reason) {
 	if (!_schedule.is_reading()) {
 		_next_reason = p_reason;
+		_due_at = event_loop::now() + p_time;
 		_timer.set(p_time);
 	}
 }
@@ -98,11 +107,25 @@
 	_timer.cancel();
 }
 
+duration topic_reader::get_turn_wait(bool p_is_whole) const {
+	const gateway_settings &settings = _context.settings;
+	return _schedule.get_turn_wait(get_read_step(settings.store, settings.regions.size(), _hooks.estimate_bytes(p_is_whole)));
+}
+
+duration topic_reader::_get_remaining_wait() const {
+	const instant now = event_loop::now();
+	const duration turn = _due_at + get_turn_wait(!_is_loaded) - now;
+	if (!_was_loaded && _is_linking) {
+		return WAIT_CHECK_INTERVAL;
+	}
+	return _was_loaded ? turn : std::max(turn, _schedule.get_first_wait(now - _started_at));
+}
+
 void topic_reader::_check() {
 	if (!_schedule.is_reading()) {
-		const duration wait = _was_loaded ? duration::zero() : _schedule.get_first_wait(event_loop::now() - _started_at);
+		const duration wait = _get_remaining_wait();
 		if (wait > duration::zero()) {
-			_timer.set(std::min(wait, FIRST_WAIT_CHECK_INTERVAL));
+			_timer.set(std::min(wait, WAIT_CHECK_INTERVAL));
 			return;
 		}
 		read();
@@ -111,17 +134,22 @@
 	const std::optional<planned_read> repeated_read = _schedule.check();
 	if (!repeated_read) {
 		// One of the open reads times out soon. This check then replaces it without waiting for the others to time out.
-		_timer.set(_schedule.get_repeat());
+		_timer.set(_schedule.get_repeat() + get_turn_wait(!_is_loaded));
 		return;
 	}
 	_context.metrics.count("store_reads_repeated");
 	_send(*repeated_read, read_reason::REPEAT);
 }
 
+duration topic_reader::_get_check_time(const planned_read &p_read) const {
+	// An additional read takes as much of the store as a first one.
+	return p_read.check_in + get_turn_wait(!_is_loaded);
+}
+
 void topic_reader::_send(const planned_read &p_read, read_reason p_reason) {
 	const bool is_whole = !_is_loaded;
 	const auto handle_answer = [this, reading = p_read.reading, is_whole](const store_answer &p_answer) { _on_answer(p_answer, reading, is_whole); };
-	_timer.set(p_read.check_in);
+	_timer.set(_get_check_time(p_read));
 	if (is_whole) {
 		_context.store.read_newest(_topic, p_reason, p_read.on_new_connection, handle_answer, [this, p_read] { _on_page(p_read); });
 	} else {
@@ -131,7 +159,7 @@
 
 void topic_reader::_on_page(const planned_read &p_read) {
 	if (_schedule.is_open(p_read.reading)) {
-		_timer.set(p_read.check_in);
+		_timer.set(_get_check_time(p_read));
 	}
 }
 
--- a/servers/gateway/read_reason.cpp
+++ b/servers/gateway/read_reason.cpp
@@ -20,6 +20,7 @@
 	"reader",
 	"reader_silent",
 	"not_covered",
+	"missed_delta",
 	"lists_differ",
 	"new_era",
 	"history_gone",
--- a/servers/gateway/read_reason.h
+++ b/servers/gateway/read_reason.h
@@ -19,6 +19,7 @@
 	READER, ///< The node reads for its zone.
 	READER_SILENT, ///< The node that reads for the zone did not report in time.
 	NOT_COVERED, ///< No responsive peer follows the topic.
+	MISSED_DELTA, ///< A delta of the reader did not arrive.
 	LISTS_DIFFER, ///< The list of this node differs from that of its reader.
 	NEW_ERA, ///< The store was restored from an older copy.
 	HISTORY_GONE, ///< The store no longer has the records after the known position.
--- a/servers/gateway/read_schedule.cpp
+++ b/servers/gateway/read_schedule.cpp
@@ -18,6 +18,8 @@
 constexpr int MAX_OPEN_READS = 4;
 /** Maximum number of times that the time between reads doubles. */
 constexpr int MAX_DOUBLINGS = 4;
+/** Maximum number of times that the wait for a turn doubles. */
+constexpr int MAX_TURN_DOUBLINGS = 10;
 
 } // namespace
 
@@ -81,6 +83,15 @@
 	return _has_peer_reader ? std::max(duration::zero(), wait - p_since_start) : duration::zero();
 }
 
+duration read_schedule::get_turn_wait(duration p_step) const {
+	if (!_has_peer_reader || _turn < 2) {
+		return duration::zero();
+	}
+	// Without the growth, the nodes that begin to read one after the other would add up.
+	const duration::rep attempts = duration::rep{ 1 } << std::min(_failures + _repeats, MAX_TURN_DOUBLINGS);
+	return p_step * static_cast<duration::rep>(_turn - 1) * attempts;
+}
+
 duration read_schedule::get_retry() const {
 	return _apply_backoff(_times.retry, _failures);
 }
--- a/servers/gateway/read_schedule.h
+++ b/servers/gateway/read_schedule.h
@@ -45,6 +45,7 @@
 class read_schedule {
 	const read_times _times;
 	std::size_t _read_position = 0;
+	std::size_t _turn = 0; ///< Position among the nodes that read while the reader reports nothing.
 	std::uint64_t _reading = 0;
 	int _open = 0; ///< Open reads of the current reading.
 	int _failures = 0; ///< Failed reads since the last answer.
@@ -92,6 +93,17 @@
 	/** Sets the position of this node in the order in which nodes read for the first time. */
 	void set_read_rank(std::size_t p_position) { _read_position = p_position; }
 
+	/** Sets the position of this node in the order in which nodes read while their reader reports nothing; see find_read_position(). */
+	void set_turn(std::size_t p_position) { _turn = p_position; }
+
+	/**
+	 * Returns the time after the reader's silence became known, or after a failed read, until this node reads for itself. The
+	 * nodes before it report what they read, so that it need not read in most cases. Doubles with each read that failed or was
+	 * repeated since the last answer.
+	 * @param p_step interval between the reads of two successive nodes; see get_read_step().
+	 */
+	duration get_turn_wait(duration p_step) const;
+
 	/**
 	 * Returns the remaining time in which the first reading is left to a peer.
 	 * @param p_since_start time since the start of this node.
--- a/servers/membership/list_request.cpp
+++ b/servers/membership/list_request.cpp
@@ -66,6 +66,13 @@
 	return _requested_from;
 }
 
+void list_request::on_answered(const std::string &p_vm) {
+	if (_requested_from == p_vm) {
+		_requested_from.clear();
+		_answer_timeout = FIRST_ANSWER_TIMEOUT;
+	}
+}
+
 void list_request::on_declined(const std::string &p_vm, instant p_now) {
 	_not_before[p_vm] = p_now + DECLINED_PAUSE;
 	if (_requested_from == p_vm) {
--- a/servers/membership/list_request.h
+++ b/servers/membership/list_request.h
@@ -47,6 +47,9 @@
 	 */
 	std::string choose(const std::vector<list_source> &p_sources, double p_chance, instant p_now);
 
+	/** A node has sent the list. */
+	void on_answered(const std::string &p_vm);
+
 	/** A node declined to send the list for now. */
 	void on_declined(const std::string &p_vm, instant p_now);
 };
--- a/tests/servers/list_request_test.cpp
+++ b/tests/servers/list_request_test.cpp
@@ -64,6 +64,14 @@
 	EXPECT_EQ(list_request().choose({}, 0.5, at_ms(0)), "");
 }
 
+TEST(list_request, a_node_that_answered_may_be_asked_again_at_once) {
+	list_request request;
+	const std::vector<list_source> sources{ list_source{ "a", true, 1.0 } };
+	EXPECT_EQ(request.choose(sources, 0.0, at_ms(0)), "a");
+	request.on_answered("a");
+	EXPECT_EQ(request.choose(sources, 0.0, at_ms(10)), "a");
+}
+
 TEST(list_request, a_late_refusal_of_another_node_does_not_end_the_wait) {
 	list_request request;
 	EXPECT_EQ(request.choose(SOURCES, 0.0, at_ms(0)), "near-large");
--- a/tests/servers/reading_order_test.cpp
+++ b/tests/servers/reading_order_test.cpp
@@ -1,16 +1,19 @@
 /*
  * calicoscale: reading_order_test.cpp
- * Which nodes read the store when a whole fleet starts.
+ * Which nodes read the store when a whole fleet starts, or when nobody reads it for them.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
  */
 
 #include "servers/gateway/read_schedule.h"
+#include "servers/membership/read_order.h"
 #include "servers/membership/read_rank.h"
+#include "servers/membership/store_coverage.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace calicoscale {
@@ -50,6 +53,46 @@
 	}
 }
 
+TEST(reading_order, the_hubs_of_a_zone_read_before_the_others_and_no_two_nodes_share_a_position) {
+	const std::vector<overlay_node> zone = make_zone(40);
+	const std::vector<std::string> hubs{ "n0", "n3", "n20", "n39" };
+	std::set<std::size_t> positions;
+	for (const overlay_node &node : zone) {
+		const bool is_hub = std::find(hubs.begin(), hubs.end(), node.vm) != hubs.end();
+		const std::size_t position = find_read_position(node.vm, "a", hubs, zone);
+		EXPECT_EQ(is_hub, position < hubs.size()) << node.vm;
+		EXPECT_TRUE(!is_hub || positions.insert(position).second) << node.vm;
+	}
+	EXPECT_EQ(find_read_position(choose_reader("a", hubs), "a", hubs, zone), 0U);
+	EXPECT_EQ(find_read_position("n1", "a", {}, { overlay_node{ "n1", "a", 1.0 } }), 0U);
+}
+
+/** Bytes that the nodes of all zones read in a second while none of them is told anything, in the order of their positions. */
+TEST(reading_order, reads_of_all_zones_together_take_half_of_the_rate_of_the_store_at_most) {
+	const store_rates rates{ 16000.0, 20e6 };
+	for (const std::size_t zones : { 1U, 3U, 5U, 28U }) {
+		for (const double bytes : { 300.0, 20e3, 0.8e6, 4e6 }) {
+			const double reads_per_second = static_cast<double>(zones) / to_seconds(get_read_step(rates, zones, bytes));
+			EXPECT_LE(reads_per_second * bytes, 0.501 * rates.bytes_per_second) << zones << " zones, " << bytes << " bytes";
+			EXPECT_LE(reads_per_second, 0.501 * rates.reads_per_second) << zones << " zones, " << bytes << " bytes";
+		}
+	}
+}
+
+TEST(reading_order, only_nodes_with_a_reader_wait_for_their_turn) {
+	read_schedule schedule(read_times{});
+	schedule.set_turn(5);
+	EXPECT_EQ(schedule.get_turn_wait(milliseconds(100)), duration::zero());
+	schedule.set_has_peer_reader(true);
+	EXPECT_EQ(schedule.get_turn_wait(milliseconds(100)), milliseconds(400));
+	schedule.on_failed(schedule.begin().reading);
+	EXPECT_EQ(schedule.get_turn_wait(milliseconds(100)), milliseconds(800)) << "after a failure";
+	schedule.on_answered(schedule.begin().reading);
+	EXPECT_EQ(schedule.get_turn_wait(milliseconds(100)), milliseconds(400));
+	schedule.set_turn(1);
+	EXPECT_EQ(schedule.get_turn_wait(milliseconds(100)), duration::zero()) << "the first after the reader";
+}
+
 TEST(reading_order, every_node_reads_in_the_end_when_nobody_tells_it) {
 	EXPECT_EQ(count_readers(200, seconds(1 + 200)), 200U);
 }
