Each node dials its seeds from a place given by its name

Cause: all nodes of a fleet dial the first seed of the settings first, then the second: at a start of 986 nodes 169 have no link after 1.8 s (measured before). Change: seed_order begins at a hash of the node's name and takes each seed in turn; as before, a node without links goes on to the next one at each heartbeat interval, whether the one before has answered or not. A play of a whole fleet was not run.

--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -54,7 +54,8 @@
 		_store(p_context, p_configuration, p_endpoints, _link, store_sharing_hooks{ [this](const std::string &p_vm) { return is_responsive(p_vm); }, [this](const std::string &p_vm) { return _is_in_own_zone(p_vm); }, [this] { return get_followers(); }, [this] { _collect_updates(); } }),
 		_bootstrap(p_configuration, p_endpoints, _link, p_context.settings.link_bytes, [this](const std::string &p_vm) { return _is_ready(p_vm); }),
 		_heartbeat_timer(p_context.loop, [this] { _send_due_heartbeats(); }),
-		_watch_timer(p_context.loop, [this] { _watch(); }) {
+		_watch_timer(p_context.loop, [this] { _watch(); }),
+		_seed_order(p_context.settings.vm) {
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
 	_link.link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
 	_link.link_down().connect([this](const std::string &p_vm) { _on_link_down(p_vm); });
@@ -318,7 +319,7 @@
 void gateway_fleet::_dial() {
 	if (_link.get_linked().empty() && !_context.settings.peers.empty()) {
 		// Dials one seed at a time, so that a starting fleet does not connect to all of its seeds at once.
-		const network_address &seed = _context.settings.peers[_next_seed++ % _context.settings.peers.size()];
+		const network_address &seed = _context.settings.peers[_seed_order.take_next(_context.settings.peers.size())];
 		if (!(seed == _link.get_address()) && _link.dial_unnamed(seed)) {
 			_context.log.write(log_line("seed_dialled").add("seed", to_string(seed)));
 		}
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -20,6 +20,7 @@
 #include "servers/membership/peer_contacts.h"
 #include "servers/membership/peer_loss.h"
 #include "servers/membership/reported_fleet.h"
+#include "servers/membership/seed_order.h"
 
 #include <map>
 #include <set>
@@ -83,7 +84,7 @@
 	int _heartbeat_count = 0;
 	bool _is_starting = true; ///< No dispatching node is known.
 	std::set<std::string> _greeted; ///< Peers that have already been sent the first heartbeat on the current link.
-	std::size_t _next_seed = 0;
+	seed_order _seed_order;
 	bool _ready = false;
 	bool _leaving = false;
 	sigc::signal<void(const std::string &)> _peer_lost;
--- a/tests/main/gateway_start_test.cpp
+++ b/tests/main/gateway_start_test.cpp
@@ -7,6 +7,7 @@
  */
 
 #include "tests/main/gateway_fixture.h"
+#include "tests/main/raw_server.h"
 
 #include <algorithm>
 
@@ -89,4 +90,19 @@
 	EXPECT_GE(count_bytes("ask_endpoints"), NODES * 8);
 }
 
+TEST_F(gateway_start_test, a_seed_that_accepts_and_stays_silent_does_not_keep_a_node_from_the_next_one) {
+	raw_server silent(_loop);
+	raw_server also_silent(_loop);
+	_store.set_away(true);
+	start_gateway();
+	_first_seeds = { silent.get_address(), also_silent.get_address() };
+	_most_seeds = SEEDS;
+	while (_gateways.size() < NODES) {
+		start_gateway();
+	}
+	run_until([this] { return std::all_of(_gateways.begin(), _gateways.end(), [](const std::unique_ptr<gateway> &p_node) { return p_node->get_link_count() > 0; }); });
+	EXPECT_GT(silent.count_accepted() + also_silent.count_accepted(), 0U);
+	EXPECT_EQ(silent.count_ended_by_peer() + also_silent.count_ended_by_peer(), 0U) << "no node waited for a silent seed to be given up";
+}
+
 } // namespace calicoscale
--- a/tests/main/raw_server.h
+++ b/tests/main/raw_server.h
@@ -17,8 +17,10 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -141,6 +143,16 @@
 		}
 	}
 
+	std::size_t count_accepted() const { return _streams.size(); }
+
+	/** Returns how many of the accepted connections the other side has ended. */
+	std::size_t count_ended_by_peer() const {
+		return static_cast<std::size_t>(std::count_if(_streams.begin(), _streams.end(), [](bufferevent *p_stream) {
+			pollfd state{ bufferevent_getfd(p_stream), POLLRDHUP, 0 };
+			return poll(&state, 1, 0) > 0;
+		}));
+	}
+
 	const network_address &get_address() const { return _address; }
 };
 
