The queue of connections to a node holds a whole fleet

Cause: node_link listens with the library's queue of 128; a connection that finds it full is tried again after a second or more. Change: MAX_WAITING_CONNECTIONS, 4,096; the system caps it (net.core.somaxconn). Result: link_test: 1,000 connections are established while the node accepts none; with the library's default the test fails.

--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -38,6 +38,12 @@
 constexpr std::size_t MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 /** A node that dispatches pools has a link to each node of a fleet of up to some hundreds; each link uses one file descriptor. */
 constexpr std::size_t MAX_LINKS = 1024;
+/**
+ * Maximum number of connections that wait to be accepted. The nodes of a fleet that starts connect to a few seeds within less than a
+ * second, while a seed is starting too; a connection that finds the queue full is tried again only after a second or more. The system
+ * may impose a lower limit.
+ */
+constexpr int MAX_WAITING_CONNECTIONS = 4096;
 constexpr duration FIRST_BACK_OFF = std::chrono::milliseconds(250);
 constexpr int SILENCE_SECONDS = 10;
 constexpr int NONCE_BYTES = 16;
@@ -273,7 +279,7 @@
 		_loop(p_loop), _identity(std::move(p_identity)) {
 	const sockaddr_in address = make_socket_address(p_address);
 	const unsigned int flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
-	_listener = evconnlistener_new_bind(p_loop.get_base(), &node_link::_on_accept, this, flags, -1, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+	_listener = evconnlistener_new_bind(p_loop.get_base(), &node_link::_on_accept, this, flags, MAX_WAITING_CONNECTIONS, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
 	if (_listener == nullptr) {
 		throw std::runtime_error("cannot listen at " + to_string(p_address));
 	}
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -15,7 +15,9 @@
 #include <rapidcheck/gtest.h>
 
 #include <arpa/inet.h>
+#include <poll.h>
 
+#include <fstream>
 #include <limits>
 
 namespace calicoscale {
@@ -370,4 +372,33 @@
 	});
 }
 
+TEST(node_link, a_whole_fleet_may_connect_while_the_node_accepts_nothing) {
+	std::size_t system_limit = 0;
+	std::ifstream("/proc/sys/net/core/somaxconn") >> system_limit;
+	const std::size_t connections = std::min<std::size_t>(1000, system_limit);
+	ASSERT_GT(connections, 128U);
+	event_loop loop;
+	node_link link(loop, any_address(), link_identity{ "left", 1, "key" });
+	sockaddr_in address{};
+	address.sin_family = AF_INET;
+	address.sin_port = htons(link.get_address().port);
+	inet_pton(AF_INET, link.get_address().host.c_str(), &address.sin_addr);
+	std::vector<pollfd> sockets;
+	for (std::size_t i = 0; i < connections; i++) {
+		sockets.push_back(pollfd{ socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), POLLOUT, 0 });
+		connect(sockets.back().fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+	}
+	// The loop does not run, so that a connection that finds the queue full is never established.
+	const instant give_up = event_loop::now() + MAX_WAIT;
+	std::size_t established = 0;
+	while (established < connections && event_loop::now() < give_up) {
+		poll(sockets.data(), sockets.size(), 10);
+		established = static_cast<std::size_t>(std::count_if(sockets.begin(), sockets.end(), [](const pollfd &p_entry) { return p_entry.revents == POLLOUT; }));
+	}
+	EXPECT_EQ(established, connections);
+	for (const pollfd &entry : sockets) {
+		close(entry.fd);
+	}
+}
+
 } // namespace calicoscale
