The number of links to a node follows from its descriptors

Cause: node_link refuses connections beyond 1,024 links, whatever the process may open; a node that dispatches has a link to each node, so that 2,000 nodes do not fit. A connection beyond is closed as before, counted (links_refused) and told by one line (links_full) until there is room again. Result: settings_test, link_test and gateway_start_test have a test each; the latter two fail if the bound is taken out.

--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -36,8 +36,6 @@
 /** An unauthenticated peer may send no more than a hello message. */
 constexpr std::size_t MAX_UNAUTHENTICATED_FRAME_BYTES = 4 * 1024;
 constexpr std::size_t MAX_UNSENT_BYTES = 8 * 1024 * 1024;
-/** A node that dispatches pools has a link to each node of a fleet of up to some hundreds; each link uses one file descriptor. */
-constexpr std::size_t MAX_LINKS = 1024;
 /**
  * Maximum number of connections that wait to be accepted. The nodes of a fleet that starts connect to a few seeds within less than a
  * second, while a seed is starting too; a connection that finds the queue full is tried again only after a second or more. The system
@@ -294,8 +292,10 @@
 
 void node_link::_on_accept(evconnlistener *, int p_socket, sockaddr *, int, void *p_self) {
 	node_link &self = *static_cast<node_link *>(p_self);
-	if (self._links.size() >= MAX_LINKS) {
+	if (self.is_full()) {
 		evutil_closesocket(p_socket);
+		self._refused_connections++;
+		self._connection_refused.emit();
 		return;
 	}
 	bufferevent *stream = bufferevent_socket_new(self._loop.get_base(), p_socket, BEV_OPT_CLOSE_ON_FREE);
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -177,6 +177,7 @@
 	std::string fleet_key; ///< When empty, every peer is admitted.
 	duration longest_back_off = std::chrono::seconds(8); ///< Upper bound of the back-off between attempts to connect, which starts at 250 ms and doubles.
 	bool asks_lists = false; ///< This node requests the endpoints, so that peers need not send them unrequested.
+	std::size_t max_links = 1024; ///< Connections beyond this number of links are refused. Each link uses one file descriptor.
 };
 
 /**
@@ -197,12 +198,14 @@
 	std::map<std::string, duration> _back_off;
 	std::vector<std::string> _cut_off; ///< VMs with which links are refused, for failure tests.
 	std::uint64_t _rejected_frames = 0;
+	std::uint64_t _refused_connections = 0;
 	std::uint64_t _bytes_sent = 0;
 	std::map<std::string_view, std::uint64_t> _bytes_by_kind; ///< _bytes_sent by kind of message.
 	std::uint64_t _bytes_received = 0;
 
 	sigc::signal<void(const std::string &)> _link_up;
 	sigc::signal<void(const std::string &)> _link_down;
+	sigc::signal<void()> _connection_refused;
 	sigc::signal<void(const std::string &, const heartbeat_message &)> _heartbeat_received;
 	sigc::signal<void(const std::string &, std::uint64_t)> _configuration_requested;
 	sigc::signal<void(const std::string &)> _endpoints_requested;
@@ -285,6 +288,8 @@
 
 	sigc::signal<void(const std::string &)> &link_up() { return _link_up; }
 	sigc::signal<void(const std::string &)> &link_down() { return _link_down; }
+	/** Emitted when a connection is closed because there are as many links as allowed. */
+	sigc::signal<void()> &connection_refused() { return _connection_refused; }
 	sigc::signal<void(const std::string &, const heartbeat_message &)> &heartbeat_received() { return _heartbeat_received; }
 	sigc::signal<void(const std::string &)> &endpoints_requested() { return _endpoints_requested; }
 	sigc::signal<void(const std::string &)> &endpoints_declined() { return _endpoints_declined; }
@@ -306,6 +311,10 @@
 
 	const network_address &get_address() const { return _address; }
 	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
+	/** Returns how many connections were closed because there were as many links as allowed. */
+	std::uint64_t get_refused_connections() const { return _refused_connections; }
+	/** Whether a further connection would be refused. Counts links that are not authenticated yet. */
+	bool is_full() const { return _links.size() >= _identity.max_links; }
 	std::uint64_t get_bytes_sent() const { return _bytes_sent; }
 
 	/** Returns the bytes sent by name of the kind of message; kinds that were never sent are absent. */
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -48,7 +48,7 @@
 		_configuration(p_configuration),
 		_endpoints(p_endpoints),
 		_evacuations(p_evacuations),
-		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, MAX_BACK_OFF, p_context.settings.mechanisms.has(mechanism::REQUESTED_LISTS) }),
+		_link(p_context.loop, p_context.settings.link_address, link_identity{ p_context.settings.vm, p_context.incarnation, p_context.settings.fleet_key, MAX_BACK_OFF, p_context.settings.mechanisms.has(mechanism::REQUESTED_LISTS), p_context.settings.get_max_links() }),
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {}, p_context.settings.cores }),
 		_overlay(p_context.settings.vm, p_context.settings.zone),
 		_store(p_context, p_configuration, p_endpoints, _link, store_sharing_hooks{ [this](const std::string &p_vm) { return is_responsive(p_vm); }, [this](const std::string &p_vm) { return _is_in_own_zone(p_vm); }, [this] { return get_followers(); }, [this] { _collect_updates(); } }),
@@ -59,6 +59,7 @@
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
 	_link.link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
 	_link.link_down().connect([this](const std::string &p_vm) { _on_link_down(p_vm); });
+	_link.connection_refused().connect([this] { _on_connection_refused(); });
 	_link.endpoints_declined().connect([this](const std::string &) { _request_list(); });
 	_configuration.changed().connect([this] { _send_heartbeats(heartbeat_scope::CLOSE); });
 	_evacuations.changed().connect([this](const evacuation_change &) { _send_heartbeats(heartbeat_scope::CLOSE); });
@@ -270,6 +271,7 @@
 	const activity_scope scope(_context.loop, activity::HEARTBEATS_SENT);
 	const instant now = event_loop::now();
 	_members.tick(now);
+	_refuses_links = _refuses_links && _link.is_full();
 	std::erase_if(_kept_until, [now](const auto &p_entry) { return p_entry.second < now; });
 	_plan_links();
 	_store.use_names(_plan.is_hub);
@@ -496,6 +498,14 @@
 	}
 }
 
+void gateway_fleet::_on_connection_refused() {
+	_context.metrics.count("links_refused");
+	if (!_refuses_links) {
+		_refuses_links = true;
+		_context.log.write(log_line("links_full").add("max_links", static_cast<long long>(_context.settings.get_max_links())));
+	}
+}
+
 void gateway_fleet::_set_live(const std::string &p_vm) {
 	bool &was_live = _was_live[p_vm];
 	if (!was_live) {
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -85,6 +85,7 @@
 	bool _is_starting = true; ///< No dispatching node is known.
 	std::set<std::string> _greeted; ///< Peers that have already been sent the first heartbeat on the current link.
 	seed_order _seed_order;
+	bool _refuses_links = false; ///< Connections were refused because of the maximum number of links, which is still reached.
 	bool _ready = false;
 	bool _leaving = false;
 	sigc::signal<void(const std::string &)> _peer_lost;
@@ -116,6 +117,7 @@
 	void _collect_updates();
 	void _on_link_up(const std::string &p_vm);
 	void _on_link_down(const std::string &p_vm);
+	void _on_connection_refused();
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
 	void _merge_members(const heartbeat_message &p_message);
 	void _apply_endpoint_updates(const std::string &p_vm, const heartbeat_message &p_message);
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -63,6 +63,7 @@
 	settings.retries.window = from_seconds(retries.value("window_seconds", to_seconds(settings.retries.window)));
 	settings.cores = document.value("cores", settings.cores);
 	settings.memory_bytes = document.value("memory_mb", settings.memory_bytes / BYTES_PER_MB) * BYTES_PER_MB;
+	settings.descriptors = document.value("descriptors", settings.descriptors);
 	settings.link_bytes = document.value("link_mbps", settings.link_bytes / BYTES_PER_MBIT) * BYTES_PER_MBIT;
 	settings.configuration_apply = std::chrono::milliseconds(document.value("configuration_apply_ms", static_cast<long long>(to_milliseconds(settings.configuration_apply))));
 	settings.evacuation_apply = std::chrono::milliseconds(document.value("evacuation_apply_ms", static_cast<long long>(to_milliseconds(settings.evacuation_apply))));
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -40,6 +40,7 @@
 	retry_bounds retries;
 	double cores = 1.0; ///< Number of cores, possibly fractional, that this process may use. The larger nodes dispatch stage pools.
 	double memory_bytes = 256e6; ///< Memory that this process may use.
+	std::size_t descriptors = 2048; ///< File descriptors that this process may have open.
 	double link_bytes = 125e6; ///< Capacity of this VM's link in bytes per second.
 	duration configuration_apply = std::chrono::seconds(2); ///< Time within which a confirmed change of the configuration must be in force.
 	duration evacuation_apply = std::chrono::seconds(5); ///< Time after the confirmation of an evacuation from which the zone's endpoints must get no new requests.
@@ -47,6 +48,9 @@
 	std::map<std::string, std::string> regions; ///< Region of each availability zone, by the zone's name.
 	mechanism_set mechanisms; ///< Enabled mechanisms. Some may be switched off to measure their effect.
 	duration stop_grace = std::chrono::seconds(8); ///< Time from the stop signal until the process is killed.
+
+	/** Returns the maximum number of links to other nodes: half of the descriptors. The rest is for callers, endpoints, the store and files. */
+	std::size_t get_max_links() const { return descriptors / 2; }
 };
 
 /**
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -401,4 +401,32 @@
 	}
 }
 
+TEST(node_link, a_connection_beyond_the_allowed_links_is_refused_and_counted_until_one_ends) {
+	event_loop loop;
+	link_identity identity{ "hub", 1, "key" };
+	identity.max_links = 2;
+	node_link hub(loop, any_address(), identity);
+	int refused = 0;
+	hub.connection_refused().connect([&refused] { refused++; });
+	std::vector<std::unique_ptr<node_link>> nodes;
+	for (int i = 0; i < 3; i++) {
+		nodes.push_back(std::make_unique<node_link>(loop, any_address(), link_identity{ "n" + std::to_string(i), 1, "key" }));
+	}
+	nodes[0]->dial("hub", hub.get_address());
+	nodes[1]->dial("hub", hub.get_address());
+	run_until(loop, [&hub] { return hub.get_linked().size() == 2; });
+	EXPECT_TRUE(hub.is_full());
+	EXPECT_EQ(refused, 0);
+	nodes[2]->dial("hub", hub.get_address());
+	run_until(loop, [&refused] { return refused == 1; });
+	EXPECT_EQ(hub.get_refused_connections(), 1U);
+	EXPECT_FALSE(hub.is_linked("n2"));
+	nodes[0].reset();
+	run_until(loop, [&hub] { return !hub.is_full(); });
+	run_until(loop, [&hub, &nodes] {
+		nodes[2]->dial("hub", hub.get_address());
+		return hub.is_linked("n2");
+	});
+}
+
 } // namespace calicoscale
--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -78,6 +78,7 @@
 	double _cores = 1.0; ///< Setting for gateways started later.
 	std::string _zone = "a"; ///< Setting for gateways started later.
 	std::vector<network_address> _first_seeds; ///< Configured peers before the other gateways, for gateways started later.
+	std::size_t _descriptors = 2048; ///< Setting for gateways started later.
 	std::size_t _most_seeds = 100; ///< Maximum number of configured peers of gateways started later.
 	std::map<std::string, std::string> _regions; ///< Region of each zone, for gateways started later.
 	bool _has_metrics = false; ///< Whether gateways started later serve metrics.
@@ -129,6 +130,7 @@
 		settings.store_address = p_store.get_address();
 		settings.cores = _cores;
 		settings.regions = _regions;
+		settings.descriptors = _descriptors;
 		settings.peers = _first_seeds;
 		for (const std::unique_ptr<gateway> &other : _gateways) {
 			if (settings.peers.size() < _most_seeds) {
--- a/tests/main/gateway_start_test.cpp
+++ b/tests/main/gateway_start_test.cpp
@@ -7,9 +7,11 @@
  */
 
 #include "tests/main/gateway_fixture.h"
+#include "tests/main/raw_connection.h"
 #include "tests/main/raw_server.h"
 
 #include <algorithm>
+#include <array>
 
 namespace calicoscale {
 
@@ -105,4 +107,17 @@
 	EXPECT_EQ(silent.count_ended_by_peer() + also_silent.count_ended_by_peer(), 0U) << "no node waited for a silent seed to be given up";
 }
 
+TEST_F(gateway_start_test, connections_of_nodes_beyond_half_of_the_descriptors_are_refused) {
+	_descriptors = 4;
+	gateway &node = start_gateway();
+	const std::array<std::unique_ptr<raw_connection>, 3> connections{ std::make_unique<raw_connection>(node.get_link_address()), std::make_unique<raw_connection>(node.get_link_address()), std::make_unique<raw_connection>(node.get_link_address()) };
+	run_until([&connections] {
+		connections[2]->poll();
+		return connections[2]->is_closed();
+	});
+	connections[0]->poll();
+	connections[1]->poll();
+	EXPECT_FALSE(connections[0]->is_closed() || connections[1]->is_closed());
+}
+
 } // namespace calicoscale
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -86,6 +86,14 @@
 	}
 }
 
+TEST(gateway_settings, the_number_of_links_follows_from_the_descriptors_of_the_process) {
+	EXPECT_EQ(parse_gateway_settings(GATEWAY).get_max_links(), 1024U);
+	EXPECT_EQ(parse_gateway_settings(replace(GATEWAY, "\"zone\"", R"("descriptors": 4100, "zone")")).get_max_links(), 2050U);
+	EXPECT_EQ(parse_gateway_settings(replace(GATEWAY, "\"zone\"", R"("descriptors": 8192, "zone")")).get_max_links(), 4096U);
+	EXPECT_THROW(parse_gateway_settings(replace(GATEWAY, "\"zone\"", R"("descriptors": 0, "zone")")), document_error);
+	EXPECT_THROW(parse_gateway_settings(replace(GATEWAY, "\"zone\"", R"("descriptors": 99.5, "zone")")), document_error);
+}
+
 TEST(gateway_settings, every_mechanism_has_a_name_of_its_own) {
 	for (std::size_t i = 0; i < static_cast<std::size_t>(mechanism::COUNT); i++) {
 		EXPECT_EQ(find_mechanism(get_name(static_cast<mechanism>(i))), static_cast<mechanism>(i));
