A node without links dials eight of the nodes named in the store at a time

Cause: it dialled every named node; with hundreds of names, hundreds of nodes each did. Change: choose_named_nodes takes eight by a hash of both names, own zone and other zones in turn, so that stale records of a zone that is gone do not fill the choice; the next read takes the next eight if no link came up.

--- a/main/gateway/store_sharing.cpp
+++ b/main/gateway/store_sharing.cpp
@@ -8,6 +8,7 @@
 
 #include "main/gateway/store_sharing.h"
 
+#include "servers/membership/named_node.h"
 #include "servers/membership/read_order.h"
 
 #include <algorithm>
@@ -166,12 +167,20 @@
 
 void store_sharing::_read_names() {
 	_context.store.read_newest(std::string(get_node_topic()), read_reason::NODE_NAMES, true, [this](const store_answer &p_answer) {
+		std::vector<named_node> names;
 		for (const store_record &record : p_answer.records) {
-			const network_address address = record.value ? parse_network_address(record.value->substr(0, record.value->find(' '))) : network_address();
-			if (record.key != _context.settings.vm && address.port != 0) {
-				_link.dial(record.key, address);
+			const std::string value = record.value.value_or("");
+			const std::size_t space = value.find(' ');
+			const network_address address = parse_network_address(value.substr(0, space));
+			if (address.port != 0) {
+				names.push_back(named_node{ record.key, address, space == std::string::npos ? "" : value.substr(space + 1) });
 			}
 		}
+		const std::vector<named_node> chosen = choose_named_nodes(_context.settings.vm, _context.settings.zone, names, _name_rounds);
+		_name_rounds += chosen.empty() ? 0 : 1;
+		for (const named_node &node : chosen) {
+			_link.dial(node.vm, node.address);
+		}
 	});
 }
 
--- a/main/gateway/store_sharing.h
+++ b/main/gateway/store_sharing.h
@@ -45,6 +45,7 @@
 	bool _is_name_written = false; ///< This node's name and address are in the store.
 	instant _name_write_at{};
 	instant _read_names_at{};
+	std::size_t _name_rounds = 0; ///< Reads of the names after which nodes were dialled.
 	std::size_t _known_nodes = 0; ///< Size of the last known set of nodes of this zone.
 	instant _nodes_changed_at{}; ///< When that size last changed.
 
--- a/tests/main/gateway_start_test.cpp
+++ b/tests/main/gateway_start_test.cpp
@@ -107,6 +107,23 @@
 	EXPECT_EQ(silent.count_ended_by_peer() + also_silent.count_ended_by_peer(), 0U) << "no node waited for a silent seed to be given up";
 }
 
+TEST_F(gateway_start_test, a_node_without_links_dials_a_few_of_the_nodes_named_in_the_store_at_a_time) {
+	constexpr std::size_t NAMES = 20;
+	raw_server named(_loop);
+	_store.set_page_size(PAGE);
+	for (std::size_t i = 0; i < NAMES; i++) {
+		_store.put("keyed.calicoscale-nodes", "named-" + std::to_string(i), to_string(named.get_address()) + " a");
+	}
+	start_gateway();
+	std::size_t max_per_read = 0;
+	run_until([this, &named, &max_per_read] {
+		const std::size_t reads = std::max<std::size_t>(1, _store.count_reads_of("keyed.calicoscale-nodes"));
+		max_per_read = std::max(max_per_read, (named.count_accepted() + reads - 1) / reads);
+		return named.count_accepted() >= NAMES;
+	});
+	EXPECT_LE(max_per_read, 8U);
+}
+
 TEST_F(gateway_start_test, connections_of_nodes_beyond_half_of_the_descriptors_are_refused) {
 	_descriptors = 4;
 	gateway &node = start_gateway();
