Test: a third of the nodes turned away by the store, with the first two readers of each zone among them

Cause: with the third chosen by a hash alone no zone lost both its reader and the first node after it, so the play passed by luck.

Change: a further trigger at all sizes, with the same checks.

--- a/tests/servers/store_fleet.cpp
+++ b/tests/servers/store_fleet.cpp
@@ -68,6 +68,7 @@
 		case store_trigger::STORE_SLOW:
 			return STORE_FAILURE;
 		case store_trigger::THIRD_TURNED_AWAY:
+		case store_trigger::FIRST_READERS_TURNED_AWAY:
 			return TURNED_AWAY_TIME;
 		case store_trigger::ALL_START:
 			return MEETING_TIME;
@@ -160,8 +161,10 @@
 			_at(_now + LOSS_NOTICED_AFTER, [this] { _assign_roles(); });
 			return;
 		case store_trigger::THIRD_TURNED_AWAY:
+		case store_trigger::FIRST_READERS_TURNED_AWAY:
 			for (node &entry : _nodes) {
-				entry.is_turned_away = hash_bytes(entry.vm, 3) % 3 == 0;
+				const bool is_first = _trigger == store_trigger::FIRST_READERS_TURNED_AWAY && entry.position < 2;
+				entry.is_turned_away = is_first || hash_bytes(entry.vm, 3) % 3 == 0;
 			}
 			return;
 		case store_trigger::STORE_RESTORED:
@@ -177,7 +180,7 @@
 
 void store_fleet::_end_trigger() {
 	_store.set_condition(store_condition::NORMAL);
-	if (_trigger == store_trigger::THIRD_TURNED_AWAY) {
+	if (_trigger == store_trigger::THIRD_TURNED_AWAY || _trigger == store_trigger::FIRST_READERS_TURNED_AWAY) {
 		for (node &entry : _nodes) {
 			if (entry.is_turned_away) {
 				_record_age(entry);
@@ -224,8 +227,9 @@
 			_at(_now + MEETING_PAUSE, [&entry] { entry.schedule.set_has_peer_reader(false); });
 		}
 		entry.schedule.set_read_rank(find_read_rank(entry.vm, nodes));
+		entry.position = find_read_position(entry.vm, zone_name, hubs, nodes);
 		if (_is_in_turns()) {
-			entry.schedule.set_turn(find_read_position(entry.vm, zone_name, hubs, nodes));
+			entry.schedule.set_turn(entry.position);
 		}
 	}
 }
--- a/tests/servers/store_fleet.h
+++ b/tests/servers/store_fleet.h
@@ -37,6 +37,7 @@
 	ALL_START,
 	READERS_LOST,
 	THIRD_TURNED_AWAY,
+	FIRST_READERS_TURNED_AWAY, ///< As before, with the first two nodes of each zone in the order of reading among them.
 	STORE_RESTORED,
 	LISTS_DIFFER,
 };
@@ -63,6 +64,7 @@
 	struct node {
 		std::string vm;
 		std::size_t zone = 0;
+		std::size_t position = 0; ///< In the order of reading.
 		bool is_alive = true;
 		bool is_reader = false;
 		bool is_hub = false;
--- a/tests/servers/store_overload_test.cpp
+++ b/tests/servers/store_overload_test.cpp
@@ -65,6 +65,10 @@
 	check(store_trigger::THIRD_TURNED_AWAY);
 }
 
+TEST_P(store_overload, does_not_begin_while_the_store_turns_the_first_readers_of_all_zones_away) {
+	check(store_trigger::FIRST_READERS_TURNED_AWAY);
+}
+
 TEST_P(store_overload, ends_after_the_store_was_restored_from_an_older_copy) {
 	check(store_trigger::STORE_RESTORED);
 }
