Test: comments on two assumptions of the fleet in virtual time, and what its failing plays show

No decision or check changes.

- Turns (986, 2,000; first readers turned away): get_turn_wait() uses the age of the data at the moment, so it grows while a node waits.
By read_schedule and get_read_step() with 20 MB/s and five zones, reads come at these ages by position: 986 nodes 1:1.35 2:1.92 3:3.31 4:11.99 s, from 5 on never; 2,000 nodes 1:1.35 2:3.38 s, from 3 on never; 300 nodes from 12 on never.
- Lists differ: peers that need a list themselves send theirs, so wrong lists go round.
- Refuses, silent, slow at 2,000: after the trigger a read of some MB waits up to 0.5 s in the store, so it is repeated after 0.4 s, by its reader and by the first hub, each time at full size.
At the start the hubs read the whole list each 0.5 s whatever its size, as the size is unknown.
- Refuses and silent at 30: 10.97 and 10.77 calls a node, of them 5.5 by the readers without any trouble.

--- a/tests/servers/store_fleet.cpp
+++ b/tests/servers/store_fleet.cpp
@@ -48,7 +48,9 @@
 constexpr duration LINK_DELAY = milliseconds(1);
 /** Renewed entries are not in a delta, as they change nothing. */
 constexpr double DELTA_BYTES = 1000.0;
+/** As much as in the store. */
 constexpr double PEER_LISTING_BYTES = 400.0;
+/** A whole list arrives in pages, each of which shows its reader that the store answers. */
 constexpr duration PAGE_INTERVAL = milliseconds(200);
 
 // The play.
