No final refusal on an unconfirmed configuration: 503 in place of 404 and 401

Cause: a node whose configuration was unconfirmed for longer than configuration_apply_ms answered unknown routes and keys with 404 and 401 as surely as one that had read it just now. It cannot know, and callers take these for final.

Change: such a request gets 503 with Retry-After and reason configuration_unconfirmed, decided by get_lookup_refusal() from the unconfirmed time and the bound. Known routes and keys are served as before. From the next confirmation on, 404 and 401 are final again. A request without a key on a route that demands one is treated as one with an unknown key, as the route may be public by now. The refusals are counted in calicoscale_requests_total{reason="configuration_unconfirmed"}; request_refused names version and unconfirmed_ms; explain has a sentence for it.

Retry-After is the half second of the other refusals. A retry that reaches a node that is confirmed is served whenever it comes, so a longer time only delays it. Where all nodes are unconfirmed it helps only after the store's return, which a node notices within 0.3 to 0.7 s (its retry and repeat intervals); shorter times would bring retries in vain, longer ones use up deadlines of about two seconds in one or two tries. No spread is added: the refusals come as the requests come, and so do the retries.

A pile of unknown paths costs what 404s cost, plus the retries: nothing waits, no request causes a read of the store. Asking the store first would let unknown paths load it. Keys and routes that were taken away go on being accepted on outdated knowledge, as before; refusing them would refuse all requests in an outage.

--- a/core/verdict.h
+++ b/core/verdict.h
@@ -54,6 +54,7 @@
 	DRAINING,
 	NOT_READY,
 	CRASHES_ENDPOINTS, ///< Endpoints crashed while they ran the same request before.
+	CONFIGURATION_UNCONFIRMED, ///< The known configuration lacks the route or the key, and a newer one may contain it.
 };
 
 struct outcome {
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 
 #include "drivers/activity_scope.h"
 #include "drivers/http_status.h"
+#include "servers/gateway/lookup_refusal.h"
 
 namespace calicoscale {
 
@@ -262,14 +263,20 @@
 	_for_each_request([&p_zones](gateway_request &p_request) { p_request.on_reachability_changed(p_zones); });
 }
 
-void gateway::_refuse(caller_exchange &p_exchange, int p_status, reason p_reason) {
+void gateway::_refuse(caller_exchange &p_exchange, reason p_reason) {
+	const int status = get_http_status(p_reason);
 	std::vector<http_header> headers;
-	if (p_status == http_status::UNAVAILABLE) {
+	if (status == http_status::UNAVAILABLE) {
 		headers.push_back(make_retry_after(p_reason == reason::DRAINING ? STOP_RETRY_AFTER : RETRY_AFTER));
 	}
 	_context.metrics.on_request("", outcome{ verdict::NOT_RUN, p_reason }, event_loop::now() - p_exchange.received_at);
-	_context.log.write_request(log_line("request_refused").add("request", read_caller_request(p_exchange.head).attempt).add("reason", get_name(p_reason)).add("status", static_cast<long long>(p_status)).add("version", static_cast<long long>(_configuration.get_version())).add("unconfirmed_ms", _configuration.get_unconfirmed_time(event_loop::now())));
-	p_exchange.reply(p_status, headers, "");
+	_context.log.write_request(log_line("request_refused").add("request", read_caller_request(p_exchange.head).attempt).add("reason", get_name(p_reason)).add("status", static_cast<long long>(status)).add("version", static_cast<long long>(_configuration.get_version())).add("unconfirmed_ms", _configuration.get_unconfirmed_time(event_loop::now())));
+	p_exchange.reply(status, headers, "");
+}
+
+void gateway::_refuse_unknown(caller_exchange &p_exchange, reason p_reason) {
+	const duration unconfirmed = _configuration.get_unconfirmed_time(event_loop::now());
+	_refuse(p_exchange, get_lookup_refusal(p_reason, unconfirmed, _context.settings.configuration_apply));
 }
 
 void gateway::_on_exchange(const std::shared_ptr<caller_exchange> &p_exchange) {
@@ -282,25 +289,25 @@
 	request.exchange = p_exchange;
 	request.configuration = _configuration.get_current();
 	if (!request.configuration) {
-		_refuse(*p_exchange, http_status::UNAVAILABLE, reason::NOT_READY);
+		_refuse(*p_exchange, reason::NOT_READY);
 		return;
 	}
 	const std::string *host = p_exchange->head.find("Host");
 	request.route = request.configuration->find_route(host == nullptr ? "" : *host, get_path(p_exchange->head));
 	if (request.route == nullptr) {
-		_refuse(*p_exchange, http_status::NOT_FOUND, reason::NOT_FOUND);
+		_refuse_unknown(*p_exchange, reason::NOT_FOUND);
 		return;
 	}
 	request.facts = read_caller_request(p_exchange->head);
 	if (request.facts.attempt.empty()) {
-		_refuse(*p_exchange, http_status::BAD_REQUEST, reason::BAD_REQUEST);
+		_refuse(*p_exchange, reason::BAD_REQUEST);
 		return;
 	}
 	if (request.facts.key) {
 		request.customer = request.configuration->find_customer(*request.facts.key);
 	}
 	if (request.customer == nullptr && request.configuration->has_customers() && !request.route->is_public) {
-		_refuse(*p_exchange, http_status::UNAUTHORIZED, reason::UNAUTHORIZED);
+		_refuse_unknown(*p_exchange, reason::UNAUTHORIZED);
 		return;
 	}
 	if (_must_wait(*request.route)) {
@@ -326,7 +333,7 @@
 	if (last_end <= _stop_started + _context.settings.stop_grace - STOP_MARGIN - FINAL_ANSWER_TIME) {
 		return false;
 	}
-	_refuse(*p_request.exchange, http_status::UNAVAILABLE, reason::DRAINING);
+	_refuse(*p_request.exchange, reason::DRAINING);
 	return true;
 }
 
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -80,7 +80,9 @@
 	void _end_superseded();
 	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
-	void _refuse(caller_exchange &p_exchange, int p_status, reason p_reason);
+	void _refuse(caller_exchange &p_exchange, reason p_reason);
+	/** Refuses a request whose route or key the known configuration lacks. @param p_reason reason if the configuration is confirmed. */
+	void _refuse_unknown(caller_exchange &p_exchange, reason p_reason);
 	void _settle();
 	void _process_waiting();
 	bool _must_wait(const gateway_route &p_route) const;
--- a/servers/timeline/request_timeline.cpp
+++ b/servers/timeline/request_timeline.cpp
@@ -25,10 +25,11 @@
 	std::string_view text;
 };
 
-constexpr std::array<reason_text, 12> REASON_TEXTS{ {
+constexpr std::array<reason_text, 13> REASON_TEXTS{ {
 		{ "not_ready", "the node had no configuration yet" },
 		{ "not_found", "no route of the configuration in force matches its host and path" },
 		{ "unauthorized", "its key is not in the configuration in force" },
+		{ "configuration_unconfirmed", "its route or its key is not in the configuration known to the node, which had not been confirmed for longer than a change may take" },
 		{ "bad_request", "it came without an id" },
 		{ "deadline_unreachable", "the stage pools had more admitted work than would be done within the objective" },
 		{ "no_endpoint", "no endpoint of the service could be used" },
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -57,7 +57,7 @@
 }
 
 TEST(verdict, every_reason_has_a_name_that_leads_back_and_a_status) {
-	for (int value = 0; value <= static_cast<int>(reason::NOT_READY); value++) {
+	for (int value = 0; value <= static_cast<int>(reason::CONFIGURATION_UNCONFIRMED); value++) {
 		const reason why = static_cast<reason>(value);
 		EXPECT_NE(get_name(why), "unknown");
 		EXPECT_EQ(find_reason(get_name(why)), why);
--- a/tests/servers/timeline/request_story_test.cpp
+++ b/tests/servers/timeline/request_story_test.cpp
@@ -78,6 +78,8 @@
 TEST(request_story, tells_why_a_request_was_refused) {
 	const request_timeline story = read("r2", { { "a", { "ms=5 event=request_refused request=r2 route=x reason=deadline_unreachable status=503 predicted_ms=1900 allowed_ms=1400 retry_after_ms=600" } } });
 	EXPECT_EQ(story.get_cause(), "Refused as not run with 503: the stage pools had more admitted work than would be done within the objective. Predicted 1900 ms, allowed 1400 ms.");
+	const request_timeline unconfirmed = read("r8", { { "a", { "ms=5 event=request_refused request=r8 reason=configuration_unconfirmed status=503 version=7 unconfirmed_ms=2400" } } });
+	EXPECT_EQ(unconfirmed.get_cause(), "Refused as not run with 503: its route or its key is not in the configuration known to the node, which had not been confirmed for longer than a change may take.");
 }
 
 TEST(request_story, tells_what_broke_a_stream_and_where_a_late_answer_waited) {
