Soak: a refusal on an unconfirmed configuration counts as one of an unknown route

Cause: the soak tells a node that is behind by the 404 or 401 for the newest version's route, and a request turned away wrongly by its status. A node that is unconfirmed for longer than the bound now answers 503, which these checks took for lack of capacity: they would have become blind for it.

Change: the body of this refusal is its name, so that callers can tell it from other refusals with 503 (whose body stays empty), and promise_book judges it as it judges 404 and 401.

The soaks themselves were not run.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -271,7 +271,8 @@
 	}
 	_context.metrics.on_request("", outcome{ verdict::NOT_RUN, p_reason }, event_loop::now() - p_exchange.received_at);
 	_context.log.write_request(log_line("request_refused").add("request", read_caller_request(p_exchange.head).attempt).add("reason", get_name(p_reason)).add("status", static_cast<long long>(status)).add("version", static_cast<long long>(_configuration.get_version())).add("unconfirmed_ms", _configuration.get_unconfirmed_time(event_loop::now())));
-	p_exchange.reply(status, headers, "");
+	// The body names this refusal, so that callers can tell it from those for lack of capacity.
+	p_exchange.reply(status, headers, p_reason == reason::CONFIGURATION_UNCONFIRMED ? std::string(get_name(p_reason)) : "");
 }
 
 void gateway::_refuse_unknown(caller_exchange &p_exchange, reason p_reason) {
--- a/tests/soak/promise_book.cpp
+++ b/tests/soak/promise_book.cpp
@@ -8,6 +8,8 @@
 
 #include "tests/soak/promise_book.h"
 
+#include "core/verdict.h"
+
 #include <algorithm>
 
 namespace calicoscale {
@@ -47,6 +49,11 @@
 	return p_status == 400 || p_status == 401 || p_status == 403 || p_status == 404 || p_status == 413 || p_status == 431;
 }
 
+/** Whether a node refused a request because it does not know the route or the key, and says that its configuration may be old. */
+bool is_unconfirmed(int p_status, const std::string &p_body) {
+	return p_status == 503 && p_body == get_name(reason::CONFIGURATION_UNCONFIRMED);
+}
+
 } // namespace
 
 promise_book::promise_book(disturbance_log &p_disturbances, std::string p_prefix) :
@@ -135,14 +142,13 @@
 	}
 }
 
-void promise_book::_check_probe(const soak_attempt &p_attempt, int p_status, std::size_t p_life, instant p_now) {
+void promise_book::_check_probe(const soak_attempt &p_attempt, bool p_is_unknown, std::size_t p_life, instant p_now) {
 	const bool is_same_life = p_attempt.node_life == p_life;
 	version_seen &seen = _seen[{ p_attempt.node, p_attempt.node_life }];
-	const std::string what = p_attempt.id + " at node " + std::to_string(p_attempt.node) + " for version " + std::to_string(p_attempt.probed_version) + " of " + std::to_string(_version) + " got " + std::to_string(p_status);
+	const std::string what = p_attempt.id + " at node " + std::to_string(p_attempt.node) + " for version " + std::to_string(p_attempt.probed_version) + " of " + std::to_string(_version) + " got " + std::to_string(p_attempt.status);
 	const bool is_newest = p_attempt.probed_version == _version;
-	const bool is_unknown = p_status == 404 || p_status == 401;
-	const bool is_served = p_status >= 200 && p_status < 300;
-	const bool is_older = is_newest ? is_unknown : is_served;
+	const bool is_served = p_attempt.status >= 200 && p_attempt.status < 300;
+	const bool is_older = is_newest ? p_is_unknown : is_served;
 	if (is_older && is_same_life && seen.version >= (is_newest ? _version : p_attempt.probed_version + 1) && p_attempt.begun_at > seen.at + REVERT_SLACK) {
 		judge(promise::CONFIGURATION_STAYS, _make_scope(p_attempt, p_now), what + " after version " + std::to_string(seen.version) + " was seen");
 	}
@@ -166,8 +172,8 @@
 		judge(promise::REFUSED_IS_NOT_RUN, _make_scope(r_attempt, p_now), at + " got " + std::to_string(p_head.status) + " though endpoint " + std::to_string(r_attempt.run_by.front()) + " ran it");
 	}
 	if (r_attempt.kind == request_kind::PROBE) {
-		_check_probe(r_attempt, p_head.status, p_life, p_now);
-	} else if (is_turned_away(p_head.status)) {
+		_check_probe(r_attempt, p_head.status == 404 || p_head.status == 401 || is_unconfirmed(p_head.status, p_body), p_life, p_now);
+	} else if (is_turned_away(p_head.status) || is_unconfirmed(p_head.status, p_body)) {
 		judge(promise::ADMITTED, _make_scope(r_attempt, p_now), at + " got " + std::to_string(p_head.status));
 	}
 }
--- a/tests/soak/promise_book.h
+++ b/tests/soak/promise_book.h
@@ -83,7 +83,7 @@
 
 	std::vector<const soak_attempt *> _find_calm(instant p_from, instant p_to) const;
 	check_scope _make_scope(const soak_attempt &p_attempt, instant p_now) const;
-	void _check_probe(const soak_attempt &p_attempt, int p_status, std::size_t p_life, instant p_now);
+	void _check_probe(const soak_attempt &p_attempt, bool p_is_unknown, std::size_t p_life, instant p_now);
 	void _check_success(const soak_attempt &p_attempt, const http_head &p_head, const std::string &p_body);
 
 public:
--- a/tests/soak/soak_caller_test.cpp
+++ b/tests/soak/soak_caller_test.cpp
@@ -99,4 +99,23 @@
 	EXPECT_FALSE(book.can_check_served(begun, last_deadline));
 }
 
+// Guards against a node that is behind and is not noticed, as it does not call its refusal final.
+TEST(promise_book, a_refusal_on_an_unconfirmed_configuration_counts_as_one_of_an_unknown_route) {
+	disturbance_log disturbances;
+	promise_book book(disturbances, "t-");
+	const instant confirmed{ seconds(100) };
+	book.on_configured(1, confirmed);
+	const instant begun = confirmed + seconds(10);
+	http_head answer;
+	answer.status = 503;
+	book.on_answer(*book.open_probe(1, 0, 0, begun), answer, "", 0, begun);
+	book.on_answer(*book.open(request_kind::SAFE, 0, 0, false, begun), answer, "", 0, begun);
+	EXPECT_TRUE(book.get_broken().empty()) << "refused for another reason";
+	book.on_answer(*book.open_probe(1, 0, 0, begun), answer, "configuration_unconfirmed", 0, begun);
+	book.on_answer(*book.open(request_kind::SAFE, 0, 0, false, begun), answer, "configuration_unconfirmed", 0, begun);
+	ASSERT_EQ(book.get_broken().size(), 2U);
+	EXPECT_EQ(book.get_broken().front().what, promise::CONFIGURATION_IN_FORCE);
+	EXPECT_EQ(book.get_broken().back().what, promise::ADMITTED);
+}
+
 } // namespace calicoscale
