Stand-in of the store with a byte rate

Cause: no test could overload the store, as the stand-in answered any number of reads at once. Change: set_rate() lets answers leave in order of arrival at a rate and refuses (503) calls behind too long a queue; bytes given and refusals are counted; without a rate nothing changes. The fixture can adjust settings of gateways.

--- a/tests/main/gateway_fixture.h
+++ b/tests/main/gateway_fixture.h
@@ -17,6 +17,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <list>
 
 namespace calicoscale {
@@ -81,6 +82,7 @@
 	std::size_t _descriptors = 2048; ///< Setting for gateways started later.
 	std::size_t _most_seeds = 100; ///< Maximum number of configured peers of gateways started later.
 	std::map<std::string, std::string> _regions; ///< Region of each zone, for gateways started later.
+	std::function<void(gateway_settings &)> _adjust_settings; ///< Changes the settings of gateways started later; may be empty.
 	bool _has_metrics = false; ///< Whether gateways started later serve metrics.
 	event_loop *_gateway_loop = &_loop; ///< Event loop of gateways started later.
 	event_loop *_other_loop = nullptr; ///< Second event loop that run_until() also runs; null while the gateways on it are paused.
@@ -137,6 +139,9 @@
 				settings.peers.push_back(other->get_link_address());
 			}
 		}
+		if (_adjust_settings) {
+			_adjust_settings(settings);
+		}
 		_gateways.push_back(std::make_unique<gateway>(*_gateway_loop, settings));
 		_gateways.back()->start();
 		return *_gateways.back();
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -62,14 +62,11 @@
 /** How often it looks for reads that have waited long enough. */
 constexpr duration WAIT_CHECK = std::chrono::milliseconds(20);
 
-void answer_without_records(caller_exchange &p_exchange, std::size_t p_offset, const std::vector<http_header> &p_headers) {
-	p_exchange.reply(200, p_headers, big_endian(p_offset, 8) + big_endian(0, 8));
-}
-
 } // namespace
 
 standin_store::standin_store(event_loop &p_loop) :
 		_wait_timer(p_loop, [this] { _end_waits(); }),
+		_queue_timer(p_loop, [this] { _send_queued(); }),
 		_server(std::make_unique<caller_server>(p_loop, network_address{ "127.0.0.1", 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); })) {
 }
 
@@ -83,6 +80,53 @@
 	_wake();
 }
 
+void standin_store::set_rate(double p_bytes_per_second, duration p_longest_queue) {
+	_rate = p_bytes_per_second;
+	_longest_queue = p_longest_queue;
+}
+
+bool standin_store::_refuse_if_overloaded(caller_exchange &p_exchange) {
+	if (_queue.empty() || _queue.back().leaves_at - event_loop::now() <= _longest_queue) {
+		return false;
+	}
+	_refusals++;
+	p_exchange.reply(503, {}, "");
+	return true;
+}
+
+void standin_store::_give(const std::shared_ptr<caller_exchange> &p_exchange, int p_status, const std::vector<http_header> &p_headers, std::string p_body) {
+	if (_rate == 0.0 && _queue.empty()) {
+		_bytes_given += p_body.size();
+		p_exchange->reply(p_status, p_headers, p_body);
+		return;
+	}
+	const instant begins_at = _queue.empty() ? event_loop::now() : std::max(event_loop::now(), _queue.back().leaves_at);
+	const duration time = _rate == 0.0 ? duration::zero() : from_seconds(static_cast<double>(p_body.size()) / _rate);
+	_queue.push_back(queued_answer{ p_exchange, p_status, p_headers, std::move(p_body), begins_at + time });
+	_queue_timer.set_at(_queue.front().leaves_at);
+}
+
+void standin_store::_send_queued() {
+	while (!_queue.empty() && _queue.front().leaves_at <= event_loop::now()) {
+		const queued_answer answer = std::move(_queue.front());
+		_queue.pop_front();
+		// One whose caller has gone took its time all the same: a server learns of that only afterwards.
+		if (!answer.exchange->is_gone()) {
+			_bytes_given += answer.body.size();
+			answer.exchange->reply(answer.status, answer.headers, answer.body);
+		}
+	}
+	if (!_queue.empty()) {
+		_queue_timer.set_at(_queue.front().leaves_at);
+	}
+}
+
+void standin_store::_answer_without_records(const std::shared_ptr<caller_exchange> &p_exchange, std::size_t p_offset) {
+	if (!_refuse_if_overloaded(*p_exchange)) {
+		_give(p_exchange, 200, _get_headers(), big_endian(p_offset, 8) + big_endian(0, 8));
+	}
+}
+
 void standin_store::set_away(bool p_away) {
 	_away = p_away;
 	if (_away) {
@@ -90,6 +134,10 @@
 			entry.exchange->reply(503, {}, "");
 		}
 		_waiting.clear();
+		for (const queued_answer &answer : _queue) {
+			answer.exchange->reply(503, {}, "");
+		}
+		_queue.clear();
 	}
 }
 
@@ -97,6 +145,10 @@
 	_mute = p_mute;
 	if (_mute) {
 		lose_waiting_reads();
+		for (const queued_answer &answer : _queue) {
+			_unanswered.push_back(answer.exchange);
+		}
+		_queue.clear();
 	}
 }
 
@@ -112,6 +164,10 @@
 		entry.exchange->abort();
 	}
 	_waiting.clear();
+	for (const queued_answer &answer : _queue) {
+		answer.exchange->abort();
+	}
+	_queue.clear();
 	_topics = _copy;
 	_era++;
 }
@@ -152,7 +208,7 @@
 
 void standin_store::_wake() {
 	for (auto entry = _waiting.begin(); entry != _waiting.end();) {
-		if (entry->exchange->is_gone() || _answer_read(*entry->exchange, entry->topic_name, entry->offset)) {
+		if (entry->exchange->is_gone() || _answer_read(entry->exchange, entry->topic_name, entry->offset)) {
 			entry = _waiting.erase(entry);
 		} else {
 			++entry;
@@ -164,7 +220,7 @@
 	const instant now = event_loop::now();
 	for (const waiting_read &entry : _waiting) {
 		if (now >= entry.ends_at && !entry.exchange->is_gone()) {
-			answer_without_records(*entry.exchange, entry.offset, _get_headers());
+			_answer_without_records(entry.exchange, entry.offset);
 		}
 	}
 	std::erase_if(_waiting, [now](const waiting_read &p_entry) { return now >= p_entry.ends_at || p_entry.exchange->is_gone(); });
@@ -191,29 +247,32 @@
 	const std::map<std::string, std::string> query = parse_query(target);
 	const std::string path = target.substr(0, target.find('?'));
 	if (path == "/log-newest") {
-		_answer_newest(*p_exchange, query);
+		_answer_newest(p_exchange, query);
 	} else if (path == "/log-read") {
 		const std::size_t offset = std::stoul(query.at("source"));
-		if (!_answer_read(*p_exchange, query.at("topic"), offset)) {
+		if (!_answer_read(p_exchange, query.at("topic"), offset)) {
 			if (query.contains("wait_ms")) {
 				const instant ends_at = event_loop::now() + std::chrono::milliseconds(std::stol(query.at("wait_ms")));
 				_waiting.push_back(waiting_read{ query.at("topic"), offset, p_exchange, ends_at });
 				_wait_timer.set(WAIT_CHECK);
 			} else {
-				answer_without_records(*p_exchange, offset, _get_headers());
+				_answer_without_records(p_exchange, offset);
 			}
 		}
 	} else if (path == "/log-append") {
-		_append(*p_exchange, query);
+		_append(p_exchange, query);
 	} else {
 		p_exchange->reply(404, {}, "");
 	}
 }
 
-void standin_store::_answer_newest(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query) {
+void standin_store::_answer_newest(const std::shared_ptr<caller_exchange> &p_exchange, const std::map<std::string, std::string> &p_query) {
 	_newest_reads[p_query.at("topic")]++;
+	if (_refuse_if_overloaded(*p_exchange)) {
+		return;
+	}
 	if (!_next_pages.empty() && p_query.at("topic") == "keyed.servers") {
-		p_exchange.reply(200, {}, _next_pages.front());
+		_give(p_exchange, 200, {}, _next_pages.front());
 		_next_pages.erase(_next_pages.begin());
 		return;
 	}
@@ -240,17 +299,20 @@
 		}
 		items.push_back({ { "private_key", kept->first }, { "value", encode_base64(kept->second.first) }, { "offset", kept->second.second } });
 	}
-	p_exchange.reply(200, _get_headers(), json{ { "items", items }, { "has_more", has_more }, { "end_offset", entry.records.size() } }.dump());
+	_give(p_exchange, 200, _get_headers(), json{ { "items", items }, { "has_more", has_more }, { "end_offset", entry.records.size() } }.dump());
 }
 
-bool standin_store::_answer_read(caller_exchange &p_exchange, const std::string &p_topic, std::size_t p_offset) {
+bool standin_store::_answer_read(const std::shared_ptr<caller_exchange> &p_exchange, const std::string &p_topic, std::size_t p_offset) {
 	const topic &entry = _topics[p_topic];
-	if (p_offset < entry.first_kept || p_offset > entry.records.size()) {
-		p_exchange.reply(410, _get_headers(), json{ { "first_offset", entry.first_kept } }.dump());
+	if (p_offset == entry.records.size() && p_offset >= entry.first_kept) {
+		return false;
+	}
+	if (_refuse_if_overloaded(*p_exchange)) {
 		return true;
 	}
-	if (p_offset >= entry.records.size()) {
-		return false;
+	if (p_offset < entry.first_kept || p_offset > entry.records.size()) {
+		_give(p_exchange, 410, _get_headers(), json{ { "first_offset", entry.first_kept } }.dump());
+		return true;
 	}
 	std::string body = big_endian(entry.records.size(), 8) + big_endian(entry.first_kept, 8);
 	for (std::size_t i = p_offset; i < entry.records.size(); i++) {
@@ -258,21 +320,24 @@
 		const std::string bytes = kept.raw ? *kept.raw : std::string(1, static_cast<char>(kept.key.size())) + kept.key + kept.value;
 		body += big_endian(bytes.size(), 4) + bytes;
 	}
-	p_exchange.reply(200, _get_headers(), body);
+	_give(p_exchange, 200, _get_headers(), body);
 	return true;
 }
 
-void standin_store::_append(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query) {
+void standin_store::_append(const std::shared_ptr<caller_exchange> &p_exchange, const std::map<std::string, std::string> &p_query) {
+	if (_refuse_if_overloaded(*p_exchange)) {
+		return;
+	}
 	const std::string &topic_name = p_query.at("topic");
 	const std::size_t end = _topics[topic_name].records.size();
 	if (p_query.contains("timestamp") && std::stoul(p_query.at("timestamp")) != end) {
-		p_exchange.reply(412, _get_headers(), json{ { "end_offset", end } }.dump());
+		_give(p_exchange, 412, _get_headers(), json{ { "end_offset", end } }.dump());
 		return;
 	}
-	const std::string &body = p_exchange.body;
+	const std::string &body = p_exchange->body;
 	const std::size_t key_length = static_cast<unsigned char>(body.at(4));
 	put(topic_name, body.substr(5, key_length), body.substr(5 + key_length));
-	p_exchange.reply(200, _get_headers(), json{ { "offset", 0 }, { "end_offset", _topics[topic_name].records.size() } }.dump());
+	_give(p_exchange, 200, _get_headers(), json{ { "offset", 0 }, { "end_offset", _topics[topic_name].records.size() } }.dump());
 }
 
 } // namespace calicoscale
--- a/tests/standins/standin_store.h
+++ b/tests/standins/standin_store.h
@@ -11,6 +11,7 @@
 
 #include "drivers/caller_server.h"
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -21,7 +22,7 @@
 
 namespace calicoscale {
 
-/** Keeps keyed topics of one partition. It can be away, and it can have forgotten its history. */
+/** Keeps keyed topics of one partition. It can be away, it can have forgotten its history, and it can have a rate. */
 class standin_store {
 	struct record {
 		std::string key;
@@ -41,11 +42,26 @@
 		instant ends_at{}; ///< Then it is answered without a record.
 	};
 
+	/** An answer that leaves once the answers before it and its own bytes have been sent at the rate. */
+	struct queued_answer {
+		std::shared_ptr<caller_exchange> exchange;
+		int status = 0;
+		std::vector<http_header> headers;
+		std::string body;
+		instant leaves_at{};
+	};
+
 	std::map<std::string, topic> _topics;
 	std::map<std::string, topic> _copy;
 	std::uint64_t _era = 0; ///< Told in all answers once it is not 0.
 	std::list<waiting_read> _waiting;
 	timer _wait_timer;
+	double _rate = 0.0; ///< Bytes per second; 0 for no limit.
+	duration _longest_queue{};
+	std::deque<queued_answer> _queue; ///< In order of arrival.
+	timer _queue_timer;
+	std::uint64_t _bytes_given = 0;
+	std::size_t _refusals = 0;
 	bool _away = false;
 	bool _mute = false;
 	std::vector<std::shared_ptr<caller_exchange>> _unanswered; ///< Came while it was mute.
@@ -57,9 +73,15 @@
 
 	std::vector<http_header> _get_headers() const;
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
-	void _answer_newest(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query);
-	bool _answer_read(caller_exchange &p_exchange, const std::string &p_topic, std::size_t p_offset);
-	void _append(caller_exchange &p_exchange, const std::map<std::string, std::string> &p_query);
+	void _answer_newest(const std::shared_ptr<caller_exchange> &p_exchange, const std::map<std::string, std::string> &p_query);
+	bool _answer_read(const std::shared_ptr<caller_exchange> &p_exchange, const std::string &p_topic, std::size_t p_offset);
+	void _append(const std::shared_ptr<caller_exchange> &p_exchange, const std::map<std::string, std::string> &p_query);
+	void _answer_without_records(const std::shared_ptr<caller_exchange> &p_exchange, std::size_t p_offset);
+	/** Refuses a call whose answer would wait too long. Returns whether it did. */
+	bool _refuse_if_overloaded(caller_exchange &p_exchange);
+	/** Answers at once, or in turn if there is a rate. */
+	void _give(const std::shared_ptr<caller_exchange> &p_exchange, int p_status, const std::vector<http_header> &p_headers, std::string p_body);
+	void _send_queued();
 	void _wake();
 	void _end_waits();
 
@@ -75,6 +97,13 @@
 	/** The next read of the newest records of endpoints is answered so; called again, the one after it. */
 	void answer_newest_once(const std::string &p_body) { _next_pages.push_back(p_body); }
 
+	/**
+	 * Sends the bodies of answers in order of arrival at this rate. A read that waits for a record takes its turn when there is one.
+	 * A call whose answer would wait longer than p_longest_queue for those before it gets 503 at once, which takes no time.
+	 * @param p_bytes_per_second 0 for no limit.
+	 */
+	void set_rate(double p_bytes_per_second, duration p_longest_queue);
+
 	/** While away every call gets 503; waiting reads end so too. */
 	void set_away(bool p_away);
 
@@ -104,6 +133,12 @@
 	std::optional<std::string> find(const std::string &p_topic, const std::string &p_key) const;
 	std::size_t get_calls() const { return _calls; }
 
+	/** Size in bytes of the bodies of all answers that were sent to callers which still waited. */
+	std::uint64_t get_bytes_given() const { return _bytes_given; }
+
+	/** Calls refused because their answers would have waited too long. */
+	std::size_t get_refusals() const { return _refusals; }
+
 	/** Reads of the newest records of a topic. */
 	std::size_t count_reads_of(const std::string &p_topic) const;
 	const network_address &get_address() const { return _server->get_address(); }
