Reads in turns: repeats after the time that the store usually takes, and findings of a review

Callers saw nothing of this yet; the test with real gateways and the fleet in virtual time did. An answer that only waited in the store's queue for 0.4 s was asked for again in full, by the readers first, so the queue grew by what was asked twice.

Change: topic_reader notes how long the store takes for reads that do not wait, and a read is overdue after twice that time (1.2 s at most).

--- a/main/gateway/endpoint_follower.cpp
+++ b/main/gateway/endpoint_follower.cpp
@@ -161,7 +161,8 @@
 	_directory.on_read(now);
 	_directory.apply_delta(p_reading, now);
 	_set_timers();
-	_reader.read_in(PEER_READ_TIMEOUT);
+	// A reader that another node told of a change goes on to read, as its followers wait for it.
+	_reader.read_in(_reader.has_peer_reader() ? PEER_READ_TIMEOUT : READ_INTERVAL);
 	_compare(p_reading, p_peer);
 	return true;
 }
@@ -209,6 +210,8 @@
 		return;
 	}
 	const duration wait = _reader.get_turn_wait(true) + LIST_TIMEOUT - (event_loop::now() - _list_needed_at);
+	// The peer whose delta showed the need did not send the snapshot in time: any other may be asked.
+	_list_source.clear();
 	if (wait > duration::zero() || _reader.is_reading()) {
 		_list_timer.set(std::clamp(wait, READ_CHECK_INTERVAL, LIST_TIMEOUT));
 		return;
@@ -218,7 +221,11 @@
 
 void endpoint_follower::_compare(const endpoint_delta &p_reading, const std::string &p_peer) {
 	const instant now = event_loop::now();
-	if (_directory.is_like(p_reading) || now - _difference_found_at < MIN_SNAPSHOT_INTERVAL) {
+	const bool is_like = _directory.is_like(p_reading);
+	if (is_like && _list_need == read_reason::LISTS_DIFFER) {
+		_on_list_read(true);
+	}
+	if (is_like || now - _difference_found_at < MIN_SNAPSHOT_INTERVAL) {
 		return;
 	}
 	_difference_found_at = now;
--- a/main/gateway/peer_bootstrap.cpp
+++ b/main/gateway/peer_bootstrap.cpp
@@ -25,10 +25,10 @@
 		_configuration(p_configuration), _endpoints(p_endpoints), _link(p_link), _lists(p_link_bytes), _has_list(std::move(p_has_list)) {
 	_link.configuration_requested().connect([this](const std::string &p_vm, std::uint64_t p_have) { _on_configuration_requested(p_vm, p_have); });
 	_link.endpoints_requested().connect([this](const std::string &p_vm) { _on_endpoints_requested(p_vm, _has_list(p_vm)); });
-	_link.endpoints_reported().connect([this](const std::string &p_vm, const report_endpoints_message &) { _request.on_answered(p_vm); });
+	_link.endpoints_reported().connect([this](const std::string &p_vm, const report_endpoints_message &) { _on_list_received(p_vm); });
 	_link.delta_reported().connect([this](const std::string &p_vm, const report_delta_message &p_message) {
 		if (p_message.reading.is_whole) {
-			_request.on_answered(p_vm);
+			_on_list_received(p_vm);
 		}
 	});
 	_link.endpoints_declined().connect([this](const std::string &p_vm) { _request.on_declined(p_vm, event_loop::now()); });
@@ -56,6 +56,13 @@
 	}
 }
 
+void peer_bootstrap::_on_list_received(const std::string &p_vm) {
+	// A list that was of no use is not requested again at once.
+	if (!needs_list()) {
+		_request.on_answered(p_vm);
+	}
+}
+
 std::size_t peer_bootstrap::_get_list_bytes() const {
 	return _endpoints.get_directory().get_size() * LISTING_BYTES;
 }
@@ -89,7 +96,8 @@
 }
 
 bool peer_bootstrap::needs_list() const {
-	return !_endpoints.is_loaded() || _endpoints.needs_list();
+	// Peers send a snapshot, which replaces a list, only to a node that is ready.
+	return !_endpoints.is_loaded() || (_endpoints.needs_list() && _configuration.get_current());
 }
 
 void peer_bootstrap::request_list(const std::vector<list_source> &p_sources, double p_chance) {
--- a/main/gateway/peer_bootstrap.h
+++ b/main/gateway/peer_bootstrap.h
@@ -33,6 +33,8 @@
 
 	void _on_configuration_requested(const std::string &p_vm, std::uint64_t p_have);
 	void _on_endpoints_requested(const std::string &p_vm, bool p_has_list);
+	/** Ends the open request if the list that a peer sent was applied. */
+	void _on_list_received(const std::string &p_vm);
 	std::size_t _get_list_bytes() const;
 	bool _send_list(const std::string &p_vm);
 	bool _send_snapshot(const std::string &p_vm);
--- a/main/gateway/store_sharing.cpp
+++ b/main/gateway/store_sharing.cpp
@@ -135,7 +135,8 @@
 		return;
 	}
 	_hooks.collect_updates();
-	if (_endpoints.apply_delta(p_reading, p_vm)) {
+	const log_position known = _endpoints.get_known();
+	if (_endpoints.apply_delta(p_reading, p_vm) && _endpoints.get_known() != known) {
 		_forward_delta(p_reading, p_vm);
 	}
 	// The reader announces these updates to all nodes. The other nodes of its zone need not announce them again.
--- a/main/gateway/topic_reader.cpp
+++ b/main/gateway/topic_reader.cpp
@@ -9,6 +9,7 @@
 #include "main/gateway/topic_reader.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace calicoscale {
@@ -21,6 +22,10 @@
  * the data within a tenth of that.
  */
 constexpr duration FIRST_READ_SPREAD = std::chrono::milliseconds(500);
+/** An answer is overdue after this many times the time that the store recently took. */
+constexpr int USUAL_TIME_FACTOR = 2;
+/** Well below the time-out of a call, so that a lost answer is noticed before. */
+constexpr duration MAX_USUAL_TIME = std::chrono::milliseconds(1200);
 /** Interval at which a wait for other nodes is checked again, as the order in which nodes read may change meanwhile. */
 constexpr duration WAIT_CHECK_INTERVAL = std::chrono::milliseconds(100);
 
@@ -142,27 +147,43 @@
 }
 
 duration topic_reader::_get_check_time(const planned_read &p_read) const {
-	// An additional read takes as much of the store as a first one.
-	return p_read.check_in + get_turn_wait(!_is_loaded);
+	// An additional read takes as much of the store as a first one, and a queue in the store delays both.
+	const duration usual_time = std::min(_answer_time * USUAL_TIME_FACTOR, MAX_USUAL_TIME);
+	return std::max(p_read.check_in, usual_time) + get_turn_wait(!_is_loaded);
 }
 
 void topic_reader::_send(const planned_read &p_read, read_reason p_reason) {
 	const bool is_whole = !_is_loaded;
-	const auto handle_answer = [this, reading = p_read.reading, is_whole](const store_answer &p_answer) { _on_answer(p_answer, reading, is_whole); };
+	const bool is_waiting = !is_whole && p_read.wait > duration::zero();
+	const std::shared_ptr<instant> asked_at = std::make_shared<instant>(event_loop::now());
+	const auto handle_answer = [this, reading = p_read.reading, is_whole, is_waiting, asked_at](const store_answer &p_answer) {
+		if (p_answer.status == store_status::OK && !is_waiting) {
+			_note_answer_time(event_loop::now() - *asked_at);
+		}
+		_on_answer(p_answer, reading, is_whole);
+	};
 	_timer.set(_get_check_time(p_read));
-	if (is_whole) {
-		_context.store.read_newest(_topic, p_reason, p_read.on_new_connection, handle_answer, [this, p_read] { _on_page(p_read); });
-	} else {
+	if (!is_whole) {
 		_context.store.follow(_topic, p_reason, _known.offset, p_read.wait, p_read.on_new_connection, handle_answer);
+		return;
 	}
+	_context.store.read_newest(_topic, p_reason, p_read.on_new_connection, handle_answer, [this, p_read, asked_at] {
+		const instant now = event_loop::now();
+		_on_page(p_read, now - std::exchange(*asked_at, now));
+	});
 }
 
-void topic_reader::_on_page(const planned_read &p_read) {
+void topic_reader::_on_page(const planned_read &p_read, duration p_took) {
+	_note_answer_time(p_took);
 	if (_schedule.is_open(p_read.reading)) {
 		_timer.set(_get_check_time(p_read));
 	}
 }
 
+void topic_reader::_note_answer_time(duration p_took) {
+	_answer_time = std::max(p_took, _answer_time / 2);
+}
+
 void topic_reader::_on_answer(const store_answer &p_answer, std::uint64_t p_read_id, bool p_is_whole) {
 	if (p_answer.status == store_status::UNAVAILABLE) {
 		_context.traffic.add_unused(_topic, _reason, p_answer.bytes);
--- a/main/gateway/topic_reader.h
+++ b/main/gateway/topic_reader.h
@@ -52,6 +52,7 @@
 	const instant _started_at;
 	instant _read_began_at; ///< When the current read began.
 	instant _answered_at; ///< When the store last answered.
+	duration _answer_time{}; ///< Time that the store recently took to answer a read that does not wait.
 	instant _due_at{}; ///< When the next read is due, apart from the wait for this node's turn.
 	timer _timer;
 
@@ -60,8 +61,9 @@
 	duration _get_remaining_wait() const;
 	duration _get_check_time(const planned_read &p_read) const;
 	void _check();
-	/** Restarts the check for an overdue answer, as a page of the snapshot arrived. */
-	void _on_page(const planned_read &p_read);
+	/** Restarts the check for an overdue answer, as a page of the snapshot arrived after p_took. */
+	void _on_page(const planned_read &p_read, duration p_took);
+	void _note_answer_time(duration p_took);
 	void _on_answer(const store_answer &p_answer, std::uint64_t p_read_id, bool p_is_whole);
 	void _enter_era(std::uint64_t p_era);
 	/** @param p_status HTTP status with which the store answered a failed read; 0 if it gave no answer. */
--- a/tests/servers/store_fleet.cpp
+++ b/tests/servers/store_fleet.cpp
@@ -37,6 +37,7 @@
 constexpr duration READ_CHECK_INTERVAL = milliseconds(100);
 constexpr duration MIN_SNAPSHOT_INTERVAL = seconds(4);
 constexpr duration MEETING_PAUSE = milliseconds(300);
+constexpr duration MAX_USUAL_TIME = milliseconds(1200);
 constexpr duration CALL_TIMEOUT = milliseconds(1500);
 constexpr read_times TIMES{ duration::zero(), milliseconds(400), milliseconds(400), milliseconds(300), milliseconds(1000), milliseconds(1500), milliseconds(500) };
 constexpr double RECORD_BYTES = 300.0;
@@ -285,6 +286,11 @@
 	return p_node.schedule.get_turn_wait(get_read_step(store_rates{ 2000.0, simulated_store::BYTES_PER_SECOND }, ZONES, bytes));
 }
 
+duration store_fleet::_get_check_time(const node &p_node, const planned_read &p_read) const {
+	const duration usual_time = _is_in_turns() ? std::min(p_node.answer_time * 2, MAX_USUAL_TIME) : duration::zero();
+	return std::max(p_read.check_in, usual_time) + _get_turn_wait(p_node, !p_node.is_loaded);
+}
+
 duration store_fleet::_get_read_interval(const node &p_node) const {
 	if (!p_node.schedule.has_peer_reader()) {
 		return READ_INTERVAL;
@@ -326,7 +332,7 @@
 	const bool is_whole = !r_node.is_loaded;
 	const simulated_answer answer = _store.read(r_node.known, is_whole, r_node.is_turned_away, _now);
 	const std::uint64_t reading = p_read.reading;
-	_set_timer(r_node, p_read.check_in + _get_turn_wait(r_node, !r_node.is_loaded));
+	_set_timer(r_node, _get_check_time(r_node, p_read));
 	if (!answer.is_answered || answer.arrives_at - _now > CALL_TIMEOUT) {
 		_at(_now + CALL_TIMEOUT, [this, &r_node, reading] { _on_failed(r_node, reading); });
 		return;
@@ -338,12 +344,16 @@
 	for (instant page_at = answer.begins_at; is_whole && page_at < answer.arrives_at; page_at += PAGE_INTERVAL) {
 		_at(page_at, [this, &r_node, p_read] { _on_page(r_node, p_read); });
 	}
-	_at(answer.arrives_at, [this, &r_node, reading, answer, is_whole] { _on_answered(r_node, reading, answer, is_whole); });
+	const duration took = (is_whole ? answer.begins_at : answer.arrives_at) - _now;
+	_at(answer.arrives_at, [this, &r_node, reading, answer, is_whole, took] {
+		r_node.answer_time = std::max(took, r_node.answer_time / 2);
+		_on_answered(r_node, reading, answer, is_whole);
+	});
 }
 
 void store_fleet::_on_page(node &r_node, const planned_read &p_read) {
 	if (r_node.schedule.is_open(p_read.reading)) {
-		_set_timer(r_node, p_read.check_in + _get_turn_wait(r_node, !r_node.is_loaded));
+		_set_timer(r_node, _get_check_time(r_node, p_read));
 	}
 }
 
@@ -437,7 +447,7 @@
 	if (p_delta.is_whole) {
 		r_node.list = p_delta.list;
 	}
-	_read_in(r_node, PEER_READ_TIMEOUT);
+	_read_in(r_node, _is_in_turns() && !r_node.schedule.has_peer_reader() ? READ_INTERVAL : PEER_READ_TIMEOUT);
 	_compare(r_node, p_delta);
 	if (r_node.is_reader && !p_delta.is_whole && _is_in_turns()) {
 		_publish(r_node, p_delta);
--- a/tests/servers/store_fleet.h
+++ b/tests/servers/store_fleet.h
@@ -85,6 +85,7 @@
 		bool asks_lists = false; ///< An event that requests lists is scheduled.
 		std::uint64_t list = 0; ///< Contents of the list; 0 is what the store has.
 		instant ready_at{}; ///< When it first knew a list.
+		duration answer_time{}; ///< Time that the store recently took to answer.
 		instant list_needed_at{};
 		instant difference_found_at{};
 		instant due_at{};
@@ -139,6 +140,7 @@
 	void _set_timer(node &r_node, duration p_wait);
 	void _read_in(node &r_node, duration p_wait);
 	void _check(node &r_node);
+	duration _get_check_time(const node &p_node, const planned_read &p_read) const;
 	duration _get_turn_wait(const node &p_node, bool p_is_whole) const;
 	duration _get_read_interval(const node &p_node) const;
 	void _read(node &r_node);
