--- a/tests/main/store_overload_test.cpp
+++ b/tests/main/gateway_store_overload_test.cpp
@@ -1,5 +1,5 @@
 /*
- * calicoscale: store_overload_test.cpp
+ * calicoscale: gateway_store_overload_test.cpp
  * Tests that a fleet whose nodes would overload the store if each read it by itself recovers from what makes them do so.
  *
  * Copyright (c) 2026 calicoscale contributors.
@@ -51,7 +51,7 @@
 	bool has_configuration = false;
 };
 
-class store_overload_test : public gateway_fixture {
+class gateway_store_overload_test : public gateway_fixture {
 	timer _round_timer{ _loop, [this] { _on_round(); } };
 	std::size_t _rounds = 0;
 	std::size_t _next_entry = 0;
@@ -191,7 +191,7 @@
 
 } // namespace
 
-TEST_F(store_overload_test, a_fleet_recovers_from_a_store_that_was_away) {
+TEST_F(gateway_store_overload_test, a_fleet_recovers_from_a_store_that_was_away) {
 	ASSERT_NO_FATAL_FAILURE(start_fleet());
 	_store.set_away(true);
 	wait_rounds(TRIGGER_ROUNDS);
@@ -199,7 +199,7 @@
 	expect_recovery();
 }
 
-TEST_F(store_overload_test, a_fleet_recovers_from_reads_that_were_all_lost) {
+TEST_F(gateway_store_overload_test, a_fleet_recovers_from_reads_that_were_all_lost) {
 	ASSERT_NO_FATAL_FAILURE(start_fleet());
 	_store.set_mute(true);
 	wait_rounds(TRIGGER_ROUNDS);
@@ -207,7 +207,7 @@
 	expect_recovery();
 }
 
-TEST_F(store_overload_test, a_fleet_recovers_from_the_crash_of_all_nodes_that_read_for_their_zones) {
+TEST_F(gateway_store_overload_test, a_fleet_recovers_from_the_crash_of_all_nodes_that_read_for_their_zones) {
 	ASSERT_NO_FATAL_FAILURE(start_fleet());
 	ASSERT_NO_FATAL_FAILURE(crash_readers());
 	expect_recovery();
