--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -318,7 +318,25 @@
 	_dial();
 }
 
+void gateway_fleet::_dial_other_seeds() {
+	const std::vector<network_address> &seeds = _context.settings.peers;
+	const bool is_seed = std::find(seeds.begin(), seeds.end(), _link.get_address()) != seeds.end();
+	if (!is_seed) {
+		return;
+	}
+	std::set<std::string> known;
+	for (const auto &[vm, entry] : _members.get_members()) {
+		known.insert(to_string(entry.digest.link));
+	}
+	for (const network_address &seed : seeds) {
+		if (!(seed == _link.get_address()) && !known.contains(to_string(seed)) && _link.dial_unnamed(seed)) {
+			_context.log.write(log_line("seed_dialled").add("seed", to_string(seed)));
+		}
+	}
+}
+
 void gateway_fleet::_dial() {
+	_dial_other_seeds();
 	if (_link.get_linked().empty() && !_context.settings.peers.empty()) {
 		// Dials one seed at a time, so that a starting fleet does not connect to all of its seeds at once.
 		const network_address &seed = _context.settings.peers[_seed_order.take_next(_context.settings.peers.size())];
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -105,6 +105,8 @@
 	void _send_heartbeats(heartbeat_scope p_scope);
 	void _plan_links();
 	void _dial();
+	/** If this node is a seed, dials those that it does not know: each seed may be the only one that a part of the fleet has dialled. */
+	void _dial_other_seeds();
 	void _request_list();
 	void _update_liveness();
 	void _set_live(const std::string &p_vm);
--- a/tests/main/gateway_start_test.cpp
+++ b/tests/main/gateway_start_test.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <list>
 
 namespace calicoscale {
 
@@ -124,6 +125,29 @@
 	EXPECT_LE(max_per_read, 8U);
 }
 
+// Each seed gets the first link of a part of the nodes, and would otherwise know that part only.
+TEST_F(gateway_start_test, a_fleet_whose_nodes_begin_at_different_seeds_does_not_stay_in_parts) {
+	std::vector<network_address> seeds;
+	{
+		std::list<raw_server> reserved;
+		while (seeds.size() < SEEDS) {
+			reserved.emplace_back(_loop);
+			seeds.push_back(reserved.back().get_address());
+		}
+	}
+	_store.set_away(true);
+	_adjust_settings = [this, &seeds](gateway_settings &r_settings) {
+		r_settings.peers = seeds;
+		if (_gateways.size() < SEEDS) {
+			r_settings.link_address = seeds[_gateways.size()];
+		}
+	};
+	while (_gateways.size() < NODES) {
+		start_gateway();
+	}
+	run_until([this] { return std::all_of(_gateways.begin(), _gateways.end(), [](const std::unique_ptr<gateway> &p_node) { return p_node->get_live_count() == NODES; }); });
+}
+
 TEST_F(gateway_start_test, connections_of_nodes_beyond_half_of_the_descriptors_are_refused) {
 	_descriptors = 4;
 	gateway &node = start_gateway();
