--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -9,6 +9,7 @@
 #include "main/gateway/gateway_request.h"
 
 #include "drivers/http_status.h"
+#include "main/gateway/retry_report.h"
 
 #include <algorithm>
 
@@ -125,7 +126,10 @@
 	if (!_services.context.settings.mechanisms.has(mechanism::REPEATS)) {
 		return false;
 	}
-	return _services.repeats[_request.service].try_repeat(_services.context.settings.retries, _services.fleet.get_live_count(), event_loop::now());
+	const std::size_t nodes = _services.fleet.get_live_count();
+	const retry_decision decision = _services.repeats[_request.service].try_repeat(_services.context.settings.retries, nodes, event_loop::now());
+	report_retry_decision(_services.context, decision, log_line(get_event_name(decision)).add("request", _request.facts.attempt).add("service", _request.service).add("nodes", static_cast<long long>(nodes)));
+	return decision.is_allowed;
 }
 
 void gateway_request::_send() {
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -11,6 +11,7 @@
 #include "core/bounded_body.h"
 #include "drivers/activity_scope.h"
 #include "drivers/http_status.h"
+#include "main/gateway/retry_report.h"
 #include "platform/request_codec.h"
 #include "platform/stage_codec.h"
 #include "servers/gateway/pool_shards.h"
@@ -75,7 +76,9 @@
 
 bool pool_caller::_try_repeat(instant p_now) {
 	// Only this node dispatches the pool, so the retry limits aren't divided among nodes.
-	return _repeats.try_repeat(_context.settings.retries, 1, p_now);
+	const retry_decision decision = _repeats.try_repeat(_context.settings.retries, 1, p_now);
+	report_retry_decision(_context, decision, log_line(get_event_name(decision)).add("pool", _name));
+	return decision.is_allowed;
 }
 
 void pool_caller::add(work_id p_id, stage_work p_work) {
--- a/servers/gateway/retry_window.cpp
+++ b/servers/gateway/retry_window.cpp
@@ -37,22 +37,22 @@
 	_get_bucket(p_bounds, p_now).requests += 1.0;
 }
 
-bool retry_window::try_repeat(const retry_bounds &p_bounds, std::size_t p_nodes, instant p_now) {
+retry_decision retry_window::try_repeat(const retry_bounds &p_bounds, std::size_t p_nodes, instant p_now) {
 	const long oldest = get_index(p_bounds, p_now) - BUCKETS_PER_WINDOW;
-	double requests = 0.0;
-	double repeats = 0.0;
+	retry_decision decision;
 	for (const bucket &entry : _buckets) {
 		if (entry.index >= oldest) {
-			requests += entry.requests;
-			repeats += entry.repeats;
+			decision.requests += entry.requests;
+			decision.repeats += entry.repeats;
 		}
 	}
 	const double nodes = static_cast<double>(std::max<std::size_t>(1, p_nodes));
-	if (repeats + 1.0 > USED_SHARE * (p_bounds.ratio * requests + p_bounds.slack / nodes)) {
-		return false;
+	decision.limit = USED_SHARE * (p_bounds.ratio * decision.requests + p_bounds.slack / nodes);
+	decision.is_allowed = decision.repeats + 1.0 <= decision.limit;
+	if (decision.is_allowed) {
+		_get_bucket(p_bounds, p_now).repeats += 1.0;
 	}
-	_get_bucket(p_bounds, p_now).repeats += 1.0;
-	return true;
+	return decision;
 }
 
 } // namespace calicoscale
--- a/servers/gateway/retry_window.h
+++ b/servers/gateway/retry_window.h
@@ -23,6 +23,14 @@
 	duration window = std::chrono::seconds(10);
 };
 
+/** Outcome of a request for a repeat, with the state of the limit that decided it. */
+struct retry_decision {
+	bool is_allowed = false;
+	double requests = 0.0; ///< Requests in the window.
+	double repeats = 0.0; ///< Earlier repeats in the window.
+	double limit = 0.0; ///< Maximum number of repeats in the window.
+};
+
 /**
  * Counts requests and repeats to one service in buckets of a tenth of the window. A node uses only its share of the slack
  * and not all of the ratio, because the repeats of nodes that crashed are no longer counted by any node.
@@ -45,10 +53,10 @@
 	void on_request(const retry_bounds &p_bounds, instant p_now);
 
 	/**
-	 * Counts a repeat and returns true if the limit of the window allows it.
+	 * Decides on a repeat, and counts it if the limit of the window allows it.
 	 * @param p_nodes number of live nodes that share the limits.
 	 */
-	bool try_repeat(const retry_bounds &p_bounds, std::size_t p_nodes, instant p_now);
+	retry_decision try_repeat(const retry_bounds &p_bounds, std::size_t p_nodes, instant p_now);
 };
 
 } // namespace calicoscale
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -182,7 +182,7 @@
 		if (*rc::gen::inRange(0, 3) == 0) {
 			window.on_request(bounds, now);
 			events.emplace_back(now, false);
-		} else if (window.try_repeat(bounds, nodes, now)) {
+		} else if (window.try_repeat(bounds, nodes, now).is_allowed) {
 			events.emplace_back(now, true);
 		}
 	}
