--- /dev/null
+++ b/tests/servers/gateway/retry_budget_test.cpp
@@ -0,0 +1,114 @@
+/*
+ * calicoscale: retry_budget_test.cpp
+ * Repeats of whole fleets to one service against the limit that applies to all nodes together, in virtual time.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/gateway/retry_window.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr int STEP_MS = 50;
+constexpr int WINDOW_MS = 10000;
+/** All processes are older than two windows when callers begin to send and endpoints to refuse. */
+constexpr int CALM_MS = 2 * WINDOW_MS;
+constexpr int END_MS = CALM_MS + 3 * WINDOW_MS;
+constexpr int MAX_REPEATS_PER_REQUEST = 3;
+
+instant at_ms(int p_ms) {
+	return instant{} + std::chrono::hours(1) + std::chrono::milliseconds(p_ms);
+}
+
+/** Requests and repeats of all nodes, by step. */
+struct fleet_record {
+	std::vector<double> requests = std::vector<double>(END_MS / STEP_MS, 0.0);
+	std::vector<double> repeats = std::vector<double>(END_MS / STEP_MS, 0.0);
+
+	static double sum(const std::vector<double> &p_counts, int p_begin, int p_end) {
+		const int begin = std::clamp(p_begin, 0, END_MS / STEP_MS);
+		const int end = std::clamp(p_end, begin, END_MS / STEP_MS);
+		double total = 0.0;
+		for (int i = begin; i < end; i++) {
+			total += p_counts[static_cast<std::size_t>(i)];
+		}
+		return total;
+	}
+
+	/** Checks each window. Its requests are those of the window, the one before or the one half a window earlier, whichever has most. */
+	void check(const retry_bounds &p_bounds) const {
+		constexpr int LENGTH = WINDOW_MS / STEP_MS;
+		for (int begin = 0; begin + LENGTH <= END_MS / STEP_MS; begin++) {
+			double most_requests = 0.0;
+			for (const int shift : { 0, LENGTH / 2, LENGTH }) {
+				most_requests = std::max(most_requests, sum(requests, begin - shift, begin - shift + LENGTH));
+			}
+			const double allowed = p_bounds.ratio * most_requests + p_bounds.slack;
+			ASSERT_LE(sum(repeats, begin, begin + LENGTH), allowed) << "in the window from " << begin * STEP_MS - CALM_MS << " ms after the first request, " << most_requests << " requests";
+		}
+	}
+};
+
+/** One process that holds a part of the limit. */
+struct process {
+	retry_window window;
+	std::size_t nodes = 1; ///< Number of live nodes that it knows.
+
+	/** Requests arrive and are repeated as often as the limit allows. */
+	void step(const retry_bounds &p_bounds, int p_requests, int p_now_ms, fleet_record &r_record) {
+		const std::size_t index = static_cast<std::size_t>(p_now_ms / STEP_MS);
+		for (int i = 0; i < p_requests; i++) {
+			window.on_request(p_bounds, at_ms(p_now_ms));
+			r_record.requests[index] += 1.0;
+		}
+		for (int i = 0; i < p_requests * MAX_REPEATS_PER_REQUEST && window.try_repeat(p_bounds, nodes, at_ms(p_now_ms)).is_allowed; i++) {
+			r_record.repeats[index] += 1.0;
+		}
+	}
+};
+
+struct restart_case {
+	std::size_t nodes = 1;
+	int life_ms = 1000;
+};
+
+/** Nodes that are killed after a given time in turn, and start again at once. */
+class restarting_fleet_test : public ::testing::TestWithParam<restart_case> {};
+
+} // namespace
+
+TEST_P(restarting_fleet_test, repeats_stay_within_the_limit_although_processes_forget_what_they_used) {
+	const retry_bounds bounds;
+	const auto [nodes, life_ms] = GetParam();
+	for (const int requests_per_step : { 1, 4 }) {
+		fleet_record record;
+		std::vector<process> fleet(nodes);
+		for (int now = 0; now < END_MS; now += STEP_MS) {
+			for (std::size_t i = 0; i < nodes; i++) {
+				const int phase = static_cast<int>(i) * life_ms / static_cast<int>(nodes);
+				const bool is_killed = now > CALM_MS && (now - CALM_MS - phase) % life_ms < STEP_MS && now - CALM_MS >= phase;
+				if (is_killed) {
+					fleet[i] = process();
+				}
+				fleet[i].nodes = nodes;
+				if (now >= CALM_MS) {
+					fleet[i].step(bounds, requests_per_step, now, record);
+				}
+			}
+		}
+		record.check(bounds);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(lives, restarting_fleet_test, ::testing::Values(restart_case{ 1, 500 }, restart_case{ 1, 3000 }, restart_case{ 1, 9950 }, restart_case{ 6, 500 }, restart_case{ 6, 1000 }, restart_case{ 6, 2500 }, restart_case{ 6, 5000 }, restart_case{ 6, 10050 }, restart_case{ 6, 20000 }, restart_case{ 30, 1000 }, restart_case{ 30, 5000 }), [](const ::testing::TestParamInfo<restart_case> &p_info) { return std::to_string(p_info.param.nodes) + "_nodes_" + std::to_string(p_info.param.life_ms) + "_ms"; });
+
+} // namespace calicoscale
