The slack for repeats is held in parts that grow with their holder's age

Cause: a limit of the fleet that each process held by itself. A process that started had an empty window and its whole part of the slack; a node divided the slack by the nodes it was linked to, so three survivors, or nodes cut off from each other, used it several times; the dispatcher of a pool used all of it, and so did the next one. No process exceeded its own limit.

Now the slack is divided by all known nodes, silent ones included, and by what a dispatcher reaches; a holder gains its part with its age, so that all holders of a part in any window use it once, whatever they know of each other. A node that has met nobody repeats within the ratio.

The property in gateway_state_test keeps its bound and is asked of retry_budget, of which the window is a part. The gateway test counts arrivals by request in place of a lower bound.

--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -57,6 +57,7 @@
 	bool is_total = false; ///< The commitments are those of the whole fleet, for nodes that follow the sender.
 	std::uint32_t zone_nodes = 0; ///< Number of nodes of the sender's zone that the sender considers live; reported by hubs.
 	std::uint32_t fleet_nodes = 0; ///< Number of live nodes of all zones; reported by hubs.
+	std::uint32_t known_nodes = 0; ///< Number of nodes of all zones including silent ones; reported by hubs, 0 if unknown.
 	std::vector<std::string> dispatchers; ///< Nodes that may dispatch pools; reported by hubs.
 	std::vector<std::string> unreached_zones; ///< Zones that the sender cannot reach; reported by hubs.
 	evacuation_state evacuations; ///< Evacuations known to the sender; position zero when the sender's version does not support them.
--- a/main/gateway/admitted_request.h
+++ b/main/gateway/admitted_request.h
@@ -15,7 +15,7 @@
 #include "main/gateway/stage_dispatcher.h"
 #include "platform/request_codec.h"
 #include "servers/gateway/engine_view.h"
-#include "servers/gateway/retry_window.h"
+#include "servers/gateway/retry_budget.h"
 #include "servers/routing/router.h"
 
 #include <map>
@@ -32,7 +32,7 @@
 	stage_dispatcher &dispatcher;
 	router &services; ///< Endpoints of plain services, own zone first.
 	router &engines; ///< Engines of all zones, chosen by shared prefixes of prompts.
-	std::map<std::string, retry_window> &repeats; ///< By service.
+	retry_budget &repeats;
 	std::map<std::string, duration> &typical_times; ///< Typical answer times, by service.
 	commitment_table &commitments;
 	engine_view &engine_caches;
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -71,6 +71,7 @@
 		_engine_caches(p_settings.mechanisms),
 		_prompts(_context, _fleet, _engine_caches),
 		_crashes(_context, _fleet, _endpoints),
+		_repeats(p_settings.retries),
 		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _typical_times, _commitments, _engine_caches, _prompts, _crashes, _first_event_times, _guard },
 		_admission(_context, _shared, _evacuations),
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
@@ -443,6 +444,7 @@
 }
 
 void gateway::_tick() {
+	_repeats.set_part(_fleet.get_own_part(), event_loop::now());
 	_update_readiness();
 	_guard.tick(_settled);
 	if (_phase != stop_phase::NONE) {
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -46,7 +46,7 @@
 	engine_view _engine_caches;
 	prompt_sync _prompts;
 	crash_guard _crashes;
-	std::map<std::string, retry_window> _repeats;
+	retry_budget _repeats;
 	std::map<std::string, duration> _typical_times;
 	std::map<std::string, duration> _first_event_times;
 	request_services _shared;
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -235,6 +235,26 @@
 	return std::max<std::size_t>({ 1, reported, _plan.is_hub ? _count_fleet() : get_live_nodes().size() });
 }
 
+bool gateway_fleet::_has_other_seeds() const {
+	const std::vector<network_address> &seeds = _context.settings.peers;
+	return std::any_of(seeds.begin(), seeds.end(), [this](const network_address &p_seed) { return !(p_seed == _link.get_address()); });
+}
+
+std::size_t gateway_fleet::_count_known(std::size_t p_live) const {
+	if (_members.get_members().empty() && _has_other_seeds()) {
+		return 0;
+	}
+	const std::size_t reported = _plan.is_hub ? 0 : _reported.get_known_nodes();
+	return std::max({ reported, p_live, _members.count_senders(_context.settings.retries.window, event_loop::now()) });
+}
+
+void gateway_fleet::_update_parts() {
+	const std::size_t live = get_live_count();
+	_known_count = _count_known(live);
+	_own_part = _known_count == 0 ? 0.0 : 1.0 / static_cast<double>(_known_count);
+	_reached_part = _own_part * static_cast<double>(live);
+}
+
 std::vector<std::string> gateway_fleet::get_zone_nodes() const {
 	std::vector<std::string> nodes;
 	if (!_leaving) {
@@ -277,6 +297,7 @@
 	_store.use_names(_plan.is_hub);
 	_endpoints.drop_reported_removals();
 	_collect_updates();
+	_update_parts();
 	_send_heartbeats(heartbeat_scope::DUE);
 	_update_liveness();
 	_request_list();
@@ -434,6 +455,7 @@
 	}
 	texts.to_follower.is_total = true;
 	texts.to_follower.fleet_nodes = _count_fleet();
+	texts.to_follower.known_nodes = static_cast<std::uint32_t>(_known_count);
 	texts.to_follower.dispatchers = _find_dispatchers();
 	texts.to_follower.unreached_zones.assign(_unreachable_zones.begin(), _unreachable_zones.end());
 	return texts;
@@ -611,6 +633,7 @@
 	if (!p_message.is_total || p_vm != get_followed_hub()) {
 		return;
 	}
+	_reported.set_known_nodes(p_message.known_nodes);
 	for (const std::string &vm : _reported.take(p_message.dispatchers, p_message.fleet_nodes)) {
 		if (vm != get_vm() && !_is_leaving(vm) && !p_message.dispatchers.empty()) {
 			_reported.set_lost(vm);
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -88,6 +88,9 @@
 	bool _refuses_links = false; ///< Connections were refused because of the maximum number of links, which is still reached.
 	bool _ready = false;
 	bool _leaving = false;
+	std::size_t _known_count = 0;
+	double _own_part = 0.0;
+	double _reached_part = 0.0;
 	sigc::signal<void(const std::string &)> _peer_lost;
 	sigc::signal<void(const std::set<std::string> &)> _reach_changed;
 	std::set<std::string> _unreachable_zones;
@@ -116,6 +119,10 @@
 	bool _is_in_own_zone(const std::string &p_vm) const;
 	std::uint32_t _count_zone() const;
 	std::uint32_t _count_fleet() const;
+	bool _has_other_seeds() const;
+	/** Number of known nodes in all zones, including silent ones; zero if unknown. */
+	std::size_t _count_known(std::size_t p_live) const;
+	void _update_parts();
 	void _collect_updates();
 	void _on_link_up(const std::string &p_vm);
 	void _on_link_down(const std::string &p_vm);
@@ -160,6 +167,15 @@
 	/** Number of known live nodes in all zones. */
 	std::size_t get_live_count() const;
 
+	/**
+	 * Part of a limit of the whole fleet that is this node's own, from 0 to 1. Silent nodes have a part too, as they may still send
+	 * to endpoints. Zero while this node has seeds and has not had contact with any other node.
+	 */
+	double get_own_part() const { return _own_part; }
+
+	/** Part of the fleet that is live to this node, including itself, from 0 to 1. */
+	double get_reached_part() const { return _reached_part; }
+
 	/** Extends the deadlines of peers by a process stall of this node, so that they are not assumed to have failed because of it. */
 	void on_stall(duration p_absence) { _contacts.extend_deadlines(p_absence); }
 
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -86,7 +86,7 @@
 	_request.exchange->set_on_flow([this](bool p_may_send) { _services.context.channels.set_reading(_exchange, p_may_send); });
 	_give_up_timer.set_at(_give_up_at);
 	_queue_position = _services.guard.get_queue().join(_request.service);
-	_services.repeats[_request.service].on_request(_services.context.settings.retries, _started);
+	_services.repeats.on_request(_request.service, _started);
 	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(get_priority(_request))).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("rested_ms", _request.exchange->rested).add("earlier", static_cast<long long>(_request.exchange->earlier)).add("version", static_cast<long long>(_request.configuration->version)));
 	if (_stages.is_complete()) {
 		_send();
@@ -126,9 +126,8 @@
 	if (!_services.context.settings.mechanisms.has(mechanism::REPEATS)) {
 		return false;
 	}
-	const std::size_t nodes = _services.fleet.get_live_count();
-	const retry_decision decision = _services.repeats[_request.service].try_repeat(_services.context.settings.retries, nodes, event_loop::now());
-	report_retry_decision(_services.context, decision, log_line(get_event_name(decision)).add("request", _request.facts.attempt).add("service", _request.service).add("nodes", static_cast<long long>(nodes)));
+	const retry_decision decision = _services.repeats.try_repeat(_request.service, event_loop::now());
+	report_retry_decision(_services.context, decision, log_line(get_event_name(decision)).add("request", _request.facts.attempt).add("service", _request.service));
 	return decision.is_allowed;
 }
 
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -67,7 +67,7 @@
 } // namespace
 
 pool_caller::pool_caller(gateway_context &p_context, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks) :
-		_context(p_context), _guard(p_guard), _name(std::move(p_name)), _service(parse_shard_name(_name).pool), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms) {
+		_context(p_context), _guard(p_guard), _name(std::move(p_name)), _service(parse_shard_name(_name).pool), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms), _repeats(p_context.settings.retries) {
 	_pool.set_regions(p_context.settings.regions);
 	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) {
 		return _guard.get_rollouts().may_call(_service, p_replica.vm, _pool.get_batch()) && _guard.may_send(p_replica, sender_share::FULL, p_now);
@@ -75,15 +75,14 @@
 }
 
 bool pool_caller::_try_repeat(instant p_now) {
-	// Only this node dispatches the pool, so the retry limits aren't divided among nodes.
-	const retry_decision decision = _repeats.try_repeat(_context.settings.retries, 1, p_now);
+	const retry_decision decision = _repeats.try_repeat(_name, p_now);
 	report_retry_decision(_context, decision, log_line(get_event_name(decision)).add("pool", _name));
 	return decision.is_allowed;
 }
 
 void pool_caller::add(work_id p_id, stage_work p_work) {
 	const instant now = event_loop::now();
-	_repeats.on_request(_context.settings.retries, now);
+	_repeats.on_request(_name, now);
 	_pool.add(p_id, std::move(p_work), now);
 }
 
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -12,7 +12,7 @@
 #include "main/gateway/crash_watch.h"
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/send_guard.h"
-#include "servers/gateway/retry_window.h"
+#include "servers/gateway/retry_budget.h"
 #include "servers/gateway/stage_pool.h"
 
 #include <functional>
@@ -50,7 +50,7 @@
 	const std::string _service; ///< Name of the pool of which this is a shard.
 	pool_caller_hooks _hooks;
 	stage_pool _pool;
-	retry_window _repeats;
+	retry_budget _repeats;
 	std::uint64_t _examined_reported = 0; ///< Number of examined works already added to the metrics.
 	std::map<std::uint64_t, exchange_id> _exchanges; ///< By call.
 	std::map<std::uint64_t, sent_run> _runs; ///< By call.
@@ -87,6 +87,9 @@
 	/** Sets the unreachable zones. Items in calls to these zones are called for elsewhere, within the limits for repeats. */
 	void set_unreachable_zones(const std::set<std::string> &p_zones);
 
+	/** Sets the part of the slack for repeats that this pool may use, from 0 to 1. */
+	void set_slack_part(double p_part) { _repeats.set_part(p_part, event_loop::now()); }
+
 	/** Releases results that are no longer needed. Their producers are notified by later ticks. */
 	void release(const std::vector<std::string> &p_handles);
 
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -505,11 +505,23 @@
 	}
 }
 
+bool stage_dispatcher::_is_dispatching(const std::string &p_name) const {
+	const pool_shard shard = parse_shard_name(p_name);
+	return shard.count == _count_shards(shard.pool) && _choose_node(p_name) == _fleet.get_vm();
+}
+
+void stage_dispatcher::_update_slack_parts() {
+	// A dispatcher repeats for the nodes that reach it. Nodes that do not may have another dispatcher.
+	const double part = _context.settings.mechanisms.has(mechanism::SHARED_DISPATCH) ? _fleet.get_reached_part() : _fleet.get_own_part();
+	for (auto &[name, entry] : _pools) {
+		entry.calls.set_slack_part(_is_dispatching(name) ? part / static_cast<double>(parse_shard_name(name).count) : 0.0);
+	}
+}
+
 std::vector<pool_capacity> stage_dispatcher::get_capacities() {
 	std::vector<pool_capacity> capacities;
 	for (const auto &[name, entry] : _pools) {
-		const pool_shard shard = parse_shard_name(name);
-		if (shard.count != _count_shards(shard.pool) || _choose_node(name) != _fleet.get_vm()) {
+		if (!_is_dispatching(name)) {
 			continue;
 		}
 		const double replicas = entry.calls.get_pool().get_capacity(event_loop::now());
@@ -533,6 +545,7 @@
 		_report_used_results(name, used_results);
 	}
 	_release_results_of_failed();
+	_update_slack_parts();
 	for (auto &[name, entry] : _pools) {
 		entry.calls.tick();
 	}
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -92,6 +92,9 @@
 	/** Removes a result from those that this node uses, and returns the shard whose dispatcher knows it. */
 	std::string _remove_used_result(const std::string &p_pool, const std::string &p_handle);
 	dispatch_view _get_view() const;
+	/** Whether this node is the dispatcher of a shard that is in use. */
+	bool _is_dispatching(const std::string &p_name) const;
+	void _update_slack_parts();
 	/** Updates the time since which this node, as a follower, has known no dispatching node. */
 	void _update_no_dispatcher_since(const dispatch_view &p_view, instant p_now);
 	std::string _choose_node(const std::string &p_pool) const;
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -154,5 +154,8 @@
 mutate "stage search" "a vain search holds for good" servers/gateway/stage_pool.cpp "p_now - *_fruitless_since >= FRUITLESS_SEARCH_LIFETIME" "false" stage_pool_search_test
 mutate "stage search" "a call that ends leaves a vain search in force" servers/gateway/stage_pool.cpp $'\t_reset_search();\n\tconst running_call call' $'\tconst running_call call' stage_pool_search_test
 mutate "stage search" "a busy replica counts as a free one" servers/gateway/stage_pool.cpp "const bool is_busy = replica.calls >= _spec.slots;" "const bool is_busy = false;" stage_pool_test
+mutate "gateway: retry budget" "a new process has its whole part of the slack" servers/gateway/slack_share.cpp "age >= p_bounds.window ?" "true ?" retry_budget_test
+mutate "gateway: retry budget" "a dispatcher that gets a pool back has its whole part of the slack" servers/gateway/slack_share.cpp "if (_part <= 0.0)" "if (_held_since == instant{})" retry_budget_test
+mutate "gateway: retry budget" "silent nodes lose their part of the slack" servers/membership/member_table.cpp "!p_entry.second.digest.leaving ||" "(!p_entry.second.digest.leaving && p_entry.second.state != member_state::GONE) ||" shared_state_test
 
 exit "$status"
--- a/servers/gateway/retry_window.cpp
+++ b/servers/gateway/retry_window.cpp
@@ -8,14 +8,12 @@
 
 #include "servers/gateway/retry_window.h"
 
-#include <algorithm>
-
 namespace calicoscale {
 
 namespace {
 
-/** Share of the limits that is used; the remainder covers restarts and nodes whose views of the fleet differ. */
-constexpr double USED_SHARE = 0.6;
+/** Share of the ratio that is used. The remainder covers repeats of processes that crashed since. */
+constexpr double USED_RATIO_SHARE = 0.6;
 constexpr long BUCKETS_PER_WINDOW = 10;
 
 long get_index(const retry_bounds &p_bounds, instant p_now) {
@@ -37,7 +35,7 @@
 	_get_bucket(p_bounds, p_now).requests += 1.0;
 }
 
-retry_decision retry_window::try_repeat(const retry_bounds &p_bounds, std::size_t p_nodes, instant p_now) {
+retry_decision retry_window::try_repeat(const retry_bounds &p_bounds, double p_slack, instant p_now) {
 	const long oldest = get_index(p_bounds, p_now) - BUCKETS_PER_WINDOW;
 	retry_decision decision;
 	for (const bucket &entry : _buckets) {
@@ -46,8 +44,7 @@
 			decision.repeats += entry.repeats;
 		}
 	}
-	const double nodes = static_cast<double>(std::max<std::size_t>(1, p_nodes));
-	decision.limit = USED_SHARE * (p_bounds.ratio * decision.requests + p_bounds.slack / nodes);
+	decision.limit = USED_RATIO_SHARE * p_bounds.ratio * decision.requests + p_slack;
 	decision.is_allowed = decision.repeats + 1.0 <= decision.limit;
 	if (decision.is_allowed) {
 		_get_bucket(p_bounds, p_now).repeats += 1.0;
--- a/servers/gateway/retry_window.h
+++ b/servers/gateway/retry_window.h
@@ -29,11 +29,13 @@
 	double requests = 0.0; ///< Requests in the window.
 	double repeats = 0.0; ///< Earlier repeats in the window.
 	double limit = 0.0; ///< Maximum number of repeats in the window.
+	double share = 0.0; ///< Part of the fleet's slack that the node has, from 0 to 1.
+	duration share_age = duration::zero(); ///< Time for which the node has had its part of the slack.
 };
 
 /**
- * Counts requests and repeats to one service in buckets of a tenth of the window. A node uses only its share of the slack
- * and not all of the ratio, because the repeats of nodes that crashed are no longer counted by any node.
+ * Counts requests and repeats to one service in buckets of a tenth of the window. A node does not use all of the ratio, because
+ * the repeats of processes that crashed are no longer counted by any node.
  */
 class retry_window {
 	static constexpr std::size_t BUCKETS = 12;
@@ -54,9 +56,9 @@
 
 	/**
 	 * Decides on a repeat, and counts it if the limit of the window allows it.
-	 * @param p_nodes number of live nodes that share the limits.
+	 * @param p_slack repeats in a window that are allowed in addition to the ratio.
 	 */
-	retry_decision try_repeat(const retry_bounds &p_bounds, std::size_t p_nodes, instant p_now);
+	retry_decision try_repeat(const retry_bounds &p_bounds, double p_slack, instant p_now);
 };
 
 } // namespace calicoscale
--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -159,6 +159,13 @@
 	}));
 }
 
+std::size_t member_table::count_senders(duration p_window, instant p_now) const {
+	const auto may_have_sent = [p_window, p_now](const auto &p_entry) {
+		return !p_entry.second.digest.leaving || p_now - p_entry.second.last_contact_at < p_window;
+	};
+	return 1 + static_cast<std::size_t>(std::count_if(_members.begin(), _members.end(), may_have_sent));
+}
+
 duration member_table::get_suspect_after() const {
 	return SUSPECT_AFTER_BASE + SUSPECT_AFTER_PER_MEMBER * static_cast<duration::rep>(_count_alive());
 }
--- a/servers/membership/member_table.h
+++ b/servers/membership/member_table.h
@@ -116,6 +116,12 @@
 	/** Returns all nodes that count for sharing limits, the own one first. */
 	std::vector<share_member> get_share_members(instant p_now) const;
 
+	/**
+	 * Number of nodes that may have sent to endpoints within a window, including this one. Silent members count until they are
+	 * erased, as they may only be cut off from this node; those that announced their stop count while the last contact is in the window.
+	 */
+	std::size_t count_senders(duration p_window, instant p_now) const;
+
 	/** Time after which a silent member is suspected; grows with the size of the fleet. */
 	duration get_suspect_after() const;
 
--- a/servers/membership/reported_fleet.h
+++ b/servers/membership/reported_fleet.h
@@ -26,6 +26,7 @@
 class reported_fleet {
 	std::vector<std::string> _dispatchers; ///< Sorted by name.
 	std::size_t _node_count = 0;
+	std::size_t _known_node_count = 0;
 	std::set<std::string> _failed; ///< Failed dispatchers: a hub reports them no longer, and this node had no contact since.
 	std::map<std::string, instant> _down_at; ///< When the link to a node broke.
 
@@ -49,6 +50,10 @@
 
 	const std::vector<std::string> &get_dispatchers() const { return _dispatchers; }
 	std::size_t get_nodes() const { return _node_count; }
+
+	/** Sets the number of nodes that a hub knows, including silent ones; 0 if it does not report it. */
+	void set_known_nodes(std::size_t p_count) { _known_node_count = p_count; }
+	std::size_t get_known_nodes() const { return _known_node_count; }
 };
 
 } // namespace calicoscale
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -60,6 +60,7 @@
 	message.marks.push_back(leaving_mark{ "gone", 3 });
 	message.gone = { { "lapsed", 41 }, { "stopped", 42 } };
 	message.follows = true;
+	message.known_nodes = 986;
 	message.evacuations = evacuation_state{ { 3, 17 }, { "a", "b" } };
 	return message;
 }
@@ -95,6 +96,7 @@
 	EXPECT_EQ(read.marks.at(0).incarnation, 3U);
 	EXPECT_EQ(read.gone, (std::vector<endpoint_identity>{ { "lapsed", 41 }, { "stopped", 42 } }));
 	EXPECT_TRUE(read.follows);
+	EXPECT_EQ(read.known_nodes, 986U);
 	EXPECT_EQ(read.evacuations.known, (log_position{ 3, 17 }));
 	EXPECT_EQ(read.evacuations.zones, (std::vector<std::string>{ "a", "b" }));
 	endpoint_listing listing;
--- a/tests/main/gateway_retry_budget_test.cpp
+++ b/tests/main/gateway_retry_budget_test.cpp
@@ -60,10 +60,15 @@
 		}
 	}
 
-	/** Returns a lower bound of the repeats: not every request arrives at an endpoint. */
+	/** Returns the number of arrivals at all endpoints beyond the first of each request. */
 	std::size_t count_repeats() const {
-		const std::size_t arrivals = std::accumulate(_replicas.begin(), _replicas.end(), std::size_t{ 0 }, [](std::size_t p_sum, const standin_replica &p_replica) { return p_sum + p_replica.arrivals.size(); });
-		return arrivals - std::min(arrivals, _sent);
+		std::map<std::string, std::size_t> arrivals;
+		for (const standin_replica &replica : _replicas) {
+			for (const auto &[request, count] : replica.arrivals_by_request) {
+				arrivals[request] += count;
+			}
+		}
+		return std::accumulate(arrivals.begin(), arrivals.end(), std::size_t{ 0 }, [](std::size_t p_sum, const auto &p_entry) { return p_sum + p_entry.second - 1; });
 	}
 
 	void expect_within_limit() const {
--- a/tests/servers/gateway/gateway_state_test.cpp
+++ b/tests/servers/gateway/gateway_state_test.cpp
@@ -11,7 +11,7 @@
 #include "servers/gateway/endpoint_directory.h"
 #include "servers/gateway/engine_view.h"
 #include "servers/gateway/event_splitter.h"
-#include "servers/gateway/retry_window.h"
+#include "servers/gateway/retry_budget.h"
 #include "servers/gateway/stage_graph.h"
 #include "servers/gateway/stage_times.h"
 #include "servers/gateway/stage_transfers.h"
@@ -169,20 +169,23 @@
 	EXPECT_EQ(splitter.take_remainder(), "tail");
 }
 
-RC_GTEST_PROP(retry_window, all_nodes_together_stay_within_the_bounds_in_any_window, ()) {
+RC_GTEST_PROP(retry_budget, all_nodes_together_stay_within_the_bounds_in_any_window, ()) {
 	const std::size_t nodes = *rc::gen::inRange<std::size_t>(1, 10);
-	std::vector<retry_window> windows(nodes);
 	const retry_bounds bounds{ 0.2, 56.0, seconds(10) };
+	std::vector<retry_budget> budgets(nodes, retry_budget(bounds));
+	for (retry_budget &budget : budgets) {
+		budget.set_part(1.0 / static_cast<double>(nodes), at(milliseconds(0)) - bounds.window);
+	}
 	std::vector<std::pair<instant, bool>> events;
 	instant now = at(milliseconds(0));
 	const int steps = *rc::gen::inRange(50, 400);
 	for (int i = 0; i < steps; i++) {
 		now += milliseconds(*rc::gen::inRange(0, 120));
-		retry_window &window = windows[*rc::gen::inRange<std::size_t>(0, nodes)];
+		retry_budget &budget = budgets[*rc::gen::inRange<std::size_t>(0, nodes)];
 		if (*rc::gen::inRange(0, 3) == 0) {
-			window.on_request(bounds, now);
+			budget.on_request("llm", now);
 			events.emplace_back(now, false);
-		} else if (window.try_repeat(bounds, nodes, now).is_allowed) {
+		} else if (budget.try_repeat("llm", now).is_allowed) {
 			events.emplace_back(now, true);
 		}
 	}
--- a/tests/servers/gateway/retry_budget_test.cpp
+++ b/tests/servers/gateway/retry_budget_test.cpp
@@ -6,7 +6,7 @@
  * SPDX-License-Identifier: MIT
  */
 
-#include "servers/gateway/retry_window.h"
+#include "servers/gateway/retry_budget.h"
 
 #include <gtest/gtest.h>
 
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr const char *SERVICE = "llm";
 constexpr int STEP_MS = 50;
 constexpr int WINDOW_MS = 10000;
 /** All processes are older than two windows when callers begin to send and endpoints to refuse. */
@@ -60,17 +61,16 @@
 
 /** One process that holds a part of the limit. */
 struct process {
-	retry_window window;
-	std::size_t nodes = 1; ///< Number of live nodes that it knows.
+	retry_budget budget{ retry_bounds() };
 
 	/** Requests arrive and are repeated as often as the limit allows. */
-	void step(const retry_bounds &p_bounds, int p_requests, int p_now_ms, fleet_record &r_record) {
+	void step(int p_requests, int p_now_ms, fleet_record &r_record) {
 		const std::size_t index = static_cast<std::size_t>(p_now_ms / STEP_MS);
 		for (int i = 0; i < p_requests; i++) {
-			window.on_request(p_bounds, at_ms(p_now_ms));
+			budget.on_request(SERVICE, at_ms(p_now_ms));
 			r_record.requests[index] += 1.0;
 		}
-		for (int i = 0; i < p_requests * MAX_REPEATS_PER_REQUEST && window.try_repeat(p_bounds, nodes, at_ms(p_now_ms)).is_allowed; i++) {
+		for (int i = 0; i < p_requests * MAX_REPEATS_PER_REQUEST && budget.try_repeat(SERVICE, at_ms(p_now_ms)).is_allowed; i++) {
 			r_record.repeats[index] += 1.0;
 		}
 	}
@@ -99,9 +99,9 @@
 				if (is_killed) {
 					fleet[i] = process();
 				}
-				fleet[i].nodes = nodes;
+				fleet[i].budget.set_part(1.0 / static_cast<double>(nodes), at_ms(now));
 				if (now >= CALM_MS) {
-					fleet[i].step(bounds, requests_per_step, now, record);
+					fleet[i].step(requests_per_step, now, record);
 				}
 			}
 		}
@@ -111,4 +111,65 @@
 
 INSTANTIATE_TEST_SUITE_P(lives, restarting_fleet_test, ::testing::Values(restart_case{ 1, 500 }, restart_case{ 1, 3000 }, restart_case{ 1, 9950 }, restart_case{ 6, 500 }, restart_case{ 6, 1000 }, restart_case{ 6, 2500 }, restart_case{ 6, 5000 }, restart_case{ 6, 10050 }, restart_case{ 6, 20000 }, restart_case{ 30, 1000 }, restart_case{ 30, 5000 }), [](const ::testing::TestParamInfo<restart_case> &p_info) { return std::to_string(p_info.param.nodes) + "_nodes_" + std::to_string(p_info.param.life_ms) + "_ms"; });
 
+namespace {
+
+/** A pool whose dispatcher changes after a given time. All processes go on running. */
+class moving_pool_test : public ::testing::TestWithParam<int> {};
+
+} // namespace
+
+TEST_P(moving_pool_test, dispatchers_in_turn_repeat_no_more_than_one_may) {
+	constexpr std::size_t DISPATCHERS = 3;
+	fleet_record record;
+	std::vector<process> fleet(DISPATCHERS);
+	for (int now = 0; now < END_MS; now += STEP_MS) {
+		const std::size_t dispatcher = now < CALM_MS ? 0 : static_cast<std::size_t>((now - CALM_MS) / GetParam()) % DISPATCHERS;
+		for (std::size_t i = 0; i < DISPATCHERS; i++) {
+			fleet[i].budget.set_part(i == dispatcher ? 1.0 : 0.0, at_ms(now));
+		}
+		if (now >= CALM_MS) {
+			fleet[dispatcher].step(1, now, record);
+		}
+	}
+	record.check(retry_bounds());
+}
+
+INSTANTIATE_TEST_SUITE_P(tenures, moving_pool_test, ::testing::Values(500, 1000, 3000, 5000, 10050), [](const ::testing::TestParamInfo<int> &p_info) { return std::to_string(p_info.param) + "_ms"; });
+
+TEST(retry_budget, a_node_without_a_part_of_the_slack_repeats_within_the_ratio) {
+	process alone;
+	fleet_record record;
+	for (int now = 0; now < END_MS; now += STEP_MS) {
+		alone.step(1, now, record);
+	}
+	const retry_bounds bounds;
+	const double repeats = fleet_record::sum(record.repeats, 0, END_MS / STEP_MS);
+	EXPECT_GT(repeats, 0.0);
+	EXPECT_LE(repeats, bounds.ratio * fleet_record::sum(record.requests, 0, END_MS / STEP_MS));
+}
+
+TEST(retry_budget, a_process_that_runs_for_long_may_use_more_than_half_of_its_part) {
+	process old;
+	old.budget.set_part(1.0, at_ms(0));
+	const retry_bounds bounds;
+	int repeats = 0;
+	while (old.budget.try_repeat(SERVICE, at_ms(WINDOW_MS)).is_allowed) {
+		repeats++;
+	}
+	EXPECT_GT(repeats, bounds.slack / 2.0);
+	EXPECT_LE(repeats, bounds.slack);
+}
+
+TEST(retry_budget, a_decision_names_what_it_was_made_from) {
+	process one;
+	one.budget.set_part(0.5, at_ms(0));
+	one.budget.on_request(SERVICE, at_ms(WINDOW_MS));
+	EXPECT_TRUE(one.budget.try_repeat(SERVICE, at_ms(WINDOW_MS)).is_allowed);
+	const retry_decision second = one.budget.try_repeat(SERVICE, at_ms(WINDOW_MS));
+	EXPECT_EQ(second.requests, 1.0);
+	EXPECT_EQ(second.repeats, 1.0);
+	EXPECT_EQ(second.share, 0.5);
+	EXPECT_EQ(second.share_age, std::chrono::milliseconds(WINDOW_MS));
+}
+
 } // namespace calicoscale
--- a/tests/servers/shared_state_test.cpp
+++ b/tests/servers/shared_state_test.cpp
@@ -132,6 +132,21 @@
 	EXPECT_EQ(sent.size(), 51U);
 }
 
+TEST(member_table, silent_members_keep_their_part_of_limits_and_stopped_ones_lose_it_after_the_window) {
+	constexpr duration WINDOW = std::chrono::seconds(10);
+	member_table table(make_digest("self"));
+	EXPECT_EQ(table.count_senders(WINDOW, at(0)), 1U);
+	member_digest stopping = make_digest("stopping");
+	stopping.leaving = true;
+	table.merge_digests({ make_digest("silent"), stopping }, at(0));
+	EXPECT_EQ(table.count_senders(WINDOW, at(0)), 3U);
+	const instant gone_at = at(0) + table.get_suspect_after() * 7;
+	table.tick(gone_at);
+	EXPECT_EQ(table.find("silent")->state, member_state::GONE);
+	EXPECT_EQ(table.count_senders(WINDOW, at(0) + WINDOW - std::chrono::milliseconds(1)), 3U);
+	EXPECT_EQ(table.count_senders(WINDOW, gone_at), 2U);
+}
+
 TEST(member_table, expired_grants_count_for_nothing_but_keep_their_place) {
 	member_table table(make_digest("self"));
 	member_digest other = make_digest("other", 1, 1, "z2");
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -95,6 +95,9 @@
 		return;
 	}
 	arrivals.push_back(event_loop::now());
+	if (const std::string *attempt = p_exchange->head.find("X-Attempt-Id")) {
+		arrivals_by_request[*attempt]++;
+	}
 	const bool is_release = p_exchange->head.target == "/stage-free";
 	if (mode == replica_mode::SHED && !is_release) {
 		std::vector<http_header> headers = _make_notices();
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -81,6 +81,7 @@
 	std::string rate_limit; ///< Requests a second that it names in its answers, as it writes them; empty for none.
 	bool says_leaving = false; ///< In its answers; its entry does not change.
 	std::string retry_after; ///< Seconds of rest that it asks for when it sheds, as it writes them; empty for none.
+	std::map<std::string, std::size_t> arrivals_by_request; ///< Of requests other than stage calls, by attempt id; refused ones included.
 	std::vector<instant> arrivals; ///< Of requests and stage calls that were meant for it, refused ones included.
 	std::string missing_input; ///< This handle is reported as gone, once.
 
