Failing tests: a node started again under its name gets the results of its earlier process

With real gateways, one of which stops without closing its connections: the items of the next process's requests are made from results of the earlier one's; and work that was at the earlier process is waited for until the deadline.

--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -200,6 +200,7 @@
 			continue;
 		}
 		stage_items.push_back(item.at("id").get<std::string>() + "." + std::to_string(item.at("stage").get<int>()) + "." + std::to_string(item.at("segment").get<int>()));
+		item_inputs[stage_items.back()] = inputs;
 		if (results.size() >= most_results) {
 			pieces_without_room++;
 			items.push_back({ { "reason", "room" } });
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -69,6 +69,7 @@
 	std::size_t meant_for_others = 0; ///< Requests it rejected as they named another replica.
 	std::size_t stage_calls = 0;
 	std::vector<std::string> stage_items; ///< "attempt.stage.piece" of each piece made.
+	std::map<std::string, std::vector<std::string>> item_inputs; ///< Handles that an item was made from, by "attempt.stage.piece".
 	std::set<std::string> results; ///< Handles not released yet.
 	bool hold_stages = false; ///< Calls wait until run_held_stages().
 	std::size_t most_results = 1000; ///< Pieces that would be more find no room.
