Links end with the process of their peer, and all that was bound to it

A request could be run with inputs made for other requests, possibly of other customers, after the node that had it was started again quickly; and work that was at a node started again was waited for until the deadline.

Cause: works are identified by the VM of their owner and a number that begins at 1 in each process. A node that is started again before its loss is detected links anew under its name; its peers kept the work, results and assignments of the earlier process and took them for the next one's.

Now a link that is authenticated for another process of a VM (another incarnation than the last one) closes the links of the earlier process, counts it as lost (peer_lost cause=replaced) and only then is up: works that it assigned are dropped, those that were assigned to it are assigned again, its results are released at once, and results that were reported to it are reported again.

--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -269,6 +269,10 @@
 	bool is_proven() const { return _proven; }
 	bool knows(link_feature p_feature) const { return (_peer.features & static_cast<std::uint32_t>(p_feature)) != 0; }
 	const std::string &get_vm() const { return _vm; }
+	/** Incarnation of the peer's process; 0 before its hello message. */
+	std::uint64_t get_incarnation() const { return _peer.incarnation; }
+	/** Whether the peer has announced itself as a VM. */
+	bool is_of(const std::string &p_vm) const { return _has_hello && _peer.vm == p_vm; }
 	const std::string &get_dial_key() const { return _dial_key; }
 	const std::string &get_any_vm() const { return _vm.empty() ? _expected_vm : _vm; }
 };
@@ -368,10 +372,27 @@
 void node_link::_on_proven(link *p_link) {
 	_back_off.erase(p_link->get_dial_key());
 	_dial_after.erase(p_link->get_dial_key());
+	_replace_process(*p_link);
 	_proven[p_link->get_vm()].push_back(p_link);
 	_link_up.emit(p_link->get_vm());
 }
 
+void node_link::_replace_process(const link &p_link) {
+	const std::string &vm = p_link.get_vm();
+	const auto [known, is_first] = _incarnations.try_emplace(vm, p_link.get_incarnation());
+	if (is_first || known->second == p_link.get_incarnation()) {
+		return;
+	}
+	known->second = p_link.get_incarnation();
+	const std::vector<std::shared_ptr<link>> links = _links;
+	for (const std::shared_ptr<link> &entry : links) {
+		if (entry->is_of(vm) && entry->get_incarnation() != p_link.get_incarnation()) {
+			_remove(entry.get());
+		}
+	}
+	_peer_replaced.emit(vm);
+}
+
 node_link::link *node_link::_find(const std::string &p_vm) const {
 	const auto found = _proven.find(p_vm);
 	if (found == _proven.end()) {
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -195,6 +195,7 @@
 	evconnlistener *_listener = nullptr;
 	std::vector<std::shared_ptr<link>> _links;
 	std::unordered_map<std::string, std::vector<link *>> _proven; ///< Authenticated links by VM, oldest first.
+	std::unordered_map<std::string, std::uint64_t> _incarnations; ///< Incarnation of the process that was authenticated last, by VM.
 	std::map<std::string, instant> _dial_after; ///< Earliest time of the next attempt, by VM, or by address where the VM is not known.
 	std::map<std::string, duration> _back_off;
 	std::vector<std::string> _cut_off; ///< VMs with which links are refused, for failure tests.
@@ -206,6 +207,7 @@
 
 	sigc::signal<void(const std::string &)> _link_up;
 	sigc::signal<void(const std::string &)> _link_down;
+	sigc::signal<void(const std::string &)> _peer_replaced;
 	sigc::signal<void()> _connection_refused;
 	sigc::signal<void(const std::string &, const heartbeat_message &)> _heartbeat_received;
 	sigc::signal<void(const std::string &, std::uint64_t)> _configuration_requested;
@@ -232,6 +234,8 @@
 	void _remove(link *p_link);
 	std::shared_ptr<link> _get_shared(link *p_link) const;
 	void _on_proven(link *p_link);
+	/** Closes the links of the earlier process if an authenticated link belongs to another process of its VM. */
+	void _replace_process(const link &p_link);
 	bool _send_if_linked(const std::string &p_vm, const std::function<bool(link &)> &p_send);
 	std::uint32_t _get_features() const;
 	link *_find(const std::string &p_vm) const;
@@ -289,6 +293,12 @@
 
 	sigc::signal<void(const std::string &)> &link_up() { return _link_up; }
 	sigc::signal<void(const std::string &)> &link_down() { return _link_down; }
+
+	/**
+	 * Emitted when a VM is linked whose last linked process was another one, before link_up(). The links of the earlier process have
+	 * been closed, so that no message of it arrives any more. What it held is lost, and what is held for it has no owner.
+	 */
+	sigc::signal<void(const std::string &)> &peer_replaced() { return _peer_replaced; }
 	/** Emitted when a connection is closed because there are as many links as allowed. */
 	sigc::signal<void()> &connection_refused() { return _connection_refused; }
 	sigc::signal<void(const std::string &, const heartbeat_message &)> &heartbeat_received() { return _heartbeat_received; }
--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -59,6 +59,7 @@
 	_link.heartbeat_received().connect([this](const std::string &p_vm, const heartbeat_message &p_message) { _on_heartbeat(p_vm, p_message); });
 	_link.link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
 	_link.link_down().connect([this](const std::string &p_vm) { _on_link_down(p_vm); });
+	_link.peer_replaced().connect([this](const std::string &p_vm) { _on_peer_replaced(p_vm); });
 	_link.connection_refused().connect([this] { _on_connection_refused(); });
 	_link.endpoints_declined().connect([this](const std::string &) { _request_list(); });
 	_configuration.changed().connect([this] { _send_heartbeats(heartbeat_scope::CLOSE); });
@@ -538,6 +539,12 @@
 	}
 }
 
+void gateway_fleet::_on_peer_replaced(const std::string &p_vm) {
+	// The earlier process may have assigned work before this node considered it live.
+	_was_live[p_vm] = true;
+	_set_failed(p_vm, peer_loss::REPLACED);
+}
+
 void gateway_fleet::_on_connection_refused() {
 	_context.metrics.count("links_refused");
 	if (!_refuses_links) {
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -126,6 +126,7 @@
 	void _collect_updates();
 	void _on_link_up(const std::string &p_vm);
 	void _on_link_down(const std::string &p_vm);
+	void _on_peer_replaced(const std::string &p_vm);
 	void _on_connection_refused();
 	void _on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message);
 	void _merge_members(const heartbeat_message &p_message);
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -45,6 +45,7 @@
 		_get_pool(p_message.pool).calls.release(p_message.handles);
 	});
 	link.results_reported().connect([this](const std::string &p_vm, const report_results_message &p_message) { _on_results_reported(p_vm, p_message); });
+	link.peer_replaced().connect([this](const std::string &p_vm) { _on_peer_replaced(p_vm); });
 	_fleet.reachability_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_fleet.peer_failed().connect([this](const std::string &p_vm) { _on_peer_lost(p_vm); });
 }
@@ -377,6 +378,28 @@
 	_get_pool(p_message.pool).calls.get_pool().on_results_reported(p_owner, results, event_loop::now());
 }
 
+void stage_dispatcher::_release_results_of(const std::string &p_vm) {
+	for (auto &[name, entry] : _pools) {
+		const std::vector<std::string> handles = entry.calls.get_pool().get_results_of(p_vm);
+		entry.calls.release(handles);
+		if (!handles.empty()) {
+			_context.log.write(log_line("results_of_lost_released").add("pool", name).add("vm", p_vm).add("count", static_cast<long long>(handles.size())));
+		}
+	}
+}
+
+void stage_dispatcher::_on_peer_replaced(const std::string &p_vm) {
+	_failed_at.erase(p_vm);
+	_release_results_of(p_vm);
+	for (auto &[pool, results] : _used_results) {
+		for (auto &[handle, result] : results) {
+			if (result.reported_to == p_vm) {
+				result.reported_to.clear();
+			}
+		}
+	}
+}
+
 void stage_dispatcher::_release_results_of_failed() {
 	const instant now = event_loop::now();
 	for (auto lost = _failed_at.begin(); lost != _failed_at.end();) {
@@ -385,13 +408,7 @@
 			continue;
 		}
 		if (!_fleet.is_responsive(lost->first) && _context.settings.mechanisms.has(mechanism::LOST_RESULTS)) {
-			for (auto &[name, entry] : _pools) {
-				const std::vector<std::string> handles = entry.calls.get_pool().get_results_of(lost->first);
-				entry.calls.release(handles);
-				if (!handles.empty()) {
-					_context.log.write(log_line("results_of_lost_released").add("pool", name).add("vm", lost->first).add("count", static_cast<long long>(handles.size())));
-				}
-			}
+			_release_results_of(lost->first);
 		}
 		lost = _failed_at.erase(lost);
 	}
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -122,6 +122,9 @@
 	void _report_used_results(const std::string &p_pool, std::map<std::string, own_result> &r_results);
 	void _on_results_reported(const std::string &p_owner, const report_results_message &p_message);
 	void _release_results_of_failed();
+	void _release_results_of(const std::string &p_vm);
+	/** Another process runs under the name of a node: it needs no results of the earlier one, and knows none that were reported to that one. */
+	void _on_peer_replaced(const std::string &p_vm);
 	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_peer_lost(const std::string &p_vm);
 	void _on_work_assigned(const std::string &p_vm, const assign_work_message &p_message);
--- a/servers/membership/peer_loss.h
+++ b/servers/membership/peer_loss.h
@@ -19,12 +19,13 @@
 	LINK_BROKEN,
 	SILENT,
 	REPORTED_BY_HUB,
+	REPLACED, ///< Another process runs under its name.
 	COUNT,
 };
 
 /** Name for logs. */
 constexpr std::string_view get_name(peer_loss p_value) {
-	constexpr std::array<std::string_view, static_cast<std::size_t>(peer_loss::COUNT)> NAMES{ "link_broken", "silent", "told_by_hub" };
+	constexpr std::array<std::string_view, static_cast<std::size_t>(peer_loss::COUNT)> NAMES{ "link_broken", "silent", "told_by_hub", "replaced" };
 	return NAMES[static_cast<std::size_t>(p_value)];
 }
 
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -324,6 +324,40 @@
 	EXPECT_EQ(at_right, 1);
 }
 
+TEST(node_link, links_of_an_earlier_process_end_before_the_next_one_of_its_vm_is_linked) {
+	event_loop loop;
+	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
+	std::vector<std::string> events;
+	left.link_up().connect([&events](const std::string &) { events.emplace_back("up"); });
+	left.link_down().connect([&events](const std::string &) { events.emplace_back("down"); });
+	left.peer_replaced().connect([&events](const std::string &p_vm) { events.push_back("replaced " + p_vm); });
+	node_link earlier(loop, any_address(), link_identity{ "right", 2, "key" });
+	earlier.dial("left", left.get_address());
+	run_until(loop, [&left] { return left.is_linked("right"); });
+	// Its clock was stepped back in between.
+	node_link next(loop, any_address(), link_identity{ "right", 1, "key" });
+	next.dial("left", left.get_address());
+	run_until(loop, [&events] { return events.size() == 4; });
+	EXPECT_EQ(events, (std::vector<std::string>{ "up", "down", "replaced right", "up" }));
+	run_until(loop, [&earlier] { return !earlier.is_linked("left"); });
+	EXPECT_TRUE(left.is_linked("right"));
+}
+
+TEST(node_link, a_process_that_returns_after_its_link_broke_is_known_from_its_successor) {
+	event_loop loop;
+	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
+	int replaced = 0;
+	left.peer_replaced().connect([&replaced](const std::string &) { replaced++; });
+	for (const std::uint64_t incarnation : { 2, 2, 3 }) {
+		node_link right(loop, any_address(), link_identity{ "right", incarnation, "key" });
+		right.dial("left", left.get_address());
+		run_until(loop, [&left] { return left.is_linked("right"); });
+		EXPECT_EQ(replaced, incarnation == 3 ? 1 : 0);
+		left.drop("right");
+		run_until(loop, [&right] { return !right.is_linked("left"); });
+	}
+}
+
 TEST(node_link, another_fleet_key_or_another_vm_is_refused) {
 	event_loop loop;
 	node_link left(loop, any_address(), link_identity{ "left", 1, "key" });
