The end of stage work names its request, and its owner refuses any other

Results were taken by number alone. The end of a work now names its attempt and stage; an owner refuses results of another request or stage, a wrong number of results and an unknown outcome, logs work_result_rejected, counts work_results_rejected and assigns the work to another node. Nodes that report no attempt are checked by the number of results.

--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -232,7 +232,9 @@
 
 	encoded_body operator()(const work_ended_message &p_message) const {
 		const auto handles = target.CreateVectorOfStrings(p_message.handles);
-		return { wire::message_work_ended, wire::Creatework_ended(target, p_message.id, p_message.end, handles, target.CreateVector(p_message.incarnations)).Union() };
+		const auto incarnations = target.CreateVector(p_message.incarnations);
+		const text_offset attempt = target.CreateString(p_message.attempt);
+		return { wire::message_work_ended, wire::Creatework_ended(target, p_message.id, p_message.end, handles, incarnations, attempt, p_message.stage).Union() };
 	}
 
 	encoded_body operator()(const report_endpoints_message &p_message) const {
@@ -551,7 +553,7 @@
 			return read_hand_work(*frame->body_as_hand_work());
 		case wire::message_work_ended: {
 			const wire::work_ended *ended = frame->body_as_work_ended();
-			return work_ended_message{ ended->id(), ended->end(), read_texts(ended->handles()), read_numbers(ended->incarnations()) };
+			return work_ended_message{ ended->id(), ended->end(), read_texts(ended->handles()), read_numbers(ended->incarnations()), read(ended->attempt()), ended->stage() };
 		}
 		case wire::message_cancel_work: {
 			const wire::cancel_work *cancelled = frame->body_as_cancel_work();
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -107,6 +107,8 @@
 	std::uint8_t end = 0; ///< A work_end.
 	std::vector<std::string> handles;
 	std::vector<std::uint64_t> incarnations; ///< Of the replicas that produced the results; empty when the sender does not know them.
+	std::string attempt; ///< Attempt of the work, for the owner to check; empty when the sender does not report it.
+	std::uint32_t stage = 0; ///< Stage of the work; valid if there is an attempt.
 };
 
 /** Cancels assigned work whose result is no longer awaited. */
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -10,6 +10,7 @@
 
 #include "drivers/activity_scope.h"
 #include "platform/stage_codec.h"
+#include "servers/gateway/work_report.h"
 
 #include <algorithm>
 
@@ -251,7 +252,7 @@
 void stage_dispatcher::_accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work) {
 	pool_entry &entry = _get_pool(p_pool);
 	const work_id id = _next_accepted++;
-	entry.accepted[id] = accepted_work{ p_node, p_id };
+	entry.accepted[id] = accepted_work{ p_node, p_id, p_work.attempt, p_work.stage };
 	entry.by_owner[{ p_node, p_id }] = id;
 	entry.calls.add(id, std::move(p_work));
 	_pump_soon();
@@ -289,6 +290,14 @@
 	if (found == _own.end() || found->second.node != p_vm) {
 		return;
 	}
+	const work_mismatch mismatch = find_mismatch(found->second.work, work_report{ p_message.end, p_message.attempt, p_message.stage, p_message.handles.size() });
+	if (mismatch != work_mismatch::NONE) {
+		_context.metrics.count("work_results_rejected");
+		_context.log.write(log_line("work_result_rejected").add("request", found->second.work.attempt).add("pool", found->second.pool).add("node", p_vm).add("mismatch", get_name(mismatch)).add("reported_request", p_message.attempt));
+		_fleet.get_link().send(p_vm, cancel_work_message{ p_message.id, found->second.pool });
+		_assign(p_message.id, p_vm);
+		return;
+	}
 	const work_end end = static_cast<work_end>(p_message.end);
 	if (end == work_end::DROPPED) {
 		_context.log.write_request(log_line("stage_asked_again").add("request", found->second.work.attempt).add("pool", found->second.pool).add("dropped_by", p_vm));
@@ -299,8 +308,17 @@
 }
 
 void stage_dispatcher::_drop_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id) {
+	const auto found = p_entry.by_owner.find({ p_node, p_id });
+	if (found == p_entry.by_owner.end()) {
+		return;
+	}
+	const accepted_work accepted = p_entry.accepted.at(found->second);
 	_cancel_accepted(p_entry, p_node, p_id);
-	_fleet.get_link().send(p_node, work_ended_message{ p_id, static_cast<std::uint8_t>(work_end::DROPPED), {}, {} });
+	_report_end(accepted, work_result{ p_id, work_end::DROPPED, {}, {} });
+}
+
+void stage_dispatcher::_report_end(const accepted_work &p_accepted, const work_result &p_result) {
+	_fleet.get_link().send(p_accepted.node, work_ended_message{ p_accepted.id, static_cast<std::uint8_t>(p_result.end), p_result.handles, p_result.incarnations, p_accepted.attempt, static_cast<std::uint32_t>(p_accepted.stage) });
 }
 
 void stage_dispatcher::_cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id) {
@@ -479,7 +497,7 @@
 		return;
 	}
 	p_entry.calls.get_pool().set_owner(p_result.handles, accepted.node);
-	_fleet.get_link().send(accepted.node, work_ended_message{ accepted.id, static_cast<std::uint8_t>(p_result.end), p_result.handles, p_result.incarnations });
+	_report_end(accepted, p_result);
 }
 
 std::string stage_dispatcher::_remove_used_result(const std::string &p_pool, const std::string &p_handle) {
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -45,6 +45,8 @@
 	struct accepted_work {
 		std::string node; ///< Node that owns the work; empty for this node.
 		std::uint64_t id = 0; ///< Identifier assigned by the owner.
+		std::string attempt; ///< Of the request, and its stage below: reported with the end of the work.
+		std::size_t stage = 0;
 	};
 
 	struct pool_entry {
@@ -112,6 +114,8 @@
 	 * otherwise wait until the request times out: when both nodes stalled for 0.65 s, three of six requests timed out.
 	 */
 	void _drop_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id);
+	/** Reports the end of accepted work to the node that owns it. */
+	void _report_end(const accepted_work &p_accepted, const work_result &p_result);
 	void _end_own(std::uint64_t p_id, const work_result &p_result);
 	void _pump_soon();
 	void _pump();
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -118,8 +118,10 @@
 	work.pool = "p";
 	work.homes = { "north", "south" };
 	EXPECT_EQ(std::get<assign_work_message>(*decode_link_message(encode(link_message(work)))).homes, work.homes);
-	const work_ended_message ended = std::get<work_ended_message>(*decode_link_message(encode(link_message(work_ended_message{ 1, 0, { "h" }, { 5 } }))));
+	const work_ended_message ended = std::get<work_ended_message>(*decode_link_message(encode(link_message(work_ended_message{ 1, 0, { "h" }, { 5 }, "r1", 2 }))));
 	EXPECT_EQ(ended.incarnations, (std::vector<std::uint64_t>{ 5 }));
+	EXPECT_EQ(ended.attempt, "r1");
+	EXPECT_EQ(ended.stage, 2U);
 	const report_results_message results = std::get<report_results_message>(*decode_link_message(encode(link_message(report_results_message{ "p", { "h" }, { 9 }, { 5 } }))));
 	EXPECT_EQ(results.incarnations, (std::vector<std::uint64_t>{ 5 }));
 	configuration_snapshot snapshot{ 4, 9, true, "change", "{}" };
