--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -373,6 +373,10 @@
 	_back_off.erase(p_link->get_dial_key());
 	_dial_after.erase(p_link->get_dial_key());
 	_replace_process(*p_link);
+	if (_get_shared(p_link) == nullptr) {
+		// A receiver of the signals closed the link.
+		return;
+	}
 	_proven[p_link->get_vm()].push_back(p_link);
 	_link_up.emit(p_link->get_vm());
 }
--- a/main/gateway/admitted_request.h
+++ b/main/gateway/admitted_request.h
@@ -32,7 +32,7 @@
 	stage_dispatcher &dispatcher;
 	router &services; ///< Endpoints of plain services, own zone first.
 	router &engines; ///< Engines of all zones, chosen by shared prefixes of prompts.
-	retry_budget &repeats;
+	retry_budget &repeats; ///< Limit on repeated sends.
 	std::map<std::string, duration> &typical_times; ///< Typical answer times, by service.
 	commitment_table &commitments;
 	engine_view &engine_caches;
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -88,9 +88,9 @@
 	bool _refuses_links = false; ///< Connections were refused because of the maximum number of links, which is still reached.
 	bool _ready = false;
 	bool _leaving = false;
-	std::size_t _known_count = 0;
-	double _own_part = 0.0;
-	double _reached_part = 0.0;
+	std::size_t _known_count = 0; ///< Number of known nodes in all zones, including silent ones; zero if unknown.
+	double _own_part = 0.0; ///< See get_own_part().
+	double _reached_part = 0.0; ///< See get_reached_part().
 	sigc::signal<void(const std::string &)> _peer_lost;
 	sigc::signal<void(const std::set<std::string> &)> _reach_changed;
 	std::set<std::string> _unreachable_zones;
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -45,8 +45,8 @@
 	struct accepted_work {
 		std::string node; ///< Node that owns the work; empty for this node.
 		std::uint64_t id = 0; ///< Identifier assigned by the owner.
-		std::string attempt; ///< Of the request, and its stage below: reported with the end of the work.
-		std::size_t stage = 0;
+		std::string attempt; ///< The caller's id of the request; reported with the end of the work.
+		std::size_t stage = 0; ///< Reported with the end of the work.
 	};
 
 	struct pool_entry {
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -156,6 +156,8 @@
 mutate "stage search" "a busy replica counts as a free one" servers/gateway/stage_pool.cpp "const bool is_busy = replica.calls >= _spec.slots;" "const bool is_busy = false;" stage_pool_test
 mutate "gateway: retry budget" "a new process has its whole part of the slack" servers/gateway/slack_share.cpp "age >= p_bounds.window ?" "true ?" retry_budget_test
 mutate "gateway: retry budget" "a dispatcher that gets a pool back has its whole part of the slack" servers/gateway/slack_share.cpp "if (_part <= 0.0)" "if (_held_since == instant{})" retry_budget_test
+mutate "links: next process of a VM" "the earlier process keeps its links and its work" drivers/node_link.cpp "	_replace_process(*p_link);" "" link_test
+mutate "stage work: report of its end" "results of another request are taken" servers/gateway/work_report.cpp "p_report.attempt != p_assigned.attempt" "false" work_report_test
 mutate "gateway: retry budget" "silent nodes lose their part of the slack" servers/membership/member_table.cpp "!p_entry.second.digest.leaving ||" "(!p_entry.second.digest.leaving && p_entry.second.state != member_state::GONE) ||" shared_state_test
 
 exit "$status"
