--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -57,6 +57,7 @@
 	bool is_total = false; ///< The commitments are those of the whole fleet, for nodes that follow the sender.
 	std::uint32_t zone_nodes = 0; ///< Number of nodes of the sender's zone that the sender considers live; reported by hubs.
 	std::uint32_t fleet_nodes = 0; ///< Number of live nodes of all zones; reported by hubs.
+	std::uint32_t known_nodes = 0; ///< Number of nodes of all zones including silent ones; reported by hubs, 0 if unknown.
 	std::vector<std::string> dispatchers; ///< Nodes that may dispatch pools; reported by hubs.
 	std::vector<std::string> unreached_zones; ///< Zones that the sender cannot reach; reported by hubs.
 	evacuation_state evacuations; ///< Evacuations known to the sender; position zero when the sender's version does not support them.
@@ -106,6 +107,8 @@
 	std::uint8_t end = 0; ///< A work_end.
 	std::vector<std::string> handles;
 	std::vector<std::uint64_t> incarnations; ///< Of the replicas that produced the results; empty when the sender does not know them.
+	std::string attempt; ///< Attempt of the work, for the owner to check; empty when the sender does not report it.
+	std::uint32_t stage = 0; ///< Stage of the work; valid if there is an attempt.
 };
 
 /** Cancels assigned work whose result is no longer awaited. */
@@ -194,6 +197,7 @@
 	evconnlistener *_listener = nullptr;
 	std::vector<std::shared_ptr<link>> _links;
 	std::unordered_map<std::string, std::vector<link *>> _proven; ///< Authenticated links by VM, oldest first.
+	std::unordered_map<std::string, std::uint64_t> _incarnations; ///< Incarnation of the process that was authenticated last, by VM.
 	std::map<std::string, instant> _dial_after; ///< Earliest time of the next attempt, by VM, or by address where the VM is not known.
 	std::map<std::string, duration> _back_off;
 	std::vector<std::string> _cut_off; ///< VMs with which links are refused, for failure tests.
@@ -205,6 +209,7 @@
 
 	sigc::signal<void(const std::string &)> _link_up;
 	sigc::signal<void(const std::string &)> _link_down;
+	sigc::signal<void(const std::string &)> _peer_replaced;
 	sigc::signal<void()> _connection_refused;
 	sigc::signal<void(const std::string &, const heartbeat_message &)> _heartbeat_received;
 	sigc::signal<void(const std::string &, std::uint64_t)> _configuration_requested;
@@ -231,6 +236,8 @@
 	void _remove(link *p_link);
 	std::shared_ptr<link> _get_shared(link *p_link) const;
 	void _on_proven(link *p_link);
+	/** Closes the links of the earlier process if an authenticated link belongs to another process of its VM. */
+	void _replace_process(const link &p_link);
 	bool _send_if_linked(const std::string &p_vm, const std::function<bool(link &)> &p_send);
 	std::uint32_t _get_features() const;
 	link *_find(const std::string &p_vm) const;
@@ -288,6 +295,12 @@
 
 	sigc::signal<void(const std::string &)> &link_up() { return _link_up; }
 	sigc::signal<void(const std::string &)> &link_down() { return _link_down; }
+
+	/**
+	 * Emitted when a VM is linked whose last linked process was another one, before link_up(). The links of the earlier process have
+	 * been closed, so that no message of it arrives any more. What it held is lost, and what is held for it has no owner.
+	 */
+	sigc::signal<void(const std::string &)> &peer_replaced() { return _peer_replaced; }
 	/** Emitted when a connection is closed because there are as many links as allowed. */
 	sigc::signal<void()> &connection_refused() { return _connection_refused; }
 	sigc::signal<void(const std::string &, const heartbeat_message &)> &heartbeat_received() { return _heartbeat_received; }
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -10,6 +10,7 @@
 
 #include "drivers/activity_scope.h"
 #include "platform/stage_codec.h"
+#include "servers/gateway/work_report.h"
 
 #include <algorithm>
 
@@ -45,6 +46,7 @@
 		_get_pool(p_message.pool).calls.release(p_message.handles);
 	});
 	link.results_reported().connect([this](const std::string &p_vm, const report_results_message &p_message) { _on_results_reported(p_vm, p_message); });
+	link.peer_replaced().connect([this](const std::string &p_vm) { _on_peer_replaced(p_vm); });
 	_fleet.reachability_changed().connect([this](const std::set<std::string> &p_zones) { _on_reach_changed(p_zones); });
 	_fleet.peer_failed().connect([this](const std::string &p_vm) { _on_peer_lost(p_vm); });
 }
@@ -250,7 +252,7 @@
 void stage_dispatcher::_accept(const std::string &p_pool, const std::string &p_node, std::uint64_t p_id, stage_work p_work) {
 	pool_entry &entry = _get_pool(p_pool);
 	const work_id id = _next_accepted++;
-	entry.accepted[id] = accepted_work{ p_node, p_id };
+	entry.accepted[id] = accepted_work{ p_node, p_id, p_work.attempt, p_work.stage };
 	entry.by_owner[{ p_node, p_id }] = id;
 	entry.calls.add(id, std::move(p_work));
 	_pump_soon();
@@ -288,6 +290,14 @@
 	if (found == _own.end() || found->second.node != p_vm) {
 		return;
 	}
+	const work_mismatch mismatch = find_mismatch(found->second.work, work_report{ p_message.end, p_message.attempt, p_message.stage, p_message.handles.size() });
+	if (mismatch != work_mismatch::NONE) {
+		_context.metrics.count("work_results_rejected");
+		_context.log.write(log_line("work_result_rejected").add("request", found->second.work.attempt).add("pool", found->second.pool).add("node", p_vm).add("mismatch", get_name(mismatch)).add("reported_request", p_message.attempt));
+		_fleet.get_link().send(p_vm, cancel_work_message{ p_message.id, found->second.pool });
+		_assign(p_message.id, p_vm);
+		return;
+	}
 	const work_end end = static_cast<work_end>(p_message.end);
 	if (end == work_end::DROPPED) {
 		_context.log.write_request(log_line("stage_asked_again").add("request", found->second.work.attempt).add("pool", found->second.pool).add("dropped_by", p_vm));
@@ -298,8 +308,17 @@
 }
 
 void stage_dispatcher::_drop_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id) {
+	const auto found = p_entry.by_owner.find({ p_node, p_id });
+	if (found == p_entry.by_owner.end()) {
+		return;
+	}
+	const accepted_work accepted = p_entry.accepted.at(found->second);
 	_cancel_accepted(p_entry, p_node, p_id);
-	_fleet.get_link().send(p_node, work_ended_message{ p_id, static_cast<std::uint8_t>(work_end::DROPPED), {}, {} });
+	_report_end(accepted, work_result{ p_id, work_end::DROPPED, {}, {} });
+}
+
+void stage_dispatcher::_report_end(const accepted_work &p_accepted, const work_result &p_result) {
+	_fleet.get_link().send(p_accepted.node, work_ended_message{ p_accepted.id, static_cast<std::uint8_t>(p_result.end), p_result.handles, p_result.incarnations, p_accepted.attempt, static_cast<std::uint32_t>(p_accepted.stage) });
 }
 
 void stage_dispatcher::_cancel_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id) {
@@ -377,6 +396,28 @@
 	_get_pool(p_message.pool).calls.get_pool().on_results_reported(p_owner, results, event_loop::now());
 }
 
+void stage_dispatcher::_release_results_of(const std::string &p_vm) {
+	for (auto &[name, entry] : _pools) {
+		const std::vector<std::string> handles = entry.calls.get_pool().get_results_of(p_vm);
+		entry.calls.release(handles);
+		if (!handles.empty()) {
+			_context.log.write(log_line("results_of_lost_released").add("pool", name).add("vm", p_vm).add("count", static_cast<long long>(handles.size())));
+		}
+	}
+}
+
+void stage_dispatcher::_on_peer_replaced(const std::string &p_vm) {
+	_failed_at.erase(p_vm);
+	_release_results_of(p_vm);
+	for (auto &[pool, results] : _used_results) {
+		for (auto &[handle, result] : results) {
+			if (result.reported_to == p_vm) {
+				result.reported_to.clear();
+			}
+		}
+	}
+}
+
 void stage_dispatcher::_release_results_of_failed() {
 	const instant now = event_loop::now();
 	for (auto lost = _failed_at.begin(); lost != _failed_at.end();) {
@@ -385,13 +426,7 @@
 			continue;
 		}
 		if (!_fleet.is_responsive(lost->first) && _context.settings.mechanisms.has(mechanism::LOST_RESULTS)) {
-			for (auto &[name, entry] : _pools) {
-				const std::vector<std::string> handles = entry.calls.get_pool().get_results_of(lost->first);
-				entry.calls.release(handles);
-				if (!handles.empty()) {
-					_context.log.write(log_line("results_of_lost_released").add("pool", name).add("vm", lost->first).add("count", static_cast<long long>(handles.size())));
-				}
-			}
+			_release_results_of(lost->first);
 		}
 		lost = _failed_at.erase(lost);
 	}
@@ -462,7 +497,7 @@
 		return;
 	}
 	p_entry.calls.get_pool().set_owner(p_result.handles, accepted.node);
-	_fleet.get_link().send(accepted.node, work_ended_message{ accepted.id, static_cast<std::uint8_t>(p_result.end), p_result.handles, p_result.incarnations });
+	_report_end(accepted, p_result);
 }
 
 std::string stage_dispatcher::_remove_used_result(const std::string &p_pool, const std::string &p_handle) {
@@ -505,11 +540,23 @@
 	}
 }
 
+bool stage_dispatcher::_is_dispatching(const std::string &p_name) const {
+	const pool_shard shard = parse_shard_name(p_name);
+	return shard.count == _count_shards(shard.pool) && _choose_node(p_name) == _fleet.get_vm();
+}
+
+void stage_dispatcher::_update_slack_parts() {
+	// A dispatcher repeats for the nodes that reach it. Nodes that do not may have another dispatcher.
+	const double part = _context.settings.mechanisms.has(mechanism::SHARED_DISPATCH) ? _fleet.get_reached_part() : _fleet.get_own_part();
+	for (auto &[name, entry] : _pools) {
+		entry.calls.set_slack_part(_is_dispatching(name) ? part / static_cast<double>(parse_shard_name(name).count) : 0.0);
+	}
+}
+
 std::vector<pool_capacity> stage_dispatcher::get_capacities() {
 	std::vector<pool_capacity> capacities;
 	for (const auto &[name, entry] : _pools) {
-		const pool_shard shard = parse_shard_name(name);
-		if (shard.count != _count_shards(shard.pool) || _choose_node(name) != _fleet.get_vm()) {
+		if (!_is_dispatching(name)) {
 			continue;
 		}
 		const double replicas = entry.calls.get_pool().get_capacity(event_loop::now());
@@ -533,6 +580,7 @@
 		_report_used_results(name, used_results);
 	}
 	_release_results_of_failed();
+	_update_slack_parts();
 	for (auto &[name, entry] : _pools) {
 		entry.calls.tick();
 	}
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -45,6 +45,8 @@
 	struct accepted_work {
 		std::string node; ///< Node that owns the work; empty for this node.
 		std::uint64_t id = 0; ///< Identifier assigned by the owner.
+		std::string attempt; ///< The caller's id of the request; reported with the end of the work.
+		std::size_t stage = 0; ///< Reported with the end of the work.
 	};
 
 	struct pool_entry {
@@ -92,6 +94,9 @@
 	/** Removes a result from those that this node uses, and returns the shard whose dispatcher knows it. */
 	std::string _remove_used_result(const std::string &p_pool, const std::string &p_handle);
 	dispatch_view _get_view() const;
+	/** Whether this node is the dispatcher of a shard that is in use. */
+	bool _is_dispatching(const std::string &p_name) const;
+	void _update_slack_parts();
 	/** Updates the time since which this node, as a follower, has known no dispatching node. */
 	void _update_no_dispatcher_since(const dispatch_view &p_view, instant p_now);
 	std::string _choose_node(const std::string &p_pool) const;
@@ -109,6 +114,8 @@
 	 * otherwise wait until the request times out: when both nodes stalled for 0.65 s, three of six requests timed out.
 	 */
 	void _drop_accepted(pool_entry &p_entry, const std::string &p_node, std::uint64_t p_id);
+	/** Reports the end of accepted work to the node that owns it. */
+	void _report_end(const accepted_work &p_accepted, const work_result &p_result);
 	void _end_own(std::uint64_t p_id, const work_result &p_result);
 	void _pump_soon();
 	void _pump();
@@ -119,6 +126,9 @@
 	void _report_used_results(const std::string &p_pool, std::map<std::string, own_result> &r_results);
 	void _on_results_reported(const std::string &p_owner, const report_results_message &p_message);
 	void _release_results_of_failed();
+	void _release_results_of(const std::string &p_vm);
+	/** Another process runs under the name of a node: it needs no results of the earlier one, and knows none that were reported to that one. */
+	void _on_peer_replaced(const std::string &p_vm);
 	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_peer_lost(const std::string &p_vm);
 	void _on_work_assigned(const std::string &p_vm, const assign_work_message &p_message);
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -69,6 +69,7 @@
 	std::size_t meant_for_others = 0; ///< Requests it rejected as they named another replica.
 	std::size_t stage_calls = 0;
 	std::vector<std::string> stage_items; ///< "attempt.stage.piece" of each piece made.
+	std::map<std::string, std::vector<std::string>> item_inputs; ///< Handles that an item was made from, by "attempt.stage.piece".
 	std::set<std::string> results; ///< Handles not released yet.
 	bool hold_stages = false; ///< Calls wait until run_held_stages().
 	std::size_t most_results = 1000; ///< Pieces that would be more find no room.
@@ -81,6 +82,7 @@
 	std::string rate_limit; ///< Requests a second that it names in its answers, as it writes them; empty for none.
 	bool says_leaving = false; ///< In its answers; its entry does not change.
 	std::string retry_after; ///< Seconds of rest that it asks for when it sheds, as it writes them; empty for none.
+	std::map<std::string, std::size_t> arrivals_by_request; ///< Of requests other than stage calls, by attempt id; refused ones included.
 	std::vector<instant> arrivals; ///< Of requests and stage calls that were meant for it, refused ones included.
 	std::string missing_input; ///< This handle is reported as gone, once.
 
