Log the version of each send's endpoint and what an admitted request takes up

Change: send names endpoint_version, request_admitted names has_event_id and resumes; Resumes is read in the platform codec. No decision depends on it yet.

--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -87,7 +87,7 @@
 	_give_up_timer.set_at(_give_up_at);
 	_queue_position = _services.guard.get_queue().join(_request.service);
 	_services.repeats.on_request(_request.service, _started);
-	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(get_priority(_request))).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("rested_ms", _request.exchange->rested).add("earlier", static_cast<long long>(_request.exchange->earlier)).add("version", static_cast<long long>(_request.configuration->version)));
+	_services.context.log.write_request(log_line("request_admitted").add("request", _request.facts.attempt).add("route", _request.route->name).add("customer", _request.customer == nullptr ? "" : _request.customer->name).add("priority", static_cast<long long>(get_priority(_request))).add("left_ms", _deadline - _started).add("predicted_ms", _request.predicted).add("rested_ms", _request.exchange->rested).add("earlier", static_cast<long long>(_request.exchange->earlier)).add("has_event_id", _request.facts.has_event_id ? "yes" : "no").add("resumes", _request.facts.resumed_attempt).add("version", static_cast<long long>(_request.configuration->version)));
 	if (_stages.is_complete()) {
 		_send();
 		return;
@@ -204,7 +204,7 @@
 		_predicted = _services.engine_caches.predict(_endpoint_identity, _choice.get_prompt(), now);
 		_services.prompts.tell(_endpoint_identity, _choice.get_prompt());
 	}
-	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_stages.count_final_read(endpoint.listing.zone))).add("version", static_cast<long long>(_request.configuration->version)));
+	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("endpoint_version", endpoint.listing.version).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_stages.count_final_read(endpoint.listing.zone))).add("version", static_cast<long long>(_request.configuration->version)));
 	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
 	_services.context.channels.set_reading(_exchange, !_request.exchange->is_full());
 }
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -60,6 +60,17 @@
 
 } // namespace
 
+TEST(request_codec, reads_the_attempt_that_began_a_resumed_stream) {
+	http_head head = make_request();
+	EXPECT_EQ(read_caller_request(head).resumed_attempt, "");
+	head.headers.push_back({ "resumes", " 1471315f2e57e2b3 " });
+	EXPECT_EQ(read_caller_request(head).resumed_attempt, "1471315f2e57e2b3");
+	head.headers.push_back({ "Resumes", "1471315f2e57e2b3" });
+	EXPECT_FALSE(read_caller_request(head).names_several_attempts);
+	head.headers.push_back({ "Resumes", "9c41d07be2a35f68" });
+	EXPECT_TRUE(read_caller_request(head).names_several_attempts);
+}
+
 TEST(request_codec, passes_on_what_came_and_sets_what_is_its_own) {
 	endpoint_send send;
 	send.endpoint = "i-7f3a";
