--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -167,7 +167,7 @@
 	headers.push_back({ "Content-Type", "text/event-stream" });
 	p_exchange.start(200, headers);
 	for (int id = first; id <= EVENTS_IN_STREAM; id++) {
-		const std::string event = "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
+		const std::string event = "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + (names_version ? "@" + version : "") + "\n\n";
 		if (mode == replica_mode::BREAK_STREAM && first == 1 && id == 2) {
 			p_exchange.send(event.substr(0, event.size() / 2));
 			p_exchange.abort();
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -65,6 +65,7 @@
 	replica_mode mode = replica_mode::ANSWER;
 	std::string zone = "a";
 	std::string version = "v1"; ///< Of its software, as its entry says.
+	bool names_version = false; ///< Each event of its streams names its version.
 	std::vector<seen_request> runs; ///< Requests it began to work on.
 	std::size_t meant_for_others = 0; ///< Requests it rejected as they named another replica.
 	std::size_t stage_calls = 0;
