--- a/core/verdict.cpp
+++ b/core/verdict.cpp
@@ -28,7 +28,7 @@
 	int http_status;
 };
 
-constexpr std::array<reason_row, 33> REASONS{ {
+constexpr std::array<reason_row, 35> REASONS{ {
 		{ reason::NONE, "none", 200 },
 		{ reason::BAD_REQUEST, "bad_request", 400 },
 		{ reason::BAD_DEADLINE, "bad_deadline", 400 },
@@ -61,6 +61,8 @@
 		{ reason::DRAINING, "draining", 503 },
 		{ reason::NOT_READY, "not_ready", 503 },
 		{ reason::CRASHES_ENDPOINTS, "ends_endpoints", 503 },
+		{ reason::STREAM_UNKNOWN, "stream_unknown", 503 },
+		{ reason::STREAM_VERSION_GONE, "stream_version_gone", 503 },
 		{ reason::CONFIGURATION_UNCONFIRMED, "configuration_unconfirmed", 503 },
 } };
 
--- a/core/verdict.h
+++ b/core/verdict.h
@@ -54,6 +54,8 @@
 	DRAINING,
 	NOT_READY,
 	CRASHES_ENDPOINTS, ///< Endpoints crashed while they ran the same request before.
+	STREAM_UNKNOWN, ///< The stream can't be resumed because it isn't known which software version began it.
+	STREAM_VERSION_GONE, ///< The stream can't be resumed because no endpoint of its software version is left.
 	CONFIGURATION_UNCONFIRMED, ///< The known configuration lacks the route or the key, and a newer one may contain it.
 };
 
--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -101,6 +101,18 @@
 	return incarnations;
 }
 
+flatbuffers::Offset<wire::stream_entry> write_stream(builder &r_builder, const reported_stream &p_stream) {
+	const text_offset service = r_builder.CreateSharedString(p_stream.origin.service);
+	const text_offset version = r_builder.CreateSharedString(p_stream.origin.version);
+	const std::uint32_t left_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(p_stream.left.count() / 1000, 0, MAX_TIME_MS));
+	return wire::Createstream_entry(r_builder, p_stream.key.digest.high, p_stream.key.digest.low, p_stream.customer, service, version, left_ms);
+}
+
+reported_stream read_stream(const wire::stream_entry &p_entry) {
+	const stream_key key{ half_digest{ p_entry.key_high(), p_entry.key_low() } };
+	return reported_stream{ key, p_entry.customer(), stream_origin{ read(p_entry.service()), read(p_entry.version()) }, read_ms(p_entry.left_ms()) };
+}
+
 using listing_offsets = flatbuffers::Vector<flatbuffers::Offset<wire::endpoint_entry>>;
 
 flatbuffers::Offset<listing_offsets> write_listings(builder &r_builder, const std::vector<endpoint_listing> &p_listings) {
@@ -288,6 +300,27 @@
 		return { wire::message_tell_limits, wire::Createtell_limits(target, target.CreateVector(entries)).Union() };
 	}
 
+	encoded_body operator()(const report_streams_message &p_message) const {
+		std::vector<flatbuffers::Offset<wire::stream_entry>> entries;
+		entries.reserve(p_message.streams.size());
+		for (const reported_stream &stream : p_message.streams) {
+			entries.push_back(write_stream(target, stream));
+		}
+		return { wire::message_tell_streams, wire::Createtell_streams(target, target.CreateVector(entries)).Union() };
+	}
+
+	encoded_body operator()(const request_stream_message &p_message) const {
+		const text_offset service = target.CreateString(p_message.service);
+		const std::uint32_t age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(p_message.age.count() / 1000, 0, MAX_TIME_MS));
+		return { wire::message_ask_stream, wire::Createask_stream(target, p_message.id, p_message.key.digest.high, p_message.key.digest.low, service, age_ms).Union() };
+	}
+
+	encoded_body operator()(const stream_answer_message &p_message) const {
+		const auto record = p_message.record ? write_stream(target, *p_message.record) : 0;
+		const text_offset only_version = p_message.only_version ? target.CreateString(*p_message.only_version) : 0;
+		return { wire::message_answer_stream, wire::Createanswer_stream(target, p_message.id, record, only_version).Union() };
+	}
+
 	encoded_body operator()(const report_prompts_message &p_message) const {
 		std::vector<endpoint_identity> engines;
 		std::map<endpoint_identity, std::uint16_t> indices;
@@ -482,6 +515,30 @@
 	return message;
 }
 
+report_streams_message read_streams(const wire::tell_streams &p_message) {
+	report_streams_message message;
+	if (p_message.entries() == nullptr) {
+		return message;
+	}
+	message.streams.reserve(p_message.entries()->size());
+	for (const wire::stream_entry *entry : *p_message.entries()) {
+		message.streams.push_back(read_stream(*entry));
+	}
+	return message;
+}
+
+stream_answer_message read_stream_answer(const wire::answer_stream &p_message) {
+	stream_answer_message message;
+	message.id = p_message.id();
+	if (p_message.record() != nullptr) {
+		message.record = read_stream(*p_message.record());
+	}
+	if (p_message.only_version() != nullptr) {
+		message.only_version = read(p_message.only_version());
+	}
+	return message;
+}
+
 assign_work_message read_hand_work(const wire::hand_work &p_message) {
 	assign_work_message message;
 	message.id = p_message.id();
@@ -571,6 +628,14 @@
 			std::optional<report_limits_message> decoded = read_limits(*frame->body_as_tell_limits());
 			return decoded ? std::optional<link_message>(std::move(*decoded)) : std::nullopt;
 		}
+		case wire::message_tell_streams:
+			return read_streams(*frame->body_as_tell_streams());
+		case wire::message_ask_stream: {
+			const wire::ask_stream *asked = frame->body_as_ask_stream();
+			return request_stream_message{ asked->id(), stream_key{ half_digest{ asked->key_high(), asked->key_low() } }, read(asked->service()), read_ms(asked->age_ms()) };
+		}
+		case wire::message_answer_stream:
+			return read_stream_answer(*frame->body_as_answer_stream());
 		case wire::message_tell_prompts: {
 			std::optional<report_prompts_message> decoded = read_prompts(*frame->body_as_tell_prompts());
 			return decoded ? std::optional<link_message>(std::move(*decoded)) : std::nullopt;
--- a/drivers/node_link.cpp
+++ b/drivers/node_link.cpp
@@ -217,6 +217,12 @@
 			_owner._crashes_reported.emit(_vm, *crashes);
 		} else if (const auto *limits = std::get_if<report_limits_message>(&p_message)) {
 			_owner._limits_reported.emit(_vm, *limits);
+		} else if (const auto *streams = std::get_if<report_streams_message>(&p_message)) {
+			_owner._streams_reported.emit(_vm, *streams);
+		} else if (const auto *stream_request = std::get_if<request_stream_message>(&p_message)) {
+			_owner._stream_requested.emit(_vm, *stream_request);
+		} else if (const auto *stream_answer = std::get_if<stream_answer_message>(&p_message)) {
+			_owner._stream_answered.emit(_vm, *stream_answer);
 		}
 	}
 
@@ -461,7 +467,7 @@
 
 std::uint32_t node_link::_get_features() const {
 	const std::uint32_t lists = _identity.asks_lists ? static_cast<std::uint32_t>(link_feature::REQUESTED_LISTS) : 0;
-	return static_cast<std::uint32_t>(link_feature::CRASHES) | static_cast<std::uint32_t>(link_feature::LIMITS) | lists;
+	return static_cast<std::uint32_t>(link_feature::CRASHES) | static_cast<std::uint32_t>(link_feature::LIMITS) | static_cast<std::uint32_t>(link_feature::STREAMS) | lists;
 }
 
 bool node_link::asks_lists(const std::string &p_vm) const {
@@ -526,6 +532,18 @@
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.knows(link_feature::LIMITS) && r_link.send(p_message); });
 }
 
+bool node_link::send(const std::string &p_vm, const report_streams_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.knows(link_feature::STREAMS) && r_link.send(p_message); });
+}
+
+bool node_link::send(const std::string &p_vm, const request_stream_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.knows(link_feature::STREAMS) && r_link.send(p_message); });
+}
+
+bool node_link::send(const std::string &p_vm, const stream_answer_message &p_message) {
+	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.knows(link_feature::STREAMS) && r_link.send(p_message); });
+}
+
 bool node_link::send(const std::string &p_vm, const report_crashes_message &p_message) {
 	return _send_if_linked(p_vm, [&p_message](link &r_link) { return r_link.knows(link_feature::CRASHES) && r_link.send(p_message); });
 }
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -19,6 +19,7 @@
 #include "servers/gateway/prompt_record.h"
 #include "servers/membership/member_table.h"
 #include "servers/rollout/rollout.h"
+#include "servers/streams/stream_record.h"
 
 #include <sigc++/sigc++.h>
 
@@ -173,6 +174,34 @@
 	std::vector<reported_limit> limits;
 };
 
+/** Record of a stream as nodes exchange it. */
+struct reported_stream {
+	stream_key key;
+	std::uint32_t customer = 0; ///< See stream_record.
+	stream_origin origin;
+	duration left = duration::zero(); ///< Remaining lifetime when the message is sent.
+};
+
+/** Reports streams that have begun, for the nodes that store their records. */
+struct report_streams_message {
+	std::vector<reported_stream> streams;
+};
+
+/** Requests the record of a stream. */
+struct request_stream_message {
+	std::uint64_t id = 0; ///< Assigned by the requesting node.
+	stream_key key;
+	std::string service; ///< Service whose versions are asked for.
+	duration age = duration::zero(); ///< Age that the stream has at most.
+};
+
+/** Answers request_stream_message. */
+struct stream_answer_message {
+	std::uint64_t id = 0;
+	std::optional<reported_stream> record;
+	std::optional<std::string> only_version; ///< See lookup_answer.
+};
+
 /** Identity that this node presents on its links, and the shared secret of the fleet. */
 struct link_identity {
 	std::string vm;
@@ -229,6 +258,9 @@
 	sigc::signal<void(const std::string &, const report_delta_message &)> _delta_reported;
 	sigc::signal<void(const std::string &, const report_crashes_message &)> _crashes_reported;
 	sigc::signal<void(const std::string &, const report_limits_message &)> _limits_reported;
+	sigc::signal<void(const std::string &, const report_streams_message &)> _streams_reported;
+	sigc::signal<void(const std::string &, const request_stream_message &)> _stream_requested;
+	sigc::signal<void(const std::string &, const stream_answer_message &)> _stream_answered;
 
 	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
 	void _adopt(bufferevent *p_stream, const std::string &p_expected_vm, const std::string &p_dial_key);
@@ -289,6 +321,9 @@
 	/** Not sent to a peer whose version does not support this message. */
 	bool send(const std::string &p_vm, const report_crashes_message &p_message);
 	bool send(const std::string &p_vm, const report_limits_message &p_message);
+	bool send(const std::string &p_vm, const report_streams_message &p_message);
+	bool send(const std::string &p_vm, const request_stream_message &p_message);
+	bool send(const std::string &p_vm, const stream_answer_message &p_message);
 
 	/** Closes the links of an unresponsive VM, so that they are dialled again. */
 	void drop(const std::string &p_vm);
@@ -321,6 +356,9 @@
 	sigc::signal<void(const std::string &, const report_delta_message &)> &delta_reported() { return _delta_reported; }
 	sigc::signal<void(const std::string &, const report_crashes_message &)> &crashes_reported() { return _crashes_reported; }
 	sigc::signal<void(const std::string &, const report_limits_message &)> &limits_reported() { return _limits_reported; }
+	sigc::signal<void(const std::string &, const report_streams_message &)> &streams_reported() { return _streams_reported; }
+	sigc::signal<void(const std::string &, const request_stream_message &)> &stream_requested() { return _stream_requested; }
+	sigc::signal<void(const std::string &, const stream_answer_message &)> &stream_answered() { return _stream_answered; }
 
 	const network_address &get_address() const { return _address; }
 	std::uint64_t get_rejected_frames() const { return _rejected_frames; }
--- a/main/gateway/admission.cpp
+++ b/main/gateway/admission.cpp
@@ -8,6 +8,8 @@
 
 #include "main/gateway/admission.h"
 
+#include "main/gateway/endpoint_selector.h"
+
 #include <algorithm>
 
 namespace calicoscale {
@@ -106,8 +108,41 @@
 				   } };
 }
 
+std::optional<refusal> admission::judge_resumption(admitted_request &r_request, const stream_resolution &p_resolution) const {
+	const std::vector<service_share> &services = r_request.route->services;
+	const bool is_of_route = p_resolution.origin && std::any_of(services.begin(), services.end(), [&p_resolution](const service_share &p_share) { return p_share.service == p_resolution.origin->service; });
+	if (is_of_route) {
+		r_request.service = p_resolution.origin->service;
+		r_request.stream_version = p_resolution.origin->version;
+		return std::nullopt;
+	}
+	// Nodes that did not answer may do so later. Otherwise the caller loses time by waiting, as it has to begin anew.
+	const duration retry_after = p_resolution.lookup == lookup_state::UNANSWERED ? RETRY_AFTER : duration::zero();
+	return refusal{ reason::STREAM_UNKNOWN, retry_after, [&r_request, p_resolution](log_line &r_line) {
+					   r_line.add("resumes", r_request.facts.resumed_attempt).add("lookup", get_name(p_resolution.lookup)).add("source", p_resolution.source).add("recorded_service", p_resolution.origin ? p_resolution.origin->service : "").add("took_ms", p_resolution.took);
+				   } };
+}
+
+std::optional<refusal> admission::_judge_stream_version(const admitted_request &p_request) const {
+	if (!p_request.stream_version || endpoint_selector(_shared, p_request).has_open()) {
+		return std::nullopt;
+	}
+	std::size_t staying = 0;
+	for (const endpoint_listing &listing : _shared.endpoints.get_directory().get_listings()) {
+		staying += listing.pool == p_request.service && listing.version == *p_request.stream_version && !listing.leaving ? 1 : 0;
+	}
+	// Endpoints that may not get the request now, such as those of an evacuated zone, may get it later.
+	const duration retry_after = staying > 0 ? CLOSED_OFF_RETRY_AFTER : duration::zero();
+	return refusal{ staying > 0 ? reason::NO_ENDPOINT : reason::STREAM_VERSION_GONE, retry_after, [&p_request, staying](log_line &r_line) {
+					   r_line.add("resumes", p_request.facts.resumed_attempt).add("stream_version", *p_request.stream_version).add("staying", static_cast<long long>(staying));
+				   } };
+}
+
 std::optional<refusal> admission::judge(admitted_request &r_request) {
 	std::optional<refusal> refused = _judge_locations(r_request);
+	if (!refused) {
+		refused = _judge_stream_version(r_request);
+	}
 	if (!refused) {
 		refused = _judge_time(r_request);
 	}
--- a/main/gateway/admission.h
+++ b/main/gateway/admission.h
@@ -11,6 +11,7 @@
 
 #include "main/gateway/admitted_request.h"
 #include "main/gateway/evacuation_follower.h"
+#include "main/gateway/stream_resolver.h"
 
 #include <functional>
 #include <optional>
@@ -34,6 +35,8 @@
 	/** Refuses a request for which all endpoints of a service or pool that it needs are evacuated or outside its home regions. */
 	std::optional<refusal> _judge_locations(const admitted_request &p_request) const;
 	std::string _find_closed_off(const admitted_request &p_request) const;
+	/** Refuses to resume a stream if no endpoint of the version that began it may get the request. */
+	std::optional<refusal> _judge_stream_version(const admitted_request &p_request) const;
 	/** Refuses a request that is predicted to miss its route's objective. */
 	std::optional<refusal> _judge_time(admitted_request &r_request);
 	/** Refuses a request for which the limits of all endpoints of its service leave no capacity in time. */
@@ -48,6 +51,9 @@
 	/** Refuses a request that crashed endpoints before. Must be called before its service is chosen. */
 	std::optional<refusal> judge_content(const admitted_request &p_request) const { return _judge_crashes(p_request); }
 
+	/** Applies what was found about the stream that a request resumes, or refuses the request. */
+	std::optional<refusal> judge_resumption(admitted_request &r_request, const stream_resolution &p_resolution) const;
+
 	/** Refuses a request by where it may be sent and by its predicted answer time, which is stored in the request. */
 	std::optional<refusal> judge(admitted_request &r_request);
 };
--- a/main/gateway/admitted_request.cpp
+++ b/main/gateway/admitted_request.cpp
@@ -44,8 +44,10 @@
 choice_request make_choice(const gateway_context &p_context, const admitted_request &p_request) {
 	choice_request choice;
 	choice.pool = p_request.service;
-	if (p_request.homes.is_bound()) {
-		choice.admits = [&p_context, homes = p_request.homes](const endpoint_listing &p_listing) { return homes.admits(p_listing.zone, p_context.settings.regions); };
+	if (p_request.homes.is_bound() || p_request.stream_version) {
+		choice.admits = [&p_context, homes = p_request.homes, version = p_request.stream_version](const endpoint_listing &p_listing) {
+			return homes.admits(p_listing.zone, p_context.settings.regions) && (!version || p_listing.version == *version);
+		};
 	}
 	return choice;
 }
--- a/main/gateway/admitted_request.h
+++ b/main/gateway/admitted_request.h
@@ -13,6 +13,7 @@
 #include "main/gateway/prompt_sync.h"
 #include "main/gateway/send_permit.h"
 #include "main/gateway/stage_dispatcher.h"
+#include "main/gateway/stream_sync.h"
 #include "platform/request_codec.h"
 #include "servers/gateway/engine_view.h"
 #include "servers/gateway/retry_budget.h"
@@ -20,6 +21,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace calicoscale {
@@ -38,6 +40,7 @@
 	engine_view &engine_caches;
 	prompt_sync &prompts;
 	crash_guard &crashes;
+	stream_sync &streams;
 	std::map<std::string, duration> &first_event_times; ///< Typical time from the send to the first event, by route.
 	send_guard &guard;
 };
@@ -54,6 +57,8 @@
 	std::string service;
 	home_regions homes;
 	caller_request facts;
+	std::string stream_attempt; ///< The attempt that began the request's stream; this one if it begins a stream itself.
+	std::optional<std::string> stream_version; ///< Software version that began the stream, which no other may continue; empty before its first event.
 	duration predicted = duration::zero(); ///< Time until the answer begins, as predicted at admission; zero without stages.
 };
 
--- a/main/gateway/endpoint_selector.cpp
+++ b/main/gateway/endpoint_selector.cpp
@@ -17,7 +17,17 @@
 }
 
 choice_request endpoint_selector::make() const {
-	return _make(_services.guard.get_rollouts().has_moved(_request.service));
+	const rollout_service &rollouts = _services.guard.get_rollouts();
+	const bool is_pinned_to_target = _request.stream_version && rollouts.is_target(_request.service, *_request.stream_version) && _is_for_target();
+	return _make(is_pinned_to_target || rollouts.has_moved(_request.service));
+}
+
+bool endpoint_selector::_is_for_target() const {
+	return _services.guard.get_rollouts().is_for_target(_request.service, _request.stream_attempt);
+}
+
+bool endpoint_selector::has_open() const {
+	return !get_router(_services, _request).get_open(make()).empty();
 }
 
 choice_request endpoint_selector::_make(bool p_for_target) const {
@@ -34,8 +44,8 @@
 std::optional<endpoint_id> endpoint_selector::choose(const std::string &p_zone) {
 	const rollout_service &rollouts = _services.guard.get_rollouts();
 	// A repeat does not try the target version again.
-	const bool is_for_target = !_is_repeat && rollouts.is_for_target(_request.service, _request.facts.attempt);
-	if (!is_for_target || rollouts.has_moved(_request.service)) {
+	const bool is_for_target = !_is_repeat && _is_for_target();
+	if (_request.stream_version || !is_for_target || rollouts.has_moved(_request.service)) {
 		return _choose_among(make(), p_zone);
 	}
 	const std::optional<endpoint_id> chosen = _choose_among(_make(true), p_zone);
--- a/main/gateway/endpoint_selector.h
+++ b/main/gateway/endpoint_selector.h
@@ -27,6 +27,8 @@
 
 	/** @param p_for_target Whether to choose among endpoints of the version that the service is being moved to, or among the others. */
 	choice_request _make(bool p_for_target) const;
+	/** Whether the request may be sent to the target version of its service's roll-out. A resumed stream keeps the selection of the attempt that began it. */
+	bool _is_for_target() const;
 	std::optional<endpoint_id> _choose_among(const choice_request &p_choice, const std::string &p_zone);
 
 public:
@@ -41,6 +43,8 @@
 	 * @param p_zone Zone of the request's inputs; empty if they are in no particular zone.
 	 */
 	std::optional<endpoint_id> choose(const std::string &p_zone);
+	/** Whether some endpoint may get the request, now or once its limit allows. */
+	bool has_open() const;
 	/** Returns the zone of the endpoint that would be chosen now; empty if there is none. */
 	std::string choose_zone();
 	/** Returns the usable endpoint with the fewest requests in flight, if any. */
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -71,8 +71,10 @@
 		_engine_caches(p_settings.mechanisms),
 		_prompts(_context, _fleet, _engine_caches),
 		_crashes(_context, _fleet, _endpoints),
+		_streams(_context, _fleet, _endpoints),
+		_resolver(_context, _streams, _endpoints),
 		_repeats(p_settings.retries),
-		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _typical_times, _commitments, _engine_caches, _prompts, _crashes, _first_event_times, _guard },
+		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _typical_times, _commitments, _engine_caches, _prompts, _crashes, _streams, _first_event_times, _guard },
 		_admission(_context, _shared, _evacuations),
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
@@ -198,6 +200,7 @@
 		}
 	}
 	_rollouts.set_endpoints(listings);
+	_streams.set_listings(_endpoints.get_directory().get_entries());
 	_guard.get_limits().set_listings(listings, *configuration, event_loop::now());
 	_guard.tick(_settled);
 	_engines.set_listings(engines);
@@ -321,9 +324,36 @@
 		return;
 	}
 	request.service = choose_service(*request.route, _context.random.get_unit());
+	request.stream_attempt = request.facts.attempt;
 	request.homes = home_regions(request.route->homes, request.customer == nullptr ? std::vector<std::string>() : request.customer->homes);
-	if (!_refuse_if_stopping(request) && !_refuse_if(_admission.judge(request), request)) {
-		_run(std::move(request));
+	_resolver.on_stream_request(request);
+	if (!stream_resolver::is_resumption(request)) {
+		_admit(std::move(request));
+	} else if (request.facts.names_several_attempts) {
+		_refuse(*p_exchange, reason::BAD_REQUEST);
+	} else {
+		_resume(std::move(request));
+	}
+}
+
+void gateway::_resume(admitted_request p_request) {
+	if (!p_request.facts.resumed_attempt.empty()) {
+		p_request.stream_attempt = p_request.facts.resumed_attempt;
+	}
+	const std::shared_ptr<admitted_request> request = std::make_shared<admitted_request>(std::move(p_request));
+	_resolver.resolve(*request, [this, request](const stream_resolution &p_resolution) {
+		if (request->exchange->is_gone() || _refuse_if(_admission.judge_resumption(*request, p_resolution), *request)) {
+			return;
+		}
+		_context.metrics.count("streams_resumed_by_callers");
+		_context.log.write_request(log_line("stream_resumed").add("request", request->facts.attempt).add("stream", request->stream_attempt).add("service", request->service).add("stream_version", *request->stream_version).add("source", p_resolution.source).add("took_ms", p_resolution.took));
+		_admit(std::move(*request));
+	});
+}
+
+void gateway::_admit(admitted_request p_request) {
+	if (!_refuse_if_stopping(p_request) && !_refuse_if(_admission.judge(p_request), p_request)) {
+		_run(std::move(p_request));
 	}
 }
 
@@ -346,6 +376,9 @@
 	}
 	const outcome result{ verdict::NOT_RUN, p_refusal->why };
 	_context.metrics.on_request(p_request.route->name, result, event_loop::now() - p_request.exchange->received_at);
+	if (stream_resolver::is_resumption(p_request)) {
+		_context.metrics.count("streams_refused_" + std::string(get_name(result.why)));
+	}
 	log_line line("request_refused");
 	line.add("request", p_request.facts.attempt).add("route", p_request.route->name).add("reason", get_name(result.why)).add("status", static_cast<long long>(http_status::UNAVAILABLE));
 	p_refusal->describe(line);
@@ -400,6 +433,8 @@
 	_context.metrics.set_gauge("configuration_unconfirmed_seconds", to_seconds(_configuration.get_unconfirmed_time(event_loop::now())));
 	_guard.report();
 	_rollouts.report();
+	_streams.report();
+	_context.metrics.set_gauge("stream_lookups_open", static_cast<double>(_resolver.get_open_count()));
 	_context.metrics.set_gauge("evacuated_zones", static_cast<double>(_evacuations.get_zones().size()));
 	const log_position evacuations_known = _evacuations.get_state().known;
 	_context.metrics.set_gauge("evacuations_known_era", static_cast<double>(evacuations_known.era));
@@ -448,6 +483,7 @@
 	_repeats.set_part(_fleet.get_own_part(), event_loop::now());
 	_update_readiness();
 	_guard.tick(_settled);
+	_streams.tick();
 	if (_phase != stop_phase::NONE) {
 		_advance_stop();
 	}
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -46,6 +46,8 @@
 	engine_view _engine_caches;
 	prompt_sync _prompts;
 	crash_guard _crashes;
+	stream_sync _streams;
+	stream_resolver _resolver;
 	retry_budget _repeats;
 	std::map<std::string, duration> _typical_times;
 	std::map<std::string, duration> _first_event_times;
@@ -80,6 +82,10 @@
 	void _end_superseded();
 	void _on_reach_changed(const std::set<std::string> &p_zones);
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
+	/** Continues with a request that resumes a stream once it is known which version began the stream. */
+	void _resume(admitted_request p_request);
+	/** Starts a request, or refuses it. */
+	void _admit(admitted_request p_request);
 	void _refuse(caller_exchange &p_exchange, reason p_reason);
 	/** Refuses a request whose route or key the known configuration lacks. @param p_reason reason if the configuration is confirmed. */
 	void _refuse_unknown(caller_exchange &p_exchange, reason p_reason);
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -201,6 +201,9 @@
 	/** Whether a node is responsive. Includes nodes that are stopping. */
 	bool is_responsive(const std::string &p_vm) const { return _is_responsive(p_vm, event_loop::now()); }
 
+	/** All other nodes that this node knows, including silent ones. */
+	const std::map<std::string, member> &get_members() const { return _members.get_members(); }
+
 	node_link &get_link() { return _link; }
 	const node_link &get_link() const { return _link; }
 	const std::string &get_vm() const { return _context.settings.vm; }
--- a/main/gateway/rollout_service.cpp
+++ b/main/gateway/rollout_service.cpp
@@ -163,6 +163,11 @@
 	return entry != nullptr && entry->is_for_target(p_request, event_loop::now());
 }
 
+bool rollout_service::is_target(const std::string &p_service, const std::string &p_version) const {
+	const rollout *entry = _table.find(p_service);
+	return entry != nullptr && entry->get_side(p_version) == version_role::TARGET;
+}
+
 bool rollout_service::has_moved(const std::string &p_service) const {
 	const rollout *entry = _table.find(p_service);
 	return entry != nullptr && entry->has_moved(event_loop::now());
--- a/main/gateway/rollout_service.h
+++ b/main/gateway/rollout_service.h
@@ -72,6 +72,9 @@
 	/** Whether a request of a service is among those selected for the target version of its roll-out. */
 	bool is_for_target(const std::string &p_service, const std::string &p_request) const;
 
+	/** Whether a version is the target of its service's roll-out. */
+	bool is_target(const std::string &p_service, const std::string &p_version) const;
+
 	/** Whether all requests of a service go to the target version. */
 	bool has_moved(const std::string &p_service) const;
 
--- /dev/null
+++ b/main/gateway/stream_resolver.cpp
@@ -0,0 +1,171 @@
+/*
+ * calicoscale: stream_resolver.cpp
+ * Finds out which version began a stream that a caller resumes.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway/stream_resolver.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr duration CHECK_INTERVAL = std::chrono::milliseconds(10);
+/** Time for nodes to answer, several round trips between zones. */
+constexpr duration MAX_LOOKUP_TIME = std::chrono::milliseconds(400);
+/** Part of the caller's remaining time that a lookup may take. */
+constexpr int LOOKUP_TIME_DIVISOR = 8;
+/** The list of endpoints is confirmed about once a second. */
+constexpr duration MAX_LIST_WAIT = std::chrono::milliseconds(1500);
+constexpr int LIST_WAIT_DIVISOR = 3;
+/** An endpoint may serve for some seconds after its entry was removed. */
+constexpr duration UNLISTED_SERVICE_TIME = std::chrono::seconds(10);
+
+duration get_remaining(const admitted_request &p_request) {
+	return p_request.facts.remaining.value_or(p_request.route->timeout);
+}
+
+} // namespace
+
+stream_resolver::stream_resolver(gateway_context &p_context, stream_sync &p_streams, endpoint_follower &p_endpoints) :
+		_context(p_context), _streams(p_streams), _endpoints(p_endpoints), _check_timer(p_context.loop, [this] { _check_all(); }) {
+	_streams.answered().connect([this](const std::string &p_vm, const stream_answer_message &p_message) { _on_answered(p_vm, p_message); });
+	_streams.recorded().connect([this](const stream_key &p_key) { _on_recorded(p_key); });
+}
+
+bool stream_resolver::is_resumption(const admitted_request &p_request) {
+	const bool is_stream = p_request.route->repeats == repeat_rule::STREAM;
+	return is_stream && (p_request.facts.has_event_id || !p_request.facts.resumed_attempt.empty());
+}
+
+void stream_resolver::on_stream_request(const admitted_request &p_request) {
+	if (p_request.route->repeats == repeat_rule::STREAM) {
+		_longest_deadline = std::max({ _longest_deadline, get_remaining(p_request), p_request.route->timeout });
+	}
+}
+
+void stream_resolver::resolve(const admitted_request &p_request, resolution_hook p_on_resolved) {
+	const instant now = event_loop::now();
+	const std::string &attempt = p_request.facts.resumed_attempt;
+	const std::string customer = p_request.customer == nullptr ? std::string() : p_request.customer->name;
+	// Without the attempt that began the stream there is no record to find, but other nodes may know the versions of the service.
+	const stream_key key = make_stream_key(customer, attempt.empty() ? p_request.facts.attempt : attempt);
+	if (const stream_record *record = attempt.empty() ? nullptr : _streams.find(key)) {
+		p_on_resolved(stream_resolution{ record->origin, lookup_state::FOUND, "this_node", duration::zero() });
+		return;
+	}
+	if (_open.size() >= MAX_LOOKUPS) {
+		p_on_resolved(stream_resolution{ std::nullopt, lookup_state::UNANSWERED, "", duration::zero() });
+		return;
+	}
+	const duration remaining = get_remaining(p_request);
+	const std::vector<service_share> &services = p_request.route->services;
+	const std::uint64_t id = _next_id++;
+	open_lookup made{ key, services.size() == 1 ? services.front().service : std::string(), _longest_deadline + UNLISTED_SERVICE_TIME, now, now + std::min<duration>(MAX_LIST_WAIT, remaining / LIST_WAIT_DIVISOR), stream_lookup(now, now + std::min<duration>(MAX_LOOKUP_TIME, remaining / LOOKUP_TIME_DIVISOR)), std::move(p_on_resolved) };
+	open_lookup &open = _open.emplace(id, std::move(made)).first->second;
+	_ask(id, open, _streams.get_sources(key));
+	_check_timer.set(CHECK_INTERVAL);
+}
+
+void stream_resolver::_ask(std::uint64_t p_id, open_lookup &r_lookup, const std::vector<std::string> &p_nodes) {
+	r_lookup.lookup.on_asked(p_nodes);
+	const request_stream_message message{ p_id, r_lookup.key, r_lookup.service, r_lookup.age };
+	for (const std::string &vm : p_nodes) {
+		if (!_streams.request(vm, message)) {
+			r_lookup.lookup.on_lost(vm);
+		}
+	}
+	_context.metrics.count("stream_requests_sent", static_cast<double>(p_nodes.size()));
+}
+
+void stream_resolver::_on_answered(const std::string &p_vm, const stream_answer_message &p_message) {
+	const auto found = _open.find(p_message.id);
+	if (found == _open.end()) {
+		return;
+	}
+	lookup_answer answer;
+	answer.only_version = p_message.only_version;
+	// The number alone may belong to a lookup of an earlier process.
+	if (p_message.record && p_message.record->key == found->second.key) {
+		answer.origin = p_message.record->origin;
+	}
+	found->second.lookup.on_answer(p_vm, answer);
+	_check(p_message.id);
+}
+
+void stream_resolver::_on_recorded(const stream_key &p_key) {
+	const auto found = std::find_if(_open.begin(), _open.end(), [&p_key](const auto &p_entry) { return p_entry.second.key == p_key; });
+	if (found != _open.end()) {
+		_check(found->first);
+	}
+}
+
+void stream_resolver::_check(std::uint64_t p_id) {
+	const auto found = _open.find(p_id);
+	if (found == _open.end()) {
+		return;
+	}
+	open_lookup &open = found->second;
+	if (open.lookup.take_recheck(event_loop::now())) {
+		_ask(p_id, open, _streams.get_reachable(open.key));
+	}
+	const std::optional<stream_resolution> resolution = _conclude(open);
+	if (resolution) {
+		const resolution_hook on_resolved = std::move(open.on_resolved);
+		_open.erase(found);
+		on_resolved(*resolution);
+	}
+}
+
+void stream_resolver::_check_all() {
+	std::vector<std::uint64_t> ids;
+	ids.reserve(_open.size());
+	for (const auto &[id, open] : _open) {
+		ids.push_back(id);
+	}
+	for (const std::uint64_t id : ids) {
+		_check(id);
+	}
+	if (!_open.empty()) {
+		_check_timer.set(CHECK_INTERVAL);
+	}
+}
+
+std::optional<stream_resolution> stream_resolver::_conclude(const open_lookup &p_lookup) const {
+	const instant now = event_loop::now();
+	const duration took = now - p_lookup.started_at;
+	const lookup_state state = p_lookup.lookup.get_state(now);
+	if (const stream_record *record = _streams.find(p_lookup.key)) {
+		return stream_resolution{ record->origin, lookup_state::FOUND, "this_node", took };
+	}
+	if (state == lookup_state::FOUND) {
+		return stream_resolution{ p_lookup.lookup.get_origin(), state, p_lookup.lookup.get_source(), took };
+	}
+	if (state == lookup_state::OPEN) {
+		return std::nullopt;
+	}
+	const std::optional<std::string> only = _find_only_version(p_lookup);
+	if (!only) {
+		return stream_resolution{ std::nullopt, state, "", took };
+	}
+	// An endpoint of another version that started just now may have begun the stream. Only a list that is newer than the request shows it.
+	if (_endpoints.is_known_since(p_lookup.started_at)) {
+		return stream_resolution{ stream_origin{ p_lookup.service, *only }, state, "only_version", took };
+	}
+	return now < p_lookup.list_deadline ? std::nullopt : std::optional(stream_resolution{ std::nullopt, state, "", took });
+}
+
+std::optional<std::string> stream_resolver::_find_only_version(const open_lookup &p_lookup) const {
+	const version_presence &presence = _streams.get_presence();
+	const std::optional<std::string> listed = presence.find_only_listed(p_lookup.service);
+	const std::optional<std::string> own = presence.find_only(p_lookup.service, p_lookup.age, event_loop::now());
+	const std::optional<std::string> known = own ? own : p_lookup.lookup.get_only_version();
+	return known == listed ? known : std::nullopt;
+}
+
+} // namespace calicoscale
--- /dev/null
+++ b/main/gateway/stream_resolver.h
@@ -0,0 +1,87 @@
+/*
+ * calicoscale: stream_resolver.h
+ * Finds out which version began a stream that a caller resumes.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#ifndef STREAM_RESOLVER_H
+#define STREAM_RESOLVER_H
+
+#include "main/gateway/admitted_request.h"
+#include "main/gateway/stream_sync.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace calicoscale {
+
+/** What is known of a stream that a caller resumes. */
+struct stream_resolution {
+	std::optional<stream_origin> origin; ///< Empty if unknown; the stream must not be resumed then.
+	lookup_state lookup = lookup_state::OPEN; ///< How the lookup of the record ended.
+	std::string source; ///< The node that had the record, or what else shows the origin.
+	duration took = duration::zero();
+};
+
+/**
+ * Looks up streams at this node, then at the nodes that store their records. Without a record, a stream's origin is known only if its
+ * service had a single version for longer than the stream can exist.
+ */
+class stream_resolver {
+	using resolution_hook = std::function<void(const stream_resolution &)>;
+
+	/** One stream to be resumed. */
+	struct open_lookup {
+		stream_key key;
+		std::string service; ///< The only service of the route; empty if there are several.
+		duration age; ///< Maximum age of the stream.
+		instant started_at;
+		instant list_deadline; ///< Until when to wait for a confirmation of the list of endpoints.
+		stream_lookup lookup;
+		resolution_hook on_resolved;
+	};
+
+	gateway_context &_context;
+	stream_sync &_streams;
+	endpoint_follower &_endpoints;
+	std::map<std::uint64_t, open_lookup> _open;
+	std::uint64_t _next_id = 1;
+	duration _longest_deadline = duration::zero(); ///< Longest time for which a caller of a stream was seen to wait.
+	timer _check_timer;
+
+	void _ask(std::uint64_t p_id, open_lookup &r_lookup, const std::vector<std::string> &p_nodes);
+	void _on_answered(const std::string &p_vm, const stream_answer_message &p_message);
+	void _on_recorded(const stream_key &p_key);
+	/** Ends a lookup if its resolution is known. */
+	void _check(std::uint64_t p_id);
+	void _check_all();
+	/** Returns the resolution if it is certain now, or if there is no time left to find it. */
+	std::optional<stream_resolution> _conclude(const open_lookup &p_lookup) const;
+	/** Returns the only version that can have begun the stream, according to this node or to those that were asked. */
+	std::optional<std::string> _find_only_version(const open_lookup &p_lookup) const;
+
+public:
+	stream_resolver(gateway_context &p_context, stream_sync &p_streams, endpoint_follower &p_endpoints);
+
+	/** Bounds the memory and messages that callers who resume unknown streams can cause; further streams count as unknown. */
+	static constexpr std::size_t MAX_LOOKUPS = 1024;
+
+	/** Whether a request resumes a stream of an earlier attempt. */
+	static bool is_resumption(const admitted_request &p_request);
+
+	/** Records the time for which a caller waits for a stream, which bounds the age of streams. */
+	void on_stream_request(const admitted_request &p_request);
+
+	/** Finds the origin of the stream that a request resumes. The hook is called once, possibly before this function returns. */
+	void resolve(const admitted_request &p_request, resolution_hook p_on_resolved);
+
+	std::size_t get_open_count() const { return _open.size(); }
+};
+
+} // namespace calicoscale
+
+#endif // STREAM_RESOLVER_H
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -134,7 +134,7 @@
 bool router::_is_same(const endpoint_state &p_endpoint, const endpoint_listing &p_listing) const {
 	// An entry without an incarnation came from a peer that didn't know the start time; the list now adds it.
 	const bool is_start_unknown = p_endpoint.listing.incarnation == 0;
-	return (is_start_unknown || p_endpoint.listing.incarnation == p_listing.incarnation) && p_endpoint.listing.address == p_listing.address;
+	return (is_start_unknown || p_endpoint.listing.incarnation == p_listing.incarnation) && p_endpoint.listing.address == p_listing.address && p_endpoint.listing.version == p_listing.version;
 }
 
 void router::set_listings(const std::vector<endpoint_listing> &p_listings) {
--- /dev/null
+++ b/servers/streams/stream_lookup.cpp
@@ -0,0 +1,69 @@
+/*
+ * calicoscale: stream_lookup.cpp
+ * Concludes from the answers of other nodes which version began a stream.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/streams/stream_lookup.h"
+
+#include "core/enum_names.h"
+
+#include <array>
+
+namespace calicoscale {
+
+namespace {
+
+constexpr std::array<enum_name<lookup_state>, 4> STATE_NAMES{ {
+		{ lookup_state::OPEN, "open" },
+		{ lookup_state::FOUND, "found" },
+		{ lookup_state::ABSENT, "absent" },
+		{ lookup_state::UNANSWERED, "unanswered" },
+} };
+
+} // namespace
+
+std::string_view get_name(lookup_state p_state) {
+	return find_name(STATE_NAMES, p_state);
+}
+
+void stream_lookup::on_asked(const std::vector<std::string> &p_nodes) {
+	_awaited.insert(p_nodes.begin(), p_nodes.end());
+}
+
+bool stream_lookup::take_recheck(instant p_now) {
+	if (_is_rechecked || _origin || p_now - _started_at < RECHECK_TIME) {
+		return false;
+	}
+	_is_rechecked = true;
+	return true;
+}
+
+void stream_lookup::on_answer(const std::string &p_vm, const lookup_answer &p_answer) {
+	_awaited.erase(p_vm);
+	if (p_answer.only_version) {
+		_only_versions.insert(*p_answer.only_version);
+	}
+	if (p_answer.origin && !_origin) {
+		_origin = p_answer.origin;
+		_source = p_vm;
+	}
+}
+
+lookup_state stream_lookup::get_state(instant p_now) const {
+	if (_origin) {
+		return lookup_state::FOUND;
+	}
+	if (_is_rechecked && _awaited.empty()) {
+		return lookup_state::ABSENT;
+	}
+	return p_now >= _expires_at ? lookup_state::UNANSWERED : lookup_state::OPEN;
+}
+
+std::optional<std::string> stream_lookup::get_only_version() const {
+	return _only_versions.size() == 1 ? std::optional(*_only_versions.begin()) : std::nullopt;
+}
+
+} // namespace calicoscale
--- a/tests/main/gateway_broken_answer_test.cpp
+++ b/tests/main/gateway_broken_answer_test.cpp
@@ -119,9 +119,13 @@
 }
 
 TEST_F(gateway_broken_answer_test, nothing_may_be_left_of_a_stream_behind_the_event_that_its_caller_has) {
-	const std::shared_ptr<caller_result> result = ask(start_with(write_answer(framing::NONE, "")), "/stream/x", "key-1", "Last-Event-Id: 4\r\n");
+	const gateway &entry = start_with(write_answer(framing::NONE, WHOLE_STREAM + "id: 5\ndata: tok"), raw_server::after::RESET);
+	EXPECT_EQ(ask(entry, "/stream/again/x")->end, channel_end::BROKEN);
+	_raw.set_answer(write_answer(framing::NONE, ""), raw_server::after::CLOSE);
+	const std::shared_ptr<caller_result> result = ask(entry, "/stream/again/x", "key-1", "Resumes: r1\r\nLast-Event-Id: 4\r\n");
 	EXPECT_EQ(result->head.status, 200);
 	EXPECT_EQ(result->end, channel_end::COMPLETE);
+	EXPECT_EQ(result->body, "");
 }
 
 TEST_F(gateway_broken_answer_test, a_caller_without_chunks_sees_a_reset_when_its_stream_ends_inside_an_event) {
--- a/tests/main/gateway_stream_version_test.cpp
+++ b/tests/main/gateway_stream_version_test.cpp
@@ -8,6 +8,7 @@
 
 #include "tests/main/gateway_fixture.h"
 
+#include <algorithm>
 #include <set>
 
 namespace calicoscale {
@@ -63,6 +64,49 @@
 		return ask(p_node, RESUMABLE_PATH, p_key, "Resumes: " + p_stream.attempt + "\r\nLast-Event-Id: 1\r\n");
 	}
 
+	/** Adds two endpoints of each of two versions. */
+	void add_versions() {
+		for (const char *version : { "v1", "v1.1", "v1", "v1.1" }) {
+			add_version(version);
+		}
+	}
+
+	std::size_t count_resumes(const std::string &p_version) const {
+		std::size_t count = 0;
+		for (const standin_replica &replica : _replicas) {
+			count += replica.version == p_version ? std::count_if(replica.runs.begin(), replica.runs.end(), [](const seen_request &p_run) { return !p_run.get("Last-Event-Id").empty(); }) : 0;
+		}
+		return count;
+	}
+
+	std::size_t count_all_resumes() const { return count_resumes("v1") + count_resumes("v1.1"); }
+
+	/** Begins a stream at a version, which another attempt may have to be made for. */
+	begun_stream begin_at(const gateway &p_node, const std::string &p_version) {
+		begun_stream stream;
+		run_until([this, &p_node, &p_version, &stream] {
+			stream = begin(p_node);
+			return find_versions(stream.events) == std::set<std::string>{ p_version };
+		});
+		return stream;
+	}
+
+	/** Changes the entries of all endpoints of a version and waits until the nodes have read them. */
+	void change_entries(const std::string &p_version, const std::function<void(standin_replica &)> &p_change) {
+		for (standin_replica &replica : _replicas) {
+			if (replica.version == p_version) {
+				p_change(replica);
+			}
+		}
+		wait(milliseconds(1500));
+	}
+
+	void expect_refused(const std::shared_ptr<caller_result> &p_result, const std::string &p_retry_after) {
+		EXPECT_EQ(p_result->head.status, 503);
+		EXPECT_EQ(p_result->get("Retry-After"), p_retry_after);
+		EXPECT_EQ(p_result->body, "");
+	}
+
 	/** Begins streams at one node, takes them up at another and expects each to go on at its version. */
 	void expect_one_version(const gateway &p_first, const gateway &p_second) {
 		for (int i = 0; i < STREAMS; i++) {
@@ -79,9 +123,7 @@
 
 TEST_F(gateway_stream_version_test, a_stream_resumed_within_one_answer_goes_on_at_its_version) {
 	configure(1);
-	for (const char *version : { "v1", "v1.1", "v1", "v1.1" }) {
-		add_version(version);
-	}
+	add_versions();
 	set_resumes_itself(true);
 	const gateway &node = start_ready();
 	for (int i = 0; i < STREAMS; i++) {
@@ -93,9 +135,7 @@
 
 TEST_F(gateway_stream_version_test, a_stream_that_its_caller_takes_up_at_the_same_node_goes_on_at_its_version) {
 	configure(1);
-	for (const char *version : { "v1", "v1.1", "v1", "v1.1" }) {
-		add_version(version);
-	}
+	add_versions();
 	set_resumes_itself(false);
 	const gateway &node = start_ready();
 	expect_one_version(node, node);
@@ -103,13 +143,237 @@
 
 TEST_F(gateway_stream_version_test, a_stream_that_its_caller_takes_up_at_another_node_goes_on_at_its_version) {
 	configure(1);
-	for (const char *version : { "v1", "v1.1", "v1", "v1.1" }) {
-		add_version(version);
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &first = start_ready();
+	const gateway &second = start_ready();
+	expect_one_version(first, second);
+}
+
+TEST_F(gateway_stream_version_test, a_stream_that_its_caller_takes_up_in_another_zone_goes_on_at_its_version) {
+	configure(1);
+	for (const char *zone : { "a", "b" }) {
+		add_version("v1", zone);
+		add_version("v1.1", zone);
 	}
 	set_resumes_itself(false);
 	const gateway &first = start_ready();
+	_zone = "b";
 	const gateway &second = start_ready();
 	expect_one_version(first, second);
 }
 
+TEST_F(gateway_stream_version_test, a_chain_of_resumptions_at_three_nodes_goes_on_at_its_version) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &first = start_ready();
+	const gateway &second = start_ready();
+	const gateway &third = start_ready();
+	for (int i = 0; i < STREAMS; i++) {
+		const begun_stream stream = begin(first);
+		for (const gateway *node : { &second, &third, &first }) {
+			EXPECT_EQ(find_versions(take_up(*node, stream)->body), find_versions(stream.events));
+		}
+	}
+}
+
+// Guards against a record that is known only to the node that began the stream.
+TEST_F(gateway_stream_version_test, a_stream_whose_node_has_ended_goes_on_at_its_version_elsewhere) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	for (int i = 0; i < 4; i++) {
+		start_ready();
+	}
+	std::vector<begun_stream> streams;
+	for (int i = 0; i < STREAMS; i++) {
+		streams.push_back(begin(*_gateways.front()));
+	}
+	wait(milliseconds(20));
+	_gateways.front().reset();
+	for (const begun_stream &stream : streams) {
+		const std::shared_ptr<caller_result> rest = take_up(*_gateways.back(), stream);
+		EXPECT_EQ(rest->head.status, 200);
+		EXPECT_EQ(find_versions(rest->body), find_versions(stream.events));
+	}
+}
+
+TEST_F(gateway_stream_version_test, the_endpoint_that_sends_the_first_event_counts_and_not_the_first_one_asked) {
+	configure(1);
+	add_version("v1").mode = replica_mode::RESET_AFTER_RUN;
+	add_version("v1.1");
+	add_version("v1.1");
+	_adjust_settings = [](gateway_settings &r_settings) { r_settings.retries.slack = AMPLE_SLACK; };
+	const gateway &node = start_ready();
+	for (int i = 0; i < STREAMS; i++) {
+		const begun_stream stream = begin(node);
+		EXPECT_EQ(find_versions(stream.events), std::set<std::string>{ "v1.1" });
+		EXPECT_EQ(find_versions(take_up(node, stream)->body), std::set<std::string>{ "v1.1" });
+	}
+	EXPECT_EQ(count_resumes("v1"), 0U);
+}
+
+TEST_F(gateway_stream_version_test, a_stream_whose_version_has_gone_is_refused_at_once) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	const begun_stream stream = begin_at(node, "v1");
+	change_entries("v1", [this](standin_replica &r_replica) { _store.put(ENDPOINT_TOPIC, r_replica.get_name(), r_replica.get_entry("llm", true)); });
+	expect_refused(take_up(node, stream), "0.000");
+	change_entries("v1", [this](standin_replica &r_replica) { _store.put(ENDPOINT_TOPIC, r_replica.get_name(), ""); });
+	expect_refused(take_up(node, stream), "0.000");
+	EXPECT_EQ(count_all_resumes(), 0U);
+}
+
+// Guards against a version that is bound to an endpoint's name, which may start again with another one.
+TEST_F(gateway_stream_version_test, an_endpoint_that_started_again_with_another_version_does_not_continue_a_stream) {
+	configure(1);
+	add_version("v1");
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	const begun_stream stream = begin_at(node, "v1");
+	standin_replica &again = _replicas.emplace_back(_loop, _replicas.front().get_name());
+	again.version = "v1.1";
+	again.names_version = true;
+	_replicas.front().end_process();
+	_store.put(ENDPOINT_TOPIC, again.get_name(), again.get_entry("llm"));
+	wait(milliseconds(1500));
+	expect_refused(take_up(node, stream), "0.000");
+	EXPECT_EQ(count_all_resumes(), 0U);
+}
+
+TEST_F(gateway_stream_version_test, a_stream_within_one_answer_is_broken_off_if_its_version_has_gone) {
+	configure(1);
+	add_version("v1").mode = replica_mode::HOLD_STREAM;
+	set_resumes_itself(true);
+	const gateway &node = start_ready();
+	const std::shared_ptr<caller_result> result = send(node, RESUMABLE_PATH);
+	run_until([&result] { return !result->body.empty(); });
+	add_version("v1.1").mode = replica_mode::ANSWER;
+	change_entries("v1", [this](standin_replica &r_replica) { _store.put(ENDPOINT_TOPIC, r_replica.get_name(), r_replica.get_entry("llm", true)); });
+	_replicas.front().end_process();
+	run_until([&result] { return result->end.has_value(); });
+	EXPECT_EQ(result->end, channel_end::BROKEN);
+	EXPECT_EQ(find_versions(result->body), std::set<std::string>{ "v1" });
+	EXPECT_EQ(count_all_resumes(), 0U);
+}
+
+TEST_F(gateway_stream_version_test, a_stream_whose_version_is_full_is_not_continued_elsewhere) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	const begun_stream stream = begin_at(node, "v1");
+	for (standin_replica &replica : _replicas) {
+		replica.mode = replica.version == "v1" ? replica_mode::SHED : replica.mode;
+	}
+	EXPECT_EQ(take_up(node, stream)->head.status, 503);
+	EXPECT_EQ(count_all_resumes(), 0U);
+}
+
+TEST_F(gateway_stream_version_test, a_stream_that_nobody_knows_is_refused_while_two_versions_serve) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	start_ready();
+	const begun_stream stream = begin(node);
+	expect_refused(take_up(node, begun_stream{ "unknown", "" }), "0.000");
+	expect_refused(take_up(node, begun_stream{ "r\xc3\xa9", "" }), "0.000");
+	expect_refused(take_up(node, begun_stream{ std::string(8000, 'r'), "" }), "0.000");
+	expect_refused(ask(node, RESUMABLE_PATH, "key-1", "Last-Event-Id: 1\r\n"), "0.000");
+	expect_refused(ask(node, RESUMABLE_PATH, "key-1", "Resumes: \r\nLast-Event-Id: 1\r\n"), "0.000");
+	expect_refused(ask(node, "/stream/x", "key-1", "Last-Event-Id: 1\r\n"), "0.000");
+	EXPECT_EQ(ask(node, RESUMABLE_PATH, "key-1", "Resumes: " + stream.attempt + "\r\nResumes: other\r\nLast-Event-Id: 1\r\n")->head.status, 400);
+	EXPECT_EQ(count_all_resumes(), 0U);
+}
+
+TEST_F(gateway_stream_version_test, a_stream_without_an_event_begins_anew_at_any_version) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	EXPECT_EQ(ask(node, RESUMABLE_PATH, "key-1", "Last-Event-Id:\r\n")->head.status, 200);
+}
+
+TEST_F(gateway_stream_version_test, a_customer_cannot_resume_or_change_the_stream_of_another) {
+	json configuration = make_configuration(1);
+	configuration["tenants"].push_back({ { "name", "yards" }, { "api_keys", { "key-3" } } });
+	_store.put(CONFIGURATION_TOPIC, "config", configuration.dump());
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	const begun_stream stream = begin_at(node, "v1");
+	expect_refused(take_up(node, stream, "key-3"), "0.000");
+	EXPECT_EQ(count_all_resumes(), 0U);
+	// The other customer begins streams by the same id, some of them at the other version.
+	for (int i = 0; i < STREAMS; i++) {
+		send_bytes(node.get_caller_address(), "POST " + RESUMABLE_PATH + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + stream.attempt + "\r\nAuthorization: Bearer key-3\r\nContent-Length: 0\r\n\r\n");
+	}
+	wait(milliseconds(50));
+	EXPECT_EQ(find_versions(take_up(node, stream)->body), std::set<std::string>{ "v1" });
+}
+
+TEST_F(gateway_stream_version_test, a_stream_of_a_split_route_goes_on_at_its_service) {
+	json configuration = make_configuration(1);
+	for (json &route : configuration["routes"]) {
+		if (route.at("name") == "/stream/again/") {
+			route.erase("service");
+			route["split"] = json::array({ { { "service", "llm" }, { "weight", 50 } }, { { "service", "other" }, { "weight", 50 } } });
+		}
+	}
+	configuration["services"].push_back({ { "name", "other" }, { "max_conns", 50 } });
+	_store.put(CONFIGURATION_TOPIC, "config", configuration.dump());
+	standin_replica &of_llm = add_version("v1");
+	standin_replica &of_other = add_version("v1");
+	_store.put(ENDPOINT_TOPIC, of_other.get_name(), of_other.get_entry("other"));
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	for (int i = 0; i < STREAMS; i++) {
+		const std::size_t before = of_llm.runs.size();
+		const begun_stream stream = begin(node);
+		const bool was_llm = of_llm.runs.size() > before;
+		standin_replica &beginner = was_llm ? of_llm : of_other;
+		const std::size_t runs = beginner.runs.size();
+		EXPECT_EQ(take_up(node, stream)->head.status, 200);
+		EXPECT_EQ(beginner.runs.size(), runs + 1);
+	}
+}
+
+TEST_F(gateway_stream_version_test, a_stream_whose_version_is_evacuated_is_refused_with_a_time_to_return) {
+	configure(1);
+	add_version("v1", "a");
+	add_version("v1.1", "b");
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	const begun_stream stream = begin_at(node, "v1");
+	_store.put(CONFIGURATION_TOPIC, "evacuate/a", "{}");
+	wait(milliseconds(1500));
+	expect_refused(take_up(node, stream), "2.000");
+	EXPECT_EQ(count_all_resumes(), 0U);
+}
+
+TEST_F(gateway_stream_version_test, streams_keep_their_version_while_a_roll_out_moves_the_service) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	const gateway &first = start_ready();
+	const gateway &second = start_ready();
+	_store.put(CONFIGURATION_TOPIC, "rollout/llm", json{ { "service", "llm" }, { "target_version", "v1.1" }, { "duration_s", 6.0 } }.dump());
+	std::set<std::string> went_on;
+	const instant end = event_loop::now() + seconds(7);
+	while (event_loop::now() < end) {
+		const begun_stream stream = begin(first);
+		const std::shared_ptr<caller_result> rest = take_up(second, stream);
+		if (rest->head.status == 200) {
+			EXPECT_EQ(find_versions(rest->body), find_versions(stream.events));
+			went_on.merge(find_versions(rest->body));
+		}
+		wait(milliseconds(5));
+	}
+	EXPECT_EQ(went_on, (std::set<std::string>{ "v1", "v1.1" }));
+}
+
 } // namespace calicoscale
--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -174,6 +174,9 @@
 			return;
 		}
 		p_exchange.send(event);
+		if (mode == replica_mode::HOLD_STREAM && first == 1) {
+			return;
+		}
 	}
 	p_exchange.end();
 }
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -29,6 +29,7 @@
 	WITHOUT_SEAL, ///< Answers bytes that are not its own.
 	BREAK_STREAM, ///< Breaks a stream that begins at its start off in the middle of its second event.
 	HOLD, ///< Runs and does not answer.
+	HOLD_STREAM, ///< Sends the first event of a stream that begins at its start, and no other.
 	END, ///< Its process ends as the request begins to run.
 };
 
