--- a/main/gateway/stream_resolver.cpp
+++ b/main/gateway/stream_resolver.cpp
@@ -68,19 +68,20 @@
 	const std::uint64_t id = _next_id++;
 	open_lookup made{ key, services.size() == 1 ? services.front().service : std::string(), _longest_deadline + UNLISTED_SERVICE_TIME, now, now + std::min<duration>(MAX_LIST_WAIT, remaining / LIST_WAIT_DIVISOR), stream_lookup(now, now + std::min<duration>(MAX_LOOKUP_TIME, remaining / LOOKUP_TIME_DIVISOR)), std::move(p_on_resolved) };
 	open_lookup &open = _open.emplace(id, std::move(made)).first->second;
-	_ask(id, open, _streams.get_sources(key));
+	_ask(id, open, lookup_round::FIRST_SOURCES);
 	_check_timer.set(CHECK_INTERVAL);
 }
 
-void stream_resolver::_ask(std::uint64_t p_id, open_lookup &r_lookup, const std::vector<std::string> &p_nodes) {
-	r_lookup.lookup.on_asked(p_nodes);
+void stream_resolver::_ask(std::uint64_t p_id, open_lookup &r_lookup, lookup_round p_round) {
+	const std::vector<std::string> nodes = _streams.get_sources(r_lookup.key, p_round);
+	r_lookup.lookup.on_asked(nodes);
 	const request_stream_message message{ p_id, r_lookup.key, r_lookup.service, r_lookup.age };
-	for (const std::string &vm : p_nodes) {
+	for (const std::string &vm : nodes) {
 		if (!_streams.request(vm, message)) {
 			r_lookup.lookup.on_lost(vm);
 		}
 	}
-	_context.metrics.count("stream_requests_sent", static_cast<double>(p_nodes.size()));
+	_context.metrics.count("stream_requests_sent", static_cast<double>(nodes.size()));
 }
 
 void stream_resolver::_on_answered(const std::string &p_vm, const stream_answer_message &p_message) {
@@ -111,8 +112,8 @@
 		return;
 	}
 	open_lookup &open = found->second;
-	if (open.lookup.take_recheck(event_loop::now())) {
-		_ask(p_id, open, _streams.get_reachable(open.key));
+	if (const std::optional<lookup_round> next = open.lookup.take_round(event_loop::now())) {
+		_ask(p_id, open, *next);
 	}
 	const std::optional<stream_resolution> resolution = _conclude(open);
 	if (resolution) {
--- a/main/gateway/stream_resolver.h
+++ b/main/gateway/stream_resolver.h
@@ -53,7 +53,7 @@
 	duration _longest_deadline = duration::zero(); ///< Longest time for which a caller of a stream was seen to wait.
 	timer _check_timer;
 
-	void _ask(std::uint64_t p_id, open_lookup &r_lookup, const std::vector<std::string> &p_nodes);
+	void _ask(std::uint64_t p_id, open_lookup &r_lookup, lookup_round p_round);
 	void _on_answered(const std::string &p_vm, const stream_answer_message &p_message);
 	void _on_recorded(const stream_key &p_key);
 	/** Ends a lookup if its resolution is known. */
--- a/main/gateway/stream_sync.cpp
+++ b/main/gateway/stream_sync.cpp
@@ -110,21 +110,27 @@
 	_fleet.get_link().send(p_vm, answer);
 }
 
-std::vector<std::string> stream_sync::get_sources(const stream_key &p_key) const {
+std::vector<std::string> stream_sync::get_sources(const stream_key &p_key, lookup_round p_round) const {
 	std::vector<std::string> sources = choose_sources(p_key, _get_nodes(), _context.settings.zone);
 	std::erase(sources, _fleet.get_vm());
-	return sources;
-}
-
-std::vector<std::string> stream_sync::get_reachable(const stream_key &p_key) const {
-	std::vector<std::string> nodes = get_sources(p_key);
-	for (const std::string &vm : _fleet.get_link().get_linked()) {
-		const bool is_included = std::find(nodes.begin(), nodes.end(), vm) != nodes.end();
-		if (nodes.size() < MAX_ASKED_NODES && !is_included && _fleet.is_responsive(vm)) {
-			nodes.push_back(vm);
-		}
+	const std::size_t first = std::min(sources.size(), FIRST_SOURCE_COUNT);
+	switch (p_round) {
+		case lookup_round::FIRST_SOURCES:
+			sources.resize(first);
+			break;
+		case lookup_round::ALL_SOURCES:
+			sources.erase(sources.begin(), sources.begin() + static_cast<std::ptrdiff_t>(first));
+			break;
+		case lookup_round::ALL_REACHABLE:
+			for (const std::string &vm : _fleet.get_link().get_linked()) {
+				const bool is_included = std::find(sources.begin(), sources.end(), vm) != sources.end();
+				if (sources.size() < MAX_ASKED_NODES && !is_included && _fleet.is_responsive(vm)) {
+					sources.push_back(vm);
+				}
+			}
+			break;
 	}
-	return nodes;
+	return sources;
 }
 
 bool stream_sync::request(const std::string &p_vm, const request_stream_message &p_message) {
--- a/main/gateway/stream_sync.h
+++ b/main/gateway/stream_sync.h
@@ -52,11 +52,8 @@
 	/** Returns the record of a stream at this node; nullptr if there is none. */
 	const stream_record *find(const stream_key &p_key) const { return _table.find(p_key, event_loop::now()); }
 
-	/** Returns the nodes that should have a record. */
-	std::vector<std::string> get_sources(const stream_key &p_key) const;
-
-	/** Returns a bounded number of other nodes that can be asked at once, those that should have the record first. */
-	std::vector<std::string> get_reachable(const stream_key &p_key) const;
+	/** Returns the nodes to ask for a record in one round of a lookup. */
+	std::vector<std::string> get_sources(const stream_key &p_key, lookup_round p_round) const;
 
 	/** Sends a request to a node. Returns whether it was sent; if not, a link to the node is being established. */
 	bool request(const std::string &p_vm, const request_stream_message &p_message);
--- a/servers/streams/stream_lookup.cpp
+++ b/servers/streams/stream_lookup.cpp
@@ -33,12 +33,18 @@
 	_awaited.insert(p_nodes.begin(), p_nodes.end());
 }
 
-bool stream_lookup::take_recheck(instant p_now) {
-	if (_is_rechecked || _origin || p_now - _started_at < RECHECK_TIME) {
-		return false;
+std::optional<lookup_round> stream_lookup::take_round(instant p_now) {
+	const duration elapsed = p_now - _started_at;
+	const lookup_round before = _round;
+	if (_origin) {
+		return std::nullopt;
+	}
+	if (_round == lookup_round::FIRST_SOURCES && (_awaited.empty() || elapsed >= WIDEN_TIME)) {
+		_round = lookup_round::ALL_SOURCES;
+	} else if (_round == lookup_round::ALL_SOURCES && elapsed >= RECHECK_TIME) {
+		_round = lookup_round::ALL_REACHABLE;
 	}
-	_is_rechecked = true;
-	return true;
+	return _round == before ? std::nullopt : std::optional(_round);
 }
 
 void stream_lookup::on_answer(const std::string &p_vm, const lookup_answer &p_answer) {
@@ -56,7 +62,7 @@
 	if (_origin) {
 		return lookup_state::FOUND;
 	}
-	if (_is_rechecked && _awaited.empty()) {
+	if (_round == lookup_round::ALL_REACHABLE && _awaited.empty()) {
 		return lookup_state::ABSENT;
 	}
 	return p_now >= _expires_at ? lookup_state::UNANSWERED : lookup_state::OPEN;
--- a/servers/streams/stream_lookup.h
+++ b/servers/streams/stream_lookup.h
@@ -11,6 +11,7 @@
 
 #include "servers/streams/stream_record.h"
 
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
@@ -36,22 +37,33 @@
 	std::optional<std::string> only_version; ///< The only version that the service can have begun the stream with; see version_presence.
 };
 
+/** Nodes that are asked for a record, one group after the other. */
+enum class lookup_round {
+	FIRST_SOURCES, ///< The two nodes that most likely have the record.
+	ALL_SOURCES, ///< All nodes that should have the record.
+	ALL_REACHABLE, ///< These again, as the record may have been on its way to them, and others.
+};
+
+/** Number of nodes that are asked in the first round. */
+constexpr std::size_t FIRST_SOURCE_COUNT = 2;
+
 /**
- * One lookup. The nodes that should have the record are asked first, and after RECHECK_TIME, which the record may need to arrive there,
- * they and others are asked once more. One record is sufficient, as the origin of a stream never changes. The caller passes the
- * current time.
+ * One lookup. Usually the first nodes have the record; more nodes are asked only if these don't. One record is sufficient, as the
+ * origin of a stream never changes. The caller passes the current time.
  */
 class stream_lookup {
 	instant _started_at;
 	instant _expires_at;
+	lookup_round _round = lookup_round::FIRST_SOURCES;
 	std::set<std::string> _awaited; ///< Nodes that have not answered the last question.
-	bool _is_rechecked = false;
 	std::optional<stream_origin> _origin;
 	std::string _source;
 	std::set<std::string> _only_versions;
 
 public:
-	/** Time after which the nodes are asked once more. */
+	/** Time after which all sources are asked, if the first ones are silent. */
+	static constexpr duration WIDEN_TIME = std::chrono::milliseconds(15);
+	/** Time after which the nodes are asked once more; the record of a caller that returns at once may need it to arrive there. */
 	static constexpr duration RECHECK_TIME = std::chrono::milliseconds(50);
 
 	/** @param p_expires_at when the lookup ends if some nodes have not answered. */
@@ -61,8 +73,8 @@
 	/** Records that nodes were asked. */
 	void on_asked(const std::vector<std::string> &p_nodes);
 
-	/** Returns whether the nodes are to be asked once more now. Returns it once. */
-	bool take_recheck(instant p_now);
+	/** Returns the next round if it is to begin now. Returns each round after the first one once. */
+	std::optional<lookup_round> take_round(instant p_now);
 
 	/** Applies an answer of a node. */
 	void on_answer(const std::string &p_vm, const lookup_answer &p_answer);
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -133,7 +133,7 @@
 }
 
 TEST(link_codec, each_kind_of_message_has_the_name_that_the_schema_gives_it) {
-	const std::map<std::string, link_message> messages{ { "hello", hello_message() }, { "heartbeat", make_heartbeat() }, { "tell_configuration", configuration_snapshot() }, { "hand_work", assign_work_message() }, { "tell_prompts", report_prompts_message() }, { "tell_reading", report_delta_message() }, { "tell_crashes", report_crashes_message() }, { "tell_limits", report_limits_message() } };
+	const std::map<std::string, link_message> messages{ { "hello", hello_message() }, { "heartbeat", make_heartbeat() }, { "tell_configuration", configuration_snapshot() }, { "hand_work", assign_work_message() }, { "tell_prompts", report_prompts_message() }, { "tell_reading", report_delta_message() }, { "tell_crashes", report_crashes_message() }, { "tell_limits", report_limits_message() }, { "tell_streams", report_streams_message() }, { "ask_stream", request_stream_message() }, { "answer_stream", stream_answer_message() } };
 	for (const auto &[name, message] : messages) {
 		EXPECT_EQ(get_kind_name(message.index()), name);
 		const std::string bytes = encode(message);
@@ -224,6 +224,28 @@
 	EXPECT_FALSE(decode_link_message(encode(link_message(crashes))).has_value());
 }
 
+TEST(link_codec, records_of_streams_keep_their_origins_and_lifetimes) {
+	const reported_stream record{ make_stream_key("hearth", "r1"), 7, stream_origin{ "llm", "v1.1" }, std::chrono::milliseconds(7500) };
+	const report_streams_message streams = std::get<report_streams_message>(*decode_link_message(encode(link_message(report_streams_message{ { record } }))));
+	ASSERT_EQ(streams.streams.size(), 1U);
+	EXPECT_EQ(streams.streams.front().key, record.key);
+	EXPECT_EQ(streams.streams.front().customer, 7U);
+	EXPECT_EQ(streams.streams.front().origin, record.origin);
+	EXPECT_EQ(streams.streams.front().left, record.left);
+	const request_stream_message request = std::get<request_stream_message>(*decode_link_message(encode(link_message(request_stream_message{ 5, record.key, "llm", std::chrono::seconds(22) }))));
+	EXPECT_EQ(request.id, 5U);
+	EXPECT_EQ(request.key, record.key);
+	EXPECT_EQ(request.service, "llm");
+	EXPECT_EQ(request.age, duration(std::chrono::seconds(22)));
+	const stream_answer_message found = std::get<stream_answer_message>(*decode_link_message(encode(link_message(stream_answer_message{ 5, record, "" }))));
+	ASSERT_TRUE(found.record.has_value());
+	EXPECT_EQ(found.record->origin, record.origin);
+	EXPECT_EQ(found.only_version, "");
+	const stream_answer_message absent = std::get<stream_answer_message>(*decode_link_message(encode(link_message(stream_answer_message{ 6, std::nullopt, std::nullopt }))));
+	EXPECT_FALSE(absent.record.has_value());
+	EXPECT_FALSE(absent.only_version.has_value());
+}
+
 RC_GTEST_PROP(link_codec_properties, a_damaged_message_is_read_or_refused, ()) {
 	endpoint_listing listing;
 	listing.vm = "llm-1";
@@ -241,7 +263,7 @@
 	results.result_bytes = { 5 };
 	assign_work_message work;
 	work.inputs = { "10.0.0.1:1/a" };
-	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, report_endpoints_message{ { listing }, 5 }, report_delta_message{ reading }, results, report_crashes_message{ { reported_crash{} }, false }, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" } };
+	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, report_endpoints_message{ { listing }, 5 }, report_delta_message{ reading }, results, report_crashes_message{ { reported_crash{} }, false }, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" }, report_streams_message{ { reported_stream{} } }, request_stream_message{ 1, stream_key(), "llm", duration::zero() }, stream_answer_message{ 1, reported_stream(), "v1" } };
 	for (const link_message &message : messages) {
 		const std::optional<link_message> read = decode_link_message(mutate(encode(message)));
 		if (read) {
