--- a/tests/soak/disturbance_log.h
+++ b/tests/soak/disturbance_log.h
@@ -60,6 +60,8 @@
 	STOPS_IN_TIME, ///< A process ends within its grace.
 	STAYS_UP, ///< A process does not end by itself.
 	SERVES_AGAIN, ///< Requests are served once all is well again.
+	ONE_VERSION, ///< A stream holds events of one software version, in one answer and over the attempts of its caller.
+	STREAMS_GO_ON, ///< Streams that callers resume go on at least half as often as new ones begin.
 	COUNT,
 };
 
--- a/tests/soak/promise_book.cpp
+++ b/tests/soak/promise_book.cpp
@@ -11,6 +11,7 @@
 #include "core/verdict.h"
 
 #include <algorithm>
+#include <array>
 
 namespace calicoscale {
 
@@ -35,6 +36,10 @@
 constexpr std::size_t REQUESTS_TO_JUDGE = 20;
 constexpr double LEAST_SERVED = 0.9;
 constexpr std::size_t SHOWN_BYTES = 60;
+/** Fewer resumed streams are not judged. */
+constexpr std::size_t RESUMPTIONS_TO_JUDGE = 12;
+constexpr double LEAST_RESUMED_SHARE = 0.5;
+constexpr std::ptrdiff_t LEAST_SERVING = 2;
 
 std::string get(const http_head &p_head, std::string_view p_name) {
 	const std::string *value = p_head.find(p_name);
@@ -96,6 +101,46 @@
 	return made;
 }
 
+std::shared_ptr<soak_attempt> promise_book::open_resumption(const soak_attempt &p_broken, std::size_t p_node, std::size_t p_life, bool p_is_proxied, instant p_now) {
+	const std::shared_ptr<soak_attempt> made = open(p_broken.kind, p_node, p_life, p_is_proxied, p_now);
+	made->stream = p_broken.stream.empty() ? p_broken.id : p_broken.stream;
+	made->resumed_after = p_broken.resumed_after + p_broken.events;
+	made->version = p_broken.version;
+	made->give_up_at = p_broken.give_up_at;
+	made->is_version_serving = _is_serving(made->version);
+	return made;
+}
+
+bool promise_book::_is_serving(const std::string &p_version) const {
+	return std::count_if(_serving.begin(), _serving.end(), [&p_version](const auto &p_entry) { return p_entry.second == p_version; }) >= LEAST_SERVING;
+}
+
+void promise_book::_read_events(soak_attempt &r_attempt, std::string_view p_body) {
+	if (!is_stream(r_attempt.kind)) {
+		return;
+	}
+	received_events events = read_events(p_body, r_attempt.id, r_attempt.resumed_after + 1);
+	r_attempt.events = events.count;
+	if (!r_attempt.stream.empty()) {
+		events.versions.insert(r_attempt.version);
+	}
+	if (events.versions.size() > 1) {
+		std::string versions;
+		for (const std::string &version : events.versions) {
+			versions += " " + version;
+		}
+		judge(promise::ONE_VERSION, {}, r_attempt.id + " at node " + std::to_string(r_attempt.node) + (r_attempt.stream.empty() ? "" : ", which resumes " + r_attempt.stream + ",") + " has events of versions" + versions);
+	} else if (!events.versions.empty()) {
+		r_attempt.version = *events.versions.begin();
+	}
+}
+
+void promise_book::_end(soak_attempt &r_attempt, instant p_now) {
+	r_attempt.has_ended = true;
+	r_attempt.ended_at = p_now;
+	r_attempt.is_version_serving = r_attempt.is_version_serving && _is_serving(r_attempt.version);
+}
+
 std::shared_ptr<soak_attempt> promise_book::find(const std::string &p_id) const {
 	const auto found = _attempts.find(p_id);
 	return found == _attempts.end() ? nullptr : found->second;
@@ -136,7 +181,10 @@
 
 void promise_book::_check_success(const soak_attempt &p_attempt, const http_head &p_head, const std::string &p_body) {
 	const std::string seal = get(p_head, "X-Replica-Seal");
-	const std::string expected = is_stream(p_attempt.kind) ? make_stream(p_attempt.id) : make_answer_body(p_attempt.id, seal);
+	std::string expected = is_stream(p_attempt.kind) ? "" : make_answer_body(p_attempt.id, seal);
+	for (int number = p_attempt.resumed_after + 1; is_stream(p_attempt.kind) && number <= EVENTS_IN_STREAM; number++) {
+		expected += make_event(p_attempt.id, number, p_attempt.version);
+	}
 	if (seal.empty() || get(p_head, "X-Attempt-Id") != p_attempt.id || p_body != expected) {
 		judge(promise::OWN_ANSWER, {}, p_attempt.id + " at node " + std::to_string(p_attempt.node) + " got " + std::to_string(p_body.size()) + " bytes for " + get(p_head, "X-Attempt-Id") + ": " + p_body.substr(0, SHOWN_BYTES));
 	}
@@ -161,11 +209,12 @@
 }
 
 void promise_book::on_answer(soak_attempt &r_attempt, const http_head &p_head, const std::string &p_body, std::size_t p_life, instant p_now) {
-	r_attempt.has_ended = true;
 	r_attempt.status = p_head.status;
+	_end(r_attempt, p_now);
 	_ends[std::to_string(p_head.status)]++;
 	const std::string at = r_attempt.id + " at node " + std::to_string(r_attempt.node);
 	if (p_head.status >= 200 && p_head.status < 300) {
+		_read_events(r_attempt, p_body);
 		_check_success(r_attempt, p_head, p_body);
 	}
 	if (promises_not_run(p_head.status) && !r_attempt.run_by.empty()) {
@@ -178,8 +227,9 @@
 	}
 }
 
-void promise_book::on_no_answer(soak_attempt &r_attempt, unanswered_end p_end, bool p_has_begun, instant p_now) {
-	r_attempt.has_ended = true;
+void promise_book::on_no_answer(soak_attempt &r_attempt, unanswered_end p_end, bool p_has_begun, const std::string &p_body, instant p_now) {
+	_read_events(r_attempt, p_body);
+	_end(r_attempt, p_now);
 	const check_scope scope = _make_scope(r_attempt, p_now);
 	const std::string at = r_attempt.id + " at node " + std::to_string(r_attempt.node) + (r_attempt.is_proxied ? " through its proxy" : "");
 	if (p_end == unanswered_end::NONE) {
@@ -204,8 +254,9 @@
 	}
 }
 
-void promise_book::on_left(soak_attempt &r_attempt) {
-	r_attempt.has_ended = true;
+void promise_book::on_left(soak_attempt &r_attempt, const std::string &p_body, instant p_now) {
+	_read_events(r_attempt, p_body);
+	_end(r_attempt, p_now);
 	_ends["caller left"]++;
 }
 
@@ -245,7 +296,7 @@
 	std::vector<const soak_attempt *> found;
 	for (const std::string &id : _order) {
 		const soak_attempt &attempt = *_attempts.at(id);
-		const bool is_in_span = attempt.kind != request_kind::PROBE && attempt.is_sent() && attempt.begun_at >= p_from && attempt.begun_at < p_to;
+		const bool is_in_span = attempt.kind != request_kind::PROBE && !attempt.is_dropped && attempt.is_sent() && attempt.begun_at >= p_from && attempt.begun_at < p_to;
 		if (is_in_span && !_disturbances.has(disturbance::DRIVER_SLOW, 0, attempt.begun_at, attempt.give_up_at)) {
 			found.push_back(&attempt);
 		}
@@ -259,6 +310,36 @@
 	return static_cast<std::size_t>(std::count_if(calm.begin(), calm.end(), is_past)) >= REQUESTS_TO_JUDGE;
 }
 
+bool promise_book::_is_in_touch(const soak_attempt &p_attempt) const {
+	const check_scope touch{ p_attempt.node, false, {}, p_attempt.begun_at, p_attempt.ended_at };
+	return _disturbances.find_excuse(promise::CONFIGURATION_IN_FORCE, touch).empty();
+}
+
+void promise_book::check_resumptions() {
+	std::array<std::size_t, 2> counts{}; ///< New streams, and resumed ones.
+	std::array<std::size_t, 2> continued{};
+	std::string lost;
+	for (const std::string &id : _order) {
+		const soak_attempt &attempt = *_attempts.at(id);
+		const bool is_resumed = !attempt.stream.empty();
+		if (attempt.kind != request_kind::RESUMABLE || !attempt.has_ended || !_is_in_touch(attempt) || (is_resumed && !attempt.is_version_serving)) {
+			continue;
+		}
+		const bool goes_on = attempt.events > 0 || attempt.status == 200;
+		counts.at(is_resumed ? 1 : 0)++;
+		continued.at(is_resumed ? 1 : 0) += goes_on ? 1 : 0;
+		lost += is_resumed && !goes_on ? ", " + id + " at node " + std::to_string(attempt.node) + " (" + std::to_string(attempt.status) + ")" : "";
+	}
+	if (counts[1] > 0) {
+		_ends["streams resumed in touch"] = counts[1];
+		_ends["streams that went on"] = continued[1];
+	}
+	const double begun_share = counts[0] == 0 ? 0.0 : static_cast<double>(continued[0]) / static_cast<double>(counts[0]);
+	if (counts[1] >= RESUMPTIONS_TO_JUDGE && static_cast<double>(continued[1]) < LEAST_RESUMED_SHARE * begun_share * static_cast<double>(counts[1])) {
+		judge(promise::STREAMS_GO_ON, {}, std::to_string(continued[1]) + " of " + std::to_string(counts[1]) + " resumed streams went on, while " + std::to_string(continued[0]) + " of " + std::to_string(counts[0]) + " new ones began" + lost);
+	}
+}
+
 void promise_book::check_served(instant p_from, instant p_to) {
 	const std::vector<const soak_attempt *> calm = _find_calm(p_from, p_to);
 	std::size_t served = 0;
--- a/tests/soak/promise_book.h
+++ b/tests/soak/promise_book.h
@@ -40,6 +40,13 @@
 	instant run_at{}; ///< When the last of them did.
 	int status = 0; ///< Of its answer.
 	bool has_ended = false;
+	instant ended_at{};
+	std::string stream; ///< The attempt that brought the first event of the stream that it resumes; empty if it begins anew.
+	int resumed_after = 0; ///< Number of the last event that its caller had before.
+	std::string version; ///< That the stream's events name.
+	int events = 0; ///< Whole events that came in its answer.
+	bool is_version_serving = true; ///< Two endpoints of the stream's version served from its begin to its end.
+	bool is_dropped = false; ///< Its caller left it to resume the stream at another node.
 
 	bool is_sent() const { return sent_at != instant(); }
 };
@@ -75,6 +82,7 @@
 	std::vector<std::string> _order; ///< Ids as they came.
 	std::map<std::size_t, endpoint_state> _endpoints;
 	std::map<std::pair<std::size_t, std::size_t>, version_seen> _seen; ///< By node and life.
+	std::map<std::size_t, std::string> _serving; ///< Version of each endpoint that takes requests.
 	std::uint64_t _version = 0;
 	instant _confirmed_at{};
 	std::vector<broken_promise> _broken;
@@ -84,6 +92,11 @@
 	std::vector<const soak_attempt *> _find_calm(instant p_from, instant p_to) const;
 	check_scope _make_scope(const soak_attempt &p_attempt, instant p_now) const;
 	void _check_probe(const soak_attempt &p_attempt, bool p_is_unknown, std::size_t p_life, instant p_now);
+	bool _is_serving(const std::string &p_version) const;
+	/** Counts the events of an answer and checks their versions. */
+	void _read_events(soak_attempt &r_attempt, std::string_view p_body);
+	void _end(soak_attempt &r_attempt, instant p_now);
+	bool _is_in_touch(const soak_attempt &p_attempt) const;
 	void _check_success(const soak_attempt &p_attempt, const http_head &p_head, const std::string &p_body);
 
 public:
@@ -93,6 +106,9 @@
 	/** A request of the newest version's route, or of the one before. */
 	std::shared_ptr<soak_attempt> open_probe(std::uint64_t p_version, std::size_t p_node, std::size_t p_life, instant p_now);
 
+	/** A request that resumes the stream of a broken or dropped one. */
+	std::shared_ptr<soak_attempt> open_resumption(const soak_attempt &p_broken, std::size_t p_node, std::size_t p_life, bool p_is_proxied, instant p_now);
+
 	/** An endpoint begins to work on a request. */
 	void on_run(std::size_t p_endpoint, const http_head &p_head, const std::string &p_body, instant p_now);
 	/** A request came to an address that a spoilt record names. */
@@ -100,15 +116,18 @@
 
 	/** @param p_life The node's life as the answer came. */
 	void on_answer(soak_attempt &r_attempt, const http_head &p_head, const std::string &p_body, std::size_t p_life, instant p_now);
-	void on_no_answer(soak_attempt &r_attempt, unanswered_end p_end, bool p_has_begun, instant p_now);
-	/** The caller left before the answer. */
-	void on_left(soak_attempt &r_attempt);
+	/** @param p_body What came of the body. */
+	void on_no_answer(soak_attempt &r_attempt, unanswered_end p_end, bool p_has_begun, const std::string &p_body, instant p_now);
+	/** The caller left before the answer, or before its end. */
+	void on_left(soak_attempt &r_attempt, const std::string &p_body, instant p_now);
 	/** Bytes came where no answer was due. */
 	void on_surplus(std::size_t p_node, std::string_view p_bytes);
 
 	void on_configured(std::uint64_t p_version, instant p_now);
 	void on_leaving(std::size_t p_endpoint, instant p_now);
 	void on_started_again(std::size_t p_endpoint);
+	/** Sets the version of an endpoint that takes requests; empty if it takes none. */
+	void set_serving(std::size_t p_endpoint, const std::string &p_version) { _serving[p_endpoint] = p_version; }
 	/** Checks an endpoint that came back at a time, from the nodes of its zone. */
 	void check_returned(std::size_t p_endpoint, const std::vector<std::size_t> &p_nodes, instant p_since, instant p_now);
 
@@ -121,6 +140,9 @@
 	/** Checks that requests begun in a span without trouble were served; those met by a slow soak say nothing. */
 	void check_served(instant p_from, instant p_to);
 
+	/** Checks how many of the streams that callers resumed went on. */
+	void check_resumptions();
+
 	/** Notes a broken promise, unless the record shows an excuse from the table. */
 	void judge(promise p_promise, const check_scope &p_scope, const std::string &p_detail);
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -32,6 +32,17 @@
 constexpr duration LAST_WAIT = milliseconds(2000);
 constexpr duration FIRST_WAIT_MOST = milliseconds(1000);
 constexpr duration NO_NODE_WAIT = milliseconds(200);
+/** Of streams that may be resumed, by callers that resume. */
+constexpr double SHARE_DROPPED = 0.4;
+constexpr double LEAST_PATIENCE_MS = 40;
+constexpr double MOST_PATIENCE_MS = 200;
+/** Of requests, by callers that resume streams; the others are of any kind. */
+constexpr double SHARE_RESUMABLE = 0.4;
+constexpr double LEAST_RETURN_MS = 2;
+constexpr double MOST_RETURN_MS = 60;
+constexpr int MOST_RESUMPTIONS = 4;
+/** A stream is not resumed when less time is left. */
+constexpr duration LEAST_LEFT = milliseconds(300);
 
 request_kind pick_kind(soak_random &r_random) {
 	constexpr std::array<request_kind, 6> KINDS{ request_kind::SAFE, request_kind::SAFE, request_kind::ONCE, request_kind::ONCE, request_kind::STREAM, request_kind::RESUMABLE };
@@ -51,7 +62,8 @@
 } // namespace
 
 std::string write_request_head(const soak_attempt &p_attempt, const std::string &p_key) {
-	return "POST " + p_attempt.target + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + p_attempt.id + "\r\nX-Deadline-Ms: " + std::to_string((p_attempt.give_up_at - p_attempt.begun_at).count() / 1000) + "\r\nAuthorization: Bearer " + p_key + "\r\nContent-Length: " + std::to_string(p_attempt.body.size()) + "\r\n\r\n";
+	const std::string resumed = p_attempt.stream.empty() ? "" : "\r\nResumes: " + p_attempt.stream + "\r\nLast-Event-Id: " + std::to_string(p_attempt.resumed_after);
+	return "POST " + p_attempt.target + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + p_attempt.id + "\r\nX-Deadline-Ms: " + std::to_string((p_attempt.give_up_at - p_attempt.begun_at).count() / 1000) + "\r\nAuthorization: Bearer " + p_key + resumed + "\r\nContent-Length: " + std::to_string(p_attempt.body.size()) + "\r\n\r\n";
 }
 
 soak_caller::soak_caller(caller_context &p_context, std::uint64_t p_seed) :
@@ -69,6 +81,10 @@
 	if (_is_stopped || _attempt) {
 		return;
 	}
+	if (_connection && _broken) {
+		// A stream is resumed on a new connection, which may lead to another node.
+		_end_connection();
+	}
 	const bool is_too_old = !_is_heedless && _told_rest && event_loop::now() - _rested_since >= *_told_rest;
 	if (_connection && is_too_old) {
 		_end_connection();
@@ -106,7 +122,12 @@
 
 void soak_caller::_send() {
 	const instant now = event_loop::now();
-	_attempt = _context.book.open(pick_kind(_random), _node, _context.sites[_node].life, _is_proxied, now);
+	const std::size_t life = _context.sites[_node].life;
+	const bool is_resumed = _broken && _broken->give_up_at - now > LEAST_LEFT;
+	const request_kind kind = _context.resumes_streams && _random.has_luck(SHARE_RESUMABLE) ? request_kind::RESUMABLE : pick_kind(_random);
+	_attempt = is_resumed ? _context.book.open_resumption(*_broken, _node, life, _is_proxied, now) : _context.book.open(kind, _node, life, _is_proxied, now);
+	_resumptions = is_resumed ? _resumptions + 1 : 0;
+	_broken.reset();
 	const std::string head = write_request_head(*_attempt, std::string(STEADY_KEY));
 	if (_random.has_luck(SHARE_IN_PARTS)) {
 		_connection->send(head, false);
@@ -116,14 +137,31 @@
 	}
 	const bool leaves = _random.has_luck(SHARE_LEAVING);
 	const duration patience = _random.pick_time(0, 400);
-	_give_up_timer.set(leaves ? patience : _attempt->give_up_at + LAST_WAIT - now);
+	const bool drops = _context.resumes_streams && _attempt->kind == request_kind::RESUMABLE && _random.has_luck(SHARE_DROPPED);
+	_give_up_timer.set(drops ? _random.pick_time(LEAST_PATIENCE_MS, MOST_PATIENCE_MS) : leaves ? patience
+																							   : _attempt->give_up_at + LAST_WAIT - now);
+}
+
+bool soak_caller::_keep_stream() {
+	const bool is_resumable = _context.resumes_streams && _attempt->kind == request_kind::RESUMABLE;
+	const int received = _attempt->resumed_after + _attempt->events;
+	if (!is_resumable || received == 0 || received >= EVENTS_IN_STREAM || _resumptions >= MOST_RESUMPTIONS) {
+		return false;
+	}
+	_broken = _attempt;
+	return true;
 }
 
 void soak_caller::_rest() {
+	const bool resumes = _attempt && _attempt->has_ended && _attempt->status != 200 && _keep_stream();
 	_attempt.reset();
 	_give_up_timer.cancel();
 	_part_timer.cancel();
 	_rested_since = event_loop::now();
+	if (resumes) {
+		_next_timer.set(_random.pick_time(LEAST_RETURN_MS, MOST_RETURN_MS));
+		return;
+	}
 	const double kind = _random.get_unit();
 	const double idle = to_milliseconds(_context.idle_limit);
 	if (kind < SHARE_SHORT_REST) {
@@ -147,12 +185,13 @@
 void soak_caller::_give_up() {
 	const bool has_left = event_loop::now() < _attempt->give_up_at;
 	if (has_left) {
-		_context.book.on_left(*_attempt);
+		_attempt->is_dropped = _context.resumes_streams && _attempt->kind == request_kind::RESUMABLE;
+		_context.book.on_left(*_attempt, _connection->get_body(), event_loop::now());
 	} else if (_connection->is_closed()) {
 		// It tells by itself whether a reset followed.
 		return;
 	} else {
-		_context.book.on_no_answer(*_attempt, unanswered_end::NONE, false, event_loop::now());
+		_context.book.on_no_answer(*_attempt, unanswered_end::NONE, false, _connection->get_body(), event_loop::now());
 	}
 	_end_connection();
 	_rest();
@@ -160,7 +199,7 @@
 
 void soak_caller::end() {
 	if (_attempt) {
-		_context.book.on_no_answer(*_attempt, unanswered_end::NONE, false, event_loop::now());
+		_context.book.on_no_answer(*_attempt, unanswered_end::NONE, false, _connection ? _connection->get_body() : "", event_loop::now());
 		_end_connection();
 		_rest();
 	}
@@ -176,7 +215,7 @@
 }
 
 void soak_caller::_on_broken(unanswered_end p_end, bool p_has_begun) {
-	_context.book.on_no_answer(*_attempt, p_end, p_has_begun, event_loop::now());
+	_context.book.on_no_answer(*_attempt, p_end, p_has_begun, _connection->get_body(), event_loop::now());
 	_end_connection();
 	_rest();
 }
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -34,6 +34,7 @@
 	promise_book &book;
 	std::vector<caller_site> &sites;
 	duration idle_limit{}; ///< Of the configuration, after which a node may close.
+	bool resumes_streams = false; ///< Callers resume streams that break off, and drop some to do so.
 };
 
 /** Text of a request as a caller sends it. */
@@ -48,6 +49,8 @@
 	timer _give_up_timer;
 	std::unique_ptr<soak_connection> _connection;
 	std::shared_ptr<soak_attempt> _attempt;
+	std::shared_ptr<soak_attempt> _broken; ///< The request whose stream the next one resumes.
+	int _resumptions = 0; ///< Of the current stream.
 	std::size_t _node = 0;
 	bool _is_proxied = false;
 	instant _rested_since{};
@@ -59,6 +62,8 @@
 	bool _open();
 	void _send();
 	void _rest();
+	/** Keeps a stream that was broken off or dropped, to resume it soon. Returns whether there is something to resume. */
+	bool _keep_stream();
 	void _end_connection();
 	void _give_up();
 	void _on_answer(const http_head &p_head, const std::string &p_body);
--- a/tests/soak/soak_connection.h
+++ b/tests/soak/soak_connection.h
@@ -74,6 +74,8 @@
 	void abandon();
 
 	bool is_open_request() const { return _is_open_request; }
+	/** What has come of the body of the answer to the open request. */
+	const std::string &get_body() const { return _body; }
 	/** The node ended it under the request, and no reset told yet that the request was not read. */
 	bool is_closed() const { return _closed_at != instant(); }
 };
--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -68,6 +68,11 @@
 	_server = std::make_unique<caller_server>(_loop, network_address{ _host, 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); });
 }
 
+void soak_endpoint::set_version(const std::string &p_version) {
+	_version = p_version;
+	_name = "i-" + std::to_string(_number) + "-" + p_version;
+}
+
 void soak_endpoint::crash() {
 	_work.reset();
 	// Freed from the loop, behind the connections that the server has dropped there before.
@@ -76,7 +81,7 @@
 }
 
 std::string soak_endpoint::write_record(const network_address &p_address, const std::string &p_zone, bool p_is_leaving) {
-	return json{ { "service", "svc" }, { "address", to_string(p_address) }, { "zone", p_zone }, { "version", "v1" }, { "slots", SLOTS }, { "state", p_is_leaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "seq_no", _sequence++ }, { "born", _born } }.dump();
+	return json{ { "service", "svc" }, { "address", to_string(p_address) }, { "zone", p_zone }, { "version", _version.empty() ? "v1" : _version }, { "slots", SLOTS }, { "state", p_is_leaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "seq_no", _sequence++ }, { "born", _born } }.dump();
 }
 
 endpoint_mode soak_endpoint::_take_mode() {
@@ -197,7 +202,7 @@
 		return;
 	}
 	const std::string id = get(*p_exchange, "X-Attempt-Id");
-	const std::string event = make_event(id, p_number);
+	const std::string event = make_event(id, p_number, _version);
 	if (p_mode == endpoint_mode::CUTS && p_number == EVENTS_IN_STREAM / 2) {
 		p_exchange->send(event.substr(0, event.size() / 2));
 		p_exchange->abort();
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -48,6 +48,7 @@
 	notice_book &_notices;
 	std::size_t _number;
 	std::string _name;
+	std::string _version; ///< Of its software; empty if its events do not name it.
 	std::string _host; ///< Listens there at any port.
 	std::unique_ptr<caller_server> _server;
 	std::unique_ptr<later_queue> _work;
@@ -74,6 +75,10 @@
 	/** Ends; what it works on is gone. */
 	void crash();
 
+	/** Sets the version of its software, for its next start; it gets another name with each version. */
+	void set_version(const std::string &p_version);
+	const std::string &get_version() const { return _version; }
+
 	void set_mode(endpoint_mode p_mode) { _mode = p_mode; }
 
 	/** Whether each answer ends in one of the ways of answer_ending, told by its request's id. */
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -70,6 +70,10 @@
 	return "127." + std::to_string(64 + own % 128) + "." + std::to_string(1 + own / 128 % 250) + "." + std::to_string(1 + p_number);
 }
 
+std::string make_version(std::size_t p_number) {
+	return "v1." + std::to_string(p_number);
+}
+
 network_address get_node_address(std::size_t p_node, std::uint16_t p_port) {
 	return network_address{ get_host(p_node), p_port };
 }
@@ -91,7 +95,11 @@
 	configure();
 	for (std::size_t i = 0; i < p_size.endpoints; i++) {
 		_endpoints.push_back(endpoint{ std::make_unique<soak_endpoint>(p_loop, p_book, _notices, i, get_host(ENDPOINT_HOST)), nullptr });
+		if (p_size.has_versions) {
+			_endpoints[i].server->set_version(make_version(1 + i % FIRST_VERSIONS));
+		}
 		_endpoints[i].server->start();
+		_book.set_serving(i, _endpoints[i].server->get_version());
 		_endpoints[i].link = std::make_unique<fault_proxy>(p_loop, network_address{ "127.0.0.1", 0 }, _endpoints[i].server->get_address());
 		_put_endpoint(i, false);
 	}
@@ -301,6 +309,7 @@
 void soak_fleet::_end_endpoint(std::size_t p_number, duration p_until_start) {
 	endpoint &ended = _endpoints[p_number];
 	ended.server->crash();
+	_book.set_serving(p_number, "");
 	ended.link->set_target(network_address{ get_host(ENDPOINT_HOST), DEAD_PORT });
 	ended.link->reset_all();
 	_disturbances.begin(disturbance::ENDPOINT_GONE, p_number, event_loop::now());
@@ -309,7 +318,12 @@
 
 void soak_fleet::_start_endpoint(std::size_t p_number) {
 	endpoint &started = _endpoints[p_number];
+	if (started.next_version) {
+		started.server->set_version(make_version(*started.next_version));
+		started.next_version.reset();
+	}
 	started.server->start();
+	_book.set_serving(p_number, started.server->get_version());
 	started.link->set_target(started.server->get_address());
 	started.is_in_use = true;
 	started.returns++;
@@ -342,6 +356,7 @@
 
 void soak_fleet::_leave(std::size_t p_number, duration p_until_start) {
 	_endpoints[p_number].is_in_use = false;
+	_book.set_serving(p_number, "");
 	_put_endpoint(p_number, true);
 	_book.on_leaving(p_number, event_loop::now());
 	_later.add(DRAIN_TIME, [this, p_number, p_until_start] {
@@ -391,6 +406,7 @@
 
 void soak_fleet::_leave_by_word(std::size_t p_number, duration p_until_end) {
 	_endpoints[p_number].is_in_use = false;
+	_book.set_serving(p_number, "");
 	_notices.set(p_number, soak_notice{ std::nullopt, true, duration::zero() }, event_loop::now());
 	_later.add(p_until_end, [this, p_number] {
 		_store.drop(ENDPOINT_TOPIC, _endpoints[p_number].server->get_name());
@@ -469,6 +485,12 @@
 				_leave(subject, p_event.length);
 			}
 			return;
+		case soak_action::ENDPOINT_UPDATES:
+			if (_endpoints[subject].is_in_use) {
+				_endpoints[subject].next_version = p_event.choice;
+				_leave(subject, p_event.length);
+			}
+			return;
 		case soak_action::ENDPOINT_MISBEHAVES:
 			_misbehave(p_event);
 			return;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -18,6 +18,7 @@
 #include "tests/standins/standin_store.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,7 @@
 		std::unique_ptr<fault_proxy> link;
 		bool is_in_use = true; ///< Neither crashed nor leaving.
 		std::size_t returns = 0;
+		std::optional<std::size_t> next_version; ///< Of its software, from its next start on.
 	};
 
 	event_loop &_loop;
--- a/tests/soak/soak_message.cpp
+++ b/tests/soak/soak_message.cpp
@@ -77,18 +77,32 @@
 	return fill("answer to " + p_id + " by " + p_endpoint + ";", number % most);
 }
 
-std::string make_event(const std::string &p_id, int p_number) {
+std::string make_event(const std::string &p_id, int p_number, const std::string &p_version) {
 	static constexpr std::array<std::string_view, 3> LINE_ENDS{ "\n", "\r\n", "\r" };
 	const std::string end(LINE_ENDS.at(hash_bytes(p_id, 6) % LINE_ENDS.size()));
-	return "id: " + std::to_string(p_number) + end + "data: " + p_id + "/" + std::to_string(p_number) + end + end;
+	const std::string version = p_version.empty() ? "" : "@" + p_version;
+	return "id: " + std::to_string(p_number) + end + "data: " + p_id + "/" + std::to_string(p_number) + version + end + end;
 }
 
-std::string make_stream(const std::string &p_id) {
-	std::string events;
-	for (int number = 1; number <= EVENTS_IN_STREAM; number++) {
-		events += make_event(p_id, number);
+received_events read_events(std::string_view p_body, const std::string &p_id, int p_first) {
+	received_events events;
+	while (true) {
+		const std::size_t at = p_body.find("data: ");
+		const std::size_t line_end = at == std::string_view::npos ? at : p_body.find_first_of("\r\n", at);
+		if (line_end == std::string_view::npos) {
+			return events;
+		}
+		const std::string_view line = p_body.substr(at, line_end - at);
+		const std::size_t mark = line.find('@');
+		const std::string version(mark == std::string_view::npos ? std::string_view() : line.substr(mark + 1));
+		const std::string event = make_event(p_id, p_first + events.count, version);
+		if (!p_body.starts_with(event)) {
+			return events;
+		}
+		events.count++;
+		events.versions.insert(version);
+		p_body.remove_prefix(event.size());
 	}
-	return events;
 }
 
 std::string make_soak_configuration(std::uint64_t p_version, int p_idle_ms) {
--- a/tests/soak/soak_message.h
+++ b/tests/soak/soak_message.h
@@ -10,6 +10,7 @@
 #define SOAK_MESSAGE_H
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -41,8 +42,17 @@
 std::string make_request_body(const std::string &p_id);
 std::string make_answer_body(const std::string &p_id, const std::string &p_endpoint);
 
-std::string make_event(const std::string &p_id, int p_number);
-std::string make_stream(const std::string &p_id);
+/** @param p_version Of the endpoint's software; empty if its events do not name it. */
+std::string make_event(const std::string &p_id, int p_number, const std::string &p_version);
+
+/** Whole events at the beginning of an answer. */
+struct received_events {
+	int count = 0;
+	std::set<std::string> versions; ///< That they name.
+};
+
+/** @param p_first The number of the first event. */
+received_events read_events(std::string_view p_body, const std::string &p_id, int p_first);
 
 /** The configuration of the soak at a version: its steady routes, and one route and key that no other version has. */
 std::string make_soak_configuration(std::uint64_t p_version, int p_idle_ms);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -44,7 +44,7 @@
 } // namespace
 
 soak_run::soak_run(std::uint64_t p_seed, const soak_size &p_size, const soak_place &p_place) :
-		_size(p_size), _seed(p_seed), _book(_disturbances, "s" + std::to_string(p_seed) + "-"), _fleet(_loop, _book, _disturbances, _sites, p_place, p_size), _context{ _loop, _book, _sites, IDLE_LIMIT }, _views(p_size.nodes), _probes(p_size.nodes), _questions(_loop), _later(_loop), _started_at(event_loop::now()) {
+		_size(p_size), _seed(p_seed), _book(_disturbances, "s" + std::to_string(p_seed) + "-"), _fleet(_loop, _book, _disturbances, _sites, p_place, p_size), _context{ _loop, _book, _sites, IDLE_LIMIT, p_size.has_versions }, _views(p_size.nodes), _probes(p_size.nodes), _questions(_loop), _later(_loop), _started_at(event_loop::now()) {
 	soak_random random(p_seed + 1);
 	for (std::size_t i = 0; i < p_size.callers; i++) {
 		_callers.push_back(std::make_unique<soak_caller>(_context, random.pick(1U << 30U)));
@@ -80,7 +80,7 @@
 		if (!_probes[i].attempt && !_is_ending && _fleet.is_in_service(i)) {
 			_send_probe(i);
 		} else if (_probes[i].attempt && event_loop::now() > _probes[i].attempt->give_up_at + LAST_WAIT && !_probes[i].connection->is_closed()) {
-			_book.on_no_answer(*_probes[i].attempt, unanswered_end::NONE, false, event_loop::now());
+			_book.on_no_answer(*_probes[i].attempt, unanswered_end::NONE, false, "", event_loop::now());
 			_end_probe(i);
 		}
 	}
@@ -100,7 +100,7 @@
 			}
 		};
 		hooks.on_broken = [this, p_node](unanswered_end p_end, bool p_has_begun) {
-			_book.on_no_answer(*_probes[p_node].attempt, p_end, p_has_begun, event_loop::now());
+			_book.on_no_answer(*_probes[p_node].attempt, p_end, p_has_begun, "", event_loop::now());
 			_end_probe(p_node);
 		};
 		hooks.on_closed = [this, p_node] { _end_probe(p_node); };
@@ -161,7 +161,7 @@
 	}
 	for (std::size_t i = 0; i < _probes.size(); i++) {
 		if (_probes[i].attempt) {
-			_book.on_no_answer(*_probes[i].attempt, unanswered_end::NONE, false, event_loop::now());
+			_book.on_no_answer(*_probes[i].attempt, unanswered_end::NONE, false, "", event_loop::now());
 			_end_probe(i);
 		}
 	}
@@ -171,6 +171,7 @@
 void soak_run::play() {
 	_loop.run();
 	_book.check_served(_get_served_from(), _served_to);
+	_book.check_resumptions();
 }
 
 void soak_run::write_report(std::ostream &r_out) const {
--- a/tests/soak/soak_schedule.cpp
+++ b/tests/soak/soak_schedule.cpp
@@ -56,9 +56,13 @@
 constexpr std::uint64_t ENDS_SEED_STEP = 4'000'003;
 constexpr std::size_t LEAST_VARIED_ENDS = 2;
 constexpr std::size_t MORE_VARIED_ENDS = 3;
+/** Of the endpoints, those that one burst updates, one after the other. */
+constexpr std::size_t UPDATED_PART = 3;
+constexpr duration UPDATE_STEP = milliseconds(700);
+constexpr std::uint64_t UPDATE_SEED_STEP = 5'000'003;
 constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends", "endpoint_updates" };
 
 bool is_of_endpoint(soak_action p_action) {
 	return p_action == soak_action::ENDPOINT_LINK || p_action == soak_action::ENDPOINT_CRASHES || p_action == soak_action::ENDPOINT_LEAVES || p_action == soak_action::ENDPOINT_MISBEHAVES;
@@ -124,6 +128,14 @@
 	}
 }
 
+/** @param p_version Number of the version that the update brings. */
+void add_update(soak_random &r_random, const soak_size &p_size, duration p_begin, std::size_t p_version, std::vector<soak_event> &r_events) {
+	const std::size_t first = r_random.pick(p_size.endpoints);
+	for (std::size_t i = 0; i < std::max<std::size_t>(1, p_size.endpoints / UPDATED_PART); i++) {
+		r_events.push_back(soak_event{ p_begin + UPDATE_STEP * static_cast<duration::rep>(i), soak_action::ENDPOINT_UPDATES, (first + i) % p_size.endpoints, r_random.pick_time(LEAST_LENGTH_MS, MOST_LENGTH_MS), p_version });
+	}
+}
+
 } // namespace
 
 std::string_view get_name(soak_action p_value) {
@@ -144,6 +156,8 @@
 	soak_random notices(p_seed + NOTICE_SEED_STEP);
 	soak_random silences(p_seed + SILENCE_SEED_STEP);
 	soak_random ends(p_seed + ENDS_SEED_STEP);
+	soak_random updates(p_seed + UPDATE_SEED_STEP);
+	std::size_t newest_version = FIRST_VERSIONS;
 	std::vector<soak_event> events;
 	for (duration begin = WARM_UP; begin + BURST <= get_calm_end(p_size); begin += BURST + CALM) {
 		add_burst(random, p_size, begin, events);
@@ -159,6 +173,9 @@
 		if (p_size.has_varied_ends) {
 			add_varied_ends(ends, p_size, begin, events);
 		}
+		if (p_size.has_versions) {
+			add_update(updates, p_size, begin, ++newest_version, events);
+		}
 	}
 	for (duration at = WARM_UP; at < p_size.length; at += random.pick_time(LEAST_BETWEEN_VERSIONS_MS, MOST_BETWEEN_VERSIONS_MS)) {
 		events.push_back(soak_event{ at, soak_action::CONFIGURE, 0, duration::zero(), 0 });
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -41,6 +41,7 @@
 	ENDPOINT_RESTS, ///< Turns requests away and asks for rest.
 	STORE_FROM_COPY, ///< It is copied, and comes back from that copy when the length is over; those who write there do so again.
 	ENDPOINT_VARIES_ENDS, ///< Frames its answers in any way, and ends streams inside an event in good order.
+	ENDPOINT_UPDATES, ///< Leaves, and starts again under another name with a newer version of its software.
 	COUNT,
 };
 
@@ -66,6 +67,9 @@
 	std::string describe() const;
 };
 
+/** Versions of the endpoints' software at the start of a soak with versions, by turns. */
+constexpr std::size_t FIRST_VERSIONS = 2;
+
 /** How large a soak is. */
 struct soak_size {
 	std::size_t nodes = 6;
@@ -75,6 +79,7 @@
 	bool has_notices = false; ///< Endpoints say things about themselves in their answers besides, some in each burst.
 	bool has_copies = false; ///< The store comes back from older copies besides, once or twice in each burst.
 	bool has_silences = false; ///< The store is silent besides, once in each burst, for longer than any node leaves a read to others.
+	bool has_versions = false; ///< Endpoints have two versions of their software, and more of them are updated in each burst; callers resume streams.
 	bool has_varied_ends = false; ///< Endpoints end answers in any way besides, some in each burst.
 };
 
