--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -160,4 +160,18 @@
 mutate "stage work: report of its end" "results of another request are taken" servers/gateway/work_report.cpp "p_report.attempt != p_assigned.attempt" "false" work_report_test
 mutate "gateway: retry budget" "silent nodes lose their part of the slack" servers/membership/member_table.cpp "!p_entry.second.digest.leaving ||" "(!p_entry.second.digest.leaving && p_entry.second.state != member_state::GONE) ||" shared_state_test
 
+mutate "stream versions" "a stream goes on at any version" main/gateway/admitted_request.cpp " && (!version || p_listing.version == *version)" "" gateway_stream_version_test
+mutate "stream versions" "a stream is not bound to the endpoint that began it" main/gateway/gateway_request.cpp "	_request.stream_version = _run->version;
+" "" gateway_stream_version_test
+mutate "stream versions" "an entry with another version is taken for the same start" servers/routing/router.cpp " && (is_version_unknown || p_endpoint.listing.version == p_listing.version)" "" routing_test
+mutate "stream records" "only the node that began a stream has its record" main/gateway/stream_sync.cpp "			_send(vm, { p_record });" "" gateway_stream_version_test
+mutate "stream records" "customers share the records of their attempts" servers/streams/stream_record.cpp "	digest.add(p_customer);
+" "" gateway_stream_version_test
+mutate "stream records" "the record of a resumed stream is not kept for longer" servers/streams/stream_table.cpp "	_extend(found, record.expires_at);
+" "" stream_records_test
+mutate "stream records" "the first of two origins counts" servers/streams/stream_table.cpp "found.is_contradicted || !(found.record.origin == record.origin)" "false" stream_records_test
+mutate "stream records" "all copies are in one zone" servers/streams/record_placement.cpp "constexpr std::size_t COPIES_IN_ZONE = 2;" "constexpr std::size_t COPIES_IN_ZONE = 3;" stream_records_test
+mutate "stream lookups" "a record on its way is not waited for" servers/streams/stream_lookup.cpp "_round == lookup_round::ALL_REACHABLE && _awaited.empty()" "_awaited.empty()" stream_records_test
+mutate "single versions" "a version that has gone is forgotten at once" servers/streams/version_presence.cpp "version != listed && p_now - listed_at < p_age" "false" stream_records_test
+mutate "single versions" "an old list proves what was there" servers/streams/version_presence.cpp "p_now - *_confirmed_at <= MAX_GAP && " "" stream_records_test
 exit "$status"
--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -27,7 +27,7 @@
 	sed -n 's/^  \([a-z_]*\) broken [0-9]* times$/\1/p' "$scratch/log" | sort -u
 }
 
-for option in "" --copies --silences --ends; do
+for option in "" --copies --silences --ends --versions; do
 	play ${option:+"$option"} >"$scratch/unbroken$option"
 	echo "broken without any mutation${option:+, $option}: $(paste -sd ' ' "$scratch/unbroken$option")"
 done
@@ -86,4 +86,7 @@
 mutate "streams" "half an event stays before another endpoint goes on" main/gateway/received_answer.cpp "	_events.restart();" ""
 mutate "streams" "one that ends inside an event is passed on as whole" main/gateway/received_answer.cpp "return _events.is_inside_event() || lacks_events" "return lacks_events" --ends
 mutate "deadline" "a request is never given up" $request "_give_up_timer.set_at(_give_up_at);" ""
+mutate "stream versions" "a stream goes on at any version" main/gateway/admitted_request.cpp " && (!version || p_listing.version == *version)" "" --versions
+mutate "stream records" "they are forgotten" servers/streams/stream_table.cpp "	_insert(record);
+" "" --versions
 exit "$status"
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -119,6 +119,9 @@
 	p_endpoint.listing.labels = p_listing.labels;
 	p_endpoint.listing.zone = p_listing.zone;
 	p_endpoint.listing.pool = p_listing.pool;
+	if (!p_listing.version.empty()) {
+		p_endpoint.listing.version = p_listing.version;
+	}
 	p_endpoint.drained = _is_drained(p_endpoint);
 	p_endpoint.evacuated = _evacuated_zones.contains(p_listing.zone);
 }
@@ -134,7 +137,10 @@
 bool router::_is_same(const endpoint_state &p_endpoint, const endpoint_listing &p_listing) const {
 	// An entry without an incarnation came from a peer that didn't know the start time; the list now adds it.
 	const bool is_start_unknown = p_endpoint.listing.incarnation == 0;
-	return (is_start_unknown || p_endpoint.listing.incarnation == p_listing.incarnation) && p_endpoint.listing.address == p_listing.address && p_endpoint.listing.version == p_listing.version;
+	const bool is_same_start = is_start_unknown || p_endpoint.listing.incarnation == p_listing.incarnation;
+	// Peers of earlier versions do not report the version of an endpoint's software.
+	const bool is_version_unknown = p_endpoint.listing.version.empty() || p_listing.version.empty();
+	return is_same_start && p_endpoint.listing.address == p_listing.address && (is_version_unknown || p_endpoint.listing.version == p_listing.version);
 }
 
 void router::set_listings(const std::vector<endpoint_listing> &p_listings) {
--- a/tests/servers/routing_test.cpp
+++ b/tests/servers/routing_test.cpp
@@ -221,6 +221,36 @@
 	EXPECT_EQ(table.choose(make_request(), at(0)), known);
 }
 
+// Guards against a version that a list still attributes to an endpoint which has started again without naming its start.
+TEST(router_restart, an_entry_with_another_version_is_another_start) {
+	router choices("z1", 1);
+	endpoint_listing listing = make_listing("vm0", "z1", 0);
+	listing.version = "v1";
+	choices.set_listings({ listing });
+	choice_request of_v1 = make_request();
+	of_v1.admits = [](const endpoint_listing &p_listing) { return p_listing.version == "v1"; };
+	const std::optional<endpoint_id> begun = choices.choose(of_v1, at(0));
+	ASSERT_TRUE(begun.has_value());
+	choices.on_attempt_started(*begun, at(0));
+	listing.version = "v2";
+	choices.set_listings({ listing });
+	EXPECT_FALSE(choices.choose(of_v1, at(1)).has_value());
+	EXPECT_NE(choices.choose(make_request(), at(1)), begun);
+	ASSERT_NE(choices.find(*begun), nullptr);
+	EXPECT_EQ(choices.find(*begun)->listing.version, "v1");
+}
+
+TEST(router_restart, a_version_that_becomes_known_is_no_other_start) {
+	router choices("z1", 1);
+	endpoint_listing listing = make_listing("vm0", "z1", 0);
+	choices.set_listings({ listing });
+	const std::optional<endpoint_id> before = choices.choose(make_request(), at(0));
+	listing.version = "v1";
+	choices.set_listings({ listing });
+	EXPECT_EQ(choices.choose(make_request(), at(1)), before);
+	EXPECT_EQ(choices.find(*before)->listing.version, "v1");
+}
+
 RC_GTEST_PROP(router_properties, what_has_left_gets_no_new_work_whatever_lists_say, ()) {
 	choice_source choices(400);
 	router_world(choices).run();
