Stream lookups poll their node's records; deadlines bound what counts as a stream's age; no end without an alternative

Causes, read in the diff: each record that a hub received searched all open lookups; one caller with a deadline of hours made every stream without a record unknown; a stream bound to one version was ended when its zone became unreachable, although no other endpoint could continue it. The record of a begun stream is written in stream_start.

--- a/main/gateway/endpoint_selector.cpp
+++ b/main/gateway/endpoint_selector.cpp
@@ -30,6 +30,11 @@
 	return !get_router(_services, _request).get_open(make()).empty();
 }
 
+bool endpoint_selector::has_usable_outside(const std::set<std::string> &p_zones) const {
+	const std::vector<const endpoint_state *> usable = get_router(_services, _request).get_usable(make(), event_loop::now());
+	return std::any_of(usable.begin(), usable.end(), [&p_zones](const endpoint_state *p_endpoint) { return !p_zones.contains(p_endpoint->listing.zone); });
+}
+
 choice_request endpoint_selector::_make(bool p_for_target) const {
 	choice_request choice = make_choice(_services.context, _request);
 	choice.avoid = _avoid;
--- a/main/gateway/endpoint_selector.h
+++ b/main/gateway/endpoint_selector.h
@@ -12,6 +12,7 @@
 #include "main/gateway/admitted_request.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
 	std::optional<endpoint_id> choose(const std::string &p_zone);
 	/** Whether some endpoint may get the request, now or once its limit allows. */
 	bool has_open() const;
+	/** Whether an endpoint outside some zones may get the request now. */
+	bool has_usable_outside(const std::set<std::string> &p_zones) const;
 	/** Returns the zone of the endpoint that would be chosen now; empty if there is none. */
 	std::string choose_zone();
 	/** Returns the usable endpoint with the fewest requests in flight, if any. */
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -10,6 +10,7 @@
 
 #include "drivers/http_status.h"
 #include "main/gateway/retry_report.h"
+#include "main/gateway/stream_start.h"
 
 #include <algorithm>
 
@@ -35,8 +36,6 @@
 constexpr duration MAX_IDLE_TIME_UNREPEATABLE = std::chrono::milliseconds(700);
 constexpr duration MAX_IDLE_TIME_REPEATABLE = std::chrono::milliseconds(2000);
 constexpr double TYPICAL_TIME_WEIGHT = 0.05;
-/** Time after the caller's deadline for which the record of its stream is kept. */
-constexpr duration RECORD_GRACE = std::chrono::seconds(1);
 
 expected_answer get_expected_answer(const admitted_request &p_request) {
 	if (p_request.route->repeats != repeat_rule::STREAM) {
@@ -225,7 +224,10 @@
 	}
 	if (!_answer_started) {
 		_answer_started = true;
-		_on_stream_begun();
+		if (_request.route->is_resumable && _run) {
+			_request.stream_version = _run->version;
+			record_stream_start(_services, _request, _endpoint_identity, _deadline);
+		}
 		_learn_first_event();
 		_request.exchange->start(_answer.get_head().status, get_passed_headers(_answer.get_head()));
 	}
@@ -233,21 +235,6 @@
 	_request.exchange->send(events);
 }
 
-void gateway_request::_on_stream_begun() {
-	if (!_request.route->is_resumable || !_run) {
-		return;
-	}
-	_request.stream_version = _run->version;
-	const std::string customer = _request.customer == nullptr ? std::string() : _request.customer->name;
-	const instant expires_at = _deadline + RECORD_GRACE;
-	// A caller names the attempt that began the stream each time that it resumes it, so that record must outlive this attempt.
-	std::size_t holders = 0;
-	for (const std::string &attempt : std::set<std::string>{ _request.stream_attempt, _request.facts.attempt }) {
-		holders = _services.streams.publish(stream_record{ make_stream_key(customer, attempt), get_customer_code(customer), stream_origin{ _request.service, _run->version }, expires_at });
-	}
-	_services.context.log.write_request(log_line("stream_begun").add("request", _request.facts.attempt).add("stream", _request.stream_attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("endpoint_version", _run->version).add("holders", static_cast<long long>(holders)));
-}
-
 void gateway_request::_learn_first_event() {
 	duration &typical = _services.first_event_times[_request.route->name];
 	const instant now = event_loop::now();
@@ -538,7 +525,7 @@
 
 void gateway_request::on_reachability_changed(const std::set<std::string> &p_unreached_zones) {
 	const endpoint_state *endpoint = _exchange == 0 ? nullptr : get_router(_services, _request).find(_endpoint);
-	if (endpoint == nullptr || !p_unreached_zones.contains(endpoint->listing.zone) || !_may_continue_elsewhere()) {
+	if (endpoint == nullptr || !p_unreached_zones.contains(endpoint->listing.zone) || !_may_continue_elsewhere() || !_choice.has_usable_outside(p_unreached_zones)) {
 		return;
 	}
 	_services.context.channels.cancel(_exchange);
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -85,8 +85,6 @@
 	void _on_complete_answer();
 	void _on_not_run();
 	void _on_failure(reason p_reason);
-	/** Binds the stream to the version that sent its first event, and records this for nodes at which the caller may resume it. */
-	void _on_stream_begun();
 	void _learn_first_event();
 	void _observe(const outcome &p_result);
 	bool _resume();
--- a/main/gateway/stream_resolver.cpp
+++ b/main/gateway/stream_resolver.cpp
@@ -22,7 +22,7 @@
 constexpr int LOOKUP_TIME_DIVISOR = 8;
 /** The list of endpoints is confirmed about once a second. */
 constexpr duration MAX_LIST_WAIT = std::chrono::milliseconds(1500);
-constexpr int LIST_WAIT_DIVISOR = 3;
+constexpr int LIST_WAIT_DIVISOR = 2;
 /** An endpoint may serve for some seconds after its entry was removed. */
 constexpr duration UNLISTED_SERVICE_TIME = std::chrono::seconds(10);
 
@@ -35,7 +35,6 @@
 stream_resolver::stream_resolver(gateway_context &p_context, stream_sync &p_streams, endpoint_follower &p_endpoints) :
 		_context(p_context), _streams(p_streams), _endpoints(p_endpoints), _check_timer(p_context.loop, [this] { _check_all(); }) {
 	_streams.answered().connect([this](const std::string &p_vm, const stream_answer_message &p_message) { _on_answered(p_vm, p_message); });
-	_streams.recorded().connect([this](const stream_key &p_key) { _on_recorded(p_key); });
 }
 
 bool stream_resolver::is_resumption(const admitted_request &p_request) {
@@ -45,7 +44,8 @@
 
 void stream_resolver::on_stream_request(const admitted_request &p_request) {
 	if (p_request.route->repeats == repeat_rule::STREAM) {
-		_longest_deadline = std::max({ _longest_deadline, get_remaining(p_request), p_request.route->timeout });
+		const duration deadline = std::max(get_remaining(p_request), p_request.route->timeout);
+		_longest_deadline = std::max(_longest_deadline, std::min<duration>(deadline, stream_table::MAX_LIFETIME));
 	}
 }
 
@@ -99,13 +99,6 @@
 	_check(p_message.id);
 }
 
-void stream_resolver::_on_recorded(const stream_key &p_key) {
-	const auto found = std::find_if(_open.begin(), _open.end(), [&p_key](const auto &p_entry) { return p_entry.second.key == p_key; });
-	if (found != _open.end()) {
-		_check(found->first);
-	}
-}
-
 void stream_resolver::_check(std::uint64_t p_id) {
 	const auto found = _open.find(p_id);
 	if (found == _open.end()) {
--- a/main/gateway/stream_resolver.h
+++ b/main/gateway/stream_resolver.h
@@ -55,7 +55,6 @@
 
 	void _ask(std::uint64_t p_id, open_lookup &r_lookup, lookup_round p_round);
 	void _on_answered(const std::string &p_vm, const stream_answer_message &p_message);
-	void _on_recorded(const stream_key &p_key);
 	/** Ends a lookup if its resolution is known. */
 	void _check(std::uint64_t p_id);
 	void _check_all();
--- a/main/gateway/stream_sync.cpp
+++ b/main/gateway/stream_sync.cpp
@@ -95,7 +95,6 @@
 	const instant now = event_loop::now();
 	for (const reported_stream &stream : p_message.streams) {
 		_table.take(stream_record{ stream.key, stream.customer, stream.origin, now + stream.left }, now);
-		_recorded.emit(stream.key);
 	}
 }
 
--- a/main/gateway/stream_sync.h
+++ b/main/gateway/stream_sync.h
@@ -34,7 +34,6 @@
 	version_presence _presence;
 	std::map<std::string, std::vector<stream_record>> _unsent; ///< Records for nodes to which a link is being established.
 	sigc::signal<void(const std::string &, const stream_answer_message &)> _answered;
-	sigc::signal<void(const stream_key &)> _recorded;
 
 	std::vector<record_node> _get_nodes() const;
 	void _send(const std::string &p_vm, const std::vector<stream_record> &p_records);
@@ -66,9 +65,6 @@
 	/** Emitted with the answer of a node to request(). */
 	sigc::signal<void(const std::string &, const stream_answer_message &)> &answered() { return _answered; }
 
-	/** Emitted with the key of a record that another node sent to this one. */
-	sigc::signal<void(const stream_key &)> &recorded() { return _recorded; }
-
 	/** Removes expired records. Must be called often. */
 	void tick();
 
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -161,7 +161,7 @@
 mutate "gateway: retry budget" "silent nodes lose their part of the slack" servers/membership/member_table.cpp "!p_entry.second.digest.leaving ||" "(!p_entry.second.digest.leaving && p_entry.second.state != member_state::GONE) ||" shared_state_test
 
 mutate "stream versions" "a stream goes on at any version" main/gateway/admitted_request.cpp " && (!version || p_listing.version == *version)" "" gateway_stream_version_test
-mutate "stream versions" "a stream is not bound to the endpoint that began it" main/gateway/gateway_request.cpp "	_request.stream_version = _run->version;
+mutate "stream versions" "a stream is not bound to the endpoint that began it" main/gateway/gateway_request.cpp "			_request.stream_version = _run->version;
 " "" gateway_stream_version_test
 mutate "stream versions" "an entry with another version is taken for the same start" servers/routing/router.cpp " && (is_version_unknown || p_endpoint.listing.version == p_listing.version)" "" routing_test
 mutate "stream records" "only the node that began a stream has its record" main/gateway/stream_sync.cpp "			_send(vm, { p_record });" "" gateway_stream_version_test
--- a/tests/main/gateway_stream_version_test.cpp
+++ b/tests/main/gateway_stream_version_test.cpp
@@ -290,6 +290,28 @@
 	EXPECT_EQ(count_all_resumes(), 0U);
 }
 
+// Guards against a guess by what is listed just now, and against refusals where only one version can have begun the stream.
+TEST_F(gateway_stream_version_test, a_stream_without_a_record_goes_on_only_if_its_service_had_one_version_for_its_lifetime) {
+	configure(1);
+	add_version("v1");
+	set_resumes_itself(false);
+	const gateway &node = start_ready();
+	const std::string without_attempt = "Last-Event-Id: 1\r\n";
+	begin(node);
+	expect_refused(ask(node, RESUMABLE_PATH, "key-1", without_attempt), "0.000");
+	// The longest time-out of a stream's route, and the time in which an endpoint that is no longer listed may serve.
+	wait(seconds(3) + seconds(10) + milliseconds(500));
+	const gateway &young = start_ready();
+	for (const gateway *asked : { &node, &young }) {
+		EXPECT_EQ(find_versions(ask(*asked, RESUMABLE_PATH, "key-1", without_attempt)->body), std::set<std::string>{ "v1" });
+		EXPECT_EQ(find_versions(take_up(*asked, begun_stream{ "unknown", "" })->body), std::set<std::string>{ "v1" });
+	}
+	const std::size_t resumed = count_all_resumes();
+	add_version("v1.1");
+	expect_refused(ask(node, RESUMABLE_PATH, "key-1", without_attempt), "0.000");
+	EXPECT_EQ(count_all_resumes(), resumed);
+}
+
 TEST_F(gateway_stream_version_test, a_stream_without_an_event_begins_anew_at_any_version) {
 	configure(1);
 	add_versions();
