Nodes report which services they reach, and log it with their peers' view

Nothing tells "this node reaches no endpoint" from "the endpoints are down". Connections that fail at two endpoints of a service without contact in between make it unreachable to this node; a probe each 0.2 s or any contact ends that. All exchanges with endpoints start at endpoint_exchanges. Paths can be made to fail for tests. No decision on a request changes.

--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t MAX_HEADER_BYTES = 64 * 1024;
 /** Unacknowledged bytes older than this mean that the endpoint or the path has failed; some retransmissions fit in. */
 constexpr unsigned int USER_TIMEOUT_MS = 2000;
+constexpr duration USER_TIMEOUT = std::chrono::milliseconds(USER_TIMEOUT_MS);
 constexpr int KEEPALIVE_IDLE_S = 1;
 constexpr int KEEPALIVE_INTERVAL_S = 1;
 constexpr int KEEPALIVE_PROBES = 2;
@@ -115,6 +116,7 @@
 	duration _kept_for = MAX_KEPT_TIME;
 	instant _idle_since{};
 	instant _opened_at{};
+	std::unique_ptr<timer> _fault_timer; ///< Ends the exchange on a path with a simulated failure; otherwise not set.
 
 	static void _on_readable(bufferevent *, void *p_self) {
 		static_cast<channel *>(p_self)->_read();
@@ -164,8 +166,8 @@
 	}
 
 	void _report_contact() {
-		if (_owner._on_contact && !_request.zone.empty()) {
-			_owner._on_contact(_request.zone);
+		if (_owner._on_contact && !(_request.zone.empty() && _request.service.empty())) {
+			_owner._on_contact(_request);
 		}
 	}
 
@@ -253,6 +255,11 @@
 			return false;
 		}
 		_stream = bufferevent_socket_new(_owner._loop.get_base(), handle, BEV_OPT_CLOSE_ON_FREE);
+		const path_fault fault = _owner._faults.get(p_to);
+		if (fault != path_fault::NONE) {
+			fail_path_after(fault == path_fault::REFUSED ? duration::zero() : p_timeout);
+			return true;
+		}
 		bufferevent_setcb(_stream, &channel::_on_readable, nullptr, &channel::_on_event, this);
 		bufferevent_setwatermark(_stream, EV_READ, 0, READ_HIGH_WATERMARK);
 		const timeval timeout = to_timeval(p_timeout);
@@ -275,7 +282,18 @@
 		_request.bytes = std::string();
 	}
 
+	/** Receives nothing more, and ends the exchange after a time. */
+	void fail_path_after(duration p_time) {
+		bufferevent_setcb(_stream, nullptr, nullptr, nullptr, nullptr);
+		bufferevent_disable(_stream, EV_READ | EV_WRITE);
+		_fault_timer = std::make_unique<timer>(_owner._loop, [this] { _owner._fail_path(_id); });
+		_fault_timer->set(p_time);
+	}
+
 	void set_paused(bool p_paused) {
+		if (_fault_timer) {
+			return;
+		}
 		if (p_paused == _is_paused) {
 			return;
 		}
@@ -372,6 +390,32 @@
 	hook(p_end);
 }
 
+void endpoint_channels::_fail_path(exchange_id p_id) {
+	const auto found = _busy.find(p_id);
+	if (found != _busy.end()) {
+		channel &failed = *found->second;
+		_finish(failed, failed._connected ? channel_end::BROKEN : channel_end::CONNECT_FAILED, false);
+	}
+}
+
+void endpoint_channels::set_path_faults(std::function<path_fault(const network_address &)> p_find) {
+	_faults.set(std::move(p_find));
+	for (auto &[endpoint, stack] : _idle) {
+		for (std::unique_ptr<channel> &entry : stack) {
+			if (_faults.get(entry->_request.to) != path_fault::NONE) {
+				_free(std::move(entry));
+			}
+		}
+		std::erase(stack, nullptr);
+	}
+	for (const auto &[id, entry] : _busy) {
+		const path_fault fault = _faults.get(entry->_request.to);
+		if (fault != path_fault::NONE) {
+			entry->fail_path_after(fault == path_fault::REFUSED ? duration::zero() : USER_TIMEOUT);
+		}
+	}
+}
+
 bool endpoint_channels::has_unread(exchange_id p_id) const {
 	const auto found = _busy.find(p_id);
 	return found != _busy.end() && found->second->_connected && get_unread_bytes(bufferevent_getfd(found->second->_stream)) > 0;
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -11,6 +11,7 @@
 
 #include "drivers/event_loop.h"
 #include "drivers/http_reader.h"
+#include "drivers/path_faults.h"
 #include "servers/routing/endpoint_identity.h"
 
 #include <functional>
@@ -40,6 +41,7 @@
 	endpoint_identity endpoint; ///< Idle connections are stored by identity, as an address may be reassigned to another endpoint.
 	network_address to;
 	std::string zone; ///< Of the endpoint; empty when it is not known.
+	std::string service; ///< Of the endpoint; empty when the request is not to an endpoint.
 	std::string bytes; ///< The whole request.
 	std::string echo_header; ///< Header by which the answer identifies its request; empty when answers carry none.
 	std::string echo_value;
@@ -71,7 +73,8 @@
 	std::map<endpoint_identity, std::vector<std::unique_ptr<channel>>> _idle;
 	timer _sweep_timer;
 	exchange_id _next_id = 1;
-	std::function<void(const std::string &)> _on_contact;
+	std::function<void(const channel_request &)> _on_contact;
+	path_faults _faults;
 	std::uint64_t _opened = 0;
 	std::uint64_t _skipped_answers = 0;
 
@@ -80,6 +83,8 @@
 	void _free(std::unique_ptr<channel> p_channel);
 	void _on_idle_event(channel *p_channel);
 	void _finish(channel &p_channel, channel_end p_end, bool p_keep);
+	/** Ends an exchange whose simulated path has failed. */
+	void _fail_path(exchange_id p_id);
 	void _sweep();
 
 public:
@@ -100,8 +105,13 @@
 	/** Returns whether bytes of an answer have arrived that are not read yet. */
 	bool has_unread(exchange_id p_id) const;
 
-	/** Sets the hook that receives the zone of an endpoint when bytes arrive from it or a connection to it is established. */
-	void set_on_contact(std::function<void(const std::string &)> p_hook) { _on_contact = std::move(p_hook); }
+	/** Sets the hook that receives a request when bytes arrive from its endpoint or a connection is established for it. */
+	void set_on_contact(std::function<void(const channel_request &)> p_hook) { _on_contact = std::move(p_hook); }
+
+	/** Simulates failed paths to endpoints from now on, and applies them to established connections; for failure tests. */
+	void set_path_faults(std::function<path_fault(const network_address &)> p_find);
+
+	const path_faults &get_path_faults() const { return _faults; }
 
 	/** Closes the idle connections to an endpoint that is no longer listed. */
 	void drop_idle(const endpoint_identity &p_endpoint);
--- a/drivers/endpoint_probe.cpp
+++ b/drivers/endpoint_probe.cpp
@@ -61,17 +61,21 @@
 	}
 
 public:
-	probe(event_loop &p_loop, const network_address &p_address, std::function<void(probe_end)> p_hook) :
-			_socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+	probe(event_loop &p_loop, const network_address &p_address, path_fault p_fault, std::function<void(probe_end)> p_hook) :
+			_socket(p_fault == path_fault::NONE ? socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1),
 			_event(event_new(p_loop.get_base(), _socket, EV_WRITE, &probe::_on_event, this)),
 			_hook(std::move(p_hook)) {
+		if (p_fault == path_fault::SILENT) {
+			event_add(_event.get(), &PROBE_TIMEOUT);
+			return;
+		}
 		const sockaddr_in address = make_socket_address(p_address);
 		const bool is_begun = _socket >= 0 && (connect(_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0 || errno == EINPROGRESS);
 		if (is_begun) {
 			event_add(_event.get(), &PROBE_TIMEOUT);
 			return;
 		}
-		_error = errno;
+		_error = p_fault == path_fault::REFUSED ? ECONNREFUSED : errno;
 		event_active(_event.get(), EV_WRITE, 0);
 	}
 
@@ -86,8 +90,8 @@
 	probe &operator=(const probe &) = delete;
 };
 
-endpoint_probe::endpoint_probe(event_loop &p_loop) :
-		_loop(p_loop) {
+endpoint_probe::endpoint_probe(event_loop &p_loop, const path_faults &p_faults) :
+		_loop(p_loop), _faults(p_faults) {
 }
 
 endpoint_probe::~endpoint_probe() = default;
@@ -102,7 +106,7 @@
 		_loop.post([ended] {});
 		hook(p_end);
 	};
-	_probes.emplace(id, std::make_unique<probe>(_loop, p_address, finish));
+	_probes.emplace(id, std::make_unique<probe>(_loop, p_address, _faults.get(p_address), finish));
 }
 
 } // namespace calicoscale
--- a/drivers/endpoint_probe.h
+++ b/drivers/endpoint_probe.h
@@ -10,6 +10,7 @@
 #define ENDPOINT_PROBE_H
 
 #include "drivers/event_loop.h"
+#include "drivers/path_faults.h"
 #include "servers/gateway/interrupted_runs.h"
 #include "servers/routing/endpoint_state.h"
 
@@ -25,11 +26,13 @@
 	class probe;
 
 	event_loop &_loop;
+	const path_faults &_faults;
 	std::map<std::uint64_t, std::unique_ptr<probe>> _probes;
 	std::uint64_t _next_id = 1;
 
 public:
-	explicit endpoint_probe(event_loop &p_loop);
+	/** @param p_faults simulated failures of paths; must outlive this object. */
+	endpoint_probe(event_loop &p_loop, const path_faults &p_faults);
 	~endpoint_probe();
 	endpoint_probe(const endpoint_probe &) = delete;
 	endpoint_probe &operator=(const endpoint_probe &) = delete;
--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -194,8 +194,9 @@
 		const auto dispatchers = target.CreateVectorOfStrings(p_message.dispatchers);
 		const auto unreached_zones = target.CreateVectorOfStrings(p_message.unreached_zones);
 		const auto evacuated_zones = target.CreateVectorOfStrings(p_message.evacuations.zones);
+		const auto unreached_services = p_message.unreached_services.empty() ? 0 : target.CreateVectorOfStrings(p_message.unreached_services);
 		const std::uint32_t next_in = static_cast<std::uint32_t>(p_message.next_in.count() / 1000);
-		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, next_in, p_message.follows, p_message.wants_link, p_message.relies_on_you, p_message.is_total, p_message.zone_nodes, p_message.fleet_nodes, dispatchers, unreached_zones, gone_incarnations, p_message.evacuations.known.era, p_message.evacuations.known.offset, evacuated_zones, write_rollouts(target, p_message.rollouts), p_message.known_nodes).Union() };
+		return { wire::message_heartbeat, wire::Createheartbeat(target, p_message.at.wall, p_message.at.counter, digest_vector, mark_vector, commitment_vector, capacity_vector, gone, next_in, p_message.follows, p_message.wants_link, p_message.relies_on_you, p_message.is_total, p_message.zone_nodes, p_message.fleet_nodes, dispatchers, unreached_zones, gone_incarnations, p_message.evacuations.known.era, p_message.evacuations.known.offset, evacuated_zones, write_rollouts(target, p_message.rollouts), p_message.known_nodes, unreached_services).Union() };
 	}
 
 	encoded_body operator()(const request_configuration_message &p_message) const {
@@ -410,6 +411,7 @@
 	message.evacuations.known = log_position{ p_message.evacuation_era(), p_message.evacuation_offset() };
 	message.evacuations.zones = read_texts(p_message.evacuated_zones());
 	message.rollouts = read_rollouts(p_message.rollouts());
+	message.unreached_services = read_texts(p_message.unreached_services());
 	message.next_in = std::chrono::milliseconds(p_message.next_in_ms());
 	return message;
 }
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -63,6 +63,7 @@
 	std::vector<std::string> unreached_zones; ///< Zones that the sender cannot reach; reported by hubs.
 	evacuation_state evacuations; ///< Evacuations known to the sender; position zero when the sender's version does not support them.
 	std::vector<rollout_update> rollouts; ///< All roll-out updates that the sender knows.
+	std::vector<std::string> unreached_services; ///< Services to whose endpoints the sender cannot connect.
 };
 
 /** A submission that is forwarded to the owner of its key. */
--- a/main/gateway/admitted_request.h
+++ b/main/gateway/admitted_request.h
@@ -10,6 +10,7 @@
 #define ADMITTED_REQUEST_H
 
 #include "drivers/caller_server.h"
+#include "main/gateway/endpoint_exchanges.h"
 #include "main/gateway/prompt_sync.h"
 #include "main/gateway/send_permit.h"
 #include "main/gateway/stage_dispatcher.h"
@@ -31,6 +32,7 @@
 	gateway_context &context;
 	gateway_fleet &fleet;
 	endpoint_follower &endpoints;
+	endpoint_exchanges &exchanges;
 	stage_dispatcher &dispatcher;
 	router &services; ///< Endpoints of plain services, own zone first.
 	router &engines; ///< Engines of all zones, chosen by shared prefixes of prompts.
--- a/main/gateway/crash_watch.cpp
+++ b/main/gateway/crash_watch.cpp
@@ -21,7 +21,7 @@
 		_context(p_context),
 		_endpoints(p_endpoints),
 		_on_crashed(std::move(p_on_crashed)),
-		_probe(p_context.loop),
+		_probe(p_context.loop, p_context.channels.get_path_faults()),
 		_list_check_timer(p_context.loop, [this] { _check_list(); }) {
 }
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -63,9 +63,10 @@
 		_evacuations(_context, _configuration),
 		_commitment_sync(_commitments),
 		_fleet(_context, _configuration, _endpoints, _evacuations),
+		_exchanges(_context, _fleet),
 		_rollouts(_context, _configuration, _endpoints, _fleet),
 		_guard(_context, _configuration, _fleet, _endpoints, _rollouts),
-		_dispatcher(_context, _configuration, _fleet, _commitments, _guard),
+		_dispatcher(_context, _configuration, _fleet, _exchanges, _commitments, _guard),
 		_services(p_settings.zone, _context.random.get_bits()),
 		_engines("", _context.random.get_bits()),
 		_engine_caches(p_settings.mechanisms),
@@ -74,7 +75,7 @@
 		_streams(_context, _fleet, _endpoints),
 		_resolver(_context, _streams, _endpoints),
 		_repeats(p_settings.retries),
-		_shared{ _context, _fleet, _endpoints, _dispatcher, _services, _engines, _repeats, _typical_times, _commitments, _engine_caches, _prompts, _crashes, _streams, _first_event_times, _guard },
+		_shared{ _context, _fleet, _endpoints, _exchanges, _dispatcher, _services, _engines, _repeats, _typical_times, _commitments, _engine_caches, _prompts, _crashes, _streams, _first_event_times, _guard },
 		_admission(_context, _shared, _evacuations),
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
@@ -86,6 +87,7 @@
 		_metrics_server = std::make_unique<caller_server>(p_loop, *p_settings.metrics_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_metrics(*p_exchange); });
 	}
 	_fleet.add_part(_commitment_sync.make_part());
+	_fleet.add_part(_exchanges.make_section());
 	_commitment_sync.set_capacity_source([this] { return _dispatcher.get_capacities(); });
 	_callers.set_write_budget(static_cast<std::size_t>(p_settings.memory_bytes * SLOW_READER_MEMORY_FRACTION));
 	_callers.set_on_slow_reader([this](const slow_reader &p_reader) { _on_slow_reader(p_reader); });
@@ -206,6 +208,7 @@
 	_engines.set_listings(engines);
 	_services.set_listings(others);
 	_dispatcher.set_endpoints(listings);
+	_exchanges.set_endpoints(listings);
 	const std::vector<endpoint_identity> engines_replaced = _apply_changes(_engines);
 	const std::vector<endpoint_identity> others_replaced = _apply_changes(_services);
 	// Runs that are ended here are continued at other endpoints, so all lists must be set before.
@@ -434,6 +437,7 @@
 	_guard.report();
 	_rollouts.report();
 	_streams.report();
+	_exchanges.report();
 	_context.metrics.set_gauge("stream_lookups_open", static_cast<double>(_resolver.get_open_count()));
 	_context.metrics.set_gauge("evacuated_zones", static_cast<double>(_evacuations.get_zones().size()));
 	const log_position evacuations_known = _evacuations.get_state().known;
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -38,6 +38,7 @@
 	commitment_table _commitments;
 	commitment_sync _commitment_sync;
 	gateway_fleet _fleet;
+	endpoint_exchanges _exchanges;
 	rollout_service _rollouts;
 	send_guard _guard;
 	stage_dispatcher _dispatcher;
@@ -137,6 +138,9 @@
 	/** Number of works, of this and other nodes, that this node currently dispatches. */
 	std::size_t get_accepted_work_count() const { return _dispatcher.get_accepted_count(); }
 
+	/** Simulates failed paths from this node to endpoints, for failure tests. */
+	void set_path_faults(std::function<path_fault(const network_address &)> p_find) { _context.channels.set_path_faults(std::move(p_find)); }
+
 	/** Whether the node accepts requests, as reported at its readiness address. */
 	bool is_ready() const { return _is_ready(); }
 
--- a/main/gateway/gateway_context.cpp
+++ b/main/gateway/gateway_context.cpp
@@ -22,7 +22,6 @@
 		log(p_loop),
 		store(p_loop, channels, settings.store_address) {
 	store.set_on_call_ended([this](const store_call_end &p_end) { traffic.add_call(p_end.topic, p_end.reason, p_end.status, p_end.bytes, p_end.took); });
-	channels.set_on_contact([this](const std::string &p_zone) { zones.on_endpoint_contact(p_zone, event_loop::now()); });
 }
 
 } // namespace calicoscale
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -66,14 +66,14 @@
 		_give_up_timer(
 				p_services.context.loop, [this] { _on_give_up_time(); }, timer_order::BEFORE_SOCKETS),
 		_retry_timer(p_services.context.loop, [this] { _send(); }),
-		_end_probe(p_services.context.loop),
+		_end_probe(p_services.context.loop, p_services.context.channels.get_path_faults()),
 		_permit(p_services.crashes, [this] { return get_content(_request); }),
 		_answer(get_expected_answer(_request)) {
 }
 
 gateway_request::~gateway_request() {
 	if (_exchange != 0) {
-		_services.context.channels.cancel(_exchange);
+		_services.exchanges.cancel(_exchange);
 	}
 	if (_run) {
 		_services.guard.get_rollouts().on_ended(*_run);
@@ -84,7 +84,7 @@
 
 void gateway_request::start() {
 	_request.exchange->set_on_disconnect([this] { _on_caller_disconnected(); });
-	_request.exchange->set_on_flow([this](bool p_may_send) { _services.context.channels.set_reading(_exchange, p_may_send); });
+	_request.exchange->set_on_flow([this](bool p_may_send) { _services.exchanges.set_reading(_exchange, p_may_send); });
 	_give_up_timer.set_at(_give_up_at);
 	_queue_position = _services.guard.get_queue().join(_request.service);
 	_services.repeats.on_request(_request.service, _started);
@@ -190,6 +190,7 @@
 	request.endpoint = endpoint.listing.get_identity();
 	request.to = _endpoint_address;
 	request.zone = endpoint.listing.zone;
+	request.service = _request.service;
 	request.bytes = write_endpoint_request(_request.exchange->head, _request.exchange->body, send);
 	request.echo_header = std::string(get_echo_header());
 	request.echo_value = _request.facts.attempt;
@@ -206,8 +207,8 @@
 		_services.prompts.tell(_endpoint_identity, _choice.get_prompt());
 	}
 	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("endpoint_version", endpoint.listing.version).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_stages.count_final_read(endpoint.listing.zone))).add("version", static_cast<long long>(_request.configuration->version)));
-	_exchange = _services.context.channels.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
-	_services.context.channels.set_reading(_exchange, !_request.exchange->is_full());
+	_exchange = _services.exchanges.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
+	_services.exchanges.set_reading(_exchange, !_request.exchange->is_full());
 }
 
 void gateway_request::_on_head(const http_head &p_head) {
@@ -499,7 +500,7 @@
 }
 
 void gateway_request::_on_give_up_time() {
-	if (!_has_rechecked && _exchange != 0 && _services.context.channels.has_unread(_exchange)) {
+	if (!_has_rechecked && _exchange != 0 && _services.exchanges.has_unread(_exchange)) {
 		_has_rechecked = true;
 		_give_up_timer.set(RECHECK_DELAY);
 		return;
@@ -512,7 +513,7 @@
 		return;
 	}
 	if (_exchange != 0) {
-		_services.context.channels.cancel(_exchange);
+		_services.exchanges.cancel(_exchange);
 		_exchange = 0;
 		_tally.add(verdict::MAY_HAVE_RUN);
 		_observe(outcome{ verdict::MAY_HAVE_RUN, reason::TIMED_OUT });
@@ -528,7 +529,7 @@
 	if (endpoint == nullptr || !p_unreached_zones.contains(endpoint->listing.zone) || !_may_continue_elsewhere() || !_choice.has_usable_outside(p_unreached_zones)) {
 		return;
 	}
-	_services.context.channels.cancel(_exchange);
+	_services.exchanges.cancel(_exchange);
 	_judge_end(answer_end::LOST);
 }
 
@@ -540,7 +541,7 @@
 
 void gateway_request::_on_caller_disconnected() {
 	if (_exchange != 0) {
-		_services.context.channels.cancel(_exchange);
+		_services.exchanges.cancel(_exchange);
 		_exchange = 0;
 		_observe(outcome{ verdict::MAY_HAVE_RUN, reason::CALLER_DISCONNECTED });
 	}
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -66,8 +66,8 @@
 
 } // namespace
 
-pool_caller::pool_caller(gateway_context &p_context, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks) :
-		_context(p_context), _guard(p_guard), _name(std::move(p_name)), _service(parse_shard_name(_name).pool), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms), _repeats(p_context.settings.retries) {
+pool_caller::pool_caller(gateway_context &p_context, endpoint_exchanges &p_endpoints, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks) :
+		_context(p_context), _endpoints(p_endpoints), _guard(p_guard), _name(std::move(p_name)), _service(parse_shard_name(_name).pool), _hooks(std::move(p_hooks)), _pool(p_context.settings.mechanisms), _repeats(p_context.settings.retries) {
 	_pool.set_regions(p_context.settings.regions);
 	_pool.set_limit([this](const endpoint_identity &p_replica, instant p_now) {
 		return _guard.get_rollouts().may_call(_service, p_replica.vm, _pool.get_batch()) && _guard.may_send(p_replica, sender_share::FULL, p_now);
@@ -140,6 +140,7 @@
 	request.endpoint = p_call.replica;
 	request.to = p_call.to;
 	request.zone = p_call.zone;
+	request.service = _service;
 	request.bytes = write_stage_call(p_call.replica.vm, p_call.to, items);
 	request.longest_idle = MAX_REPLICA_IDLE_TIME;
 	request.connect_timeout = CONNECT_TIMEOUT;
@@ -172,12 +173,12 @@
 	_context.metrics.count("stage_calls");
 	_context.metrics.count("stage_pieces", static_cast<double>(p_call.items.size()));
 	_context.log.write_request(log_line("stage_call").add("pool", _name).add("call", static_cast<long long>(p_call.id)).add("replica", p_call.replica.vm).add("pieces", static_cast<long long>(p_call.items.size())).add("requests", list_attempts(items)).add("waiting", static_cast<long long>(_pool.get_waiting_items())));
-	_exchanges[p_call.id] = _context.channels.start(std::move(request), std::move(hooks));
+	_exchanges[p_call.id] = _endpoints.start(std::move(request), std::move(hooks));
 }
 
 void pool_caller::_give_up_overdue() {
 	for (const std::uint64_t call : _pool.get_overdue(event_loop::now())) {
-		_context.channels.cancel(_exchanges[call]);
+		_endpoints.cancel(_exchanges[call]);
 		_exchanges.erase(call);
 		_end_run(call, call_end::BROKEN, {});
 		_context.metrics.count("stage_calls_overdue");
@@ -285,6 +286,7 @@
 void pool_caller::_send_release(const std::string &p_producer, const std::vector<std::string> &p_handles) {
 	channel_request request;
 	request.endpoint.vm = "release/" + p_producer;
+	request.service = _service;
 	request.to = parse_network_address(p_producer);
 	request.bytes = write_release(request.to, p_handles);
 	request.longest_idle = MAX_REPLICA_IDLE_TIME;
@@ -296,7 +298,7 @@
 			_context.log.write_request(log_line("release_failed").add("maker", p_producer).add("end", get_name(p_end)));
 		}
 	};
-	_context.channels.start(std::move(request), std::move(hooks));
+	_endpoints.start(std::move(request), std::move(hooks));
 }
 
 } // namespace calicoscale
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -10,6 +10,7 @@
 #define POOL_CALLER_H
 
 #include "main/gateway/crash_watch.h"
+#include "main/gateway/endpoint_exchanges.h"
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/send_guard.h"
 #include "servers/gateway/retry_budget.h"
@@ -45,6 +46,7 @@
 	};
 
 	gateway_context &_context;
+	endpoint_exchanges &_endpoints;
 	send_guard &_guard;
 	const std::string _name;
 	const std::string _service; ///< Name of the pool of which this is a shard.
@@ -71,7 +73,7 @@
 	void _send_release(const std::string &p_producer, const std::vector<std::string> &p_handles);
 
 public:
-	pool_caller(gateway_context &p_context, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks);
+	pool_caller(gateway_context &p_context, endpoint_exchanges &p_endpoints, send_guard &p_guard, std::string p_name, pool_caller_hooks p_hooks);
 	pool_caller(const pool_caller &) = delete;
 	pool_caller &operator=(const pool_caller &) = delete;
 
--- a/main/gateway/stage_dispatcher.cpp
+++ b/main/gateway/stage_dispatcher.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, send_guard &p_guard) :
-		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _commitments(p_commitments), _tick_timer(p_context.loop, [this] { _tick(); }), _guard(p_guard) {
+stage_dispatcher::stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_exchanges &p_endpoints, commitment_table &p_commitments, send_guard &p_guard) :
+		_context(p_context), _configuration(p_configuration), _fleet(p_fleet), _endpoints(p_endpoints), _commitments(p_commitments), _tick_timer(p_context.loop, [this] { _tick(); }), _guard(p_guard) {
 	node_link &link = _fleet.get_link();
 	link.work_handed().connect([this](const std::string &p_vm, const assign_work_message &p_message) { _on_work_assigned(p_vm, p_message); });
 	link.work_ended().connect([this](const std::string &p_vm, const work_ended_message &p_message) { _on_assigned_work_ended(p_vm, p_message); });
@@ -135,7 +135,7 @@
 	// After a process stall, answers are read before the tick drops the work that has moved to other nodes. No calls are sent until then.
 	hooks.may_call = [this] { return event_loop::now() - _ticked_at <= STALL_THRESHOLD; };
 	hooks.on_ended = [this, p_name](const work_result &p_result) { _on_ended(_pools.at(p_name), p_result); };
-	pool_entry &made = _pools.try_emplace(p_name, _context, _guard, p_name, std::move(hooks)).first->second;
+	pool_entry &made = _pools.try_emplace(p_name, _context, _endpoints, _guard, p_name, std::move(hooks)).first->second;
 	_update_replicas(p_name, made);
 	return made;
 }
--- a/main/gateway/stage_dispatcher.h
+++ b/main/gateway/stage_dispatcher.h
@@ -50,8 +50,8 @@
 	};
 
 	struct pool_entry {
-		pool_entry(gateway_context &p_context, send_guard &p_guard, const std::string &p_name, pool_caller_hooks p_hooks) :
-				calls(p_context, p_guard, p_name, std::move(p_hooks)) {}
+		pool_entry(gateway_context &p_context, endpoint_exchanges &p_endpoints, send_guard &p_guard, const std::string &p_name, pool_caller_hooks p_hooks) :
+				calls(p_context, p_endpoints, p_guard, p_name, std::move(p_hooks)) {}
 
 		pool_caller calls;
 		std::unordered_map<work_id, accepted_work> accepted;
@@ -68,6 +68,7 @@
 	gateway_context &_context;
 	configuration_follower &_configuration;
 	gateway_fleet &_fleet;
+	endpoint_exchanges &_endpoints;
 	commitment_table &_commitments;
 	std::map<std::uint64_t, own_work> _own;
 	std::map<std::string, pool_entry> _pools;
@@ -134,7 +135,7 @@
 	void _on_work_assigned(const std::string &p_vm, const assign_work_message &p_message);
 
 public:
-	stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, commitment_table &p_commitments, send_guard &p_guard);
+	stage_dispatcher(gateway_context &p_context, configuration_follower &p_configuration, gateway_fleet &p_fleet, endpoint_exchanges &p_endpoints, commitment_table &p_commitments, send_guard &p_guard);
 
 	void start();
 
--- /dev/null
+++ b/servers/reach/service_reach.cpp
@@ -0,0 +1,91 @@
+/*
+ * calicoscale: service_reach.cpp
+ * Which services' endpoints this node can connect to.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "servers/reach/service_reach.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+std::size_t service_reach::_get_required(const service_state &p_state) {
+	return std::clamp<std::size_t>(p_state.endpoints.size(), 1, REQUIRED_ENDPOINTS);
+}
+
+void service_reach::_set_reached(const std::string &p_service, service_state &r_state, bool p_is_reached, instant p_now) {
+	if (r_state.is_reached == p_is_reached) {
+		return;
+	}
+	r_state.is_reached = p_is_reached;
+	const std::optional<duration> age = r_state.contact_at ? std::optional<duration>(p_now - *r_state.contact_at) : std::nullopt;
+	_changes.push_back(reach_change{ p_service, p_is_reached, r_state.failed.size(), age });
+	if (p_is_reached) {
+		r_state.failed.clear();
+	}
+}
+
+std::vector<service_endpoint> service_reach::set_endpoints(const std::map<std::string, std::set<std::string>> &p_endpoints) {
+	std::erase_if(_services, [&p_endpoints](const auto &p_entry) { return !p_endpoints.contains(p_entry.first); });
+	std::vector<service_endpoint> to_probe;
+	for (const auto &[service, endpoints] : p_endpoints) {
+		service_state &state = _services[service];
+		for (const std::string &vm : endpoints) {
+			if (!state.is_reached && !state.endpoints.contains(vm)) {
+				to_probe.push_back(service_endpoint{ service, vm });
+			}
+		}
+		state.endpoints = endpoints;
+		std::erase_if(state.failed, [&endpoints](const std::string &p_vm) { return !endpoints.contains(p_vm); });
+	}
+	return to_probe;
+}
+
+void service_reach::on_contact(const std::string &p_service, instant p_now) {
+	const auto found = _services.find(p_service);
+	if (found == _services.end()) {
+		return;
+	}
+	service_state &state = found->second;
+	_set_reached(p_service, state, true, p_now);
+	state.failed.clear();
+	state.contact_at = p_now;
+}
+
+void service_reach::on_failure(const std::string &p_service, const std::string &p_endpoint, instant p_now) {
+	const auto found = _services.find(p_service);
+	if (found == _services.end() || !found->second.endpoints.contains(p_endpoint)) {
+		return;
+	}
+	service_state &state = found->second;
+	state.failed.insert(p_endpoint);
+	if (state.failed.size() >= _get_required(state)) {
+		_set_reached(p_service, state, false, p_now);
+	}
+}
+
+bool service_reach::is_reached(const std::string &p_service) const {
+	const auto found = _services.find(p_service);
+	return found == _services.end() || found->second.is_reached;
+}
+
+std::vector<std::string> service_reach::get_unreached() const {
+	std::vector<std::string> unreached;
+	for (const auto &[service, state] : _services) {
+		if (!state.is_reached) {
+			unreached.push_back(service);
+		}
+	}
+	return unreached;
+}
+
+std::vector<reach_change> service_reach::take_changes() {
+	std::vector<reach_change> changes;
+	changes.swap(_changes);
+	return changes;
+}
+
+} // namespace calicoscale
