--- a/main/gateway/crash_watch.cpp
+++ b/main/gateway/crash_watch.cpp
@@ -41,7 +41,7 @@
 
 void crash_watch::_on_probed(const interrupted_run &p_run, probe_end p_end, instant p_interrupted_at) {
 	if (p_end == probe_end::REFUSED) {
-		_exchanges.on_probe_failed(p_run.service, p_run.endpoint.vm);
+		_exchanges.on_connection_failed(p_run.service, p_run.endpoint.vm);
 	}
 	// A lost path may also refuse connections. While it is in doubt, only the endpoint's entry shows whether the endpoint has exited.
 	const probe_end end = _exchanges.is_reached(p_run.service) ? p_end : probe_end::SILENT;
--- a/main/gateway/endpoint_exchanges.cpp
+++ b/main/gateway/endpoint_exchanges.cpp
@@ -30,7 +30,7 @@
 		_fleet(p_fleet),
 		_forwarded(p_context, p_fleet, [this](const std::string &p_peer, forwarding_end p_end) { _on_forwarding_ended(p_peer, p_end); }),
 		_forwarder(
-				p_context, p_fleet, [this](channel_request p_request, channel_hooks p_hooks) { return _start_directly(std::move(p_request), std::move(p_hooks)); }, [this](const std::string &p_service) { return is_reached(p_service); }),
+				p_context, p_fleet, [this](channel_request p_request, channel_hooks p_hooks) { return _start_directly(std::move(p_request), std::move(p_hooks)); }, [this](const channel_request &p_request) { return _reach.is_endpoint_reached(p_request.service, p_request.endpoint.vm); }),
 		_probe(p_context.loop, p_context.channels.get_path_faults()),
 		_probe_timer(p_context.loop, [this] { _probe_unreached(); }) {
 	_context.channels.set_on_contact([this](const channel_request &p_request) {
@@ -38,7 +38,7 @@
 		if (!p_request.zone.empty()) {
 			_context.zones.on_endpoint_contact(p_request.zone, now);
 		}
-		_reach.on_contact(p_request.service, now);
+		_reach.on_contact(p_request.service, p_request.endpoint.vm, now);
 		_apply_changes();
 	});
 }
@@ -72,7 +72,7 @@
 }
 
 exchange_id endpoint_exchanges::start(channel_request p_request, channel_hooks p_hooks) {
-	if (_reach.is_reached(p_request.service) || p_request.bytes.size() > forwarded_exchanges::MAX_REQUEST_BYTES) {
+	if (_reach.is_endpoint_reached(p_request.service, p_request.endpoint.vm) || p_request.bytes.size() > forwarded_exchanges::MAX_REQUEST_BYTES) {
 		return _start_directly(std::move(p_request), std::move(p_hooks));
 	}
 	const std::vector<forwarding_peer> peers = _get_peers();
@@ -122,27 +122,25 @@
 	return _peers.can_choose(p_service, peers, event_loop::now()) || !_peers.is_reached_by_any(p_service, peers);
 }
 
-void endpoint_exchanges::on_probe_failed(const std::string &p_service, const std::string &p_endpoint) {
+void endpoint_exchanges::on_connection_failed(const std::string &p_service, const std::string &p_endpoint) {
 	_reach.on_failure(p_service, p_endpoint, event_loop::now());
 	_apply_changes();
+	if (!_probe_timer.is_set() && !_reach.get_unreached_endpoints().empty()) {
+		_probe_timer.set(PROBE_INTERVAL);
+	}
 }
 
 exchange_id endpoint_exchanges::_start_directly(channel_request p_request, channel_hooks p_hooks) {
 	channel_hooks hooks = std::move(p_hooks);
 	hooks.on_end = [this, service = p_request.service, endpoint = p_request.endpoint.vm, on_end = std::move(hooks.on_end)](channel_end p_end) {
-		_on_ended(service, endpoint, p_end);
+		if (p_end == channel_end::CONNECT_FAILED) {
+			on_connection_failed(service, endpoint);
+		}
 		on_end(p_end);
 	};
 	return _context.channels.start(std::move(p_request), std::move(hooks));
 }
 
-void endpoint_exchanges::_on_ended(const std::string &p_service, const std::string &p_endpoint, channel_end p_end) {
-	if (p_end == channel_end::CONNECT_FAILED) {
-		_reach.on_failure(p_service, p_endpoint, event_loop::now());
-		_apply_changes();
-	}
-}
-
 void endpoint_exchanges::set_endpoints(const std::vector<endpoint_listing> &p_listings) {
 	std::map<std::string, std::set<std::string>> names;
 	_endpoints.clear();
@@ -153,30 +151,33 @@
 		}
 	}
 	for (const service_endpoint &added : _reach.set_endpoints(names)) {
-		const std::vector<endpoint_listing> &listings = _endpoints[added.service];
-		_probe_endpoint(*std::find_if(listings.begin(), listings.end(), [&added](const endpoint_listing &p_listing) { return p_listing.vm == added.vm; }));
+		_probe_endpoint(added);
 	}
 }
 
-void endpoint_exchanges::_probe_endpoint(const endpoint_listing &p_listing) {
-	_probe.start(p_listing.address, [this, service = p_listing.pool](probe_end p_end) {
+void endpoint_exchanges::_probe_endpoint(const service_endpoint &p_endpoint) {
+	const std::vector<endpoint_listing> &listings = _endpoints[p_endpoint.service];
+	const auto listing = std::find_if(listings.begin(), listings.end(), [&p_endpoint](const endpoint_listing &p_listing) { return p_listing.vm == p_endpoint.vm; });
+	_probe.start(listing->address, [this, p_endpoint](probe_end p_end) {
 		if (p_end == probe_end::ACCEPTED) {
-			_reach.on_contact(service, event_loop::now());
+			_reach.on_contact(p_endpoint.service, p_endpoint.vm, event_loop::now());
 			_apply_changes();
 		}
 	});
 }
 
 void endpoint_exchanges::_probe_unreached() {
-	const std::vector<std::string> services = _reach.get_unreached();
-	for (const std::string &service : services) {
+	std::map<std::string, std::vector<service_endpoint>> unreached;
+	for (const service_endpoint &endpoint : _reach.get_unreached_endpoints()) {
+		unreached[endpoint.service].push_back(endpoint);
+	}
+	for (const auto &[service, endpoints] : unreached) {
 		_seek_peers(service);
-		const std::vector<endpoint_listing> &listings = _endpoints[service];
-		for (std::size_t i = 0; i < std::min(PROBES_PER_INTERVAL, listings.size()); i++) {
-			_probe_endpoint(listings[_context.random.get_bits() % listings.size()]);
+		for (std::size_t i = 0; i < std::min(PROBES_PER_INTERVAL, endpoints.size()); i++) {
+			_probe_endpoint(endpoints[_context.random.get_bits() % endpoints.size()]);
 		}
 	}
-	if (!services.empty()) {
+	if (!unreached.empty()) {
 		_probe_timer.set(PROBE_INTERVAL);
 	}
 }
@@ -198,9 +199,6 @@
 	for (const std::string &service : _reach.get_unreached()) {
 		_seek_peers(service);
 	}
-	if (!_reach.get_unreached().empty() && !_probe_timer.is_set()) {
-		_probe_timer.set(PROBE_INTERVAL);
-	}
 }
 
 heartbeat_section endpoint_exchanges::make_section() {
--- a/main/gateway/endpoint_exchanges.h
+++ b/main/gateway/endpoint_exchanges.h
@@ -24,8 +24,8 @@
 
 /**
  * All exchanges with endpoints start here. Connections that fail show which services are unreachable from this node, which it reports in
- * its heartbeats. While a service is unreachable, exchanges with its endpoints are forwarded to peers that reach it, and a few of the
- * endpoints are probed until one accepts a connection.
+ * its heartbeats. Exchanges with endpoints that are unreachable are forwarded to peers, and a few of these endpoints are probed at a
+ * time until they accept connections.
  */
 class endpoint_exchanges {
 	gateway_context &_context;
@@ -44,8 +44,7 @@
 	void _seek_peers(const std::string &p_service);
 	exchange_id _start_directly(channel_request p_request, channel_hooks p_hooks);
 	void _on_forwarding_ended(const std::string &p_peer, forwarding_end p_end);
-	void _on_ended(const std::string &p_service, const std::string &p_endpoint, channel_end p_end);
-	void _probe_endpoint(const endpoint_listing &p_listing);
+	void _probe_endpoint(const service_endpoint &p_endpoint);
 	void _probe_unreached();
 	/** Logs changes of what this node reaches, and reports them to its peers. */
 	void _apply_changes();
@@ -81,7 +80,7 @@
 	bool may_send(const std::string &p_service) const;
 
 	/** An endpoint of a service did not accept a connection. */
-	void on_probe_failed(const std::string &p_service, const std::string &p_endpoint);
+	void on_connection_failed(const std::string &p_service, const std::string &p_endpoint);
 
 	/** Accepts no more exchanges of other nodes, as this node is about to stop. */
 	void stop_accepting() { _forwarder.stop_accepting(); }
--- a/main/gateway/exchange_forwarder.cpp
+++ b/main/gateway/exchange_forwarder.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-exchange_forwarder::exchange_forwarder(gateway_context &p_context, gateway_fleet &p_fleet, starter p_start, std::function<bool(const std::string &)> p_reaches) :
+exchange_forwarder::exchange_forwarder(gateway_context &p_context, gateway_fleet &p_fleet, starter p_start, std::function<bool(const channel_request &)> p_reaches) :
 		_context(p_context),
 		_fleet(p_fleet),
 		_start(std::move(p_start)),
@@ -52,17 +52,24 @@
 	_ticked_at = now;
 }
 
+void exchange_forwarder::_reject(const std::string &p_vm, const open_exchange_message &p_message, forwarding_end p_end) {
+	_context.metrics.count("forwarded_exchanges_rejected");
+	_context.log.write_request(log_line("forwarding_rejected").add("request", p_message.request.echo_value).add("from", p_vm).add("service", p_message.request.service).add("endpoint", p_message.request.endpoint.vm).add("end", get_name(p_end)).add("open", static_cast<long long>(_open.size())));
+	exchange_progress_message rejected;
+	rejected.id = p_message.id;
+	rejected.end = p_end;
+	_fleet.get_link().send(p_vm, rejected);
+}
+
 void exchange_forwarder::_on_opened(const std::string &p_vm, const open_exchange_message &p_message) {
 	const key opened{ p_vm, p_message.id };
 	const std::size_t bytes = p_message.request.bytes.size();
-	const bool is_reached = _reaches(p_message.request.service);
-	if (_is_stopping || _open.contains(opened) || !is_reached || !_capacity.try_reserve(bytes)) {
-		_context.metrics.count("forwarded_exchanges_declined");
-		_context.log.write_request(log_line("forwarding_declined").add("request", p_message.request.echo_value).add("from", p_vm).add("service", p_message.request.service).add("is_reached", is_reached ? "yes" : "no").add("open", static_cast<long long>(_open.size())));
-		exchange_progress_message declined;
-		declined.id = p_message.id;
-		declined.end = forwarding_end::DECLINED;
-		_fleet.get_link().send(p_vm, declined);
+	if (!_reaches(p_message.request)) {
+		_reject(p_vm, p_message, forwarding_end::CONNECT_FAILED);
+		return;
+	}
+	if (_is_stopping || _open.contains(opened) || !_capacity.try_reserve(bytes)) {
+		_reject(p_vm, p_message, forwarding_end::DECLINED);
 		return;
 	}
 	exchange &made = _open[opened];
--- a/main/gateway/exchange_forwarder.h
+++ b/main/gateway/exchange_forwarder.h
@@ -43,13 +43,15 @@
 	gateway_context &_context;
 	gateway_fleet &_fleet;
 	starter _start;
-	std::function<bool(const std::string &)> _reaches;
+	std::function<bool(const channel_request &)> _reaches;
 	forwarding_capacity _capacity;
 	endpoint_probe _end_probe;
 	std::map<key, exchange> _open;
 	instant _ticked_at{};
 	bool _is_stopping = false;
 
+	/** Tells the owner of an exchange that it is not carried out. */
+	void _reject(const std::string &p_vm, const open_exchange_message &p_message, forwarding_end p_end);
 	void _on_opened(const std::string &p_vm, const open_exchange_message &p_message);
 	void _on_controlled(const std::string &p_vm, const control_exchange_message &p_message);
 	void _on_head(const key &p_key, const http_head &p_head);
@@ -64,9 +66,9 @@
 public:
 	/**
 	 * @param p_start starts a direct exchange.
-	 * @param p_reaches whether this node reaches a service.
+	 * @param p_reaches whether this node reaches the endpoint of a request.
 	 */
-	exchange_forwarder(gateway_context &p_context, gateway_fleet &p_fleet, starter p_start, std::function<bool(const std::string &)> p_reaches);
+	exchange_forwarder(gateway_context &p_context, gateway_fleet &p_fleet, starter p_start, std::function<bool(const channel_request &)> p_reaches);
 
 	/** Declines new exchanges from now on; those in progress continue. */
 	void stop_accepting() { _is_stopping = true; }
--- a/servers/reach/service_reach.cpp
+++ b/servers/reach/service_reach.cpp
@@ -1,6 +1,6 @@
 /*
  * calicoscale: service_reach.cpp
- * Which services' endpoints this node can connect to.
+ * Which endpoints, and which services as a whole, this node can connect to.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
@@ -23,9 +23,6 @@
 	r_state.is_reached = p_is_reached;
 	const std::optional<duration> age = r_state.contact_at ? std::optional<duration>(p_now - *r_state.contact_at) : std::nullopt;
 	_changes.push_back(reach_change{ p_service, p_is_reached, r_state.failed.size(), age });
-	if (p_is_reached) {
-		r_state.failed.clear();
-	}
 }
 
 std::vector<service_endpoint> service_reach::set_endpoints(const std::map<std::string, std::set<std::string>> &p_endpoints) {
@@ -39,19 +36,22 @@
 			}
 		}
 		state.endpoints = endpoints;
-		std::erase_if(state.failed, [&endpoints](const std::string &p_vm) { return !endpoints.contains(p_vm); });
+		for (std::set<std::string> *failed : { &state.failed, &state.failed_in_row }) {
+			std::erase_if(*failed, [&endpoints](const std::string &p_vm) { return !endpoints.contains(p_vm); });
+		}
 	}
 	return to_probe;
 }
 
-void service_reach::on_contact(const std::string &p_service, instant p_now) {
+void service_reach::on_contact(const std::string &p_service, const std::string &p_endpoint, instant p_now) {
 	const auto found = _services.find(p_service);
 	if (found == _services.end()) {
 		return;
 	}
 	service_state &state = found->second;
+	state.failed.erase(p_endpoint);
 	_set_reached(p_service, state, true, p_now);
-	state.failed.clear();
+	state.failed_in_row.clear();
 	state.contact_at = p_now;
 }
 
@@ -62,7 +62,8 @@
 	}
 	service_state &state = found->second;
 	state.failed.insert(p_endpoint);
-	if (state.failed.size() >= _get_required(state)) {
+	state.failed_in_row.insert(p_endpoint);
+	if (state.failed_in_row.size() >= _get_required(state)) {
 		_set_reached(p_service, state, false, p_now);
 	}
 }
@@ -72,6 +73,26 @@
 	return found == _services.end() || found->second.is_reached;
 }
 
+bool service_reach::is_endpoint_reached(const std::string &p_service, const std::string &p_endpoint) const {
+	const auto found = _services.find(p_service);
+	if (found == _services.end()) {
+		return true;
+	}
+	const service_state &state = found->second;
+	return state.is_reached && (!state.failed.contains(p_endpoint) || state.failed.size() < _get_required(state));
+}
+
+std::vector<service_endpoint> service_reach::get_unreached_endpoints() const {
+	std::vector<service_endpoint> unreached;
+	for (const auto &[service, state] : _services) {
+		const bool is_any_unreached = !state.is_reached || state.failed.size() >= _get_required(state);
+		for (const std::string &vm : is_any_unreached ? state.failed : std::set<std::string>()) {
+			unreached.push_back(service_endpoint{ service, vm });
+		}
+	}
+	return unreached;
+}
+
 std::vector<std::string> service_reach::get_unreached() const {
 	std::vector<std::string> unreached;
 	for (const auto &[service, state] : _services) {
--- a/servers/reach/service_reach.h
+++ b/servers/reach/service_reach.h
@@ -1,6 +1,6 @@
 /*
  * calicoscale: service_reach.h
- * Which services' endpoints this node can connect to.
+ * Which endpoints, and which services as a whole, this node can connect to.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
@@ -24,7 +24,7 @@
 struct reach_change {
 	std::string service;
 	bool is_reached = true;
-	std::size_t failed_endpoints = 0; ///< Distinct endpoints to which connections failed since the last contact with the service.
+	std::size_t failed_endpoints = 0; ///< Endpoints to which connections failed and with which there was no contact since.
 	std::optional<duration> contact_age; ///< Time since the last contact with any endpoint of the service; empty if there was none.
 };
 
@@ -35,15 +35,17 @@
 };
 
 /**
- * Takes a service as unreachable when connections to several of its endpoints failed in a row, without contact with any endpoint of the
- * service in between. Only this node's own connections count, so the result does not distinguish lost paths from endpoints that all
- * crashed. The state grows with the number of services and endpoints, and is updated with each connection and answer. The caller passes
+ * Takes an endpoint as unreachable from a failed connection to the next contact with it, if connections to several endpoints of its
+ * service failed: a single one has probably crashed. Takes the whole service as unreachable when several failed in a row, without
+ * contact with any endpoint of the service in between. Only this node's own connections count, so the result does not distinguish lost
+ * paths from endpoints that all crashed. The state grows with the number of services and endpoints, and is updated with each connection and answer. The caller passes
  * the current time.
  */
 class service_reach {
 	struct service_state {
 		std::set<std::string> endpoints; ///< Endpoints on the list, by VM name.
-		std::set<std::string> failed; ///< Listed endpoints to which connections failed since the last contact.
+		std::set<std::string> failed; ///< Listed endpoints to which connections failed, and with which there was no contact since.
+		std::set<std::string> failed_in_row; ///< Those that failed since the last contact with any endpoint.
 		std::optional<instant> contact_at;
 		bool is_reached = true;
 	};
@@ -55,21 +57,27 @@
 	void _set_reached(const std::string &p_service, service_state &r_state, bool p_is_reached, instant p_now);
 
 public:
-	/** Distinct endpoints that must fail in a row before a service counts as unreachable; fewer if it has fewer. */
+	/** Distinct endpoints that must fail before one of them, or their service, counts as unreachable; fewer if the service has fewer. */
 	static constexpr std::size_t REQUIRED_ENDPOINTS = 2;
 
-	/** Sets the endpoints of all services. Returns the new ones of unreachable services, which are to be probed at once. */
+	/** Sets the endpoints of all services. Returns the new ones of unreachable services, which should be probed at once. */
 	std::vector<service_endpoint> set_endpoints(const std::map<std::string, std::set<std::string>> &p_endpoints);
 
 	/** An endpoint of a service sent bytes, or accepted a connection or a probe. */
-	void on_contact(const std::string &p_service, instant p_now);
+	void on_contact(const std::string &p_service, const std::string &p_endpoint, instant p_now);
 
 	/** A connection to an endpoint was not established. */
 	void on_failure(const std::string &p_service, const std::string &p_endpoint, instant p_now);
 
-	/** Whether connections to a service may succeed, as far as known. */
+	/** Whether connections to some endpoint of a service may succeed, as far as known. */
 	bool is_reached(const std::string &p_service) const;
 
+	/** Whether a connection to an endpoint of a service may succeed, as far as known. */
+	bool is_endpoint_reached(const std::string &p_service, const std::string &p_endpoint) const;
+
+	/** Returns the endpoints that are unreachable from this node. */
+	std::vector<service_endpoint> get_unreached_endpoints() const;
+
 	/** Returns the services that are unreachable from this node. */
 	std::vector<std::string> get_unreached() const;
 
--- a/tests/main/gateway_cut_off_test.cpp
+++ b/tests/main/gateway_cut_off_test.cpp
@@ -160,6 +160,19 @@
 				cut{ path_fault::REFUSED, 4, { 0, 1, 2 } },
 				cut{ path_fault::SILENT, 4, { 0, 1, 2 } }));
 
+TEST_F(gateway_cut_off_test, callers_of_a_gateway_that_reaches_a_single_endpoint_are_served_as_others_are) {
+	start_fleet(4);
+	_addresses["llm"].pop_back();
+	cut_off(*_gateways[0], path_fault::SILENT, { "llm" });
+	let_recover("/once/x");
+	for (int round = 0; round < 5; round++) {
+		expect_served(*_gateways[0], "/once/x");
+		expect_served(*_gateways[0], "/stream/x");
+		wait(milliseconds(300));
+	}
+	expect_single_runs();
+}
+
 TEST_F(gateway_cut_off_test, a_gateway_that_reaches_no_engine_has_no_stage_work_done_for_requests_it_cannot_send) {
 	// Forwards nothing, as it has no memory for it.
 	_adjust_settings = [this](gateway_settings &r_settings) { r_settings.memory_bytes = _gateways.empty() ? r_settings.memory_bytes : 1000.0; };
--- a/tests/servers/reach/service_reach_test.cpp
+++ b/tests/servers/reach/service_reach_test.cpp
@@ -49,7 +49,7 @@
 TEST(service_reach, contact_between_two_failures_keeps_a_service_reachable) {
 	service_reach reach = make_reach();
 	reach.on_failure("llm", "e1", START);
-	reach.on_contact("llm", START);
+	reach.on_contact("llm", "e3", START);
 	reach.on_failure("llm", "e2", START);
 	EXPECT_TRUE(reach.is_reached("llm"));
 	EXPECT_TRUE(reach.take_changes().empty());
@@ -57,10 +57,10 @@
 
 TEST(service_reach, changes_name_the_age_of_the_last_contact) {
 	service_reach reach = make_reach();
-	reach.on_contact("llm", START);
+	reach.on_contact("llm", "e3", START);
 	reach.on_failure("llm", "e1", START + milliseconds(300));
 	reach.on_failure("llm", "e2", START + milliseconds(400));
-	reach.on_contact("llm", START + milliseconds(900));
+	reach.on_contact("llm", "e3", START + milliseconds(900));
 	const std::vector<reach_change> changes = reach.take_changes();
 	ASSERT_EQ(changes.size(), 2U);
 	EXPECT_FALSE(changes[0].is_reached);
@@ -80,6 +80,23 @@
 	EXPECT_FALSE(reach.is_reached("single"));
 }
 
+TEST(service_reach, endpoints_stay_unreachable_while_others_of_their_service_are_reached) {
+	service_reach reach = make_reach();
+	reach.on_failure("llm", "e1", START);
+	EXPECT_TRUE(reach.is_endpoint_reached("llm", "e1")) << "a single endpoint has probably crashed";
+	reach.on_failure("llm", "e2", START);
+	EXPECT_FALSE(reach.is_endpoint_reached("llm", "e3")) << "the whole service is unreachable";
+	reach.on_contact("llm", "e3", START);
+	EXPECT_TRUE(reach.is_reached("llm"));
+	EXPECT_TRUE(reach.is_endpoint_reached("llm", "e3"));
+	EXPECT_FALSE(reach.is_endpoint_reached("llm", "e1"));
+	EXPECT_EQ(reach.get_unreached_endpoints().size(), 2U);
+	reach.on_contact("llm", "e1", START);
+	EXPECT_TRUE(reach.is_endpoint_reached("llm", "e1"));
+	EXPECT_TRUE(reach.is_endpoint_reached("llm", "e2"));
+	EXPECT_TRUE(reach.get_unreached_endpoints().empty());
+}
+
 TEST(service_reach, failures_of_endpoints_that_left_the_list_do_not_count) {
 	service_reach reach = make_reach();
 	reach.on_failure("llm", "e1", START);
