--- a/main/gateway/admitted_request.cpp
+++ b/main/gateway/admitted_request.cpp
@@ -56,7 +56,11 @@
 	const http_head &head = p_request.exchange->head;
 	const std::string *host = head.find("Host");
 	const std::string_view customer = p_request.customer == nullptr ? std::string_view() : std::string_view(p_request.customer->name);
-	return request_content{ head.method, host == nullptr ? std::string_view() : std::string_view(*host), head.target, customer, p_request.exchange->body };
+	request_content content{ head.method, host == nullptr ? std::string_view() : std::string_view(*host), head.target, customer, p_request.exchange->body, {} };
+	for (std::size_t i = 0; i + 1 < p_request.facts.prompt.size(); i++) {
+		content.parts.push_back(p_request.facts.prompt[i].id);
+	}
+	return content;
 }
 
 int get_priority(const admitted_request &p_request) {
--- a/main/gateway/crash_watch.cpp
+++ b/main/gateway/crash_watch.cpp
@@ -8,12 +8,24 @@
 
 #include "main/gateway/crash_watch.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
 
 /** Interval between checks of the list for removed endpoints. The list is read each 0.9 s. */
 constexpr duration LIST_CHECK_INTERVAL = std::chrono::milliseconds(300);
+/** Maximum number of parts of a prompt in a log line. */
+constexpr std::size_t MAX_LOGGED_PARTS = 16;
+
+std::string list_parts(const std::vector<request_fingerprint> &p_parts) {
+	std::string list;
+	for (std::size_t i = 0; i < std::min(p_parts.size(), MAX_LOGGED_PARTS); i++) {
+		list += (i == 0 ? "" : ",") + to_string(p_parts[i]);
+	}
+	return list;
+}
 
 } // namespace
 
@@ -32,7 +44,7 @@
 	}
 	const instant now = event_loop::now();
 	_context.metrics.count("runs_lost");
-	_context.log.write_request(log_line("run_lost").add("request", p_run.attempt).add("fingerprint", to_string(p_run.fingerprint)).add("endpoint", p_run.endpoint.vm).add("address", to_string(p_run.address)));
+	_context.log.write_request(log_line("run_lost").add("request", p_run.attempt).add("fingerprint", to_string(p_run.fingerprint)).add("endpoint", p_run.endpoint.vm).add("address", to_string(p_run.address)).add("parts", list_parts(p_run.parts)));
 	if (!_interrupted.add(p_run.endpoint, p_run.fingerprint, now)) {
 		return;
 	}
--- a/main/gateway/crash_watch.h
+++ b/main/gateway/crash_watch.h
@@ -28,6 +28,7 @@
 	endpoint_identity endpoint;
 	network_address address;
 	std::string service;
+	std::vector<request_fingerprint> parts; ///< Parts of its prompt but the last.
 };
 
 /** Probes endpoints with interrupted runs, and watches the list of endpoints, to find out whether the endpoint crashed. */
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -336,7 +336,12 @@
 	if (endpoint == nullptr) {
 		return;
 	}
-	_services.crashes.on_run_interrupted(interrupted_run{ _request.facts.attempt, make_fingerprint(get_content(_request)), _endpoint_identity, endpoint->listing.address, _request.service });
+	const request_content content = get_content(_request);
+	std::vector<request_fingerprint> parts;
+	for (const std::string_view part : content.parts) {
+		parts.push_back(make_part_fingerprint(part));
+	}
+	_services.crashes.on_run_interrupted(interrupted_run{ _request.facts.attempt, make_fingerprint(content), _endpoint_identity, endpoint->listing.address, _request.service, std::move(parts) });
 }
 
 void gateway_request::_judge_end(answer_end p_end) {
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -232,7 +232,7 @@
 	for (const stage_item &item : p_call.items) {
 		const stage_work *work = _pool.find_work(item.work);
 		if (work != nullptr && noted.insert(item.work).second) {
-			_hooks.on_run_interrupted(interrupted_run{ work->attempt, work->run, p_call.replica, p_call.to, _service });
+			_hooks.on_run_interrupted(interrupted_run{ work->attempt, work->run, p_call.replica, p_call.to, _service, {} });
 		}
 	}
 }
--- a/servers/request/request_fingerprint.cpp
+++ b/servers/request/request_fingerprint.cpp
@@ -28,6 +28,16 @@
 	return request_fingerprint{ hash_target(p_content), digest.finish() };
 }
 
+request_fingerprint make_part_fingerprint(std::string_view p_part) {
+	field_digest digest;
+	digest.add(p_part);
+	return request_fingerprint{ PART_PLACE, digest.finish() };
+}
+
+bool is_part(const request_fingerprint &p_fingerprint) {
+	return p_fingerprint.place == PART_PLACE;
+}
+
 std::string to_string(const request_fingerprint &p_fingerprint) {
 	return to_hex(p_fingerprint.content.high);
 }
--- a/servers/request/request_fingerprint.h
+++ b/servers/request/request_fingerprint.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace calicoscale {
 
@@ -25,6 +26,7 @@
 	std::string_view target; ///< Path and query.
 	std::string_view customer; ///< Empty for public routes.
 	std::string_view body;
+	std::vector<std::string_view> parts; ///< Ids of the parts of its prompt but the last, which is its own.
 };
 
 /**
@@ -37,12 +39,24 @@
 	auto operator<=>(const request_fingerprint &p_other) const = default;
 };
 
+/** Place of the fingerprints of parts of prompts. */
+constexpr std::uint64_t PART_PLACE = 0;
+
 /** Returns the hash of everything but the body. */
 std::uint64_t hash_target(const request_content &p_content);
 
 /** Computes the fingerprint of the complete content, which takes about 1 ms per megabyte. */
 request_fingerprint make_fingerprint(const request_content &p_content);
 
+/**
+ * Computes the fingerprint of a part of prompts, which is the same whatever else its requests hold. It differs from that of any request:
+ * no request has its place.
+ */
+request_fingerprint make_part_fingerprint(std::string_view p_part);
+
+/** Whether a fingerprint is that of a part of prompts. */
+bool is_part(const request_fingerprint &p_fingerprint);
+
 /** Formats the upper half of the content digest as 16 hexadecimal digits, for logs. */
 std::string to_string(const request_fingerprint &p_fingerprint);
 
