--- a/tests/standins/standin_replica.cpp
+++ b/tests/standins/standin_replica.cpp
@@ -137,6 +137,10 @@
 		_loop.post([this] { end_process(); });
 		return;
 	}
+	if (_has_ending_part()) {
+		_end_while_answering(*p_exchange);
+		return;
+	}
 	switch (mode) {
 		case replica_mode::FAIL:
 			p_exchange->reply(500, _make_headers(*p_exchange), "failed");
@@ -160,6 +164,18 @@
 	p_exchange->reply(200, _make_headers(*p_exchange), "made by " + _name);
 }
 
+bool standin_replica::_has_ending_part() const {
+	const std::string prompt = runs.back().get("X-Prefix-Hash");
+	const std::string before_last = prompt.substr(0, prompt.rfind(',') + 1);
+	return std::any_of(ending_parts.begin(), ending_parts.end(), [&before_last](const std::string &p_part) { return ("," + before_last).find("," + p_part + ":") != std::string::npos; });
+}
+
+void standin_replica::_end_while_answering(caller_exchange &p_exchange) {
+	p_exchange.start(200, _make_headers(p_exchange));
+	p_exchange.send("id: 1\nda");
+	_loop.post([this] { end_process(); });
+}
+
 void standin_replica::_stream(caller_exchange &p_exchange) {
 	const std::string last = runs.back().get("Last-Event-Id");
 	const int first = last.empty() ? 1 : std::stoi(last) + 1;
--- a/tests/standins/standin_replica.h
+++ b/tests/standins/standin_replica.h
@@ -58,6 +58,10 @@
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _run_stage(caller_exchange &p_exchange);
 	void _stream(caller_exchange &p_exchange);
+	/** Whether the newest request has a part that ends the process. */
+	bool _has_ending_part() const;
+	/** Begins an answer, as far as the first half of its first event, and ends the process. */
+	void _end_while_answering(caller_exchange &p_exchange);
 	/** What it says about itself in all its answers. */
 	std::vector<http_header> _make_notices() const;
 	std::vector<http_header> _make_headers(const caller_exchange &p_exchange) const;
@@ -77,6 +81,7 @@
 	std::size_t most_results = 1000; ///< Pieces that would be more find no room.
 	std::size_t pieces_without_room = 0;
 	std::string ending_body; ///< A request with this body ends its process as it begins to run, whatever the mode; empty for none.
+	std::vector<std::string> ending_parts; ///< A request whose prompt has one of these parts before its last ends its process as it begins to answer.
 	std::string ending_key; ///< A stage call with a piece of this caller's key ends its process; empty for none.
 	std::function<void()> on_ended; ///< Called once, when its process has ended.
 	std::function<void()> on_stage_call; ///< Called as a stage call arrives, before it runs.
