--- a/main/gateway/crash_guard.cpp
+++ b/main/gateway/crash_guard.cpp
@@ -8,6 +8,8 @@
 
 #include "main/gateway/crash_guard.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
@@ -53,17 +55,44 @@
 	_expiry_timer.set(EXPIRY_INTERVAL);
 }
 
+std::vector<request_fingerprint> crash_guard::_find_known(const request_content &p_content) const {
+	std::vector<request_fingerprint> known;
+	if (_memory.knows_target(hash_target(p_content))) {
+		known.push_back(make_fingerprint(p_content));
+	}
+	if (!p_content.parts.empty() && _memory.knows_target(PART_PLACE)) {
+		for (const std::string_view part : p_content.parts) {
+			known.push_back(make_part_fingerprint(part));
+		}
+	}
+	std::erase_if(known, [this](const request_fingerprint &p_run) { return _memory.count_crashes(p_run) == 0; });
+	return known;
+}
+
 crash_verdict crash_guard::judge(const request_content &p_content) const {
-	if (!_memory.knows_target(hash_target(p_content))) {
-		return {};
+	const instant now = event_loop::now();
+	std::vector<crash_verdict> verdicts;
+	for (const request_fingerprint &run : _find_known(p_content)) {
+		const crash_verdict verdict = _memory.judge(run, now);
+		// One crash of an endpoint says little about a part that many requests share.
+		if (!is_part(run) || verdict.standing != crash_state::SUSPECT) {
+			verdicts.push_back(verdict);
+		}
 	}
-	return _memory.judge(make_fingerprint(p_content), event_loop::now());
+	return combine_verdicts(verdicts);
 }
 
 void crash_guard::_publish(crash_event p_event, const request_fingerprint &p_run, std::uint64_t p_subject, instant p_at) {
 	_exchange.publish(crash_record{ p_event, p_run, p_subject, p_at });
 }
 
+void crash_guard::_publish_all(crash_event p_event, const std::vector<request_fingerprint> &p_runs, std::uint64_t p_subject) {
+	const instant now = event_loop::now();
+	for (const request_fingerprint &run : p_runs) {
+		_publish(p_event, run, p_subject, now);
+	}
+}
+
 void crash_guard::_on_crashed(const crashed_endpoint &p_crashed) {
 	for (const request_fingerprint &run : p_crashed.runs) {
 		_publish(crash_event::CRASHED_ENDPOINT, run, make_subject(p_crashed.endpoint), p_crashed.lost_at);
@@ -79,23 +108,22 @@
 	_context.log.write_request(line);
 }
 
-void crash_guard::on_run_done(const request_content &p_content) {
-	if (!_memory.knows_target(hash_target(p_content))) {
-		return;
-	}
-	const request_fingerprint run = make_fingerprint(p_content);
-	if (_memory.count_crashes(run) > 0) {
-		_publish(crash_event::SERVED, run, 0, event_loop::now());
+void crash_guard::on_run_done(const request_content &p_content, bool p_is_success) {
+	for (const request_fingerprint &run : _find_known(p_content)) {
+		if (p_is_success || !is_part(run)) {
+			_publish(crash_event::SERVED, run, 0, event_loop::now());
+		}
 	}
 }
 
 std::uint64_t crash_guard::request_trial(const request_content &p_content, std::function<void(bool)> p_on_answer) {
-	const std::uint64_t trial = _context.random.get_bits();
-	const request_fingerprint run = make_fingerprint(p_content);
+	std::vector<request_fingerprint> runs = _find_known(p_content);
+	std::erase_if(runs, [this](const request_fingerprint &p_run) { return _memory.judge(p_run, event_loop::now()).standing != crash_state::ON_TRIAL; });
+	const std::uint64_t trial = crash_memory::mark_sole_suspect(_context.random.get_bits(), runs.size() == 1);
 	requested_trial &requested = _requested[trial];
-	requested = requested_trial{ run, std::move(p_on_answer), std::make_unique<timer>(_context.loop, [this, trial] { _answer_trial(trial); }) };
+	requested = requested_trial{ std::move(runs), std::move(p_on_answer), std::make_unique<timer>(_context.loop, [this, trial] { _answer_trial(trial); }) };
 	requested.wait->set(TRIAL_WAIT);
-	_publish(crash_event::TRIAL_REQUESTED, run, trial, event_loop::now());
+	_publish_all(crash_event::TRIAL_REQUESTED, requested.runs, trial);
 	return trial;
 }
 
@@ -106,27 +134,27 @@
 	_requested.erase(found);
 	_context.loop.post([requested] {});
 	const instant now = event_loop::now();
-	const bool may_send = _memory.may_send_trial(requested->run, p_trial, now);
+	const bool may_send = std::all_of(requested->runs.begin(), requested->runs.end(), [this, p_trial, now](const request_fingerprint &p_run) { return _memory.may_send_trial(p_run, p_trial, now); });
 	if (may_send) {
-		_sent.emplace(p_trial, requested->run);
+		_sent.emplace(p_trial, requested->runs);
 	}
-	_publish(may_send ? crash_event::TRIAL_SENT : crash_event::TRIAL_DROPPED, requested->run, p_trial, now);
+	_publish_all(may_send ? crash_event::TRIAL_SENT : crash_event::TRIAL_DROPPED, requested->runs, p_trial);
 	requested->on_answer(may_send);
 }
 
 void crash_guard::end_trial(std::uint64_t p_trial) {
 	const auto requested = _requested.find(p_trial);
 	if (requested != _requested.end()) {
-		const request_fingerprint run = requested->second.run;
+		const std::vector<request_fingerprint> runs = std::move(requested->second.runs);
 		_requested.erase(requested);
-		_publish(crash_event::TRIAL_DROPPED, run, p_trial, event_loop::now());
+		_publish_all(crash_event::TRIAL_DROPPED, runs, p_trial);
 		return;
 	}
 	const auto sent = _sent.find(p_trial);
 	if (sent != _sent.end()) {
-		const request_fingerprint run = sent->second;
+		const std::vector<request_fingerprint> runs = std::move(sent->second);
 		_sent.erase(sent);
-		_publish(crash_event::TRIAL_ENDED, run, p_trial, event_loop::now());
+		_publish_all(crash_event::TRIAL_ENDED, runs, p_trial);
 	}
 }
 
--- a/main/gateway/crash_guard.h
+++ b/main/gateway/crash_guard.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace calicoscale {
 
@@ -27,7 +28,7 @@
 class crash_guard {
 	/** A trial that waits for announcements of competing trials. */
 	struct requested_trial {
-		request_fingerprint run;
+		std::vector<request_fingerprint> runs;
 		std::function<void(bool)> on_answer;
 		std::unique_ptr<timer> wait;
 	};
@@ -37,10 +38,13 @@
 	crash_watch _watch;
 	crash_sync _exchange;
 	std::map<std::uint64_t, requested_trial> _requested;
-	std::map<std::uint64_t, request_fingerprint> _sent; ///< Trials in progress, by id.
+	std::map<std::uint64_t, std::vector<request_fingerprint>> _sent; ///< Trials in progress, by id.
 	timer _expiry_timer;
 	instant _started_at{};
 
+	/** Returns the fingerprints of a request and of its parts for which there are records. */
+	std::vector<request_fingerprint> _find_known(const request_content &p_content) const;
+	void _publish_all(crash_event p_event, const std::vector<request_fingerprint> &p_runs, std::uint64_t p_subject);
 	void _on_crashed(const crashed_endpoint &p_crashed);
 	void _on_event(const crash_record &p_record, std::string_view p_source);
 	void _answer_trial(std::uint64_t p_trial);
@@ -55,14 +59,14 @@
 	/** Returns whether this node has received the records of the other nodes, or MAX_SYNCHRONIZATION_WAIT has passed since its start. */
 	bool is_synchronized() const;
 
-	/** Returns the verdict on a request. Reads the request's body only if there are records for its target. */
+	/** Returns the strictest verdict on a request and the parts of its prompt. Reads the request's body only if there are records for its target. */
 	crash_verdict judge(const request_content &p_content) const;
 
 	/** Records an interrupted run. */
 	void on_run_interrupted(const interrupted_run &p_run) { _watch.on_run_interrupted(p_run); }
 
-	/** Records that a run completed with a complete answer of its endpoint. */
-	void on_run_done(const request_content &p_content);
+	/** Records that a run completed with a complete answer of its endpoint. @param p_is_success Whether it was generated from the whole prompt, and not an error. */
+	void on_run_done(const request_content &p_content, bool p_is_success);
 
 	/**
 	 * Requests to send a request that is on trial. The hook is called once from the event loop with whether the trial may be sent,
--- a/main/gateway/crash_sync.cpp
+++ b/main/gateway/crash_sync.cpp
@@ -70,7 +70,7 @@
 	_on_event(p_record, "this node");
 	_relay.add_own(p_record);
 	_relay.send_soon();
-	const bool is_persistent = std::max(crashes_before, _memory.count_crashes(p_record.run)) >= crash_memory::CRASHES_TO_TRY;
+	const bool is_persistent = std::max(crashes_before, _memory.count_crashes(p_record.run)) >= crash_memory::get_crashes_to_try(p_record.run);
 	if (is_persistent && _to_write.size() < MAX_PENDING_WRITES && _to_write.insert(p_record.run).second && !_is_write_open) {
 		_write_timer.set(WRITE_PAUSE);
 	}
@@ -82,7 +82,7 @@
 		return;
 	}
 	for (const crash_record &record : _memory.get_records(MAX_SNAPSHOT_RECORDS)) {
-		const bool is_persistent = _memory.count_crashes(record.run) >= crash_memory::CRASHES_TO_TRY;
+		const bool is_persistent = _memory.count_crashes(record.run) >= crash_memory::get_crashes_to_try(record.run);
 		if (is_persistent && _to_write.size() < MAX_PENDING_WRITES) {
 			_to_write.insert(record.run);
 		}
--- a/main/gateway/crash_watch.cpp
+++ b/main/gateway/crash_watch.cpp
@@ -45,7 +45,11 @@
 	const instant now = event_loop::now();
 	_context.metrics.count("runs_lost");
 	_context.log.write_request(log_line("run_lost").add("request", p_run.attempt).add("fingerprint", to_string(p_run.fingerprint)).add("endpoint", p_run.endpoint.vm).add("address", to_string(p_run.address)).add("parts", list_parts(p_run.parts)));
-	if (!_interrupted.add(p_run.endpoint, p_run.fingerprint, now)) {
+	bool must_probe = _interrupted.add(p_run.endpoint, p_run.fingerprint, now);
+	for (const request_fingerprint &part : p_run.parts) {
+		must_probe = _interrupted.add(p_run.endpoint, part, now) || must_probe;
+	}
+	if (!must_probe) {
 		return;
 	}
 	_probe.start(p_run.address, [this, p_run, now](probe_end p_end) { _on_probed(p_run, p_end, now); });
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -366,7 +366,7 @@
 void gateway_request::_on_stream_end(answer_end p_end) {
 	if (p_end == answer_end::COMPLETE && _answer.get_notes().has_seal) {
 		_observe(outcome{ verdict::COMPLETED, reason::NONE });
-		_services.crashes.on_run_done(get_content(_request));
+		_services.crashes.on_run_done(get_content(_request), true);
 		if (!_answer_started) {
 			_request.exchange->start(_answer.get_head().status, get_passed_headers(_answer.get_head()));
 		}
@@ -430,14 +430,14 @@
 			return;
 		}
 		_observe(outcome{ verdict::COMPLETED, reason::NONE });
-		_services.crashes.on_run_done(get_content(_request));
+		_services.crashes.on_run_done(get_content(_request), true);
 		_pass_answer();
 		return;
 	}
 	_observe(outcome{ verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR });
 	if (_answer.get_notes().has_seal) {
 		// The endpoint failed the request but did not crash.
-		_services.crashes.on_run_done(get_content(_request));
+		_services.crashes.on_run_done(get_content(_request), false);
 	}
 	_runs++;
 	_tally.add(verdict::MAY_HAVE_RUN);
--- a/servers/gateway/crash_memory.cpp
+++ b/servers/gateway/crash_memory.cpp
@@ -61,6 +61,27 @@
 	return find_name(STATE_NAMES, p_standing);
 }
 
+crash_verdict combine_verdicts(const std::vector<crash_verdict> &p_verdicts) {
+	crash_verdict combined;
+	std::size_t on_trial = 0;
+	bool needs_sole_suspect = false;
+	duration longest = duration::zero();
+	for (const crash_verdict &verdict : p_verdicts) {
+		on_trial += verdict.standing == crash_state::ON_TRIAL ? 1 : 0;
+		needs_sole_suspect = needs_sole_suspect || verdict.needs_sole_suspect;
+		longest = std::max(longest, verdict.retry_after);
+		if (verdict.standing >= combined.standing) {
+			combined = verdict;
+		}
+	}
+	combined.retry_after = longest;
+	if (combined.standing == crash_state::ON_TRIAL && needs_sole_suspect && on_trial > 1) {
+		combined.standing = crash_state::BLOCKED;
+		combined.retry_after = TRIAL_RETRY_AFTER;
+	}
+	return combined;
+}
+
 bool crash_memory::entry::is_expired(instant p_now) const {
 	const bool is_cleared = crashes.empty() && trials.empty();
 	return p_now - newest > (is_cleared ? SERVED_LIFETIME : LIFETIME);
@@ -70,6 +91,15 @@
 	return static_cast<std::size_t>(std::count_if(trials.begin(), trials.end(), [](const auto &p_entry) { return is_sent(p_entry.second.state); }));
 }
 
+bool crash_memory::entry::has_sole_trial() const {
+	return std::any_of(trials.begin(), trials.end(), [](const auto &p_entry) { return is_sent(p_entry.second.state) && (p_entry.first & SOLE_SUSPECT_BIT) != 0; });
+}
+
+bool crash_memory::_has_trial_left(const request_fingerprint &p_run, const entry &p_entry, bool p_is_sole) {
+	const std::size_t sent = p_entry.count_sent_trials();
+	return sent < MAX_TRIALS || (is_part(p_run) && p_is_sole && sent == MAX_TRIALS && !p_entry.has_sole_trial());
+}
+
 const crash_memory::trial *crash_memory::entry::find_open(instant p_now) const {
 	for (const auto &[id, known] : trials) {
 		const bool is_open = known.state == crash_event::TRIAL_REQUESTED || known.state == crash_event::TRIAL_SENT;
@@ -138,17 +168,18 @@
 		return {};
 	}
 	const entry &known = found->second;
-	crash_verdict verdict{ crash_state::SUSPECT, known.crashes.size(), known.count_sent_trials(), duration::zero() };
-	if (verdict.crashes < CRASHES_TO_TRY) {
+	crash_verdict verdict{ crash_state::SUSPECT, known.crashes.size(), known.count_sent_trials(), duration::zero(), false };
+	if (verdict.crashes < get_crashes_to_try(p_run)) {
 		return verdict;
 	}
 	verdict.standing = crash_state::BLOCKED;
-	if (verdict.trials >= MAX_TRIALS) {
+	if (!_has_trial_left(p_run, known, true)) {
 		verdict.retry_after = known.newest + LIFETIME - p_now;
 	} else if (known.find_open(p_now) != nullptr) {
 		verdict.retry_after = TRIAL_RETRY_AFTER;
 	} else {
 		verdict.standing = crash_state::ON_TRIAL;
+		verdict.needs_sole_suspect = !_has_trial_left(p_run, known, false);
 	}
 	return verdict;
 }
@@ -160,10 +191,10 @@
 		return true;
 	}
 	const entry &known = found->second;
-	if (known.crashes.size() < CRASHES_TO_TRY) {
+	if (known.crashes.size() < get_crashes_to_try(p_run)) {
 		return true;
 	}
-	if (known.count_sent_trials() >= MAX_TRIALS) {
+	if (!_has_trial_left(p_run, known, (p_trial & SOLE_SUSPECT_BIT) != 0)) {
 		return false;
 	}
 	return std::none_of(known.trials.begin(), known.trials.end(), [p_trial, p_now](const auto &p_entry) {
--- a/servers/gateway/crash_memory.h
+++ b/servers/gateway/crash_memory.h
@@ -61,10 +61,17 @@
 	std::size_t crashes = 0; ///< Endpoints that crashed while they ran the request.
 	std::size_t trials = 0; ///< Trials sent so far.
 	duration retry_after = duration::zero(); ///< Time until it may be sent again; set for BLOCKED.
+	bool needs_sole_suspect = false; ///< ON_TRIAL only for a request in which nothing else is on trial.
 };
 
 /**
- * Stores the crash events of requests at all nodes, by request fingerprint. Nodes send each other every event. The state of a
+ * Combines the verdicts on a request and the parts of its prompt: the request is blocked if any of them is, and on trial if any is. A
+ * fingerprint that may only be tried as the sole suspect blocks the request while something else in it is on trial.
+ */
+crash_verdict combine_verdicts(const std::vector<crash_verdict> &p_verdicts);
+
+/**
+ * Stores the crash events of requests and of parts of their prompts at all nodes, by fingerprint. Nodes send each other every event. The state of a
  * request depends only on the set of received events and not on their order, so the nodes need no consensus protocol.
  *
  * Neither one crash nor three show which of the requests running on an endpoint caused it: many harmless requests are running
@@ -73,6 +80,10 @@
  * times in all. A harmless request gets its answer from the first trial, which clears it at all nodes. A request that crashes
  * that endpoint as well is blocked until its entry expires.
  *
+ * A part that several requests share is on trial after CRASHES_TO_TRY_PART crashes in a row, without a complete answer to any request
+ * that has it. A trial whose request has several such parts does not show which of them is the cause. So a part with no other result
+ * gets one more trial in a request in which it is the only suspect, which clears a harmless part that occurs beside a harmful one.
+ *
  * Memory is bounded: a crash adds one entry for each run with an unknown outcome, and at most MAX_ENTRIES are stored. Entries
  * with the fewest crashes are evicted first, so that a caller who crashes endpoints with ever new contents cannot evict the
  * entries of other requests. The caller passes the current time.
@@ -92,10 +103,17 @@
 
 		bool is_expired(instant p_now) const;
 		std::size_t count_sent_trials() const;
+		/** Whether a trial was sent in which the run or part was the only suspect. */
+		bool has_sole_trial() const;
 		/** Returns the trial that blocks others, or nullptr. */
 		const trial *find_open(instant p_now) const;
 	};
 
+	static constexpr std::uint64_t SOLE_SUSPECT_BIT = 1;
+
+	/** Whether one more trial may be sent. */
+	static bool _has_trial_left(const request_fingerprint &p_run, const entry &p_entry, bool p_is_sole);
+
 	std::map<request_fingerprint, entry> _entries;
 	std::map<std::uint64_t, std::size_t> _target_counts; ///< Number of entries for each request target.
 
@@ -107,6 +125,8 @@
 public:
 	/** Crashes of endpoints running a request before it is only sent as a trial; a requirement. */
 	static constexpr std::size_t CRASHES_TO_TRY = 3;
+	/** The same for parts of prompts; a requirement. */
+	static constexpr std::size_t CRASHES_TO_TRY_PART = 5;
 	/**
 	 * Trials of a request by all nodes together. The requirement allows three; the third is kept in reserve, because two
 	 * partitioned nodes may each use one at the same moment.
@@ -121,6 +141,12 @@
 	/** A trial without an update for this long counts as completed; longer than any request may take. */
 	static constexpr duration TRIAL_TIMEOUT = std::chrono::seconds(15);
 
+	/** Returns the crashes after which a request or a part is only sent as a trial. */
+	static std::size_t get_crashes_to_try(const request_fingerprint &p_run) { return is_part(p_run) ? CRASHES_TO_TRY_PART : CRASHES_TO_TRY; }
+
+	/** Marks the id of a trial of a request in which only one fingerprint is on trial. */
+	static std::uint64_t mark_sole_suspect(std::uint64_t p_trial, bool p_is_sole) { return p_is_sole ? p_trial | SOLE_SUSPECT_BIT : p_trial & ~SOLE_SUSPECT_BIT; }
+
 	/** Returns whether there is an entry for a request target, so that bodies of requests to it have to be read. */
 	bool knows_target(std::uint64_t p_place) const { return _target_counts.contains(p_place); }
 
--- a/servers/gateway/interrupted_runs.cpp
+++ b/servers/gateway/interrupted_runs.cpp
@@ -10,6 +10,7 @@
 
 #include "core/enum_names.h"
 
+#include <algorithm>
 #include <array>
 
 namespace calicoscale {
@@ -38,7 +39,9 @@
 	if (entry.runs.empty()) {
 		entry.lost_at = p_now;
 	}
-	if (entry.runs.size() < MAX_RUNS) {
+	// Several runs at an endpoint share parts of their prompts.
+	const bool is_new = std::find(entry.runs.begin(), entry.runs.end(), p_run) == entry.runs.end();
+	if (is_new && entry.runs.size() < MAX_RUNS) {
 		entry.runs.push_back(p_run);
 	}
 	if (entry.is_probed) {
--- a/tests/servers/gateway/crash_memory_test.cpp
+++ b/tests/servers/gateway/crash_memory_test.cpp
@@ -191,4 +191,100 @@
 	EXPECT_EQ(ahead.front().at, START) << "the wall clock of the writer is ahead";
 }
 
+namespace {
+
+const request_fingerprint PART = make_part_fingerprint("5c1e07a2");
+
+/** Applies crashes of distinct endpoints under a part, and sends a trial that crashes one more. */
+class part_history {
+	crash_memory _memory;
+	instant _now{ std::chrono::hours(1) };
+	std::uint64_t _next = 2;
+
+public:
+	void crash(std::size_t p_times) {
+		for (std::size_t i = 0; i < p_times; i++) {
+			_now += std::chrono::milliseconds(100);
+			_memory.take(crash_record{ crash_event::CRASHED_ENDPOINT, PART, _next += 2, _now }, _now);
+		}
+	}
+
+	/** Returns whether the trial was sent. */
+	bool try_once(bool p_is_sole) {
+		const std::uint64_t trial = crash_memory::mark_sole_suspect(_next += 2, p_is_sole);
+		_memory.take(crash_record{ crash_event::TRIAL_REQUESTED, PART, trial, _now }, _now);
+		const bool may_send = _memory.may_send_trial(PART, trial, _now);
+		_memory.take(crash_record{ may_send ? crash_event::TRIAL_SENT : crash_event::TRIAL_DROPPED, PART, trial, _now }, _now);
+		if (may_send) {
+			crash(1);
+			_memory.take(crash_record{ crash_event::TRIAL_ENDED, PART, trial, _now }, _now);
+		}
+		return may_send;
+	}
+
+	void serve() {
+		_now += std::chrono::milliseconds(1);
+		_memory.take(crash_record{ crash_event::SERVED, PART, 0, _now }, _now);
+	}
+
+	crash_verdict judge() const { return _memory.judge(PART, _now); }
+};
+
+} // namespace
+
+TEST(crash_memory, a_part_is_on_trial_after_five_crashes_without_a_complete_answer_between) {
+	part_history history;
+	history.crash(4);
+	history.serve();
+	history.crash(4);
+	EXPECT_EQ(history.judge().standing, crash_state::SUSPECT);
+	history.crash(1);
+	EXPECT_EQ(history.judge().standing, crash_state::ON_TRIAL);
+	history.serve();
+	EXPECT_EQ(history.judge().standing, crash_state::FREE);
+}
+
+TEST(crash_memory, a_part_that_is_the_only_suspect_is_blocked_after_two_trials) {
+	part_history history;
+	history.crash(5);
+	EXPECT_TRUE(history.try_once(true));
+	EXPECT_TRUE(history.try_once(false));
+	EXPECT_EQ(history.judge().standing, crash_state::BLOCKED);
+	EXPECT_FALSE(history.try_once(true));
+	EXPECT_GT(history.judge().retry_after, duration(std::chrono::minutes(9)));
+}
+
+TEST(crash_memory, a_part_that_was_tried_beside_others_only_gets_one_trial_by_itself) {
+	part_history history;
+	history.crash(5);
+	EXPECT_TRUE(history.try_once(false));
+	EXPECT_TRUE(history.try_once(false));
+	EXPECT_EQ(history.judge().standing, crash_state::ON_TRIAL);
+	EXPECT_TRUE(history.judge().needs_sole_suspect);
+	EXPECT_FALSE(history.try_once(false));
+	EXPECT_TRUE(history.try_once(true));
+	EXPECT_EQ(history.judge().standing, crash_state::BLOCKED);
+	EXPECT_FALSE(history.try_once(true));
+}
+
+TEST(crash_memory, the_strictest_verdict_on_a_request_and_its_parts_counts) {
+	const crash_verdict suspect{ crash_state::SUSPECT, 1, 0, duration::zero() };
+	const crash_verdict on_trial{ crash_state::ON_TRIAL, 5, 0, duration::zero() };
+	const crash_verdict sole{ crash_state::ON_TRIAL, 7, 2, duration::zero(), true };
+	const crash_verdict blocked{ crash_state::BLOCKED, 8, 3, std::chrono::minutes(5) };
+	EXPECT_EQ(combine_verdicts({}).standing, crash_state::FREE);
+	EXPECT_EQ(combine_verdicts({ on_trial, suspect }).standing, crash_state::ON_TRIAL);
+	EXPECT_EQ(combine_verdicts({ suspect, blocked, on_trial }).standing, crash_state::BLOCKED);
+	EXPECT_EQ(combine_verdicts({ blocked, on_trial }).retry_after, duration(std::chrono::minutes(5)));
+	EXPECT_EQ(combine_verdicts({ sole }).standing, crash_state::ON_TRIAL);
+	EXPECT_EQ(combine_verdicts({ sole, suspect }).standing, crash_state::ON_TRIAL);
+	EXPECT_EQ(combine_verdicts({ sole, on_trial }).standing, crash_state::BLOCKED);
+}
+
+TEST(crash_memory, parts_and_requests_have_different_fingerprints) {
+	EXPECT_TRUE(is_part(PART));
+	EXPECT_FALSE(is_part(make_fingerprint(request_content{ "POST", "h.example", "/a", "hearth", "5c1e07a2", {} })));
+	EXPECT_NE(PART, make_part_fingerprint("5c1e07a3"));
+}
+
 } // namespace calicoscale
--- a/tests/servers/gateway/lost_runs_test.cpp
+++ b/tests/servers/gateway/lost_runs_test.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 TEST(request_fingerprint_test, content_and_customer_make_a_request_one) {
-	const request_content content{ "POST", "h.example", "/a?b", "hearth", "body" };
+	const request_content content{ "POST", "h.example", "/a?b", "hearth", "body", {} };
 	EXPECT_EQ(make_fingerprint(content), make_fingerprint(content));
 	for (const request_content &other : { request_content{ "GET", "h.example", "/a?b", "hearth", "body", {} }, request_content{ "POST", "h.example", "/a?c", "hearth", "body", {} }, request_content{ "POST", "h.example", "/a?b", "home", "body", {} }, request_content{ "POST", "h.example", "/a?b", "hearth", "bodies", {} } }) {
 		EXPECT_NE(make_fingerprint(content).content, make_fingerprint(other).content);
