--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -115,7 +115,7 @@
 mutate "gateway: lost dispatcher" "its work is not handed to another" main/gateway/stage_dispatcher.cpp "_assign(id, p_vm);" "" gateway_fleet_test
 memory=servers/gateway/crash_memory.cpp
 mutate "requests that end endpoints" "they are never tried" $memory "verdict.crashes < CRASHES_TO_TRY" "verdict.crashes < 100" crash_memory_test
-mutate "requests that end endpoints" "trials have no end" $memory "verdict.trials >= MAX_TRIALS" "verdict.trials >= 100" crash_memory_test
+mutate "requests that end endpoints" "trials have no end" $memory "sent < MAX_TRIALS" "sent < 100" crash_memory_test
 mutate "requests that end endpoints" "two trials at once" $memory "return p_entry.first != p_trial && (is_sent_and_open || comes_first);" "return false;" crash_memory_test
 mutate "requests that end endpoints" "a connection that ends alone blames its run" servers/gateway/interrupted_runs.cpp "if (p_end == probe_end::REFUSED) {" "if (p_end != probe_end::SILENT) {" lost_runs_test
 mutate "nodes that stood still" "peers are silent by one's own absence" servers/membership/peer_contacts.cpp "*last_time == instant{} ? duration::zero() : p_stall" "duration::zero()" gateway_suspension_test
@@ -174,4 +174,7 @@
 mutate "stream lookups" "a record on its way is not waited for" servers/streams/stream_lookup.cpp "_round == lookup_round::ALL_REACHABLE && _awaited.empty()" "_awaited.empty()" stream_records_test
 mutate "single versions" "a version that has gone is forgotten at once" servers/streams/version_presence.cpp "version != listed && p_now - listed_at < p_age" "false" stream_records_test
 mutate "single versions" "an old list proves what was there" servers/streams/version_presence.cpp "p_now - *_confirmed_at <= MAX_GAP && " "" stream_records_test
+mutate "parts that crash endpoints" "they are not blamed" main/gateway/crash_watch.cpp "for (const request_fingerprint &part : p_run.parts) {" "for (const request_fingerprint &part : std::vector<request_fingerprint>()) {" gateway_prompt_part_test
+mutate "parts that crash endpoints" "complete answers do not clear them" main/gateway/crash_guard.cpp "if (p_is_success || !is_part(run)) {" "if (!is_part(run)) {" gateway_prompt_part_test
+mutate "parts that crash endpoints" "trials beside other suspects block for good" servers/gateway/crash_memory.cpp " || (is_part(p_run) && p_is_sole && sent == MAX_TRIALS && !p_entry.has_sole_trial())" "" crash_memory_test
 exit "$status"
