--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -174,6 +174,15 @@
 mutate "stream lookups" "a record on its way is not waited for" servers/streams/stream_lookup.cpp "_round == lookup_round::ALL_REACHABLE && _awaited.empty()" "_awaited.empty()" stream_records_test
 mutate "single versions" "a version that has gone is forgotten at once" servers/streams/version_presence.cpp "version != listed && p_now - listed_at < p_age" "false" stream_records_test
 mutate "single versions" "an old list proves what was there" servers/streams/version_presence.cpp "p_now - *_confirmed_at <= MAX_GAP && " "" stream_records_test
+mutate "reach" "one failed endpoint stands for its service" servers/reach/service_reach.h "REQUIRED_ENDPOINTS = 2" "REQUIRED_ENDPOINTS = 1" service_reach_test
+mutate "reach" "contact with one endpoint stands for all" servers/reach/service_reach.cpp "state.failed.erase(p_endpoint);" "state.failed.clear();" service_reach_test
+mutate "forwarding" "lost paths are taken for failed endpoints" main/gateway/endpoint_exchanges.cpp "if (_reach.is_endpoint_reached(p_request.service, p_request.endpoint.vm) ||" "if (true ||" gateway_cut_off_test
+mutate "forwarding" "a request at a node that is lost counts as not sent" main/gateway/forwarded_exchanges.cpp "for (const exchange_id id : lost) {
+		_end(id, forwarding_end::BROKEN);" "for (const exchange_id id : lost) {
+		_end(id, forwarding_end::CONNECT_FAILED);" gateway_cut_off_test
+mutate "forwarding" "bytes are not confirmed" main/gateway/forwarded_exchanges.cpp "	_fleet.get_link().send(r_exchange.peer, control_exchange_message{ p_id, r_exchange.unconfirmed, false });" "" gateway_cut_off_test
+mutate "forwarding" "the close of a crashed endpoint completes an answer" main/gateway/exchange_forwarder.cpp "if (p_end != channel_end::COMPLETE || !found->second.is_unframed) {" "if (true) {" gateway_cut_off_test
+mutate "forwarding" "what cannot be sent is admitted" main/gateway/admission.cpp "if (_shared.exchanges.may_send(p_request.service)) {" "if (true) {" gateway_cut_off_test
 mutate "parts that crash endpoints" "they are not blamed" main/gateway/crash_watch.cpp "for (const request_fingerprint &part : p_run.parts) {" "for (const request_fingerprint &part : std::vector<request_fingerprint>()) {" gateway_prompt_part_test
 mutate "parts that crash endpoints" "complete answers do not clear them" main/gateway/crash_guard.cpp "if (p_is_success || !is_part(run)) {" "if (!is_part(run)) {" gateway_prompt_part_test
 mutate "parts that crash endpoints" "trials beside other suspects block for good" servers/gateway/crash_memory.cpp " || (is_part(p_run) && p_is_sole && sent == MAX_TRIALS && !p_entry.has_sole_trial())" "" crash_memory_test
