--- a/main/gateway/exchange_forwarder.cpp
+++ b/main/gateway/exchange_forwarder.cpp
@@ -150,11 +150,10 @@
 }
 
 void exchange_forwarder::_finish(const key &p_key, forwarding_end p_end) {
-	const key ended = p_key;
 	exchange_progress_message message;
 	message.end = p_end;
-	_send(ended, std::move(message));
-	const auto found = _open.find(ended);
+	_send(p_key, std::move(message));
+	const auto found = _open.find(p_key);
 	if (found != _open.end()) {
 		_capacity.release(found->second.request_bytes);
 		_open.erase(found);
--- a/servers/reach/service_reach.cpp
+++ b/servers/reach/service_reach.cpp
@@ -16,6 +16,12 @@
 	return std::clamp<std::size_t>(p_state.endpoints.size(), 1, REQUIRED_ENDPOINTS);
 }
 
+void service_reach::_drop_unlisted(service_state &r_state) {
+	const auto is_unlisted = [&r_state](const std::string &p_vm) { return !r_state.endpoints.contains(p_vm); };
+	std::erase_if(r_state.failed, is_unlisted);
+	std::erase_if(r_state.failed_in_row, is_unlisted);
+}
+
 void service_reach::_set_reached(const std::string &p_service, service_state &r_state, bool p_is_reached, instant p_now) {
 	if (r_state.is_reached == p_is_reached) {
 		return;
@@ -36,9 +42,7 @@
 			}
 		}
 		state.endpoints = endpoints;
-		for (std::set<std::string> *failed : { &state.failed, &state.failed_in_row }) {
-			std::erase_if(*failed, [&endpoints](const std::string &p_vm) { return !endpoints.contains(p_vm); });
-		}
+		_drop_unlisted(state);
 	}
 	return to_probe;
 }
--- a/servers/reach/service_reach.h
+++ b/servers/reach/service_reach.h
@@ -54,6 +54,8 @@
 	std::vector<reach_change> _changes;
 
 	static std::size_t _get_required(const service_state &p_state);
+	/** Removes failed endpoints that are no longer listed. */
+	static void _drop_unlisted(service_state &r_state);
 	void _set_reached(const std::string &p_service, service_state &r_state, bool p_is_reached, instant p_now);
 
 public:
