A plain answer that exceeds what is stored ends its request at once

An endpoint that sends a body without end: its bytes were no longer stored above 32 MB, but read until the request's deadline, which its caller then got as 504. Now the connection is closed and the request judged as after a broken answer. Test: 504 after 2.5 s before, 502 within 2 s now. Stage calls still read such an answer, of which 4 MB are stored, until the call is overdue.

--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -220,6 +220,11 @@
 
 void gateway_request::_on_body(std::string_view p_bytes) {
 	const std::string events = _answer.take_body(p_bytes);
+	if (_answer.is_too_large()) {
+		_services.exchanges.cancel(_exchange);
+		_on_judged(answer_end::MALFORMED);
+		return;
+	}
 	if (events.empty()) {
 		return;
 	}
--- a/main/gateway/received_answer.h
+++ b/main/gateway/received_answer.h
@@ -64,6 +64,9 @@
 	/** Judges whether the answer is complete. Its framing is not sufficient: a stream that ends inside an event was truncated. */
 	answer_end judge(channel_end p_end) const;
 
+	/** Whether the body of a plain answer exceeds what is stored, so that the rest of it is of no use. */
+	bool is_too_large() const { return !_body.is_complete(); }
+
 	/** Whether the answer is a success that is read event by event. */
 	bool is_stream() const;
 
--- a/tests/main/gateway_broken_answer_test.cpp
+++ b/tests/main/gateway_broken_answer_test.cpp
@@ -73,6 +73,14 @@
 		EXPECT_EQ(result->body, p_body);
 	}
 
+	/** Expects that a request that must not be repeated is answered long before its deadline. */
+	void expect_ended_early(const std::string &p_answer) {
+		gateway &node = start_with(p_answer, raw_server::after::KEEP);
+		const instant asked = event_loop::now();
+		EXPECT_EQ(ask(node, "/lengthy/x")->head.status, 502);
+		EXPECT_LT(event_loop::now() - asked, duration(milliseconds(2000))) << "the deadline of the request is 2.5 s";
+	}
+
 	std::string read_metrics() {
 		const std::shared_ptr<caller_result> result = send_bytes(_gateways.back()->get_metrics_address(), "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
 		run_until([&result] { return result->end.has_value(); });
@@ -82,6 +90,23 @@
 
 } // namespace
 
+TEST_F(gateway_broken_answer_test, a_head_without_an_end_ends_its_request_early) {
+	std::string head = "HTTP/1.1 200 OK\r\nX-Replica-Seal: raw\r\n";
+	while (head.size() < 256UL * 1024) {
+		head += "X-More: more of the same\r\n";
+	}
+	expect_ended_early(head);
+}
+
+TEST_F(gateway_broken_answer_test, bytes_that_are_no_answer_end_their_request_early) {
+	expect_ended_early(std::string(256UL * 1024, 'x'));
+}
+
+// Guards against reading a body for as long as its request may take when its size already exceeds what is stored.
+TEST_F(gateway_broken_answer_test, a_body_without_an_end_ends_its_request_early) {
+	expect_ended_early("HTTP/1.1 200 OK\r\nX-Replica-Seal: raw\r\n\r\n" + std::string(33UL * 1024 * 1024, 'x'));
+}
+
 TEST_F(gateway_broken_answer_test, a_stream_without_a_length_that_ends_behind_an_event_is_whole) {
 	expect_complete(WHOLE_STREAM);
 }
