--- a/main/gateway/endpoint_exchanges.cpp
+++ b/main/gateway/endpoint_exchanges.cpp
@@ -14,10 +14,8 @@
 
 namespace {
 
-/** Interval of probes while a service is unreachable. */
+/** Interval of probes while endpoints of a service are unreachable. */
 constexpr duration PROBE_INTERVAL = std::chrono::milliseconds(200);
-/** Endpoints of an unreachable service that are probed per interval. */
-constexpr std::size_t PROBES_PER_INTERVAL = 2;
 /** Linked peers that may reach a service below which further links are established. Several, as each may decline. */
 constexpr std::size_t MIN_PEERS = 3;
 /** Distinguishes the ids of forwarded exchanges from those of direct ones. */
@@ -125,9 +123,8 @@
 void endpoint_exchanges::on_connection_failed(const std::string &p_service, const std::string &p_endpoint) {
 	_reach.on_failure(p_service, p_endpoint, event_loop::now());
 	_apply_changes();
-	if (!_probe_timer.is_set() && !_reach.get_unreached_endpoints().empty()) {
-		_probe_timer.set(PROBE_INTERVAL);
-	}
+	_report_if_changed();
+	_probe_later();
 }
 
 exchange_id endpoint_exchanges::_start_directly(channel_request p_request, channel_hooks p_hooks) {
@@ -151,35 +148,60 @@
 		}
 	}
 	for (const service_endpoint &added : _reach.set_endpoints(names)) {
-		_probe_endpoint(added);
+		const std::vector<endpoint_listing> &listings = _endpoints[added.service];
+		_probe_endpoint(*std::find_if(listings.begin(), listings.end(), [&added](const endpoint_listing &p_listing) { return p_listing.vm == added.vm; }));
 	}
 }
 
-void endpoint_exchanges::_probe_endpoint(const service_endpoint &p_endpoint) {
-	const std::vector<endpoint_listing> &listings = _endpoints[p_endpoint.service];
-	const auto listing = std::find_if(listings.begin(), listings.end(), [&p_endpoint](const endpoint_listing &p_listing) { return p_listing.vm == p_endpoint.vm; });
-	_probe.start(listing->address, [this, p_endpoint](probe_end p_end) {
+void endpoint_exchanges::_probe_endpoint(const endpoint_listing &p_listing) {
+	_probe.start(p_listing.address, [this, service = p_listing.pool, vm = p_listing.vm, started_at = event_loop::now()](probe_end p_end) {
 		if (p_end == probe_end::ACCEPTED) {
-			_reach.on_contact(p_endpoint.service, p_endpoint.vm, event_loop::now());
+			const bool was_reached = _reach.is_endpoint_reached(service, vm);
+			_reach.on_contact(service, vm, event_loop::now());
 			_apply_changes();
+			if (!was_reached) {
+				// The other paths have probably been restored too.
+				_probe_service(service);
+			}
+		} else {
+			_reach.on_probe_failed(service, vm, started_at);
 		}
+		_report_if_changed();
+		_probe_later();
 	});
 }
 
+void endpoint_exchanges::_probe_later() {
+	if (!_probe_timer.is_set() && !_reach.get_unreached_endpoints().empty()) {
+		_probe_timer.set(PROBE_INTERVAL);
+	}
+}
+
+void endpoint_exchanges::_probe_service(const std::string &p_service) {
+	std::vector<const endpoint_listing *> unreached;
+	const std::vector<endpoint_listing> &listings = _endpoints[p_service];
+	for (const endpoint_listing &listing : listings) {
+		if (!_reach.is_endpoint_reached(p_service, listing.vm)) {
+			unreached.push_back(&listing);
+		}
+	}
+	if (unreached.empty()) {
+		return;
+	}
+	_probe_endpoint(*unreached[_context.random.get_bits() % unreached.size()]);
+	_probe_endpoint(listings[_context.random.get_bits() % listings.size()]);
+}
+
 void endpoint_exchanges::_probe_unreached() {
-	std::map<std::string, std::vector<service_endpoint>> unreached;
+	std::set<std::string> services;
 	for (const service_endpoint &endpoint : _reach.get_unreached_endpoints()) {
-		unreached[endpoint.service].push_back(endpoint);
+		services.insert(endpoint.service);
 	}
-	for (const auto &[service, endpoints] : unreached) {
+	for (const std::string &service : services) {
 		_seek_peers(service);
-		for (std::size_t i = 0; i < std::min(PROBES_PER_INTERVAL, endpoints.size()); i++) {
-			_probe_endpoint(endpoints[_context.random.get_bits() % endpoints.size()]);
-		}
-	}
-	if (!unreached.empty()) {
-		_probe_timer.set(PROBE_INTERVAL);
+		_probe_service(service);
 	}
+	_probe_later();
 }
 
 void endpoint_exchanges::_apply_changes() {
@@ -195,17 +217,25 @@
 		line.add("peers", static_cast<long long>(peers.size())).add("reached_by_peers", _peers.is_reached_by_any(change.service, peers) ? "yes" : "no").add("report_age_ms", _peers.get_newest_report_age(now).value_or(duration(-1000)));
 		_context.log.write(line);
 	}
-	_fleet.send_heartbeats_now();
+	_report_if_changed();
 	for (const std::string &service : _reach.get_unreached()) {
 		_seek_peers(service);
 	}
 }
 
+void endpoint_exchanges::_report_if_changed() {
+	std::vector<std::string> services = _reach.get_mostly_unreached();
+	if (services != _reported) {
+		_reported = std::move(services);
+		_fleet.send_heartbeats_now();
+	}
+}
+
 heartbeat_section endpoint_exchanges::make_section() {
 	heartbeat_section section;
 	section.write = [this](heartbeat_peer p_peer, const heartbeat_sender &, heartbeat_message &r_message) {
 		if (p_peer == heartbeat_peer::OTHER) {
-			r_message.unreached_services = _reach.get_unreached();
+			r_message.unreached_services = _reach.get_mostly_unreached();
 		}
 	};
 	section.read = [this](const heartbeat_source &p_source, const heartbeat_message &p_message) { _peers.set_unreached(p_source.vm, p_message.unreached_services, event_loop::now()); };
--- a/main/gateway/endpoint_exchanges.h
+++ b/main/gateway/endpoint_exchanges.h
@@ -36,6 +36,7 @@
 	exchange_forwarder _forwarder;
 	endpoint_probe _probe;
 	timer _probe_timer;
+	std::vector<std::string> _reported; ///< Services that the last heartbeats named as unreachable.
 	std::map<std::string, std::vector<endpoint_listing>> _endpoints; ///< Endpoints that are not leaving, by service.
 
 	/** Responsive peers that forward exchanges. */
@@ -44,10 +45,16 @@
 	void _seek_peers(const std::string &p_service);
 	exchange_id _start_directly(channel_request p_request, channel_hooks p_hooks);
 	void _on_forwarding_ended(const std::string &p_peer, forwarding_end p_end);
-	void _probe_endpoint(const service_endpoint &p_endpoint);
+	void _probe_endpoint(const endpoint_listing &p_listing);
+	/** Probes an unreachable endpoint of a service, and any other, which may be unreachable without a request having shown it. */
+	void _probe_service(const std::string &p_service);
 	void _probe_unreached();
-	/** Logs changes of what this node reaches, and reports them to its peers. */
+	/** Schedules the next probes if endpoints are unreachable. */
+	void _probe_later();
+	/** Logs changes of what this node reaches, and seeks peers for what it does not reach. */
 	void _apply_changes();
+	/** Sends heartbeats if the services that they name have changed. */
+	void _report_if_changed();
 
 public:
 	endpoint_exchanges(gateway_context &p_context, gateway_fleet &p_fleet);
--- a/servers/reach/service_reach.cpp
+++ b/servers/reach/service_reach.cpp
@@ -20,6 +20,7 @@
 	const auto is_unlisted = [&r_state](const std::string &p_vm) { return !r_state.endpoints.contains(p_vm); };
 	std::erase_if(r_state.failed, is_unlisted);
 	std::erase_if(r_state.failed_in_row, is_unlisted);
+	std::erase_if(r_state.contacts, [&is_unlisted](const auto &p_entry) { return is_unlisted(p_entry.first); });
 }
 
 void service_reach::_set_reached(const std::string &p_service, service_state &r_state, bool p_is_reached, instant p_now) {
@@ -57,6 +58,9 @@
 	_set_reached(p_service, state, true, p_now);
 	state.failed_in_row.clear();
 	state.contact_at = p_now;
+	if (state.endpoints.contains(p_endpoint)) {
+		state.contacts[p_endpoint] = p_now;
+	}
 }
 
 void service_reach::on_failure(const std::string &p_service, const std::string &p_endpoint, instant p_now) {
@@ -72,6 +76,18 @@
 	}
 }
 
+void service_reach::on_probe_failed(const std::string &p_service, const std::string &p_endpoint, instant p_started_at) {
+	const auto found = _services.find(p_service);
+	if (found == _services.end() || !found->second.endpoints.contains(p_endpoint)) {
+		return;
+	}
+	service_state &state = found->second;
+	const auto contact = state.contacts.find(p_endpoint);
+	if (contact == state.contacts.end() || contact->second < p_started_at) {
+		state.failed.insert(p_endpoint);
+	}
+}
+
 bool service_reach::is_reached(const std::string &p_service) const {
 	const auto found = _services.find(p_service);
 	return found == _services.end() || found->second.is_reached;
@@ -107,6 +123,17 @@
 	return unreached;
 }
 
+std::vector<std::string> service_reach::get_mostly_unreached() const {
+	std::vector<std::string> unreached;
+	for (const auto &[service, state] : _services) {
+		const bool are_most_failed = state.failed.size() >= _get_required(state) && 2 * state.failed.size() > state.endpoints.size();
+		if (!state.is_reached || are_most_failed) {
+			unreached.push_back(service);
+		}
+	}
+	return unreached;
+}
+
 std::vector<reach_change> service_reach::take_changes() {
 	std::vector<reach_change> changes;
 	changes.swap(_changes);
--- a/servers/reach/service_reach.h
+++ b/servers/reach/service_reach.h
@@ -46,6 +46,7 @@
 		std::set<std::string> endpoints; ///< Endpoints on the list, by VM name.
 		std::set<std::string> failed; ///< Listed endpoints to which connections failed, and with which there was no contact since.
 		std::set<std::string> failed_in_row; ///< Those that failed since the last contact with any endpoint.
+		std::map<std::string, instant> contacts; ///< Last contact with each listed endpoint.
 		std::optional<instant> contact_at;
 		bool is_reached = true;
 	};
@@ -71,6 +72,12 @@
 	/** A connection to an endpoint was not established. */
 	void on_failure(const std::string &p_service, const std::string &p_endpoint, instant p_now);
 
+	/**
+	 * An endpoint did not accept a probe. Says nothing of its service as a whole, as failed endpoints are probed too. Ignored if there
+	 * was contact with the endpoint since the probe was started.
+	 */
+	void on_probe_failed(const std::string &p_service, const std::string &p_endpoint, instant p_started_at);
+
 	/** Whether connections to some endpoint of a service may succeed, as far as known. */
 	bool is_reached(const std::string &p_service) const;
 
@@ -83,6 +90,9 @@
 	/** Returns the services that are unreachable from this node. */
 	std::vector<std::string> get_unreached() const;
 
+	/** Returns the services of which most endpoints are unreachable from this node, so that it is of little use to others. */
+	std::vector<std::string> get_mostly_unreached() const;
+
 	/** Returns the changes since the last call. */
 	std::vector<reach_change> take_changes();
 };
--- a/tests/main/gateway_cut_off_test.cpp
+++ b/tests/main/gateway_cut_off_test.cpp
@@ -6,12 +6,18 @@
  * SPDX-License-Identifier: MIT
  */
 
+#include "drivers/socket_address.h"
 #include "servers/reach/forwarding_capacity.h"
 #include "servers/reach/peer_reach.h"
 #include "tests/main/gateway_fixture.h"
 #include "tests/main/raw_server.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <list>
 
 namespace calicoscale {
 
@@ -20,6 +26,24 @@
 constexpr int REQUESTS = 12; ///< To each gateway.
 constexpr const char *STAGES = "X-Segments: 2,1\r\nX-Segment-Key: k\r\n";
 
+/** Binds a port without listening, so that connections to it are refused and no other process, nor a connection to itself, gets it. */
+class port_holder {
+	int _socket;
+
+public:
+	explicit port_holder(const network_address &p_address) :
+			_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+		const int reuse = 1;
+		setsockopt(_socket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+		const sockaddr_in address = make_socket_address(p_address);
+		EXPECT_EQ(bind(_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)), 0);
+	}
+
+	~port_holder() { close(_socket); }
+	port_holder(const port_holder &) = delete;
+	port_holder &operator=(const port_holder &) = delete;
+};
+
 class gateway_cut_off_test : public gateway_fixture {
 protected:
 	/** Time after which callers of gateways that are cut off must be served as others are; a requirement. */
@@ -173,6 +197,19 @@
 	expect_single_runs();
 }
 
+TEST_F(gateway_cut_off_test, callers_are_served_while_all_gateways_but_one_reach_a_single_endpoint) {
+	start_fleet(6);
+	_addresses["llm"].pop_back();
+	for (std::size_t i = 0; i < 5; i++) {
+		cut_off(*_gateways[i], path_fault::REFUSED, { "llm" });
+	}
+	let_recover("/once/x");
+	for (const std::unique_ptr<gateway> &node : _gateways) {
+		expect_served(*node, "/once/x");
+	}
+	expect_single_runs();
+}
+
 TEST_F(gateway_cut_off_test, a_gateway_that_reaches_no_engine_has_no_stage_work_done_for_requests_it_cannot_send) {
 	// Forwards nothing, as it has no memory for it.
 	_adjust_settings = [this](gateway_settings &r_settings) { r_settings.memory_bytes = _gateways.empty() ? r_settings.memory_bytes : 1000.0; };
@@ -284,8 +321,10 @@
 			engines.push_back(&replica);
 		}
 	}
+	std::list<port_holder> held;
 	for (standin_replica *engine : engines) {
 		engine->end_process();
+		held.emplace_back(engine->get_address());
 	}
 	let_recover("/once/x");
 	for (const std::unique_ptr<gateway> &node : _gateways) {
--- a/tests/servers/reach/service_reach_test.cpp
+++ b/tests/servers/reach/service_reach_test.cpp
@@ -97,6 +97,20 @@
 	EXPECT_TRUE(reach.get_unreached_endpoints().empty());
 }
 
+TEST(service_reach, a_node_that_reaches_few_endpoints_of_a_service_is_of_no_use_to_others) {
+	service_reach reach = make_reach();
+	reach.on_failure("llm", "e1", START);
+	EXPECT_TRUE(reach.get_mostly_unreached().empty());
+	reach.on_contact("llm", "e3", START);
+	reach.on_probe_failed("llm", "e2", START);
+	EXPECT_TRUE(reach.is_reached("llm"));
+	EXPECT_EQ(reach.get_mostly_unreached(), std::vector<std::string>{ "llm" });
+	reach.on_contact("llm", "e2", START);
+	EXPECT_TRUE(reach.get_mostly_unreached().empty());
+	reach.on_probe_failed("llm", "e2", START - milliseconds(500));
+	EXPECT_TRUE(reach.get_mostly_unreached().empty()) << "contact since the probe was started";
+}
+
 TEST(service_reach, failures_of_endpoints_that_left_the_list_do_not_count) {
 	service_reach reach = make_reach();
 	reach.on_failure("llm", "e1", START);
