--- a/main/gateway/endpoint_exchanges.h
+++ b/main/gateway/endpoint_exchanges.h
@@ -81,7 +81,7 @@
 	bool is_reached(const std::string &p_service) const { return _reach.is_reached(p_service); }
 
 	/**
-	 * Whether a request to a service should be started: this node or a peer with capacity reaches it. Also true if nobody reaches it, as
+	 * Whether a request to a service should be started: this node or a peer with capacity reaches it. Also true if no node reaches it, as
 	 * its endpoints may start to accept connections at any moment.
 	 */
 	bool may_send(const std::string &p_service) const;
--- a/main/gateway/exchange_forwarder.h
+++ b/main/gateway/exchange_forwarder.h
@@ -50,7 +50,7 @@
 	instant _ticked_at{};
 	bool _is_stopping = false;
 
-	/** Tells the owner of an exchange that it is not carried out. */
+	/** Reports to the owner of an exchange that it is not carried out. */
 	void _reject(const std::string &p_vm, const open_exchange_message &p_message, forwarding_end p_end);
 	void _on_opened(const std::string &p_vm, const open_exchange_message &p_message);
 	void _on_controlled(const std::string &p_vm, const control_exchange_message &p_message);
