--- a/drivers/caller_connection_end.cpp
+++ b/drivers/caller_connection_end.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> END_NAMES{ "rested", "stopping", "last_answer", "rejected", "broken_off", "stalled" };
+constexpr std::array<std::string_view, 7> END_NAMES{ "rested", "stopping", "last_answer", "rejected", "broken_off", "stalled", "overloaded" };
 
 } // namespace
 
--- a/drivers/caller_connection_end.h
+++ b/drivers/caller_connection_end.h
@@ -24,6 +24,7 @@
 	REJECTED, ///< After rejecting a request that was malformed, too large or too slow.
 	BROKEN_OFF, ///< The answer could not be completed.
 	STALLED, ///< The caller did not read its answer.
+	OVERLOADED, ///< The connection waited too long to be accepted; nothing of it was read.
 };
 
 /** Name of an end, e.g. "rested". */
--- a/drivers/caller_server.cpp
+++ b/drivers/caller_server.cpp
@@ -9,10 +9,14 @@
 #include "drivers/caller_server.h"
 
 #include "drivers/socket_address.h"
+#include "drivers/socket_queues.h"
 
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -32,25 +36,62 @@
 	_shared.on_request = std::move(p_handler);
 	_shared.on_closed = [this](caller_connection &p_connection) { _drop(p_connection); };
 	const sockaddr_in address = make_socket_address(p_address);
-	const unsigned int flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
-	_listener = evconnlistener_new_bind(p_loop.get_base(), &caller_server::_on_accept, this, flags, BACKLOG, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+	const unsigned int flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED;
+	_listener = evconnlistener_new_bind(p_loop.get_base(), nullptr, nullptr, flags, BACKLOG, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
 	if (_listener == nullptr) {
 		throw std::runtime_error("cannot listen at " + to_string(p_address));
 	}
 	_address = get_bound_address(evconnlistener_get_fd(_listener), p_address.host);
+	_accept_event.reset(event_new(p_loop.get_base(), evconnlistener_get_fd(_listener), EV_READ | EV_PERSIST, &caller_server::_on_acceptable, this));
+	event_add(_accept_event.get(), nullptr);
 	_sweep_timer.set(SWEEP_INTERVAL);
 }
 
 caller_server::~caller_server() {
+	_accept_event.reset();
 	if (_listener != nullptr) {
 		evconnlistener_free(_listener);
 	}
 }
 
-void caller_server::_on_accept(evconnlistener *, int p_socket, sockaddr *, int, void *p_self) {
+void caller_server::event_deleter::operator()(event *p_event) const {
+	event_free(p_event);
+}
+
+void caller_server::accept_last(std::function<bool(duration)> p_hook) {
+	_should_shed = std::move(p_hook);
+	event_del(_accept_event.get());
+	event_priority_set(_accept_event.get(), event_loop::LAST_PRIORITY);
+	event_add(_accept_event.get(), nullptr);
+}
+
+void caller_server::_on_acceptable(int, short, void *p_self) {
 	caller_server &self = *static_cast<caller_server *>(p_self);
-	bufferevent *stream = bufferevent_socket_new(self._loop.get_base(), p_socket, BEV_OPT_CLOSE_ON_FREE);
-	self._connections.push_back(std::make_unique<caller_connection>(self._shared, stream));
+	const int accepted = self._accept_next();
+	if (accepted < 0) {
+		return;
+	}
+	if (self._should_shed && self._should_shed(get_input_age(accepted))) {
+		self._shed(accepted);
+	} else {
+		self._open(accepted);
+	}
+}
+
+int caller_server::_accept_next() {
+	return accept4(evconnlistener_get_fd(_listener), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
+
+void caller_server::_open(int p_socket) {
+	bufferevent *stream = bufferevent_socket_new(_loop.get_base(), p_socket, BEV_OPT_CLOSE_ON_FREE);
+	_connections.push_back(std::make_unique<caller_connection>(_shared, stream));
+}
+
+void caller_server::_shed(int p_socket) {
+	const linger at_once{ 1, 0 };
+	setsockopt(p_socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	close(p_socket);
+	_shared.ended[connection_end::OVERLOADED]++;
 }
 
 void caller_server::_drop(caller_connection &p_connection) {
@@ -75,9 +116,8 @@
 }
 
 void caller_server::_accept_waiting() {
-	const int listener = evconnlistener_get_fd(_listener);
-	for (int socket = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); socket >= 0; socket = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) {
-		_on_accept(_listener, socket, nullptr, 0, this);
+	for (int accepted = _accept_next(); accepted >= 0; accepted = _accept_next()) {
+		_open(accepted);
 	}
 }
 
@@ -86,6 +126,7 @@
 	close_idle(duration::zero());
 	if (_listener != nullptr) {
 		_accept_waiting();
+		_accept_event.reset();
 		evconnlistener_free(_listener);
 		_listener = nullptr;
 	}
--- a/drivers/caller_server.h
+++ b/drivers/caller_server.h
@@ -15,8 +15,8 @@
 #include <memory>
 #include <vector>
 
+struct event;
 struct evconnlistener;
-struct sockaddr;
 
 namespace calicoscale {
 
@@ -24,12 +24,23 @@
 class caller_server {
 	event_loop &_loop;
 	caller_connection_shared _shared;
+	struct event_deleter {
+		void operator()(event *p_event) const;
+	};
+
 	evconnlistener *_listener = nullptr;
+	std::unique_ptr<event, event_deleter> _accept_event; ///< Fires while connections wait to be accepted.
+	std::function<bool(duration)> _should_shed; ///< May be empty.
 	network_address _address;
 	std::vector<std::unique_ptr<caller_connection>> _connections;
 	timer _sweep_timer;
 
-	static void _on_accept(evconnlistener *p_listener, int p_socket, sockaddr *p_from, int p_size, void *p_self);
+	static void _on_acceptable(int p_socket, short p_what, void *p_self);
+	/** Accepts a pending connection; -1 if there is none. */
+	int _accept_next();
+	void _open(int p_socket);
+	/** Closes a connection with nothing read, so that its caller knows that its request did not run. */
+	void _shed(int p_socket);
 	void _sweep();
 	/** Accepts pending connections: closing the listener would reset them. */
 	void _accept_waiting();
@@ -60,6 +71,12 @@
 	/** Sets a hook that receives input which arrived after this side ended a connection. */
 	void set_on_post_close_input(std::function<void(const post_close_input &)> p_hook) { _shared.on_post_close_input = std::move(p_hook); }
 
+	/**
+	 * Accepts connections only while no other socket is ready, one at a time, so that requests that have been read are served first.
+	 * @param p_hook decides, by the time for which a connection or its first request has waited, whether it is closed with nothing read.
+	 */
+	void accept_last(std::function<bool(duration)> p_hook);
+
 	/** Sets a hook that is called when a connection is reset because its caller does not read its answer. */
 	void set_on_slow_reader(std::function<void(const slow_reader &)> p_hook) { _shared.on_slow_reader = std::move(p_hook); }
 
--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -23,11 +23,9 @@
 
 namespace {
 
-constexpr int LOOP_PRIORITY_COUNT = 3;
+constexpr int LOOP_PRIORITY_COUNT = event_loop::LAST_PRIORITY + 1;
 constexpr int TIMER_PRIORITY = 0;
 constexpr int POSTED_PRIORITY = 0;
-/** After sockets, which have the priority in between. */
-constexpr int READ_PRIORITY = 2;
 /** Time limit for reading after a process stall: under load there is always more input to read. */
 constexpr duration MAX_READ_FIRST_TIME = std::chrono::milliseconds(20);
 /**
@@ -88,7 +86,7 @@
 	_timer_event.reset(evtimer_new(_base.get(), &event_loop::_on_timers, this));
 	event_priority_set(_timer_event.get(), TIMER_PRIORITY);
 	_read_event.reset(event_new(_base.get(), -1, 0, &event_loop::_on_read, this));
-	event_priority_set(_read_event.get(), READ_PRIORITY);
+	event_priority_set(_read_event.get(), LAST_PRIORITY);
 	_read_limit_event.reset(evtimer_new(_base.get(), &event_loop::_on_read, this));
 	event_priority_set(_read_limit_event.get(), TIMER_PRIORITY);
 	std::signal(SIGPIPE, SIG_IGN);
--- a/drivers/socket_queues.cpp
+++ b/drivers/socket_queues.cpp
@@ -9,8 +9,11 @@
 #include "drivers/socket_queues.h"
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace calicoscale {
 
@@ -19,6 +22,13 @@
 	return ioctl(p_socket, FIONREAD, &count) == 0 && count > 0 ? static_cast<std::size_t>(count) : 0;
 }
 
+duration get_input_age(int p_socket) {
+	tcp_info info{};
+	socklen_t size = sizeof(info);
+	const bool is_known = getsockopt(p_socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+	return is_known ? std::chrono::milliseconds(info.tcpi_last_data_recv) : duration::zero();
+}
+
 bool is_quiet(int p_socket) {
 	pollfd entry{ p_socket, POLLIN | POLLRDHUP, 0 };
 	return poll(&entry, 1, 0) == 0;
--- a/drivers/socket_queues.h
+++ b/drivers/socket_queues.h
@@ -9,6 +9,8 @@
 #ifndef SOCKET_QUEUES_H
 #define SOCKET_QUEUES_H
 
+#include "core/time.h"
+
 #include <cstddef>
 #include <optional>
 
@@ -17,6 +19,9 @@
 /** Number of received bytes that have not been read; 0 also when the system call fails. */
 std::size_t get_unread_bytes(int p_socket);
 
+/** Time since a socket received its last bytes, or was connected if there were none; zero also when the system call fails. */
+duration get_input_age(int p_socket);
+
 /** Whether no input, close or error of the other side is pending. */
 bool is_quiet(int p_socket);
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -91,6 +91,7 @@
 	_commitment_sync.set_capacity_source([this] { return _dispatcher.get_capacities(); });
 	_callers.set_write_budget(static_cast<std::size_t>(p_settings.memory_bytes * SLOW_READER_MEMORY_FRACTION));
 	_callers.set_on_slow_reader([this](const slow_reader &p_reader) { _on_slow_reader(p_reader); });
+	_callers.accept_last([this](duration p_waited) { return _should_shed(p_waited); });
 	_callers.set_on_post_close_input([this](const post_close_input &p_crossed) { _on_post_close_input(p_crossed); });
 	_dispatcher.set_on_run_interrupted([this](const interrupted_run &p_run) { _crashes.on_run_interrupted(p_run); });
 	_stall_connection = _context.loop.stalled().connect([this](const process_stall &p_hold_up) { _on_stall(p_hold_up); });
@@ -413,6 +414,15 @@
 	_context.log.write(log_line("slow_reader_ended").add("untaken_bytes", static_cast<long long>(p_reader.untaken)).add("since_ms", p_reader.since).add("held_bytes", static_cast<long long>(p_reader.held)));
 }
 
+bool gateway::_should_shed(duration p_waited) {
+	const instant now = event_loop::now();
+	if (!_shedder.should_close(p_waited, now)) {
+		return false;
+	}
+	_context.log.write_request(log_line("connection_shed").add("waited_ms", p_waited).add("late_for_ms", _shedder.get_late_time(now)).add("connections", static_cast<long long>(_callers.get_connection_count())).add("open", static_cast<long long>(_requests.size())));
+	return true;
+}
+
 void gateway::_on_post_close_input(const post_close_input &p_crossed) {
 	_context.metrics.count("bytes_crossed_end");
 	_context.log.write_request(log_line("bytes_crossed_end").add("end", get_name(p_crossed.end)).add("since_end_ms", p_crossed.since_end).add("rested_ms", p_crossed.rested).add("bytes", static_cast<long long>(p_crossed.bytes)).add("read", p_crossed.was_read ? "yes" : "no").add("idle_limit_ms", _get_idle_limit()).add("version", static_cast<long long>(_configuration.get_version())));
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "main/gateway/commitment_sync.h"
 #include "main/gateway/gateway_request.h"
 #include "main/gateway/store_report.h"
+#include "servers/limits/connection_shedder.h"
 
 #include <functional>
 #include <map>
@@ -56,6 +57,7 @@
 	admission _admission;
 	std::map<std::uint64_t, std::unique_ptr<gateway_request>> _requests;
 	std::uint64_t _next_request = 1;
+	connection_shedder _shedder;
 	caller_server _callers;
 	caller_server _readiness;
 	std::unique_ptr<caller_server> _metrics_server;
@@ -108,6 +110,8 @@
 	duration _get_idle_limit() const;
 	void _on_slow_reader(const slow_reader &p_reader);
 	void _on_post_close_input(const post_close_input &p_crossed);
+	/** Whether to close a new connection whose first request has waited unread for a time. */
+	bool _should_shed(duration p_waited);
 	void _tick();
 	void _enter(stop_phase p_phase, const char *p_name);
 	void _advance_stop();
--- a/tests/drivers/caller_connection_end_test.cpp
+++ b/tests/drivers/caller_connection_end_test.cpp
@@ -252,4 +252,49 @@
 	EXPECT_TRUE(connection.get_received().ends_with("last"));
 }
 
+TEST_F(caller_connection_end_test, a_connection_that_is_shed_is_reset_with_its_request_unread) {
+	duration waited = duration::zero();
+	_server->accept_last([&waited](duration p_waited) {
+		waited = p_waited;
+		return true;
+	});
+	raw_connection connection(_server->get_address());
+	connection.send_bytes(REQUEST);
+	std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	run_until(connection, [&connection] { return connection.is_closed(); });
+	EXPECT_TRUE(connection.is_reset());
+	EXPECT_TRUE(connection.get_received().empty());
+	EXPECT_TRUE(_exchanges.empty());
+	EXPECT_GE(waited, std::chrono::milliseconds(30)) << "the time in the socket counts";
+	EXPECT_EQ(_server->get_ended().at(connection_end::OVERLOADED), 1U);
+}
+
+TEST_F(caller_connection_end_test, a_connection_that_was_accepted_is_not_shed) {
+	int asked = 0;
+	_server->accept_last([&asked](duration) { return asked++ > 0; });
+	raw_connection connection(_server->get_address());
+	serve_one(connection);
+	serve_one(connection);
+	EXPECT_EQ(asked, 1);
+	raw_connection other(_server->get_address());
+	other.send_bytes(REQUEST);
+	run_until(other, [&other] { return other.is_closed(); });
+	EXPECT_EQ(_exchanges.size(), 2U);
+}
+
+TEST_F(caller_connection_end_test, connections_that_wait_are_accepted_after_the_requests_of_earlier_ones_were_read) {
+	std::vector<std::size_t> read;
+	_server->accept_last([this, &read](duration) {
+		read.push_back(_exchanges.size());
+		return false;
+	});
+	std::vector<std::unique_ptr<raw_connection>> connections;
+	for (int i = 0; i < 3; i++) {
+		connections.push_back(std::make_unique<raw_connection>(_server->get_address()));
+		connections.back()->send_bytes(REQUEST);
+	}
+	run_until(*connections.back(), [this] { return _exchanges.size() == 3; });
+	EXPECT_EQ(read, (std::vector<std::size_t>{ 0, 1, 2 }));
+}
+
 } // namespace calicoscale
