--- a/drivers/caller_server.h
+++ b/drivers/caller_server.h
@@ -73,7 +73,7 @@
 
 	/**
 	 * Accepts connections only while no other socket is ready, one at a time, so that requests that have been read are served first.
-	 * @param p_hook decides, by the time for which a connection or its first request has waited, whether it is closed with nothing read.
+	 * @param p_hook decides, by the time for which a connection has waited since its last bytes arrived, whether it is closed with nothing read.
 	 */
 	void accept_last(std::function<bool(duration)> p_hook);
 
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -124,7 +124,7 @@
 	/** Records the time that the loop spends on each activity; filled by activity_scope. */
 	work_meter &get_meter() { return _meter; }
 
-	/** Priority of events that wait until no other socket is readable or writable. */
+	/** Priority of events that wait until no other event is ready. */
 	static constexpr int LAST_PRIORITY = 2;
 
 	event_base *get_base() const { return _base.get(); }
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -110,7 +110,7 @@
 	duration _get_idle_limit() const;
 	void _on_slow_reader(const slow_reader &p_reader);
 	void _on_post_close_input(const post_close_input &p_crossed);
-	/** Whether to close a new connection whose first request has waited unread for a time. */
+	/** Whether to close a new connection that has waited to be accepted for a time. */
 	bool _should_shed(duration p_waited);
 	void _tick();
 	void _enter(stop_phase p_phase, const char *p_name);
--- a/servers/limits/connection_shedder.cpp
+++ b/servers/limits/connection_shedder.cpp
@@ -1,6 +1,6 @@
 /*
  * calicoscale: connection_shedder.cpp
- * Decides which new connections an overloaded node closes without reading their first request.
+ * Decides which new connections an overloaded node closes with nothing read.
  *
  * Copyright (c) 2026 calicoscale contributors.
  * SPDX-License-Identifier: MIT
