--- a/review/4/case.py
+++ b/review/4/case.py
@@ -127,7 +127,7 @@
         return CANNOT_RUN
     consumers = [Consumer(case, case.nodes[i % 3], random.Random(generator.random())) for i in range(CONSUMERS)]
     until = time.monotonic() + SECONDS
-    await asyncio.gather(*[consumer.live(until) for consumer in consumers])
+    await asyncio.wait([asyncio.ensure_future(consumer.live(until)) for consumer in consumers], timeout=SECONDS + 10)
     case.record.note("answers %s, spoilt answers %s, consumers that got what is not their answer %d" % (case.counts, shared.spoilt, len(case.mixed)))
     if case.counts.get("200", 0) < 200:
         return CANNOT_RUN
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -93,7 +93,7 @@
         case.record.note("sent %s %s" % (route, attempt))
         tasks.append(asyncio.ensure_future(consume(case, generator.choice(case.nodes), route, attempt)))
         await asyncio.sleep(generator.expovariate(REQUESTS_PER_SECOND))
-    await asyncio.gather(*tasks)
+    await asyncio.wait(tasks, timeout=10)
     case.record.note("answers %s, entries of another writer %d, requests run by a service that they don't go to %d" % (case.counts, shared.entries, len(shared.strayed)))
     if case.counts.get("200", 0) < len(tasks) / 2:
         return CANNOT_RUN
