--- a/review/standins.py
+++ b/review/standins.py
@@ -262,19 +262,23 @@
 
 
 def find_ports(count):
-    sockets = []
-    for _ in range(count):
-        made = socket.socket()
-        made.bind(("127.0.0.1", 0))
-        sockets.append(made)
-    ports = [made.getsockname()[1] for made in sockets]
-    for made in sockets:
-        made.close()
+    """Free ports below those that the system gives to outgoing connections, so that a node that starts again finds its own free."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(12000, 32000)
+        with socket.socket() as made:
+            try:
+                made.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
 def make_nodes(place, store, count, zones=("z-a",), **more):
-    ports = [find_ports(4) for _ in range(count)]
+    all_ports = find_ports(4 * count)
+    ports = [all_ports[4 * i:4 * i + 4] for i in range(count)]
     links = ["127.0.0.1:%d" % four[2] for four in ports]
     return [Node(place, "edge-%d" % i, store, links[:3], ports[i], zone=zones[i % len(zones)], **more) for i in range(count)]
 
