--- a/review/standins.py
+++ b/review/standins.py
@@ -228,7 +228,7 @@
     """One entry node: the program of the deploy file with settings as deploy/settings.json.in writes them."""
 
     def __init__(self, place, name, store, peers, ports, zone="z-a", memory_mb=260, settings=None):
-        self.name, self.ports, self.memory_mb = name, ports, memory_mb
+        self.name, self.zone, self.ports, self.memory_mb = name, zone, ports, memory_mb
         self.file = os.path.join(place, name + ".json")
         self.log = open(os.path.join(place, name + ".log"), "ab")
         self.process = None
