--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -56,6 +56,12 @@
 		{ channel_end::MALFORMED, "malformed" },
 } };
 
+constexpr std::array<enum_name<surplus_kind>, 3> SURPLUS_NAMES{ {
+		{ surplus_kind::OTHER_ANSWER, "other_answer" },
+		{ surplus_kind::BEHIND_ANSWER, "behind_answer" },
+		{ surplus_kind::WHILE_IDLE, "while_idle" },
+} };
+
 void set_option(int p_socket, int p_level, int p_name, int p_value) {
 	setsockopt(p_socket, p_level, p_name, &p_value, sizeof(p_value));
 }
@@ -98,12 +104,17 @@
 	return find_name(END_NAMES, p_end);
 }
 
+std::string_view get_name(surplus_kind p_kind) {
+	return find_name(SURPLUS_NAMES, p_kind);
+}
+
 /** One connection. */
 class endpoint_channels::channel {
 	friend class endpoint_channels;
 
 	endpoint_channels &_owner;
 	bufferevent *_stream = nullptr;
+	channel_position _position;
 	http_reader _reader;
 	exchange_id _id = 0; ///< 0 while idle.
 	channel_request _request;
@@ -171,6 +182,15 @@
 		}
 	}
 
+	/** Reports bytes that belong to no request; the head is that of the surplus answer if it has been read. */
+	void _report_surplus(surplus_kind p_kind, const http_head &p_head) {
+		if (!_owner._on_surplus) {
+			return;
+		}
+		const std::string *echo = _request.echo_header.empty() ? nullptr : p_head.find(_request.echo_header);
+		_owner._on_surplus(surplus_report{ p_kind, _endpoint, _request.service, _position, _request.echo_value, echo == nullptr ? std::string() : *echo, p_head.status });
+	}
+
 	bool _is_interim() const { return _reader.get_head().status / 100 == 1; }
 
 	void _on_head(const http_head &p_head) {
@@ -181,6 +201,7 @@
 		_skipping = echo != nullptr && *echo != _request.echo_value;
 		if (_skipping) {
 			_owner._skipped_answers++;
+			_report_surplus(surplus_kind::OTHER_ANSWER, p_head);
 			return;
 		}
 		if (_hooks.on_head) {
@@ -197,6 +218,7 @@
 	void _read() {
 		const activity_scope scope(_owner._loop, activity::ENDPOINT_ANSWERS);
 		if (_id == 0) {
+			_report_surplus(surplus_kind::WHILE_IDLE, http_head());
 			_owner._on_idle_event(this);
 			return;
 		}
@@ -228,6 +250,9 @@
 			return;
 		}
 		const bool has_surplus = evbuffer_get_length(bufferevent_get_input(_stream)) > 0;
+		if (has_surplus) {
+			_report_surplus(surplus_kind::BEHIND_ANSWER, http_head());
+		}
 		const bool is_request_out = evbuffer_get_length(bufferevent_get_output(_stream)) == 0;
 		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length() && !has_surplus && is_request_out;
 		_kept_for = read_keep_alive(_reader.get_head());
@@ -235,8 +260,8 @@
 	}
 
 public:
-	explicit channel(endpoint_channels &p_owner) :
-			_owner(p_owner), _reader(http_reader::kind::ANSWER, http_reader::hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); } }, MAX_HEADER_BYTES) {}
+	channel(endpoint_channels &p_owner, std::uint64_t p_number) :
+			_owner(p_owner), _position{ p_number, 0 }, _reader(http_reader::kind::ANSWER, http_reader::hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); } }, MAX_HEADER_BYTES) {}
 
 	~channel() {
 		if (_stream != nullptr) {
@@ -271,6 +296,7 @@
 
 	void begin(exchange_id p_id, channel_request p_request, channel_hooks p_hooks) {
 		_id = p_id;
+		_position.place++;
 		_request = std::move(p_request);
 		_hooks = std::move(p_hooks);
 		_endpoint = _request.endpoint;
@@ -355,8 +381,7 @@
 	const exchange_id id = _next_id++;
 	std::unique_ptr<channel> used = p_request.use_kept ? _take_kept(p_request) : nullptr;
 	if (!used) {
-		used = std::make_unique<channel>(*this);
-		_opened++;
+		used = std::make_unique<channel>(*this, ++_opened);
 		if (!used->open(p_request.to, p_request.connect_timeout)) {
 			const std::function<void(channel_end)> hook = std::move(p_hooks.on_end);
 			_free(std::move(used));
@@ -421,6 +446,11 @@
 	return found != _busy.end() && found->second->_connected && get_unread_bytes(bufferevent_getfd(found->second->_stream)) > 0;
 }
 
+channel_position endpoint_channels::get_position(exchange_id p_id) const {
+	const auto found = _busy.find(p_id);
+	return found == _busy.end() ? channel_position() : found->second->_position;
+}
+
 void endpoint_channels::set_reading(exchange_id p_id, bool p_reads) {
 	const auto found = _busy.find(p_id);
 	if (found != _busy.end()) {
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -61,6 +61,33 @@
 /** Identifies an exchange, i.e. one request and its answer. */
 using exchange_id = std::uint64_t;
 
+/** Where an exchange takes place. Both numbers start at 1; 0 means that this node has no connection for the exchange. */
+struct channel_position {
+	std::uint64_t connection = 0; ///< Number of the connection within this process.
+	std::uint64_t place = 0; ///< Number of the exchange on its connection.
+};
+
+/** Where bytes arrived that belong to no request. */
+enum class surplus_kind {
+	OTHER_ANSWER, ///< An answer to another request, in the place of the expected one.
+	BEHIND_ANSWER, ///< Bytes behind a complete answer.
+	WHILE_IDLE, ///< Bytes on an idle connection.
+};
+
+/** Returns the name of a kind, e.g. "other_answer". */
+std::string_view get_name(surplus_kind p_kind);
+
+/** Bytes from an endpoint that belong to no request. */
+struct surplus_report {
+	surplus_kind kind = surplus_kind::OTHER_ANSWER;
+	endpoint_identity endpoint;
+	std::string service; ///< Of the endpoint; empty when it is not known.
+	channel_position position; ///< Of the exchange in progress, or of the latest one.
+	std::string expected_echo; ///< Identifies the request in progress.
+	std::string received_echo; ///< As the surplus answer states.
+	int status = 0; ///< Of the surplus answer.
+};
+
 /**
  * Sends requests and reads answers. An answer that echoes another request is a late answer to an earlier exchange and is
  * skipped. A connection is not kept after surplus bytes, an answer that arrived before the request was sent, or a failure.
@@ -74,6 +101,7 @@
 	timer _sweep_timer;
 	exchange_id _next_id = 1;
 	std::function<void(const channel_request &)> _on_contact;
+	std::function<void(const surplus_report &)> _on_surplus;
 	path_faults _faults;
 	std::uint64_t _opened = 0;
 	std::uint64_t _skipped_answers = 0;
@@ -111,6 +139,12 @@
 	/** Simulates failed paths to endpoints from now on, and applies them to established connections; for failure tests. */
 	void set_path_faults(std::function<path_fault(const network_address &)> p_find);
 
+	/** Sets the hook that is told of bytes that belong to no request. */
+	void set_on_surplus(std::function<void(const surplus_report &)> p_hook) { _on_surplus = std::move(p_hook); }
+
+	/** Returns where an exchange in progress takes place. */
+	channel_position get_position(exchange_id p_id) const;
+
 	const path_faults &get_path_faults() const { return _faults; }
 
 	/** Closes the idle connections to an endpoint that is no longer listed. */
--- a/main/gateway/endpoint_exchanges.cpp
+++ b/main/gateway/endpoint_exchanges.cpp
@@ -39,6 +39,15 @@
 		_reach.on_contact(p_request.service, p_request.endpoint.vm, now);
 		_apply_changes();
 	});
+	_context.channels.set_on_surplus([this](const surplus_report &p_surplus) { _log_surplus(p_surplus); });
+}
+
+void endpoint_exchanges::_log_surplus(const surplus_report &p_surplus) {
+	_context.metrics.count("surplus_answers");
+	log_line line("surplus_answer");
+	line.add("kind", get_name(p_surplus.kind)).add("service", p_surplus.service).add("endpoint", p_surplus.endpoint.vm).add("request", p_surplus.expected_echo).add("received", p_surplus.received_echo).add("status", static_cast<long long>(p_surplus.status));
+	line.add("connection", static_cast<long long>(p_surplus.position.connection)).add("place", static_cast<long long>(p_surplus.position.place));
+	_context.log.write_request(line);
 }
 
 std::vector<forwarding_peer> endpoint_exchanges::_get_peers() const {
--- a/main/gateway/endpoint_exchanges.h
+++ b/main/gateway/endpoint_exchanges.h
@@ -44,6 +44,7 @@
 	/** Establishes links to further nodes if few of the linked ones may reach a service. */
 	void _seek_peers(const std::string &p_service);
 	exchange_id _start_directly(channel_request p_request, channel_hooks p_hooks);
+	void _log_surplus(const surplus_report &p_surplus);
 	void _on_forwarding_ended(const std::string &p_peer, forwarding_end p_end);
 	void _probe_endpoint(const endpoint_listing &p_listing);
 	/** Probes an unreachable endpoint of a service, and any other, which may be unreachable without a request having shown it. */
@@ -71,6 +72,9 @@
 	/** Whether bytes of an answer have arrived that are not read yet. */
 	bool has_unread(exchange_id p_id) const { return _context.channels.has_unread(p_id); }
 
+	/** Returns where an exchange in progress takes place; zeros if another node carries it out. */
+	channel_position get_position(exchange_id p_id) const { return is_forwarded(p_id) ? channel_position() : _context.channels.get_position(p_id); }
+
 	/** Whether another node carries out an exchange. It also finds out whether an answer without a length is complete. */
 	static bool is_forwarded(exchange_id p_id);
 
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -206,9 +206,18 @@
 		_predicted = _services.engine_caches.predict(_endpoint_identity, _choice.get_prompt(), now);
 		_services.prompts.tell(_endpoint_identity, _choice.get_prompt());
 	}
-	_services.context.log.write_request(log_line("send").add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("endpoint_version", endpoint.listing.version).add("send", static_cast<long long>(_sends)).add("in_flight", static_cast<long long>(endpoint.in_flight)).add("left_ms", send.remaining).add("crossed_bytes", static_cast<long long>(_stages.count_final_read(endpoint.listing.zone))).add("version", static_cast<long long>(_request.configuration->version)));
 	_exchange = _services.exchanges.start(std::move(request), channel_hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); }, [this](channel_end p_end) { _on_end_of_answer(p_end); } });
 	_services.exchanges.set_reading(_exchange, !_request.exchange->is_full());
+	_log_send(endpoint, send.remaining);
+}
+
+void gateway_request::_log_send(const endpoint_state &p_endpoint, duration p_remaining) {
+	_position = _services.exchanges.get_position(_exchange);
+	log_line line("send");
+	line.add("request", _request.facts.attempt).add("service", _request.service).add("endpoint", _endpoint_identity.vm).add("endpoint_version", p_endpoint.listing.version).add("send", static_cast<long long>(_sends));
+	line.add("connection", static_cast<long long>(_position.connection)).add("place", static_cast<long long>(_position.place)).add("in_flight", static_cast<long long>(p_endpoint.in_flight)).add("left_ms", p_remaining);
+	line.add("crossed_bytes", static_cast<long long>(_stages.count_final_read(p_endpoint.listing.zone))).add("version", static_cast<long long>(_request.configuration->version));
+	_services.context.log.write_request(line);
 }
 
 void gateway_request::_on_head(const http_head &p_head) {
@@ -289,7 +298,9 @@
 	const http_head &head = _answer.get_head();
 	log_line line("answer_ended");
 	line.add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("end", get_name(p_end)).add("status", static_cast<long long>(head.status));
+	line.add("connection", static_cast<long long>(_position.connection)).add("place", static_cast<long long>(_position.place));
 	if (head.status != 0) {
+		line.add("has_echo", head.find(get_echo_header()) != nullptr ? "yes" : "no").add("did_not_run", _answer.get_notes().did_not_run ? "yes" : "no");
 		const event_splitter &events = _answer.get_events();
 		line.add("framing", get_name(head.framing)).add("bytes", static_cast<long long>(_answer.get_byte_count()));
 		line.add("events", static_cast<long long>(events.get_event_count())).add("last_event", events.get_last_id()).add("held_bytes", static_cast<long long>(events.get_buffered_bytes()));
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -42,6 +42,7 @@
 	endpoint_id _endpoint = 0; ///< Of the latest send.
 	endpoint_identity _endpoint_identity;
 	network_address _endpoint_address;
+	channel_position _position; ///< Of the latest send.
 	endpoint_probe _end_probe; ///< Probes the endpoint whose answer ended when its connection closed.
 	engine_prediction _predicted;
 	instant _sent_at{};
@@ -85,6 +86,7 @@
 	void _on_complete_answer();
 	void _on_not_run();
 	void _on_failure(reason p_reason);
+	void _log_send(const endpoint_state &p_endpoint, duration p_remaining);
 	void _learn_first_event();
 	void _observe(const outcome &p_result);
 	bool _resume();
