--- a/tests/main/raw_server.h
+++ b/tests/main/raw_server.h
@@ -21,15 +21,23 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace calicoscale {
 
-/** Answers each request with the same bytes as soon as the blank line after its headers has arrived. */
+/** Answers each request with the same bytes, or with those that a hook returns, as soon as the blank line after its headers has arrived. */
 class raw_server {
 public:
+	/** Gets the number of the connection, starting at 0, and the request; returns the bytes to send. */
+	using responder = std::function<std::string(std::size_t, const std::string &)>;
+
+	/** Stands for the value of the request's X-Attempt-Id in the bytes of an answer. */
+	static constexpr std::string_view ATTEMPT_PLACEHOLDER = "$attempt";
+
 	/** What the server does after it has sent the bytes. */
 	enum class after {
 		KEEP,
@@ -45,8 +53,18 @@
 	std::set<bufferevent *> _answered;
 	network_address _address;
 	std::string _answer;
+	responder _responder;
 	after _after = after::KEEP;
 
+	std::string _make_answer(bufferevent *p_stream, const std::string &p_request) const {
+		const auto connection = std::find(_streams.begin(), _streams.end(), p_stream);
+		std::string answer = _responder ? _responder(static_cast<std::size_t>(connection - _streams.begin()), p_request) : _answer;
+		for (std::size_t place = answer.find(ATTEMPT_PLACEHOLDER); place != std::string::npos; place = answer.find(ATTEMPT_PLACEHOLDER)) {
+			answer.replace(place, ATTEMPT_PLACEHOLDER.size(), get_header(p_request, "X-Attempt-Id"));
+		}
+		return answer;
+	}
+
 	static void _on_accept(evconnlistener *, evutil_socket_t p_socket, sockaddr *, int, void *p_self) {
 		raw_server &self = *static_cast<raw_server *>(p_self);
 		bufferevent *stream = bufferevent_socket_new(self._loop.get_base(), p_socket, 0);
@@ -61,10 +79,12 @@
 		if (evbuffer_search(input, "\r\n\r\n", 4, nullptr).pos < 0) {
 			return;
 		}
-		evbuffer_drain(input, evbuffer_get_length(input));
+		std::string request(evbuffer_get_length(input), '\0');
+		evbuffer_remove(input, request.data(), request.size());
 		self._answered.insert(p_stream);
-		bufferevent_write(p_stream, self._answer.data(), self._answer.size());
-		if (self._answer.empty()) {
+		const std::string answer = self._make_answer(p_stream, request);
+		bufferevent_write(p_stream, answer.data(), answer.size());
+		if (answer.empty()) {
 			self._finish(p_stream);
 		}
 	}
@@ -125,6 +145,23 @@
 		_after = p_after;
 	}
 
+	/** Chooses the bytes for each request from now on. Empty bytes are no answer. */
+	void set_responder(responder p_responder) { _responder = std::move(p_responder); }
+
+	/** Sends bytes on a connection, without a request. */
+	void send(std::size_t p_connection, const std::string &p_bytes) { bufferevent_write(_streams.at(p_connection), p_bytes.data(), p_bytes.size()); }
+
+	/** Returns the value of a request's header; empty when it has none. */
+	static std::string get_header(const std::string &p_request, const std::string &p_name) {
+		const std::string start = "\r\n" + p_name + ": ";
+		const std::size_t found = p_request.find(start);
+		if (found == std::string::npos) {
+			return "";
+		}
+		const std::size_t value = found + start.size();
+		return p_request.substr(value, p_request.find("\r\n", value) - value);
+	}
+
 	/** Closes all connections immediately, without running the event loop. */
 	void close_connections() {
 		_after = after::CLOSE;
