--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -12,6 +12,7 @@
 #include "drivers/activity_scope.h"
 #include "drivers/socket_address.h"
 #include "drivers/socket_queues.h"
+#include "servers/routing/connection_history.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -56,8 +57,9 @@
 		{ channel_end::MALFORMED, "malformed" },
 } };
 
-constexpr std::array<enum_name<surplus_kind>, 3> SURPLUS_NAMES{ {
+constexpr std::array<enum_name<surplus_kind>, 4> SURPLUS_NAMES{ {
 		{ surplus_kind::OTHER_ANSWER, "other_answer" },
+		{ surplus_kind::WITHOUT_ID, "without_id" },
 		{ surplus_kind::BEHIND_ANSWER, "behind_answer" },
 		{ surplus_kind::WHILE_IDLE, "while_idle" },
 } };
@@ -114,7 +116,8 @@
 
 	endpoint_channels &_owner;
 	bufferevent *_stream = nullptr;
-	channel_position _position;
+	std::uint64_t _number;
+	connection_history _history;
 	http_reader _reader;
 	exchange_id _id = 0; ///< 0 while idle.
 	channel_request _request;
@@ -182,13 +185,14 @@
 		}
 	}
 
-	/** Reports bytes that belong to no request; the head is that of the surplus answer if it has been read. */
-	void _report_surplus(surplus_kind p_kind, const http_head &p_head) {
+	/** Handles bytes that belong to no request; the head is that of the surplus answer if it has been read. */
+	void _on_surplus(surplus_kind p_kind, const http_head &p_head) {
+		_history.on_surplus();
 		if (!_owner._on_surplus) {
 			return;
 		}
 		const std::string *echo = _request.echo_header.empty() ? nullptr : p_head.find(_request.echo_header);
-		_owner._on_surplus(surplus_report{ p_kind, _endpoint, _request.service, _position, _request.echo_value, echo == nullptr ? std::string() : *echo, p_head.status });
+		_owner._on_surplus(surplus_report{ p_kind, _endpoint, _request.service, get_position(), _request.echo_value, echo == nullptr ? std::string() : *echo, p_head.status });
 	}
 
 	bool _is_interim() const { return _reader.get_head().status / 100 == 1; }
@@ -198,10 +202,16 @@
 			return;
 		}
 		const std::string *echo = _request.echo_header.empty() ? nullptr : p_head.find(_request.echo_header);
-		_skipping = echo != nullptr && *echo != _request.echo_value;
+		const answer_owner belongs_to = _history.judge(_request.echo_value, echo);
+		if (belongs_to == answer_owner::UNKNOWN) {
+			_on_surplus(surplus_kind::WITHOUT_ID, p_head);
+			_owner._finish(*this, channel_end::MALFORMED, false);
+			return;
+		}
+		_skipping = belongs_to == answer_owner::OTHER_EXCHANGE;
 		if (_skipping) {
 			_owner._skipped_answers++;
-			_report_surplus(surplus_kind::OTHER_ANSWER, p_head);
+			_on_surplus(surplus_kind::OTHER_ANSWER, p_head);
 			return;
 		}
 		if (_hooks.on_head) {
@@ -218,7 +228,7 @@
 	void _read() {
 		const activity_scope scope(_owner._loop, activity::ENDPOINT_ANSWERS);
 		if (_id == 0) {
-			_report_surplus(surplus_kind::WHILE_IDLE, http_head());
+			_on_surplus(surplus_kind::WHILE_IDLE, http_head());
 			_owner._on_idle_event(this);
 			return;
 		}
@@ -251,17 +261,17 @@
 		}
 		const bool has_surplus = evbuffer_get_length(bufferevent_get_input(_stream)) > 0;
 		if (has_surplus) {
-			_report_surplus(surplus_kind::BEHIND_ANSWER, http_head());
+			_on_surplus(surplus_kind::BEHIND_ANSWER, http_head());
 		}
 		const bool is_request_out = evbuffer_get_length(bufferevent_get_output(_stream)) == 0;
-		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length() && !has_surplus && is_request_out;
+		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length() && _history.is_reusable() && is_request_out;
 		_kept_for = read_keep_alive(_reader.get_head());
 		_owner._finish(*this, channel_end::COMPLETE, keep);
 	}
 
 public:
 	channel(endpoint_channels &p_owner, std::uint64_t p_number) :
-			_owner(p_owner), _position{ p_number, 0 }, _reader(http_reader::kind::ANSWER, http_reader::hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); } }, MAX_HEADER_BYTES) {}
+			_owner(p_owner), _number(p_number), _reader(http_reader::kind::ANSWER, http_reader::hooks{ [this](const http_head &p_head) { _on_head(p_head); }, [this](std::string_view p_bytes) { _on_body(p_bytes); } }, MAX_HEADER_BYTES) {}
 
 	~channel() {
 		if (_stream != nullptr) {
@@ -296,10 +306,10 @@
 
 	void begin(exchange_id p_id, channel_request p_request, channel_hooks p_hooks) {
 		_id = p_id;
-		_position.place++;
 		_request = std::move(p_request);
 		_hooks = std::move(p_hooks);
 		_endpoint = _request.endpoint;
+		_history.on_started(_request.echo_value);
 		_skipping = false;
 		_ended = false;
 		_reader.reset();
@@ -308,6 +318,8 @@
 		_request.bytes = std::string();
 	}
 
+	channel_position get_position() const { return channel_position{ _number, _history.get_place() }; }
+
 	/** Receives nothing more, and ends the exchange after a time. */
 	void fail_path_after(duration p_time) {
 		bufferevent_setcb(_stream, nullptr, nullptr, nullptr, nullptr);
@@ -364,9 +376,12 @@
 	}
 	const instant now = event_loop::now();
 	std::vector<std::unique_ptr<channel>> &stack = kept->second;
-	while (!stack.empty() && now - stack.back()->_idle_since <= std::min(p_request.longest_idle, stack.back()->_kept_for)) {
-		std::unique_ptr<channel> taken = std::move(stack.back());
-		stack.pop_back();
+	for (std::size_t i = stack.size(); i > 0 && now - stack[i - 1]->_idle_since <= std::min(p_request.longest_idle, stack[i - 1]->_kept_for); i--) {
+		if (!stack[i - 1]->_history.may_carry(p_request.echo_value)) {
+			continue;
+		}
+		std::unique_ptr<channel> taken = std::move(stack[i - 1]);
+		stack.erase(stack.begin() + static_cast<std::ptrdiff_t>(i - 1));
 		// The endpoint may have closed the connection in this iteration of the loop; a request sent on it would count as one that
 		// may have run.
 		if (is_quiet(bufferevent_getfd(taken->_stream))) {
@@ -448,7 +463,7 @@
 
 channel_position endpoint_channels::get_position(exchange_id p_id) const {
 	const auto found = _busy.find(p_id);
-	return found == _busy.end() ? channel_position() : found->second->_position;
+	return found == _busy.end() ? channel_position() : found->second->get_position();
 }
 
 void endpoint_channels::set_reading(exchange_id p_id, bool p_reads) {
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -70,6 +70,7 @@
 /** Where bytes arrived that belong to no request. */
 enum class surplus_kind {
 	OTHER_ANSWER, ///< An answer to another request, in the place of the expected one.
+	WITHOUT_ID, ///< An answer that lacks the id of its request, on a connection that carried earlier requests.
 	BEHIND_ANSWER, ///< Bytes behind a complete answer.
 	WHILE_IDLE, ///< Bytes on an idle connection.
 };
@@ -90,7 +91,9 @@
 
 /**
  * Sends requests and reads answers. An answer that echoes another request is a late answer to an earlier exchange and is
- * skipped. A connection is not kept after surplus bytes, an answer that arrived before the request was sent, or a failure.
+ * skipped. A request is never sent over a connection that carried its id before, so that a late copy of an earlier answer to it is
+ * not taken for the answer to this send. A connection is not kept after surplus bytes, an answer that arrived before the request
+ * was sent, or a failure.
  */
 class endpoint_channels {
 	class channel;
@@ -106,7 +109,7 @@
 	std::uint64_t _opened = 0;
 	std::uint64_t _skipped_answers = 0;
 
-	/** Removes and returns the most recently used kept connection that is fresh enough and received nothing since; null when there is none. */
+	/** Removes and returns the most recently used kept connection that is fresh enough, received nothing since and may carry the request; null when there is none. */
 	std::unique_ptr<channel> _take_kept(const channel_request &p_request);
 	void _free(std::unique_ptr<channel> p_channel);
 	void _on_idle_event(channel *p_channel);
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -214,6 +214,7 @@
 	raw_server _endpoint{ _loop };
 	endpoint_channels _channels{ _loop };
 	std::uint64_t _endpoint_start = 1;
+	int _next_echo = 1;
 
 	struct exchange_outcome {
 		int status = 0;
@@ -245,15 +246,27 @@
 		}
 	}
 
-	std::shared_ptr<exchange_outcome> run(const std::string &p_answer, raw_server::after p_after) {
-		_endpoint.set_answer(p_answer, p_after);
-		const std::shared_ptr<exchange_outcome> result = start();
+	/** Runs an exchange with an id of its own, by default a new one. In the answer, "$echo" stands for it. */
+	std::shared_ptr<exchange_outcome> run(const std::string &p_answer, raw_server::after p_after, std::string p_echo = "") {
+		if (p_echo.empty()) {
+			p_echo = "id-" + std::to_string(_next_echo++);
+		}
+		std::string answer = p_answer;
+		for (std::size_t place = answer.find("$echo"); place != std::string::npos; place = answer.find("$echo")) {
+			answer.replace(place, 5, p_echo);
+		}
+		_endpoint.set_answer(answer, p_after);
+		const std::shared_ptr<exchange_outcome> result = start(p_echo);
 		run_until([&result] { return result->end.has_value(); });
 		return result;
 	}
 };
 
-const std::string COMPLETE_ANSWER = "HTTP/1.1 200 OK\r\nEcho: r1\r\nContent-Length: 2\r\n\r\nok";
+std::string write_answer(const std::string &p_echo) {
+	return "HTTP/1.1 200 OK\r\nEcho: " + p_echo + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+const std::string COMPLETE_ANSWER = write_answer("$echo");
 
 } // namespace
 
@@ -273,7 +286,7 @@
 }
 
 TEST_F(endpoint_channels_test, a_connection_that_came_up_while_the_loop_was_held_up_is_used) {
-	_endpoint.set_answer(COMPLETE_ANSWER, raw_server::after::KEEP);
+	_endpoint.set_answer(write_answer("r1"), raw_server::after::KEEP);
 	const std::shared_ptr<exchange_outcome> result = start();
 	std::this_thread::sleep_for(channel_request().connect_timeout + std::chrono::milliseconds(100));
 	run_until([&result] { return result->end.has_value(); });
@@ -284,10 +297,10 @@
 	bare_endpoint endpoint;
 	const std::shared_ptr<exchange_outcome> first = start("r1", endpoint.get_address());
 	run_until([&endpoint] { return endpoint.has_request(); });
-	endpoint.answer(COMPLETE_ANSWER);
+	endpoint.answer(write_answer("r1"));
 	run_until([&first] { return first->end.has_value(); });
-	endpoint.answer(COMPLETE_ANSWER);
-	const std::shared_ptr<exchange_outcome> second = start("r1", endpoint.get_address());
+	endpoint.answer(write_answer("r1"));
+	const std::shared_ptr<exchange_outcome> second = start("r2", endpoint.get_address());
 	EXPECT_EQ(_channels.get_opened(), 2U) << "the surplus would be taken for the answer to this request";
 	EXPECT_FALSE(second->end.has_value());
 }
@@ -304,17 +317,69 @@
 	EXPECT_EQ(_channels.get_skipped_answers(), 1U);
 }
 
+// Guards against taking a late copy of an answer for the answer to the next send of the same request.
+TEST_F(endpoint_channels_test, a_request_is_not_sent_again_over_a_connection_that_carried_it) {
+	run(COMPLETE_ANSWER, raw_server::after::KEEP, "twice");
+	run(COMPLETE_ANSWER, raw_server::after::KEEP, "other");
+	EXPECT_EQ(_channels.get_opened(), 1U);
+	EXPECT_EQ(run(COMPLETE_ANSWER, raw_server::after::KEEP, "twice")->body, "ok");
+	EXPECT_EQ(_channels.get_opened(), 2U);
+	EXPECT_EQ(run(COMPLETE_ANSWER, raw_server::after::KEEP, "third")->body, "ok");
+	EXPECT_EQ(_channels.get_opened(), 2U) << "the connection that was passed over stays in use";
+}
+
+TEST_F(endpoint_channels_test, a_connection_is_not_kept_after_an_answer_to_another_request) {
+	run("HTTP/1.1 200 OK\r\nEcho: other\r\nContent-Length: 5\r\n\r\nwrong" + COMPLETE_ANSWER, raw_server::after::KEEP);
+	EXPECT_EQ(run(COMPLETE_ANSWER, raw_server::after::KEEP)->body, "ok");
+	EXPECT_EQ(_channels.get_opened(), 2U);
+}
+
+// Guards against believing an answer without an id where a copy of an earlier one may come.
+TEST_F(endpoint_channels_test, an_answer_without_an_id_counts_on_a_new_connection_only) {
+	const std::string anonymous = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+	EXPECT_EQ(run(anonymous, raw_server::after::KEEP)->end, channel_end::COMPLETE);
+	EXPECT_EQ(run(anonymous, raw_server::after::KEEP)->end, channel_end::MALFORMED);
+	EXPECT_EQ(run(anonymous, raw_server::after::KEEP)->end, channel_end::COMPLETE) << "the connection was closed";
+	EXPECT_EQ(_channels.get_opened(), 2U);
+}
+
+TEST_F(endpoint_channels_test, bytes_that_belong_to_no_request_are_reported_with_their_place) {
+	std::vector<surplus_report> reports;
+	_channels.set_on_surplus([&reports](const surplus_report &p_surplus) { reports.push_back(p_surplus); });
+	run(COMPLETE_ANSWER, raw_server::after::KEEP);
+	run("HTTP/1.1 200 OK\r\nEcho: other\r\nContent-Length: 5\r\n\r\nwrong" + COMPLETE_ANSWER, raw_server::after::KEEP, "asked");
+	ASSERT_EQ(reports.size(), 1U);
+	EXPECT_EQ(reports[0].kind, surplus_kind::OTHER_ANSWER);
+	EXPECT_EQ(reports[0].expected_echo, "asked");
+	EXPECT_EQ(reports[0].received_echo, "other");
+	EXPECT_EQ(reports[0].position.connection, 1U);
+	EXPECT_EQ(reports[0].position.place, 2U);
+}
+
+// Guards against counting a request as not sent when its connection came up while the process was held up.
+TEST_F(endpoint_channels_test, an_exchange_that_ends_as_not_connected_after_a_hold_up_has_sent_nothing) {
+	bare_endpoint endpoint;
+	const std::shared_ptr<exchange_outcome> result = start("r1", endpoint.get_address());
+	// Longer than connections to a replaced endpoint are left alone. The loop does not run meanwhile.
+	std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+	EXPECT_EQ(_channels.end_replaced({ "e1", 1 }, std::chrono::hours(0)), 1U);
+	EXPECT_EQ(result->end, channel_end::CONNECT_FAILED);
+	const instant ended = event_loop::now();
+	run_until([ended] { return event_loop::now() - ended > std::chrono::milliseconds(50); });
+	EXPECT_FALSE(endpoint.has_request());
+}
+
 TEST_F(endpoint_channels_test, interim_answers_are_not_the_answer) {
 	EXPECT_EQ(run("HTTP/1.1 100 Continue\r\n\r\n" + COMPLETE_ANSWER, raw_server::after::KEEP)->status, 200);
 }
 
 TEST_F(endpoint_channels_test, what_is_cut_or_reset_is_broken_and_what_is_no_answer_malformed) {
-	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\nContent-Length: 9\r\n\r\nok", raw_server::after::CLOSE)->end, channel_end::BROKEN);
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: $echo\r\nContent-Length: 9\r\n\r\nok", raw_server::after::CLOSE)->end, channel_end::BROKEN);
 	EXPECT_EQ(run("", raw_server::after::CLOSE)->end, channel_end::BROKEN);
-	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\n\r\nunframed", raw_server::after::CLOSE)->end, channel_end::COMPLETE);
-	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\n\r\nunframed", raw_server::after::RESET)->end, channel_end::BROKEN);
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: $echo\r\n\r\nunframed", raw_server::after::CLOSE)->end, channel_end::COMPLETE);
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: $echo\r\n\r\nunframed", raw_server::after::RESET)->end, channel_end::BROKEN);
 	EXPECT_EQ(run("no answer at all\r\n\r\n", raw_server::after::KEEP)->end, channel_end::MALFORMED);
-	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: r1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", raw_server::after::KEEP)->end, channel_end::MALFORMED);
+	EXPECT_EQ(run("HTTP/1.1 200 OK\r\nEcho: $echo\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", raw_server::after::KEEP)->end, channel_end::MALFORMED);
 }
 
 TEST_F(endpoint_channels_test, nothing_is_kept_from_one_start_of_an_endpoint_to_the_next) {
--- a/tests/main/gateway_cut_off_test.cpp
+++ b/tests/main/gateway_cut_off_test.cpp
@@ -10,6 +10,7 @@
 #include "servers/reach/forwarding_capacity.h"
 #include "servers/reach/peer_reach.h"
 #include "tests/main/gateway_fixture.h"
+#include "tests/main/late_copy_endpoint.h"
 #include "tests/main/raw_server.h"
 
 #include <netinet/in.h>
@@ -25,6 +26,8 @@
 
 constexpr int REQUESTS = 12; ///< To each gateway.
 constexpr std::size_t CALLERS = 4; ///< At each gateway while it recovers.
+/** Repeats per window that let a gateway repeat within milliseconds of its start. */
+constexpr double AMPLE_SLACK = 1e6;
 constexpr const char *STAGES = "X-Segments: 2,1\r\nX-Segment-Key: k\r\n";
 
 /** Binds a port without listening, so that connections to it are refused and no other process, nor a connection to itself, gets it. */
@@ -51,7 +54,7 @@
 	static constexpr duration RECOVERY_TIME = seconds(3);
 	/** Interval of requests to each gateway while it recovers. Nine gateways share an event loop, which sanitizers make several times slower. */
 	static constexpr duration CALL_INTERVAL = milliseconds(300);
-	const std::string RAW_HEAD = "HTTP/1.1 200 OK\r\nX-Replica-Seal: raw\r\n";
+	const std::string RAW_HEAD = "HTTP/1.1 200 OK\r\nX-Attempt-Id: $attempt\r\nX-Replica-Seal: raw\r\n";
 	raw_server _raw{ _loop };
 	std::map<std::string, std::vector<network_address>> _addresses; ///< Of endpoints, by service.
 
@@ -367,4 +370,22 @@
 	EXPECT_EQ(ask(*_gateways[0], "/once/x")->head.status, 502);
 }
 
+// Guards against taking a late copy of a rejection for the answer to the next send when a peer carries both out on one connection.
+TEST_F(gateway_cut_off_test, a_late_copy_of_a_rejection_does_not_answer_the_next_forwarded_send) {
+	late_copy_endpoint endpoint(_loop);
+	configure(1);
+	_addresses["llm"] = { endpoint.get_address() };
+	_store.put(ENDPOINT_TOPIC, "i-raw", endpoint.get_entry("llm"));
+	_adjust_settings = [](gateway_settings &r_settings) { r_settings.retries.slack = AMPLE_SLACK; };
+	start_ready();
+	start_ready();
+	wait(milliseconds(600));
+	cut_off(*_gateways[0], path_fault::REFUSED);
+	run_until([this] { return ask(*_gateways[0], "/once/x")->head.status == 200; });
+	EXPECT_EQ(ask(*_gateways[0], "/once/x")->head.status, 200);
+	for (const auto &[attempt, runs] : endpoint.runs) {
+		EXPECT_EQ(runs, 1) << attempt;
+	}
+}
+
 } // namespace calicoscale
