--- a/drivers/http_status.h
+++ b/drivers/http_status.h
@@ -22,6 +22,7 @@
 constexpr int GONE = 410;
 constexpr int PRECONDITION_FAILED = 412;
 constexpr int BODY_TOO_LARGE = 413;
+constexpr int MISDIRECTED = 421;
 constexpr int TOO_MANY_REQUESTS = 429;
 constexpr int HEADERS_TOO_LARGE = 431;
 constexpr int FIRST_SERVER_ERROR = 500;
@@ -33,6 +34,11 @@
 	return p_status / 100 == 2;
 }
 
+/** Whether a status promises callers that the request did not run and never will. */
+constexpr bool promises_not_run(int p_status) {
+	return p_status == REQUEST_TIMEOUT || p_status == MISDIRECTED || p_status == TOO_MANY_REQUESTS || p_status == UNAVAILABLE;
+}
+
 } // namespace calicoscale::http_status
 
 namespace calicoscale {
--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -471,6 +471,11 @@
 		_fail(reason::ENDPOINT_ERROR);
 		return;
 	}
+	if (http_status::promises_not_run(_answer.get_head().status)) {
+		// The request may have run. Another status must not carry the endpoint's seal.
+		_fail(reason::ENDPOINT_ERROR);
+		return;
+	}
 	_request.exchange->reply(_answer.get_head().status, get_passed_headers(_answer.get_head()), _answer.get_body());
 	_finish(outcome{ http_status::is_success(_answer.get_head().status) ? verdict::COMPLETED : verdict::MAY_HAVE_RUN, http_status::is_success(_answer.get_head().status) ? reason::NONE : reason::ENDPOINT_ERROR }, _answer.get_head().status);
 }
