--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -10,6 +10,7 @@
 
 #include "drivers/http_status.h"
 #include "main/gateway/retry_report.h"
+#include "main/gateway/run_proof.h"
 #include "main/gateway/stream_start.h"
 
 #include <algorithm>
@@ -300,7 +301,7 @@
 	line.add("request", _request.facts.attempt).add("endpoint", _endpoint_identity.vm).add("end", get_name(p_end)).add("status", static_cast<long long>(head.status));
 	line.add("connection", static_cast<long long>(_position.connection)).add("place", static_cast<long long>(_position.place));
 	if (head.status != 0) {
-		line.add("has_echo", head.find(get_echo_header()) != nullptr ? "yes" : "no").add("did_not_run", _answer.get_notes().did_not_run ? "yes" : "no");
+		line.add("has_echo", head.find(get_echo_header()) != nullptr ? "yes" : "no").add("proof", get_name(find_run_proof(p_end, _answer.get_notes())));
 		const event_splitter &events = _answer.get_events();
 		line.add("framing", get_name(head.framing)).add("bytes", static_cast<long long>(_answer.get_byte_count()));
 		line.add("events", static_cast<long long>(events.get_event_count())).add("last_event", events.get_last_id()).add("held_bytes", static_cast<long long>(events.get_buffered_bytes()));
@@ -362,11 +363,20 @@
 
 void gateway_request::_judge_end(answer_end p_end) {
 	_exchange = 0;
-	if (p_end == answer_end::NOT_SENT) {
-		_observe(outcome{ verdict::NOT_RUN, reason::CONNECT_FAILED });
-		_permit.keep();
-		_on_not_run();
-		return;
+	switch (find_run_proof(p_end, _answer.get_notes())) {
+		case run_proof::NOT_SENT:
+			_observe(outcome{ verdict::NOT_RUN, reason::CONNECT_FAILED });
+			_permit.keep();
+			_on_not_run();
+			return;
+		case run_proof::OTHER_ENDPOINT:
+			_on_other_endpoint();
+			return;
+		case run_proof::REJECTED:
+			_on_rejected();
+			return;
+		case run_proof::NONE:
+			break;
 	}
 	if (_answer.is_stream()) {
 		_on_stream_end(p_end);
@@ -422,24 +432,24 @@
 	return true;
 }
 
-void gateway_request::_on_complete_answer() {
-	if (_answer.get_notes().is_other_endpoint) {
-		_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_LEAVING });
-		// Another endpoint answers at this address, so the old one has exited. Marking it spares each peer from finding this out itself.
-		_services.endpoints.mark_leaving(_endpoint_identity, "answer");
-		_on_not_run();
-		return;
-	}
-	if (_answer.get_notes().did_not_run) {
-		if (_answer.get_head().status == http_status::CONFLICT && !_stages.is_empty() && _stages.may_remake()) {
-			_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_INPUT });
-			_stages.remake();
-			return;
-		}
-		_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_BUSY });
-		_on_not_run();
+void gateway_request::_on_other_endpoint() {
+	_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_LEAVING });
+	// Another endpoint answers at this address, so the old one has exited. Marking it spares each peer from finding this out itself.
+	_services.endpoints.mark_leaving(_endpoint_identity, "answer");
+	_on_not_run();
+}
+
+void gateway_request::_on_rejected() {
+	if (_answer.get_head().status == http_status::CONFLICT && !_stages.is_empty() && _stages.may_remake()) {
+		_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_INPUT });
+		_stages.remake();
 		return;
 	}
+	_observe(outcome{ verdict::NOT_RUN, reason::REFUSED_BUSY });
+	_on_not_run();
+}
+
+void gateway_request::_on_complete_answer() {
 	if (http_status::is_success(_answer.get_head().status)) {
 		if (!_answer.get_notes().has_seal) {
 			_on_failure(reason::WRONG_ECHO);
@@ -505,8 +515,12 @@
 	_fail(p_reason);
 }
 
+bool gateway_request::_is_proved_not_to_run() const {
+	return _exchange == 0 && _tally.get_verdict() == verdict::NOT_RUN && !_stages.may_have_run() && !_answer_started;
+}
+
 void gateway_request::_refuse(reason p_reason, duration p_retry_after) {
-	if (_tally.get_verdict() != verdict::NOT_RUN || _stages.may_have_run() || _answer_started) {
+	if (!_is_proved_not_to_run()) {
 		_fail(p_reason);
 		return;
 	}
--- a/main/gateway/gateway_request.h
+++ b/main/gateway/gateway_request.h
@@ -83,6 +83,10 @@
 	void _record_interrupted_run();
 	void _judge_end(answer_end p_end);
 	void _on_stream_end(answer_end p_end);
+	/** Handles that the endpoint of the latest send answered that it did not run the request. */
+	void _on_rejected();
+	/** Handles that another endpoint answered at the address. */
+	void _on_other_endpoint();
 	void _on_complete_answer();
 	void _on_not_run();
 	void _on_failure(reason p_reason);
@@ -91,6 +95,8 @@
 	void _observe(const outcome &p_result);
 	bool _resume();
 	void _pass_answer();
+	/** Whether each send of the request is proved not to have run, and none is in progress. */
+	bool _is_proved_not_to_run() const;
 	void _refuse(reason p_reason, duration p_retry_after);
 	void _fail(reason p_reason);
 	void _on_give_up_time();
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -12,6 +12,7 @@
 #include "drivers/activity_scope.h"
 #include "drivers/http_status.h"
 #include "main/gateway/retry_report.h"
+#include "main/gateway/run_proof.h"
 #include "platform/request_codec.h"
 #include "platform/stage_codec.h"
 #include "servers/gateway/pool_shards.h"
@@ -33,17 +34,17 @@
 /** Waiting time after which a release to a limited replica takes precedence over calls. Results expire after some seconds. */
 constexpr duration MAX_RELEASE_DELAY = std::chrono::milliseconds(1500);
 
-call_end get_call_end(channel_end p_end, int p_status, bool p_did_not_run) {
-	if (p_end == channel_end::CONNECT_FAILED) {
-		return call_end::UNREACHABLE;
+call_end get_call_end(channel_end p_end, int p_status, const endpoint_answer &p_answer) {
+	switch (find_run_proof(get_answer_end(p_end), p_answer)) {
+		case run_proof::NOT_SENT:
+			return call_end::UNREACHABLE;
+		case run_proof::REJECTED:
+		case run_proof::OTHER_ENDPOINT:
+			return call_end::REFUSED;
+		case run_proof::NONE:
+			break;
 	}
-	if (p_end != channel_end::COMPLETE) {
-		return call_end::BROKEN;
-	}
-	if (p_did_not_run) {
-		return call_end::REFUSED;
-	}
-	return p_status == http_status::OK ? call_end::ANSWERED : call_end::BROKEN;
+	return p_end == channel_end::COMPLETE && p_status == http_status::OK ? call_end::ANSWERED : call_end::BROKEN;
 }
 
 /** Lists the ids of the requests that share a call, so that each request can be found in the log by its id. */
@@ -146,7 +147,7 @@
 	request.connect_timeout = CONNECT_TIMEOUT;
 	struct answer_state {
 		int status = 0;
-		bool did_not_run = false;
+		endpoint_answer notes;
 		bounded_body body{ MAX_ANSWER_BYTES };
 	};
 	const std::shared_ptr<answer_state> answer = std::make_shared<answer_state>();
@@ -154,7 +155,7 @@
 	hooks.on_head = [this, answer, replica = p_call.replica, now](const http_head &p_head) {
 		const endpoint_answer head = read_endpoint_answer(p_head);
 		answer->status = p_head.status;
-		answer->did_not_run = head.did_not_run;
+		answer->notes = head;
 		if (!head.is_other_endpoint) {
 			if (head.notice.load) {
 				_pool.on_load_reported(replica, head.notice.load->pace, event_loop::now());
@@ -166,7 +167,7 @@
 		answer->body.append(p_bytes);
 	};
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
-		_on_ended(p_call, p_end, answer->status, answer->did_not_run, answer->body.get());
+		_on_ended(p_call, p_end, answer->status, answer->notes, answer->body.get());
 	};
 	_runs[p_call.id] = sent_run{ _guard.get_rollouts().on_call(_service, p_call.replica.vm, p_call.items.size()), now };
 	_guard.on_sent(p_call.replica, now);
@@ -187,10 +188,10 @@
 	}
 }
 
-void pool_caller::_on_ended(const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body) {
+void pool_caller::_on_ended(const stage_call &p_call, channel_end p_end, int p_status, const endpoint_answer &p_answer, const std::string &p_body) {
 	const activity_scope scope(_context.loop, activity::STAGE_ENDS);
 	_exchanges.erase(p_call.id);
-	call_end end = get_call_end(p_end, p_status, p_did_not_run);
+	call_end end = get_call_end(p_end, p_status, p_answer);
 	std::vector<item_result> results;
 	if (end == call_end::ANSWERED) {
 		results = read_stage_answer(p_body, p_call.items.size());
--- a/main/gateway/pool_caller.h
+++ b/main/gateway/pool_caller.h
@@ -62,7 +62,7 @@
 	void _count_examined();
 	std::optional<stage_call> _choose_call(instant p_now);
 	void _send(const stage_call &p_call);
-	void _on_ended(const stage_call &p_call, channel_end p_end, int p_status, bool p_did_not_run, const std::string &p_body);
+	void _on_ended(const stage_call &p_call, channel_end p_end, int p_status, const endpoint_answer &p_answer, const std::string &p_body);
 	void _end_run(std::uint64_t p_call, call_end p_end, const std::vector<item_result> &p_results);
 	void _report_interrupted_runs(const stage_call &p_call);
 	void _record_without_capacity(const stage_call &p_call, const std::vector<item_result> &p_results);
--- a/main/gateway/received_answer.cpp
+++ b/main/gateway/received_answer.cpp
@@ -31,6 +31,20 @@
 	return find_name(END_NAMES, p_end);
 }
 
+answer_end get_answer_end(channel_end p_end) {
+	switch (p_end) {
+		case channel_end::CONNECT_FAILED:
+			return answer_end::NOT_SENT;
+		case channel_end::BROKEN:
+			return answer_end::LOST;
+		case channel_end::MALFORMED:
+			return answer_end::MALFORMED;
+		case channel_end::COMPLETE:
+			break;
+	}
+	return answer_end::COMPLETE;
+}
+
 void received_answer::restart() {
 	_head = http_head();
 	_notes = endpoint_answer();
@@ -58,15 +72,9 @@
 }
 
 answer_end received_answer::judge(channel_end p_end) const {
-	switch (p_end) {
-		case channel_end::CONNECT_FAILED:
-			return answer_end::NOT_SENT;
-		case channel_end::BROKEN:
-			return answer_end::LOST;
-		case channel_end::MALFORMED:
-			return answer_end::MALFORMED;
-		case channel_end::COMPLETE:
-			break;
+	const answer_end end = get_answer_end(p_end);
+	if (end != answer_end::COMPLETE) {
+		return end;
 	}
 	if (!is_stream()) {
 		return _body.is_complete() ? answer_end::COMPLETE : answer_end::TRUNCATED;
--- a/main/gateway/received_answer.h
+++ b/main/gateway/received_answer.h
@@ -38,6 +38,9 @@
 /** Returns the name of an end, e.g. "cut". */
 std::string_view get_name(answer_end p_end);
 
+/** Returns how an answer ended according to its framing alone. */
+answer_end get_answer_end(channel_end p_end);
+
 /** Buffers a plain answer until it is complete, passes a stream on event by event, and judges whether either is complete. */
 class received_answer {
 	static constexpr std::size_t MAX_BODY_BYTES = 32UL * 1024 * 1024;
