--- a/main/gateway/forwarded_exchanges.cpp
+++ b/main/gateway/forwarded_exchanges.cpp
@@ -18,6 +18,15 @@
 
 /** Bytes after which they are confirmed, so that the other node never waits for a confirmation on a path without delay. */
 constexpr std::uint32_t CONFIRMED_BYTES = forwarding_capacity::WINDOW_BYTES / 4;
+/** First ids are below 2 to the power of 62, far from the bit by which forwarded exchanges are distinguished from direct ones. */
+constexpr unsigned UNUSED_ID_BITS = 2;
+
+/** Returns how an exchange ended whose latest message has a number. That nothing was sent can only be the first message. */
+forwarding_end find_forwarding_end(const exchange_progress_message &p_message) {
+	const bool says_not_sent = p_message.end == forwarding_end::CONNECT_FAILED || p_message.end == forwarding_end::DECLINED;
+	const bool is_first = p_message.number == 0 && !p_message.head && p_message.body.empty();
+	return says_not_sent && !is_first ? forwarding_end::BROKEN : p_message.end;
+}
 
 channel_end get_channel_end(forwarding_end p_end) {
 	switch (p_end) {
@@ -36,7 +45,7 @@
 } // namespace
 
 forwarded_exchanges::forwarded_exchanges(gateway_context &p_context, gateway_fleet &p_fleet, std::function<void(const std::string &, forwarding_end)> p_on_ended) :
-		_context(p_context), _fleet(p_fleet), _on_ended(std::move(p_on_ended)) {
+		_context(p_context), _fleet(p_fleet), _on_ended(std::move(p_on_ended)), _next_id(p_context.random.get_bits() >> UNUSED_ID_BITS) {
 	_fleet.get_link().exchange_progressed().connect([this](const std::string &p_vm, const exchange_progress_message &p_message) { _on_progress(p_vm, p_message); });
 	_fleet.get_link().link_down().connect([this](const std::string &p_vm) { _on_peer_lost(p_vm); });
 	_fleet.get_link().peer_replaced().connect([this](const std::string &p_vm) { _on_peer_lost(p_vm); });
@@ -91,7 +100,7 @@
 		_pass_body(p_message.id, p_message.body);
 	}
 	if (p_message.end != forwarding_end::NONE) {
-		_end(p_message.id, p_message.end);
+		_end(p_message.id, find_forwarding_end(p_message));
 	}
 }
 
--- a/main/gateway/forwarded_exchanges.h
+++ b/main/gateway/forwarded_exchanges.h
@@ -36,7 +36,7 @@
 	gateway_fleet &_fleet;
 	std::function<void(const std::string &, forwarding_end)> _on_ended;
 	std::map<exchange_id, exchange> _open;
-	exchange_id _next_id = 1;
+	exchange_id _next_id; ///< Starts at a random number, so that answers to an earlier process of this node match no exchange.
 
 	void _on_progress(const std::string &p_vm, const exchange_progress_message &p_message);
 	void _pass_head(exchange_id p_id, const http_head &p_head);
