--- a/drivers/endpoint_channels.cpp
+++ b/drivers/endpoint_channels.cpp
@@ -57,9 +57,10 @@
 		{ channel_end::MALFORMED, "malformed" },
 } };
 
-constexpr std::array<enum_name<surplus_kind>, 4> SURPLUS_NAMES{ {
+constexpr std::array<enum_name<surplus_kind>, 5> SURPLUS_NAMES{ {
 		{ surplus_kind::OTHER_ANSWER, "other_answer" },
 		{ surplus_kind::WITHOUT_ID, "without_id" },
+		{ surplus_kind::COPY, "copy" },
 		{ surplus_kind::BEHIND_ANSWER, "behind_answer" },
 		{ surplus_kind::WHILE_IDLE, "while_idle" },
 } };
@@ -126,6 +127,7 @@
 	bool _connected = false;
 	bool _skipping = false;
 	bool _ended = false;
+	bool _has_ambiguous_answer = false; ///< A copy of the answer could not be told from the next answer.
 	bool _is_paused = false; ///< The receiver of the answer paused reading.
 	duration _kept_for = MAX_KEPT_TIME;
 	instant _idle_since{};
@@ -175,7 +177,7 @@
 		if (p_orderly && !_skipping) {
 			_reader.finish_at_close();
 		}
-		const bool is_whole = _reader.get_state() == http_reader::state::COMPLETE && !_skipping;
+		const bool is_whole = _reader.get_state() == http_reader::state::COMPLETE && !_skipping && !_is_copy();
 		_owner._finish(*this, is_whole ? channel_end::COMPLETE : channel_end::BROKEN, false);
 	}
 
@@ -253,8 +255,23 @@
 		}
 	}
 
+	/** Whether the complete answer is a copy of an earlier one. Must be called once for each answer. */
+	bool _is_copy() {
+		if (!_hooks.get_answer_digest) {
+			return false;
+		}
+		const std::optional<std::uint64_t> digest = _hooks.get_answer_digest();
+		_has_ambiguous_answer = !digest;
+		if (!digest || _history.take_answer(*digest)) {
+			return false;
+		}
+		_owner._skipped_answers++;
+		_on_surplus(surplus_kind::COPY, _reader.get_head());
+		return true;
+	}
+
 	void _on_complete() {
-		if (_is_interim() || _skipping) {
+		if (_is_interim() || _skipping || _is_copy()) {
 			_skipping = false;
 			_reader.reset();
 			return;
@@ -264,7 +281,7 @@
 			_on_surplus(surplus_kind::BEHIND_ANSWER, http_head());
 		}
 		const bool is_request_out = evbuffer_get_length(bufferevent_get_output(_stream)) == 0;
-		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length() && _history.is_reusable() && is_request_out;
+		const bool keep = _reader.get_head().keep_alive && _reader.get_head().has_length() && _history.is_reusable() && !_has_ambiguous_answer && is_request_out;
 		_kept_for = read_keep_alive(_reader.get_head());
 		_owner._finish(*this, channel_end::COMPLETE, keep);
 	}
--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,9 +54,15 @@
 
 /** Callbacks of an exchange. on_end is called exactly once unless the exchange is cancelled. */
 struct channel_hooks {
+	/** Called for each answer that may be the expected one: again if the answer before turns out to be a copy of an earlier one. */
 	std::function<void(const http_head &)> on_head;
 	std::function<void(std::string_view)> on_body;
 	std::function<void(channel_end)> on_end;
+	/**
+	 * Identifies a complete answer that carries no id by content that no other answer has; empty if it has none, so that copies of it
+	 * could not be recognized. Unset if copies do no harm.
+	 */
+	std::function<std::optional<std::uint64_t>()> get_answer_digest = {};
 };
 
 /** Identifies an exchange, i.e. one request and its answer. */
@@ -71,6 +78,7 @@
 enum class surplus_kind {
 	OTHER_ANSWER, ///< An answer to another request, in the place of the expected one.
 	WITHOUT_ID, ///< An answer that lacks the id of its request, on a connection that carried earlier requests.
+	COPY, ///< A copy of an earlier answer on the connection, where answers carry no id.
 	BEHIND_ANSWER, ///< Bytes behind a complete answer.
 	WHILE_IDLE, ///< Bytes on an idle connection.
 };
--- a/main/gateway/exchange_forwarder.cpp
+++ b/main/gateway/exchange_forwarder.cpp
@@ -76,7 +76,17 @@
 	made.request_bytes = bytes;
 	made.endpoint = p_message.request.to;
 	_context.metrics.count("exchanges_carried_out_for_peers");
-	made.id = _start(p_message.request, channel_hooks{ [this, opened](const http_head &p_head) { _on_head(opened, p_head); }, [this, opened](std::string_view p_bytes) { _on_body(opened, p_bytes); }, [this, opened](channel_end p_end) { _on_end(opened, p_end); } });
+	channel_request request = p_message.request;
+	channel_hooks hooks;
+	hooks.on_head = [this, opened](const http_head &p_head) { _on_head(opened, p_head); };
+	hooks.on_body = [this, opened](std::string_view p_bytes) { _on_body(opened, p_bytes); };
+	hooks.on_end = [this, opened](channel_end p_end) { _on_end(opened, p_end); };
+	if (request.echo_header.empty()) {
+		// Copies of answers without ids cannot be recognized here, so the connection carries this exchange only.
+		request.use_kept = false;
+		hooks.get_answer_digest = [] { return std::optional<std::uint64_t>(); };
+	}
+	made.id = _start(std::move(request), std::move(hooks));
 }
 
 void exchange_forwarder::_on_controlled(const std::string &p_vm, const control_exchange_message &p_message) {
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -9,6 +9,7 @@
 #include "main/gateway/pool_caller.h"
 
 #include "core/bounded_body.h"
+#include "core/digest.h"
 #include "drivers/activity_scope.h"
 #include "drivers/http_status.h"
 #include "main/gateway/retry_report.h"
@@ -156,6 +157,7 @@
 		const endpoint_answer head = read_endpoint_answer(p_head);
 		answer->status = p_head.status;
 		answer->notes = head;
+		answer->body.clear();
 		if (!head.is_other_endpoint) {
 			if (head.notice.load) {
 				_pool.on_load_reported(replica, head.notice.load->pace, event_loop::now());
@@ -166,6 +168,7 @@
 	hooks.on_body = [answer](std::string_view p_bytes) {
 		answer->body.append(p_bytes);
 	};
+	hooks.get_answer_digest = [answer] { return answer->status == http_status::OK && names_result(answer->body.get()) ? std::optional(hash_bytes(answer->body.get())) : std::nullopt; };
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
 		_on_ended(p_call, p_end, answer->status, answer->notes, answer->body.get());
 	};
--- a/servers/routing/connection_history.cpp
+++ b/servers/routing/connection_history.cpp
@@ -39,4 +39,12 @@
 	return _exchanges == 1 ? answer_owner::THIS_EXCHANGE : answer_owner::UNKNOWN;
 }
 
+bool connection_history::take_answer(std::uint64_t p_digest) {
+	if (std::find(_answers.begin(), _answers.end(), p_digest) != _answers.end()) {
+		return false;
+	}
+	_answers.push_back(p_digest);
+	return true;
+}
+
 } // namespace calicoscale
--- a/servers/routing/connection_history.h
+++ b/servers/routing/connection_history.h
@@ -26,10 +26,12 @@
 
 /**
  * Remembers the exchanges of one connection to an endpoint. An endpoint may send a copy of any earlier answer in the place where the
- * next one is due, so an id identifies an answer only if the connection has not carried that id before.
+ * next one is due, so an id identifies an answer only if the connection has not carried that id before. Answers without ids are told
+ * from copies by their content.
  */
 class connection_history {
 	std::vector<std::uint64_t> _carried; ///< Hashes of the ids of all exchanges.
+	std::vector<std::uint64_t> _answers; ///< Digests of the answers that carry no id.
 	std::size_t _exchanges = 0;
 	bool _has_surplus = false;
 
@@ -53,6 +55,9 @@
 	 */
 	answer_owner judge(std::string_view p_id, const std::string *p_echo) const;
 
+	/** Records the answer to the exchange in progress by its digest. @return false if it is a copy of an earlier answer. */
+	bool take_answer(std::uint64_t p_digest);
+
 	/** Whether the connection may carry further exchanges at all. */
 	bool is_reusable() const { return !_has_surplus && _exchanges < MAX_EXCHANGES; }
 
