--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -332,7 +332,6 @@
 	request.service = choose_service(*request.route, _context.random.get_unit());
 	request.stream_attempt = request.facts.attempt;
 	request.homes = home_regions(request.route->homes, request.customer == nullptr ? std::vector<std::string>() : request.customer->homes);
-	_resolver.on_stream_request(request);
 	if (!stream_resolver::is_resumption(request)) {
 		_admit(std::move(request));
 	} else if (request.facts.names_several_attempts) {
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -15,6 +15,7 @@
 #include "servers/membership/read_order.h"
 #include "servers/rollout/rollout_schedule.h"
 #include "servers/routing/endpoint_state.h"
+#include "servers/streams/stream_table.h"
 
 #include <map>
 #include <optional>
@@ -45,6 +46,7 @@
 	duration configuration_apply = std::chrono::seconds(2); ///< Time within which a confirmed change of the configuration must be in force.
 	duration evacuation_apply = std::chrono::seconds(5); ///< Time after the confirmation of an evacuation from which the zone's endpoints must get no new requests.
 	rollout_bounds rollouts; ///< Limits on the requests that a new version gets before it is known to be good.
+	duration stream_lifetime = stream_table::MAX_LIFETIME; ///< Longest time from the start of a stream in which its caller may resume it.
 	std::map<std::string, std::string> regions; ///< Region of each availability zone, by the zone's name.
 	mechanism_set mechanisms; ///< Enabled mechanisms. Some may be switched off to measure their effect.
 	duration stop_grace = std::chrono::seconds(8); ///< Time from the stop signal until the process is killed.
--- a/main/gateway/stream_resolver.cpp
+++ b/main/gateway/stream_resolver.cpp
@@ -42,13 +42,6 @@
 	return is_stream && (p_request.facts.has_event_id || !p_request.facts.resumed_attempt.empty());
 }
 
-void stream_resolver::on_stream_request(const admitted_request &p_request) {
-	if (p_request.route->repeats == repeat_rule::STREAM) {
-		const duration deadline = std::max(get_remaining(p_request), p_request.route->timeout);
-		_longest_deadline = std::max(_longest_deadline, std::min<duration>(deadline, stream_table::MAX_LIFETIME));
-	}
-}
-
 void stream_resolver::resolve(const admitted_request &p_request, resolution_hook p_on_resolved) {
 	const instant now = event_loop::now();
 	const std::string &attempt = p_request.facts.resumed_attempt;
@@ -66,7 +59,7 @@
 	const duration remaining = get_remaining(p_request);
 	const std::vector<service_share> &services = p_request.route->services;
 	const std::uint64_t id = _next_id++;
-	open_lookup made{ key, services.size() == 1 ? services.front().service : std::string(), _longest_deadline + UNLISTED_SERVICE_TIME, now, now + std::min<duration>(MAX_LIST_WAIT, remaining / LIST_WAIT_DIVISOR), stream_lookup(now, now + std::min<duration>(MAX_LOOKUP_TIME, remaining / LOOKUP_TIME_DIVISOR)), std::move(p_on_resolved) };
+	open_lookup made{ key, services.size() == 1 ? services.front().service : std::string(), _context.settings.stream_lifetime + UNLISTED_SERVICE_TIME, now, now + std::min<duration>(MAX_LIST_WAIT, remaining / LIST_WAIT_DIVISOR), stream_lookup(now, now + std::min<duration>(MAX_LOOKUP_TIME, remaining / LOOKUP_TIME_DIVISOR)), std::move(p_on_resolved) };
 	open_lookup &open = _open.emplace(id, std::move(made)).first->second;
 	_ask(id, open, lookup_round::FIRST_SOURCES);
 	_check_timer.set(CHECK_INTERVAL);
--- a/main/gateway/stream_resolver.h
+++ b/main/gateway/stream_resolver.h
@@ -50,7 +50,6 @@
 	endpoint_follower &_endpoints;
 	std::map<std::uint64_t, open_lookup> _open;
 	std::uint64_t _next_id = 1;
-	duration _longest_deadline = duration::zero(); ///< Longest time for which a caller of a stream was seen to wait.
 	timer _check_timer;
 
 	void _ask(std::uint64_t p_id, open_lookup &r_lookup, lookup_round p_round);
@@ -72,9 +71,6 @@
 	/** Whether a request resumes a stream of an earlier attempt. */
 	static bool is_resumption(const admitted_request &p_request);
 
-	/** Records the time for which a caller waits for a stream, which bounds the age of streams. */
-	void on_stream_request(const admitted_request &p_request);
-
 	/** Finds the origin of the stream that a request resumes. The hook is called once, possibly before this function returns. */
 	void resolve(const admitted_request &p_request, resolution_hook p_on_resolved);
 
--- a/tests/main/gateway_stream_version_test.cpp
+++ b/tests/main/gateway_stream_version_test.cpp
@@ -101,6 +101,20 @@
 		wait(milliseconds(1500));
 	}
 
+	/** Kills all gateways, and the endpoints of a version leave at that moment. Starts as many gateways. */
+	void kill_all_while_leaves(const std::string &p_version) {
+		const std::size_t nodes = _gateways.size();
+		_gateways.clear();
+		for (const standin_replica &replica : _replicas) {
+			if (replica.version == p_version) {
+				_store.drop(ENDPOINT_TOPIC, replica.get_name());
+			}
+		}
+		for (std::size_t i = 0; i < nodes; i++) {
+			start_ready();
+		}
+	}
+
 	void expect_refused(const std::shared_ptr<caller_result> &p_result, const std::string &p_retry_after) {
 		EXPECT_EQ(p_result->head.status, 503);
 		EXPECT_EQ(p_result->get("Retry-After"), p_retry_after);
@@ -294,12 +308,16 @@
 TEST_F(gateway_stream_version_test, a_stream_without_a_record_goes_on_only_if_its_service_had_one_version_for_its_lifetime) {
 	configure(1);
 	add_version("v1");
-	set_resumes_itself(false);
+	_adjust_settings = [](gateway_settings &r_settings) {
+		r_settings.retries.slack = 0.0;
+		r_settings.retries.ratio = 0.0;
+		r_settings.stream_lifetime = seconds(3);
+	};
 	const gateway &node = start_ready();
 	const std::string without_attempt = "Last-Event-Id: 1\r\n";
 	begin(node);
 	expect_refused(ask(node, RESUMABLE_PATH, "key-1", without_attempt), "0.000");
-	// The longest time-out of a stream's route, and the time in which an endpoint that is no longer listed may serve.
+	// The lifetime of streams, and the time in which an endpoint that is no longer listed may serve.
 	wait(seconds(3) + seconds(10) + milliseconds(500));
 	const gateway &young = start_ready();
 	for (const gateway *asked : { &node, &young }) {
@@ -312,6 +330,38 @@
 	EXPECT_EQ(count_all_resumes(), resumed);
 }
 
+// Guards against joining two versions after a kill of all nodes, when no record of a stream is left.
+TEST_F(gateway_stream_version_test, streams_taken_up_after_all_nodes_were_killed_are_not_joined) {
+	configure(1);
+	add_versions();
+	set_resumes_itself(false);
+	start_ready();
+	start_ready();
+	std::vector<begun_stream> streams;
+	for (int i = 0; i < STREAMS; i++) {
+		streams.push_back(begin(*_gateways[static_cast<std::size_t>(i) % 2]));
+	}
+	kill_all_while_leaves("v1");
+	for (const begun_stream &stream : streams) {
+		for (const std::unique_ptr<gateway> &node : _gateways) {
+			const std::set<std::string> versions = find_versions(take_up(*node, stream)->body);
+			EXPECT_TRUE(versions.empty() || versions == find_versions(stream.events)) << stream.attempt;
+		}
+	}
+}
+
+// Guards against a guess by a node that has run for less time than the stream: callers may wait longer than any that the node has seen.
+TEST_F(gateway_stream_version_test, a_stream_older_than_all_nodes_does_not_go_on_at_the_only_version_listed) {
+	configure(1);
+	add_version("v1");
+	set_resumes_itself(false);
+	const begun_stream stream = begin(start_ready());
+	add_version("v1.1");
+	kill_all_while_leaves("v1");
+	wait(seconds(3) + seconds(10) + milliseconds(500));
+	expect_refused(take_up(*_gateways.front(), stream), "0.000");
+}
+
 TEST_F(gateway_stream_version_test, a_stream_without_an_event_begins_anew_at_any_version) {
 	configure(1);
 	add_versions();
