--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -189,4 +189,17 @@
 mutate "parts that crash endpoints" "they are not blamed" main/gateway/crash_watch.cpp "for (const request_fingerprint &part : p_run.parts) {" "for (const request_fingerprint &part : std::vector<request_fingerprint>()) {" gateway_prompt_part_test
 mutate "parts that crash endpoints" "complete answers do not clear them" main/gateway/crash_guard.cpp "if (p_is_success || !is_part(run)) {" "if (!is_part(run)) {" gateway_prompt_part_test
 mutate "parts that crash endpoints" "trials beside other suspects block for good" servers/gateway/crash_memory.cpp " || (is_part(p_run) && p_is_sole && sent == MAX_TRIALS && !p_entry.has_sole_trial())" "" crash_memory_test
+mutate "proof of a send" "a connection carries an id twice" servers/routing/connection_history.cpp "p_id.empty() || std::find(_carried.begin(), _carried.end(), hash_bytes(p_id)) == _carried.end()" "true" gateway_promise_test
+mutate "proof of a send" "a connection carries an id twice for a peer" servers/routing/connection_history.cpp "p_id.empty() || std::find(_carried.begin(), _carried.end(), hash_bytes(p_id)) == _carried.end()" "true" gateway_cut_off_test
+mutate "proof of a send" "a connection is kept behind surplus bytes" servers/routing/connection_history.h "!_has_surplus && " "" http_exchange_test
+mutate "proof of a send" "an answer without an id counts anywhere" servers/routing/connection_history.cpp "_exchanges == 1 ? answer_owner::THIS_EXCHANGE : answer_owner::UNKNOWN" "answer_owner::THIS_EXCHANGE" http_exchange_test
+mutate "proof of a send" "a copy of a stage answer is believed" servers/routing/connection_history.cpp "		return false;
+	}
+	_answers.push_back(p_digest);" "		return true;
+	}
+	_answers.push_back(p_digest);" gateway_stage_copy_test
+mutate "proof of a send" "a connection is kept behind an answer without results" drivers/endpoint_channels.cpp " && !_has_ambiguous_answer" "" gateway_stage_copy_test
+mutate "promises" "an endpoint's 503 is passed on" main/gateway/gateway_request.cpp "if (http_status::promises_not_run(_answer.get_head().status)) {" "if (false) {" gateway_promise_test
+mutate "promises" "a success counts as a rejection" platform/request_codec.cpp " && !http_status::is_success(p_head.status);" ";" gateway_promise_test
+mutate "lifetime of streams" "it is that of the route" main/gateway/stream_resolver.cpp "_context.settings.stream_lifetime + UNLISTED_SERVICE_TIME" "p_request.route->timeout + UNLISTED_SERVICE_TIME" gateway_stream_version_test
 exit "$status"
