--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -8,6 +8,7 @@
 
 #include "tests/soak/fault_proxy.h"
 
+#include "drivers/http_reader.h"
 #include "drivers/socket_address.h"
 #include "tests/soak/socket_end.h"
 
@@ -26,6 +27,12 @@
 
 constexpr duration PUMP_INTERVAL = std::chrono::milliseconds(5);
 constexpr int BACKLOG = 1024;
+constexpr std::size_t MAX_HEADER_BYTES = 16UL * 1024;
+
+bool is_whole_answer(const std::string &p_bytes) {
+	http_reader reader(http_reader::kind::ANSWER, http_reader::hooks{ [](const http_head &) {}, [](std::string_view) {} }, MAX_HEADER_BYTES);
+	return reader.feed(p_bytes) == p_bytes.size() && reader.get_state() == http_reader::state::COMPLETE;
+}
 
 } // namespace
 
@@ -51,6 +58,8 @@
 	way _up;
 	way _down;
 	bool _is_silent = false;
+	std::string _answer; ///< Bytes from the target since the last request.
+	bool _repeats_late = false; ///< The answer passes a second time when the next request comes.
 
 	static void _on_readable(bufferevent *p_stream, void *p_self) {
 		passage &self = *static_cast<passage *>(p_self);
@@ -84,9 +93,34 @@
 
 	instant _get_due() const { return event_loop::now() + _owner._usual_delay + _owner._harm.delay; }
 
+	/** Decides whether and when the answer of which bytes have arrived passes a second time. */
+	void _on_answer_bytes(const std::string &p_bytes) {
+		_answer += p_bytes;
+		if (_owner._repeated_part == 0 || !is_whole_answer(_answer) || _owner._repeatable++ % _owner._repeated_part != 0) {
+			return;
+		}
+		_repeats_late = (_owner._repeatable / _owner._repeated_part) % 2 == 0;
+		if (!_repeats_late) {
+			_down.parts.push_back(part{ _get_due(), _answer, false });
+		}
+	}
+
+	void _on_request_bytes() {
+		if (_repeats_late) {
+			_down.parts.push_back(part{ _get_due(), _answer, false });
+			_move(_down, _owner._harm.holds_down);
+		}
+		_repeats_late = false;
+		_answer.clear();
+	}
+
 	void _add(const bufferevent *p_from, part p_part) {
 		way &chosen = p_from == _caller ? _up : _down;
+		const std::string bytes = p_part.bytes;
 		chosen.parts.push_back(std::move(p_part));
+		if (!bytes.empty()) {
+			p_from == _caller ? _on_request_bytes() : _on_answer_bytes(bytes);
+		}
 		_move(chosen, p_from == _caller ? _owner._harm.holds_up : _owner._harm.holds_down);
 	}
 
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -41,6 +41,8 @@
 	evconnlistener *_listener = nullptr;
 	link_harm _harm;
 	duration _usual_delay{};
+	std::size_t _repeated_part = 0; ///< One in so many answers passes twice; 0 for none.
+	std::size_t _repeatable = 0; ///< Number of answers that could have passed twice.
 	std::vector<std::unique_ptr<passage>> _passages;
 	timer _pump_timer;
 
@@ -60,6 +62,9 @@
 	void set_usual_delay(duration p_delay) { _usual_delay = p_delay; }
 	void set_harm(const link_harm &p_harm) { _harm = p_harm; }
 
+	/** From now on one in so many answers passes a second time, in turn immediately or where the next answer on its connection is due; 0 for none. */
+	void set_repeated_part(std::size_t p_part) { _repeated_part = p_part; }
+
 	/** Resets the connections that are open. */
 	void reset_all();
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -50,6 +50,8 @@
 constexpr duration DRAIN_TIME = milliseconds(4500);
 /** From the end of an endpoint that left by word to its next start. */
 constexpr duration AWAY_TIME = milliseconds(500);
+/** While an endpoint repeats answers, one in so many comes twice. */
+constexpr std::size_t REPEATED_ANSWERS_PART = 3;
 constexpr std::array<double, 5> NAMED_LIMITS{ 0.0, 0.5, 1.0, 2.0, 4.0 };
 constexpr std::array<duration, 3> ASKED_RESTS{ milliseconds(800), milliseconds(2000), milliseconds(3500) };
 /** An endpoint that is back must have got work after this. */
@@ -386,6 +388,12 @@
 	});
 }
 
+void soak_fleet::_repeat_answers(const soak_event &p_event) {
+	fault_proxy &link = *_endpoints[p_event.subject].link;
+	link.set_repeated_part(REPEATED_ANSWERS_PART);
+	_later.add(p_event.length, [&link] { link.set_repeated_part(0); });
+}
+
 void soak_fleet::_say(const soak_event &p_event) {
 	const std::size_t number = p_event.subject;
 	soak_notice says;
@@ -494,6 +502,9 @@
 		case soak_action::ENDPOINT_MISBEHAVES:
 			_misbehave(p_event);
 			return;
+		case soak_action::ENDPOINT_REPEATS_ANSWERS:
+			_repeat_answers(p_event);
+			return;
 		case soak_action::ENDPOINT_VARIES_ENDS:
 			_vary_ends(p_event);
 			return;
--- a/tests/soak/soak_schedule.cpp
+++ b/tests/soak/soak_schedule.cpp
@@ -56,13 +56,17 @@
 constexpr std::uint64_t ENDS_SEED_STEP = 4'000'003;
 constexpr std::size_t LEAST_VARIED_ENDS = 2;
 constexpr std::size_t MORE_VARIED_ENDS = 3;
+/** And second copies of answers. */
+constexpr std::uint64_t SURPLUS_SEED_STEP = 6'000'003;
+constexpr std::size_t LEAST_SURPLUS = 3;
+constexpr std::size_t MORE_SURPLUS = 3;
 /** Of the endpoints, those that one burst updates, one after the other. */
 constexpr std::size_t UPDATED_PART = 3;
 constexpr duration UPDATE_STEP = milliseconds(700);
 constexpr std::uint64_t UPDATE_SEED_STEP = 5'000'003;
 constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends", "endpoint_updates" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends", "endpoint_repeats_answers", "endpoint_updates" };
 
 bool is_of_endpoint(soak_action p_action) {
 	return p_action == soak_action::ENDPOINT_LINK || p_action == soak_action::ENDPOINT_CRASHES || p_action == soak_action::ENDPOINT_LEAVES || p_action == soak_action::ENDPOINT_MISBEHAVES;
@@ -128,6 +132,15 @@
 	}
 }
 
+void add_surplus(soak_random &r_random, const soak_size &p_size, duration p_begin, std::vector<soak_event> &r_events) {
+	const std::size_t count = LEAST_SURPLUS + r_random.pick(MORE_SURPLUS);
+	for (std::size_t i = 0; i < count; i++) {
+		const duration at = p_begin + r_random.pick_time(0, to_milliseconds(BURST));
+		const std::size_t endpoint = r_random.pick(p_size.endpoints);
+		r_events.push_back(soak_event{ at, soak_action::ENDPOINT_REPEATS_ANSWERS, endpoint, r_random.pick_time(LEAST_NOTICE_MS, MOST_NOTICE_MS), 0 });
+	}
+}
+
 /** @param p_version Number of the version that the update brings. */
 void add_update(soak_random &r_random, const soak_size &p_size, duration p_begin, std::size_t p_version, std::vector<soak_event> &r_events) {
 	const std::size_t first = r_random.pick(p_size.endpoints);
@@ -156,6 +169,7 @@
 	soak_random notices(p_seed + NOTICE_SEED_STEP);
 	soak_random silences(p_seed + SILENCE_SEED_STEP);
 	soak_random ends(p_seed + ENDS_SEED_STEP);
+	soak_random surplus(p_seed + SURPLUS_SEED_STEP);
 	soak_random updates(p_seed + UPDATE_SEED_STEP);
 	std::size_t newest_version = FIRST_VERSIONS;
 	std::vector<soak_event> events;
@@ -173,6 +187,9 @@
 		if (p_size.has_varied_ends) {
 			add_varied_ends(ends, p_size, begin, events);
 		}
+		if (p_size.has_surplus) {
+			add_surplus(surplus, p_size, begin, events);
+		}
 		if (p_size.has_versions) {
 			add_update(updates, p_size, begin, ++newest_version, events);
 		}
