--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -54,13 +54,13 @@
 
 /** Callbacks of an exchange. on_end is called exactly once unless the exchange is cancelled. */
 struct channel_hooks {
-	/** Called for each answer that may be the expected one: again if the answer before turns out to be a copy of an earlier one. */
+	/** Called for the answer; once more for the next one if the answer turns out to be a copy of an earlier one. */
 	std::function<void(const http_head &)> on_head;
 	std::function<void(std::string_view)> on_body;
 	std::function<void(channel_end)> on_end;
 	/**
-	 * Identifies a complete answer that carries no id by content that no other answer has; empty if it has none, so that copies of it
-	 * could not be recognized. Unset if copies do no harm.
+	 * Called for a complete answer that carries no id. Returns a digest of content that no other answer has, by which copies are
+	 * recognized; empty if there is none, and then the connection is not kept. Unset if copies do no harm.
 	 */
 	std::function<std::optional<std::uint64_t>()> get_answer_digest = {};
 };
--- a/main/gateway/forwarded_exchanges.cpp
+++ b/main/gateway/forwarded_exchanges.cpp
@@ -21,7 +21,7 @@
 /** First ids are below 2 to the power of 62, far from the bit by which forwarded exchanges are distinguished from direct ones. */
 constexpr unsigned UNUSED_ID_BITS = 2;
 
-/** Returns how an exchange ended whose latest message has a number. That nothing was sent can only be the first message. */
+/** Returns how an exchange ended according to a message of its peer. Only the first message can report that nothing was sent. */
 forwarding_end find_forwarding_end(const exchange_progress_message &p_message) {
 	const bool says_not_sent = p_message.end == forwarding_end::CONNECT_FAILED || p_message.end == forwarding_end::DECLINED;
 	const bool is_first = p_message.number == 0 && !p_message.head && p_message.body.empty();
--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -168,7 +168,12 @@
 	hooks.on_body = [answer](std::string_view p_bytes) {
 		answer->body.append(p_bytes);
 	};
-	hooks.get_answer_digest = [answer] { return answer->status == http_status::OK && names_result(answer->body.get()) ? std::optional(hash_bytes(answer->body.get())) : std::nullopt; };
+	hooks.get_answer_digest = [answer]() -> std::optional<std::uint64_t> {
+		if (answer->status != http_status::OK || !names_result(answer->body.get())) {
+			return std::nullopt;
+		}
+		return hash_bytes(answer->body.get());
+	};
 	hooks.on_end = [this, p_call, answer](channel_end p_end) {
 		_on_ended(p_call, p_end, answer->status, answer->notes, answer->body.get());
 	};
