--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -10,6 +10,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
 namespace calicoscale {
 
 namespace {
@@ -29,9 +34,24 @@
 	return end;
 }
 
-/** Classifies an attempt that did not return status 200. */
-attempt_end judge_failure(const http_result &p_result) {
-	switch (p_result.failure) {
+/** The headers by which an endpoint refuses an attempt before it runs anything, as a status alone does not say so. */
+constexpr std::array<std::pair<std::string_view, reason>, 4> REFUSALS{ {
+		{ "busy", reason::REFUSED_BUSY },
+		{ "leaving", reason::REFUSED_LEAVING },
+		{ "input", reason::REFUSED_INPUT },
+		{ "late", reason::DEADLINE_PASSED },
+} };
+
+/** Returns why an endpoint says that it did not run an attempt; empty if it does not say so. */
+std::optional<reason> find_refusal(const http_result &p_result) {
+	const std::string value = p_result.find_header("Not-Run");
+	const auto found = std::find_if(REFUSALS.begin(), REFUSALS.end(), [&value](const auto &p_entry) { return p_entry.first == value; });
+	return found == REFUSALS.end() ? std::nullopt : std::optional(found->second);
+}
+
+/** Classifies a call that ended without an answer. */
+attempt_end judge_lost_call(http_failure p_failure) {
+	switch (p_failure) {
 		case http_failure::CONNECT_FAILED:
 			return make_end(verdict::NOT_RUN, reason::CONNECT_FAILED);
 		case http_failure::LOST:
@@ -39,25 +59,10 @@
 		case http_failure::TIMED_OUT:
 			return make_end(verdict::MAY_HAVE_RUN, reason::TIMED_OUT);
 		case http_failure::MALFORMED:
-			return make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED);
 		case http_failure::NONE:
 			break;
 	}
-	// Only this header means that the endpoint refused before it ran anything; a status alone does not.
-	const std::string refusal = p_result.find_header("Not-Run");
-	if (refusal == "busy") {
-		return make_end(verdict::NOT_RUN, reason::REFUSED_BUSY);
-	}
-	if (refusal == "leaving") {
-		return make_end(verdict::NOT_RUN, reason::REFUSED_LEAVING);
-	}
-	if (refusal == "input") {
-		return make_end(verdict::NOT_RUN, reason::REFUSED_INPUT);
-	}
-	if (refusal == "late") {
-		return make_end(verdict::NOT_RUN, reason::DEADLINE_PASSED);
-	}
-	return make_end(verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR);
+	return make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED);
 }
 
 json make_body(const attempt_order &p_order) {
@@ -182,7 +187,7 @@
 
 	void handle_end(const http_result &p_result) {
 		const bool ended_early = p_result.failure == http_failure::NONE && p_result.status == STATUS_OK;
-		end(ended_early ? make_end(verdict::MAY_HAVE_RUN, reason::CONNECTION_LOST) : judge_failure(p_result));
+		end(ended_early ? make_end(verdict::MAY_HAVE_RUN, reason::CONNECTION_LOST) : owner._judge_failure(p_result, echo));
 	}
 };
 
@@ -190,6 +195,48 @@
 		_client(p_client) {
 }
 
+attempt_end endpoint_client::_end_by_wrong_echo(const http_result &p_result) {
+	_wrong_echoes++;
+	_client.discard_connection(p_result.call);
+	return make_end(verdict::MAY_HAVE_RUN, reason::WRONG_ECHO);
+}
+
+attempt_end endpoint_client::_judge_failure(const http_result &p_result, const std::string &p_echo) {
+	if (p_result.failure != http_failure::NONE) {
+		return judge_lost_call(p_result.failure);
+	}
+	const std::string echo = p_result.find_header("Attempt");
+	if (!echo.empty() && echo != p_echo) {
+		return _end_by_wrong_echo(p_result);
+	}
+	if (echo.empty() && !p_result.is_first_on_connection) {
+		// This may be a copy of an earlier answer, and the one to this attempt may follow on the connection.
+		_client.discard_connection(p_result.call);
+		return make_end(verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR);
+	}
+	const std::optional<reason> refusal = find_refusal(p_result);
+	return refusal ? make_end(verdict::NOT_RUN, *refusal) : make_end(verdict::MAY_HAVE_RUN, reason::ENDPOINT_ERROR);
+}
+
+attempt_end endpoint_client::_judge_answer(const http_result &p_result, const std::string &p_echo) {
+	if (p_result.failure != http_failure::NONE || p_result.status != STATUS_OK) {
+		return _judge_failure(p_result, p_echo);
+	}
+	const json answer = json::parse(p_result.body, nullptr, false);
+	if (!p_result.has_length || !answer.is_object() || !answer.contains("output")) {
+		_client.discard_connection(p_result.call);
+		return make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED);
+	}
+	if (read_echo(answer) != p_echo) {
+		return _end_by_wrong_echo(p_result);
+	}
+	attempt_end end = make_end(verdict::COMPLETED, reason::NONE);
+	end.output = answer.at("output").dump(-1, ' ', false, json::error_handler_t::replace);
+	end.cost_known = true;
+	end.units = read_units(answer);
+	return end;
+}
+
 call_id endpoint_client::start(const attempt_order &p_order, attempt_hooks p_hooks) {
 	if (p_order.kind == stage_kind::GENERATE) {
 		return _start_stream(p_order, std::move(p_hooks));
@@ -220,27 +267,7 @@
 	call.path = "/v1/run";
 	call.body = make_body(p_order).dump();
 	http_hooks hooks;
-	hooks.on_end = [this, echo = to_string(p_order.id), on_end = std::move(p_hooks.on_end)](const http_result &p_result) {
-		if (p_result.failure != http_failure::NONE || p_result.status != STATUS_OK) {
-			on_end(judge_failure(p_result));
-			return;
-		}
-		const json answer = json::parse(p_result.body, nullptr, false);
-		if (!p_result.has_length || !answer.is_object() || !answer.contains("output")) {
-			on_end(make_end(verdict::MAY_HAVE_RUN, reason::TRUNCATED));
-			return;
-		}
-		if (read_echo(answer) != echo) {
-			_wrong_echoes++;
-			on_end(make_end(verdict::MAY_HAVE_RUN, reason::WRONG_ECHO));
-			return;
-		}
-		attempt_end end = make_end(verdict::COMPLETED, reason::NONE);
-		end.output = answer.at("output").dump(-1, ' ', false, json::error_handler_t::replace);
-		end.cost_known = true;
-		end.units = read_units(answer);
-		on_end(end);
-	};
+	hooks.on_end = [this, echo = to_string(p_order.id), on_end = std::move(p_hooks.on_end)](const http_result &p_result) { on_end(_judge_answer(p_result, echo)); };
 	return _client.start(call, std::move(hooks));
 }
 
--- a/drivers/endpoint_client.h
+++ b/drivers/endpoint_client.h
@@ -63,8 +63,9 @@
 };
 
 /**
- * Sends attempts to endpoints. An answer that does not echo its attempt is a wrong echo: it is never used as a result, and
- * its connection is closed. The interface is given in docs/PLATFORM.md.
+ * Sends attempts to endpoints. An answer that does not echo its attempt is a wrong echo: it is never used as a result or as proof
+ * that the attempt did not run, and its connection is closed. A refusal without an echo counts on a new connection only, as it may be a
+ * copy of an earlier one. The interface is given in docs/PLATFORM.md.
  */
 class endpoint_client {
 	http_client &_client;
@@ -72,6 +73,11 @@
 
 	struct stream_reader;
 
+	/** Classifies an attempt that did not return status 200. */
+	attempt_end _judge_failure(const http_result &p_result, const std::string &p_echo);
+	attempt_end _judge_answer(const http_result &p_result, const std::string &p_echo);
+	/** Ends an attempt whose answer belongs to another one. */
+	attempt_end _end_by_wrong_echo(const http_result &p_result);
 	call_id _start_stream(const attempt_order &p_order, attempt_hooks p_hooks);
 	call_id _start_unary(const attempt_order &p_order, attempt_hooks p_hooks);
 
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -83,6 +83,8 @@
 	http_failure _failure = http_failure::LOST;
 	bool _has_sent_bytes = false;
 	bool _in_callback = false;
+	const bool _is_first; ///< The connection is new.
+	bool _may_keep = false; ///< The connection may carry another call.
 	std::string _error_body;
 	std::size_t _received = 0;
 
@@ -152,8 +154,8 @@
 	}
 
 public:
-	call_state(http_client &p_client, call_id p_id, std::string p_address, connection_pointer p_connection, http_hooks p_hooks) :
-			_client(p_client), _id(p_id), _address(std::move(p_address)), _connection(std::move(p_connection)), _hooks(std::move(p_hooks)) {}
+	call_state(http_client &p_client, call_id p_id, std::string p_address, connection_pointer p_connection, bool p_is_first, http_hooks p_hooks) :
+			_client(p_client), _id(p_id), _address(std::move(p_address)), _connection(std::move(p_connection)), _hooks(std::move(p_hooks)), _is_first(p_is_first) {}
 
 	~call_state() {
 		detach();
@@ -214,6 +216,10 @@
 	void silence() { _hooks = http_hooks(); }
 	const http_hooks &get_hooks() const { return _hooks; }
 	const std::string &get_address() const { return _address; }
+	call_id get_id() const { return _id; }
+	bool is_first() const { return _is_first; }
+	bool may_keep() const { return _may_keep; }
+	void set_may_keep(bool p_may_keep) { _may_keep = p_may_keep; }
 	connection_pointer take_connection() { return std::move(_connection); }
 };
 
@@ -236,10 +242,11 @@
 		connection = std::move(idle->second.back().connection);
 		idle->second.pop_back();
 	}
-	if (!connection) {
+	const bool is_first = !connection;
+	if (is_first) {
 		connection.reset(evhttp_connection_base_new(_loop.get_base(), nullptr, p_call.to.host.c_str(), p_call.to.port));
 	}
-	auto state = std::make_unique<call_state>(*this, id, address, std::move(connection), std::move(p_hooks));
+	auto state = std::make_unique<call_state>(*this, id, address, std::move(connection), is_first, std::move(p_hooks));
 	call_state &call = *state;
 	_calls.emplace(id, std::move(state));
 	// Sent in a later turn of the loop, so that hooks never run inside start().
@@ -251,7 +258,7 @@
 	return id;
 }
 
-void http_client::_end(call_id p_id, const http_result &p_result, bool p_keep) {
+void http_client::_end(call_id p_id, http_result p_result, bool p_keep) {
 	const auto found = _calls.find(p_id);
 	if (found == _calls.end()) {
 		return;
@@ -259,10 +266,14 @@
 	std::shared_ptr<call_state> call = std::move(found->second);
 	_calls.erase(found);
 	call->detach();
+	call->set_may_keep(p_keep);
+	_ended = call;
+	p_result.call = p_id;
+	p_result.is_first_on_connection = call->is_first();
 	// evhttp still uses the connection after this callback, so it is kept or freed in a later turn of the loop.
-	_loop.post([this, call, p_keep] {
+	_loop.post([this, call] {
 		std::vector<idle_connection> &idle = _idle[call->get_address()];
-		if (p_keep && idle.size() < MAX_IDLE_PER_ADDRESS) {
+		if (call->may_keep() && idle.size() < MAX_IDLE_PER_ADDRESS) {
 			idle.push_back(idle_connection{ call->take_connection(), event_loop::now() });
 		}
 	});
@@ -288,6 +299,13 @@
 	_loop.post([call] {});
 }
 
+void http_client::discard_connection(call_id p_id) {
+	const std::shared_ptr<call_state> call = _ended.lock();
+	if (call && call->get_id() == p_id) {
+		call->set_may_keep(false);
+	}
+}
+
 void http_client::drop_old_connections() {
 	const instant now = event_loop::now();
 	for (auto &[address, idle] : _idle) {
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -48,13 +48,18 @@
 	MALFORMED,
 };
 
+/** Identity of a call within its client. */
+using call_id = std::uint64_t;
+
 /** Outcome of a call. */
 struct http_result {
+	call_id call = 0;
 	http_failure failure = http_failure::NONE;
 	int status = 0;
 	std::vector<http_header> headers;
 	std::string body;
 	bool has_length = false; ///< The answer had a length or was chunked, so that it is known to be complete.
+	bool is_first_on_connection = false; ///< The connection carried no call before, so that the answer belongs to this one.
 
 	/** Returns the value of a header (name compared case-insensitively); empty when absent. */
 	std::string find_header(std::string_view p_name) const;
@@ -66,9 +71,6 @@
 	std::function<void(const http_result &p_result)> on_end; ///< Called exactly once, unless the call is cancelled.
 };
 
-/** Identity of a call within its client. */
-using call_id = std::uint64_t;
-
 /** Makes calls and keeps idle connections. A connection carries one call at a time; nothing is pipelined or re-sent. */
 class http_client {
 	class call_state;
@@ -77,11 +79,12 @@
 	event_loop &_loop;
 	std::map<call_id, std::unique_ptr<call_state>> _calls;
 	std::map<std::string, std::vector<idle_connection>> _idle;
+	std::weak_ptr<call_state> _ended; ///< The call whose on_end hook was called last.
 	call_id _next_id = 1;
 	std::uint64_t _bytes_sent = 0;
 	std::uint64_t _bytes_received = 0;
 
-	void _end(call_id p_id, const http_result &p_result, bool p_keep);
+	void _end(call_id p_id, http_result p_result, bool p_keep);
 
 public:
 	explicit http_client(event_loop &p_loop);
@@ -94,6 +97,9 @@
 	/** Cancels a call: closes its connection; its hooks are not called afterwards. */
 	void cancel(call_id p_id);
 
+	/** Closes the connection of a call that has ended just now, as its answer belongs to another call. To be called by its on_end hook. */
+	void discard_connection(call_id p_id);
+
 	/** Closes connections that have exceeded the idle limit. To be called periodically. */
 	void drop_old_connections();
 
--- a/tests/standins/standin_endpoint.cpp
+++ b/tests/standins/standin_endpoint.cpp
@@ -38,6 +38,11 @@
 	return "h" + to_hex(hash_bytes(input.dump()));
 }
 
+/** Refuses an order before any of it runs. */
+void refuse(http_exchange &r_exchange, int p_status, const std::string &p_why, const std::string &p_body) {
+	r_exchange.reply(p_status, "text/plain", p_body, { { "Attempt", r_exchange.find_header("Attempt").value_or("") }, { "Not-Run", p_why } });
+}
+
 } // namespace
 
 standin_endpoint::standin_endpoint(event_loop &p_loop, const network_address &p_address, endpoint_listing p_listing, endpoint_model p_model, std::uint64_t p_seed) :
@@ -88,7 +93,7 @@
 	}
 	_truth.refused++;
 	const char *why = is_leaving ? "leaving" : (is_busy ? "busy" : "late");
-	r_exchange.reply(503, "text/plain", "refused\n", { { "Not-Run", why } });
+	refuse(r_exchange, 503, why, "refused\n");
 	return true;
 }
 
@@ -99,13 +104,13 @@
 	}
 	const json body = json::parse(p_exchange->take_body(), nullptr, false);
 	if (!body.is_object() || !body.contains("attempt") || !body.contains("input")) {
-		p_exchange->reply(400, "text/plain", "bad order\n", { { "Not-Run", "input" } });
+		refuse(*p_exchange, 400, "input", "bad order\n");
 		return;
 	}
 	const std::shared_ptr<work> made = std::make_shared<work>();
 	made->attempt = body.at("attempt").get<std::string>();
 	if (_stopped.contains(made->attempt)) {
-		p_exchange->reply(409, "text/plain", "stopped before it came\n", { { "Not-Run", "input" } });
+		refuse(*p_exchange, 409, "input", "stopped before it came\n");
 		return;
 	}
 	made->echo = made->attempt;
@@ -377,7 +382,7 @@
 	const bool is_known = found != _works.end() && found->second->customer == body.value("customer", "") && !found->second->forgotten;
 	const std::size_t offset = is_known ? body.value("offset", std::size_t(0)) : 0;
 	if (!is_known || offset > found->second->tokens.size()) {
-		p_exchange->reply(404, "text/plain", "no such stream\n", { { "Not-Run", "input" } });
+		refuse(*p_exchange, 404, "input", "no such stream\n");
 		return;
 	}
 	const std::shared_ptr<work> target = found->second;
