--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -64,6 +64,7 @@
 	_sequence = 0;
 	_mode = endpoint_mode::SOUND;
 	_varies_ends = false;
+	_rejected_part = 0;
 	_work = std::make_unique<later_queue>(_loop);
 	_server = std::make_unique<caller_server>(_loop, network_address{ _host, 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); });
 }
@@ -88,6 +89,19 @@
 	return _served++ % FAULTY_PART == 0 ? _mode : endpoint_mode::SOUND;
 }
 
+void soak_endpoint::set_rejected_part(std::size_t p_part) {
+	_rejected_part = p_part;
+	_arrived = 0;
+}
+
+bool soak_endpoint::_is_rejected() {
+	return _rejected_part > 0 && _arrived++ % _rejected_part == 0;
+}
+
+void soak_endpoint::_reject(caller_exchange &p_exchange) const {
+	p_exchange.reply(503, { { "X-Not-Executed", "1" }, { "X-Attempt-Id", get(p_exchange, "X-Attempt-Id") } }, "");
+}
+
 answer_ending soak_endpoint::_choose_ending(const std::string &p_id) const {
 	constexpr std::uint64_t ENDINGS = static_cast<std::uint64_t>(answer_ending::COUNT);
 	return _varies_ends ? static_cast<answer_ending>(hash_bytes(p_id, 3) % ENDINGS) : answer_ending::USUAL;
@@ -124,9 +138,13 @@
 		p_exchange->reply(503, headers, "");
 		return;
 	}
+	if (_is_rejected()) {
+		_reject(*p_exchange);
+		return;
+	}
 	const endpoint_mode mode = _take_mode();
 	if (mode == endpoint_mode::SHEDS) {
-		p_exchange->reply(503, { { "X-Not-Executed", "1" }, { "X-Attempt-Id", get(*p_exchange, "X-Attempt-Id") } }, "");
+		_reject(*p_exchange);
 		return;
 	}
 	_book.on_run(_number, p_exchange->head, p_exchange->body, event_loop::now());
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -56,6 +56,8 @@
 	std::uint64_t _sequence = 0;
 	endpoint_mode _mode = endpoint_mode::SOUND;
 	bool _varies_ends = false;
+	std::size_t _rejected_part = 0; ///< One in so many requests is rejected; 0 for none.
+	std::size_t _arrived = 0; ///< Requests since that was set.
 	std::size_t _served = 0;
 
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
@@ -64,6 +66,8 @@
 	void _stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode, answer_ending p_ending);
 	answer_ending _choose_ending(const std::string &p_id) const;
 	endpoint_mode _take_mode();
+	bool _is_rejected();
+	void _reject(caller_exchange &p_exchange) const;
 	std::vector<http_header> _make_headers(const std::string &p_id) const;
 
 public:
@@ -84,6 +88,9 @@
 	/** Whether each answer ends in one of the ways of answer_ending, told by its request's id. */
 	void set_varies_ends(bool p_varies) { _varies_ends = p_varies; }
 
+	/** From now on one in so many requests is rejected, with proof that it did not run; 0 for none. */
+	void set_rejected_part(std::size_t p_part);
+
 	/** Its record in the store, reached at an address. */
 	std::string write_record(const network_address &p_address, const std::string &p_zone, bool p_is_leaving);
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -52,6 +52,8 @@
 constexpr duration AWAY_TIME = milliseconds(500);
 /** While an endpoint repeats answers, one in so many comes twice. */
 constexpr std::size_t REPEATED_ANSWERS_PART = 3;
+/** Meanwhile it rejects one request in so many, so that requests are sent again behind rejections that come twice. */
+constexpr std::size_t REJECTED_REQUESTS_PART = 2;
 constexpr std::array<double, 5> NAMED_LIMITS{ 0.0, 0.5, 1.0, 2.0, 4.0 };
 constexpr std::array<duration, 3> ASKED_RESTS{ milliseconds(800), milliseconds(2000), milliseconds(3500) };
 /** An endpoint that is back must have got work after this. */
@@ -389,9 +391,15 @@
 }
 
 void soak_fleet::_repeat_answers(const soak_event &p_event) {
-	fault_proxy &link = *_endpoints[p_event.subject].link;
-	link.set_repeated_part(REPEATED_ANSWERS_PART);
-	_later.add(p_event.length, [&link] { link.set_repeated_part(0); });
+	const std::size_t number = p_event.subject;
+	_endpoints[number].link->set_repeated_part(REPEATED_ANSWERS_PART);
+	_endpoints[number].server->set_rejected_part(REJECTED_REQUESTS_PART);
+	_disturbances.begin(disturbance::ENDPOINT_HOLDS_BACK, number, event_loop::now());
+	_later.add(p_event.length, [this, number] {
+		_endpoints[number].link->set_repeated_part(0);
+		_endpoints[number].server->set_rejected_part(0);
+		_disturbances.end(disturbance::ENDPOINT_HOLDS_BACK, number, event_loop::now());
+	});
 }
 
 void soak_fleet::_say(const soak_event &p_event) {
