--- a/drivers/link_codec.cpp
+++ b/drivers/link_codec.cpp
@@ -312,15 +312,12 @@
 	}
 
 	encoded_body operator()(const request_stream_message &p_message) const {
-		const text_offset service = target.CreateString(p_message.service);
-		const std::uint32_t age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(p_message.age.count() / 1000, 0, MAX_TIME_MS));
-		return { wire::message_ask_stream, wire::Createask_stream(target, p_message.id, p_message.key.digest.high, p_message.key.digest.low, service, age_ms).Union() };
+		return { wire::message_ask_stream, wire::Createask_stream(target, p_message.id, p_message.key.digest.high, p_message.key.digest.low).Union() };
 	}
 
 	encoded_body operator()(const stream_answer_message &p_message) const {
 		const auto record = p_message.record ? write_stream(target, *p_message.record) : 0;
-		const text_offset only_version = p_message.only_version ? target.CreateString(*p_message.only_version) : 0;
-		return { wire::message_answer_stream, wire::Createanswer_stream(target, p_message.id, record, only_version).Union() };
+		return { wire::message_answer_stream, wire::Createanswer_stream(target, p_message.id, record).Union() };
 	}
 
 	encoded_body operator()(const open_exchange_message &p_message) const {
@@ -548,9 +545,6 @@
 	if (p_message.record() != nullptr) {
 		message.record = read_stream(*p_message.record());
 	}
-	if (p_message.only_version() != nullptr) {
-		message.only_version = read(p_message.only_version());
-	}
 	return message;
 }
 
@@ -647,7 +641,7 @@
 			return read_streams(*frame->body_as_tell_streams());
 		case wire::message_ask_stream: {
 			const wire::ask_stream *asked = frame->body_as_ask_stream();
-			return request_stream_message{ asked->id(), stream_key{ half_digest{ asked->key_high(), asked->key_low() } }, read(asked->service()), read_ms(asked->age_ms()) };
+			return request_stream_message{ asked->id(), stream_key{ half_digest{ asked->key_high(), asked->key_low() } } };
 		}
 		case wire::message_answer_stream:
 			return read_stream_answer(*frame->body_as_answer_stream());
--- a/drivers/node_link.h
+++ b/drivers/node_link.h
@@ -193,15 +193,12 @@
 struct request_stream_message {
 	std::uint64_t id = 0; ///< Assigned by the requesting node.
 	stream_key key;
-	std::string service; ///< Service whose versions are asked for.
-	duration age = duration::zero(); ///< Age that the stream has at most.
 };
 
 /** Answers request_stream_message. */
 struct stream_answer_message {
 	std::uint64_t id = 0;
 	std::optional<reported_stream> record;
-	std::optional<std::string> only_version; ///< See lookup_answer.
 };
 
 /** Identity that this node presents on its links, and the shared secret of the fleet. */
--- a/main/gateway/admitted_request.h
+++ b/main/gateway/admitted_request.h
@@ -11,6 +11,7 @@
 
 #include "drivers/caller_server.h"
 #include "main/gateway/endpoint_exchanges.h"
+#include "main/gateway/origin_sync.h"
 #include "main/gateway/prompt_sync.h"
 #include "main/gateway/send_permit.h"
 #include "main/gateway/stage_dispatcher.h"
@@ -43,6 +44,7 @@
 	prompt_sync &prompts;
 	crash_guard &crashes;
 	stream_sync &streams;
+	origin_sync &origins;
 	std::map<std::string, duration> &first_event_times; ///< Typical time from the send to the first event, by route.
 	send_guard &guard;
 };
--- a/main/gateway/endpoint_selector.cpp
+++ b/main/gateway/endpoint_selector.cpp
@@ -43,9 +43,26 @@
 			return (!is_home || is_home(p_listing)) && _services.guard.get_rollouts().admits(p_listing, p_for_target);
 		};
 	}
+	if (_needs_recorded_version()) {
+		_prefer_recorded_versions(choice);
+	}
 	return choice;
 }
 
+bool endpoint_selector::_needs_recorded_version() const {
+	return _request.route->repeats == repeat_rule::STREAM && !_request.stream_version && _services.origins.is_restricted(_request.service);
+}
+
+void endpoint_selector::_prefer_recorded_versions(choice_request &r_choice) const {
+	choice_request recorded = r_choice;
+	recorded.admits = [this, admits = r_choice.admits](const endpoint_listing &p_listing) {
+		return (!admits || admits(p_listing)) && _services.origins.may_begin_stream(p_listing.pool, p_listing.version);
+	};
+	if (!get_router(_services, _request).get_open(recorded).empty()) {
+		r_choice = std::move(recorded);
+	}
+}
+
 std::optional<endpoint_id> endpoint_selector::choose(const std::string &p_zone) {
 	const rollout_service &rollouts = _services.guard.get_rollouts();
 	// A repeat does not try the target version again.
--- a/main/gateway/endpoint_selector.h
+++ b/main/gateway/endpoint_selector.h
@@ -30,6 +30,10 @@
 	choice_request _make(bool p_for_target) const;
 	/** Whether the request may be sent to the target version of its service's roll-out. A resumed stream keeps the selection of the attempt that began it. */
 	bool _is_for_target() const;
+	/** Whether the request is a new stream that must begin at a recorded version; see origin_sync. */
+	bool _needs_recorded_version() const;
+	/** Admits recorded versions only, unless none of them has an open endpoint. */
+	void _prefer_recorded_versions(choice_request &r_choice) const;
 	std::optional<endpoint_id> _choose_among(const choice_request &p_choice, const std::string &p_zone);
 
 public:
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -72,10 +72,11 @@
 		_engine_caches(p_settings.mechanisms),
 		_prompts(_context, _fleet, _engine_caches),
 		_crashes(_context, _fleet, _endpoints, _exchanges),
-		_streams(_context, _fleet, _endpoints),
-		_resolver(_context, _streams, _endpoints),
+		_streams(_context, _fleet),
+		_origins(_context, _configuration, _endpoints, _fleet),
+		_resolver(_context, _streams, _origins),
 		_repeats(p_settings.retries),
-		_shared{ _context, _fleet, _endpoints, _exchanges, _dispatcher, _services, _engines, _repeats, _typical_times, _commitments, _engine_caches, _prompts, _crashes, _streams, _first_event_times, _guard },
+		_shared{ _context, _fleet, _endpoints, _exchanges, _dispatcher, _services, _engines, _repeats, _typical_times, _commitments, _engine_caches, _prompts, _crashes, _streams, _origins, _first_event_times, _guard },
 		_admission(_context, _shared, _evacuations),
 		_callers(p_loop, p_settings.caller_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); }),
 		_readiness(p_loop, p_settings.readiness_address, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_readiness(*p_exchange); }),
@@ -205,7 +206,7 @@
 		}
 	}
 	_rollouts.set_endpoints(listings);
-	_streams.set_listings(_endpoints.get_directory().get_entries());
+	_origins.set_listings(_endpoints.get_directory().get_entries());
 	_guard.get_limits().set_listings(listings, *configuration, event_loop::now());
 	_guard.tick(_settled);
 	_engines.set_listings(engines);
@@ -448,6 +449,7 @@
 	_guard.report();
 	_rollouts.report();
 	_streams.report();
+	_origins.report();
 	_exchanges.report();
 	_context.metrics.set_gauge("stream_lookups_open", static_cast<double>(_resolver.get_open_count()));
 	_context.metrics.set_gauge("evacuated_zones", static_cast<double>(_evacuations.get_zones().size()));
@@ -500,6 +502,7 @@
 	_update_readiness();
 	_guard.tick(_settled);
 	_streams.tick();
+	_origins.tick();
 	if (_phase != stop_phase::NONE) {
 		_advance_stop();
 	}
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -49,6 +49,7 @@
 	prompt_sync _prompts;
 	crash_guard _crashes;
 	stream_sync _streams;
+	origin_sync _origins;
 	stream_resolver _resolver;
 	retry_budget _repeats;
 	std::map<std::string, duration> _typical_times;
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -71,6 +71,7 @@
 	settings.rollouts.exposure_share = rollouts.value("exposure_share", settings.rollouts.exposure_share);
 	settings.rollouts.rollback = std::chrono::milliseconds(rollouts.value("rollback_ms", static_cast<long long>(to_milliseconds(settings.rollouts.rollback))));
 	settings.regions = document.value("regions", settings.regions);
+	settings.is_first_start = document.value("first_start", settings.is_first_start);
 	settings.stop_grace = from_seconds(document.value("stop_grace_seconds", to_seconds(settings.stop_grace)));
 	for (const json &name : document.value("ablation", json::array())) {
 		const std::optional<mechanism> found = find_mechanism(name.get<std::string>());
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -47,6 +47,7 @@
 	duration evacuation_apply = std::chrono::seconds(5); ///< Time after the confirmation of an evacuation from which the zone's endpoints must get no new requests.
 	rollout_bounds rollouts; ///< Limits on the requests that a new version gets before it is known to be good.
 	duration stream_lifetime = stream_table::MAX_LIFETIME; ///< Longest time from the start of a stream in which its caller may resume it.
+	bool is_first_start = false; ///< The whole system starts for the first time, so that no stream has begun before.
 	std::map<std::string, std::string> regions; ///< Region of each availability zone, by the zone's name.
 	mechanism_set mechanisms; ///< Enabled mechanisms. Some may be switched off to measure their effect.
 	duration stop_grace = std::chrono::seconds(8); ///< Time from the stop signal until the process is killed.
--- /dev/null
+++ b/main/gateway/origin_sync.cpp
@@ -0,0 +1,250 @@
+/*
+ * calicoscale: origin_sync.cpp
+ * Keeps the record of the versions at which streams may have begun in the store.
+ *
+ * Copyright (c) 2026 calicoscale contributors.
+ * SPDX-License-Identifier: MIT
+ */
+
+#include "main/gateway/origin_sync.h"
+
+#include "main/gateway/write_turns.h"
+
+#include <algorithm>
+
+namespace calicoscale {
+
+namespace {
+
+const std::string RECORD_KEY = "origins";
+/** Share of the store's reads that all nodes together may use for the record. */
+constexpr double READ_SHARE = 0.05;
+constexpr duration MIN_READ_SPREAD = std::chrono::milliseconds(100);
+/** A node that has just started does not know yet how many others start with it. */
+constexpr duration FIRST_READ_SPREAD = std::chrono::milliseconds(400);
+/** Time for the first writer to write a new version, after which the other nodes read it. */
+constexpr duration FIRST_WRITE_TIME = std::chrono::milliseconds(300);
+constexpr duration REREAD_INTERVAL = std::chrono::seconds(1);
+constexpr duration MIN_FAILURE_PAUSE = std::chrono::milliseconds(250);
+constexpr duration MAX_FAILURE_PAUSE = std::chrono::seconds(4);
+/** An endpoint may serve for some seconds after its entry was removed. */
+constexpr duration UNLISTED_SERVICE_TIME = std::chrono::seconds(10);
+
+std::set<std::string> find_resumable_services(const gateway_configuration &p_configuration) {
+	std::set<std::string> services;
+	for (const gateway_route &route : p_configuration.routes) {
+		if (route.is_resumable) {
+			for (const service_share &share : route.services) {
+				services.insert(share.service);
+			}
+		}
+	}
+	return services;
+}
+
+} // namespace
+
+origin_sync::origin_sync(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, gateway_fleet &p_fleet) :
+		_context(p_context), _configuration(p_configuration), _endpoints(p_endpoints), _fleet(p_fleet), _era_since(event_loop::now()) {
+	_endpoints.era_entered().connect([this] { _enter_era(_endpoints.get_known().era); });
+}
+
+duration origin_sync::_get_read_spread() const {
+	const double reads_per_second = _context.settings.store.reads_per_second * READ_SHARE;
+	return std::max<duration>(MIN_READ_SPREAD, from_seconds(static_cast<double>(_fleet.get_live_count()) / reads_per_second));
+}
+
+void origin_sync::set_listings(const std::vector<endpoint_listing> &p_listings) {
+	_presence.set_listings(p_listings, event_loop::now());
+	const service_versions listed_before = std::move(_listed);
+	_listed.clear();
+	_staying.clear();
+	if (!_configuration.get_current()) {
+		return;
+	}
+	const std::set<std::string> services = find_resumable_services(*_configuration.get_current());
+	for (const endpoint_listing &listing : p_listings) {
+		if (!services.contains(listing.pool)) {
+			continue;
+		}
+		_listed[listing.pool].insert(listing.version);
+		if (!listing.leaving) {
+			_staying[listing.pool].insert(listing.version);
+		}
+	}
+	_forget_returned(listed_before);
+	_find_mixed();
+	_consider();
+}
+
+void origin_sync::_forget_returned(const service_versions &p_listed_before) {
+	if (!_record) {
+		return;
+	}
+	for (const auto &[service, versions] : _listed) {
+		const auto before = p_listed_before.find(service);
+		for (const std::string &version : versions) {
+			if (before == p_listed_before.end() || !before->second.contains(version)) {
+				_record->remove(service, version);
+			}
+		}
+	}
+}
+
+void origin_sync::_find_mixed() {
+	_mixed.clear();
+	if (!_is_believed()) {
+		return;
+	}
+	for (const auto &[service, versions] : _staying) {
+		const auto recorded = std::count_if(versions.begin(), versions.end(), [this, &service](const std::string &p_version) { return _record->contains(service, p_version); });
+		if (recorded > 0 && recorded < static_cast<std::ptrdiff_t>(versions.size())) {
+			_mixed.insert(service);
+		}
+	}
+}
+
+bool origin_sync::_may_begin() const {
+	const duration lifetime = _context.settings.stream_lifetime + UNLISTED_SERVICE_TIME;
+	return (_context.settings.is_first_start && _is_topic_empty) || event_loop::now() - _era_since >= lifetime;
+}
+
+std::optional<origin_record> origin_sync::_plan() const {
+	const bool is_believed = _is_believed();
+	if (!is_believed && !_may_begin()) {
+		return std::nullopt;
+	}
+	const duration age = _context.settings.stream_lifetime + UNLISTED_SERVICE_TIME;
+	const instant now = event_loop::now();
+	origin_record planned = is_believed ? *_record : origin_record(_era, {});
+	for (const auto &[service, versions] : _listed) {
+		const std::optional<std::set<std::string>> recent = _presence.find_recent(service, age, now);
+		if (recent && is_believed) {
+			planned.keep(service, *recent);
+		} else if (recent) {
+			planned.add({ { service, *recent } });
+		}
+		planned.add({ { service, versions } });
+	}
+	const bool is_written = is_believed && planned == *_record && !_must_rewrite;
+	return is_written ? std::nullopt : std::optional(planned);
+}
+
+void origin_sync::tick() {
+	const instant now = event_loop::now();
+	if (_endpoints.is_known_since(now - version_presence::MAX_GAP / 2)) {
+		_presence.on_confirmed(now);
+	}
+	_consider();
+}
+
+void origin_sync::_consider() {
+	if (_listed.empty()) {
+		return;
+	}
+	const bool is_unread = _read_began_at == instant{};
+	if (!is_unread && !_plan()) {
+		_write_needed_since.reset();
+	} else if (!_write_needed_since) {
+		const instant now = event_loop::now();
+		_write_needed_since = now;
+		const bool is_first_writer = !is_unread && get_write_delay(_fleet, RECORD_KEY) == duration::zero();
+		const duration spread = is_unread ? std::max(FIRST_READ_SPREAD, _get_read_spread()) : _get_read_spread();
+		_write_due = now + (is_first_writer ? duration::zero() : FIRST_WRITE_TIME + from_seconds(to_seconds(spread) * _context.random.get_unit()));
+	}
+	_try();
+}
+
+void origin_sync::request_read(instant p_since) {
+	_wanted_since = std::max(_wanted_since, p_since);
+	_try();
+}
+
+void origin_sync::_try() {
+	const instant now = event_loop::now();
+	const bool is_wanted = _read_began_at < _wanted_since || (_write_needed_since && now >= _write_due);
+	if (is_wanted && !_is_busy && now >= _paused_until) {
+		_read();
+	}
+}
+
+void origin_sync::_read() {
+	_is_busy = true;
+	_context.store.read_newest(std::string(get_origin_topic()), read_reason::STREAMS, true, [this, began_at = event_loop::now()](const store_answer &p_answer) { _on_read(p_answer, began_at); });
+}
+
+void origin_sync::_enter_era(std::uint64_t p_era) {
+	if (p_era <= _era) {
+		return;
+	}
+	_era = p_era;
+	_era_since = event_loop::now();
+	_find_mixed();
+}
+
+void origin_sync::_on_read(const store_answer &p_answer, instant p_began_at) {
+	_is_busy = false;
+	if (p_answer.status != store_status::OK) {
+		_failure_pause = std::clamp<duration>(_failure_pause * 2, MIN_FAILURE_PAUSE, MAX_FAILURE_PAUSE);
+		_paused_until = event_loop::now() + _failure_pause + from_seconds(to_seconds(_get_read_spread()) * _context.random.get_unit());
+		_context.log.write(log_line("stream_origins_read").add("outcome", "failed").add("status", static_cast<long long>(p_answer.http_status)));
+		return;
+	}
+	_failure_pause = duration::zero();
+	_read_began_at = p_began_at;
+	if (p_answer.era > _era) {
+		_enter_era(p_answer.era);
+	}
+	_end_offset = p_answer.next_offset;
+	_is_topic_empty = p_answer.next_offset == 0 && p_answer.records.empty();
+	const auto found = std::find_if(p_answer.records.begin(), p_answer.records.end(), [](const store_record &p_entry) { return p_entry.key == RECORD_KEY; });
+	const bool has_value = found != p_answer.records.end() && found->value;
+	std::optional<origin_record> read = has_value ? read_origin_record(*found->value) : std::nullopt;
+	const bool is_news = read != _record;
+	_record = std::move(read);
+	_find_mixed();
+	if (is_news) {
+		_context.log.write(log_line("stream_origins_read").add("outcome", _is_believed() ? "believed" : (_record ? "older_copy" : "absent")).add("era", static_cast<long long>(_era)).add("end", static_cast<long long>(_end_offset)).add("record", has_value ? *found->value : ""));
+	}
+	_paused_until = event_loop::now() + _get_read_spread();
+	const std::optional<origin_record> planned = _plan();
+	if (!planned) {
+		_write_needed_since.reset();
+		return;
+	}
+	const instant needed_since = _write_needed_since.value_or(event_loop::now());
+	if (event_loop::now() - needed_since < get_write_delay(_fleet, RECORD_KEY)) {
+		_write_due = event_loop::now() + REREAD_INTERVAL;
+		return;
+	}
+	_write(*planned);
+}
+
+void origin_sync::_write(const origin_record &p_record) {
+	_is_busy = true;
+	_context.store.put_at(std::string(get_origin_topic()), read_reason::STREAMS, RECORD_KEY, write_origin_record(p_record), _end_offset, [this, p_record](put_end p_end) { _on_written(p_record, p_end); });
+}
+
+void origin_sync::_on_written(const origin_record &p_record, put_end p_end) {
+	_is_busy = false;
+	_must_rewrite = p_end == put_end::UNKNOWN;
+	if (p_end == put_end::DONE) {
+		_record = p_record;
+		_write_needed_since.reset();
+		_find_mixed();
+	}
+	_write_due = event_loop::now() + (p_end == put_end::UNKNOWN ? REREAD_INTERVAL : duration::zero());
+	_context.metrics.count("stream_origins_written_" + std::string(get_name(p_end)));
+	_context.log.write(log_line("stream_origins_written").add("outcome", get_name(p_end)).add("end", static_cast<long long>(_end_offset)).add("record", write_origin_record(p_record)));
+}
+
+std::optional<std::string> origin_sync::find_only(const std::string &p_service) const {
+	return _is_believed() ? _record->find_only(p_service) : std::nullopt;
+}
+
+void origin_sync::report() {
+	_context.metrics.set_gauge("stream_origins_believed", _is_believed() ? 1.0 : 0.0);
+	_context.metrics.set_gauge("stream_origins_restricted", static_cast<double>(_mixed.size()));
+}
+
+} // namespace calicoscale
--- a/main/gateway/rollout_writer.h
+++ b/main/gateway/rollout_writer.h
@@ -37,8 +37,6 @@
 	rollout_table &_table;
 	std::map<std::string, pending_write> _pending; ///< By service.
 
-	/** Returns the time for which this node leaves the writing to nodes of a higher rank. */
-	duration _get_write_delay(const std::string &p_service) const;
 	void _read(const rollout_status &p_status);
 	void _on_read(const rollout_status &p_status, const store_answer &p_answer);
 	void _on_put(const rollout_status &p_status, put_end p_end);
--- a/main/gateway/stream_resolver.cpp
+++ b/main/gateway/stream_resolver.cpp
@@ -20,11 +20,10 @@
 constexpr duration MAX_LOOKUP_TIME = std::chrono::milliseconds(400);
 /** Part of the caller's remaining time that a lookup may take. */
 constexpr int LOOKUP_TIME_DIVISOR = 8;
-/** The list of endpoints is confirmed about once a second. */
-constexpr duration MAX_LIST_WAIT = std::chrono::milliseconds(1500);
-constexpr int LIST_WAIT_DIVISOR = 2;
-/** An endpoint may serve for some seconds after its entry was removed. */
-constexpr duration UNLISTED_SERVICE_TIME = std::chrono::seconds(10);
+/** Reads of the store are coalesced and spread over up to a second in a large fleet. */
+constexpr duration MAX_STORE_WAIT = std::chrono::milliseconds(1500);
+/** Part of the caller's remaining time that the wait may take. */
+constexpr int STORE_WAIT_DIVISOR = 2;
 
 duration get_remaining(const admitted_request &p_request) {
 	return p_request.facts.remaining.value_or(p_request.route->timeout);
@@ -32,8 +31,8 @@
 
 } // namespace
 
-stream_resolver::stream_resolver(gateway_context &p_context, stream_sync &p_streams, endpoint_follower &p_endpoints) :
-		_context(p_context), _streams(p_streams), _endpoints(p_endpoints), _check_timer(p_context.loop, [this] { _check_all(); }) {
+stream_resolver::stream_resolver(gateway_context &p_context, stream_sync &p_streams, origin_sync &p_origins) :
+		_context(p_context), _streams(p_streams), _origins(p_origins), _check_timer(p_context.loop, [this] { _check_all(); }) {
 	_streams.answered().connect([this](const std::string &p_vm, const stream_answer_message &p_message) { _on_answered(p_vm, p_message); });
 }
 
@@ -46,7 +45,7 @@
 	const instant now = event_loop::now();
 	const std::string &attempt = p_request.facts.resumed_attempt;
 	const std::string customer = p_request.customer == nullptr ? std::string() : p_request.customer->name;
-	// Without the attempt that began the stream there is no record to find, but other nodes may know the versions of the service.
+	// Without the attempt that began the stream there is no record to find, but the store may know the only version of the service.
 	const stream_key key = make_stream_key(customer, attempt.empty() ? p_request.facts.attempt : attempt);
 	if (const stream_record *record = attempt.empty() ? nullptr : _streams.find(key)) {
 		p_on_resolved(stream_resolution{ record->origin, lookup_state::FOUND, "this_node", duration::zero() });
@@ -59,7 +58,7 @@
 	const duration remaining = get_remaining(p_request);
 	const std::vector<service_share> &services = p_request.route->services;
 	const std::uint64_t id = _next_id++;
-	open_lookup made{ key, services.size() == 1 ? services.front().service : std::string(), _context.settings.stream_lifetime + UNLISTED_SERVICE_TIME, now, now + std::min<duration>(MAX_LIST_WAIT, remaining / LIST_WAIT_DIVISOR), stream_lookup(now, now + std::min<duration>(MAX_LOOKUP_TIME, remaining / LOOKUP_TIME_DIVISOR)), std::move(p_on_resolved) };
+	open_lookup made{ key, services.size() == 1 ? services.front().service : std::string(), now, now + std::min<duration>(MAX_STORE_WAIT, remaining / STORE_WAIT_DIVISOR), stream_lookup(now, now + std::min<duration>(MAX_LOOKUP_TIME, remaining / LOOKUP_TIME_DIVISOR)), std::move(p_on_resolved) };
 	open_lookup &open = _open.emplace(id, std::move(made)).first->second;
 	_ask(id, open, lookup_round::FIRST_SOURCES);
 	_check_timer.set(CHECK_INTERVAL);
@@ -68,7 +67,7 @@
 void stream_resolver::_ask(std::uint64_t p_id, open_lookup &r_lookup, lookup_round p_round) {
 	const std::vector<std::string> nodes = _streams.get_sources(r_lookup.key, p_round);
 	r_lookup.lookup.on_asked(nodes);
-	const request_stream_message message{ p_id, r_lookup.key, r_lookup.service, r_lookup.age };
+	const request_stream_message message{ p_id, r_lookup.key };
 	for (const std::string &vm : nodes) {
 		if (!_streams.request(vm, message)) {
 			r_lookup.lookup.on_lost(vm);
@@ -83,7 +82,6 @@
 		return;
 	}
 	lookup_answer answer;
-	answer.only_version = p_message.only_version;
 	// The number alone may belong to a lookup of an earlier process.
 	if (p_message.record && p_message.record->key == found->second.key) {
 		answer.origin = p_message.record->origin;
@@ -123,7 +121,7 @@
 	}
 }
 
-std::optional<stream_resolution> stream_resolver::_conclude(const open_lookup &p_lookup) const {
+std::optional<stream_resolution> stream_resolver::_conclude(const open_lookup &p_lookup) {
 	const instant now = event_loop::now();
 	const duration took = now - p_lookup.started_at;
 	const lookup_state state = p_lookup.lookup.get_state(now);
@@ -133,26 +131,22 @@
 	if (state == lookup_state::FOUND) {
 		return stream_resolution{ p_lookup.lookup.get_origin(), state, p_lookup.lookup.get_source(), took };
 	}
-	if (state == lookup_state::OPEN) {
-		return std::nullopt;
-	}
-	const std::optional<std::string> only = _find_only_version(p_lookup);
-	if (!only) {
-		return stream_resolution{ std::nullopt, state, "", took };
-	}
-	// An endpoint of another version that started just now may have begun the stream. Only a list that is newer than the request shows it.
-	if (_endpoints.is_known_since(p_lookup.started_at)) {
-		return stream_resolution{ stream_origin{ p_lookup.service, *only }, state, "only_version", took };
-	}
-	return now < p_lookup.list_deadline ? std::nullopt : std::optional(stream_resolution{ std::nullopt, state, "", took });
+	return state == lookup_state::OPEN ? std::nullopt : _conclude_without_record(p_lookup, now);
 }
 
-std::optional<std::string> stream_resolver::_find_only_version(const open_lookup &p_lookup) const {
-	const version_presence &presence = _streams.get_presence();
-	const std::optional<std::string> listed = presence.find_only_listed(p_lookup.service);
-	const std::optional<std::string> own = presence.find_only(p_lookup.service, p_lookup.age, event_loop::now());
-	const std::optional<std::string> known = own ? own : p_lookup.lookup.get_only_version();
-	return known == listed ? known : std::nullopt;
+std::optional<stream_resolution> stream_resolver::_conclude_without_record(const open_lookup &p_lookup, instant p_now) {
+	const duration took = p_now - p_lookup.started_at;
+	if (p_lookup.service.empty()) {
+		return stream_resolution{ std::nullopt, p_lookup.lookup.get_state(p_now), "", took };
+	}
+	// The stream began before its caller resumed it, so only a later read shows all versions that can have begun it.
+	if (!_origins.is_read_since(p_lookup.started_at)) {
+		_origins.request_read(p_lookup.started_at);
+		return p_now < p_lookup.store_deadline ? std::nullopt : std::optional(stream_resolution{ std::nullopt, lookup_state::UNANSWERED, "", took });
+	}
+	const std::optional<std::string> only = _origins.find_only(p_lookup.service);
+	const lookup_state state = p_lookup.lookup.get_state(p_now);
+	return only ? stream_resolution{ stream_origin{ p_lookup.service, *only }, state, "only_version", took } : stream_resolution{ std::nullopt, state, "", took };
 }
 
 } // namespace calicoscale
--- a/main/gateway/stream_resolver.h
+++ b/main/gateway/stream_resolver.h
@@ -10,6 +10,7 @@
 #define STREAM_RESOLVER_H
 
 #include "main/gateway/admitted_request.h"
+#include "main/gateway/origin_sync.h"
 #include "main/gateway/stream_sync.h"
 
 #include <functional>
@@ -22,14 +23,14 @@
 /** What is known of a stream that a caller resumes. */
 struct stream_resolution {
 	std::optional<stream_origin> origin; ///< Empty if unknown; the stream must not be resumed then.
-	lookup_state lookup = lookup_state::OPEN; ///< How the lookup of the record ended.
+	lookup_state lookup = lookup_state::OPEN; ///< How the lookup ended. UNANSWERED if the store did not answer either.
 	std::string source; ///< The node that had the record, or what else shows the origin.
 	duration took = duration::zero();
 };
 
 /**
- * Looks up streams at this node, then at the nodes that store their records. Without a record, a stream's origin is known only if its
- * service had a single version for longer than the stream can exist.
+ * Looks up streams at this node, then at the nodes that store their records. Without a record, a stream's origin is known only if by the
+ * store all streams of its service began at a single version; see origin_sync.
  */
 class stream_resolver {
 	using resolution_hook = std::function<void(const stream_resolution &)>;
@@ -38,16 +39,15 @@
 	struct open_lookup {
 		stream_key key;
 		std::string service; ///< The only service of the route; empty if there are several.
-		duration age; ///< Maximum age of the stream.
 		instant started_at;
-		instant list_deadline; ///< Until when to wait for a confirmation of the list of endpoints.
+		instant store_deadline; ///< Until when to wait for the store.
 		stream_lookup lookup;
 		resolution_hook on_resolved;
 	};
 
 	gateway_context &_context;
 	stream_sync &_streams;
-	endpoint_follower &_endpoints;
+	origin_sync &_origins;
 	std::map<std::uint64_t, open_lookup> _open;
 	std::uint64_t _next_id = 1;
 	timer _check_timer;
@@ -58,12 +58,12 @@
 	void _check(std::uint64_t p_id);
 	void _check_all();
 	/** Returns the resolution if it is certain now, or if there is no time left to find it. */
-	std::optional<stream_resolution> _conclude(const open_lookup &p_lookup) const;
-	/** Returns the only version that can have begun the stream, according to this node or to those that were asked. */
-	std::optional<std::string> _find_only_version(const open_lookup &p_lookup) const;
+	std::optional<stream_resolution> _conclude(const open_lookup &p_lookup);
+	/** The same for a stream of which no node has a record. */
+	std::optional<stream_resolution> _conclude_without_record(const open_lookup &p_lookup, instant p_now);
 
 public:
-	stream_resolver(gateway_context &p_context, stream_sync &p_streams, endpoint_follower &p_endpoints);
+	stream_resolver(gateway_context &p_context, stream_sync &p_streams, origin_sync &p_origins);
 
 	/** Bounds the memory and messages that callers who resume unknown streams can cause; further streams count as unknown. */
 	static constexpr std::size_t MAX_LOOKUPS = 1024;
--- a/main/gateway/stream_sync.cpp
+++ b/main/gateway/stream_sync.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-stream_sync::stream_sync(gateway_context &p_context, gateway_fleet &p_fleet, endpoint_follower &p_endpoints) :
-		_context(p_context), _fleet(p_fleet), _endpoints(p_endpoints) {
+stream_sync::stream_sync(gateway_context &p_context, gateway_fleet &p_fleet) :
+		_context(p_context), _fleet(p_fleet) {
 	node_link &link = _fleet.get_link();
 	link.link_up().connect([this](const std::string &p_vm) { _on_link_up(p_vm); });
 	link.streams_reported().connect([this](const std::string &, const report_streams_message &p_message) { _on_reported(p_message); });
@@ -105,7 +105,6 @@
 	if (const stream_record *record = _table.find(p_message.key, now)) {
 		answer.record = reported_stream{ record->key, record->customer, record->origin, record->expires_at - now };
 	}
-	answer.only_version = _presence.find_only(p_message.service, p_message.age, now);
 	_fleet.get_link().send(p_vm, answer);
 }
 
@@ -142,9 +141,6 @@
 
 void stream_sync::tick() {
 	const instant now = event_loop::now();
-	if (_endpoints.is_known_since(now - version_presence::MAX_GAP / 2)) {
-		_presence.on_confirmed(now);
-	}
 	_table.expire(now);
 	for (auto unsent = _unsent.begin(); unsent != _unsent.end();) {
 		std::erase_if(unsent->second, [now](const stream_record &p_record) { return p_record.expires_at <= now; });
--- a/main/gateway/stream_sync.h
+++ b/main/gateway/stream_sync.h
@@ -13,7 +13,6 @@
 #include "servers/streams/record_placement.h"
 #include "servers/streams/stream_lookup.h"
 #include "servers/streams/stream_table.h"
-#include "servers/streams/version_presence.h"
 
 #include <functional>
 #include <map>
@@ -29,9 +28,7 @@
 class stream_sync {
 	gateway_context &_context;
 	gateway_fleet &_fleet;
-	endpoint_follower &_endpoints;
 	stream_table _table;
-	version_presence _presence;
 	std::map<std::string, std::vector<stream_record>> _unsent; ///< Records for nodes to which a link is being established.
 	sigc::signal<void(const std::string &, const stream_answer_message &)> _answered;
 
@@ -43,7 +40,7 @@
 	void _on_requested(const std::string &p_vm, const request_stream_message &p_message);
 
 public:
-	stream_sync(gateway_context &p_context, gateway_fleet &p_fleet, endpoint_follower &p_endpoints);
+	stream_sync(gateway_context &p_context, gateway_fleet &p_fleet);
 
 	/** Stores a record at this node and sends it to its holders. Returns the number of nodes that store it. */
 	std::size_t publish(const stream_record &p_record);
@@ -57,11 +54,6 @@
 	/** Sends a request to a node. Returns whether it was sent; if not, a link to the node is being established. */
 	bool request(const std::string &p_vm, const request_stream_message &p_message);
 
-	/** Sets the list of endpoints from which the versions of services are known. */
-	void set_listings(const std::vector<endpoint_listing> &p_listings) { _presence.set_listings(p_listings, event_loop::now()); }
-
-	const version_presence &get_presence() const { return _presence; }
-
 	/** Emitted with the answer of a node to request(). */
 	sigc::signal<void(const std::string &, const stream_answer_message &)> &answered() { return _answered; }
 
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -172,8 +172,12 @@
 mutate "stream records" "the first of two origins counts" servers/streams/stream_table.cpp "found.is_contradicted || !(found.record.origin == record.origin)" "false" stream_records_test
 mutate "stream records" "all copies are in one zone" servers/streams/record_placement.cpp "constexpr std::size_t COPIES_IN_ZONE = 2;" "constexpr std::size_t COPIES_IN_ZONE = 3;" stream_records_test
 mutate "stream lookups" "a record on its way is not waited for" servers/streams/stream_lookup.cpp "_round == lookup_round::ALL_REACHABLE && _awaited.empty()" "_awaited.empty()" stream_records_test
-mutate "single versions" "a version that has gone is forgotten at once" servers/streams/version_presence.cpp "version != listed && p_now - listed_at < p_age" "false" stream_records_test
-mutate "single versions" "an old list proves what was there" servers/streams/version_presence.cpp "p_now - *_confirmed_at <= MAX_GAP && " "" stream_records_test
+mutate "recorded versions" "a version that has gone is forgotten at once" servers/streams/version_presence.cpp "if (p_now - listed_at < p_age) {" "if (false) {" stream_records_test
+mutate "recorded versions" "an old list proves what was there" servers/streams/version_presence.cpp "p_now - *_confirmed_at <= MAX_GAP && " "" stream_records_test
+mutate "recorded versions" "streams begin at versions that are not recorded" main/gateway/origin_sync.cpp "if (recorded > 0 && recorded <" "if (false && recorded <" gateway_stream_version_test
+mutate "recorded versions" "a record from before a restore is believed" main/gateway/origin_sync.h "return _record && _record->get_era() == _era;" "return _record.has_value();" gateway_stream_version_test
+mutate "recorded versions" "a version never leaves the record" main/gateway/origin_sync.cpp "planned.keep(service, *recent);" ";" gateway_stream_version_test
+mutate "recorded versions" "a record that was read before counts" main/gateway/origin_sync.h "return _read_began_at >= p_since;" "return p_since != instant{} && _read_began_at != instant{};" gateway_stream_version_test
 mutate "reach" "one failed endpoint stands for its service" servers/reach/service_reach.h "REQUIRED_ENDPOINTS = 2" "REQUIRED_ENDPOINTS = 1" service_reach_test
 mutate "reach" "contact with one endpoint stands for all" servers/reach/service_reach.cpp "state.failed.erase(p_endpoint);" "state.failed.clear();" service_reach_test
 mutate "forwarding" "lost paths are taken for failed endpoints" main/gateway/endpoint_exchanges.cpp "if (_reach.is_endpoint_reached(p_request.service, p_request.endpoint.vm) ||" "if (true ||" gateway_cut_off_test
--- a/servers/gateway/read_reason.cpp
+++ b/servers/gateway/read_reason.cpp
@@ -30,6 +30,7 @@
 	"node_names",
 	"crashes",
 	"rollouts",
+	"streams",
 };
 
 } // namespace
--- a/servers/gateway/read_reason.h
+++ b/servers/gateway/read_reason.h
@@ -29,6 +29,7 @@
 	NODE_NAMES, ///< Addresses of other nodes are read or written.
 	CRASHES, ///< Records of crashes are read or written.
 	ROLLOUTS, ///< The state of a roll-out is read or written.
+	STREAMS, ///< The versions at which streams may have begun are read or written.
 	COUNT, ///< Number of the others.
 };
 
--- a/servers/streams/stream_lookup.cpp
+++ b/servers/streams/stream_lookup.cpp
@@ -49,9 +49,6 @@
 
 void stream_lookup::on_answer(const std::string &p_vm, const lookup_answer &p_answer) {
 	_awaited.erase(p_vm);
-	if (p_answer.only_version) {
-		_only_versions.insert(*p_answer.only_version);
-	}
 	if (p_answer.origin && !_origin) {
 		_origin = p_answer.origin;
 		_source = p_vm;
@@ -68,8 +65,4 @@
 	return p_now >= _expires_at ? lookup_state::UNANSWERED : lookup_state::OPEN;
 }
 
-std::optional<std::string> stream_lookup::get_only_version() const {
-	return _only_versions.size() == 1 ? std::optional(*_only_versions.begin()) : std::nullopt;
-}
-
 } // namespace calicoscale
--- a/servers/streams/stream_lookup.h
+++ b/servers/streams/stream_lookup.h
@@ -34,7 +34,6 @@
 /** Answer of one node to a lookup. */
 struct lookup_answer {
 	std::optional<stream_origin> origin; ///< From the node's record of the stream.
-	std::optional<std::string> only_version; ///< The only version that the service can have begun the stream with; see version_presence.
 };
 
 /** Nodes that are asked for a record, one group after the other. */
@@ -58,7 +57,6 @@
 	std::set<std::string> _awaited; ///< Nodes that have not answered the last question.
 	std::optional<stream_origin> _origin;
 	std::string _source;
-	std::set<std::string> _only_versions;
 
 public:
 	/** Time after which all sources are asked, if the first ones are silent. */
@@ -89,9 +87,6 @@
 
 	/** The node that had the record, if FOUND. */
 	const std::string &get_source() const { return _source; }
-
-	/** The only version that nodes know of for as long as the stream can have existed; empty if none knows, or they disagree. */
-	std::optional<std::string> get_only_version() const;
 };
 
 } // namespace calicoscale
--- a/servers/streams/version_presence.cpp
+++ b/servers/streams/version_presence.cpp
@@ -8,8 +8,6 @@
 
 #include "servers/streams/version_presence.h"
 
-#include <set>
-
 namespace calicoscale {
 
 void version_presence::set_listings(const std::vector<endpoint_listing> &p_listings, instant p_now) {
@@ -35,29 +33,26 @@
 	_confirmed_at = p_now;
 }
 
-std::optional<std::string> version_presence::find_only(const std::string &p_service, duration p_age, instant p_now) const {
-	const auto service = _services.find(p_service);
+std::optional<std::set<std::string>> version_presence::find_recent(const std::string &p_service, duration p_age, instant p_now) const {
 	const bool is_known = _confirmed_at && p_now - *_confirmed_at <= MAX_GAP && p_now - _known_since >= p_age && p_age < MAX_MEMORY;
-	if (service == _services.end() || !is_known) {
+	if (!is_known) {
 		return std::nullopt;
 	}
-	const std::optional<std::string> listed = find_only_listed(p_service);
-	for (const auto &[version, listed_at] : service->second) {
-		if (version != listed && p_now - listed_at < p_age) {
-			return std::nullopt;
+	std::set<std::string> recent;
+	const auto service = _services.find(p_service);
+	if (service != _services.end()) {
+		for (const auto &[version, listed_at] : service->second) {
+			if (p_now - listed_at < p_age) {
+				recent.insert(version);
+			}
 		}
 	}
-	return listed;
-}
-
-std::optional<std::string> version_presence::find_only_listed(const std::string &p_service) const {
-	std::set<std::string> versions;
 	for (const endpoint_listing &listing : _listings) {
 		if (listing.pool == p_service) {
-			versions.insert(listing.version);
+			recent.insert(listing.version);
 		}
 	}
-	return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+	return recent;
 }
 
 } // namespace calicoscale
--- a/servers/streams/version_presence.h
+++ b/servers/streams/version_presence.h
@@ -14,14 +14,15 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace calicoscale {
 
 /**
- * Remembers when endpoints of each version of a service were last listed. If a service had only one version for longer than a
- * stream can exist, that version began each stream that can still be resumed. The caller passes the current time.
+ * Remembers when endpoints of each version of a service were last listed. A version that was not listed for longer than a stream can
+ * exist began none that can still be resumed. The caller passes the current time.
  */
 class version_presence {
 	using last_listed = std::map<std::string, instant>; ///< When an endpoint was last listed, by version.
@@ -45,14 +46,8 @@
 	/** Records that the list was confirmed. Call it often while the store answers. */
 	void on_confirmed(instant p_now);
 
-	/**
-	 * Returns the only version that can have begun a stream within the last p_age.
-	 * @return empty if there was another version in that time, or if the list isn't known for so long.
-	 */
-	std::optional<std::string> find_only(const std::string &p_service, duration p_age, instant p_now) const;
-
-	/** Returns the only version that is listed at present, if there is exactly one. */
-	std::optional<std::string> find_only_listed(const std::string &p_service) const;
+	/** Returns the versions that were listed within the last p_age; empty if the list isn't known for so long. */
+	std::optional<std::set<std::string>> find_recent(const std::string &p_service, duration p_age, instant p_now) const;
 };
 
 } // namespace calicoscale
--- a/tests/drivers/link_test.cpp
+++ b/tests/drivers/link_test.cpp
@@ -278,18 +278,14 @@
 	EXPECT_EQ(streams.streams.front().customer, 7U);
 	EXPECT_EQ(streams.streams.front().origin, record.origin);
 	EXPECT_EQ(streams.streams.front().left, record.left);
-	const request_stream_message request = std::get<request_stream_message>(*decode_link_message(encode(link_message(request_stream_message{ 5, record.key, "llm", std::chrono::seconds(22) }))));
+	const request_stream_message request = std::get<request_stream_message>(*decode_link_message(encode(link_message(request_stream_message{ 5, record.key }))));
 	EXPECT_EQ(request.id, 5U);
 	EXPECT_EQ(request.key, record.key);
-	EXPECT_EQ(request.service, "llm");
-	EXPECT_EQ(request.age, duration(std::chrono::seconds(22)));
-	const stream_answer_message found = std::get<stream_answer_message>(*decode_link_message(encode(link_message(stream_answer_message{ 5, record, "" }))));
+	const stream_answer_message found = std::get<stream_answer_message>(*decode_link_message(encode(link_message(stream_answer_message{ 5, record }))));
 	ASSERT_TRUE(found.record.has_value());
 	EXPECT_EQ(found.record->origin, record.origin);
-	EXPECT_EQ(found.only_version, "");
-	const stream_answer_message absent = std::get<stream_answer_message>(*decode_link_message(encode(link_message(stream_answer_message{ 6, std::nullopt, std::nullopt }))));
+	const stream_answer_message absent = std::get<stream_answer_message>(*decode_link_message(encode(link_message(stream_answer_message{ 6, std::nullopt }))));
 	EXPECT_FALSE(absent.record.has_value());
-	EXPECT_FALSE(absent.only_version.has_value());
 }
 
 RC_GTEST_PROP(link_codec_properties, a_damaged_message_is_read_or_refused, ()) {
@@ -309,7 +305,7 @@
 	results.result_bytes = { 5 };
 	assign_work_message work;
 	work.inputs = { "10.0.0.1:1/a" };
-	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, report_endpoints_message{ { listing }, 5 }, report_delta_message{ reading }, results, report_crashes_message{ { reported_crash{} }, false }, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" }, report_streams_message{ { reported_stream{} } }, request_stream_message{ 1, stream_key(), "llm", duration::zero() }, stream_answer_message{ 1, reported_stream(), "v1" } };
+	const std::vector<link_message> messages{ make_heartbeat(), prompts, work, report_endpoints_message{ { listing }, 5 }, report_delta_message{ reading }, results, report_crashes_message{ { reported_crash{} }, false }, release_results_message{ "p", { "h" } }, work_ended_message{ 1, 250, { "h" } }, configuration_snapshot{ 4, 9, true, "change", "{}" }, hello_message{ "vm", 1, "n" }, report_streams_message{ { reported_stream{} } }, request_stream_message{ 1, stream_key() }, stream_answer_message{ 1, reported_stream() } };
 	for (const link_message &message : messages) {
 		const std::optional<link_message> read = decode_link_message(mutate(encode(message)));
 		if (read) {
--- a/tests/main/gateway_stream_version_test.cpp
+++ b/tests/main/gateway_stream_version_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int STREAMS = 12;
+constexpr const char *ORIGIN_TOPIC = "keyed.calicoscale-streams";
 /** Repeats per window that let a gateway repeat within milliseconds of its start. */
 constexpr double AMPLE_SLACK = 1e6;
 const std::string RESUMABLE_PATH = "/stream/again/x";
@@ -55,6 +56,32 @@
 		};
 	}
 
+	/** Starts gateways of a system that has never run before, and waits until the versions are recorded. */
+	void start_first(std::size_t p_nodes, duration p_lifetime = stream_table::MAX_LIFETIME) {
+		const auto adjust = [p_lifetime](bool p_is_first) {
+			return [p_lifetime, p_is_first](gateway_settings &r_settings) {
+				r_settings.retries.slack = 0.0;
+				r_settings.retries.ratio = 0.0;
+				r_settings.stream_lifetime = p_lifetime;
+				r_settings.is_first_start = p_is_first;
+			};
+		};
+		_adjust_settings = adjust(true);
+		for (std::size_t i = 0; i < p_nodes; i++) {
+			start_ready();
+		}
+		_adjust_settings = adjust(false);
+		run_until([this] { return !find_recorded().empty(); });
+	}
+
+	/** The versions of the service at which streams may have begun, according to the store. */
+	std::set<std::string> find_recorded() const {
+		const std::optional<std::string> text = _store.find(ORIGIN_TOPIC, "origins");
+		const std::optional<origin_record> record = text ? read_origin_record(*text) : std::nullopt;
+		const auto service = record ? record->get_versions().find("llm") : service_versions::const_iterator();
+		return record && service != record->get_versions().end() ? service->second : std::set<std::string>();
+	}
+
 	begun_stream begin(const gateway &p_node) {
 		const std::shared_ptr<caller_result> result = ask(p_node, RESUMABLE_PATH);
 		return begun_stream{ "r" + std::to_string(_next_attempt - 1), result->body };
@@ -101,6 +128,27 @@
 		wait(milliseconds(1500));
 	}
 
+	std::vector<begun_stream> begin_at_all() {
+		std::vector<begun_stream> streams;
+		for (int i = 0; i < STREAMS; i++) {
+			streams.push_back(begin(*_gateways[static_cast<std::size_t>(i) % _gateways.size()]));
+		}
+		return streams;
+	}
+
+	/** Takes each stream up at each gateway and expects that none goes on at another version. Returns how many go on. */
+	std::size_t take_up_at_all(const std::vector<begun_stream> &p_streams) {
+		std::size_t went_on = 0;
+		for (const begun_stream &stream : p_streams) {
+			for (const std::unique_ptr<gateway> &node : _gateways) {
+				const std::set<std::string> versions = find_versions(take_up(*node, stream)->body);
+				EXPECT_TRUE(versions.empty() || versions == find_versions(stream.events)) << stream.attempt;
+				went_on += versions.empty() ? 0 : 1;
+			}
+		}
+		return went_on;
+	}
+
 	/** Kills all gateways, and the endpoints of a version leave at that moment. Starts as many gateways. */
 	void kill_all_while_leaves(const std::string &p_version) {
 		const std::size_t nodes = _gateways.size();
@@ -326,6 +374,7 @@
 	}
 	const std::size_t resumed = count_all_resumes();
 	add_version("v1.1");
+	run_until([this] { return find_recorded() == std::set<std::string>{ "v1", "v1.1" }; });
 	expect_refused(ask(node, RESUMABLE_PATH, "key-1", without_attempt), "0.000");
 	EXPECT_EQ(count_all_resumes(), resumed);
 }
@@ -362,6 +411,115 @@
 	expect_refused(take_up(*_gateways.front(), stream), "0.000");
 }
 
+// Guards against refusing all streams that were cut by a kill of all nodes, although one version began them all.
+TEST_F(gateway_stream_version_test, streams_cut_by_a_kill_of_all_nodes_go_on_if_their_service_has_one_version) {
+	configure(1);
+	add_version("v1");
+	add_version("v1");
+	start_first(2);
+	const std::vector<begun_stream> streams = begin_at_all();
+	kill_all_while_leaves("none");
+	EXPECT_EQ(take_up_at_all(streams), STREAMS * _gateways.size());
+}
+
+// Guards against joining versions by a record that was not written before the second one began streams.
+TEST_F(gateway_stream_version_test, a_version_is_recorded_before_it_begins_a_stream) {
+	configure(1);
+	add_version("v1");
+	start_first(2);
+	standin_replica &later = add_version("v1.1");
+	run_until([this, &later] {
+		begin_at_all();
+		EXPECT_TRUE(later.runs.empty() || find_recorded().contains("v1.1"));
+		return !later.runs.empty();
+	});
+	const std::vector<begun_stream> streams = begin_at_all();
+	kill_all_while_leaves("v1");
+	EXPECT_EQ(take_up_at_all(streams), 0U);
+}
+
+// Guards against streams that begin at a version of which the store takes no record, as others keep changing its topic.
+TEST_F(gateway_stream_version_test, streams_begin_at_recorded_versions_while_a_new_one_cannot_be_recorded) {
+	configure(1);
+	add_version("v1");
+	start_first(1);
+	timer other_writer(_loop, [this, &other_writer] {
+		_store.put(ORIGIN_TOPIC, "other", "record");
+		other_writer.set(duration::zero());
+	});
+	other_writer.set(duration::zero());
+	const standin_replica &later = add_version("v1.1");
+	const instant end = event_loop::now() + seconds(3);
+	while (event_loop::now() < end) {
+		EXPECT_EQ(find_versions(begin(*_gateways.front()).events), std::set<std::string>{ "v1" });
+		EXPECT_EQ(find_recorded(), std::set<std::string>{ "v1" });
+	}
+	other_writer.cancel();
+	run_until([this, &later] {
+		begin(*_gateways.front());
+		return !later.runs.empty();
+	});
+	EXPECT_EQ(find_recorded(), (std::set<std::string>{ "v1", "v1.1" }));
+}
+
+// Guards against a conclusion from a record that was read before the stream began.
+TEST_F(gateway_stream_version_test, a_record_that_was_read_before_a_stream_is_taken_up_does_not_tell_its_origin) {
+	configure(1);
+	add_version("v1");
+	start_first(1);
+	EXPECT_EQ(find_versions(take_up(*_gateways.front(), begun_stream{ "first", "" })->body), std::set<std::string>{ "v1" });
+	_store.put(ORIGIN_TOPIC, "origins", write_origin_record(origin_record(0, { { "llm", { "v1", "v1.1" } } })));
+	expect_refused(take_up(*_gateways.front(), begun_stream{ "second", "" }), "0.000");
+}
+
+// Guards against a service that is not served, as the store takes no record of its only version.
+TEST_F(gateway_stream_version_test, streams_begin_at_an_unrecorded_version_if_no_other_serves) {
+	configure(1);
+	add_version("v1");
+	start_first(1);
+	_store.put(ORIGIN_TOPIC, "origins", write_origin_record(origin_record(0, { { "llm", { "v0" } } })));
+	add_version("v1.1");
+	_store.set_away(true);
+	EXPECT_EQ(begin(*_gateways.front()).events.empty(), false);
+}
+
+// Guards against a record from before a restore of the store, which lacks the versions that were recorded since.
+TEST_F(gateway_stream_version_test, a_record_of_an_older_copy_of_the_store_is_not_believed) {
+	configure(1);
+	add_version("v1");
+	start_first(2);
+	_store.take_copy();
+	const std::vector<begun_stream> streams = begin_at_all();
+	_store.come_back_from_copy();
+	kill_all_while_leaves("none");
+	EXPECT_EQ(take_up_at_all(streams), 0U);
+}
+
+TEST_F(gateway_stream_version_test, a_version_leaves_the_record_after_the_lifetime_of_streams_and_enters_it_again) {
+	configure(1);
+	add_version("v1");
+	standin_replica &leaving = add_version("v1.1");
+	start_first(2, seconds(1));
+	_store.drop(ENDPOINT_TOPIC, leaving.get_name());
+	run_until([this] { return find_recorded() == std::set<std::string>{ "v1" }; });
+	_store.put(ENDPOINT_TOPIC, leaving.get_name(), leaving.get_entry("llm"));
+	run_until([this] { return find_recorded() == std::set<std::string>{ "v1", "v1.1" }; });
+}
+
+// Guards against callers that return at once, again and again, while the store cannot tell which version began their streams.
+TEST_F(gateway_stream_version_test, a_stream_that_only_the_store_can_tell_is_refused_with_a_time_to_return_while_the_store_is_away) {
+	configure(1);
+	add_version("v1");
+	start_first(2);
+	const std::vector<begun_stream> streams = begin_at_all();
+	kill_all_while_leaves("none");
+	_store.set_away(true);
+	expect_refused(take_up(*_gateways.front(), streams.front()), "0.500");
+	_store.set_away(false);
+	wait(seconds(2));
+	EXPECT_EQ(take_up(*_gateways.front(), streams.front())->head.status, 200);
+}
+
 TEST_F(gateway_stream_version_test, a_stream_without_an_event_begins_anew_at_any_version) {
 	configure(1);
 	add_versions();
--- a/tests/servers/streams/stream_fleet.cpp
+++ b/tests/servers/streams/stream_fleet.cpp
@@ -168,7 +168,7 @@
 		}
 	}
 	p_lookup->state.on_asked(nodes);
-	const std::size_t asked_bytes = count_bytes(request_stream_message{ 1, p_lookup->key, "llm", STREAM_LIFETIME });
+	const std::size_t asked_bytes = count_bytes(request_stream_message{ 1, p_lookup->key });
 	for (const std::string &vm : nodes) {
 		const std::size_t source = _by_name.at(vm);
 		_send(p_lookup->node, source, asked_bytes, [this, p_lookup, source, vm] {
--- a/tests/servers/streams/stream_records_test.cpp
+++ b/tests/servers/streams/stream_records_test.cpp
@@ -181,7 +181,7 @@
 	lookup.on_asked({ "n1", "n2" });
 	lookup.on_answer("n1", lookup_answer{});
 	EXPECT_EQ(lookup.get_state(START), lookup_state::OPEN);
-	lookup.on_answer("n2", lookup_answer{ V1, std::nullopt });
+	lookup.on_answer("n2", lookup_answer{ V1 });
 	EXPECT_EQ(lookup.get_state(START), lookup_state::FOUND);
 	EXPECT_EQ(lookup.get_origin(), V1);
 	EXPECT_EQ(lookup.get_source(), "n2");
@@ -223,13 +223,7 @@
 	EXPECT_EQ(lookup.get_state(START + milliseconds(400)), lookup_state::UNANSWERED);
 }
 
-TEST(stream_lookup, versions_that_nodes_disagree_on_are_unknown) {
-	stream_lookup lookup(START, START + milliseconds(400));
-	lookup.on_answer("n1", lookup_answer{ std::nullopt, "v1" });
-	EXPECT_EQ(lookup.get_only_version(), "v1");
-	lookup.on_answer("n2", lookup_answer{ std::nullopt, "v2" });
-	EXPECT_EQ(lookup.get_only_version(), std::nullopt);
-}
+using versions = std::set<std::string>;
 
 class version_presence_test : public ::testing::Test {
 protected:
@@ -242,26 +236,25 @@
 	}
 };
 
-TEST_F(version_presence_test, a_single_version_is_known_only_after_a_streams_lifetime) {
+TEST_F(version_presence_test, versions_are_known_only_after_a_streams_lifetime) {
 	_presence.on_confirmed(START);
 	_presence.set_listings({ make_listing("i-1", "v1"), make_listing("i-2", "v1") }, START);
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), START), std::nullopt);
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), START), std::nullopt);
 	confirm_until(START, START + seconds(20));
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), START + seconds(19)), std::nullopt);
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), START + seconds(20)), "v1");
-	EXPECT_EQ(_presence.find_only("other", seconds(20), START + seconds(20)), std::nullopt);
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), START + seconds(19)), std::nullopt);
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), START + seconds(20)), versions{ "v1" });
+	EXPECT_EQ(_presence.find_recent("other", seconds(20), START + seconds(20)), versions());
 }
 
 TEST_F(version_presence_test, a_version_that_has_gone_counts_for_a_streams_lifetime) {
 	_presence.set_listings({ make_listing("i-1", "v1") }, START);
 	confirm_until(START, START + seconds(30));
 	_presence.set_listings({ make_listing("i-1", "v1"), make_listing("i-2", "v2") }, START + seconds(30));
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), START + seconds(30)), std::nullopt);
-	EXPECT_EQ(_presence.find_only_listed("llm"), std::nullopt);
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), START + seconds(30)), (versions{ "v1", "v2" }));
 	_presence.set_listings({ make_listing("i-2", "v2") }, START + seconds(40));
 	confirm_until(START + seconds(30), START + seconds(60));
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), START + seconds(59)), std::nullopt);
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), START + seconds(60)), "v2");
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), START + seconds(59)), (versions{ "v1", "v2" }));
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), START + seconds(60)), versions{ "v2" });
 }
 
 // Guards against a guess by a node that is cut off from the store and knows an old list.
@@ -269,11 +262,11 @@
 	_presence.set_listings({ make_listing("i-1", "v1") }, START);
 	confirm_until(START, START + seconds(60));
 	const instant late = START + seconds(60) + version_presence::MAX_GAP + milliseconds(1);
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), late), std::nullopt);
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), late), std::nullopt);
 	confirm_until(late, late + seconds(19));
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), late + seconds(19)), std::nullopt);
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), late + seconds(19)), std::nullopt);
 	confirm_until(late + seconds(20), late + seconds(20));
-	EXPECT_EQ(_presence.find_only("llm", seconds(20), late + seconds(20)), "v1");
+	EXPECT_EQ(_presence.find_recent("llm", seconds(20), late + seconds(20)), versions{ "v1" });
 }
 
 } // namespace calicoscale
