--- a/drivers/caller_exchange.cpp
+++ b/drivers/caller_exchange.cpp
@@ -19,21 +19,23 @@
 
 void caller_exchange::_write_head(int p_status, const std::vector<http_header> &p_headers, std::optional<std::size_t> p_length) {
 	const bool is_http_1_0 = head.minor_version == 0;
-	_chunked = !p_length && !is_http_1_0;
+	const bool has_body = !http_status::has_no_body(p_status);
+	_without_body = _without_body || !has_body;
+	_chunked = has_body && !p_length && !is_http_1_0;
 	std::string text = "HTTP/1.1 " + std::to_string(p_status) + " " + std::string(get_reason_phrase(p_status)) + "\r\n";
 	for (const http_header &header : p_headers) {
 		text += header.name + ": " + header.value + "\r\n";
 	}
-	if (p_length) {
+	if (has_body && p_length) {
 		text += "Content-Length: " + std::to_string(*p_length) + "\r\n";
 	} else if (_chunked) {
 		text += "Transfer-Encoding: chunked\r\n";
 	}
-	_ends_with_connection = !p_length && !_chunked;
+	_ends_with_connection = has_body && !p_length && !_chunked;
 	if (_ends_with_connection) {
 		_connection->set_reset_on_close(true);
 	}
-	const bool is_last = _connection->is_closing() || !head.keep_alive || (!p_length && is_http_1_0);
+	const bool is_last = _connection->is_closing() || !head.keep_alive || _ends_with_connection;
 	if (is_last) {
 		head.keep_alive = false;
 		text += "Connection: close\r\n";
--- a/drivers/http_reader.cpp
+++ b/drivers/http_reader.cpp
@@ -9,6 +9,7 @@
 #include "drivers/http_reader.h"
 
 #include "core/enum_names.h"
+#include "drivers/http_status.h"
 
 #include <http_parser.h>
 #include <strings.h>
@@ -122,7 +123,7 @@
 } };
 
 body_framing get_answer_framing(const http_parser &p_parser) {
-	const bool has_no_body = p_parser.status_code / 100 == 1 || p_parser.status_code == 204 || p_parser.status_code == 304;
+	const bool has_no_body = http_status::has_no_body(static_cast<int>(p_parser.status_code));
 	if (!has_no_body && (p_parser.flags & F_CHUNKED) != 0) {
 		return body_framing::CHUNKS;
 	}
@@ -198,6 +199,11 @@
 	return encoding == nullptr || is_same_header(*encoding, "chunked");
 }
 
+bool http_reader::_is_status_valid() const {
+	// Nothing asks endpoints for another protocol.
+	return _head.status >= http_status::FIRST && _head.status <= http_status::LAST && _head.status != http_status::SWITCHING_PROTOCOLS;
+}
+
 int http_reader::_on_headers_complete() {
 	if (_in_value || !_field.empty()) {
 		_finish_header();
@@ -209,12 +215,14 @@
 	_head.minor_version = _parser->http_minor;
 	_head.keep_alive = http_should_keep_alive(_parser.get()) != 0;
 	_head.framing = _kind == kind::REQUEST || _without_body ? body_framing::LENGTH : get_answer_framing(*_parser);
-	if (_parser->http_major != 1 || !_are_headers_valid() || !_is_framing_valid() || (_kind == kind::REQUEST && _parser->upgrade != 0)) {
+	const bool is_kind_valid = _kind == kind::REQUEST ? _parser->upgrade == 0 : _is_status_valid();
+	if (_parser->http_major != 1 || !_are_headers_valid() || !_is_framing_valid() || !is_kind_valid) {
 		return -1;
 	}
 	_has_head = true;
 	_hooks.on_head(_head);
-	return _without_body ? 1 : 0;
+	const bool ends_here = _without_body || (_kind == kind::ANSWER && http_status::has_no_body(_head.status));
+	return ends_here ? 1 : 0;
 }
 
 std::size_t http_reader::feed(std::string_view p_bytes) {
--- a/drivers/http_reader.h
+++ b/drivers/http_reader.h
@@ -100,6 +100,8 @@
 	int _on_headers_complete();
 	bool _are_headers_valid() const;
 	bool _is_framing_valid() const;
+	/** Whether the status is one that an answer may have. */
+	bool _is_status_valid() const;
 
 	friend struct http_reader_callbacks;
 
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -76,6 +76,25 @@
 	EXPECT_EQ(read(http_reader::kind::REQUEST, large).state, http_reader::state::HEADERS_TOO_LARGE);
 }
 
+// Guards against reading the bytes behind a head as a body that its status does not have.
+TEST(http_reader, an_answer_of_a_status_without_a_body_ends_with_its_headers) {
+	for (const char *status : { "103 Early Hints", "204 No Content", "304 Not Modified" }) {
+		for (const char *framing : { "Content-Length: 5", "Transfer-Encoding: chunked", "A: b" }) {
+			const std::string head = "HTTP/1.1 " + std::string(status) + "\r\n" + framing + "\r\n\r\n";
+			const read_message message = read(http_reader::kind::ANSWER, head + "5\r\nbytes\r\n0\r\n\r\n");
+			EXPECT_EQ(message.state, http_reader::state::COMPLETE) << head;
+			EXPECT_EQ(message.consumed, head.size()) << head;
+			EXPECT_EQ(message.body, "") << head;
+		}
+	}
+}
+
+TEST(http_reader, an_answer_of_a_status_that_no_answer_has_is_malformed) {
+	for (const char *status : { "0", "99", "101", "600", "999" }) {
+		EXPECT_EQ(read(http_reader::kind::ANSWER, "HTTP/1.1 " + std::string(status) + " Status\r\nContent-Length: 0\r\n\r\n").state, http_reader::state::MALFORMED) << status;
+	}
+}
+
 TEST(http_reader, an_answer_without_a_length_is_whole_at_an_orderly_close_only) {
 	const std::string text = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nsome bytes";
 	EXPECT_EQ(read(http_reader::kind::ANSWER, text).state, http_reader::state::READING);
--- a/tests/main/gateway_broken_answer_test.cpp
+++ b/tests/main/gateway_broken_answer_test.cpp
@@ -198,6 +198,24 @@
 	EXPECT_TRUE(caller.is_reset());
 }
 
+// Guards against bytes behind an answer without a body, which the caller reads as the answer to its next request.
+TEST_F(gateway_broken_answer_test, bytes_behind_an_answer_without_a_body_are_not_passed_on) {
+	const std::string other = "HTTP/1.1 200 OK\r\nX-Replica-Seal: raw\r\nContent-Length: 5\r\n\r\nother";
+	const gateway &entry = start_with("HTTP/1.1 204 No Content\r\nX-Replica-Seal: raw\r\nX-Attempt-Id: $attempt\r\nContent-Length: " + std::to_string(other.size()) + "\r\n\r\n" + other, raw_server::after::KEEP);
+	raw_connection caller(entry.get_caller_address());
+	caller.send_bytes(write_request("/once/x", "body", "key-1", "Connection: close\r\n"));
+	run_until([&caller] { caller.poll(); return caller.is_closed(); });
+	EXPECT_TRUE(caller.get_received().starts_with("HTTP/1.1 204 ")) << caller.get_received();
+	EXPECT_TRUE(caller.get_received().ends_with("\r\n\r\n")) << caller.get_received();
+	EXPECT_EQ(caller.get_received().find("other"), std::string::npos);
+	EXPECT_EQ(caller.get_received().find("Content-Length"), std::string::npos) << "the status says where the answer ends";
+}
+
+TEST_F(gateway_broken_answer_test, a_status_that_no_answer_has_is_not_passed_on) {
+	const gateway &entry = start_with("HTTP/1.1 0 Status\r\nX-Replica-Seal: raw\r\nX-Attempt-Id: $attempt\r\nContent-Length: 0\r\n\r\n", raw_server::after::KEEP);
+	EXPECT_EQ(ask(entry, "/once/x")->head.status, 502);
+}
+
 TEST_F(gateway_broken_answer_test, a_resumable_stream_that_ends_inside_an_event_goes_on_at_another_endpoint) {
 	const standin_replica &other = add_replica("llm");
 	const gateway &entry = start_with(write_answer(framing::NONE, FIRST_EVENTS + "id: 3\ndata: tok"));
