--- a/main/gateway/pool_caller.cpp
+++ b/main/gateway/pool_caller.cpp
@@ -27,8 +27,10 @@
 
 /** Short, as items wait for the connection, and an unreachable replica must not delay them for long. */
 constexpr duration CONNECT_TIMEOUT = std::chrono::milliseconds(120);
-/** Maximum size of an answer in bytes. A result takes some hundred bytes of it. */
-constexpr std::size_t MAX_ANSWER_BYTES = 4UL * 1024 * 1024;
+/** Maximum size of an answer in bytes: this and a part for each item. Parsing takes many times the memory of the text. */
+constexpr std::size_t MAX_ANSWER_BYTES = 16UL * 1024;
+/** A result takes some hundred bytes. */
+constexpr std::size_t MAX_ITEM_BYTES = 4UL * 1024;
 /** Maximum number of requests named in the log line of a call, which keeps the line within about a kilobyte. */
 constexpr std::size_t MAX_LOGGED_REQUESTS = 32;
 constexpr duration MAX_REPLICA_IDLE_TIME = std::chrono::milliseconds(3000);
@@ -149,9 +151,9 @@
 	struct answer_state {
 		int status = 0;
 		endpoint_answer notes;
-		bounded_body body{ MAX_ANSWER_BYTES };
+		bounded_body body;
 	};
-	const std::shared_ptr<answer_state> answer = std::make_shared<answer_state>();
+	const std::shared_ptr<answer_state> answer = std::make_shared<answer_state>(answer_state{ 0, {}, bounded_body(MAX_ANSWER_BYTES + MAX_ITEM_BYTES * p_call.items.size()) });
 	channel_hooks hooks;
 	hooks.on_head = [this, answer, replica = p_call.replica, now](const http_head &p_head) {
 		const endpoint_answer head = read_endpoint_answer(p_head);
@@ -165,8 +167,12 @@
 			_guard.on_answer(replica, head.notice, head.did_not_run || p_head.status == http_status::OK, now);
 		}
 	};
-	hooks.on_body = [answer](std::string_view p_bytes) {
+	hooks.on_body = [this, p_call, answer](std::string_view p_bytes) {
 		answer->body.append(p_bytes);
+		if (!answer->body.is_complete()) {
+			_endpoints.cancel(_exchanges[p_call.id]);
+			_on_ended(p_call, channel_end::MALFORMED, answer->status, answer->notes, "");
+		}
 	};
 	hooks.get_answer_digest = [answer]() -> std::optional<std::uint64_t> {
 		if (answer->status != http_status::OK || !names_result(answer->body.get())) {
--- a/tests/main/gateway_broken_answer_test.cpp
+++ b/tests/main/gateway_broken_answer_test.cpp
@@ -144,6 +144,20 @@
 	}
 }
 
+// Guards against parsing what takes many times its memory, and against waiting for the end of an answer that has none.
+TEST_F(gateway_broken_answer_test, an_answer_of_a_stage_replica_without_an_end_is_broken_off) {
+	configure(1);
+	_raw.set_answer("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + std::string(1000UL * 1000, '['), raw_server::after::KEEP);
+	_store.put(ENDPOINT_TOPIC, "i-raw", write_raw_entry("encode"));
+	add_replica("search");
+	add_replica("llm");
+	_has_metrics = true;
+	const gateway &node = start_ready();
+	const std::shared_ptr<caller_result> first = send(node, "/stream/staged/x", "key-1", "X-Segments: 1,1\r\nX-Segment-Key: k\r\n");
+	run_until([this, &first] { return first->end.has_value() || read_metrics().find("stage_calls_failed") != std::string::npos; });
+	EXPECT_EQ(read_metrics().find("stage_calls_overdue"), std::string::npos);
+}
+
 TEST_F(gateway_broken_answer_test, a_stream_without_a_length_that_ends_behind_an_event_is_whole) {
 	expect_complete(WHOLE_STREAM);
 }
