--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -340,17 +340,28 @@
 	_dial();
 }
 
-void gateway_fleet::_dial_other_seeds() {
+bool gateway_fleet::_dials_all_seeds() const {
 	const std::vector<network_address> &seeds = _context.settings.peers;
-	const bool is_seed = std::find(seeds.begin(), seeds.end(), _link.get_address()) != seeds.end();
-	if (!is_seed) {
+	if (std::find(seeds.begin(), seeds.end(), _link.get_address()) != seeds.end()) {
+		return true;
+	}
+	const std::vector<std::string> dispatchers = get_dispatch_nodes();
+	return !dispatchers.empty() && dispatchers.front() == get_vm();
+}
+
+void gateway_fleet::_dial_unknown_seeds() {
+	if (!_dials_all_seeds()) {
 		return;
 	}
+	// A seed that left or was lost may have started again, and then knows only the seeds that started with it.
 	std::set<std::string> known;
 	for (const auto &[vm, entry] : _members.get_members()) {
-		known.insert(to_string(entry.digest.link));
+		const bool is_staying = entry.state != member_state::GONE && !entry.digest.leaving;
+		if (is_staying || _link.is_linked(vm)) {
+			known.insert(to_string(entry.digest.link));
+		}
 	}
-	for (const network_address &seed : seeds) {
+	for (const network_address &seed : _context.settings.peers) {
 		if (!(seed == _link.get_address()) && !known.contains(to_string(seed)) && _link.dial_unnamed(seed)) {
 			_context.log.write(log_line("seed_dialled").add("seed", to_string(seed)));
 		}
@@ -358,7 +369,7 @@
 }
 
 void gateway_fleet::_dial() {
-	_dial_other_seeds();
+	_dial_unknown_seeds();
 	if (_link.get_linked().empty() && !_context.settings.peers.empty()) {
 		// Dials one seed at a time, so that a starting fleet does not connect to all of its seeds at once.
 		const network_address &seed = _context.settings.peers[_seed_order.take_next(_context.settings.peers.size())];
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -108,8 +108,10 @@
 	void _send_heartbeats(heartbeat_scope p_scope);
 	void _plan_links();
 	void _dial();
-	/** If this node is a seed, dials those that it does not know: each seed may be the only one that a part of the fleet has dialled. */
-	void _dial_other_seeds();
+	/** Whether this node keeps in contact with all seeds: it is one, or the first dispatching node of the nodes that it knows. */
+	bool _dials_all_seeds() const;
+	/** Dials the seeds that are not known as staying. Each may be the only contact to another part of the fleet. */
+	void _dial_unknown_seeds();
 	void _request_list();
 	void _update_liveness();
 	void _set_live(const std::string &p_vm);
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -178,6 +178,10 @@
 mutate "recorded versions" "a record from before a restore is believed" main/gateway/origin_sync.h "return _record && _record->get_era() == _era;" "return _record.has_value();" gateway_stream_version_test
 mutate "recorded versions" "a version never leaves the record" main/gateway/origin_sync.cpp "planned.keep(service, *recent);" ";" gateway_stream_version_test
 mutate "recorded versions" "a record that was read before counts" main/gateway/origin_sync.h "return _read_began_at >= p_since;" "return p_since != instant{} && _read_began_at != instant{};" gateway_stream_version_test
+mutate "memory" "answers are received whatever they take together" main/gateway/answer_buffers.cpp "_budget.find_excess(); excess; excess" "std::optional<buffer_id>(); excess; excess" gateway_broken_answer_test
+mutate "memory" "answers of stage replicas are received without a bound" main/gateway/pool_caller.cpp "if (!answer->body.is_complete()) {" "if (false) {" gateway_broken_answer_test
+mutate "membership" "seeds that left are not dialled again" main/gateway/gateway_fleet.cpp "const bool is_staying = entry.state != member_state::GONE && !entry.digest.leaving;" "const bool is_staying = true;" gateway_fleet_test
+mutate "proofs of serve" "a refusal without a name counts on any connection" drivers/endpoint_client.cpp "if (echo.empty() && !p_result.is_first_on_connection) {" "if (false) {" endpoint_client_test
 mutate "reach" "one failed endpoint stands for its service" servers/reach/service_reach.h "REQUIRED_ENDPOINTS = 2" "REQUIRED_ENDPOINTS = 1" service_reach_test
 mutate "reach" "contact with one endpoint stands for all" servers/reach/service_reach.cpp "state.failed.erase(p_endpoint);" "state.failed.clear();" service_reach_test
 mutate "forwarding" "lost paths are taken for failed endpoints" main/gateway/endpoint_exchanges.cpp "if (_reach.is_endpoint_reached(p_request.service, p_request.endpoint.vm) ||" "if (true ||" gateway_cut_off_test
--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -541,4 +541,34 @@
 // Around the stall after which a node drops work handed to it, and below the silence after which others consider it failed.
 INSTANTIATE_TEST_SUITE_P(pauses, held_up_nodes_test, ::testing::Values(300, 620, 650, 680, 720));
 
+// Guards against a fleet in two parts: the nodes that stay know the seeds as leaving, and seeds that start together find each other only.
+TEST_F(gateway_fleet_test, a_fleet_whose_seeds_are_restarted_together_is_one_again) {
+	constexpr std::size_t SEEDS = 2;
+	constexpr std::size_t NODES = 5;
+	configure(1);
+	add_replica("llm");
+	const auto is_one = [this] { return std::all_of(_gateways.begin(), _gateways.end(), [](const std::unique_ptr<gateway> &p_node) { return p_node->get_live_count() == NODES; }); };
+	_most_seeds = SEEDS;
+	for (std::size_t i = 0; i < NODES; i++) {
+		start_ready();
+	}
+	run_until(is_one);
+	std::vector<network_address> seeds;
+	for (std::size_t i = 0; i < SEEDS; i++) {
+		seeds.push_back(_gateways[i]->get_link_address());
+		_gateways[i]->stop();
+	}
+	run_until([this] { return std::all_of(_gateways.begin(), _gateways.begin() + SEEDS, [](const std::unique_ptr<gateway> &p_node) { return p_node->has_stopped(); }); });
+	_gateways.erase(_gateways.begin(), _gateways.begin() + SEEDS);
+	_first_seeds = seeds;
+	for (std::size_t i = 0; i < SEEDS; i++) {
+		_adjust_settings = [&seeds, i](gateway_settings &r_settings) {
+			r_settings.vm = "n" + std::to_string(i);
+			r_settings.link_address = seeds[i];
+		};
+		start_gateway();
+	}
+	run_until(is_one);
+}
+
 } // namespace calicoscale
