--- a/main/gateway/gateway_request.cpp
+++ b/main/gateway/gateway_request.cpp
@@ -361,6 +361,7 @@
 
 void gateway_request::_on_judged(answer_end p_end) {
 	_log_end_of_answer(p_end);
+	_services.buffers.set_size(_buffer, 0);
 	if (p_end == answer_end::LOST || p_end == answer_end::TRUNCATED) {
 		_record_interrupted_run();
 	}
--- a/main/gateway/origin_sync.cpp
+++ b/main/gateway/origin_sync.cpp
@@ -72,20 +72,24 @@
 			_staying[listing.pool].insert(listing.version);
 		}
 	}
-	_forget_returned(listed_before);
+	_note_returned(listed_before);
 	_find_mixed();
 	_consider();
 }
 
-void origin_sync::_forget_returned(const service_versions &p_listed_before) {
-	if (!_record) {
-		return;
-	}
+bool origin_sync::_is_recorded(const std::string &p_service, const std::string &p_version) const {
+	const auto returned = _returned.find(p_service);
+	const bool has_returned = returned != _returned.end() && returned->second.contains(p_version);
+	return _is_believed() && _record->contains(p_service, p_version) && !has_returned;
+}
+
+void origin_sync::_note_returned(const service_versions &p_listed_before) {
 	for (const auto &[service, versions] : _listed) {
 		const auto before = p_listed_before.find(service);
 		for (const std::string &version : versions) {
 			if (before == p_listed_before.end() || !before->second.contains(version)) {
-				_record->remove(service, version);
+				_returned[service].insert(version);
+				_returned_at = event_loop::now();
 			}
 		}
 	}
@@ -97,7 +101,7 @@
 		return;
 	}
 	for (const auto &[service, versions] : _staying) {
-		const auto recorded = std::count_if(versions.begin(), versions.end(), [this, &service](const std::string &p_version) { return _record->contains(service, p_version); });
+		const auto recorded = std::count_if(versions.begin(), versions.end(), [this, &service](const std::string &p_version) { return _is_recorded(service, p_version); });
 		if (recorded > 0 && recorded < static_cast<std::ptrdiff_t>(versions.size())) {
 			_mixed.insert(service);
 		}
@@ -126,7 +130,7 @@
 		}
 		planned.add({ { service, versions } });
 	}
-	const bool is_written = is_believed && planned == *_record && !_must_rewrite;
+	const bool is_written = is_believed && planned == *_record && _returned.empty() && !_must_rewrite;
 	return is_written ? std::nullopt : std::optional(planned);
 }
 
@@ -192,6 +196,9 @@
 	}
 	_failure_pause = duration::zero();
 	_read_began_at = p_began_at;
+	if (p_began_at >= _returned_at) {
+		_returned.clear();
+	}
 	if (p_answer.era > _era) {
 		_enter_era(p_answer.era);
 	}
@@ -230,6 +237,7 @@
 	_must_rewrite = p_end == put_end::UNKNOWN;
 	if (p_end == put_end::DONE) {
 		_record = p_record;
+		_returned.clear();
 		_write_needed_since.reset();
 		_find_mixed();
 	}
--- a/main/gateway/origin_sync.h
+++ b/main/gateway/origin_sync.h
@@ -38,6 +38,8 @@
 	service_versions _staying; ///< Those of endpoints that do not leave.
 	std::set<std::string> _mixed; ///< Services with a recorded and an unrecorded version among the staying ones.
 	std::optional<origin_record> _record; ///< As last read or written.
+	service_versions _returned; ///< Versions that were listed again since the last read; other nodes may have removed them meanwhile.
+	instant _returned_at{}; ///< When such a version was last listed again.
 	std::uint64_t _era = 0;
 	std::uint64_t _end_offset = 0;
 	bool _is_topic_empty = false;
@@ -56,8 +58,8 @@
 	bool _is_believed() const { return _record && _record->get_era() == _era; }
 	/** Whether this node may begin a record: no stream can have begun that it does not know of. */
 	bool _may_begin() const;
-	/** Assumes that a version is not recorded if it was not listed until now, as other nodes may have removed it meanwhile. */
-	void _forget_returned(const service_versions &p_listed_before);
+	bool _is_recorded(const std::string &p_service, const std::string &p_version) const;
+	void _note_returned(const service_versions &p_listed_before);
 	/** Returns the record that the store should have; empty if that is the one it has. */
 	std::optional<origin_record> _plan() const;
 	void _find_mixed();
@@ -85,7 +87,7 @@
 	std::optional<std::string> find_only(const std::string &p_service) const;
 
 	/** Whether streams may begin at a version: it is recorded, or no recorded version of the service serves. */
-	bool may_begin_stream(const std::string &p_service, const std::string &p_version) const { return !_mixed.contains(p_service) || _record->contains(p_service, p_version); }
+	bool may_begin_stream(const std::string &p_service, const std::string &p_version) const { return !_mixed.contains(p_service) || _is_recorded(p_service, p_version); }
 
 	/** Whether some listed version of a service must not begin streams now. */
 	bool is_restricted(const std::string &p_service) const { return _mixed.contains(p_service); }
--- a/servers/streams/origin_record.cpp
+++ b/servers/streams/origin_record.cpp
@@ -30,13 +30,6 @@
 	}
 }
 
-void origin_record::remove(const std::string &p_service, const std::string &p_version) {
-	const auto service = _versions.find(p_service);
-	if (service != _versions.end()) {
-		service->second.erase(p_version);
-	}
-}
-
 void origin_record::keep(const std::string &p_service, const std::set<std::string> &p_versions) {
 	const auto service = _versions.find(p_service);
 	if (service != _versions.end()) {
--- a/servers/streams/origin_record.h
+++ b/servers/streams/origin_record.h
@@ -46,8 +46,6 @@
 
 	void add(const service_versions &p_versions);
 
-	void remove(const std::string &p_service, const std::string &p_version);
-
 	/** Removes the versions of a service that are not among these. */
 	void keep(const std::string &p_service, const std::set<std::string> &p_versions);
 
--- a/tests/servers/streams/origin_record_test.cpp
+++ b/tests/servers/streams/origin_record_test.cpp
@@ -20,7 +20,7 @@
 	EXPECT_EQ(record.find_only("llm"), std::nullopt);
 	record.keep("llm", { "v2", "v3" });
 	EXPECT_EQ(record.find_only("llm"), "v2");
-	record.remove("llm", "v2");
+	record.keep("llm", { "v3" });
 	EXPECT_EQ(record.find_only("llm"), std::nullopt);
 }
 
