--- a/main/gateway/origin_sync.cpp
+++ b/main/gateway/origin_sync.cpp
@@ -110,7 +110,7 @@
 
 bool origin_sync::_may_begin() const {
 	const duration lifetime = _context.settings.stream_lifetime + UNLISTED_SERVICE_TIME;
-	return (_context.settings.is_first_start && _is_topic_empty) || event_loop::now() - _era_since >= lifetime;
+	return (_context.settings.is_first_start && _is_topic_empty && !_has_era_changed) || event_loop::now() - _era_since >= lifetime;
 }
 
 std::optional<origin_record> origin_sync::_plan() const {
@@ -181,6 +181,7 @@
 	if (p_era <= _era) {
 		return;
 	}
+	_has_era_changed = _read_began_at != instant{};
 	_era = p_era;
 	_era_since = event_loop::now();
 	_find_mixed();
@@ -195,13 +196,13 @@
 		return;
 	}
 	_failure_pause = duration::zero();
+	if (p_answer.era > _era) {
+		_enter_era(p_answer.era);
+	}
 	_read_began_at = p_began_at;
 	if (p_began_at >= _returned_at) {
 		_returned.clear();
 	}
-	if (p_answer.era > _era) {
-		_enter_era(p_answer.era);
-	}
 	_end_offset = p_answer.next_offset;
 	_is_topic_empty = p_answer.next_offset == 0 && p_answer.records.empty();
 	const auto found = std::find_if(p_answer.records.begin(), p_answer.records.end(), [](const store_record &p_entry) { return p_entry.key == RECORD_KEY; });
--- a/main/gateway/origin_sync.h
+++ b/main/gateway/origin_sync.h
@@ -43,6 +43,7 @@
 	std::uint64_t _era = 0;
 	std::uint64_t _end_offset = 0;
 	bool _is_topic_empty = false;
+	bool _has_era_changed = false; ///< The store was restored from an older copy since the start of this node.
 	instant _era_since; ///< Since when this node has known the store's era.
 	instant _read_began_at{}; ///< When the last successful read began.
 	instant _wanted_since{}; ///< A read is wanted that began at this time or later.
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -50,6 +50,8 @@
 constexpr duration DRAIN_TIME = milliseconds(4500);
 /** From the end of an endpoint that left by word to its next start. */
 constexpr duration AWAY_TIME = milliseconds(500);
+/** By then all processes have read the settings of their first start, and none has been disturbed yet. */
+constexpr duration FIRST_START_TIME = milliseconds(2000);
 /** While an endpoint repeats answers, one in so many comes twice. */
 constexpr std::size_t REPEATED_ANSWERS_PART = 3;
 /** Meanwhile it rejects one request in so many, so that requests are sent again behind rejections that come twice. */
@@ -111,9 +113,14 @@
 		_add_node(i);
 	}
 	for (std::size_t i = 0; i < p_size.nodes; i++) {
-		_write_settings(i);
+		_write_settings(i, true);
 		_start_node(i);
 	}
+	_later.add(FIRST_START_TIME, [this] {
+		for (std::size_t i = 0; i < _nodes.size(); i++) {
+			_write_settings(i, false);
+		}
+	});
 	_watched_at = event_loop::now();
 	_watch_timer.set(WATCH_INTERVAL);
 }
@@ -131,14 +138,14 @@
 	_nodes.push_back(std::move(made));
 }
 
-void soak_fleet::_write_settings(std::size_t p_number) const {
+void soak_fleet::_write_settings(std::size_t p_number, bool p_is_first_start) const {
 	json peers = json::array();
 	for (std::size_t i = 0; i < std::min(SEEDS, _size.nodes); i++) {
 		if (i != p_number) {
 			peers.push_back(to_string(_nodes[i].peers->get_address()));
 		}
 	}
-	const json settings{ { "vm", "n" + std::to_string(p_number) }, { "zone", get_zone(p_number) }, { "caller_address", to_string(get_node_address(p_number, CALLER_PORT)) }, { "readiness_address", to_string(get_node_address(p_number, READINESS_PORT)) }, { "link_address", to_string(get_node_address(p_number, LINK_PORT)) }, { "store_address", to_string(_nodes[p_number].store->get_address()) }, { "peers", peers }, { "stop_grace_seconds", to_seconds(STOP_GRACE) }, { "configuration_apply_ms", 2000 } };
+	const json settings{ { "vm", "n" + std::to_string(p_number) }, { "zone", get_zone(p_number) }, { "caller_address", to_string(get_node_address(p_number, CALLER_PORT)) }, { "readiness_address", to_string(get_node_address(p_number, READINESS_PORT)) }, { "link_address", to_string(get_node_address(p_number, LINK_PORT)) }, { "store_address", to_string(_nodes[p_number].store->get_address()) }, { "peers", peers }, { "stop_grace_seconds", to_seconds(STOP_GRACE) }, { "configuration_apply_ms", 2000 }, { "first_start", p_is_first_start } };
 	std::ofstream(_place.directory + "/node-" + std::to_string(p_number) + ".json") << settings.dump(1) << "\n";
 }
 
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -68,7 +68,7 @@
 	instant _watched_at{};
 
 	void _add_node(std::size_t p_number);
-	void _write_settings(std::size_t p_number) const;
+	void _write_settings(std::size_t p_number, bool p_is_first_start) const;
 	void _start_node(std::size_t p_number);
 	void _watch();
 	void _on_node_ended(std::size_t p_number);
