--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -12,6 +12,8 @@
 #include "drivers/http_status.h"
 #include "servers/gateway/lookup_refusal.h"
 
+#include <algorithm>
+
 namespace calicoscale {
 
 namespace {
@@ -159,7 +161,10 @@
 
 bool gateway::_must_wait(const gateway_route &p_route) const {
 	// Without the other nodes' crash records, this node would send a request that crashes endpoints.
-	return (!_settled && !p_route.stages.empty()) || !_crashes.is_synchronized();
+	if ((!_settled && !p_route.stages.empty()) || !_crashes.is_synchronized()) {
+		return true;
+	}
+	return p_route.is_resumable && std::any_of(p_route.services.begin(), p_route.services.end(), [this](const service_share &p_share) { return _origins.must_wait(p_share.service); });
 }
 
 void gateway::_defer(const std::shared_ptr<caller_exchange> &p_exchange) {
--- a/main/gateway/origin_sync.cpp
+++ b/main/gateway/origin_sync.cpp
@@ -24,6 +24,8 @@
 constexpr duration FIRST_READ_SPREAD = std::chrono::milliseconds(400);
 /** Time for the first writer to write a new version, after which the other nodes read it. */
 constexpr duration FIRST_WRITE_TIME = std::chrono::milliseconds(300);
+/** Longest wait of new streams for a read. If the store does not answer by then, streams begin without it. */
+constexpr duration MAX_READ_WAIT = std::chrono::milliseconds(1500);
 constexpr duration REREAD_INTERVAL = std::chrono::seconds(1);
 constexpr duration MIN_FAILURE_PAUSE = std::chrono::milliseconds(250);
 constexpr duration MAX_FAILURE_PAUSE = std::chrono::seconds(4);
@@ -73,41 +75,59 @@
 		}
 	}
 	_note_returned(listed_before);
-	_find_mixed();
-	_consider();
+	_update_mixed();
+	_update_need();
 }
 
 bool origin_sync::_is_recorded(const std::string &p_service, const std::string &p_version) const {
-	const auto returned = _returned.find(p_service);
-	const bool has_returned = returned != _returned.end() && returned->second.contains(p_version);
-	return _is_believed() && _record->contains(p_service, p_version) && !has_returned;
+	return _is_believed() && _record->contains(p_service, p_version) && !_returned.contains(stream_origin{ p_service, p_version });
 }
 
 void origin_sync::_note_returned(const service_versions &p_listed_before) {
+	bool has_new = false;
 	for (const auto &[service, versions] : _listed) {
 		const auto before = p_listed_before.find(service);
 		for (const std::string &version : versions) {
 			if (before == p_listed_before.end() || !before->second.contains(version)) {
-				_returned[service].insert(version);
-				_returned_at = event_loop::now();
+				_returned[stream_origin{ service, version }] = event_loop::now();
+				has_new = true;
 			}
 		}
 	}
+	if (has_new && !_is_believed()) {
+		// New streams wait for this read.
+		_write_due = std::min(_write_due, event_loop::now() + from_seconds(to_seconds(_get_read_spread()) * _context.random.get_unit()));
+	}
 }
 
-void origin_sync::_find_mixed() {
+void origin_sync::_update_mixed() {
 	_mixed.clear();
 	if (!_is_believed()) {
 		return;
 	}
 	for (const auto &[service, versions] : _staying) {
-		const auto recorded = std::count_if(versions.begin(), versions.end(), [this, &service](const std::string &p_version) { return _is_recorded(service, p_version); });
-		if (recorded > 0 && recorded < static_cast<std::ptrdiff_t>(versions.size())) {
+		std::size_t recorded = 0;
+		for (const std::string &version : versions) {
+			recorded += _is_recorded(service, version) ? 1 : 0;
+		}
+		if (recorded > 0 && recorded < versions.size()) {
 			_mixed.insert(service);
 		}
 	}
 }
 
+bool origin_sync::must_wait(const std::string &p_service) const {
+	const auto staying = _staying.find(p_service);
+	if (_is_believed() || staying == _staying.end() || staying->second.size() < 2) {
+		return false;
+	}
+	const instant now = event_loop::now();
+	return std::any_of(staying->second.begin(), staying->second.end(), [this, &p_service, now](const std::string &p_version) {
+		const auto returned = _returned.find(stream_origin{ p_service, p_version });
+		return returned != _returned.end() && now - returned->second < MAX_READ_WAIT;
+	});
+}
+
 bool origin_sync::_may_begin() const {
 	const duration lifetime = _context.settings.stream_lifetime + UNLISTED_SERVICE_TIME;
 	return (_context.settings.is_first_start && _is_topic_empty && !_has_era_changed) || event_loop::now() - _era_since >= lifetime;
@@ -139,10 +159,10 @@
 	if (_endpoints.is_known_since(now - version_presence::MAX_GAP / 2)) {
 		_presence.on_confirmed(now);
 	}
-	_consider();
+	_update_need();
 }
 
-void origin_sync::_consider() {
+void origin_sync::_update_need() {
 	if (_listed.empty()) {
 		return;
 	}
@@ -154,17 +174,18 @@
 		_write_needed_since = now;
 		const bool is_first_writer = !is_unread && get_write_delay(_fleet, RECORD_KEY) == duration::zero();
 		const duration spread = is_unread ? std::max(FIRST_READ_SPREAD, _get_read_spread()) : _get_read_spread();
-		_write_due = now + (is_first_writer ? duration::zero() : FIRST_WRITE_TIME + from_seconds(to_seconds(spread) * _context.random.get_unit()));
+		const duration lead = is_unread || is_first_writer ? duration::zero() : FIRST_WRITE_TIME;
+		_write_due = now + lead + (is_first_writer ? duration::zero() : from_seconds(to_seconds(spread) * _context.random.get_unit()));
 	}
-	_try();
+	_call_store_if_due();
 }
 
 void origin_sync::request_read(instant p_since) {
 	_wanted_since = std::max(_wanted_since, p_since);
-	_try();
+	_call_store_if_due();
 }
 
-void origin_sync::_try() {
+void origin_sync::_call_store_if_due() {
 	const instant now = event_loop::now();
 	const bool is_wanted = _read_began_at < _wanted_since || (_write_needed_since && now >= _write_due);
 	if (is_wanted && !_is_busy && now >= _paused_until) {
@@ -184,7 +205,7 @@
 	_has_era_changed = _read_began_at != instant{};
 	_era = p_era;
 	_era_since = event_loop::now();
-	_find_mixed();
+	_update_mixed();
 }
 
 void origin_sync::_on_read(const store_answer &p_answer, instant p_began_at) {
@@ -196,25 +217,8 @@
 		return;
 	}
 	_failure_pause = duration::zero();
-	if (p_answer.era > _era) {
-		_enter_era(p_answer.era);
-	}
-	_read_began_at = p_began_at;
-	if (p_began_at >= _returned_at) {
-		_returned.clear();
-	}
-	_end_offset = p_answer.next_offset;
-	_is_topic_empty = p_answer.next_offset == 0 && p_answer.records.empty();
-	const auto found = std::find_if(p_answer.records.begin(), p_answer.records.end(), [](const store_record &p_entry) { return p_entry.key == RECORD_KEY; });
-	const bool has_value = found != p_answer.records.end() && found->value;
-	std::optional<origin_record> read = has_value ? read_origin_record(*found->value) : std::nullopt;
-	const bool is_news = read != _record;
-	_record = std::move(read);
-	_find_mixed();
-	if (is_news) {
-		_context.log.write(log_line("stream_origins_read").add("outcome", _is_believed() ? "believed" : (_record ? "older_copy" : "absent")).add("era", static_cast<long long>(_era)).add("end", static_cast<long long>(_end_offset)).add("record", has_value ? *found->value : ""));
-	}
 	_paused_until = event_loop::now() + _get_read_spread();
+	_take_record(p_answer, p_began_at);
 	const std::optional<origin_record> planned = _plan();
 	if (!planned) {
 		_write_needed_since.reset();
@@ -228,6 +232,23 @@
 	_write(*planned);
 }
 
+void origin_sync::_take_record(const store_answer &p_answer, instant p_began_at) {
+	_enter_era(p_answer.era);
+	_read_began_at = p_began_at;
+	std::erase_if(_returned, [p_began_at](const auto &p_entry) { return p_entry.second <= p_began_at; });
+	_end_offset = p_answer.next_offset;
+	_is_topic_empty = p_answer.next_offset == 0 && p_answer.records.empty();
+	const auto found = std::find_if(p_answer.records.begin(), p_answer.records.end(), [](const store_record &p_entry) { return p_entry.key == RECORD_KEY; });
+	const bool has_value = found != p_answer.records.end() && found->value;
+	std::optional<origin_record> read = has_value ? read_origin_record(*found->value) : std::nullopt;
+	const bool is_news = read != _record;
+	_record = std::move(read);
+	_update_mixed();
+	if (is_news) {
+		_context.log.write(log_line("stream_origins_read").add("outcome", _is_believed() ? "believed" : (_record ? "older_copy" : "absent")).add("era", static_cast<long long>(_era)).add("end", static_cast<long long>(_end_offset)).add("record", has_value ? *found->value : ""));
+	}
+}
+
 void origin_sync::_write(const origin_record &p_record) {
 	_is_busy = true;
 	_context.store.put_at(std::string(get_origin_topic()), read_reason::STREAMS, RECORD_KEY, write_origin_record(p_record), _end_offset, [this, p_record](put_end p_end) { _on_written(p_record, p_end); });
@@ -238,9 +259,9 @@
 	_must_rewrite = p_end == put_end::UNKNOWN;
 	if (p_end == put_end::DONE) {
 		_record = p_record;
-		_returned.clear();
+		std::erase_if(_returned, [&p_record](const auto &p_entry) { return p_record.contains(p_entry.first.service, p_entry.first.version); });
 		_write_needed_since.reset();
-		_find_mixed();
+		_update_mixed();
 	}
 	_write_due = event_loop::now() + (p_end == put_end::UNKNOWN ? REREAD_INTERVAL : duration::zero());
 	_context.metrics.count("stream_origins_written_" + std::string(get_name(p_end)));
--- a/main/gateway/origin_sync.h
+++ b/main/gateway/origin_sync.h
@@ -13,8 +13,10 @@
 #include "main/gateway/endpoint_follower.h"
 #include "main/gateway/gateway_fleet.h"
 #include "servers/streams/origin_record.h"
+#include "servers/streams/stream_record.h"
 #include "servers/streams/version_presence.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -38,8 +40,8 @@
 	service_versions _staying; ///< Those of endpoints that do not leave.
 	std::set<std::string> _mixed; ///< Services with a recorded and an unrecorded version among the staying ones.
 	std::optional<origin_record> _record; ///< As last read or written.
-	service_versions _returned; ///< Versions that were listed again since the last read; other nodes may have removed them meanwhile.
-	instant _returned_at{}; ///< When such a version was last listed again.
+	/** Versions that were listed again since the last read, and when. Other nodes may have removed them from the record meanwhile. */
+	std::map<stream_origin, instant> _returned;
 	std::uint64_t _era = 0;
 	std::uint64_t _end_offset = 0;
 	bool _is_topic_empty = false;
@@ -59,15 +61,19 @@
 	bool _is_believed() const { return _record && _record->get_era() == _era; }
 	/** Whether this node may begin a record: no stream can have begun that it does not know of. */
 	bool _may_begin() const;
+	/** Whether a version is known to be in the store's record at present. */
 	bool _is_recorded(const std::string &p_service, const std::string &p_version) const;
 	void _note_returned(const service_versions &p_listed_before);
 	/** Returns the record that the store should have; empty if that is the one it has. */
 	std::optional<origin_record> _plan() const;
-	void _find_mixed();
-	void _consider();
-	void _try();
+	void _update_mixed();
+	/** Notes since when the record must be read or written, and begins if that is due. */
+	void _update_need();
+	void _call_store_if_due();
 	void _read();
 	void _on_read(const store_answer &p_answer, instant p_began_at);
+	/** Applies what a read has returned. */
+	void _take_record(const store_answer &p_answer, instant p_began_at);
 	void _enter_era(std::uint64_t p_era);
 	void _write(const origin_record &p_record);
 	void _on_written(const origin_record &p_record, put_end p_end);
@@ -90,6 +96,9 @@
 	/** Whether streams may begin at a version: it is recorded, or no recorded version of the service serves. */
 	bool may_begin_stream(const std::string &p_service, const std::string &p_version) const { return !_mixed.contains(p_service) || _is_recorded(p_service, p_version); }
 
+	/** Whether new streams of a service must wait for a read, as it may show that some of its versions must not begin streams. */
+	bool must_wait(const std::string &p_service) const;
+
 	/** Whether some listed version of a service must not begin streams now. */
 	bool is_restricted(const std::string &p_service) const { return _mixed.contains(p_service); }
 
--- a/servers/streams/stream_record.h
+++ b/servers/streams/stream_record.h
@@ -31,7 +31,7 @@
 struct stream_origin {
 	std::string service;
 	std::string version; ///< Of the endpoint's software; empty if the endpoint does not report it.
-	bool operator==(const stream_origin &p_other) const = default;
+	auto operator<=>(const stream_origin &p_other) const = default;
 };
 
 /** Record of a stream that has begun. The origin of a stream never changes. */
--- a/tests/main/gateway_stream_version_test.cpp
+++ b/tests/main/gateway_stream_version_test.cpp
@@ -438,6 +438,44 @@
 	EXPECT_EQ(take_up_at_all(streams), 0U);
 }
 
+// Guards against forgetting that the other versions are recorded when one is listed while the record is being read.
+TEST_F(gateway_stream_version_test, a_version_that_is_listed_during_the_first_read_begins_no_stream_before_it_is_recorded) {
+	configure(1);
+	add_version("v1");
+	start_first(1);
+	_gateways.clear();
+	const gateway &node = start_ready();
+	const std::size_t reads = _store.count_reads_of(ORIGIN_TOPIC);
+	run_until([this, reads] { return _store.count_reads_of(ORIGIN_TOPIC) > reads; });
+	const standin_replica &later = add_version("v1.1");
+	timer other_writer(_loop, [this, &other_writer] {
+		_store.put(ORIGIN_TOPIC, "other", "record");
+		other_writer.set(duration::zero());
+	});
+	other_writer.set(duration::zero());
+	const instant end = event_loop::now() + seconds(2);
+	while (event_loop::now() < end) {
+		EXPECT_EQ(find_versions(begin(node).events), std::set<std::string>{ "v1" });
+	}
+	EXPECT_TRUE(later.runs.empty());
+}
+
+// Guards against streams that begin at an unrecorded version as a node that has just started has not read the record.
+TEST_F(gateway_stream_version_test, a_node_that_starts_begins_no_stream_before_it_knows_which_versions_are_recorded) {
+	configure(1);
+	add_version("v1");
+	start_first(1);
+	_gateways.clear();
+	const standin_replica &later = add_version("v1.1");
+	const gateway &node = start_ready();
+	run_until([this, &node, &later] {
+		const std::size_t runs = later.runs.size();
+		begin(node);
+		EXPECT_TRUE(later.runs.size() == runs || find_recorded().contains("v1.1"));
+		return later.runs.size() > runs;
+	});
+}
+
 // Guards against streams that begin at a version of which the store takes no record, as others keep changing its topic.
 TEST_F(gateway_stream_version_test, streams_begin_at_recorded_versions_while_a_new_one_cannot_be_recorded) {
 	configure(1);
