--- a/drivers/endpoint_channels.h
+++ b/drivers/endpoint_channels.h
@@ -150,7 +150,7 @@
 	/** Simulates failed paths to endpoints from now on, and applies them to established connections; for failure tests. */
 	void set_path_faults(std::function<path_fault(const network_address &)> p_find);
 
-	/** Sets the hook that is told of bytes that belong to no request. */
+	/** Sets the hook that is called with a report of bytes that belong to no request. */
 	void set_on_surplus(std::function<void(const surplus_report &)> p_hook) { _on_surplus = std::move(p_hook); }
 
 	/** Returns where an exchange in progress takes place. */
--- a/main/gateway/origin_sync.h
+++ b/main/gateway/origin_sync.h
@@ -40,7 +40,7 @@
 	service_versions _staying; ///< Those of endpoints that do not leave.
 	std::set<std::string> _mixed; ///< Services with a recorded and an unrecorded version among the staying ones.
 	std::optional<origin_record> _record; ///< As last read or written.
-	/** Versions that were listed again since the last read, and when. Other nodes may have removed them from the record meanwhile. */
+	/** Versions that were listed again since the last read, with the times. The record may no longer contain them. */
 	std::map<stream_origin, instant> _returned;
 	std::uint64_t _era = 0;
 	std::uint64_t _end_offset = 0;
--- a/servers/routing/connection_history.h
+++ b/servers/routing/connection_history.h
@@ -26,8 +26,8 @@
 
 /**
  * Remembers the exchanges of one connection to an endpoint. An endpoint may send a copy of any earlier answer in the place where the
- * next one is due, so an id identifies an answer only if the connection has not carried that id before. Answers without ids are told
- * from copies by their content.
+ * next one is due, so an id identifies an answer only if the connection has not carried that id before. Answers without ids are
+ * distinguished from copies by their content.
  */
 class connection_history {
 	std::vector<std::uint64_t> _carried; ///< Hashes of the ids of all exchanges.
--- a/servers/streams/origin_record.h
+++ b/servers/streams/origin_record.h
@@ -23,7 +23,7 @@
 
 /**
  * For each service, all versions at which a stream may have begun that a caller can still resume. A service without versions had no
- * stream. The record is written before the first stream of a version begins, so that it tells the origin of streams whose own
+ * stream. The record is written before the first stream of a version begins, so that it shows the origin of streams whose own
  * records are lost.
  */
 class origin_record {
