--- a/tests/main/gateway_broken_answer_test.cpp
+++ b/tests/main/gateway_broken_answer_test.cpp
@@ -225,6 +225,15 @@
 	EXPECT_EQ(caller.get_received().find("Content-Length"), std::string::npos) << "the status says where the answer ends";
 }
 
+// Guards against a success without its seal, which an endpoint names in its Connection header.
+TEST_F(gateway_broken_answer_test, a_seal_that_a_connection_header_names_reaches_the_caller) {
+	const gateway &entry = start_with("HTTP/1.1 200 OK\r\nConnection: close, X-Replica-Seal\r\nX-Replica-Seal: raw\r\nX-Attempt-Id: $attempt\r\nContent-Length: 4\r\n\r\nbody");
+	const std::shared_ptr<caller_result> result = ask(entry, "/once/x");
+	EXPECT_EQ(result->head.status, 200);
+	EXPECT_EQ(result->body, "body");
+	EXPECT_NE(result->head.find("X-Replica-Seal"), nullptr);
+}
+
 TEST_F(gateway_broken_answer_test, a_status_that_no_answer_has_is_not_passed_on) {
 	const gateway &entry = start_with("HTTP/1.1 0 Status\r\nX-Replica-Seal: raw\r\nX-Attempt-Id: $attempt\r\nContent-Length: 0\r\n\r\n", raw_server::after::KEEP);
 	EXPECT_EQ(ask(entry, "/once/x")->head.status, 502);
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -89,6 +89,32 @@
 	}
 }
 
+// Guards against a success without its seal, and requests without their prompt: an endpoint or a caller names the header in Connection.
+TEST(request_codec, a_connection_header_does_not_remove_headers_that_decide_something) {
+	for (const char *name : { "X-Replica-Seal", "X-Attempt-Id", "X-Not-Executed", "X-Replica-Id", "X-Weight-Versions", "X-Cold-Ms", "Server-Limit", "Server-Leaving", "Retry-After", "X-Replica-Load", "Content-Type" }) {
+		http_head head;
+		head.status = 200;
+		head.headers = { { "Connection", std::string("close, x-hop , ") + name }, { "X-Hop", "dropped" }, { name, "value" } };
+		const std::vector<http_header> passed = get_passed_headers(head);
+		ASSERT_EQ(passed.size(), 1U) << name;
+		EXPECT_EQ(passed[0].name, name);
+	}
+	for (const char *name : { "X-Attempt-Id", "X-Model", "X-Token-Usage", "X-Prefix-Hash", "X-Length-Hint", "X-Segments", "X-Segment-Key", "Last-Event-Id", "Resumes", "Content-Type" }) {
+		http_head head;
+		head.headers = { { "Connection", std::string("close, x-hop , ") + name }, { "X-Hop", "dropped" }, { name, "value" } };
+		const std::string text = write_endpoint_request(head, "", endpoint_send());
+		EXPECT_NE(text.find(std::string(name) + ": value\r\n"), std::string::npos) << name;
+		EXPECT_EQ(text.find("dropped"), std::string::npos) << name;
+	}
+}
+
+TEST(request_codec, an_empty_seal_is_none) {
+	http_head head;
+	head.status = 200;
+	head.headers = { { "X-Replica-Seal", " " } };
+	EXPECT_FALSE(read_endpoint_answer(head).has_seal);
+}
+
 TEST(request_codec, reads_what_a_request_says_of_itself) {
 	const caller_request facts = read_caller_request(make_request());
 	EXPECT_EQ(facts.attempt, "9c41d07be2a35f68");
