--- a/drivers/http_reader.cpp
+++ b/drivers/http_reader.cpp
@@ -130,8 +130,35 @@
 	return has_no_body || p_parser.content_length != ULLONG_MAX ? body_framing::LENGTH : body_framing::CONNECTION;
 }
 
+bool are_headers_valid(const http_head &p_head) {
+	// The parser accepts blanks and control characters that other implementations reject or interpret differently.
+	return std::all_of(p_head.headers.begin(), p_head.headers.end(), [](const http_header &p_header) {
+		const bool is_token = !p_header.name.empty() && std::all_of(p_header.name.begin(), p_header.name.end(), is_token_letter);
+		return is_token && std::none_of(p_header.value.begin(), p_header.value.end(), is_control);
+	});
+}
+
+bool is_framing_valid(const http_head &p_head) {
+	// Rejects framing that two implementations could interpret differently, which would allow request smuggling.
+	const std::size_t encodings = p_head.count("Transfer-Encoding");
+	if (encodings > 1 || p_head.count("Content-Length") > 1 || p_head.count("Host") > 1) {
+		return false;
+	}
+	const std::string *encoding = p_head.find("Transfer-Encoding");
+	return encoding == nullptr || is_same_header(*encoding, "chunked");
+}
+
+bool is_status_valid(int p_status) {
+	// Nothing asks endpoints for another protocol.
+	return p_status >= http_status::FIRST && p_status <= http_status::LAST && p_status != http_status::SWITCHING_PROTOCOLS;
+}
+
 } // namespace
 
+bool is_valid_answer(const http_head &p_head) {
+	return is_status_valid(p_head.status) && are_headers_valid(p_head) && is_framing_valid(p_head);
+}
+
 std::string_view get_name(body_framing p_framing) {
 	return find_name(FRAMING_NAMES, p_framing);
 }
@@ -181,29 +208,6 @@
 	_header_bytes += BYTES_PER_HEADER;
 }
 
-bool http_reader::_are_headers_valid() const {
-	// The parser accepts blanks and control characters that other implementations reject or interpret differently.
-	return std::all_of(_head.headers.begin(), _head.headers.end(), [](const http_header &p_header) {
-		const bool is_token = !p_header.name.empty() && std::all_of(p_header.name.begin(), p_header.name.end(), is_token_letter);
-		return is_token && std::none_of(p_header.value.begin(), p_header.value.end(), is_control);
-	});
-}
-
-bool http_reader::_is_framing_valid() const {
-	// Rejects framing that two implementations could interpret differently, which would allow request smuggling.
-	const std::size_t encodings = _head.count("Transfer-Encoding");
-	if (encodings > 1 || _head.count("Content-Length") > 1 || _head.count("Host") > 1) {
-		return false;
-	}
-	const std::string *encoding = _head.find("Transfer-Encoding");
-	return encoding == nullptr || is_same_header(*encoding, "chunked");
-}
-
-bool http_reader::_is_status_valid() const {
-	// Nothing asks endpoints for another protocol.
-	return _head.status >= http_status::FIRST && _head.status <= http_status::LAST && _head.status != http_status::SWITCHING_PROTOCOLS;
-}
-
 int http_reader::_on_headers_complete() {
 	if (_in_value || !_field.empty()) {
 		_finish_header();
@@ -215,8 +219,8 @@
 	_head.minor_version = _parser->http_minor;
 	_head.keep_alive = http_should_keep_alive(_parser.get()) != 0;
 	_head.framing = _kind == kind::REQUEST || _without_body ? body_framing::LENGTH : get_answer_framing(*_parser);
-	const bool is_kind_valid = _kind == kind::REQUEST ? _parser->upgrade == 0 : _is_status_valid();
-	if (_parser->http_major != 1 || !_are_headers_valid() || !_is_framing_valid() || !is_kind_valid) {
+	const bool is_valid = _kind == kind::REQUEST ? _parser->upgrade == 0 && are_headers_valid(_head) && is_framing_valid(_head) : is_valid_answer(_head);
+	if (_parser->http_major != 1 || !is_valid) {
 		return -1;
 	}
 	_has_head = true;
--- a/drivers/http_reader.h
+++ b/drivers/http_reader.h
@@ -49,6 +49,9 @@
 	bool has_length() const { return framing != body_framing::CONNECTION; }
 };
 
+/** Whether the headers of an answer are valid: its status, the names and values of its headers, and how its end is marked. */
+bool is_valid_answer(const http_head &p_head);
+
 /** Compares header names or values case-insensitively. */
 bool is_same_header(std::string_view p_left, std::string_view p_right);
 
@@ -98,10 +101,6 @@
 	void _finish_header();
 	bool _count(std::size_t p_bytes);
 	int _on_headers_complete();
-	bool _are_headers_valid() const;
-	bool _is_framing_valid() const;
-	/** Whether the status is one that an answer may have. */
-	bool _is_status_valid() const;
 
 	friend struct http_reader_callbacks;
 
--- a/main/gateway/forwarded_exchanges.cpp
+++ b/main/gateway/forwarded_exchanges.cpp
@@ -21,8 +21,14 @@
 /** First ids are below 2 to the power of 62, far from the bit by which forwarded exchanges are distinguished from direct ones. */
 constexpr unsigned UNUSED_ID_BITS = 2;
 
-/** Returns how an exchange ended according to a message of its peer. Only the first message can report that nothing was sent. */
-forwarding_end find_forwarding_end(const exchange_progress_message &p_message) {
+/**
+ * Returns how an exchange ended according to a message of its peer. Only the first message can report that nothing was sent, and an
+ * answer is complete only if it has begun.
+ */
+forwarding_end find_forwarding_end(const exchange_progress_message &p_message, const forwarded_answer &p_answer) {
+	if (p_message.end == forwarding_end::COMPLETE && !p_answer.has_head()) {
+		return forwarding_end::BROKEN;
+	}
 	const bool says_not_sent = p_message.end == forwarding_end::CONNECT_FAILED || p_message.end == forwarding_end::DECLINED;
 	const bool is_first = p_message.number == 0 && !p_message.head && p_message.body.empty();
 	return says_not_sent && !is_first ? forwarding_end::BROKEN : p_message.end;
@@ -56,7 +62,7 @@
 	const exchange_id id = _next_id++;
 	_context.log.write_request(log_line("exchange_forwarded").add("request", p_request.echo_value).add("exchange", static_cast<long long>(id)).add("to", p_peer).add("service", p_request.service).add("endpoint", p_request.endpoint.vm).add("bytes", static_cast<long long>(p_request.bytes.size())));
 	_context.metrics.count("exchanges_forwarded");
-	_open.emplace(id, exchange{ p_peer, std::move(p_hooks) });
+	_open.emplace(id, exchange{ p_peer, std::move(p_hooks), forwarded_answer(p_request) });
 	if (!_fleet.get_link().send(p_peer, open_exchange_message{ id, std::move(p_request) })) {
 		_context.loop.post([this, id] { _end(id, forwarding_end::DECLINED); });
 	}
@@ -65,7 +71,7 @@
 
 exchange_id forwarded_exchanges::decline(channel_hooks p_hooks) {
 	const exchange_id id = _next_id++;
-	_open.emplace(id, exchange{ "", std::move(p_hooks) });
+	_open.emplace(id, exchange{ "", std::move(p_hooks), forwarded_answer(channel_request()) });
 	_context.loop.post([this, id] { _end(id, forwarding_end::DECLINED); });
 	return id;
 }
@@ -82,14 +88,18 @@
 	ended.hooks.on_end(get_channel_end(p_end));
 }
 
+void forwarded_exchanges::_reject(exchange_id p_id, forwarding_end p_end) {
+	_fleet.get_link().send(_open.at(p_id).peer, control_exchange_message{ p_id, 0, true });
+	_end(p_id, p_end);
+}
+
 void forwarded_exchanges::_on_progress(const std::string &p_vm, const exchange_progress_message &p_message) {
 	const auto found = _open.find(p_message.id);
 	if (found == _open.end() || found->second.peer != p_vm) {
 		return;
 	}
 	if (p_message.number != found->second.next_number) {
-		_fleet.get_link().send(p_vm, control_exchange_message{ p_message.id, 0, true });
-		_end(p_message.id, forwarding_end::BROKEN);
+		_reject(p_message.id, forwarding_end::BROKEN);
 		return;
 	}
 	found->second.next_number++;
@@ -99,14 +109,22 @@
 	if (!p_message.body.empty()) {
 		_pass_body(p_message.id, p_message.body);
 	}
-	if (p_message.end != forwarding_end::NONE) {
-		_end(p_message.id, find_forwarding_end(p_message));
+	const auto remaining = _open.find(p_message.id);
+	if (remaining != _open.end() && p_message.end != forwarding_end::NONE) {
+		_end(p_message.id, find_forwarding_end(p_message, remaining->second.answer));
 	}
 }
 
 void forwarded_exchanges::_pass_head(exchange_id p_id, const http_head &p_head) {
 	const auto found = _open.find(p_id);
-	if (found == _open.end() || !found->second.hooks.on_head) {
+	if (found == _open.end()) {
+		return;
+	}
+	if (!found->second.answer.take_head(p_head)) {
+		_reject(p_id, forwarding_end::MALFORMED);
+		return;
+	}
+	if (!found->second.hooks.on_head) {
 		return;
 	}
 	// Copied, as it may cancel the exchange.
@@ -119,6 +137,10 @@
 	if (found == _open.end()) {
 		return;
 	}
+	if (!found->second.answer.may_have_body()) {
+		_reject(p_id, forwarding_end::MALFORMED);
+		return;
+	}
 	found->second.unconfirmed += static_cast<std::uint32_t>(p_bytes.size());
 	// Copied, as it may cancel the exchange.
 	const std::function<void(std::string_view)> hook = found->second.hooks.on_body;
--- a/main/gateway/forwarded_exchanges.h
+++ b/main/gateway/forwarded_exchanges.h
@@ -10,6 +10,7 @@
 #define FORWARDED_EXCHANGES_H
 
 #include "drivers/exchange_messages.h"
+#include "main/gateway/forwarded_answer.h"
 #include "main/gateway/gateway_fleet.h"
 
 #include <functional>
@@ -27,6 +28,7 @@
 	struct exchange {
 		std::string peer;
 		channel_hooks hooks;
+		forwarded_answer answer;
 		std::uint32_t next_number = 0;
 		std::uint32_t unconfirmed = 0; ///< Bytes that were processed and not confirmed yet.
 		bool is_paused = false;
@@ -44,6 +46,8 @@
 	void _confirm(exchange_id p_id, exchange &r_exchange);
 	void _on_peer_lost(const std::string &p_vm);
 	void _end(exchange_id p_id, forwarding_end p_end);
+	/** Ends an exchange whose peer forwards something else than one answer to its request. */
+	void _reject(exchange_id p_id, forwarding_end p_end);
 
 public:
 	/** @param p_on_ended receives the peer, empty for one that was not sent to any, and the end of each exchange, before its own hook. */
