--- a/drivers/http_reader.cpp
+++ b/drivers/http_reader.cpp
@@ -39,7 +39,10 @@
 	}));
 }
 
-/** What http_parser calls; a result other than 0 stops it with an error. */
+/**
+ * What http_parser calls; a result other than 0 stops it with an error. Fields behind a body in chunks are read and ignored, as the
+ * headers have been used by then.
+ */
 struct http_reader_callbacks {
 	static int on_begin(http_parser *p_parser) {
 		http_reader::_self(p_parser)._has_begun = true;
@@ -54,6 +57,9 @@
 
 	static int on_field(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
 		http_reader &self = http_reader::_self(p_parser);
+		if (self._has_head) {
+			return self._count(p_size) ? 0 : 1;
+		}
 		if (self._in_value) {
 			self._finish_header();
 		}
@@ -63,6 +69,9 @@
 
 	static int on_value(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
 		http_reader &self = http_reader::_self(p_parser);
+		if (self._has_head) {
+			return self._count(p_size) ? 0 : 1;
+		}
 		self._in_value = true;
 		self._value.append(p_bytes, p_size);
 		return self._count(p_size) ? 0 : 1;
--- a/tests/drivers/http_exchange_test.cpp
+++ b/tests/drivers/http_exchange_test.cpp
@@ -95,6 +95,17 @@
 	}
 }
 
+// Guards against headers that arrive behind a body and were not checked, which were passed on with those of the head.
+TEST(http_reader, fields_behind_a_body_in_chunks_are_no_headers) {
+	const std::string fields = "0\r\nX-Tenant: other\r\nHost: other\r\nContent-Length: 5\r\n\r\n";
+	http_reader reader(http_reader::kind::REQUEST, http_reader::hooks{ [](const http_head &) {}, [](std::string_view) {} }, MAX_HEADER_BYTES);
+	reader.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n" + fields);
+	EXPECT_EQ(reader.get_state(), http_reader::state::COMPLETE);
+	EXPECT_EQ(reader.get_head().headers.size(), 2U);
+	const std::string large = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(MAX_HEADER_BYTES, 'x') + "\r\n\r\n";
+	EXPECT_EQ(read(http_reader::kind::REQUEST, large).state, http_reader::state::HEADERS_TOO_LARGE);
+}
+
 TEST(http_reader, an_answer_without_a_length_is_whole_at_an_orderly_close_only) {
 	const std::string text = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nsome bytes";
 	EXPECT_EQ(read(http_reader::kind::ANSWER, text).state, http_reader::state::READING);
