--- a/main/gateway/gateway_fleet.cpp
+++ b/main/gateway/gateway_fleet.cpp
@@ -52,6 +52,7 @@
 		_members(member_digest{ p_context.settings.vm, p_context.incarnation, 0, p_context.settings.zone, p_context.settings.region, _link.get_address(), network_address(), false, false, 0, {}, p_context.settings.cores }),
 		_overlay(p_context.settings.vm, p_context.settings.zone),
 		_store(p_context, p_configuration, p_endpoints, _link, store_sharing_hooks{ [this](const std::string &p_vm) { return is_responsive(p_vm); }, [this](const std::string &p_vm) { return _is_in_own_zone(p_vm); }, [this] { return get_followers(); }, [this] { _collect_updates(); } }),
+		_names(p_context, p_endpoints, _link, [this](const named_node &p_node) { return _get_named_state(p_node); }),
 		_bootstrap(p_configuration, p_endpoints, _link, p_context.settings.link_bytes, [this](const std::string &p_vm) { return _is_ready(p_vm); }),
 		_heartbeat_timer(p_context.loop, [this] { _send_due_heartbeats(); }),
 		_watch_timer(p_context.loop, [this] { _watch(); }),
@@ -295,7 +296,7 @@
 	_refuses_links = _refuses_links && _link.is_full();
 	std::erase_if(_kept_until, [now](const auto &p_entry) { return p_entry.second < now; });
 	_plan_links();
-	_store.use_names(_plan.is_hub);
+	_use_names();
 	_endpoints.drop_reported_removals();
 	_collect_updates();
 	_update_parts();
@@ -340,15 +341,36 @@
 	_dial();
 }
 
-bool gateway_fleet::_dials_all_seeds() const {
-	const std::vector<network_address> &seeds = _context.settings.peers;
-	if (std::find(seeds.begin(), seeds.end(), _link.get_address()) != seeds.end()) {
-		return true;
-	}
+bool gateway_fleet::_is_first_dispatcher() const {
 	const std::vector<std::string> dispatchers = get_dispatch_nodes();
 	return !dispatchers.empty() && dispatchers.front() == get_vm();
 }
 
+bool gateway_fleet::_is_staying(const member &p_member) {
+	return p_member.state != member_state::GONE && !p_member.digest.leaving;
+}
+
+named_state gateway_fleet::_get_named_state(const named_node &p_node) const {
+	const member *named = _members.find(p_node.vm);
+	if (_link.is_linked(p_node.vm) || (named != nullptr && _is_staying(*named))) {
+		return named_state::KNOWN;
+	}
+	const std::map<std::string, member> &members = _members.get_members();
+	const bool has_known_address = std::any_of(members.begin(), members.end(), [&p_node](const auto &p_entry) { return _is_staying(p_entry.second) && p_entry.second.digest.link == p_node.address; });
+	return has_known_address || p_node.address == _link.get_address() ? named_state::REPLACED : named_state::UNKNOWN;
+}
+
+void gateway_fleet::_use_names() {
+	const std::map<std::string, member> &members = _members.get_members();
+	const std::ptrdiff_t staying = std::count_if(members.begin(), members.end(), [](const auto &p_entry) { return _is_staying(p_entry.second); });
+	_names.use(names_use{ _plan.is_hub, _is_first_dispatcher(), static_cast<std::size_t>(staying) });
+}
+
+bool gateway_fleet::_dials_all_seeds() const {
+	const std::vector<network_address> &seeds = _context.settings.peers;
+	return std::find(seeds.begin(), seeds.end(), _link.get_address()) != seeds.end() || _is_first_dispatcher();
+}
+
 void gateway_fleet::_dial_unknown_seeds() {
 	if (!_dials_all_seeds()) {
 		return;
@@ -356,8 +378,7 @@
 	// A seed that left or was lost may have started again, and then knows only the seeds that started with it.
 	std::set<std::string> known;
 	for (const auto &[vm, entry] : _members.get_members()) {
-		const bool is_staying = entry.state != member_state::GONE && !entry.digest.leaving;
-		if (is_staying || _link.is_linked(vm)) {
+		if (_is_staying(entry) || _link.is_linked(vm)) {
 			known.insert(to_string(entry.digest.link));
 		}
 	}
--- a/main/gateway/gateway_fleet.h
+++ b/main/gateway/gateway_fleet.h
@@ -12,6 +12,7 @@
 #include "drivers/node_link.h"
 #include "main/gateway/evacuation_follower.h"
 #include "main/gateway/heartbeat_section.h"
+#include "main/gateway/node_names.h"
 #include "main/gateway/peer_bootstrap.h"
 #include "main/gateway/store_sharing.h"
 #include "servers/membership/digest_feed.h"
@@ -72,6 +73,7 @@
 	fleet_overlay _overlay;
 	overlay_plan _plan;
 	store_sharing _store;
+	node_names _names;
 	peer_bootstrap _bootstrap;
 	reported_fleet _reported;
 	std::map<std::string, bool> _was_live;
@@ -108,6 +110,12 @@
 	void _send_heartbeats(heartbeat_scope p_scope);
 	void _plan_links();
 	void _dial();
+	/** Whether this node is the first dispatching node of those that know each other. */
+	bool _is_first_dispatcher() const;
+	/** Whether a node is known and not expected to go. */
+	static bool _is_staying(const member &p_member);
+	named_state _get_named_state(const named_node &p_node) const;
+	void _use_names();
 	/** Whether this node keeps in contact with all seeds: it is one, or the first dispatching node of the nodes that it knows. */
 	bool _dials_all_seeds() const;
 	/** Dials the seeds that are not known as staying. Each may be the only contact to another part of the fleet. */
--- a/main/gateway/store_sharing.cpp
+++ b/main/gateway/store_sharing.cpp
@@ -8,7 +8,6 @@
 
 #include "main/gateway/store_sharing.h"
 
-#include "servers/membership/named_node.h"
 #include "servers/membership/read_order.h"
 
 #include <algorithm>
@@ -17,19 +16,12 @@
 
 namespace {
 
-constexpr duration NAME_READ_INTERVAL = std::chrono::seconds(2);
-constexpr duration NAME_WRITE_RETRY = std::chrono::seconds(3);
 /** Time after the start at which a node without links that may have peers reads for itself. */
 constexpr duration MAX_UNLINKED_TIME = std::chrono::milliseconds(2000);
 /** Time after the start at which a node that still learns of nodes of its zone reads for it, if it would be the reader. */
 constexpr duration MAX_MEETING_TIME = std::chrono::milliseconds(4000);
 /** Nodes of a zone that started together have met when a node has learnt of no further one for this time. */
 constexpr duration MEETING_PAUSE = std::chrono::milliseconds(300);
-/**
- * Time for which a starting node with seed addresses does not use the names in the store. It considers itself a hub until it has
- * contact with others, and finds them through the seeds if any of these is reachable.
- */
-constexpr duration DISCOVERY_TIME = std::chrono::milliseconds(700);
 
 } // namespace
 
@@ -38,8 +30,6 @@
 	_link.endpoints_reported().connect([this](const std::string &p_vm, const report_endpoints_message &p_message) { _endpoints.offer(p_message.endpoints, p_message.known, p_vm); });
 	_link.delta_reported().connect([this](const std::string &p_vm, const report_delta_message &p_message) { _on_delta_reported(p_vm, p_message.reading); });
 	_endpoints.delta_published().connect([this](const endpoint_delta &p_reading) { _publish_delta(p_reading); });
-	// The copy may be older than the record with this node's name.
-	_endpoints.era_entered().connect([this] { _is_name_written = false; });
 }
 
 void store_sharing::set_zone_nodes(const std::vector<overlay_node> &p_nodes, const std::vector<std::string> &p_hubs) {
@@ -144,45 +134,4 @@
 	_endpoints.get_directory().take_removed();
 }
 
-void store_sharing::use_names(bool p_is_hub) {
-	const instant now = event_loop::now();
-	if (!_context.settings.peers.empty() && now - _started_at < DISCOVERY_TIME) {
-		return;
-	}
-	// Only hubs write their names, as a node that finds one hub finds all nodes through it.
-	if (!_is_name_written && p_is_hub && now - _name_write_at > NAME_WRITE_RETRY) {
-		_name_write_at = now;
-		_write_name();
-	}
-	// All seeds may be stale, and a zone that was partitioned may have no link: then the names in the store are used.
-	if (_link.get_linked().empty() && now - _read_names_at > NAME_READ_INTERVAL) {
-		_read_names_at = now;
-		_read_names();
-	}
-}
-
-void store_sharing::_write_name() {
-	const std::string value = to_string(_link.get_address()) + " " + _context.settings.zone;
-	_context.store.put(std::string(get_node_topic()), read_reason::NODE_NAMES, _context.settings.vm, value, [this](bool p_written) { _is_name_written = _is_name_written || p_written; });
-}
-
-void store_sharing::_read_names() {
-	_context.store.read_newest(std::string(get_node_topic()), read_reason::NODE_NAMES, true, [this](const store_answer &p_answer) {
-		std::vector<named_node> names;
-		for (const store_record &record : p_answer.records) {
-			const std::string value = record.value.value_or("");
-			const std::size_t space = value.find(' ');
-			const network_address address = parse_network_address(value.substr(0, space));
-			if (address.port != 0) {
-				names.push_back(named_node{ record.key, address, space == std::string::npos ? "" : value.substr(space + 1) });
-			}
-		}
-		const std::vector<named_node> chosen = choose_named_nodes(_context.settings.vm, _context.settings.zone, names, _name_rounds);
-		_name_rounds += chosen.empty() ? 0 : 1;
-		for (const named_node &node : chosen) {
-			_link.dial(node.vm, node.address);
-		}
-	});
-}
-
 } // namespace calicoscale
--- a/main/gateway/store_sharing.h
+++ b/main/gateway/store_sharing.h
@@ -42,10 +42,6 @@
 	store_coverage _coverage;
 	std::string _reader;
 	instant _started_at{};
-	bool _is_name_written = false; ///< This node's name and address are in the store.
-	instant _name_write_at{};
-	instant _read_names_at{};
-	std::size_t _name_rounds = 0; ///< Reads of the names after which nodes were dialled.
 	std::size_t _known_nodes = 0; ///< Size of the last known set of nodes of this zone.
 	instant _nodes_changed_at{}; ///< When that size last changed.
 
@@ -60,8 +56,6 @@
 	 * its zone, it chooses itself as the reader.
 	 */
 	bool _is_discovering_peers(bool p_is_settled) const;
-	void _write_name();
-	void _read_names();
 
 public:
 	store_sharing(gateway_context &p_context, configuration_follower &p_configuration, endpoint_follower &p_endpoints, node_link &p_link, store_sharing_hooks p_hooks);
@@ -78,9 +72,6 @@
 	/** Stops following the configuration in the store while responsive peers follow it, and resumes otherwise. */
 	void update_cover();
 
-	/** Writes this node's name and address to the store if it is a hub, and reads those of others if no node is linked. */
-	void use_names(bool p_is_hub);
-
 	/** Records whether a peer follows the configuration in the store. */
 	void on_heartbeat(const std::string &p_vm, const heartbeat_message &p_message, std::uint64_t p_version);
 
--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -180,7 +180,21 @@
 mutate "recorded versions" "a record that was read before counts" main/gateway/origin_sync.h "return _read_began_at >= p_since;" "return p_since != instant{} && _read_began_at != instant{};" gateway_stream_version_test
 mutate "memory" "answers are received whatever they take together" main/gateway/answer_buffers.cpp "_budget.find_excess(); excess; excess" "std::optional<buffer_id>(); excess; excess" gateway_broken_answer_test
 mutate "memory" "answers of stage replicas are received without a bound" main/gateway/pool_caller.cpp "if (!answer->body.is_complete()) {" "if (false) {" gateway_broken_answer_test
-mutate "membership" "seeds that left are not dialled again" main/gateway/gateway_fleet.cpp "const bool is_staying = entry.state != member_state::GONE && !entry.digest.leaving;" "const bool is_staying = true;" gateway_fleet_test
+mutate "membership" "seeds that left are not dialled again" main/gateway/gateway_fleet.cpp "if (_is_staying(entry) || _link.is_linked(vm)) {
+			known" "if (true) {
+			known" gateway_fleet_test
+mutate "membership" "only a node without links seeks others by their names" main/gateway/node_names.cpp "p_use.seeks_parts && " "false && " gateway_fleet_test
+mutate "membership" "every node reads the names" servers/membership/named_contacts.cpp "!_is_seeking || p_now < _read_at" "p_now < _read_at" named_contacts_test
+mutate "membership" "a node that is gone is dialled as often for ever" servers/membership/named_contacts.cpp "std::min(entry.pause * 2, MAX_DIAL_PAUSE)" "MIN_DIAL_PAUSE" named_contacts_test
+mutate "membership" "records of nodes that are gone are never removed" servers/membership/named_contacts.cpp "p_now - entry.found_at >= REMOVAL_TIME" "false" named_contacts_test
+mutate "headers" "a Connection header removes any header" platform/request_codec.cpp "(is_named && !is_one_of(DECIDING_HEADERS, p_name))" "is_named" platform_codec_test
+mutate "headers" "the first of two values counts" platform/request_codec.cpp "answer.is_contradictory = has_contradiction(p_head);" "" gateway_broken_answer_test
+mutate "headers" "the first of two ids counts" drivers/endpoint_channels.cpp "!p_request.echo_header.empty() && is_contradictory(" "false && is_contradictory(" forwarded_answer_test
+mutate "headers" "fields behind a body are headers" drivers/http_reader.cpp "if (self._has_head) {
+			return self._count(p_size) ? 0 : 1;
+		}
+		if (self._in_value)" "if (self._in_value)" http_exchange_test
+mutate "forwarded exchanges" "a peer's word is taken for a valid answer" main/gateway/forwarded_answer.cpp "!is_valid_answer(p_head) || " "" forwarded_answer_test
 mutate "proofs of serve" "a refusal without a name counts on any connection" drivers/endpoint_client.cpp "if (echo.empty() && !p_result.is_first_on_connection) {" "if (false) {" endpoint_client_test
 mutate "reach" "one failed endpoint stands for its service" servers/reach/service_reach.h "REQUIRED_ENDPOINTS = 2" "REQUIRED_ENDPOINTS = 1" service_reach_test
 mutate "reach" "contact with one endpoint stands for all" servers/reach/service_reach.cpp "state.failed.erase(p_endpoint);" "state.failed.clear();" service_reach_test
--- a/servers/gateway/mechanism.cpp
+++ b/servers/gateway/mechanism.cpp
@@ -49,6 +49,7 @@
 		{ mechanism::EJECTION, "ejection" },
 		{ mechanism::REPEATS, "repeats" },
 		{ mechanism::STORE_READERS, "store_readers" },
+		{ mechanism::NAMED_CONTACTS, "named_contacts" },
 		{ mechanism::ZONE_SILENCE, "zone_silence" },
 		{ mechanism::CONNECTION_SHEDDING, "connection_shedding" },
 } };
--- a/servers/gateway/mechanism.h
+++ b/servers/gateway/mechanism.h
@@ -49,6 +49,7 @@
 	EJECTION, ///< Endpoints that fail are not used for a while.
 	REPEATS, ///< Repeatable requests are sent again after a failure.
 	STORE_READERS, ///< One node in each zone reads the store for the others.
+	NAMED_CONTACTS, ///< One node of those that know each other dials unknown nodes that the store names.
 	ZONE_SILENCE, ///< A zone from which nothing is received is treated as partitioned.
 	CONNECTION_SHEDDING, ///< New connections are accepted last, and closed unread if they have waited too long.
 	COUNT, ///< Number of the others.
--- a/tests/main/gateway_fleet_test.cpp
+++ b/tests/main/gateway_fleet_test.cpp
@@ -7,6 +7,7 @@
  */
 
 #include "tests/main/gateway_fixture.h"
+#include "tests/main/raw_server.h"
 
 #include <thread>
 
@@ -549,6 +550,8 @@
 	add_replica("llm");
 	const auto is_one = [this] { return std::all_of(_gateways.begin(), _gateways.end(), [](const std::unique_ptr<gateway> &p_node) { return p_node->get_live_count() == NODES; }); };
 	_most_seeds = SEEDS;
+	const auto switch_off_names = [](gateway_settings &r_settings) { r_settings.mechanisms.switch_off(mechanism::NAMED_CONTACTS); };
+	_adjust_settings = switch_off_names;
 	for (std::size_t i = 0; i < NODES; i++) {
 		start_ready();
 	}
@@ -562,9 +565,45 @@
 	_gateways.erase(_gateways.begin(), _gateways.begin() + SEEDS);
 	_first_seeds = seeds;
 	for (std::size_t i = 0; i < SEEDS; i++) {
-		_adjust_settings = [&seeds, i](gateway_settings &r_settings) {
+		_adjust_settings = [&seeds, i, switch_off_names](gateway_settings &r_settings) {
 			r_settings.vm = "n" + std::to_string(i);
 			r_settings.link_address = seeds[i];
+			switch_off_names(r_settings);
+		};
+		start_gateway();
+	}
+	run_until(is_one);
+}
+
+// Guards against a fleet in two parts whose settings name no common node: seeds are replaced, and each side knows only its own.
+TEST_F(gateway_fleet_test, a_fleet_whose_seeds_are_replaced_by_nodes_that_name_themselves_is_one_again) {
+	constexpr std::size_t SEEDS = 3;
+	constexpr std::size_t NODES = 6;
+	configure(1);
+	add_replica("llm");
+	const auto is_one = [this] { return std::all_of(_gateways.begin(), _gateways.end(), [](const std::unique_ptr<gateway> &p_node) { return p_node->get_live_count() == NODES; }); };
+	_most_seeds = SEEDS;
+	for (std::size_t i = 0; i < NODES; i++) {
+		_zone = std::string(1, static_cast<char>('a' + i % 3));
+		start_ready();
+	}
+	run_until(is_one);
+	for (std::size_t i = 0; i < SEEDS; i++) {
+		_gateways[i]->stop();
+	}
+	run_until([this] { return std::all_of(_gateways.begin(), _gateways.begin() + SEEDS, [](const std::unique_ptr<gateway> &p_node) { return p_node->has_stopped(); }); });
+	_gateways.erase(_gateways.begin(), _gateways.begin() + SEEDS);
+	std::vector<network_address> replacements;
+	for (std::size_t i = 0; i < SEEDS; i++) {
+		// Closed again, so that a gateway can use its port.
+		replacements.push_back(raw_server(_loop).get_address());
+	}
+	for (std::size_t i = 0; i < SEEDS; i++) {
+		_adjust_settings = [&replacements, i](gateway_settings &r_settings) {
+			r_settings.vm = "replacement" + std::to_string(i);
+			r_settings.zone = std::string(1, static_cast<char>('a' + i));
+			r_settings.link_address = replacements[i];
+			r_settings.peers = replacements;
 		};
 		start_gateway();
 	}
