--- a/tests/soak/disturbance_log.cpp
+++ b/tests/soak/disturbance_log.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(disturbance::COUNT)> DISTURBANCE_NAMES{ "node killed", "node stopping", "node still", "store link", "peer link", "caller link", "store", "endpoint link", "endpoint gone", "endpoint faulty", "endpoint holds back", "endpoint varies ends", "driver held up", "driver slow" };
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(promise::COUNT)> PROMISE_NAMES{ "answered", "whole", "own_answer", "unchanged", "at_most_once", "refused_is_not_run", "admitted", "in_time", "configuration_in_force", "configuration_stays", "leaving_is_left", "returned_is_used", "limit_is_kept", "word_of_leaving_is_kept", "rest_is_given", "stops_in_time", "stays_up", "serves_again", "one_version", "streams_go_on" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(promise::COUNT)> PROMISE_NAMES{ "answered", "whole", "own_answer", "unchanged", "at_most_once", "refused_is_not_run", "admitted", "in_time", "configuration_in_force", "configuration_stays", "leaving_is_left", "returned_is_used", "limit_is_kept", "word_of_leaving_is_kept", "rest_is_given", "stops_in_time", "stays_up", "serves_again", "one_version", "fleet_is_one", "streams_go_on" };
 
 struct excuse {
 	promise what;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -26,6 +26,7 @@
 constexpr const char *ENDPOINT_TOPIC = "keyed.servers";
 constexpr std::uint16_t CALLER_PORT = 8625;
 constexpr std::uint16_t READINESS_PORT = 8621;
+constexpr std::uint16_t METRICS_PORT = 8622;
 constexpr std::uint16_t LINK_PORT = 8628;
 /** Of callers far away, whose requests cross the end of a connection now and then. */
 constexpr duration CALLER_DELAY = milliseconds(30);
@@ -80,6 +81,11 @@
 	return "v1." + std::to_string(p_number);
 }
 
+/** @param p_life how often the node was replaced. */
+std::uint16_t get_link_port(std::size_t p_life) {
+	return static_cast<std::uint16_t>(LINK_PORT + p_life);
+}
+
 network_address get_node_address(std::size_t p_node, std::uint16_t p_port) {
 	return network_address{ get_host(p_node), p_port };
 }
@@ -140,13 +146,33 @@
 
 void soak_fleet::_write_settings(std::size_t p_number, bool p_is_first_start) const {
 	json peers = json::array();
+	for (const network_address &seed : _get_seeds(p_number)) {
+		peers.push_back(to_string(seed));
+	}
+	const std::size_t life = p_number < SEEDS ? _replacements : 0;
+	const std::string vm = "n" + std::to_string(p_number) + (life == 0 ? "" : "-" + std::to_string(life));
+	const json settings{ { "vm", vm }, { "zone", get_zone(p_number) }, { "caller_address", to_string(get_node_address(p_number, CALLER_PORT)) }, { "readiness_address", to_string(get_node_address(p_number, READINESS_PORT)) }, { "metrics_address", to_string(get_node_address(p_number, METRICS_PORT)) }, { "link_address", to_string(get_node_address(p_number, get_link_port(life))) }, { "store_address", to_string(_nodes[p_number].store->get_address()) }, { "peers", peers }, { "stop_grace_seconds", to_seconds(STOP_GRACE) }, { "configuration_apply_ms", 2000 }, { "first_start", p_is_first_start } };
+	std::ofstream(_place.directory + "/node-" + std::to_string(p_number) + ".json") << settings.dump(1) << "\n";
+}
+
+std::vector<network_address> soak_fleet::_get_seeds(std::size_t p_number) const {
+	std::vector<network_address> seeds;
 	for (std::size_t i = 0; i < std::min(SEEDS, _size.nodes); i++) {
-		if (i != p_number) {
-			peers.push_back(to_string(_nodes[i].peers->get_address()));
+		if (i == p_number) {
+			continue;
 		}
+		const bool is_replaced = p_number < SEEDS && _replacements > 0;
+		seeds.push_back(is_replaced ? get_node_address(i, get_link_port(_replacements)) : _nodes[i].peers->get_address());
+	}
+	return seeds;
+}
+
+void soak_fleet::_replace_seeds() {
+	_replacements++;
+	for (std::size_t i = 0; i < std::min(SEEDS, _size.nodes); i++) {
+		_write_settings(i, false);
+		_stop(i);
 	}
-	const json settings{ { "vm", "n" + std::to_string(p_number) }, { "zone", get_zone(p_number) }, { "caller_address", to_string(get_node_address(p_number, CALLER_PORT)) }, { "readiness_address", to_string(get_node_address(p_number, READINESS_PORT)) }, { "link_address", to_string(get_node_address(p_number, LINK_PORT)) }, { "store_address", to_string(_nodes[p_number].store->get_address()) }, { "peers", peers }, { "stop_grace_seconds", to_seconds(STOP_GRACE) }, { "configuration_apply_ms", 2000 }, { "first_start", p_is_first_start } };
-	std::ofstream(_place.directory + "/node-" + std::to_string(p_number) + ".json") << settings.dump(1) << "\n";
 }
 
 void soak_fleet::_start_node(std::size_t p_number) {
@@ -523,6 +549,9 @@
 		case soak_action::ENDPOINT_VARIES_ENDS:
 			_vary_ends(p_event);
 			return;
+		case soak_action::SEEDS_REPLACED:
+			_replace_seeds();
+			return;
 		case soak_action::ENDPOINT_LIMITS:
 		case soak_action::ENDPOINT_RESTS:
 			if (_endpoints[subject].is_in_use) {
@@ -562,4 +591,8 @@
 	return get_node_address(p_node, READINESS_PORT);
 }
 
+network_address soak_fleet::get_metrics_address(std::size_t p_node) const {
+	return get_node_address(p_node, METRICS_PORT);
+}
+
 } // namespace calicoscale
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -64,6 +64,7 @@
 	std::vector<endpoint> _endpoints;
 	std::unique_ptr<caller_server> _trap;
 	std::size_t _spoilt = 0;
+	std::size_t _replacements = 0; ///< Of the seeds.
 	timer _watch_timer;
 	instant _watched_at{};
 
@@ -74,6 +75,9 @@
 	void _on_node_ended(std::size_t p_number);
 	void _kill(std::size_t p_number);
 	void _stop(std::size_t p_number);
+	/** Addresses that the settings of a node name. Nodes that are no seeds keep those of the first seeds. */
+	std::vector<network_address> _get_seeds(std::size_t p_number) const;
+	void _replace_seeds();
 	void _stand_still(std::size_t p_number, duration p_length);
 	void _harm_link(disturbance p_kind, std::size_t p_subject, fault_proxy &r_link, const soak_event &p_event);
 	void _disturb_store(const soak_event &p_event);
@@ -107,6 +111,7 @@
 	/** Whether the node's process runs and was not told to stop. */
 	bool is_in_service(std::size_t p_node) const;
 	network_address get_readiness_address(std::size_t p_node) const;
+	network_address get_metrics_address(std::size_t p_node) const;
 
 	/** Up to when turns that held the soak up are noted. */
 	instant get_watched_at() const { return _watched_at; }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -136,7 +136,35 @@
 	return _started_at + get_calm_end(_size) + RECOVERY;
 }
 
+void soak_run::_check_fleet() {
+	for (std::size_t i = 0; i < _views.size(); i++) {
+		if (!_fleet.is_in_service(i)) {
+			continue;
+		}
+		channel_request request;
+		request.to = _fleet.get_metrics_address(i);
+		request.endpoint = endpoint_identity{ to_string(request.to), 0 };
+		request.bytes = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n";
+		const std::shared_ptr<std::string> metrics = std::make_shared<std::string>();
+		_questions.start(std::move(request), channel_hooks{ [](const http_head &) {}, [metrics](std::string_view p_bytes) { *metrics += p_bytes; }, [this, i, metrics](channel_end) { _on_live_count(i, *metrics); } });
+	}
+}
+
+void soak_run::_on_live_count(std::size_t p_node, const std::string &p_metrics) {
+	static const std::string LABEL = "{name=\"live_nodes\"} ";
+	const std::size_t found = p_metrics.find(LABEL);
+	const std::size_t counted = found == std::string::npos ? 0 : std::stoul(p_metrics.substr(found + LABEL.size()));
+	std::size_t running = 0;
+	for (std::size_t i = 0; i < _views.size(); i++) {
+		running += _fleet.is_in_service(i) ? 1 : 0;
+	}
+	if (counted < running) {
+		_book.judge(promise::FLEET_IS_ONE, {}, "node " + std::to_string(p_node) + " counts " + std::to_string(counted) + " of " + std::to_string(running) + " nodes as live");
+	}
+}
+
 void soak_run::_stop_callers() {
+	_check_fleet();
 	for (const std::unique_ptr<soak_caller> &caller : _callers) {
 		caller->stop();
 	}
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -58,6 +58,9 @@
 	void _end_probe(std::size_t p_node);
 	void _stop_callers_once_judged(int p_extensions);
 	void _stop_callers();
+	/** Asks each node how many nodes it counts as live. Callers can't see that a fleet is in parts unless many of their streams break. */
+	void _check_fleet();
+	void _on_live_count(std::size_t p_node, const std::string &p_metrics);
 	bool _is_anybody_waiting() const;
 	/** Stops the loop when the last requests are judged; what is open at the latest time goes without an answer. */
 	void _stop_once_judged(instant p_latest);
--- a/tests/soak/soak_schedule.cpp
+++ b/tests/soak/soak_schedule.cpp
@@ -60,13 +60,15 @@
 constexpr std::uint64_t SURPLUS_SEED_STEP = 6'000'003;
 constexpr std::size_t LEAST_SURPLUS = 3;
 constexpr std::size_t MORE_SURPLUS = 3;
+/** And replacements of the seeds. */
+constexpr std::uint64_t REPLACEMENT_SEED_STEP = 7'000'003;
 /** Of the endpoints, those that one burst updates, one after the other. */
 constexpr std::size_t UPDATED_PART = 3;
 constexpr duration UPDATE_STEP = milliseconds(700);
 constexpr std::uint64_t UPDATE_SEED_STEP = 5'000'003;
 constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends", "endpoint_repeats_answers", "endpoint_updates" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends", "endpoint_repeats_answers", "seeds_replaced", "endpoint_updates" };
 
 bool is_of_endpoint(soak_action p_action) {
 	return p_action == soak_action::ENDPOINT_LINK || p_action == soak_action::ENDPOINT_CRASHES || p_action == soak_action::ENDPOINT_LEAVES || p_action == soak_action::ENDPOINT_MISBEHAVES;
@@ -171,6 +173,7 @@
 	soak_random ends(p_seed + ENDS_SEED_STEP);
 	soak_random surplus(p_seed + SURPLUS_SEED_STEP);
 	soak_random updates(p_seed + UPDATE_SEED_STEP);
+	soak_random replacements(p_seed + REPLACEMENT_SEED_STEP);
 	std::size_t newest_version = FIRST_VERSIONS;
 	std::vector<soak_event> events;
 	for (duration begin = WARM_UP; begin + BURST <= get_calm_end(p_size); begin += BURST + CALM) {
@@ -190,6 +193,9 @@
 		if (p_size.has_surplus) {
 			add_surplus(surplus, p_size, begin, events);
 		}
+		if (p_size.has_replaced_seeds) {
+			events.push_back(soak_event{ begin + replacements.pick_time(0, to_milliseconds(BURST)), soak_action::SEEDS_REPLACED, 0, duration::zero(), 0 });
+		}
 		if (p_size.has_versions) {
 			add_update(updates, p_size, begin, ++newest_version, events);
 		}
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -42,6 +42,7 @@
 	STORE_FROM_COPY, ///< It is copied, and comes back from that copy when the length is over; those who write there do so again.
 	ENDPOINT_VARIES_ENDS, ///< Frames its answers in any way, and ends streams inside an event in good order.
 	ENDPOINT_REPEATS_ANSWERS, ///< Sends second copies of its answers, immediately or where the next one is due.
+	SEEDS_REPLACED, ///< The seeds stop, and other machines start in their places, whose settings name only each other.
 	ENDPOINT_UPDATES, ///< Leaves, and starts again under another name with a newer version of its software.
 	COUNT,
 };
@@ -83,6 +84,7 @@
 	bool has_versions = false; ///< Endpoints have two versions of their software, and more of them are updated in each burst; callers resume streams.
 	bool has_varied_ends = false; ///< Endpoints end answers in any way besides, some in each burst.
 	bool has_surplus = false; ///< Endpoints send second copies of their answers besides, some in each burst.
+	bool has_replaced_seeds = false; ///< The seeds are replaced besides, once in each burst.
 };
 
 /** From here on nothing is disturbed, only configured. */
