--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -175,6 +175,23 @@
 	_stream(p_exchange, last.empty() ? 1 : std::atoi(last.c_str()) + 1, p_mode, ending);
 }
 
+void soak_endpoint::_answer_with_bad_headers(caller_exchange &p_exchange, const std::string &p_id) const {
+	constexpr std::uint64_t KINDS = 3;
+	std::vector<http_header> headers = _make_headers(p_id);
+	switch (hash_bytes(p_id, 5) % KINDS) {
+		case 0:
+			p_exchange.reply(200, { { "X-Attempt-Id", p_id } }, "forged");
+			return;
+		case 1:
+			headers.push_back({ "X-Attempt-Id", _book.find_other(p_id) });
+			p_exchange.reply(200, headers, "forged");
+			return;
+		default:
+			headers.push_back({ "Connection", "X-Replica-Seal" });
+			p_exchange.reply(200, headers, make_answer_body(p_id, _name));
+	}
+}
+
 void soak_endpoint::_answer(caller_exchange &p_exchange, endpoint_mode p_mode) {
 	const std::string id = get(p_exchange, "X-Attempt-Id");
 	const std::string body = make_answer_body(id, _name);
@@ -197,7 +214,7 @@
 			p_exchange.abort();
 			return;
 		case endpoint_mode::UNSEALED:
-			p_exchange.reply(200, { { "X-Attempt-Id", id } }, "forged");
+			_answer_with_bad_headers(p_exchange, id);
 			return;
 		case endpoint_mode::HANGS:
 			return;
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -28,7 +28,7 @@
 	MISTAKES, ///< Answers another request.
 	CUTS, ///< Breaks its answer off.
 	HANGS, ///< Runs and never answers.
-	UNSEALED, ///< Answers bytes that are not its own.
+	UNSEALED, ///< Answers bytes that are not its own, or contradicts itself, or names its seal as a header of the connection.
 	COUNT,
 };
 
@@ -62,6 +62,8 @@
 
 	void _on_exchange(const std::shared_ptr<caller_exchange> &p_exchange);
 	void _answer(caller_exchange &p_exchange, endpoint_mode p_mode);
+	/** Answers with headers that must not be passed on as they are; of three kinds, by the request's id. */
+	void _answer_with_bad_headers(caller_exchange &p_exchange, const std::string &p_id) const;
 	void _begin_stream(const std::shared_ptr<caller_exchange> &p_exchange, endpoint_mode p_mode);
 	void _stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode, answer_ending p_ending);
 	answer_ending _choose_ending(const std::string &p_id) const;
