--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -62,10 +62,9 @@
 } // namespace
 
 bool is_contradictory(const std::vector<http_header> &p_headers, std::string_view p_name) {
-	const std::string name(p_name);
 	std::optional<std::string_view> first;
 	for (const http_header &header : p_headers) {
-		if (strcasecmp(header.name.c_str(), name.c_str()) != 0) {
+		if (header.name.size() != p_name.size() || strncasecmp(header.name.data(), p_name.data(), p_name.size()) != 0) {
 			continue;
 		}
 		const std::string_view value = trim_blanks(header.value);
