--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -193,7 +193,26 @@
 mutate "headers" "fields behind a body are headers" drivers/http_reader.cpp "if (self._has_head) {
 			return self._count(p_size) ? 0 : 1;
 		}
-		if (self._in_value)" "if (self._in_value)" http_exchange_test
+		if (self._in_value) {
+			self._finish_header();
+		}
+		self._field.append(p_bytes, p_size);
+		return self._count(p_size) ? 0 : 1;
+	}
+
+	static int on_value(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
+		http_reader &self = http_reader::_self(p_parser);
+		if (self._has_head) {
+			return self._count(p_size) ? 0 : 1;
+		}" "if (self._in_value) {
+			self._finish_header();
+		}
+		self._field.append(p_bytes, p_size);
+		return self._count(p_size) ? 0 : 1;
+	}
+
+	static int on_value(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
+		http_reader &self = http_reader::_self(p_parser);" http_exchange_test
 mutate "forwarded exchanges" "a peer's word is taken for a valid answer" main/gateway/forwarded_answer.cpp "!is_valid_answer(p_head) || " "" forwarded_answer_test
 mutate "proofs of serve" "a refusal without a name counts on any connection" drivers/endpoint_client.cpp "if (echo.empty() && !p_result.is_first_on_connection) {" "if (false) {" endpoint_client_test
 mutate "reach" "one failed endpoint stands for its service" servers/reach/service_reach.h "REQUIRED_ENDPOINTS = 2" "REQUIRED_ENDPOINTS = 1" service_reach_test
