--- a/servers/membership/named_contacts.h
+++ b/servers/membership/named_contacts.h
@@ -36,7 +36,7 @@
 
 /**
  * Seeks the other parts of a fleet that has fallen apart. Nodes that know each other can't tell whether they are the whole fleet, and the
- * seeds of their settings may all be gone; what every part reaches is the store. One node of each part reads the names there: often
+ * seeds of their settings may all have been replaced, while every part can reach the store. One node of each part reads the names there: often
  * after a change of the nodes that it knows, seldom otherwise, so that a fleet without changes makes few calls. It dials the named
  * nodes that it does not know, each less and less often, and has the record of a node removed that could not be reached for long. The
  * caller passes the current time and random numbers.
