--- a/drivers/http_reader.cpp
+++ b/drivers/http_reader.cpp
@@ -114,17 +114,6 @@
 	return settings;
 }
 
-bool is_token_letter(char p_letter) {
-	static constexpr std::string_view OTHERS = "!#$%&'*+-.^_`|~";
-	const bool is_letter = (p_letter >= 'a' && p_letter <= 'z') || (p_letter >= 'A' && p_letter <= 'Z');
-	return is_letter || (p_letter >= '0' && p_letter <= '9') || OTHERS.find(p_letter) != std::string_view::npos;
-}
-
-bool is_control(char p_letter) {
-	const unsigned char code = static_cast<unsigned char>(p_letter);
-	return (code < 0x20 && code != '\t') || code == 0x7f;
-}
-
 constexpr std::array<enum_name<body_framing>, 3> FRAMING_NAMES{ {
 		{ body_framing::LENGTH, "length" },
 		{ body_framing::CHUNKS, "chunks" },
@@ -140,10 +129,10 @@
 }
 
 bool are_headers_valid(const http_head &p_head) {
-	// The parser accepts blanks and control characters that other implementations reject or interpret differently.
+	// A head that a peer forwards was not read from bytes here.
 	return std::all_of(p_head.headers.begin(), p_head.headers.end(), [](const http_header &p_header) {
-		const bool is_token = !p_header.name.empty() && std::all_of(p_header.name.begin(), p_header.name.end(), is_token_letter);
-		return is_token && std::none_of(p_header.value.begin(), p_header.value.end(), is_control);
+		const bool is_token = !p_header.name.empty() && std::all_of(p_header.name.begin(), p_header.name.end(), is_token_byte);
+		return is_token && std::all_of(p_header.value.begin(), p_header.value.end(), is_value_byte);
 	});
 }
 
@@ -177,7 +166,7 @@
 }
 
 http_reader::http_reader(kind p_kind, hooks p_hooks, std::size_t p_max_header_bytes) :
-		_kind(p_kind), _hooks(std::move(p_hooks)), _parser(new http_parser), _max_header_bytes(p_max_header_bytes) {
+		_kind(p_kind), _hooks(std::move(p_hooks)), _syntax(p_kind), _parser(new http_parser), _max_header_bytes(p_max_header_bytes) {
 	reset();
 }
 
@@ -190,6 +179,7 @@
 void http_reader::reset() {
 	http_parser_init(_parser.get(), _kind == kind::REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
 	_parser->data = this;
+	_syntax.reset();
 	_state = state::READING;
 	_head = http_head();
 	_field.clear();
@@ -229,19 +219,17 @@
 	_head.keep_alive = http_should_keep_alive(_parser.get()) != 0;
 	_head.framing = _kind == kind::REQUEST || _without_body ? body_framing::LENGTH : get_answer_framing(*_parser);
 	const bool is_valid = _kind == kind::REQUEST ? _parser->upgrade == 0 && are_headers_valid(_head) && is_framing_valid(_head) : is_valid_answer(_head);
-	if (_parser->http_major != 1 || !is_valid) {
+	if (_parser->http_major != 1 || !is_valid || !_syntax.is_behind_head()) {
 		return -1;
 	}
+	_syntax.begin_body((_parser->flags & F_CHUNKED) != 0);
 	_has_head = true;
 	_hooks.on_head(_head);
 	const bool ends_here = _without_body || (_kind == kind::ANSWER && http_status::has_no_body(_head.status));
 	return ends_here ? 1 : 0;
 }
 
-std::size_t http_reader::feed(std::string_view p_bytes) {
-	if (_state != state::READING || p_bytes.empty()) {
-		return 0;
-	}
+std::size_t http_reader::_parse(std::string_view p_bytes) {
 	const std::size_t consumed = http_parser_execute(_parser.get(), &get_parser_settings(), p_bytes.data(), p_bytes.size());
 	const http_errno error = HTTP_PARSER_ERRNO(_parser.get());
 	if (error == HPE_HEADER_OVERFLOW) {
@@ -252,6 +240,19 @@
 	return consumed;
 }
 
+std::size_t http_reader::feed(std::string_view p_bytes) {
+	std::size_t consumed = 0;
+	while (_state == state::READING && consumed < p_bytes.size()) {
+		const std::string_view valid = p_bytes.substr(consumed, _syntax.check(p_bytes.substr(consumed)));
+		// No bytes would mean the end of the connection to the parser.
+		consumed += valid.empty() ? 0 : _parse(valid);
+		if (_state == state::READING && _syntax.has_failed()) {
+			_state = state::MALFORMED;
+		}
+	}
+	return consumed;
+}
+
 void http_reader::finish_at_close() {
 	if (_state != state::READING || !_has_head || _head.has_length()) {
 		return;
--- a/drivers/http_reader.h
+++ b/drivers/http_reader.h
@@ -10,6 +10,7 @@
 #define HTTP_READER_H
 
 #include "drivers/http_client.h"
+#include "drivers/http_syntax_checker.h"
 
 #include <functional>
 #include <memory>
@@ -56,20 +57,18 @@
 bool is_same_header(std::string_view p_left, std::string_view p_right);
 
 /**
- * Reads one message at a time. evhttp is not used here: it hides raw targets and surplus bytes, drops the connection on
- * answers that arrive early, and treats a body truncated by a reset as complete.
+ * Reads one message at a time. All bytes pass http_syntax_checker before http_parser gets them, as that one skips some of them unread. evhttp
+ * is not used here: it hides raw targets and surplus bytes, drops the connection on answers that arrive early, and treats a body truncated
+ * by a reset as complete.
  */
 class http_reader {
 public:
-	enum class kind {
-		REQUEST,
-		ANSWER,
-	};
+	using kind = http_syntax_checker::kind;
 
 	enum class state {
 		READING,
 		COMPLETE, ///< A complete message was read; reset() prepares for the next.
-		MALFORMED,
+		MALFORMED, ///< Not valid HTTP. Hooks were called for what came before, but never for an invalid head.
 		HEADERS_TOO_LARGE,
 	};
 
@@ -85,6 +84,7 @@
 
 	kind _kind;
 	hooks _hooks;
+	http_syntax_checker _syntax;
 	std::unique_ptr<http_parser, parser_deleter> _parser;
 	state _state = state::READING;
 	http_head _head;
@@ -101,6 +101,7 @@
 	void _finish_header();
 	bool _count(std::size_t p_bytes);
 	int _on_headers_complete();
+	std::size_t _parse(std::string_view p_bytes);
 
 	friend struct http_reader_callbacks;
 
