--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -8,6 +8,9 @@
 
 #include "drivers/http_client.h"
 
+#include "drivers/http_reader.h"
+#include "drivers/http_status.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -24,7 +27,7 @@
 
 constexpr std::size_t MAX_IDLE_PER_ADDRESS = 16;
 constexpr duration MAX_IDLE_TIME = std::chrono::seconds(20);
-constexpr int STATUS_OK = 200;
+constexpr std::size_t MAX_HEADER_BYTES = 64 * 1024;
 
 struct connection_deleter {
 	void operator()(evhttp_connection *p_connection) const { evhttp_connection_free(p_connection); }
@@ -100,6 +103,10 @@
 	evhttp_request *_request = nullptr;
 	evbuffer_cb_entry *_output_watch = nullptr;
 	evbuffer *_output = nullptr;
+	evbuffer_cb_entry *_input_watch = nullptr;
+	evbuffer *_input = nullptr;
+	/** Reads the answer too, as evhttp accepts bytes that are no valid answer. Nothing of an answer is used that this reader refuses. */
+	http_reader _checker{ http_reader::kind::ANSWER, http_reader::hooks{ [](const http_head &) {}, [](std::string_view) {} }, MAX_HEADER_BYTES };
 	http_hooks _hooks;
 	http_failure _failure = http_failure::LOST;
 	bool _has_sent_bytes = false;
@@ -117,11 +124,45 @@
 		}
 	}
 
+	/** Called by libevent before evhttp handles the bytes. */
+	static void _on_input_change(evbuffer *p_input, const evbuffer_cb_info *p_info, void *p_self) {
+		call_state &self = *static_cast<call_state *>(p_self);
+		if (p_info->n_added == 0 || self._is_refused()) {
+			return;
+		}
+		std::string added(p_info->n_added, '\0');
+		evbuffer_ptr place;
+		evbuffer_ptr_set(p_input, &place, evbuffer_get_length(p_input) - p_info->n_added, EVBUFFER_PTR_SET);
+		evbuffer_copyout_from(p_input, &place, added.data(), added.size());
+		self._check(added);
+		if (self._is_refused()) {
+			self._failure = http_failure::MALFORMED;
+			// A request must not be cancelled while evhttp reads its answer.
+			self._client._loop.post([&client = self._client, id = self._id] { client._refuse(id); });
+		}
+	}
+
+	void _check(std::string_view p_bytes) {
+		while (!p_bytes.empty() && _checker.get_state() == http_reader::state::READING) {
+			p_bytes.remove_prefix(_checker.feed(p_bytes));
+			if (_checker.get_state() == http_reader::state::COMPLETE && http_status::is_interim(_checker.get_head().status)) {
+				_checker.reset();
+			}
+		}
+	}
+
+	bool _is_refused() const {
+		return _checker.get_state() == http_reader::state::MALFORMED || _checker.get_state() == http_reader::state::HEADERS_TOO_LARGE;
+	}
+
 	static void _on_chunk(evhttp_request *p_request, void *p_self) {
 		call_state &self = *static_cast<call_state *>(p_self);
 		const std::string bytes = take_all(evhttp_request_get_input_buffer(p_request));
 		self._received += bytes.size();
-		if (evhttp_request_get_response_code(p_request) != STATUS_OK) {
+		if (self._is_refused()) {
+			return;
+		}
+		if (evhttp_request_get_response_code(p_request) != http_status::OK) {
 			self._error_body += bytes;
 			return;
 		}
@@ -158,6 +199,12 @@
 			self._client._end(self._id, result, false);
 			return;
 		}
+		self._checker.finish_at_close();
+		if (self._checker.get_state() != http_reader::state::COMPLETE) {
+			result.failure = self._failure;
+			self._client._end(self._id, result, false);
+			return;
+		}
 		result.status = evhttp_request_get_response_code(p_request);
 		result.headers = read_headers(p_request);
 		const std::string remainder = take_all(evhttp_request_get_input_buffer(p_request));
@@ -169,9 +216,12 @@
 		self._client._end(self._id, result, keep);
 	}
 
-	void _watch_output() {
-		_output = bufferevent_get_output(evhttp_connection_get_bufferevent(_connection.get()));
+	void _watch_connection() {
+		bufferevent *stream = evhttp_connection_get_bufferevent(_connection.get());
+		_output = bufferevent_get_output(stream);
 		_output_watch = evbuffer_add_cb(_output, &call_state::_on_output_change, this);
+		_input = bufferevent_get_input(stream);
+		_input_watch = evbuffer_add_cb(_input, &call_state::_on_input_change, this);
 	}
 
 public:
@@ -186,7 +236,7 @@
 	call_state &operator=(const call_state &) = delete;
 
 	void send(const http_call &p_call) {
-		_watch_output();
+		_watch_connection();
 		_request = evhttp_request_new(&call_state::_on_done, this);
 		evhttp_request_set_error_cb(_request, &call_state::_on_error);
 		if (_hooks.on_chunk) {
@@ -204,7 +254,7 @@
 		evhttp_connection_set_timeout_tv(_connection.get(), &timeout);
 		evhttp_connection_set_retries(_connection.get(), 0);
 		evhttp_connection_set_max_body_size(_connection.get(), static_cast<ev_ssize_t>(p_call.largest_answer));
-		evhttp_connection_set_max_headers_size(_connection.get(), 64 * 1024);
+		evhttp_connection_set_max_headers_size(_connection.get(), MAX_HEADER_BYTES);
 		const evhttp_cmd_type command = p_call.is_post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
 		if (evhttp_make_request(_connection.get(), _request, command, p_call.path.c_str()) != 0 && _request != nullptr) {
 			// No socket could be created; evhttp freed the request without a callback.
@@ -220,6 +270,8 @@
 		if (_output_watch != nullptr) {
 			evbuffer_remove_cb_entry(_output, _output_watch);
 			_output_watch = nullptr;
+			evbuffer_remove_cb_entry(_input, _input_watch);
+			_input_watch = nullptr;
 		}
 	}
 
@@ -303,6 +355,24 @@
 	}
 }
 
+void http_client::_refuse(call_id p_id) {
+	const auto found = _calls.find(p_id);
+	if (found == _calls.end()) {
+		return;
+	}
+	std::shared_ptr<call_state> call = std::move(found->second);
+	_calls.erase(found);
+	const std::function<void(const http_result &)> hook = call->get_hooks().on_end;
+	call->abort();
+	_loop.post([call] {});
+	if (hook) {
+		http_result result;
+		result.call = p_id;
+		result.failure = http_failure::MALFORMED;
+		hook(result);
+	}
+}
+
 void http_client::cancel(call_id p_id) {
 	const auto found = _calls.find(p_id);
 	if (found == _calls.end()) {
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -48,7 +48,7 @@
 	CONNECT_FAILED, ///< No byte was handed to a connected socket.
 	LOST, ///< The connection failed before the answer was complete.
 	TIMED_OUT,
-	MALFORMED,
+	MALFORMED, ///< The bytes received are not a valid answer; the call may have run.
 };
 
 /** Identity of a call within its client. */
@@ -88,6 +88,8 @@
 	std::uint64_t _bytes_received = 0;
 
 	void _end(call_id p_id, http_result p_result, bool p_keep);
+	/** Ends a call whose answer is not valid, and closes its connection. */
+	void _refuse(call_id p_id);
 
 public:
 	explicit http_client(event_loop &p_loop);
--- a/main/commands/command_client.cpp
+++ b/main/commands/command_client.cpp
@@ -45,6 +45,9 @@
 	if (result.failure == http_failure::CONNECT_FAILED) {
 		throw command_error("cannot connect to " + to_string(p_to));
 	}
+	if (result.failure == http_failure::MALFORMED) {
+		throw command_error(to_string(p_to) + " sent bytes that are not a valid HTTP answer");
+	}
 	if (result.failure != http_failure::NONE) {
 		throw command_error(to_string(p_to) + " broke off its answer");
 	}
