--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -213,6 +213,15 @@
 
 	static int on_value(http_parser *p_parser, const char *p_bytes, std::size_t p_size) {
 		http_reader &self = http_reader::_self(p_parser);" http_exchange_test
+syntax=drivers/http_syntax_checker.cpp
+mutate "syntax of messages" "a status is any text" $syntax '"HTTP/1.# ###"' '"HTTP/1.#"' gateway_malformed_answer_test
+mutate "syntax of messages" "a line begins with a blank" $syntax "if (is_token_byte(p_byte)) {" "if (is_token_byte(p_byte) || p_byte == ' ' || p_byte == '\t') {" gateway_malformed_answer_test
+mutate "syntax of messages" "any byte follows a carriage return" $syntax "return p_byte == '\n' ? _part_behind_line : part::FAILED;" "return _part_behind_line;" gateway_malformed_answer_test
+mutate "syntax of messages" "lines of a head end in two ways" $syntax "(_line_end != line_end::UNKNOWN && _line_end != found)" "false" gateway_malformed_answer_test
+mutate "syntax of messages" "any bytes follow the data of a chunk" $syntax "return _end_line(p_byte, part::CHUNK_SIZE);" "_part_behind_line = part::CHUNK_SIZE;
+			return part::LINE_FEED;" gateway_malformed_answer_test
+mutate "syntax of messages" "any byte follows the size of a chunk" $syntax "return p_byte == ';' ? part::CHUNK_EXTENSION : _end_line(p_byte, _get_part_behind_size());" "return p_byte == '\r' || p_byte == '\n' ? _end_line(p_byte, _get_part_behind_size()) : part::CHUNK_EXTENSION;" gateway_malformed_answer_test
+mutate "answers to calls of serve" "bytes that are no valid answer are used" drivers/http_client.cpp "if (self._checker.get_state() != http_reader::state::COMPLETE) {" "if (false) {" http_client_test
 mutate "forwarded exchanges" "a peer's word is taken for a valid answer" main/gateway/forwarded_answer.cpp "!is_valid_answer(p_head) || " "" forwarded_answer_test
 mutate "proofs of serve" "a refusal without a name counts on any connection" drivers/endpoint_client.cpp "if (echo.empty() && !p_result.is_first_on_connection) {" "if (false) {" endpoint_client_test
 mutate "reach" "one failed endpoint stands for its service" servers/reach/service_reach.h "REQUIRED_ENDPOINTS = 2" "REQUIRED_ENDPOINTS = 1" service_reach_test
--- a/misc/scripts/soak_mutations.sh
+++ b/misc/scripts/soak_mutations.sh
@@ -27,7 +27,7 @@
 	sed -n 's/^  \([a-z_]*\) broken [0-9]* times$/\1/p' "$scratch/log" | sort -u
 }
 
-for option in "" --copies --silences --ends --versions; do
+for option in "" --copies --silences --ends --versions --malformed; do
 	play ${option:+"$option"} >"$scratch/unbroken$option"
 	echo "broken without any mutation${option:+, $option}: $(paste -sd ' ' "$scratch/unbroken$option")"
 done
@@ -89,4 +89,5 @@
 mutate "stream versions" "a stream goes on at any version" main/gateway/admitted_request.cpp " && (!version || p_listing.version == *version)" "" --versions
 mutate "stream records" "they are forgotten" servers/streams/stream_table.cpp "	_insert(record);
 " "" --versions
+mutate "syntax of messages" "any byte follows a carriage return" drivers/http_syntax_checker.cpp "return p_byte == '\n' ? _part_behind_line : part::FAILED;" "return _part_behind_line;" --malformed
 exit "$status"
--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -25,6 +25,8 @@
 /** One request in so many takes long. */
 constexpr std::uint64_t LONG_WORK_PART = 12;
 constexpr std::uint64_t LONG_WORK_MS = 900;
+/** Of the answers of an endpoint that sends malformed ones, one in so many is. */
+constexpr std::uint64_t MALFORMED_PART = 2;
 constexpr duration EVENT_GAP = milliseconds(15);
 constexpr int SLOTS = 64;
 
@@ -64,6 +66,7 @@
 	_sequence = 0;
 	_mode = endpoint_mode::SOUND;
 	_varies_ends = false;
+	_sends_malformed = false;
 	_rejected_part = 0;
 	_work = std::make_unique<later_queue>(_loop);
 	_server = std::make_unique<caller_server>(_loop, network_address{ _host, 0 }, caller_server_limits(), [this](const std::shared_ptr<caller_exchange> &p_exchange) { _on_exchange(p_exchange); });
@@ -149,6 +152,11 @@
 	}
 	_book.on_run(_number, p_exchange->head, p_exchange->body, event_loop::now());
 	_work->add(get_work_time(get(*p_exchange, "X-Attempt-Id")), [this, p_exchange, mode] {
+		const std::string id = get(*p_exchange, "X-Attempt-Id");
+		if (mode == endpoint_mode::SOUND && _is_malformed(id)) {
+			_answer_malformed(*p_exchange, id);
+			return;
+		}
 		const bool is_stream = p_exchange->head.target.starts_with("/stream/") || p_exchange->head.target.starts_with("/resumable/");
 		const bool answers_events = is_stream && (mode == endpoint_mode::SOUND || mode == endpoint_mode::CUTS);
 		if (!answers_events) {
@@ -192,6 +200,31 @@
 	}
 }
 
+bool soak_endpoint::_is_malformed(const std::string &p_id) const {
+	return _sends_malformed && hash_bytes(p_id, 7) % MALFORMED_PART == 0;
+}
+
+void soak_endpoint::_answer_malformed(caller_exchange &p_exchange, const std::string &p_id) const {
+	// The length makes the rest of the head a body where a line that begins with CR or LF is taken for the end of the head.
+	static const std::vector<std::vector<http_header>> LINES{
+		{ { " X-Injected", "1" } },
+		{ { "\tX-Injected", "1" } },
+		{ { "X Injected", "1" } },
+		{ { "X-\x01Injected", "1" } },
+		{ { "Content-Length", "5" }, { "\rX-Injected", "1" } },
+		{ { "Content-Length", "5" }, { "\nX-Injected", "1" } },
+	};
+	constexpr int NO_STATUS = 0;
+	std::vector<http_header> headers = _make_headers(p_id);
+	const std::size_t kind = hash_bytes(p_id, 8) % (LINES.size() + 1);
+	if (kind == LINES.size()) {
+		p_exchange.reply(NO_STATUS, headers, make_answer_body(p_id, _name));
+		return;
+	}
+	headers.insert(headers.end(), LINES[kind].begin(), LINES[kind].end());
+	p_exchange.reply(200, headers, make_answer_body(p_id, _name));
+}
+
 void soak_endpoint::_answer(caller_exchange &p_exchange, endpoint_mode p_mode) {
 	const std::string id = get(p_exchange, "X-Attempt-Id");
 	const std::string body = make_answer_body(id, _name);
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -56,6 +56,7 @@
 	std::uint64_t _sequence = 0;
 	endpoint_mode _mode = endpoint_mode::SOUND;
 	bool _varies_ends = false;
+	bool _sends_malformed = false;
 	std::size_t _rejected_part = 0; ///< One in so many requests is rejected; 0 for none.
 	std::size_t _arrived = 0; ///< Requests since that was set.
 	std::size_t _served = 0;
@@ -64,6 +65,9 @@
 	void _answer(caller_exchange &p_exchange, endpoint_mode p_mode);
 	/** Answers with headers that must not be passed on as they are; of three kinds, by the request's id. */
 	void _answer_with_bad_headers(caller_exchange &p_exchange, const std::string &p_id) const;
+	/** Answers with a head that is not valid HTTP, of a kind told by the request's id. */
+	void _answer_malformed(caller_exchange &p_exchange, const std::string &p_id) const;
+	bool _is_malformed(const std::string &p_id) const;
 	void _begin_stream(const std::shared_ptr<caller_exchange> &p_exchange, endpoint_mode p_mode);
 	void _stream(const std::shared_ptr<caller_exchange> &p_exchange, int p_number, endpoint_mode p_mode, answer_ending p_ending);
 	answer_ending _choose_ending(const std::string &p_id) const;
@@ -90,6 +94,9 @@
 	/** Whether each answer ends in one of the ways of answer_ending, told by its request's id. */
 	void set_varies_ends(bool p_varies) { _varies_ends = p_varies; }
 
+	/** Whether part of its answers has a head that is not valid HTTP. */
+	void set_sends_malformed(bool p_sends) { _sends_malformed = p_sends; }
+
 	/** From now on one in so many requests is rejected, with proof that it did not run; 0 for none. */
 	void set_rejected_part(std::size_t p_part);
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -423,6 +423,16 @@
 	});
 }
 
+void soak_fleet::_send_malformed(const soak_event &p_event) {
+	const std::size_t number = p_event.subject;
+	_endpoints[number].server->set_sends_malformed(true);
+	_disturbances.begin(disturbance::ENDPOINT_FAULTY, number, event_loop::now());
+	_later.add(p_event.length, [this, number] {
+		_endpoints[number].server->set_sends_malformed(false);
+		_disturbances.end(disturbance::ENDPOINT_FAULTY, number, event_loop::now());
+	});
+}
+
 void soak_fleet::_repeat_answers(const soak_event &p_event) {
 	const std::size_t number = p_event.subject;
 	_endpoints[number].link->set_repeated_part(REPEATED_ANSWERS_PART);
@@ -549,6 +559,9 @@
 		case soak_action::ENDPOINT_VARIES_ENDS:
 			_vary_ends(p_event);
 			return;
+		case soak_action::ENDPOINT_SENDS_MALFORMED:
+			_send_malformed(p_event);
+			return;
 		case soak_action::SEEDS_REPLACED:
 			_replace_seeds();
 			return;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -91,6 +91,7 @@
 	void _leave(std::size_t p_number, duration p_until_start);
 	void _misbehave(const soak_event &p_event);
 	void _vary_ends(const soak_event &p_event);
+	void _send_malformed(const soak_event &p_event);
 	void _repeat_answers(const soak_event &p_event);
 	/** An endpoint says something in its answers for a while. */
 	void _say(const soak_event &p_event);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -72,6 +72,7 @@
 	known.add_options()("ends", "endpoints end answers without framing, and streams inside an event, besides");
 	known.add_options()("surplus", "endpoints send second copies of their answers, immediately or late, besides");
 	known.add_options()("replaced", "the seeds are replaced by machines whose settings name only each other, besides");
+	known.add_options()("malformed", "endpoints send answers, and callers requests, that are not valid HTTP, besides");
 	known.add_options()("versions", "endpoints are updated to newer versions of their software, and callers resume streams, besides");
 	known.add_options()("schedule", "prints what is done when, and plays nothing");
 	options::variables_map values;
@@ -83,7 +84,7 @@
 	options::notify(values);
 	const std::vector<std::uint64_t> &seeds = values["seeds"].as<std::vector<std::uint64_t>>();
 	const std::uint64_t count = seeds.size() > 1 ? seeds[1] : 1;
-	const soak_size size{ values["nodes"].as<std::size_t>(), values["endpoints"].as<std::size_t>(), values["callers"].as<std::size_t>(), from_seconds(values["seconds"].as<double>()), values.contains("notices"), values.contains("copies"), values.contains("silences"), values.contains("versions"), values.contains("ends"), values.contains("surplus"), values.contains("replaced") };
+	const soak_size size{ values["nodes"].as<std::size_t>(), values["endpoints"].as<std::size_t>(), values["callers"].as<std::size_t>(), from_seconds(values["seconds"].as<double>()), values.contains("notices"), values.contains("copies"), values.contains("silences"), values.contains("versions"), values.contains("ends"), values.contains("surplus"), values.contains("replaced"), values.contains("malformed") };
 	if (count == 0 || size.nodes == 0 || size.nodes > MOST_NODES || size.endpoints == 0 || size.callers == 0 || size.length < SHORTEST) {
 		throw std::runtime_error("needs a seed, 1 to 100 nodes, an endpoint, a caller and 18 seconds at least");
 	}
--- a/tests/soak/soak_message.cpp
+++ b/tests/soak/soak_message.cpp
@@ -71,6 +71,15 @@
 	return fill("request " + p_id + ";", hash_bytes(p_id) % MOST_REQUEST_BYTES);
 }
 
+std::string make_malformed_request(std::size_t p_number) {
+	static const std::vector<std::string> REST_OF_HEAD{ "\rX", "\nX", " X: 1\r\n\r\n", "X Y: 1\r\n\r\n", "X-\x01Y: 1\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\rX\r\n", "Transfer-Encoding: chunked\r\n\r\n1\r\naXX0\r\n\r\n" };
+	const auto write_head = [p_number](const std::string &p_id) {
+		const std::string id = p_id + std::to_string(p_number);
+		return "POST /safe/" + id + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer " + std::string(STEADY_KEY) + "\r\n";
+	};
+	return write_head("malformed-") + REST_OF_HEAD[p_number % REST_OF_HEAD.size()] + write_head("hidden-") + "Content-Length: 0\r\n\r\n";
+}
+
 std::string make_answer_body(const std::string &p_id, const std::string &p_endpoint) {
 	const std::uint64_t number = hash_bytes(p_id, 1);
 	const std::size_t most = number % LONG_ANSWERS == 0 ? MOST_ANSWER_BYTES : SHORT_ANSWER_BYTES;
--- a/tests/soak/soak_message.h
+++ b/tests/soak/soak_message.h
@@ -40,6 +40,9 @@
 
 /** From a few bytes to some ten thousand, as the id has it. */
 std::string make_request_body(const std::string &p_id);
+/** Requests that are not valid HTTP, of a kind told by the number. Some hide a second request. */
+std::string make_malformed_request(std::size_t p_number);
+
 std::string make_answer_body(const std::string &p_id, const std::string &p_endpoint);
 
 /** @param p_version Of the endpoint's software; empty if its events do not name it. */
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -8,6 +8,8 @@
 
 #include "tests/soak/soak_run.h"
 
+#include "drivers/http_status.h"
+
 #include <algorithm>
 
 namespace calicoscale {
@@ -25,6 +27,7 @@
 constexpr duration PROBE_INTERVAL = milliseconds(150);
 /** In a large fleet each node is asked less often: the soak has one core for all. */
 constexpr duration PROBE_INTERVAL_FOR_A_NODE = milliseconds(6);
+constexpr duration MALFORMED_INTERVAL = milliseconds(50);
 /** Every so many probes ask for the version before the newest. */
 constexpr std::size_t OLDER_PROBES = 5;
 /** Requests begun so long after the last trouble, and so long before the end, must be served. */
@@ -57,6 +60,9 @@
 	}
 	_ask_readiness();
 	_probe_nodes();
+	if (p_size.has_malformed) {
+		_send_malformed_request();
+	}
 	_later.add(p_size.length, [this] { _stop_callers_once_judged(MOST_EXTENSIONS); });
 }
 
@@ -125,6 +131,26 @@
 	}
 }
 
+void soak_run::_send_malformed_request() {
+	const std::size_t number = _malformed_count++;
+	const std::size_t node = number % _sites.size();
+	if (_is_ending) {
+		return;
+	}
+	if (_sites[node].takes_new) {
+		channel_request request;
+		request.to = _sites[node].address;
+		request.endpoint = endpoint_identity{ to_string(request.to), 0 };
+		request.use_kept = false;
+		request.bytes = make_malformed_request(number);
+		_questions.start(std::move(request), channel_hooks{ [this, node, number](const http_head &p_head) {
+															   if (http_status::is_success(p_head.status)) {
+																   _book.judge(promise::UNCHANGED, {}, "node " + std::to_string(node) + " served the malformed request " + std::to_string(number));
+															   } }, [](std::string_view) {}, [](channel_end) {} });
+	}
+	_later.add(MALFORMED_INTERVAL, [this] { _send_malformed_request(); });
+}
+
 void soak_run::_stop_callers_once_judged(int p_extensions) {
 	const instant now = event_loop::now();
 	if (p_extensions > 0 && !_book.can_check_served(_get_served_from(), _fleet.get_watched_at())) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -50,12 +50,15 @@
 	later_queue _later;
 	instant _started_at;
 	std::size_t _probe_count = 0;
+	std::size_t _malformed_count = 0;
 	instant _served_to{}; ///< When the callers stopped.
 
 	void _ask_readiness();
 	void _probe_nodes();
 	void _send_probe(std::size_t p_node);
 	void _end_probe(std::size_t p_node);
+	/** Sends each node in turn a request that is not valid HTTP. Endpoints judge whether one of its ids arrives. */
+	void _send_malformed_request();
 	void _stop_callers_once_judged(int p_extensions);
 	void _stop_callers();
 	/**
--- a/tests/soak/soak_schedule.cpp
+++ b/tests/soak/soak_schedule.cpp
@@ -54,21 +54,19 @@
 constexpr double MOST_SILENCE_MS = 4500;
 /** And how endpoints end their answers. */
 constexpr std::uint64_t ENDS_SEED_STEP = 4'000'003;
-constexpr std::size_t LEAST_VARIED_ENDS = 2;
-constexpr std::size_t MORE_VARIED_ENDS = 3;
 /** And second copies of answers. */
 constexpr std::uint64_t SURPLUS_SEED_STEP = 6'000'003;
-constexpr std::size_t LEAST_SURPLUS = 3;
-constexpr std::size_t MORE_SURPLUS = 3;
 /** And replacements of the seeds. */
 constexpr std::uint64_t REPLACEMENT_SEED_STEP = 7'000'003;
+/** And answers that are not valid HTTP. */
+constexpr std::uint64_t MALFORMED_SEED_STEP = 8'000'003;
 /** Of the endpoints, those that one burst updates, one after the other. */
 constexpr std::size_t UPDATED_PART = 3;
 constexpr duration UPDATE_STEP = milliseconds(700);
 constexpr std::uint64_t UPDATE_SEED_STEP = 5'000'003;
 constexpr std::size_t CHOICES = 840; ///< Divides by the number of kinds of each action.
 
-constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends", "endpoint_repeats_answers", "seeds_replaced", "endpoint_updates" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_action::COUNT)> ACTION_NAMES{ "kill", "stop", "stand_still", "reload", "caller_link", "store_link", "peer_link", "endpoint_link", "store_away", "store_silent", "store_reads_lost", "store_forgets", "endpoint_crashes", "endpoint_leaves", "endpoint_misbehaves", "spoilt_record", "configure", "endpoint_limits", "endpoint_leaves_by_word", "endpoint_rests", "store_from_copy", "endpoint_varies_ends", "endpoint_repeats_answers", "seeds_replaced", "endpoint_updates", "endpoint_sends_malformed" };
 
 bool is_of_endpoint(soak_action p_action) {
 	return p_action == soak_action::ENDPOINT_LINK || p_action == soak_action::ENDPOINT_CRASHES || p_action == soak_action::ENDPOINT_LEAVES || p_action == soak_action::ENDPOINT_MISBEHAVES;
@@ -125,21 +123,23 @@
 	r_events.push_back(soak_event{ p_begin + r_random.pick_time(0, to_milliseconds(latest)), soak_action::STORE_SILENT, 0, length, 0 });
 }
 
-void add_varied_ends(soak_random &r_random, const soak_size &p_size, duration p_begin, std::vector<soak_event> &r_events) {
-	const std::size_t count = LEAST_VARIED_ENDS + r_random.pick(MORE_VARIED_ENDS);
-	for (std::size_t i = 0; i < count; i++) {
-		const duration at = p_begin + r_random.pick_time(0, to_milliseconds(BURST));
-		const std::size_t endpoint = r_random.pick(p_size.endpoints);
-		r_events.push_back(soak_event{ at, soak_action::ENDPOINT_VARIES_ENDS, endpoint, r_random.pick_time(LEAST_NOTICE_MS, MOST_NOTICE_MS), 0 });
-	}
-}
+/** How often a burst has some kind of trouble with the answers of an endpoint. */
+struct answer_trouble {
+	soak_action action = soak_action::COUNT;
+	std::size_t least = 0;
+	std::size_t more = 0; ///< Fewer than so many are added.
+};
+
+constexpr answer_trouble VARIED_ENDS{ soak_action::ENDPOINT_VARIES_ENDS, 2, 3 };
+constexpr answer_trouble SURPLUS{ soak_action::ENDPOINT_REPEATS_ANSWERS, 3, 3 };
+constexpr answer_trouble MALFORMED{ soak_action::ENDPOINT_SENDS_MALFORMED, 3, 3 };
 
-void add_surplus(soak_random &r_random, const soak_size &p_size, duration p_begin, std::vector<soak_event> &r_events) {
-	const std::size_t count = LEAST_SURPLUS + r_random.pick(MORE_SURPLUS);
+void add_answer_trouble(const answer_trouble &p_trouble, soak_random &r_random, const soak_size &p_size, duration p_begin, std::vector<soak_event> &r_events) {
+	const std::size_t count = p_trouble.least + r_random.pick(p_trouble.more);
 	for (std::size_t i = 0; i < count; i++) {
 		const duration at = p_begin + r_random.pick_time(0, to_milliseconds(BURST));
 		const std::size_t endpoint = r_random.pick(p_size.endpoints);
-		r_events.push_back(soak_event{ at, soak_action::ENDPOINT_REPEATS_ANSWERS, endpoint, r_random.pick_time(LEAST_NOTICE_MS, MOST_NOTICE_MS), 0 });
+		r_events.push_back(soak_event{ at, p_trouble.action, endpoint, r_random.pick_time(LEAST_NOTICE_MS, MOST_NOTICE_MS), 0 });
 	}
 }
 
@@ -174,6 +174,7 @@
 	soak_random surplus(p_seed + SURPLUS_SEED_STEP);
 	soak_random updates(p_seed + UPDATE_SEED_STEP);
 	soak_random replacements(p_seed + REPLACEMENT_SEED_STEP);
+	soak_random malformed(p_seed + MALFORMED_SEED_STEP);
 	std::size_t newest_version = FIRST_VERSIONS;
 	std::vector<soak_event> events;
 	for (duration begin = WARM_UP; begin + BURST <= get_calm_end(p_size); begin += BURST + CALM) {
@@ -188,10 +189,13 @@
 			add_silence(silences, begin, events);
 		}
 		if (p_size.has_varied_ends) {
-			add_varied_ends(ends, p_size, begin, events);
+			add_answer_trouble(VARIED_ENDS, ends, p_size, begin, events);
 		}
 		if (p_size.has_surplus) {
-			add_surplus(surplus, p_size, begin, events);
+			add_answer_trouble(SURPLUS, surplus, p_size, begin, events);
+		}
+		if (p_size.has_malformed) {
+			add_answer_trouble(MALFORMED, malformed, p_size, begin, events);
 		}
 		if (p_size.has_replaced_seeds) {
 			events.push_back(soak_event{ begin + replacements.pick_time(0, to_milliseconds(BURST)), soak_action::SEEDS_REPLACED, 0, duration::zero(), 0 });
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -44,6 +44,7 @@
 	ENDPOINT_REPEATS_ANSWERS, ///< Sends second copies of its answers, immediately or where the next one is due.
 	SEEDS_REPLACED, ///< The seeds stop, and other machines start in their places, whose settings name only each other.
 	ENDPOINT_UPDATES, ///< Leaves, and starts again under another name with a newer version of its software.
+	ENDPOINT_SENDS_MALFORMED, ///< Sends heads that are not valid HTTP.
 	COUNT,
 };
 
@@ -85,6 +86,7 @@
 	bool has_varied_ends = false; ///< Endpoints end answers in any way besides, some in each burst.
 	bool has_surplus = false; ///< Endpoints send second copies of their answers besides, some in each burst.
 	bool has_replaced_seeds = false; ///< The seeds are replaced besides, once in each burst.
+	bool has_malformed = false; ///< Endpoints send answers that are not valid HTTP besides, some in each burst, and callers such requests throughout.
 };
 
 /** From here on nothing is disturbed, only configured. */
