--- a/misc/scripts/mutations.sh
+++ b/misc/scripts/mutations.sh
@@ -218,7 +218,7 @@
 mutate "syntax of messages" "a line begins with a blank" $syntax "if (is_token_byte(p_byte)) {" "if (is_token_byte(p_byte) || p_byte == ' ' || p_byte == '\t') {" gateway_malformed_answer_test
 mutate "syntax of messages" "any byte follows a carriage return" $syntax "return p_byte == '\n' ? _part_behind_line : part::FAILED;" "return _part_behind_line;" gateway_malformed_answer_test
 mutate "syntax of messages" "lines of a head end in two ways" $syntax "(_line_end != line_end::UNKNOWN && _line_end != found)" "false" gateway_malformed_answer_test
-mutate "syntax of messages" "any bytes follow the data of a chunk" $syntax "return _end_line(p_byte, part::CHUNK_SIZE);" "_part_behind_line = part::CHUNK_SIZE;
+mutate "syntax of messages" "any byte may follow the data of a chunk" $syntax "return _end_line(p_byte, part::CHUNK_SIZE);" "_part_behind_line = part::CHUNK_SIZE;
 			return part::LINE_FEED;" gateway_malformed_answer_test
 mutate "syntax of messages" "any byte follows the size of a chunk" $syntax "return p_byte == ';' ? part::CHUNK_EXTENSION : _end_line(p_byte, _get_part_behind_size());" "return p_byte == '\r' || p_byte == '\n' ? _end_line(p_byte, _get_part_behind_size()) : part::CHUNK_EXTENSION;" gateway_malformed_answer_test
 mutate "answers to calls of serve" "bytes that are no valid answer are used" drivers/http_client.cpp "if (self._checker.get_state() != http_reader::state::COMPLETE) {" "if (false) {" http_client_test
--- a/tests/drivers/http_syntax_checker_test.cpp
+++ b/tests/drivers/http_syntax_checker_test.cpp
@@ -91,7 +91,7 @@
 
 const std::vector<std::string> MALFORMED_CHUNKS{
 	"5\rZhello\r\n0\r\n\r\n", "5 5\r\nhello\r\n0\r\n\r\n", "5;\x01\r\nhello\r\n0\r\n\r\n", "5\nhello\r\n0\r\n\r\n", "\r\n5\r\nhello\r\n0\r\n\r\n", "+5\r\nhello\r\n0\r\n\r\n", "0x5\r\nhello\r\n0\r\n\r\n",
-	"5\r\nhelloXY0\r\n\r\n", "5\r\nhello\rY0\r\n\r\n", "5\r\nhello\n0\r\n\r\n", "5\r\nhello0\r\n\r\n", "10000000000000005\r\nhello\r\n0\r\n\r\n",
+	"5\r\nhelloXY0\r\n\r\n", "5\r\nhelloX\n0\r\n\r\n", "5\r\nhello\rY0\r\n\r\n", "5\r\nhello\n0\r\n\r\n", "5\r\nhello0\r\n\r\n", "10000000000000005\r\nhello\r\n0\r\n\r\n",
 	"5\r\nhello\r\n0\r\nX A: 1\r\n\r\n", "5\r\nhello\r\n0\r\n\rX: 1\r\n\r\n", "5\r\nhello\r\n0\r\n X: 1\r\n\r\n", "5\r\nhello\r\n0\r\nX: \x01\r\n\r\n", "5\r\nhello\r\n0\rZ\r\n", "5\r\nhello\r\n0\r\nX: 1\n\r\n"
 };
 
--- a/tests/main/gateway_malformed_answer_test.cpp
+++ b/tests/main/gateway_malformed_answer_test.cpp
@@ -7,6 +7,7 @@
  */
 
 #include "tests/main/gateway_fixture.h"
+#include "tests/main/raw_connection.h"
 #include "tests/main/raw_server.h"
 
 namespace calicoscale {
@@ -138,7 +139,7 @@
 TEST_F(gateway_malformed_answer_test, an_answer_in_malformed_chunks_is_not_passed_on) {
 	const gateway &node = start_with_raw_endpoint();
 	const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: $attempt\r\nX-Replica-Seal: raw\r\nTransfer-Encoding: chunked\r\n\r\n";
-	for (const char *body : { "4\rZbody\r\n0\r\n\r\n", "4 4\r\nbody\r\n0\r\n\r\n", "4;\x01\r\nbody\r\n0\r\n\r\n", "4\r\nbodyXY0\r\n\r\n", "4\r\nbody\rY0\r\n\r\n", "4\r\nbody\r\n0\r\nX A: 1\r\n\r\n", "4\r\nbody\r\n0\r\n\rX: 1\r\n\r\n", "4\r\nbody\r\n0\r\n X: 1\r\n\r\n", "4\r\nbody\r\n0\rZ\r\n" }) {
+	for (const char *body : { "4\rZbody\r\n0\r\n\r\n", "4 4\r\nbody\r\n0\r\n\r\n", "4;\x01\r\nbody\r\n0\r\n\r\n", "4\r\nbodyXY0\r\n\r\n", "4\r\nbodyX\n0\r\n\r\n", "4\r\nbody\rY0\r\n\r\n", "4\r\nbody\r\n0\r\nX A: 1\r\n\r\n", "4\r\nbody\r\n0\r\n\rX: 1\r\n\r\n", "4\r\nbody\r\n0\r\n X: 1\r\n\r\n", "4\r\nbody\r\n0\rZ\r\n" }) {
 		expect_not_passed_on(node, head + body);
 	}
 	for (const char *body : { "4\r\nbody\r\n0\r\n\r\n", "2;a=b\r\nbo\r\n2 \r\ndy\r\n0\r\nX-Trailer: 1\r\n\r\n" }) {
@@ -158,6 +159,21 @@
 	expect_passed_on(node, "HTTP/1.1 200 OK\nX-Attempt-Id: $attempt\nX-Replica-Seal: raw\nContent-Length: 4\n\nbody");
 }
 
+TEST_F(gateway_malformed_answer_test, a_malformed_answer_to_a_request_without_a_body_is_not_passed_on) {
+	const gateway &node = start_with_raw_endpoint();
+	for (const std::string method : { "GET", "HEAD" }) {
+		for (const std::string &answer : { write_answer_of_status("000 OK"), write_answer_of_status("0200 OK"), write_answer_with_line(" X-Injected: 1"), write_answer_with_line("\rX-Injected: 1") }) {
+			answer_with(answer);
+			raw_connection caller(node.get_caller_address());
+			caller.send_bytes(method + " /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + method + std::to_string(_requests) + "\r\nX-Deadline-Ms: 2500\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n\r\n");
+			run_until([&caller] { caller.poll(); return caller.is_closed(); });
+			EXPECT_TRUE(caller.get_received().starts_with("HTTP/1.1 502 ")) << caller.get_received();
+			EXPECT_EQ(caller.get_received().find("Injected"), std::string::npos) << caller.get_received();
+		}
+	}
+	EXPECT_EQ(_requests, 8U) << "each is sent once";
+}
+
 // Guards against the promise that a request did not run, made by an answer of which not all bytes are valid.
 TEST_F(gateway_malformed_answer_test, a_malformed_rejection_proves_nothing) {
 	const gateway &node = start_with_raw_endpoint();
