--- a/drivers/http_syntax_checker.cpp
+++ b/drivers/http_syntax_checker.cpp
@@ -115,6 +115,8 @@
 
 http_syntax_checker::part http_syntax_checker::_check_start(char p_byte) {
 	_position = 0;
+	// Empty lines before a request are no part of its head.
+	_line_end = line_end::UNKNOWN;
 	if (_kind == kind::ANSWER) {
 		return _check_status(p_byte);
 	}
--- a/tests/drivers/http_syntax_checker_test.cpp
+++ b/tests/drivers/http_syntax_checker_test.cpp
@@ -141,7 +141,7 @@
 	for (const char *line : { "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.9 299 All  is\twell \xe2\x9c\x93" }) {
 		expect_body(kind::ANSWER, std::string(line) + "\r\nContent-Length: 5\r\n\r\nhello", "hello");
 	}
-	for (const char *start : { "", "\r\n", "\r\n\r\n" }) {
+	for (const char *start : { "", "\r\n", "\r\n\r\n", "\n", "\n\r\n" }) {
 		expect_body(kind::REQUEST, start + REQUEST + "\r\nhello", "hello");
 	}
 	expect_body(kind::REQUEST, "OPTIONS /\xc3\xa9?a=%20;b=[1]|{}\"<> HTTP/1.0\r\n\r\n", "");
