--- a/drivers/http_reader.cpp
+++ b/drivers/http_reader.cpp
@@ -129,7 +129,7 @@
 }
 
 bool are_headers_valid(const http_head &p_head) {
-	// A head that a peer forwards was not read from bytes here.
+	// Needed for heads that a peer forwards: their bytes did not pass http_syntax_checker here.
 	return std::all_of(p_head.headers.begin(), p_head.headers.end(), [](const http_header &p_header) {
 		const bool is_token = !p_header.name.empty() && std::all_of(p_header.name.begin(), p_header.name.end(), is_token_byte);
 		return is_token && std::all_of(p_header.value.begin(), p_header.value.end(), is_value_byte);
@@ -244,7 +244,7 @@
 	std::size_t consumed = 0;
 	while (_state == state::READING && consumed < p_bytes.size()) {
 		const std::string_view valid = p_bytes.substr(consumed, _syntax.check(p_bytes.substr(consumed)));
-		// No bytes would mean the end of the connection to the parser.
+		// http_parser takes a call without bytes for the end of the connection.
 		consumed += valid.empty() ? 0 : _parse(valid);
 		if (_state == state::READING && _syntax.has_failed()) {
 			_state = state::MALFORMED;
--- a/drivers/http_syntax_checker.h
+++ b/drivers/http_syntax_checker.h
@@ -72,7 +72,7 @@
 	line_end _line_end = line_end::UNKNOWN;
 	part _part_behind_fields = part::HEAD_END; ///< Follows the blank line behind headers or trailers.
 	std::size_t _position = 0; ///< Within the method, the target, the version, the status line or the chunk's size.
-	std::uint64_t _chunk_bytes = 0; ///< Of the current chunk, that are left.
+	std::uint64_t _chunk_bytes = 0; ///< Remaining bytes of the current chunk.
 
 	part _end_line(char p_byte, part p_next);
 	part _check_start(char p_byte);
@@ -95,8 +95,8 @@
 
 	/**
 	 * Checks the bytes that follow those of the last call.
-	 * @return how many of them are valid and may be parsed. Fewer than given at an invalid byte, which has_failed() tells, and behind the
-	 * head and the message, where begin_body() and reset() are due.
+	 * @return the number of bytes that are valid and may be parsed. It is smaller than the number given if a byte is invalid (then
+	 * has_failed() returns true), if the head ends (call begin_body() next) or if the message ends (call reset() next).
 	 */
 	std::size_t check(std::string_view p_bytes);
 
